Create the workspace, the design page and the first libraries

Cause: the repository was empty. The design page states requirements, state and owners, messages, failure behaviour and code style.

Change: workspace of ten crates; model with ten JSON Schema files, generated types, 48 result codes and 23 log events with catalogues checked by a test; store interface with etcd v3 JSON client and in-memory store; configuration acceptance with generations; stand-ins for platform and runners; check script.

--- /dev/null
+++ b/crates/nutmegcart/src/main.rs
@@ -0,0 +1,2 @@
+//! Fleet capacity and maintenance manager.
+fn main() {}
--- /dev/null
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -0,0 +1,74 @@
+//! Benchmarks against plain baselines, and capacity slopes.
+//!
+//! Each command prints one JSON object a line with name, unit, baseline, current and ratio.
+
+mod capacity;
+mod measure;
+
+use std::process::ExitCode;
+
+use crate::measure::Measure;
+
+mod flags {
+    #![allow(missing_docs)]
+
+    xflags::xflags! {
+        /// Measures nutmegcart's decisions against plain baselines.
+        cmd bench {
+            /// Request path: routing, admission, retries.
+            cmd request-path {
+                /// Seed of the generated load.
+                optional --seed seed: u64
+                /// Print one JSON object a line.
+                optional --json
+            }
+            /// Fleet: waves, placement, moves.
+            cmd fleet {
+                /// Seed of the generated load.
+                optional --seed seed: u64
+                /// Print one JSON object a line.
+                optional --json
+            }
+            /// Capacity: slopes of bytes, messages, allocations and processor time.
+            cmd capacity {
+                /// Seed of the generated load.
+                optional --seed seed: u64
+                /// Print one JSON object a line.
+                optional --json
+            }
+        }
+    }
+}
+
+/// Seed used when none is given.
+const DEFAULT_SEED: u64 = 1;
+
+fn main() -> ExitCode {
+    let flags = flags::Bench::from_env_or_exit();
+    let (json, measures) = match flags.subcommand {
+        flags::BenchCmd::RequestPath(flags) => (flags.json, request_path(seed(flags.seed))),
+        flags::BenchCmd::Fleet(flags) => (flags.json, fleet(seed(flags.seed))),
+        flags::BenchCmd::Capacity(flags) => (flags.json, capacity(seed(flags.seed))),
+    };
+    measure::print(&measures, json);
+    ExitCode::SUCCESS
+}
+
+fn seed(given: Option<u64>) -> u64 {
+    given.unwrap_or(DEFAULT_SEED)
+}
+
+/// Returns the measures of the request path.
+fn request_path(_seed: u64) -> Vec<Measure> {
+    Vec::new()
+}
+
+/// Returns the measures of the fleet decisions.
+fn fleet(_seed: u64) -> Vec<Measure> {
+    Vec::new()
+}
+
+/// Returns the capacity slopes.
+fn capacity(_seed: u64) -> Vec<Measure> {
+    capacity::configuration()
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance: HTTP for callers, operators and peers, worker pool, shared tables and shutdown.
--- /dev/null
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for the platform and backend servers, with scripted faults and an oracle.
+//!
+//! * [`Platform`]: store, instance list, drain and reboot, over HTTP on loopback;
+//! * [`Runner`]: a backend server with slots that can fail in scripted ways;
+//! * [`Oracle`]: counts what really ran, independent of the system under test.
+
+pub mod oracle;
+pub mod platform;
+pub mod runner;
+pub mod server;
+mod store_api;
+
+pub use oracle::Oracle;
+pub use platform::Faults;
+pub use platform::Platform;
+pub use runner::Behaviour;
+pub use runner::Runner;
--- /dev/null
+++ b/crates/nutmegcart_model/src/event.rs
@@ -0,0 +1,85 @@
+//! Numbered log events.
+
+use log::Level;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A log event; `docs/events.md` lists them all.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub enum Event {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Event {
+            /// Every event in ascending order of number.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Returns the stable number of the event.
+            ///
+            /// ```
+            /// # use nutmegcart_model::Event;
+            /// assert_eq!(Event::EntryStarted.number(), 100);
+            /// ```
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// Returns the level at which the event is logged.
+            #[must_use]
+            pub const fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+
+            /// Returns the one-line description.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+events! {
+    EntryStarted = 100, Info, "entry instance started";
+    EntryDraining = 101, Info, "entry instance is draining";
+    EntryStopped = 102, Info, "entry instance stopped with no request in flight";
+    MemoryPlatform = 103, Warn, "the store is in memory; nothing outlives this process";
+    StoreUnreachable = 200, Warn, "the platform's store does not answer";
+    StoreReachable = 201, Info, "the platform's store answers again";
+    ListUnreachable = 202, Warn, "the instance list does not answer";
+    ConfigAccepted = 300, Info, "configuration accepted";
+    ConfigInForce = 301, Info, "configuration in force";
+    ConfigOlderRefused = 302, Error, "older configuration refused";
+    ConfigConflict = 303, Warn, "racing configuration change refused";
+    ConfigInvalid = 304, Error, "configuration from the store or a peer cannot be read";
+    DutyTaken = 400, Info, "duty for the data centre taken";
+    DutyLost = 401, Warn, "duty for the data centre lost";
+    WaveStep = 410, Info, "instance taken out for maintenance";
+    WaveReturned = 411, Info, "instance returned to service";
+    WaveHalted = 412, Warn, "wave halted";
+    WaveFinished = 413, Info, "wave finished";
+    RunnerEjected = 500, Warn, "runner ejected by outcomes";
+    RunnerReturned = 501, Info, "ejected runner returned";
+    PeerSuspect = 600, Warn, "peer is silent";
+    PeerReturned = 601, Info, "peer answers again";
+    RosterChanged = 602, Info, "roster of entry instances changed";
+}
+
+/// Logs a numbered event with key-value fields.
+///
+/// ```
+/// use nutmegcart_model::{Event, log_event};
+/// log_event!(Event::EntryStarted, address = "127.0.0.1:8080");
+/// ```
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::Event = $event;
+        $crate::log::log!(
+            event.level(),
+            event = event.number() $(, $key:% = $value)*;
+            "{}", event.text()
+        );
+    }};
+}
--- /dev/null
+++ b/crates/nutmegcart_model/src/schema.rs
@@ -0,0 +1,58 @@
+//! JSON Schema files of the configuration records.
+
+use std::collections::BTreeMap;
+use std::sync::OnceLock;
+
+use jsonschema::Validator;
+use serde_json::Value;
+
+macro_rules! schemas {
+    ($($kind:literal $version:literal $file:literal)*) => {
+        const FILES: &[(&str, u64, &str)] =
+            &[$(($kind, $version, include_str!(concat!("../schemas/", $file)))),*];
+    };
+}
+
+schemas! {
+    "pool" 1 "pool.v1.json"
+    "pool" 2 "pool.v2.json"
+    "job" 1 "job.v1.json"
+    "job" 2 "job.v2.json"
+    "budget" 1 "budget.v1.json"
+    "budget" 2 "budget.v2.json"
+    "wave" 1 "wave.v1.json"
+    "wave" 2 "wave.v2.json"
+    "team" 1 "team.v1.json"
+    "team" 2 "team.v2.json"
+}
+
+type Table = BTreeMap<(&'static str, u64), Validator>;
+
+fn table() -> &'static Table {
+    static TABLE: OnceLock<Table> = OnceLock::new();
+    TABLE.get_or_init(|| {
+        FILES
+            .iter()
+            .map(|&(kind, version, text)| {
+                let schema: Value = serde_json::from_str(text).expect("schema file is JSON");
+                let validator = jsonschema::validator_for(&schema).expect("schema file is valid");
+                ((kind, version), validator)
+            })
+            .collect()
+    })
+}
+
+/// Returns whether any version of the kind is known.
+#[must_use]
+pub fn knows_kind(kind: &str) -> bool {
+    FILES.iter().any(|file| file.0 == kind)
+}
+
+/// Returns the validator of a kind at a schema version, if both are known.
+#[must_use]
+pub fn validator(kind: &str, version: u64) -> Option<&'static Validator> {
+    FILES
+        .iter()
+        .find(|file| file.0 == kind && file.1 == version)
+        .and_then(|file| table().get(&(file.0, file.1)))
+}
--- /dev/null
+++ b/crates/nutmegcart_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry instances over HTTP with MessagePack bodies.
--- /dev/null
+++ b/crates/nutmegcart_platform/src/fleet.rs
@@ -0,0 +1,165 @@
+//! The platform's list of instances, and its drain and reboot calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::InstanceId;
+use nutmegcart_model::Rack;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::http;
+use crate::http::HttpError;
+
+/// Result of a call to the instance list.
+pub type Result<T> = std::result::Result<T, HttpError>;
+
+/// What an instance is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Handles callers' requests.
+    Runner,
+    /// Runs tasks.
+    Worker,
+    /// Runs nutmegcart.
+    Entry,
+}
+
+/// What the platform says of an instance; the list lags.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// In service.
+    Live,
+    /// Going away; finishes what it has.
+    Leaving,
+    /// Drained: nothing in flight.
+    Drained,
+    /// Being rebooted.
+    Rebooting,
+    /// Not reachable for the platform.
+    Failed,
+}
+
+/// One line of the instance list.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Identifier, stable over reboots.
+    pub id: InstanceId,
+    /// What the instance is for.
+    pub role: Role,
+    /// Address that it serves.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Rack, a failure domain.
+    pub rack: Rack,
+    /// State as last known to the platform.
+    pub state: InstanceState,
+    /// Age of the state in milliseconds.
+    pub age_ms: u64,
+    /// Reboots carried out so far.
+    pub boots: u64,
+}
+
+/// One call to the fleet interface.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Call {
+    /// Lists the instances.
+    List,
+    /// Starts draining an instance, under an operation identifier.
+    Drain(InstanceId, String),
+    /// Reboots a drained instance, under an operation identifier.
+    Reboot(InstanceId, String),
+    /// Returns an instance to service, under an operation identifier.
+    Restore(InstanceId, String),
+}
+
+/// Body of the drain, reboot and restore calls.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OperationBody {
+    /// Operation identifier; a repeated one changes nothing.
+    pub operation: String,
+}
+
+/// Answer to the list call.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct InstanceList {
+    /// Instances in ascending order of identifier.
+    pub instances: Vec<Instance>,
+}
+
+/// The platform's fleet interface behind a closure.
+#[derive(Clone)]
+pub struct Fleet {
+    call: Arc<dyn Fn(Call) -> Result<Vec<Instance>> + Send + Sync>,
+}
+
+impl Fleet {
+    /// Creates the interface from the closure that carries its calls.
+    pub fn new(call: impl Fn(Call) -> Result<Vec<Instance>> + Send + Sync + 'static) -> Self {
+        Self {
+            call: Arc::new(call),
+        }
+    }
+
+    /// Talks to the platform at the address over HTTP; `docs/interfaces.md` has the details.
+    #[must_use]
+    pub fn http(address: SocketAddr, timeout: Duration) -> Self {
+        let agent = http::agent(timeout);
+        let act = move |id: InstanceId, verb: &str, operation: String| {
+            let url = format!("http://{address}/v1/instances/{id}/{verb}");
+            let body = OperationBody { operation };
+            http::post::<serde_json::Value>(&agent, &url, &body).map(|_| Vec::new())
+        };
+        let reader = http::agent(timeout);
+        Self::new(move |call| match call {
+            Call::List => {
+                let url = format!("http://{address}/v1/instances");
+                http::get::<InstanceList>(&reader, &url).map(|list| list.instances)
+            }
+            Call::Drain(id, operation) => act(id, "drain", operation),
+            Call::Reboot(id, operation) => act(id, "reboot", operation),
+            Call::Restore(id, operation) => act(id, "restore", operation),
+        })
+    }
+
+    /// Lists the instances.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer.
+    pub fn list(&self) -> Result<Vec<Instance>> {
+        (self.call)(Call::List)
+    }
+
+    /// Starts draining an instance; a repeated operation identifier changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer; the call may then be repeated.
+    pub fn drain(&self, id: &InstanceId, operation: &str) -> Result<()> {
+        (self.call)(Call::Drain(id.clone(), operation.to_owned())).map(drop)
+    }
+
+    /// Reboots a drained instance; a repeated operation identifier changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer; the call may then be repeated.
+    pub fn reboot(&self, id: &InstanceId, operation: &str) -> Result<()> {
+        (self.call)(Call::Reboot(id.clone(), operation.to_owned())).map(drop)
+    }
+
+    /// Returns a draining or drained instance to service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform does not answer; the call may then be repeated.
+    pub fn restore(&self, id: &InstanceId, operation: &str) -> Result<()> {
+        (self.call)(Call::Restore(id.clone(), operation.to_owned())).map(drop)
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_platform/src/lib.rs
@@ -0,0 +1,28 @@
+//! Clients of the platform: key-value store, instance list and task interface.
+//!
+//! * [`Store`]: compare-and-swap, leases and watches, over HTTP ([`etcd`]) or in memory
+//!   ([`MemoryStore`]);
+//! * [`Fleet`]: the list of instances, draining and rebooting.
+//!
+//! Both are plain structs around a closure, so tests and stand-ins replace the transport.
+
+pub mod etcd;
+pub mod fleet;
+pub mod http;
+pub mod memory;
+pub mod store;
+
+pub use fleet::Fleet;
+pub use fleet::Instance;
+pub use fleet::InstanceState;
+pub use fleet::Role;
+pub use memory::MemoryStore;
+pub use store::Change;
+pub use store::Compare;
+pub use store::KeyValue;
+pub use store::LeaseId;
+pub use store::Revision;
+pub use store::Store;
+pub use store::StoreError;
+pub use store::Txn;
+pub use store::TxnReply;
--- /dev/null
+++ b/crates/nutmegcart_platform/src/store.rs
@@ -0,0 +1,273 @@
+//! The narrow interface to the platform's key-value store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+
+/// Revision of the store; grows with every write.
+pub type Revision = i64;
+
+/// Identifier of a lease, never zero.
+pub type LeaseId = i64;
+
+/// Result of a call to the store.
+pub type Result<T> = std::result::Result<T, StoreError>;
+
+/// Why a call to the store failed.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum StoreError {
+    /// The call never reached the store.
+    #[display("the store cannot be reached: {reason}")]
+    Unreachable {
+        /// What the transport reported.
+        reason: String,
+    },
+    /// The answer was lost; a write may have taken effect.
+    #[display("the store's answer was lost: {reason}")]
+    AnswerLost {
+        /// What the transport reported.
+        reason: String,
+    },
+    /// The store refused the call, for example because of its rate limit.
+    #[display("the store refused the call: {reason}")]
+    Refused {
+        /// What the store reported.
+        reason: String,
+    },
+}
+
+/// A key with its value and revisions.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KeyValue {
+    /// Key.
+    pub key: String,
+    /// Value in bytes, at most 1 MB.
+    pub value: Vec<u8>,
+    /// Revision at which the key was created.
+    pub created: Revision,
+    /// Revision of the last write.
+    pub modified: Revision,
+    /// Lease that removes the key when it ends, or zero.
+    pub lease: LeaseId,
+}
+
+/// A condition of a transaction; revision zero means that the key does not exist.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Compare {
+    /// The key's last write has this revision.
+    Modified(String, Revision),
+    /// The key was created at this revision.
+    Created(String, Revision),
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Writes a value, attached to a lease unless it is zero.
+    Put(String, Vec<u8>, LeaseId),
+    /// Deletes a key.
+    Delete(String),
+}
+
+/// A compare-and-swap over any number of keys.
+///
+/// ```
+/// # use nutmegcart_platform::{MemoryStore, Txn};
+/// let store = MemoryStore::default().store();
+/// let txn = Txn::default().absent("k").put("k", b"v".to_vec());
+/// assert!(store.txn(&txn).unwrap().committed);
+/// assert!(!store.txn(&txn).unwrap().committed);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Txn {
+    /// Conditions, all of which must hold.
+    pub compare: Vec<Compare>,
+    /// Writes made if the conditions hold.
+    pub change: Vec<Change>,
+}
+
+impl Txn {
+    /// Requires that the key's last write has the revision.
+    #[must_use]
+    pub fn unchanged(mut self, key: impl Into<String>, modified: Revision) -> Self {
+        self.compare.push(Compare::Modified(key.into(), modified));
+        self
+    }
+
+    /// Requires that the key was created at the revision.
+    #[must_use]
+    pub fn held(mut self, key: impl Into<String>, created: Revision) -> Self {
+        self.compare.push(Compare::Created(key.into(), created));
+        self
+    }
+
+    /// Requires that the key does not exist.
+    #[must_use]
+    pub fn absent(self, key: impl Into<String>) -> Self {
+        self.held(key, 0)
+    }
+
+    /// Writes a value.
+    #[must_use]
+    pub fn put(self, key: impl Into<String>, value: Vec<u8>) -> Self {
+        self.put_leased(key, value, 0)
+    }
+
+    /// Writes a value that the end of the lease removes.
+    #[must_use]
+    pub fn put_leased(mut self, key: impl Into<String>, value: Vec<u8>, lease: LeaseId) -> Self {
+        self.change.push(Change::Put(key.into(), value, lease));
+        self
+    }
+
+    /// Deletes a key.
+    #[must_use]
+    pub fn delete(mut self, key: impl Into<String>) -> Self {
+        self.change.push(Change::Delete(key.into()));
+        self
+    }
+}
+
+/// Outcome of a transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TxnReply {
+    /// Whether the conditions held and the writes were made.
+    pub committed: bool,
+    /// Revision of the store after the transaction.
+    pub revision: Revision,
+}
+
+/// A consistent read of all keys with a prefix.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Snapshot {
+    /// Revision of the store at the read.
+    pub revision: Revision,
+    /// Keys in ascending order.
+    pub entries: Vec<KeyValue>,
+}
+
+impl Snapshot {
+    /// Returns the entry of a key.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&KeyValue> {
+        let found = self
+            .entries
+            .binary_search_by(|entry| entry.key.as_str().cmp(key));
+        found.ok().map(|index| &self.entries[index])
+    }
+}
+
+/// One call to the store.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Reads all keys with the prefix.
+    Range(String),
+    /// Runs a transaction.
+    Txn(Txn),
+    /// Grants a lease for the time.
+    Grant(Duration),
+    /// Renews a lease.
+    KeepAlive(LeaseId),
+    /// Ends a lease and removes its keys.
+    Revoke(LeaseId),
+    /// Waits until a key with the prefix is written at or after the revision, or the time is over.
+    Wait(String, Revision, Duration),
+}
+
+/// Answer of the store.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Answers [`Call::Range`].
+    Range(Snapshot),
+    /// Answers [`Call::Txn`].
+    Txn(TxnReply),
+    /// Answers [`Call::Grant`].
+    Lease(LeaseId),
+    /// Answers [`Call::KeepAlive`] and [`Call::Wait`]: whether the lease lives or a write happened.
+    Flag(bool),
+    /// Answers [`Call::Revoke`].
+    Done,
+}
+
+/// The platform's key-value store behind a closure.
+#[derive(Clone)]
+pub struct Store {
+    call: Arc<dyn Fn(Call) -> Result<Reply> + Send + Sync>,
+}
+
+macro_rules! expect_reply {
+    ($reply:expr, $variant:pat => $value:expr) => {
+        match $reply {
+            $variant => Ok($value),
+            other => Err(StoreError::Refused {
+                reason: format!("unexpected answer {other:?}"),
+            }),
+        }
+    };
+}
+
+impl Store {
+    /// Creates a store from the closure that carries its calls.
+    pub fn new(call: impl Fn(Call) -> Result<Reply> + Send + Sync + 'static) -> Self {
+        Self {
+            call: Arc::new(call),
+        }
+    }
+
+    /// Reads all keys with the prefix at one revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn range(&self, prefix: &str) -> Result<Snapshot> {
+        expect_reply!((self.call)(Call::Range(prefix.into()))?, Reply::Range(snapshot) => snapshot)
+    }
+
+    /// Runs a transaction.
+    ///
+    /// # Errors
+    ///
+    /// After [`StoreError::AnswerLost`] the writes may have been made.
+    pub fn txn(&self, txn: &Txn) -> Result<TxnReply> {
+        expect_reply!((self.call)(Call::Txn(txn.clone()))?, Reply::Txn(reply) => reply)
+    }
+
+    /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn grant(&self, time: Duration) -> Result<LeaseId> {
+        expect_reply!((self.call)(Call::Grant(time))?, Reply::Lease(lease) => lease)
+    }
+
+    /// Renews a lease and returns whether it is still alive.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn keep_alive(&self, lease: LeaseId) -> Result<bool> {
+        expect_reply!((self.call)(Call::KeepAlive(lease))?, Reply::Flag(alive) => alive)
+    }
+
+    /// Ends a lease and removes its keys.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn revoke(&self, lease: LeaseId) -> Result<()> {
+        expect_reply!((self.call)(Call::Revoke(lease))?, Reply::Done => ())
+    }
+
+    /// Waits for a write with the prefix at or after the revision; false when the time is over.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn wait(&self, prefix: &str, from: Revision, time: Duration) -> Result<bool> {
+        let call = Call::Wait(prefix.into(), from, time);
+        expect_reply!((self.call)(call)?, Reply::Flag(changed) => changed)
+    }
+}
