--- /dev/null
+++ b/crates/nutmegcart_fleet/src/duty.rs
@@ -0,0 +1,175 @@
+//! The duty of a data centre: a store lease, and the pace of store calls.
+
+use std::time::Duration;
+
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::LeaseId;
+use nutmegcart_platform::Txn;
+use nutmegcart_platform::store::Revision;
+
+/// Prefix of the duty keys in the store.
+pub const DUTY_PREFIX: &str = "/nutmegcart/duty/";
+
+/// Length of the lease.
+pub const LEASE_TIME: Duration = Duration::from_secs(10);
+
+/// Time between renewals; three may be lost before the lease ends.
+pub const RENEW_TIME: Duration = Duration::from_millis(2500);
+
+/// Part of the lease after which the holder makes no more effects, since the store's clock may
+/// run faster and an effect takes time to arrive.
+pub const SAFE_TIME: Duration = Duration::from_secs(7);
+
+/// Next call of a duty's keeper.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Grant a lease and report it with [`Duty::granted`].
+    Grant(Duration),
+    /// Run the transaction, then read the key and report it with [`Duty::read`].
+    Claim(Txn),
+    /// Renew the lease and report the answer with [`Duty::renewed`].
+    Renew(LeaseId),
+    /// Nothing before this time.
+    Wait(Duration),
+}
+
+/// One entry instance's part in the duty of a data centre.
+///
+/// ```
+/// # use nutmegcart_fleet::{Duty, duty::Step};
+/// # use nutmegcart_model::Incarnation;
+/// # use std::time::Duration;
+/// let mut duty = Duty::new(&"suva".into(), Incarnation(7));
+/// assert!(matches!(duty.step(Duration::ZERO), Step::Grant(_)));
+/// duty.granted(1, Duration::ZERO);
+/// assert!(matches!(duty.step(Duration::ZERO), Step::Claim(_)));
+/// assert_eq!(duty.held(Duration::ZERO), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Duty {
+    /// Key of the duty.
+    pub key: String,
+    holder: Vec<u8>,
+    lease: Option<LeaseId>,
+    created: Option<Revision>,
+    /// Time at which the last renewal that succeeded was sent.
+    confirmed: Duration,
+    /// Time before which the duty is not claimed again.
+    retry: Duration,
+}
+
+impl Duty {
+    /// Creates the part of an entry instance that holds nothing.
+    #[must_use]
+    pub fn new(centre: &DataCentre, incarnation: Incarnation) -> Self {
+        Self {
+            key: format!("{DUTY_PREFIX}{centre}"),
+            holder: incarnation.to_string().into_bytes(),
+            lease: None,
+            created: None,
+            confirmed: Duration::ZERO,
+            retry: Duration::ZERO,
+        }
+    }
+
+    /// Returns the next call.
+    #[must_use]
+    pub fn step(&self, now: Duration) -> Step {
+        let renewal = self.confirmed + RENEW_TIME;
+        match (self.lease, self.created) {
+            (Some(lease), _) if now >= renewal => Step::Renew(lease),
+            (Some(_), Some(_)) => Step::Wait(renewal),
+            _ if now < self.retry => Step::Wait(self.retry),
+            (None, _) => Step::Grant(LEASE_TIME),
+            (Some(lease), None) => Step::Claim(Txn::default().absent(&self.key).put_leased(
+                &self.key,
+                self.holder.clone(),
+                lease,
+            )),
+        }
+    }
+
+    /// Records a lease whose grant was sent at the time.
+    pub const fn granted(&mut self, lease: LeaseId, sent: Duration) {
+        self.lease = Some(lease);
+        self.created = None;
+        self.confirmed = sent;
+    }
+
+    /// Records the duty key as read after a claim; returns whether the duty is held.
+    ///
+    /// The lease in the key decides, so a claim whose answer was lost still counts.
+    pub fn read(&mut self, entry: Option<&KeyValue>, now: Duration) -> bool {
+        let own =
+            entry.filter(|entry| entry.value == self.holder && Some(entry.lease) == self.lease);
+        self.created = own.map(|entry| entry.created);
+        if own.is_none() {
+            // Another holder renews every 2.5 s; asking more often only costs store calls.
+            self.retry = now + RENEW_TIME;
+        }
+        own.is_some()
+    }
+
+    /// Records the answer to a renewal that was sent at the time.
+    pub const fn renewed(&mut self, alive: bool, sent: Duration) {
+        if alive {
+            self.confirmed = sent;
+        } else {
+            self.lease = None;
+            self.created = None;
+        }
+    }
+
+    /// Returns the creation revision of the duty key while the lease is certainly alive.
+    #[must_use]
+    pub fn held(&self, now: Duration) -> Option<Revision> {
+        self.created
+            .filter(|_| now.saturating_sub(self.confirmed) < SAFE_TIME)
+    }
+}
+
+/// Store calls that all entry instances of a deployment may make in a second.
+pub const CALLS_PER_SECOND: f64 = 1500.0;
+
+/// A token bucket for the store calls of an entry instance.
+///
+/// ```
+/// # use nutmegcart_fleet::duty::Pace;
+/// # use std::time::Duration;
+/// let mut pace = Pace::share(1500.0, 9);
+/// let granted = (0..1000).filter(|_| pace.take(Duration::ZERO)).count();
+/// assert_eq!(granted, 166);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Pace {
+    rate: f64,
+    tokens: f64,
+    filled: Duration,
+}
+
+impl Pace {
+    /// Creates the share of one entry instance in a rate of calls a second.
+    #[must_use]
+    pub fn share(total: f64, roster: u32) -> Self {
+        let rate = total / f64::from(roster.max(1));
+        Self {
+            rate,
+            tokens: rate,
+            filled: Duration::ZERO,
+        }
+    }
+
+    /// Takes a token; false if the call must wait.
+    pub fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.tokens = (self.tokens + passed * self.rate).min(self.rate);
+        let granted = self.tokens >= 1.0;
+        if granted {
+            self.tokens -= 1.0;
+        }
+        granted
+    }
+}
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -119,6 +119,10 @@
     WavePastDeadline = 3002, Invalid, 409, "the wave cannot finish before its deadline";
     NotInPool = 3003, Invalid, 404, "the instance is in no pool";
     BudgetExhausted = 3004, NotRun, 409, "the availability budget of the pool allows no further instance out";
+    WaveWithoutBudget = 3010, Invalid, 409, "the budget of a pool of the wave allows no instance out";
+    WaveNotRunning = 3011, Invalid, 409, "the wave is not under way";
+    InstanceBusy = 3012, Invalid, 409, "an operation on the instance is under way, or the instance is not available";
+    DutyElsewhere = 3013, Invalid, 409, "another entry instance has the duty for the instance's data centre";
     BadSetting = 4001, Invalid, 400, "a setting is out of range";
 }
 
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -59,6 +59,14 @@
     WaveReturned = 411, Info, "instance returned to service";
     WaveHalted = 412, Warn, "wave halted";
     WaveFinished = 413, Info, "wave finished";
+    WaveResumed = 414, Info, "halted wave continues after a healthy period";
+    WaveFailure = 415, Warn, "instance failed during or after its maintenance";
+    WaveCancelled = 416, Info, "operation cancelled; the instance returns to service";
+    InstanceMoved = 417, Info, "instance moved to another pool";
+    InstanceAssigned = 418, Info, "new instance assigned to a pool";
+    InstanceReplaced = 419, Info, "instance that vanished was replaced in its pool";
+    EffectFailed = 420, Warn, "drain, reboot or restore was not answered; it is repeated";
+    PlanConflict = 421, Info, "planned change lost a race and is planned again";
     RunnerEjected = 500, Warn, "runner ejected by outcomes";
     RunnerReturned = 501, Info, "ejected runner returned";
     PeerSuspect = 600, Warn, "peer is silent";
