Serve requests, accept configuration and carry out a wave end to end

Cause: the libraries were not joined into a running system.

The handler's guard travels in the response's extensions, since the HTTP library drops a response only after it was flushed.

Conclusion: the thin whole path works; the subsystems grow from here.

--- /dev/null
+++ b/crates/nutmegcart/src/client.rs
@@ -0,0 +1,123 @@
+//! Calls to the operators' interface of an entry instance.
+
+use std::env;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde_json::Value;
+use ureq::Agent;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Longest wait for an answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a call failed.
+#[derive(Clone, Debug, Display, Error, PartialEq)]
+pub enum CallError {
+    /// The entry instance did not answer.
+    #[display("{address} does not answer: {reason}")]
+    NoAnswer {
+        /// Address of the entry instance.
+        address: SocketAddr,
+        /// What the client reported.
+        reason: String,
+    },
+    /// The entry instance refused the call.
+    #[display("{}", describe(answer))]
+    Refused {
+        /// The error answer.
+        answer: Value,
+    },
+}
+
+fn describe(answer: &Value) -> String {
+    let text = |field: &str| answer[field].as_str().unwrap_or("").to_owned();
+    let mut parts = vec![format!("{} {}", text("code"), text("message"))];
+    for field in ["path", "detail", "request"] {
+        if !text(field).is_empty() {
+            parts.push(format!("{field}: {}", text(field)));
+        }
+    }
+    parts.join("; ")
+}
+
+/// A client of one entry instance.
+pub struct Client {
+    address: SocketAddr,
+    agent: Agent,
+}
+
+impl Client {
+    /// Creates a client for the given address, the one in the environment, or the default.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address in the environment is malformed.
+    pub fn new(given: Option<SocketAddr>) -> std::result::Result<Self, String> {
+        let address = match (given, env::var("NUTMEGCART_ENTRY")) {
+            (Some(address), _) => address,
+            (None, Ok(text)) => text
+                .parse()
+                .map_err(|_| format!("NUTMEGCART_ENTRY: {text:?} is not an IP address and port"))?,
+            (None, Err(_)) => SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)),
+        };
+        let config = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .http_status_as_error(false)
+            .build();
+        Ok(Self {
+            address,
+            agent: config.into(),
+        })
+    }
+
+    fn no_answer(&self, error: &ureq::Error) -> CallError {
+        CallError::NoAnswer {
+            address: self.address,
+            reason: error.to_string(),
+        }
+    }
+
+    fn read(&self, mut answer: ureq::http::Response<ureq::Body>) -> Result<Value> {
+        let text = answer.body_mut().read_to_string();
+        let text = text.map_err(|error| self.no_answer(&error))?;
+        let value: Value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+        if answer.status().is_success() {
+            Ok(value)
+        } else {
+            Err(CallError::Refused { answer: value })
+        }
+    }
+
+    /// Gets `/admin/v1/<path>`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance does not answer or refuses.
+    pub fn get(&self, path: &str) -> Result<Value> {
+        let url = format!("http://{}/admin/v1/{path}", self.address);
+        self.read(
+            self.agent
+                .get(url)
+                .call()
+                .map_err(|error| self.no_answer(&error))?,
+        )
+    }
+
+    /// Posts to `/admin/v1/<path>`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance does not answer or refuses.
+    pub fn post(&self, path: &str, body: &Value) -> Result<Value> {
+        let url = format!("http://{}/admin/v1/{path}", self.address);
+        let body = body.to_string();
+        let answer = self.agent.post(url).send(body.as_bytes());
+        self.read(answer.map_err(|error| self.no_answer(&error))?)
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart/src/demo/deployment.rs
@@ -0,0 +1,162 @@
+//! Platform, runners and entry instances of the demo.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_entry::Entry;
+use nutmegcart_entry::Settings;
+use nutmegcart_fakes::Oracle;
+use nutmegcart_fakes::Platform;
+use nutmegcart_fakes::Runner;
+use nutmegcart_fakes::server::free_address;
+use nutmegcart_model::Incarnation;
+use nutmegcart_platform::Fleet;
+use nutmegcart_platform::etcd;
+use serde_json::Value;
+use serde_json::json;
+
+/// Services, the spare pool last.
+pub const SERVICES: [&str; 5] = [
+    "resort-gates",
+    "reef-tours",
+    "markets",
+    "ferry-arrivals",
+    "shared-reporting",
+];
+/// Runners in all.
+pub const RUNNERS: usize = 50;
+/// Availability budget of each pool.
+pub const BUDGET: u32 = 2;
+const CENTRES: [&str; 4] = ["suva", "nadi", "labasa", "lautoka"];
+const ENTRIES: usize = 9;
+const RUNNERS_PER_RACK: usize = 4;
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+const REBOOT: Duration = Duration::from_millis(150);
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts to start an entry instance before giving up on finding free ports.
+const START_ATTEMPTS: usize = 20;
+
+/// A running deployment.
+pub struct Deployment {
+    /// Platform stand-in.
+    pub platform: Platform,
+    /// Runners.
+    pub runners: Vec<Runner>,
+    /// Entry instances.
+    pub entries: Vec<Arc<Entry>>,
+    /// What really ran.
+    pub oracle: Oracle,
+}
+
+impl Deployment {
+    /// Starts everything on loopback.
+    pub fn start() -> Self {
+        let oracle = Oracle::default();
+        let platform = Platform::start(REBOOT);
+        let runners: Vec<Runner> = (0..RUNNERS)
+            .map(|index| {
+                let runner = Runner::start(format!("runner-{index:02}"), &oracle, SERVICE_TIME);
+                let centre = CENTRES[index % CENTRES.len()];
+                let rack = index / CENTRES.len() / RUNNERS_PER_RACK;
+                let rack = format!("{centre}-rack-{rack}").as_str().into();
+                platform.add_runner(&runner, &centre.into(), &rack);
+                runner
+            })
+            .collect();
+        Self {
+            entries: start_entries(platform.address),
+            platform,
+            runners,
+            oracle,
+        }
+    }
+
+    /// Returns the addresses of the entry instances.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.settings.listen)
+            .collect()
+    }
+
+    /// Returns how many runners have a pool that every entry instance knows.
+    pub fn assigned(&self) -> usize {
+        let known = self.entries.iter().map(|entry| {
+            let maps = entry.tables.maps.read().clone();
+            let listed = entry.tables.instances.read().clone();
+            let seats: usize = maps.values().map(|map| map.seats.len()).sum();
+            seats.min(listed.instances.len())
+        });
+        known.min().unwrap_or(0)
+    }
+
+    /// Shuts the last entry instance down gracefully, in the background.
+    pub fn shut_down_last(&self) {
+        if let Some(entry) = self.entries.last().cloned() {
+            std::thread::spawn(move || entry.drain());
+        }
+    }
+}
+
+/// Starts all entry instances; every one is told the addresses of the others.
+fn start_entries(platform: SocketAddr) -> Vec<Arc<Entry>> {
+    let addresses: Vec<SocketAddr> = (0..ENTRIES).map(|_| free_address()).collect();
+    let start = |(index, &listen): (usize, &SocketAddr)| {
+        let others: Vec<String> = addresses
+            .iter()
+            .filter(|other| **other != listen)
+            .map(ToString::to_string)
+            .collect();
+        let settings = Settings::read(|name| match name {
+            "listen" => Some(listen.to_string()),
+            "id" => Some(format!("entry-{index}")),
+            "centre" => Some(CENTRES[index % CENTRES.len()].to_owned()),
+            "platform" => Some(platform.to_string()),
+            "peers" => Some(others.join(",")),
+            "round-ms" => Some("50".into()),
+            "grace-ms" => Some("300".into()),
+            "threads" => Some("4".into()),
+            _ => None,
+        });
+        let settings = settings.expect("demo settings are accepted");
+        (0..START_ATTEMPTS)
+            .find_map(|_| {
+                let store = etcd::connect(platform, PLATFORM_TIMEOUT);
+                let fleet = Fleet::http(platform, PLATFORM_TIMEOUT);
+                let incarnation = Incarnation::random();
+                Entry::start(settings.clone(), incarnation, store, fleet).ok()
+            })
+            .expect("an entry instance can be started")
+    };
+    addresses.iter().enumerate().map(start).collect()
+}
+
+/// Returns a pool record.
+pub fn pool(name: &str, spare: bool, size: u32, minimum: u32) -> Value {
+    json!({
+        "schema": 2, "kind": "pool", "name": name, "service": name,
+        "size": size, "spare": spare, "minimum": minimum,
+    })
+}
+
+/// Returns the records that the operator applies, in both schema versions.
+pub fn records() -> Vec<Value> {
+    let mut records = Vec::new();
+    for service in SERVICES {
+        records.push(pool(service, service == "shared-reporting", 10, 0));
+        records.push(json!({
+            "schema": 1, "kind": "budget", "name": service, "pool": service,
+            "unavailable": BUDGET,
+        }));
+        records.push(json!({
+            "schema": 1, "kind": "job", "name": format!("{service}-nightly"), "pool": service,
+            "cpu": 2000, "memory": 4096, "tasks": 0,
+        }));
+    }
+    records.push(json!({
+        "schema": 2, "kind": "wave", "name": "nightly", "pools": SERVICES, "deadline": 3600,
+        "weights": {"buffer": 3.0, "rollout": 1.0, "moves": 1.0},
+    }));
+    records
+}
--- /dev/null
+++ b/crates/nutmegcart/src/flags.rs
@@ -0,0 +1,128 @@
+//! Command line.
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Fleet capacity and maintenance manager.
+    ///
+    /// Every setting of `serve` is also an environment variable, for example
+    /// NUTMEGCART_BODY_LIMIT for --body-limit; a flag wins over the environment.
+    ///
+    /// Examples:
+    ///   nutmegcart demo --seed 7 --json
+    ///   nutmegcart serve --platform memory --runners 127.0.0.1:9001,127.0.0.1:9002
+    ///   nutmegcart apply pools.json --entry 127.0.0.1:8080
+    ///   nutmegcart wave start monthly
+    cmd nutmegcart {
+        /// Runs an entry instance until SIGTERM.
+        cmd serve {
+            /// IP address and port to serve (default 127.0.0.1:8080).
+            optional --listen address: String
+            /// Identifier of this entry instance (default entry-1).
+            optional --id name: String
+            /// Data centre (default local).
+            optional --centre name: String
+            /// IP address and port of the platform, or memory (default memory).
+            optional --platform address: String
+            /// Comma-separated addresses of the other entry instances.
+            optional --peers addresses: String
+            /// Comma-separated addresses of runners, with --platform memory.
+            optional --runners addresses: String
+            /// Open connections, 1 to 100000 (default 1024).
+            optional --connections number: String
+            /// Bytes of a request or answer body, 1024 to 67108864 (default 1048576).
+            optional --body-limit bytes: String
+            /// Deadline in ms of requests without one, 10 to 3600000 (default 10000).
+            optional --deadline-ms time: String
+            /// Time in ms from failing readiness to refusing requests, 0 to 600000 (default 3000).
+            optional --grace-ms time: String
+            /// Threads of the worker pool, 1 to 256 (default 8).
+            optional --threads number: String
+            /// Time in ms between control rounds, 10 to 60000 (default 500).
+            optional --round-ms time: String
+            /// Time in ms of the duty lease, 1000 to 60000 (default 10000).
+            optional --lease-ms time: String
+            /// Log level: error, warn, info, debug or trace (default info).
+            optional --log level: String
+            /// Log lines as JSON.
+            optional --log-json
+        }
+        /// Checks settings and record files without contacting anything.
+        ///
+        /// Example: nutmegcart check pools.json budgets.json
+        cmd check {
+            /// Files with one record or an array of records.
+            repeated files: PathBuf
+        }
+        /// Shows a whole deployment in one process and reports what the oracle saw.
+        cmd demo {
+            /// Seed of the load (default 1).
+            optional --seed seed: u64
+            /// Print the report as one JSON object on the last line.
+            optional --json
+        }
+        /// Applies record files; all are accepted, or none.
+        ///
+        /// Example: nutmegcart apply pools.json --based-on 12
+        cmd apply {
+            /// Files with one record or an array of records.
+            repeated files: PathBuf
+            /// Record to delete, as kind/name.
+            repeated --delete key: String
+            /// Refuse unless this is the present generation.
+            optional --based-on generation: u64
+            /// Identifier of the change; repeat it after an unknown outcome.
+            optional --operation identifier: String
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+        /// Prints one record.
+        ///
+        /// Example: nutmegcart get pool gates
+        cmd get {
+            /// Record kind: pool, job, budget, wave or team.
+            required kind: String
+            /// Record name.
+            required name: String
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+        /// Lists records, all or of one kind.
+        ///
+        /// Example: nutmegcart list pool
+        cmd list {
+            /// Record kind.
+            optional kind: String
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+        /// Prints the state of an entry instance and its peers.
+        cmd status {
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+        /// Starts, pauses or follows a maintenance wave.
+        ///
+        /// Example: nutmegcart wave status monthly
+        cmd wave {
+            /// What to do: start, pause or status.
+            required action: String
+            /// Name of the wave record.
+            required name: String
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
+    }
+}
--- a/crates/nutmegcart/src/main.rs
+++ b/crates/nutmegcart/src/main.rs
@@ -1,2 +1,31 @@
 //! Fleet capacity and maintenance manager.
-fn main() {}
+//!
+//! `nutmegcart serve` is an entry instance; the operator commands talk to any entry instance;
+//! `nutmegcart demo` shows a whole deployment in one process.
+
+mod check;
+mod client;
+mod demo;
+mod flags;
+mod operator;
+mod serve;
+mod table;
+
+use std::process::ExitCode;
+
+use crate::flags::Nutmegcart;
+use crate::flags::NutmegcartCmd;
+
+fn main() -> ExitCode {
+    let flags = Nutmegcart::from_env_or_exit();
+    match flags.subcommand {
+        NutmegcartCmd::Serve(flags) => serve::run(&flags),
+        NutmegcartCmd::Check(flags) => check::run(&flags),
+        NutmegcartCmd::Demo(flags) => demo::run(&flags),
+        NutmegcartCmd::Apply(flags) => operator::apply(&flags),
+        NutmegcartCmd::Get(flags) => operator::get(&flags),
+        NutmegcartCmd::List(flags) => operator::list(&flags),
+        NutmegcartCmd::Status(flags) => operator::status(&flags),
+        NutmegcartCmd::Wave(flags) => operator::wave(&flags),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -0,0 +1,175 @@
+//! An entry instance with its threads.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread::Builder;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_model::Event;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::log_event;
+use nutmegcart_peer::Client;
+use nutmegcart_peer::Sender;
+use nutmegcart_platform::Fleet;
+use nutmegcart_platform::Store;
+use ureq::Agent;
+
+use crate::config_sync;
+use crate::duty;
+use crate::metrics::Metrics;
+use crate::peering;
+use crate::server;
+use crate::settings::Settings;
+use crate::tables::Tables;
+use crate::workers::Workers;
+
+/// Result of starting an entry instance.
+pub type Result<T> = std::io::Result<T>;
+
+/// Longest wait for an answer of a peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between checks for requests in flight at shutdown.
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
+/// How far the shutdown of an entry instance has come.
+#[derive(Default)]
+pub struct Lifecycle {
+    /// Readiness fails.
+    pub draining: AtomicBool,
+    /// New caller requests are refused.
+    pub refusing: AtomicBool,
+    /// Control loops end.
+    pub stopped: AtomicBool,
+    /// Caller requests in flight.
+    pub active: AtomicUsize,
+}
+
+/// A running entry instance.
+pub struct Entry {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Identity in messages to peers.
+    pub sender: Sender,
+    /// Shared tables.
+    pub tables: Tables,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Shutdown state.
+    pub lifecycle: Lifecycle,
+    /// Store of the platform.
+    pub store: Store,
+    /// Instance list and maintenance calls of the platform.
+    pub fleet: Fleet,
+    /// Client for peers.
+    pub peers: Client,
+    /// Client for runners.
+    pub backend: Agent,
+    /// Background threads.
+    pub workers: Workers,
+    /// Start of the process's monotonic time.
+    pub started: Instant,
+}
+
+impl Entry {
+    /// Starts serving and all control loops.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or a thread cannot be started.
+    pub fn start(
+        settings: Settings,
+        incarnation: Incarnation,
+        store: Store,
+        fleet: Fleet,
+    ) -> Result<Arc<Self>> {
+        let sender = Sender {
+            id: settings.id.clone(),
+            incarnation,
+            centre: settings.centre.clone(),
+            address: settings.listen,
+        };
+        let backend = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(settings.connections)
+            .max_idle_connections_per_host(64)
+            .build();
+        let entry = Arc::new(Self {
+            workers: Workers::start(settings.threads),
+            settings,
+            sender,
+            tables: Tables::default(),
+            metrics: Metrics::default(),
+            lifecycle: Lifecycle::default(),
+            store,
+            fleet,
+            peers: Client::new(PEER_TIMEOUT),
+            backend: backend.into(),
+            started: Instant::now(),
+        });
+        server::start(&entry)?;
+        entry.spawn("config", config_sync::run)?;
+        entry.spawn("instances", config_sync::run_list)?;
+        entry.spawn("peering", peering::run)?;
+        entry.spawn("duty", duty::run)?;
+        log_event!(
+            Event::EntryStarted,
+            id = entry.settings.id,
+            address = entry.settings.listen,
+            centre = entry.settings.centre,
+            incarnation = incarnation,
+        );
+        Ok(entry)
+    }
+
+    fn spawn(self: &Arc<Self>, name: &str, run: fn(&Arc<Self>)) -> Result<()> {
+        let entry = self.clone();
+        Builder::new()
+            .name(name.into())
+            .spawn(move || run(&entry))?;
+        Ok(())
+    }
+
+    /// Returns whether the control loops should end.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.lifecycle.stopped.load(Ordering::Acquire)
+    }
+
+    /// Returns whether new caller requests should be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let draining = self.lifecycle.draining.load(Ordering::Acquire);
+        !draining && !self.tables.in_force.get().configuration.lineage.is_empty()
+    }
+
+    /// Sleeps for a control round, or less if the instance stops.
+    pub fn pause(&self) {
+        let end = Instant::now() + self.settings.round;
+        while !self.is_stopped() && Instant::now() < end {
+            sleep(DRAIN_POLL.min(self.settings.round));
+        }
+    }
+
+    /// Shuts down: fails readiness, waits for the grace time while still serving, refuses new
+    /// requests, and returns when none is in flight.
+    pub fn drain(&self) {
+        log_event!(Event::EntryDraining, id = self.settings.id);
+        self.lifecycle.draining.store(true, Ordering::Release);
+        sleep(self.settings.grace);
+        self.lifecycle.refusing.store(true, Ordering::Release);
+        while self.lifecycle.active.load(Ordering::Acquire) > 0 {
+            sleep(DRAIN_POLL);
+        }
+        self.stop();
+        log_event!(Event::EntryStopped, id = self.settings.id);
+    }
+
+    /// Ends the control loops without waiting for requests.
+    pub fn stop(&self) {
+        self.lifecycle.stopped.store(true, Ordering::Release);
+    }
+}
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -1,1 +1,21 @@
-//! The entry instance: HTTP for callers, operators and peers, worker pool, shared tables and shutdown.
+//! The entry instance: HTTP for callers, operators and peers, worker pool, shared tables and
+//! shutdown.
+//!
+//! [`Entry::start`] brings up an entry instance from checked [`Settings`].
+
+pub mod admin;
+pub mod config_sync;
+pub mod duty;
+pub mod entry;
+pub mod forward;
+pub mod http;
+pub mod metrics;
+pub mod peering;
+pub mod pool_map;
+pub mod server;
+pub mod settings;
+pub mod tables;
+pub mod workers;
+
+pub use entry::Entry;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -0,0 +1,134 @@
+//! Heartbeats between entry instances, and configuration pulled from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_model::Code;
+use nutmegcart_model::Event;
+use nutmegcart_model::log_event;
+use nutmegcart_peer::ConfigSince;
+use nutmegcart_peer::Heartbeat;
+use nutmegcart_peer::Message;
+use nutmegcart_peer::message;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+
+use crate::entry::Entry;
+use crate::http;
+use crate::tables::Peer;
+
+/// Silence after which a peer is suspect: three missed heartbeats.
+const SUSPECT: Duration = Duration::from_secs(3);
+/// Largest message of a peer in bytes.
+const MESSAGE_LIMIT: usize = 64 << 20;
+
+/// Sends heartbeats until the instance stops.
+pub fn run(entry: &Arc<Entry>) {
+    while !entry.is_stopped() {
+        for &address in &entry.settings.peers {
+            let entry_for_call = entry.clone();
+            entry
+                .workers
+                .submit(move || exchange(&entry_for_call, address));
+        }
+        mark_suspects(entry);
+        entry.pause();
+    }
+}
+
+/// Returns this instance's heartbeat.
+fn heartbeat(entry: &Entry) -> Heartbeat {
+    Heartbeat {
+        sender: entry.sender.clone(),
+        generation: entry.tables.in_force.get().configuration.generation,
+        draining: entry.lifecycle.draining.load(Ordering::Acquire),
+    }
+}
+
+fn exchange(entry: &Entry, address: SocketAddr) {
+    if let Ok(answer) = entry.peers.call(address, &heartbeat(entry)) {
+        heard(entry, &answer);
+        pull(entry, address, &answer);
+    }
+}
+
+fn heard(entry: &Entry, heartbeat: &Heartbeat) {
+    let peer = Peer {
+        sender: heartbeat.sender.clone(),
+        generation: heartbeat.generation,
+        draining: heartbeat.draining,
+        heard: Instant::now(),
+        suspect: false,
+    };
+    let old = entry
+        .tables
+        .peers
+        .lock()
+        .insert(heartbeat.sender.address, peer);
+    if old.is_some_and(|old| old.suspect) {
+        log_event!(Event::PeerReturned, peer = heartbeat.sender.id);
+    }
+}
+
+fn pull(entry: &Entry, address: SocketAddr, heartbeat: &Heartbeat) {
+    let from = entry.tables.in_force.get().configuration.generation;
+    if heartbeat.generation <= from {
+        return;
+    }
+    let request = ConfigSince {
+        sender: entry.sender.clone(),
+        from,
+    };
+    if let Ok(changes) = entry.peers.call(address, &request) {
+        entry
+            .tables
+            .in_force
+            .offer_changes(&changes, &heartbeat.sender.id);
+    }
+}
+
+fn mark_suspects(entry: &Entry) {
+    for peer in entry.tables.peers.lock().values_mut() {
+        if !peer.suspect && peer.heard.elapsed() > SUSPECT {
+            peer.suspect = true;
+            log_event!(Event::PeerSuspect, peer = peer.sender.id);
+        }
+    }
+}
+
+/// Handles `/peer/v1/<message>`.
+pub fn handle(entry: &Arc<Entry>, request: &mut Request<Body>, path: &str) -> Response<Body> {
+    let body = match http::read_body(request, MESSAGE_LIMIT) {
+        Ok(body) => body,
+        Err(code) => return http::error(code, "", ""),
+    };
+    match path {
+        Heartbeat::PATH => reply::<Heartbeat>(&body, |message| {
+            heard(entry, &message);
+            heartbeat(entry)
+        }),
+        ConfigSince::PATH => reply::<ConfigSince>(&body, |message| {
+            entry
+                .tables
+                .in_force
+                .get()
+                .configuration
+                .changes_since(message.from)
+        }),
+        _ => http::error(Code::NotFound, "", path),
+    }
+}
+
+fn reply<M: Message>(body: &[u8], answer: impl FnOnce(M) -> M::Answer) -> Response<Body> {
+    match message::decode::<M>(body) {
+        Ok(message) => {
+            let body = message::encode(&answer(message));
+            http::answer(200, "application/msgpack", body)
+        }
+        Err(error) => http::error(Code::BadRequest, "", &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -0,0 +1,82 @@
+//! Listening, and the way from a path to its handler.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use nutmegcart_model::Code;
+use oxhttp::Server;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+
+use crate::admin;
+use crate::entry::Entry;
+use crate::forward;
+use crate::http;
+use crate::peering;
+
+/// Longest wait for a byte from or to a caller.
+const SOCKET_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Starts the HTTP server of an entry instance.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn start(entry: &Arc<Entry>) -> std::io::Result<()> {
+    let handler = entry.clone();
+    Server::new(move |request| handle(&handler, request))
+        .bind(entry.settings.listen)
+        .with_global_timeout(SOCKET_TIMEOUT)
+        .with_max_concurrent_connections(entry.settings.connections)
+        .spawn()
+        .map(drop)
+}
+
+/// Counts a request in flight until its answer is written.
+pub struct Active(Arc<Entry>);
+
+impl Active {
+    fn begin(entry: &Arc<Entry>) -> Self {
+        entry.lifecycle.active.fetch_add(1, Ordering::AcqRel);
+        entry.metrics.active.inc();
+        Self(entry.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.metrics.active.dec();
+        self.0.lifecycle.active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn handle(entry: &Arc<Entry>, request: &mut Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if let Some(rest) = path.strip_prefix("/v1/services/") {
+        let active = Active::begin(entry);
+        // The refusal is checked after counting, so a drain that sees no request in flight
+        // cannot miss one that passed the check.
+        let response = if entry.lifecycle.refusing.load(Ordering::Acquire) {
+            entry.metrics.count(Code::ShuttingDown);
+            http::error(Code::ShuttingDown, "", "")
+        } else {
+            forward::handle(entry, request, rest)
+        };
+        return http::hold(response, active);
+    }
+    if let Some(message) = path.strip_prefix("/peer/v1/") {
+        return peering::handle(entry, request, message);
+    }
+    if let Some(rest) = path.strip_prefix("/admin/v1/") {
+        return admin::handle(entry, request, rest);
+    }
+    match path.as_str() {
+        "/healthz" => http::answer(200, "text/plain", "ok\n"),
+        "/readyz" if entry.is_ready() => http::answer(200, "text/plain", "ready\n"),
+        "/readyz" => http::answer(503, "text/plain", "not ready\n"),
+        "/metrics" => http::answer(200, "text/plain; version=0.0.4", entry.metrics.text()),
+        _ => http::error(Code::NotFound, "", &path),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/src/settings.rs
@@ -0,0 +1,223 @@
+//! Settings of an entry instance, each checked at start.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::InstanceId;
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingError>;
+
+/// A setting that is missing or out of range.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("NC4001 setting {name}: {value:?} is not accepted; accepted: {accepted}")]
+pub struct SettingError {
+    /// Name of the setting.
+    pub name: String,
+    /// The value as given, empty if missing.
+    pub value: String,
+    /// What would be accepted.
+    pub accepted: String,
+}
+
+/// Where store and instance list are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PlatformAddress {
+    /// Inside this process; nothing outlives it.
+    Memory,
+    /// At this address.
+    Http(SocketAddr),
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Address on which callers, operators and peers are served.
+    pub listen: SocketAddr,
+    /// Identifier of this entry instance.
+    pub id: InstanceId,
+    /// Data centre of this entry instance.
+    pub centre: DataCentre,
+    /// Where the platform is.
+    pub platform: PlatformAddress,
+    /// Addresses of the other entry instances.
+    pub peers: Vec<SocketAddr>,
+    /// Runners of a site without a platform.
+    pub runners: Vec<SocketAddr>,
+    /// Largest number of open connections.
+    pub connections: usize,
+    /// Largest request or answer body in bytes.
+    pub body_limit: usize,
+    /// Deadline of requests that carry none.
+    pub deadline: Duration,
+    /// Time between failing readiness and refusing requests at shutdown.
+    pub grace: Duration,
+    /// Threads of the worker pool.
+    pub threads: usize,
+    /// Time between rounds of the control loops.
+    pub round: Duration,
+    /// Time of the duty lease.
+    pub lease: Duration,
+}
+
+/// Names of all settings with a one-line help, in the order of `--help`.
+pub const NAMES: &[(&str, &str)] = &[
+    (
+        "listen",
+        "IP address and port to serve, default 127.0.0.1:8080",
+    ),
+    ("id", "identifier of this entry instance, default entry-1"),
+    ("centre", "data centre, default local"),
+    (
+        "platform",
+        "IP address and port of the platform, or memory; default memory",
+    ),
+    (
+        "peers",
+        "comma-separated addresses of the other entry instances",
+    ),
+    (
+        "runners",
+        "comma-separated addresses of runners, with platform memory",
+    ),
+    ("connections", "open connections, 1 to 100000, default 1024"),
+    (
+        "body-limit",
+        "bytes of a body, 1024 to 67108864, default 1048576",
+    ),
+    (
+        "deadline-ms",
+        "deadline of requests without one, 10 to 3600000, default 10000",
+    ),
+    (
+        "grace-ms",
+        "time from failing readiness to refusing requests, 0 to 600000, default 3000",
+    ),
+    ("threads", "threads of the worker pool, 1 to 256, default 8"),
+    (
+        "round-ms",
+        "time between control rounds, 10 to 60000, default 500",
+    ),
+    (
+        "lease-ms",
+        "time of the duty lease, 1000 to 60000, default 10000",
+    ),
+];
+
+fn fault(name: &str, value: &str, accepted: impl Into<String>) -> SettingError {
+    SettingError {
+        name: name.into(),
+        value: value.into(),
+        accepted: accepted.into(),
+    }
+}
+
+struct Reader<F>(F);
+
+impl<F: Fn(&str) -> Option<String>> Reader<F> {
+    fn text(&self, name: &str, default: &str) -> String {
+        (self.0)(name).unwrap_or_else(|| default.to_owned())
+    }
+
+    fn name(&self, name: &str, default: &str) -> Result<String> {
+        let value = self.text(name, default);
+        let good = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+        if value.is_empty() || value.len() > 63 || !value.chars().all(good) {
+            return Err(fault(name, &value, "1 to 63 of a-z, 0-9 and -"));
+        }
+        Ok(value)
+    }
+
+    fn number<T: FromStr + PartialOrd + fmt::Display + Copy>(
+        &self,
+        name: &str,
+        default: T,
+        least: T,
+        most: T,
+    ) -> Result<T> {
+        let Some(value) = (self.0)(name) else {
+            return Ok(default);
+        };
+        let number = value.parse().ok().filter(|n| *n >= least && *n <= most);
+        number.ok_or_else(|| fault(name, &value, format!("{least} to {most}")))
+    }
+
+    fn millis(&self, name: &str, default: u64, least: u64, most: u64) -> Result<Duration> {
+        self.number(name, default, least, most)
+            .map(Duration::from_millis)
+    }
+
+    fn addresses(&self, name: &str) -> Result<Vec<SocketAddr>> {
+        let value = self.text(name, "");
+        let parts = value.split(',').filter(|part| !part.trim().is_empty());
+        parts.map(|part| address(name, part.trim())).collect()
+    }
+}
+
+fn address(name: &str, value: &str) -> Result<SocketAddr> {
+    let parsed = value.parse();
+    parsed.map_err(|_| {
+        fault(
+            name,
+            value,
+            "an IP address and port, such as 127.0.0.1:8080",
+        )
+    })
+}
+
+impl Settings {
+    /// Reads and checks all settings; the lookup returns the value of a setting if it is given.
+    ///
+    /// # Errors
+    ///
+    /// Names the first setting that is not accepted, its value and the accepted range.
+    ///
+    /// ```
+    /// # use nutmegcart_entry::Settings;
+    /// let settings = Settings::read(|name| (name == "threads").then(|| "4".into())).unwrap();
+    /// assert_eq!(settings.threads, 4);
+    /// let error = Settings::read(|name| (name == "threads").then(|| "0".into())).unwrap_err();
+    /// assert_eq!(error.accepted, "1 to 256");
+    /// ```
+    pub fn read(lookup: impl Fn(&str) -> Option<String>) -> Result<Self> {
+        let reader = Reader(lookup);
+        let platform = reader.text("platform", "memory");
+        let platform = match platform.as_str() {
+            "memory" => PlatformAddress::Memory,
+            value => PlatformAddress::Http(
+                value
+                    .parse()
+                    .map_err(|_| fault("platform", value, "memory, or an IP address and port"))?,
+            ),
+        };
+        let settings = Self {
+            listen: address("listen", &reader.text("listen", "127.0.0.1:8080"))?,
+            id: reader.name("id", "entry-1")?.into(),
+            centre: reader.name("centre", "local")?.into(),
+            platform,
+            peers: reader.addresses("peers")?,
+            runners: reader.addresses("runners")?,
+            connections: reader.number("connections", 1024, 1, 100_000)?,
+            body_limit: reader.number("body-limit", 1 << 20, 1024, 64 << 20)?,
+            deadline: reader.millis("deadline-ms", 10_000, 10, 3_600_000)?,
+            grace: reader.millis("grace-ms", 3_000, 0, 600_000)?,
+            threads: reader.number("threads", 8, 1, 256)?,
+            round: reader.millis("round-ms", 500, 10, 60_000)?,
+            lease: reader.millis("lease-ms", 10_000, 1_000, 60_000)?,
+        };
+        if !settings.runners.is_empty() && settings.platform != PlatformAddress::Memory {
+            let value = format!("{} addresses", settings.runners.len());
+            return Err(fault(
+                "runners",
+                &value,
+                "nothing, unless platform is memory",
+            ));
+        }
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/src/tables.rs
@@ -0,0 +1,68 @@
+//! Tables shared by all threads of an entry instance.
+//!
+//! Lock order: `in_force` (inside [`InForce`]), `maps`, `instances`, `peers`, `routes`. A thread
+//! that holds one lock takes only later ones, and none is held across I/O.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_config::Generation;
+use nutmegcart_config::InForce;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::InstanceId;
+use nutmegcart_peer::Sender;
+use nutmegcart_platform::Instance;
+use parking_lot::Mutex;
+use parking_lot::RwLock;
+
+use crate::pool_map::PoolMap;
+
+/// What is known of a peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Who answered last at the address.
+    pub sender: Sender,
+    /// Generation of the configuration in force there.
+    pub generation: Generation,
+    /// Whether it is shutting down.
+    pub draining: bool,
+    /// When it was last heard.
+    pub heard: Instant,
+    /// Whether it has been silent for too long.
+    pub suspect: bool,
+}
+
+/// The instance list as last read.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    /// Instances by identifier.
+    pub instances: BTreeMap<InstanceId, Instance>,
+    /// When the list was read; none before the first time.
+    pub read: Option<Instant>,
+}
+
+impl Listed {
+    /// Returns the time since the list was read.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.read.map_or(Duration::MAX, |read| read.elapsed())
+    }
+}
+
+/// All shared tables.
+#[derive(Default)]
+pub struct Tables {
+    /// Configuration in force.
+    pub in_force: InForce,
+    /// Pool maps by data centre.
+    pub maps: RwLock<Arc<BTreeMap<DataCentre, PoolMap>>>,
+    /// Instance list.
+    pub instances: RwLock<Arc<Listed>>,
+    /// Peers by address.
+    pub peers: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// Next runner of each service in turn.
+    pub routes: Mutex<BTreeMap<String, usize>>,
+}
--- a/crates/nutmegcart_model/src/incarnation.rs
+++ b/crates/nutmegcart_model/src/incarnation.rs
@@ -5,6 +5,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use uuid::Uuid;
 
 /// A random identifier that a process draws when it starts.
 ///
@@ -18,6 +19,19 @@
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Draws a new incarnation.
+    ///
+    /// ```
+    /// # use nutmegcart_model::Incarnation;
+    /// assert_ne!(Incarnation::random(), Incarnation::random());
+    /// ```
+    #[must_use]
+    pub fn random() -> Self {
+        Self(Uuid::new_v4().as_u64_pair().0)
+    }
+}
+
 impl fmt::Display for Incarnation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- /dev/null
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -0,0 +1,83 @@
+//! The typed messages between entry instances.
+
+use std::net::SocketAddr;
+
+use nutmegcart_config::Changes;
+use nutmegcart_config::Generation;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::InstanceId;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// A message with its path and the type of its answer.
+pub trait Message: Serialize + DeserializeOwned {
+    /// Path below `/peer/v1/`.
+    const PATH: &str;
+    /// Type of the answer.
+    type Answer: Serialize + DeserializeOwned;
+}
+
+/// Who sends a message.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Entry instance.
+    pub id: InstanceId,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Address at which it serves.
+    pub address: SocketAddr,
+}
+
+/// Tells a peer that the sender is alive, and what it has; the answer tells the same of the peer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who sends it.
+    pub sender: Sender,
+    /// Generation of the configuration in force.
+    pub generation: Generation,
+    /// Whether the sender is shutting down.
+    pub draining: bool,
+}
+
+impl Message for Heartbeat {
+    const PATH: &str = "heartbeat";
+    type Answer = Self;
+}
+
+/// Asks for the configuration changes after a generation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ConfigSince {
+    /// Who sends it.
+    pub sender: Sender,
+    /// Generation in force at the sender.
+    pub from: Generation,
+}
+
+impl Message for ConfigSince {
+    const PATH: &str = "config-since";
+    type Answer = Changes;
+}
+
+/// Encodes a message or answer.
+///
+/// # Panics
+///
+/// Panics if the value cannot be represented in MessagePack, which the message types rule out.
+#[must_use]
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
+    // Named fields let versions with different fields read each other.
+    rmp_serde::to_vec_named(value).expect("message is serialisable")
+}
+
+/// Decodes a message or answer.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a value of the type.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
