Test waves against an oracle and measure them against a plain baseline

Cause: the planner had examples only. Fuzzing and trials on the first version found five faults: an instance that left the list while it drained was never given up; a line of the list from before a call's answer could end an operation; a failed instance could still be drained when it came back; runners that are never lent also blocked waves; an empty list finished a wave.

--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -4,6 +4,9 @@
 
 mod capacity;
 mod measure;
+mod waves;
+mod waves_baseline;
+mod waves_planner;
 
 use std::process::ExitCode;
 
@@ -64,8 +67,8 @@
 }
 
 /// Returns the measures of the fleet decisions.
-fn fleet(_seed: u64) -> Vec<Measure> {
-    Vec::new()
+fn fleet(seed: u64) -> Vec<Measure> {
+    waves::measures(seed)
 }
 
 /// Returns the capacity slopes.
--- /dev/null
+++ b/crates/nutmegcart_bench/src/waves_planner.rs
@@ -0,0 +1,216 @@
+//! The planner of every data centre, driven in virtual time against a store in memory.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use nutmegcart_fleet::Duty;
+use nutmegcart_fleet::Listing;
+use nutmegcart_fleet::Memory;
+use nutmegcart_fleet::Progress;
+use nutmegcart_fleet::View;
+use nutmegcart_fleet::duty::Step;
+use nutmegcart_fleet::map::MAP_PREFIX;
+use nutmegcart_fleet::map::Maps;
+use nutmegcart_fleet::map::Stored;
+use nutmegcart_fleet::planner;
+use nutmegcart_fleet::planner::Action;
+use nutmegcart_fleet::planner::Effect;
+use nutmegcart_fleet::planner::Settings;
+use nutmegcart_fleet::planner::Verb;
+use nutmegcart_fleet::planner::Waves;
+use nutmegcart_fleet::wave;
+use nutmegcart_fleet::wave::WAVE_PREFIX;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::InstanceId;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::WaveName;
+use nutmegcart_platform::MemoryStore;
+use serde::de::DeserializeOwned;
+
+use crate::waves::BUDGET;
+use crate::waves::Contestant;
+use crate::waves::Deployment;
+use crate::waves::Site;
+
+/// Key of the configuration's head.
+const HEAD: &str = "/nutmegcart/config/head";
+
+/// The duty holder of a data centre.
+struct Holder {
+    centre: DataCentre,
+    duty: Duty,
+    memory: Memory,
+    listing: Listing,
+}
+
+/// Drives the planner of every data centre.
+pub struct Planner {
+    store: MemoryStore,
+    holders: Vec<Holder>,
+    settings: Settings,
+    used: BTreeSet<(String, Verb)>,
+    pools: BTreeMap<InstanceId, PoolName>,
+    moves: u32,
+    started: bool,
+}
+
+fn read<K: Ord + From<String>, T: DeserializeOwned>(
+    store: &MemoryStore,
+    prefix: &str,
+) -> BTreeMap<K, Stored<T>> {
+    let snapshot = store.store().range(prefix).expect("store answers");
+    let values = snapshot.entries.iter().map(|entry| {
+        let value = planner::decode(&entry.value).expect("value is readable");
+        let modified = entry.modified;
+        let key = entry.key[prefix.len()..].to_owned();
+        (K::from(key), Stored { value, modified })
+    });
+    values.collect()
+}
+
+impl Planner {
+    /// Creates a planner for a deployment.
+    pub fn new(_deployment: &Deployment) -> Self {
+        Self {
+            store: MemoryStore::default(),
+            holders: Vec::new(),
+            settings: Settings::default(),
+            used: BTreeSet::new(),
+            pools: BTreeMap::new(),
+            moves: 0,
+            started: false,
+        }
+    }
+
+    fn set_up(&mut self, site: &Site) {
+        for pool in &site.pools {
+            self.settings.pools.insert(pool.name.clone(), pool.clone());
+            self.settings.budgets.insert(pool.name.clone(), BUDGET);
+        }
+        let name = site.wave.name.clone();
+        self.settings.waves.insert(name, site.wave.clone());
+        let centres: BTreeSet<DataCentre> = site
+            .machines
+            .values()
+            .map(|machine| machine.line.centre.clone())
+            .collect();
+        for (index, centre) in centres.into_iter().enumerate() {
+            let duty = Duty::new(&centre, Incarnation(index as u64));
+            self.holders.push(Holder {
+                centre,
+                duty,
+                memory: Memory::default(),
+                listing: Listing::default(),
+            });
+        }
+    }
+
+    fn keep(&mut self, index: usize, now: Duration) {
+        let store = self.store.store();
+        let duty = &mut self.holders[index].duty;
+        for _ in 0..3 {
+            match duty.step(now) {
+                Step::Grant(_) => {
+                    // Leases end by the wall clock, which has no part in virtual time.
+                    let lease = store
+                        .grant(Duration::from_hours(24))
+                        .expect("store answers");
+                    duty.granted(lease, now);
+                }
+                Step::Claim(txn) => {
+                    store.txn(&txn).expect("store answers");
+                    let snapshot = store.range(&duty.key).expect("store answers");
+                    duty.read(snapshot.get(&duty.key), now);
+                }
+                Step::Renew(lease) => {
+                    let alive = store.keep_alive(lease).expect("store answers");
+                    duty.renewed(alive, now);
+                }
+                Step::Wait(_) => return,
+            }
+        }
+    }
+
+    fn round(&mut self, index: usize, site: &mut Site, start: bool) {
+        self.keep(index, site.now);
+        let maps: Maps = read(&self.store, MAP_PREFIX);
+        let waves: Waves = read::<WaveName, Progress>(&self.store, WAVE_PREFIX);
+        let store = self.store.store();
+        let holder = &mut self.holders[index];
+        holder.listing.record(&site.list(), site.now);
+        holder.memory.lending.observe(&site.demand(), site.now);
+        let created = holder
+            .duty
+            .held(site.now)
+            .expect("nobody else wants the duty");
+        let view = View {
+            centre: &holder.centre,
+            duty: (&holder.duty.key, created),
+            head: (HEAD, 0),
+            maps: &maps,
+            waves: &waves,
+            listing: &holder.listing,
+            settings: &self.settings,
+            store: true,
+        };
+        if start {
+            let txn = wave::start(&view, &site.wave.name, site.now).expect("the wave may start");
+            store.txn(&txn).expect("store answers");
+            return;
+        }
+        let plan = planner::plan(&view, &mut holder.memory, site.now);
+        for effect in &plan.effects {
+            holder.memory.acknowledge(effect, site.now);
+            carry_out(&mut self.used, site, effect);
+        }
+        let committed = plan
+            .txn
+            .is_some_and(|txn| store.txn(&txn).expect("store answers").committed);
+        if committed {
+            let moved = |action: &&Action| matches!(action, Action::Move(..));
+            let count = plan.actions.iter().filter(moved).count();
+            self.moves += u32::try_from(count).unwrap_or(u32::MAX);
+        }
+    }
+}
+
+fn carry_out(used: &mut BTreeSet<(String, Verb)>, site: &mut Site, effect: &Effect) {
+    if used.insert((effect.operation.to_string(), effect.verb)) {
+        match effect.verb {
+            Verb::Drain => site.drain(&effect.instance),
+            Verb::Reboot => site.reboot(&effect.instance),
+            Verb::Restore => site.restore(&effect.instance),
+        }
+    }
+}
+
+impl Contestant for Planner {
+    fn tick(&mut self, site: &mut Site, wave: bool) {
+        if self.holders.is_empty() {
+            self.set_up(site);
+        }
+        if wave && !self.started {
+            self.started = true;
+            self.round(0, site, true);
+        }
+        for index in 0..self.holders.len() {
+            self.round(index, site, false);
+        }
+        let maps: Maps = read(&self.store, MAP_PREFIX);
+        self.pools = maps
+            .into_values()
+            .flat_map(|map| map.value.instances)
+            .map(|(id, entry)| (id, entry.pool))
+            .collect();
+    }
+
+    fn pool(&self, id: &str) -> Option<&PoolName> {
+        self.pools.get(id)
+    }
+
+    fn moves(&self) -> u32 {
+        self.moves
+    }
+}
--- a/crates/nutmegcart_fleet/src/advance.rs
+++ b/crates/nutmegcart_fleet/src/advance.rs
@@ -11,6 +11,7 @@
 use crate::map::State;
 use crate::planner::Action;
 use crate::planner::Memory;
+use crate::planner::Seen;
 use crate::planner::Verb;
 use crate::planner::wave_of;
 use crate::round::Round;
@@ -25,8 +26,9 @@
 impl Round<'_> {
     /// Carries operations under way one state further.
     ///
-    /// An operation ends only after its calls were answered. Its identifiers are then used up, so
-    /// a call that a paused former holder sends afterwards changes nothing.
+    /// An operation ends only after its calls were answered, on a line of the list from after the
+    /// answer. Its identifiers are then used up, so a call that a paused former holder sends
+    /// afterwards changes nothing.
     pub(crate) fn advance(&mut self, memory: &mut Memory) {
         let mut map = std::mem::take(&mut self.map);
         for (id, entry) in &mut map.instances {
@@ -36,64 +38,82 @@
                 continue;
             };
             let seen = memory.note(&operation, entry.state, self.now);
-            let waited = self.now.saturating_sub(seen.since);
-            let used = |verb| memory.acknowledged(&operation, verb);
-            let failed = observed.is_some_and(|line| line.state == InstanceState::Failed);
-            let rebooted = observed
-                .is_some_and(|line| line.state == InstanceState::Live && line.boots > entry.boots);
+            let verb = verb(entry.state);
+            let answered = verb.and_then(|verb| memory.acknowledged(&operation, verb));
+            let Some(answered) = answered else {
+                continue;
+            };
+            let gone = self.view.listing.lacks(id, self.now);
+            let line = observed.filter(|line| line.at > answered);
             match entry.state {
-                State::Service => entry.operation = None,
-                State::Draining => {
-                    let used = used(Verb::Drain);
-                    let drained = is_since(observed, InstanceState::Drained, used);
-                    if failed && used.is_some() {
-                        self.fail(id, entry);
-                    } else if entry.is_held() {
-                        if rebooted && used.is_some() {
-                            entry.finish();
-                            self.actions.push(Action::Return(id.clone(), operation));
-                        }
-                    } else if !self.is_running(entry) {
-                        entry.state = State::Restoring;
-                        self.actions.push(Action::Cancel(id.clone(), operation));
-                    } else if drained {
-                        entry.state = State::Rebooting;
-                        self.actions.push(Action::Reboot(id.clone(), operation));
-                    } else if waited > DRAIN_LIMIT {
-                        entry.state = State::Restoring;
-                        self.count_failure(entry);
-                        self.actions.push(Action::Cancel(id.clone(), operation));
-                    }
-                }
-                State::Rebooting => {
-                    if used(Verb::Reboot).is_none() {
-                        continue;
-                    }
-                    if rebooted {
-                        let begun = seen.begun.map(|begun| self.now.saturating_sub(begun));
-                        self.succeed(entry, begun);
-                        entry.finish();
-                        self.actions.push(Action::Return(id.clone(), operation));
-                    } else if failed || waited > REBOOT_LIMIT {
-                        self.fail(id, entry);
-                    }
-                }
+                State::Service => {}
+                State::Draining => self.advance_drain(id, entry, line, seen, gone),
+                State::Rebooting => self.advance_reboot(id, entry, line, seen),
+                State::Restoring if gone || is(line, InstanceState::Failed) => self.fail(id, entry),
                 State::Restoring => {
-                    let used = used(Verb::Restore);
-                    let restored = is_since(observed, InstanceState::Live, used);
-                    if failed && used.is_some() {
-                        self.fail(id, entry);
-                    } else if restored {
+                    if is(line, InstanceState::Live) {
                         entry.finish();
                         self.actions.push(Action::Recover(id.clone()));
                     }
                 }
-                State::Failed => self.recover(id, entry, observed),
+                State::Failed => self.recover(id, entry, line),
             }
         }
         self.map = map;
     }
 
+    fn advance_drain(
+        &mut self,
+        id: &InstanceId,
+        entry: &mut Entry,
+        line: Option<&Observed>,
+        seen: Seen,
+        gone: bool,
+    ) {
+        let operation = entry.operation.clone().unwrap_or_default();
+        if gone || is(line, InstanceState::Failed) {
+            self.fail(id, entry);
+        } else if entry.is_held() {
+            if is_rebooted(entry, line) {
+                entry.finish();
+                self.actions.push(Action::Return(id.clone(), operation));
+            }
+        } else if !self.is_running(entry) {
+            entry.state = State::Restoring;
+            self.actions.push(Action::Cancel(id.clone(), operation));
+        } else if is(line, InstanceState::Drained) {
+            entry.state = State::Rebooting;
+            // A lagging list may have hidden an earlier reboot at the start.
+            entry.boots = line.map_or(entry.boots, |line| line.boots);
+            self.actions.push(Action::Reboot(id.clone(), operation));
+        } else if self.now.saturating_sub(seen.since) > DRAIN_LIMIT {
+            entry.state = State::Restoring;
+            self.count_failure(entry);
+            self.actions.push(Action::Cancel(id.clone(), operation));
+        }
+    }
+
+    /// An instance may leave the list while it reboots, so its absence alone is no failure.
+    fn advance_reboot(
+        &mut self,
+        id: &InstanceId,
+        entry: &mut Entry,
+        line: Option<&Observed>,
+        seen: Seen,
+    ) {
+        if is_rebooted(entry, line) {
+            let operation = entry.operation.clone().unwrap_or_default();
+            let begun = seen.begun.map(|begun| self.now.saturating_sub(begun));
+            self.succeed(entry, begun);
+            entry.finish();
+            self.actions.push(Action::Return(id.clone(), operation));
+        } else if is(line, InstanceState::Failed)
+            || self.now.saturating_sub(seen.since) > REBOOT_LIMIT
+        {
+            self.fail(id, entry);
+        }
+    }
+
     /// Counts a failure of an instance that a running wave has already maintained.
     fn watch_maintained(&mut self, id: &InstanceId, entry: &mut Entry, line: Option<&Observed>) {
         let state = line.map(|line| line.state);
@@ -116,26 +136,17 @@
         }
     }
 
+    /// Returns a failed instance that is live again.
     fn recover(&mut self, id: &InstanceId, entry: &mut Entry, line: Option<&Observed>) {
-        let Some(line) = line else {
+        if !is(line, InstanceState::Live) {
             return;
-        };
-        match line.state {
-            InstanceState::Live => {
-                if line.boots > entry.boots {
-                    // Whoever repaired the instance also rebooted it.
-                    self.mark_done(entry);
-                }
-                entry.finish();
-                self.actions.push(Action::Recover(id.clone()));
-            }
-            InstanceState::Drained if entry.operation.is_some() => {
-                entry.state = State::Restoring;
-                let operation = entry.operation.clone().unwrap_or_default();
-                self.actions.push(Action::Cancel(id.clone(), operation));
-            }
-            _ => {}
         }
+        if is_rebooted(entry, line) {
+            // Whoever repaired the instance also rebooted it.
+            self.mark_done(entry);
+        }
+        entry.finish();
+        self.actions.push(Action::Recover(id.clone()));
     }
 
     fn is_running(&self, entry: &Entry) -> bool {
@@ -183,9 +194,24 @@
     }
 }
 
-/// Returns whether the list showed the state after the call was answered.
-fn is_since(line: Option<&Observed>, state: InstanceState, answered: Option<Duration>) -> bool {
-    line.is_some_and(|line| {
-        line.state == state && answered.is_some_and(|answered| line.at >= answered)
-    })
+/// Returns the call that a state asks for.
+///
+/// An operation is cancelled only after its drain was answered, so a drain that a paused former
+/// holder sends after the restore changes nothing. A failed instance is restored as well, so that
+/// it is not drained any more when it comes back.
+pub(crate) const fn verb(state: State) -> Option<Verb> {
+    match state {
+        State::Draining => Some(Verb::Drain),
+        State::Rebooting => Some(Verb::Reboot),
+        State::Restoring | State::Failed => Some(Verb::Restore),
+        State::Service => None,
+    }
+}
+
+fn is(line: Option<&Observed>, state: InstanceState) -> bool {
+    line.is_some_and(|line| line.state == state)
+}
+
+fn is_rebooted(entry: &Entry, line: Option<&Observed>) -> bool {
+    line.is_some_and(|line| line.state == InstanceState::Live && line.boots > entry.boots)
 }
--- a/crates/nutmegcart_fleet/src/assign.rs
+++ b/crates/nutmegcart_fleet/src/assign.rs
@@ -30,13 +30,8 @@
 /// An instance that vanished from the list is replaced by a new one of its role, so the pool
 /// keeps its size. Other new instances go to the pool that lacks most of its declared size, each
 /// data centre filling an equal part of it; without any shortfall they go to the spare pool.
-pub(crate) fn assign(
-    view: &View,
-    map: &mut PoolMap,
-    fence: &mut BTreeSet<DataCentre>,
-    actions: &mut Vec<Action>,
-    now: Duration,
-) {
+pub(crate) fn assign(view: &View, map: &mut PoolMap, now: Duration) -> Vec<Action> {
+    let mut actions = Vec::new();
     let fresh: Vec<_> = view
         .listing
         .iter()
@@ -47,7 +42,7 @@
         .filter(|(id, _)| view.listing.known(id, now).is_some())
         .collect();
     if fresh.is_empty() {
-        return;
+        return actions;
     }
     let mut vanished = vanished(view, map, now);
     let mut members = members(view, map);
@@ -64,8 +59,6 @@
             let Some(pool) = neediest(view, &members, centres, line.role) else {
                 continue;
             };
-            // Two data centres must not fill the same gap at once.
-            fence.extend(view.maps.keys().cloned());
             actions.push(Action::Assign(id.clone(), pool.clone()));
             let counts = members.entry((pool.clone(), line.role == Role::Runner));
             let counts = counts.or_default();
@@ -76,6 +69,7 @@
         let entry = Entry::new(pool, line.role, line.rack.clone());
         map.instances.insert(id.clone(), entry);
     }
+    actions
 }
 
 /// Members over all data centres and in this one, by pool and whether they are runners.
--- a/crates/nutmegcart_fleet/src/lending.rs
+++ b/crates/nutmegcart_fleet/src/lending.rs
@@ -13,6 +13,7 @@
 use nutmegcart_platform::InstanceState;
 use nutmegcart_platform::Role;
 
+use crate::budget::NO_BUDGET;
 use crate::budget::Standing;
 use crate::budget::Standings;
 use crate::map::Entry;
@@ -93,18 +94,10 @@
         self.estimates.get(pool)
     }
 
-    /// Returns how many available instances a pool is to keep.
-    pub(crate) fn desired(
-        &self,
-        settings: &Settings,
-        pool: &PoolName,
-        role: Role,
-        policy: Policy,
-    ) -> u32 {
-        let minimum = settings.pools.get(pool).map_or(0, |pool| pool.minimum);
-        let minimum = if role == Role::Runner { minimum } else { 0 };
+    /// Returns how many available instances the estimated demand asks for.
+    pub(crate) fn needed(&self, pool: &PoolName, role: Role, policy: Policy) -> u32 {
         let need = self.need(pool, role).unwrap_or(0.0);
-        ceiling(need * (1.0 + policy.reserve)).max(minimum)
+        ceiling(need * (1.0 + policy.reserve))
     }
 
     fn need(&self, pool: &PoolName, role: Role) -> Option<f64> {
@@ -209,7 +202,13 @@
             continue;
         };
         let extra = u32::from(blocked.contains(&pool.name));
-        let desired = lending.desired(settings, &pool.name, role, policy) + extra;
+        let minimum = if role == Role::Runner {
+            pool.minimum
+        } else {
+            0
+        };
+        let needed = lending.needed(&pool.name, role, policy) + extra;
+        let desired = needed.max(minimum);
         let generous = ceiling(need * (1.0 + policy.reserve) + GAP) + extra;
         let counts = standing.of(role);
         // Instances that are out come back by themselves within minutes.
@@ -240,7 +239,10 @@
 ) -> Option<InstanceId> {
     let mut after: Standing = standings.get(&donor.pool.name)?.clone();
     after.of_mut(role).members = after.of(role).members.checked_sub(1)?;
-    if after.total().unavailable() > 0 && after.is_over(view.settings.allowance(&donor.pool.name)) {
+    let allowance = view.settings.allowance(&donor.pool.name);
+    // A share of a small pool rounds down to nothing, and a wave could never finish there.
+    let closes = allowance.of(after.of(role).members) == 0 && allowance != NO_BUDGET;
+    if closes || after.total().unavailable() > 0 && after.is_over(allowance) {
         return None;
     }
     map.instances
--- a/crates/nutmegcart_fleet/src/planner.rs
+++ b/crates/nutmegcart_fleet/src/planner.rs
@@ -213,6 +213,8 @@
     pub(crate) acks: BTreeMap<(Arc<str>, Verb), Duration>,
     pub(crate) seen: BTreeMap<Arc<str>, Seen>,
     pub(crate) calm: BTreeMap<WaveName, Duration>,
+    /// Since when the rest of a wave consists of lost instances.
+    pub(crate) ending: BTreeMap<WaveName, Duration>,
     /// Whether the store did not answer in the last round.
     pub(crate) away: bool,
     /// Time before which nothing is taken out or moved.
@@ -240,6 +242,7 @@
             self.quiet = now + jitter;
             self.ramp = Some(1);
             self.calm.clear();
+            self.ending.clear();
             self.lending.forget_timers();
         }
     }
@@ -284,7 +287,6 @@
     if view.store {
         round.run(memory)
     } else {
-        memory.store_lost();
         Plan {
             effects: round.effects(memory),
             ..Plan::default()
--- a/crates/nutmegcart_fleet/src/round.rs
+++ b/crates/nutmegcart_fleet/src/round.rs
@@ -14,6 +14,7 @@
 use nutmegcart_platform::InstanceState;
 use nutmegcart_platform::Txn;
 
+use crate::advance::verb;
 use crate::assign;
 use crate::budget;
 use crate::budget::Standings;
@@ -26,10 +27,10 @@
 use crate::planner::Effect;
 use crate::planner::Memory;
 use crate::planner::Plan;
-use crate::planner::Verb;
 use crate::planner::View;
 use crate::planner::encode;
 use crate::planner::wave_of;
+use crate::wave::HEALTHY_PERIOD;
 use crate::wave::Phase;
 use crate::wave::Policy;
 use crate::wave::Progress;
@@ -87,20 +88,22 @@
     pub(crate) fn run(mut self, memory: &mut Memory) -> Plan {
         let effects = self.effects(memory);
         self.advance(memory);
-        assign::assign(
-            self.view,
-            &mut self.map,
-            &mut self.fence,
-            &mut self.actions,
-            self.now,
-        );
+        let assigned = assign::assign(self.view, &mut self.map, self.now);
+        if !assigned.is_empty() {
+            // Two data centres must not fill the same gap at once.
+            self.fence.extend(self.view.maps.keys().cloned());
+        }
         let mut standings = self.standings();
         self.resume_halted(&standings, memory);
         if self.now >= memory.quiet {
             let blocked = self.take_out(&mut standings, memory);
-            self.lend(&mut standings, &blocked, memory);
+            // Lending waits until new instances have found their places.
+            if assigned.is_empty() {
+                self.lend(&mut standings, &blocked, memory);
+            }
         }
-        self.finish_waves();
+        self.actions.extend(assigned);
+        self.finish_waves(memory);
         Plan {
             txn: self.transaction(),
             actions: self.actions,
@@ -115,18 +118,9 @@
             let Some(operation) = &entry.operation else {
                 continue;
             };
-            // A cancelled drain is sent before the restore: a paused former holder that sends it
-            // later then repeats a used identifier, which changes nothing.
-            let verbs: &[Verb] = match entry.state {
-                State::Draining => &[Verb::Drain],
-                State::Rebooting => &[Verb::Reboot],
-                State::Restoring => &[Verb::Drain, Verb::Restore],
-                State::Service | State::Failed => &[],
-            };
-            let next = verbs
-                .iter()
-                .find(|verb| memory.acknowledged(operation, **verb).is_none());
-            effects.extend(next.map(|&verb| Effect {
+            let next =
+                verb(entry.state).filter(|verb| memory.acknowledged(operation, *verb).is_none());
+            effects.extend(next.map(|verb| Effect {
                 verb,
                 instance: id.clone(),
                 operation: operation.clone(),
@@ -200,8 +194,7 @@
                 };
                 let spare = |standing: &budget::Standing| {
                     let free = standing.of(entry.role).available();
-                    let lending = &memory.lending;
-                    free > lending.desired(self.view.settings, &entry.pool, entry.role, policy)
+                    free > memory.lending.needed(&entry.pool, entry.role, policy)
                 };
                 if !standings.get(&entry.pool).is_some_and(spare) {
                     blocked.insert(entry.pool.clone());
@@ -310,7 +303,7 @@
         }
     }
 
-    fn finish_waves(&mut self) {
+    fn finish_waves(&mut self, memory: &mut Memory) {
         for (name, wave) in &self.view.settings.waves {
             let running = |progress: &&Progress| progress.phase == Phase::Running;
             let Some(progress) = self.waves.get(name).filter(running) else {
@@ -337,7 +330,13 @@
                     }) += 1;
                 }
             }
-            if rest.out == 0 && rest.pending == 0 {
+            if rest.out > 0 || rest.pending > 0 {
+                memory.ending.remove(name);
+                continue;
+            }
+            // Instances that are lost for a moment only may still be maintained.
+            let since = *memory.ending.entry(name.clone()).or_insert(self.now);
+            if rest.lost == 0 || self.now.saturating_sub(since) >= HEALTHY_PERIOD {
                 let Some(progress) = self.waves.get_mut(name) else {
                     continue;
                 };
