Continue halted waves without waiting for repairs and lend for maintenance

Cause: a halted wave waited until failed racks were repaired, moves scattered pools over racks, and a busy pool borrowed one instance at a time for its maintenance.

--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -6,6 +6,7 @@
 mod measure;
 mod waves;
 mod waves_baseline;
+mod waves_cost;
 mod waves_planner;
 
 use std::process::ExitCode;
@@ -68,7 +69,9 @@
 
 /// Returns the measures of the fleet decisions.
 fn fleet(seed: u64) -> Vec<Measure> {
-    waves::measures(seed)
+    let mut measures = waves::measures(seed);
+    measures.extend(waves_cost::measures());
+    measures
 }
 
 /// Returns the capacity slopes.
--- /dev/null
+++ b/crates/nutmegcart_bench/src/waves_cost.rs
@@ -0,0 +1,160 @@
+//! Processor time of one planning round, and the size of a pool map, over the size of the fleet.
+
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_fleet::Entry;
+use nutmegcart_fleet::Listing;
+use nutmegcart_fleet::Memory;
+use nutmegcart_fleet::Phase;
+use nutmegcart_fleet::Progress;
+use nutmegcart_fleet::View;
+use nutmegcart_fleet::map::Maps;
+use nutmegcart_fleet::map::Stored;
+use nutmegcart_fleet::planner;
+use nutmegcart_fleet::planner::Settings;
+use nutmegcart_fleet::planner::Waves;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::record::Pool;
+use nutmegcart_model::record::Wave;
+use nutmegcart_model::record::Weights;
+use nutmegcart_platform::Instance;
+use nutmegcart_platform::InstanceState;
+use nutmegcart_platform::Role;
+
+use crate::measure::Measure;
+use crate::waves::BUDGET;
+
+/// Instances, pools and data centres of today's deployments and of those in two years.
+const SIZES: [(u32, u32, u32); 3] = [(50, 5, 4), (500, 53, 4), (2600, 275, 8)];
+
+/// Rounds measured for each size.
+const ROUNDS: u32 = 200;
+
+/// Everything that a round reads.
+struct Scene {
+    maps: Maps,
+    waves: Waves,
+    listing: Listing,
+    settings: Settings,
+}
+
+fn scene(instances: u32, pools: u32, centres: u32) -> Scene {
+    let mut settings = Settings::default();
+    for index in 0..pools {
+        let name = format!("pool-{index}");
+        let pool = Pool {
+            name: name.as_str().into(),
+            service: name.as_str().into(),
+            size: instances / pools,
+            spare: index == 0,
+            minimum: 2,
+            workers: 0,
+        };
+        settings.budgets.insert(pool.name.clone(), BUDGET);
+        settings.pools.insert(pool.name.clone(), pool);
+    }
+    let wave = Wave {
+        name: "kernel".into(),
+        pools: settings.pools.keys().cloned().collect(),
+        deadline: None,
+        weights: Weights::default(),
+        width: None,
+    };
+    let progress = Progress {
+        phase: Phase::Running,
+        run: 1,
+        limit: 64,
+        ..Progress::default()
+    };
+    let mut maps = Maps::new();
+    let mut list = Vec::new();
+    for index in 0..instances {
+        let centre = DataCentre::from(format!("centre-{}", index % centres));
+        let line = Instance {
+            id: format!("instance-{index:05}").into(),
+            role: Role::Runner,
+            address: ([127, 0, 0, 1], 80).into(),
+            centre: centre.clone(),
+            rack: format!("rack-{}", index / 4).into(),
+            state: InstanceState::Live,
+            age_ms: 0,
+            boots: 0,
+        };
+        let pool = format!("pool-{}", index / 4 % pools);
+        let entry = Entry::new(pool.into(), line.role, line.rack.clone());
+        let map: &mut Stored<_> = maps.entry(centre).or_default();
+        map.value.instances.insert(line.id.clone(), entry);
+        list.push(line);
+    }
+    let mut listing = Listing::default();
+    listing.record(&list, Duration::from_secs(1));
+    let stored = Stored {
+        value: progress,
+        modified: 1,
+    };
+    Scene {
+        maps,
+        waves: [(wave.name.clone(), stored)].into(),
+        listing,
+        settings: {
+            settings.waves.insert(wave.name.clone(), wave);
+            settings
+        },
+    }
+}
+
+/// Returns the microseconds of a round and the bytes of a map.
+fn cost((instances, pools, centres): (u32, u32, u32)) -> (f64, f64) {
+    let scene = scene(instances, pools, centres);
+    let centre = DataCentre::from("centre-0");
+    let view = View {
+        centre: &centre,
+        duty: ("/nutmegcart/duty/centre-0", 1),
+        head: ("/nutmegcart/config/head", 1),
+        maps: &scene.maps,
+        waves: &scene.waves,
+        listing: &scene.listing,
+        settings: &scene.settings,
+        store: true,
+    };
+    let start = Instant::now();
+    for _ in 0..ROUNDS {
+        black_box(planner::plan(
+            &view,
+            &mut Memory::default(),
+            Duration::from_secs(2),
+        ));
+    }
+    let time = start.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS);
+    let map = &scene.maps[&centre].value;
+    let bytes = serde_json::to_vec(map)
+        .expect("a map is serialisable")
+        .len();
+    (time, bytes as f64)
+}
+
+/// Returns the cost of a round against a cost that grows in proportion to the instances.
+pub fn measures() -> Vec<Measure> {
+    let costs = SIZES.map(cost);
+    let mut measures = Vec::new();
+    for ((instances, pools, _), (time, bytes)) in SIZES.iter().zip(costs) {
+        let linear = costs[0].0 * f64::from(*instances) / f64::from(SIZES[0].0);
+        let name = format!("planning round, {instances} instances in {pools} pools");
+        measures.push(Measure::new(
+            name,
+            "us, baseline is linear growth",
+            linear,
+            time,
+        ));
+        let name = format!("pool map of a data centre, {instances} instances");
+        measures.push(Measure::new(
+            name,
+            "bytes, baseline is the limit",
+            1e6,
+            bytes,
+        ));
+    }
+    measures
+}
--- a/crates/nutmegcart_fleet/src/lending.rs
+++ b/crates/nutmegcart_fleet/src/lending.rs
@@ -9,6 +9,7 @@
 
 use nutmegcart_model::InstanceId;
 use nutmegcart_model::PoolName;
+use nutmegcart_model::Rack;
 use nutmegcart_model::record::Pool;
 use nutmegcart_platform::InstanceState;
 use nutmegcart_platform::Role;
@@ -176,7 +177,7 @@
             let Some(taker) = taker.filter(|_| moves.len() < MOVES_PER_ROUND) else {
                 continue;
             };
-            let found = movable(view, map, standings, donor, role, now);
+            let found = movable(view, map, standings, (donor, &taker.pool.name), role, now);
             if let Some(id) = found {
                 shift(standings, &donor.pool.name, &taker.pool.name, role);
                 moves.push((id, taker.pool.name.clone()));
@@ -201,7 +202,10 @@
         let (Some(standing), Some(need)) = (standing, lending.need(&pool.name, role)) else {
             continue;
         };
-        let extra = u32::from(blocked.contains(&pool.name));
+        // A pool that has no capacity to spare borrows what its budget lets go at once.
+        let borrows = blocked.contains(&pool.name);
+        let allowed = settings.allowance(&pool.name).of(standing.of(role).members);
+        let extra = if borrows { allowed.max(1) } else { 0 };
         let minimum = if role == Role::Runner {
             pool.minimum
         } else {
@@ -233,7 +237,7 @@
     view: &View,
     map: &PoolMap,
     standings: &Standings,
-    donor: &Want,
+    (donor, taker): (&Want, &PoolName),
     role: Role,
     now: Duration,
 ) -> Option<InstanceId> {
@@ -245,12 +249,27 @@
     if closes || after.total().unavailable() > 0 && after.is_over(allowance) {
         return None;
     }
+    if !after.centres.contains(view.centre) {
+        return None;
+    }
+    // A wave opens one rack of a pool at a time, so pools that spread over many racks by ones
+    // and twos are slow to maintain: stragglers of the donor go first, to racks of the taker.
+    let mut racks: BTreeMap<&Rack, (u32, u32)> = BTreeMap::new();
+    for entry in map.instances.values() {
+        let counts = racks.entry(&entry.rack).or_default();
+        counts.0 += u32::from(entry.pool == donor.pool.name);
+        counts.1 += u32::from(entry.pool == *taker);
+    }
     map.instances
         .iter()
-        .find(|(id, entry)| {
+        .filter(|(id, entry)| {
             let line = view.listing.known(id, now);
             entry.pool == donor.pool.name && is_movable(entry, line, role)
         })
+        .min_by_key(|(_, entry)| {
+            let (own, theirs) = racks.get(&entry.rack).copied().unwrap_or_default();
+            (own, u32::MAX - theirs)
+        })
         .map(|(id, _)| id.clone())
 }
 
--- a/crates/nutmegcart_fleet/src/planner.rs
+++ b/crates/nutmegcart_fleet/src/planner.rs
@@ -212,7 +212,8 @@
     pub lending: Lending,
     pub(crate) acks: BTreeMap<(Arc<str>, Verb), Duration>,
     pub(crate) seen: BTreeMap<Arc<str>, Seen>,
-    pub(crate) calm: BTreeMap<WaveName, Duration>,
+    /// Since when a halted wave has seen no new failure, and how many instances are failed.
+    pub(crate) calm: BTreeMap<WaveName, (Duration, u32)>,
     /// Since when the rest of a wave consists of lost instances.
     pub(crate) ending: BTreeMap<WaveName, Duration>,
     /// Whether the store did not answer in the last round.
--- a/crates/nutmegcart_fleet/src/round.rs
+++ b/crates/nutmegcart_fleet/src/round.rs
@@ -148,19 +148,22 @@
             let Some(progress) = self.waves.get_mut(name) else {
                 continue;
             };
-            let healthy = || {
-                wave.pools.iter().all(|pool| {
-                    let standing = standings.get(pool);
-                    standing.is_none_or(|standing| {
-                        !standing.is_over(settings.allowance(pool)) && standing.total().out == 0
-                    })
-                })
-            };
-            if progress.phase != Phase::Halted || !healthy() {
+            // Budgets keep the wave away from pools whose failed instances are still missing, so
+            // they need not be repaired first.
+            let counts = wave.pools.iter().filter_map(|pool| standings.get(pool));
+            let (failed, out) = counts.fold((0, 0), |(failed, out), standing| {
+                let total = standing.total();
+                (failed + total.failed, out + total.out)
+            });
+            let (_, least) = memory.calm.get(name).copied().unwrap_or((self.now, failed));
+            if progress.phase != Phase::Halted || out > 0 || failed > least {
                 memory.calm.remove(name);
                 continue;
             }
-            let since = *memory.calm.entry(name.clone()).or_insert(self.now);
+            let calm = memory.calm.entry(name.clone());
+            let calm = calm.or_insert((self.now, failed));
+            calm.1 = failed;
+            let since = calm.0;
             let period = progress.recovery();
             if period.is_some_and(|period| self.now.saturating_sub(since) >= period) {
                 progress.resume();
