Decide routing, admission, retries and ejection as state machines

Change: nutmegcart_request gains the modules admission, connection, departure, ejector, load, outcome, path, retry, router and share. Path joins them; time and random numbers are arguments. Code 1311 covers a request whose earlier attempt ended with a server error and whose retry was refused: "not run" would be untrue there.

--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -96,6 +96,7 @@
     OperationRunning = 1308, Unknown, 409, "the operation is still running";
     AnswerDropped = 1309, Unknown, 410, "the operation ran and its answer is no longer stored";
     TakeoverBarrier = 1310, Unknown, 503, "the ledger of the operation's key was lost; wait for the barrier to end or use a ticket";
+    RunnerFailed = 1311, Unknown, 502, "the runner answered an earlier attempt with a server error and no further attempt was made";
     BadRequest = 1401, Invalid, 400, "the request is malformed";
     BodyTooLarge = 1402, Invalid, 413, "the request body exceeds the size limit";
     HeaderTooLarge = 1403, Invalid, 431, "the request headers exceed the size limit";
--- /dev/null
+++ b/crates/nutmegcart_request/src/departure.rs
@@ -0,0 +1,218 @@
+//! Whether a runner is leaving, from its refusals, the instance list and peers.
+//!
+//! The instance list lags, so a runner's own refusal counts first. A full runner refuses in the
+//! same way as a leaving one; a few single attempts in the first two seconds tell them apart and
+//! end before the limit of 3 s for a leaving runner.
+
+use std::time::Duration;
+
+/// Times after the first refusal at which one attempt may test the runner.
+const PROBES: [Duration; 4] = [
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(700),
+    Duration::from_millis(1500),
+];
+
+/// Time after the first refusal from which the runner counts as leaving; a leaving runner must
+/// receive nothing after 3 s.
+const DECISION: Duration = Duration::from_secs(2);
+
+/// Assumed bound on the lag of the instance list.
+const LIST_LAG: Duration = Duration::from_secs(10);
+
+/// Time after which a runner that counts as leaving is tested although the list says nothing.
+const HOLD: Duration = Duration::from_secs(30);
+
+/// How much new work a runner may receive.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Intake {
+    /// Up to the share of this entry instance.
+    Full,
+    /// One attempt at a time.
+    Probe,
+    /// None.
+    Closed,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum State {
+    #[default]
+    Serving,
+    Refused {
+        first: Duration,
+        next: usize,
+        refusals: u32,
+    },
+    Leaving {
+        since: Duration,
+        until: Duration,
+        hearsay: bool,
+    },
+    /// The hold is over; one attempt decides.
+    Testing,
+}
+
+/// The departure of one runner.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Departure {
+    state: State,
+    listed: bool,
+}
+
+impl Departure {
+    /// Notes that the runner refused before it started.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use nutmegcart_request::departure::{Departure, Intake};
+    /// let mut departure = Departure::default();
+    /// departure.refused(Duration::ZERO);
+    /// assert_eq!(departure.intake(Duration::ZERO), Intake::Closed);
+    /// assert_eq!(departure.intake(Duration::from_millis(100)), Intake::Probe);
+    /// assert_eq!(departure.intake(Duration::from_secs(3)), Intake::Closed);
+    /// ```
+    pub fn refused(&mut self, now: Duration) {
+        self.advance(now);
+        self.state = match self.state {
+            State::Serving => State::Refused {
+                first: now,
+                next: 0,
+                refusals: 1,
+            },
+            State::Refused {
+                first,
+                next,
+                refusals,
+            } => State::Refused {
+                first,
+                next: PROBES
+                    .iter()
+                    .position(|&probe| first + probe > now)
+                    .unwrap_or(PROBES.len())
+                    .max(next),
+                refusals: refusals + 1,
+            },
+            State::Leaving { since, until, .. } => State::Leaving {
+                since,
+                until: until.max(now + HOLD),
+                hearsay: false,
+            },
+            State::Testing => State::Leaving {
+                since: now,
+                until: now + HOLD,
+                hearsay: false,
+            },
+        };
+    }
+
+    /// Notes a whole answer to an attempt that started at the given time.
+    pub fn answered(&mut self, started: Duration, now: Duration) {
+        self.advance(now);
+        match self.state {
+            // Attempts from before the refusal finish on a leaving runner too.
+            State::Refused { first, .. } if started <= first => {}
+            State::Refused { .. } | State::Testing => self.state = State::Serving,
+            State::Serving | State::Leaving { .. } => {}
+        }
+    }
+
+    /// Notes what the instance list said, with the time at which it was observed.
+    pub fn listed(&mut self, live: bool, observed: Duration, now: Duration) {
+        self.advance(now);
+        let returned = live && self.listed;
+        self.listed = !live;
+        let since = match self.state {
+            State::Refused { first, .. } => first,
+            State::Leaving { since, .. } => since,
+            State::Serving | State::Testing => return,
+        };
+        if returned || live && observed >= since + LIST_LAG {
+            self.state = State::Serving;
+        }
+    }
+
+    /// Notes that a peer was refused by the runner.
+    pub fn heard(&mut self, now: Duration) {
+        self.advance(now);
+        let until = now + LIST_LAG;
+        self.state = match self.state {
+            State::Leaving {
+                since,
+                until: earlier,
+                hearsay,
+            } => State::Leaving {
+                since,
+                until: earlier.max(until),
+                hearsay,
+            },
+            State::Serving | State::Refused { .. } | State::Testing => State::Leaving {
+                since: now,
+                until,
+                hearsay: !matches!(self.state, State::Refused { .. }),
+            },
+        };
+    }
+
+    /// Returns how much new work the runner may receive.
+    #[must_use]
+    pub fn intake(&self, now: Duration) -> Intake {
+        let mut later = *self;
+        later.advance(now);
+        match later.state {
+            _ if later.listed => Intake::Closed,
+            State::Serving => Intake::Full,
+            State::Testing => Intake::Probe,
+            State::Refused { first, next, .. } => match PROBES.get(next) {
+                Some(&probe) if now >= first + probe => Intake::Probe,
+                _ => Intake::Closed,
+            },
+            State::Leaving { .. } => Intake::Closed,
+        }
+    }
+
+    /// Returns when the intake may next change by time alone.
+    #[must_use]
+    pub fn wake(&self, now: Duration) -> Option<Duration> {
+        match self.state {
+            State::Serving | State::Testing => None,
+            State::Leaving { until, .. } => Some(until),
+            State::Refused { first, next, .. } => PROBES[next..]
+                .iter()
+                .map(|&probe| first + probe)
+                .find(|&probe| probe > now)
+                .or(Some(first + DECISION)),
+        }
+    }
+
+    /// Returns whether peers should be told that the runner leaves.
+    ///
+    /// One refusal may come from a full runner, so it takes two.
+    #[must_use]
+    pub fn is_reported(&self, now: Duration) -> bool {
+        let mut later = *self;
+        later.advance(now);
+        match later.state {
+            State::Refused { refusals, .. } => refusals > 1,
+            State::Leaving { hearsay, .. } => !hearsay,
+            State::Serving | State::Testing => false,
+        }
+    }
+
+    fn advance(&mut self, now: Duration) {
+        if let State::Refused { first, .. } = self.state
+            && now >= first + DECISION
+        {
+            self.state = State::Leaving {
+                since: first,
+                until: first + HOLD,
+                hearsay: false,
+            };
+        }
+        if let State::Leaving { until, .. } = self.state
+            && now >= until
+        {
+            self.state = State::Testing;
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_request/src/share.rs
@@ -0,0 +1,103 @@
+//! Shares of a runner's slots and connections between entry instances.
+
+use std::collections::BTreeSet;
+
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::InstanceId;
+use nutmegcart_model::ServiceName;
+use nutmegcart_model::rendezvous::weight;
+
+/// Requests that a runner handles at the same time.
+pub const SLOTS: u32 = 8;
+
+/// Connections that a runner accepts.
+pub const CONNECTIONS: u32 = 64;
+
+/// Slots of a runner kept for entry instances of other data centres.
+const SPILL_SLOTS: u32 = 2;
+
+/// A runner as the configuration and the pool map place it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunnerSpec {
+    /// Identifier in the instance list.
+    pub id: InstanceId,
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Service of the pool that the runner belongs to.
+    pub service: ServiceName,
+}
+
+/// An entry instance on the roster.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntrySpec {
+    /// Identifier.
+    pub id: InstanceId,
+    /// Data centre.
+    pub centre: DataCentre,
+}
+
+/// Returns the part of a runner's slots that an entry instance may use.
+///
+/// The shares of all entry instances add up to the slots of the runner, so that equal rosters never
+/// overload it. Entry instances near the runner hold most of them; the others share what is kept
+/// for requests that spill over. Near are the entry instances of the same data centre and those
+/// whose data centre has no runner of the service (`centres` has the ones that do). Rendezvous
+/// order spreads the remainders.
+///
+/// ```
+/// use nutmegcart_request::share::{EntrySpec, RunnerSpec, slot_share};
+/// let entry = |id: &str, centre: &str| EntrySpec { id: id.into(), centre: centre.into() };
+/// let runner = RunnerSpec { id: "r".into(), centre: "a".into(), service: "gates".into() };
+/// let entries = [entry("1", "a"), entry("2", "a"), entry("3", "b")];
+/// let centres = ["a".into(), "b".into()].into();
+/// let shares: Vec<u32> = entries
+///     .iter()
+///     .map(|own| slot_share(&entries, own, &runner, &centres))
+///     .collect();
+/// assert_eq!(shares, [3, 3, 2]);
+/// ```
+#[must_use]
+pub fn slot_share(
+    entries: &[EntrySpec],
+    own: &EntrySpec,
+    runner: &RunnerSpec,
+    centres: &BTreeSet<DataCentre>,
+) -> u32 {
+    let near =
+        |entry: &EntrySpec| entry.centre == runner.centre || !centres.contains(&entry.centre);
+    let local = entries.iter().filter(|entry| near(entry)).count();
+    let far = entries.len() - local;
+    let kept = match (local, far) {
+        (0, _) => SLOTS,
+        (_, 0) => 0,
+        _ => SPILL_SLOTS,
+    };
+    let (slots, group) = if near(own) {
+        (SLOTS - kept, local)
+    } else {
+        (kept, far)
+    };
+    let order = |entry: &EntrySpec| {
+        let weight = weight(runner.id.as_bytes(), entry.id.as_bytes());
+        (weight, entry.id.clone())
+    };
+    let mine = order(own);
+    let ahead = entries
+        .iter()
+        .filter(|entry| near(entry) == near(own) && order(entry) > mine)
+        .count();
+    let group = u32::try_from(group.max(1)).unwrap_or(u32::MAX);
+    let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+    slots / group + u32::from(ahead < slots % group)
+}
+
+/// Returns the connections that each entry instance may open to a runner, at least 1.
+///
+/// ```
+/// assert_eq!(nutmegcart_request::share::connection_share(9), 7);
+/// ```
+#[must_use]
+pub fn connection_share(entries: usize) -> u32 {
+    let entries = u32::try_from(entries.max(1)).unwrap_or(u32::MAX);
+    (CONNECTIONS / entries).max(1)
+}
--- /dev/null
+++ b/crates/nutmegcart_request/tests/admission.rs
@@ -0,0 +1,291 @@
+//! Rules of admission, borrowing and retries.
+
+mod common;
+
+use std::time::Duration;
+
+use nutmegcart_model::Code;
+use nutmegcart_model::Verdict;
+use nutmegcart_request::admission::Class;
+use nutmegcart_request::admission::Pace;
+use nutmegcart_request::admission::Queue;
+use nutmegcart_request::admission::QueueSettings;
+use nutmegcart_request::admission::Refusal;
+use nutmegcart_request::admission::Waiting;
+use nutmegcart_request::outcome::Outcome;
+use nutmegcart_request::path::Decision;
+use nutmegcart_request::path::End;
+use nutmegcart_request::retry::Denial;
+
+use crate::common::fill;
+use crate::common::mix;
+use crate::common::ms;
+use crate::common::path;
+use crate::common::request;
+use crate::common::runners;
+use crate::common::sent;
+
+const FAST: Pace = Pace {
+    slots: 100,
+    time: Duration::from_millis(1),
+};
+
+fn waiting(id: u64, caller: &str, deadline: u64) -> Waiting {
+    Waiting {
+        id,
+        caller: caller.into(),
+        class: Class::Urgent,
+        deadline: ms(deadline),
+        travels: true,
+        cost: 1,
+    }
+}
+
+fn order(queue: &mut Queue) -> Vec<u64> {
+    let dropped = &mut Vec::new();
+    std::iter::from_fn(|| queue.pop(false, ms(0), ms(0), dropped))
+        .map(|request| request.id)
+        .collect()
+}
+
+#[test]
+fn earliest_deadline_of_a_caller_goes_first() {
+    let mut queue = Queue::default();
+    for (id, deadline) in [(1, 900), (2, 700), (3, 800)] {
+        queue
+            .offer(waiting(id, "a", deadline), FAST, ms(0))
+            .unwrap();
+    }
+    assert_eq!(order(&mut queue), [2, 3, 1]);
+}
+
+#[test]
+fn callers_take_turns_whatever_they_queued() {
+    let mut queue = Queue::default();
+    for id in 0..6 {
+        queue
+            .offer(waiting(id, "greedy", 500), FAST, ms(0))
+            .unwrap();
+    }
+    for id in 6..8 {
+        queue
+            .offer(waiting(id, "modest", 900), FAST, ms(0))
+            .unwrap();
+    }
+    let order = order(&mut queue);
+    assert!(
+        order[..4].contains(&6) && order[..4].contains(&7),
+        "{order:?}"
+    );
+}
+
+#[test]
+fn costly_requests_count_for_more() {
+    let mut queue = Queue::default();
+    for id in 0..4 {
+        let mut costly = waiting(id, "costly", 900);
+        costly.cost = 3;
+        queue.offer(costly, FAST, ms(0)).unwrap();
+        queue
+            .offer(waiting(10 + id, "cheap", 900), FAST, ms(0))
+            .unwrap();
+    }
+    let order = order(&mut queue);
+    let cheap = order[..4].iter().filter(|&&id| id >= 10).count();
+    assert_eq!(cheap, 3, "{order:?}");
+}
+
+#[test]
+fn full_queue_drops_the_last_request_of_the_caller_that_holds_most() {
+    let mut queue = Queue::new(QueueSettings { limit: 4 });
+    for id in 0..4 {
+        queue
+            .offer(waiting(id, "greedy", 500 + id), FAST, ms(0))
+            .unwrap();
+    }
+    let dropped = queue.offer(waiting(9, "modest", 900), FAST, ms(0)).unwrap();
+    assert_eq!(dropped.map(|request| request.id), Some(3));
+    let refused = queue.offer(waiting(10, "greedy", 900), FAST, ms(0));
+    assert_eq!(refused, Err(Refusal::FairShare));
+    assert_eq!(queue.len(), 4);
+}
+
+#[test]
+fn urgent_requests_go_first_without_starving_deferrable_ones() {
+    let mut queue = Queue::default();
+    for id in 0..40 {
+        queue.offer(waiting(id, "a", 900), FAST, ms(0)).unwrap();
+    }
+    let mut deferrable = waiting(99, "a", 100);
+    deferrable.class = Class::Deferrable;
+    queue.offer(deferrable, FAST, ms(0)).unwrap();
+    let order = order(&mut queue);
+    assert_eq!(order.iter().position(|&id| id == 99), Some(15));
+}
+
+#[test]
+fn request_that_would_wait_beyond_its_deadline_is_refused_early() {
+    let mut queue = Queue::default();
+    let pace = Pace {
+        slots: 2,
+        time: ms(100),
+    };
+    let admitted = (0..100)
+        .filter(|&id| queue.offer(waiting(id, "a", 1000), pace, ms(0)).is_ok())
+        .count();
+    assert!((16..=20).contains(&admitted), "{admitted} admitted");
+}
+
+#[test]
+fn waiting_request_is_dropped_at_its_deadline() {
+    let mut path = path(&runners("gates", 1, 0));
+    let running = fill(&mut path, true, ms(0));
+    let decision = path.arrive(request(1, ms(500)), ms(0), 0);
+    assert!(matches!(decision, Decision::Queued));
+    path.tick(ms(499));
+    assert!(path.take_refused().is_empty());
+    path.tick(ms(500));
+    let refused = path.take_refused();
+    assert_eq!(refused[0].refusal, Refusal::DeadlinePassed);
+    assert_eq!(refused[0].code.verdict(), Verdict::NotRun);
+    drop(running);
+}
+
+#[test]
+fn spare_pool_lends_up_to_its_cap_and_stops_when_it_has_demand() {
+    let mut specs = runners("gates", 1, 0);
+    specs.extend(runners("portal", 1, 0));
+    let mut path = path(&specs);
+    path.router.set_spare(&"portal".into(), true);
+    let mut running = fill(&mut path, true, ms(0));
+    assert_eq!(running.len(), 8 + 6, "three quarters of the spare slots");
+    let portal = |id| {
+        let mut own = request(id, ms(5000));
+        own.service = "portal".into();
+        own
+    };
+    for id in 0..2 {
+        sent(path.arrive(portal(id), ms(0), 0));
+    }
+    assert!(matches!(path.arrive(portal(2), ms(0), 0), Decision::Queued));
+    assert!(matches!(
+        path.arrive(request(3, ms(5000)), ms(0), 0),
+        Decision::Queued
+    ));
+    // A slot that becomes free goes back to the spare pool's own request.
+    let borrowed = running
+        .iter()
+        .position(|attempt| attempt.runner.is_borrowed());
+    let attempt = running.remove(borrowed.expect("slots were borrowed"));
+    path.finish(attempt, Outcome::Success, ms(5), 0);
+    let next = path.next(ms(5), 0).expect("a slot is free");
+    assert_eq!(&*next.request().service, "portal");
+    assert!(path.next(ms(5), 0).is_none());
+}
+
+#[test]
+fn cancelled_request_leaves_the_queue() {
+    let mut path = path(&runners("gates", 1, 0));
+    let mut running = fill(&mut path, true, ms(0));
+    path.arrive(request(1, ms(5000)), ms(0), 0);
+    assert!(path.cancel(&"gates".into(), 1));
+    path.finish(running.remove(0), Outcome::Success, ms(1), 0);
+    assert!(path.next(ms(1), 0).is_none());
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_fresh_requests() {
+    let mut path = path(&runners("gates", 2, 0));
+    for step in 0..1000 {
+        let now = ms(step * 10);
+        let attempt = sent(path.arrive(request(step, now + ms(900)), now, mix(step)));
+        if let End::Retry(at, retry) = path.finish(attempt, Outcome::ServerError, now, 0) {
+            let attempt = sent(path.retry(*retry, at, 0));
+            path.finish(attempt, Outcome::ServerError, at, 0);
+        }
+    }
+    // 100 for 1,000 requests and the 10 saved at the start.
+    let retries: u64 = path.counters.retries.values().sum();
+    assert!((109..=110).contains(&retries), "{retries} retries");
+    assert!(path.counters.denials[&Denial::BudgetUsed] > 0);
+}
+
+macro_rules! denials {
+    ($($name:ident: $change:expr, $outcome:ident => $denial:ident;)*) => {
+        $(#[test]
+        fn $name() {
+            let mut path = path(&runners("gates", 2, 0));
+            let mut request = request(1, ms(900));
+            let change: fn(&mut nutmegcart_request::path::Request) = $change;
+            change(&mut request);
+            let attempt = sent(path.arrive(request, ms(0), 0));
+            let end = path.finish(attempt, Outcome::$outcome, ms(1), u64::MAX);
+            match end {
+                End::Failed(_, denial) => assert_eq!(denial, Denial::$denial),
+                other => panic!("not denied: {other:?}"),
+            }
+        })*
+    };
+}
+
+denials! {
+    request_that_may_have_run_once_is_not_retried:
+        |request| request.idempotent = false, ConnectionLost => NotIdempotent;
+    request_retried_by_another_layer_is_not_retried_again:
+        |request| request.retried = true, ConnectionLost => RetriedElsewhere;
+    retry_that_cannot_end_before_the_deadline_is_not_made:
+        |request| request.deadline = ms(10), ConnectionLost => DeadlineClose;
+    answer_beyond_the_size_limit_is_not_fetched_again:
+        |_| {}, TooLarge => Final;
+}
+
+#[test]
+fn request_that_provably_did_not_run_is_retried_on_another_runner() {
+    let mut path = path(&runners("gates", 2, 0));
+    let mut once = request(1, ms(900));
+    once.idempotent = false;
+    let attempt = sent(path.arrive(once, ms(0), 0));
+    let first = attempt.runner.id.clone();
+    let End::Retry(at, retry) = path.finish(attempt, Outcome::ConnectFailed, ms(1), 0) else {
+        panic!("not retried");
+    };
+    let second = sent(path.retry(*retry, at, 0));
+    assert_ne!(second.runner.id, first);
+}
+
+#[test]
+fn refusal_of_a_retry_does_not_claim_that_the_request_did_not_run() {
+    let mut path = path(&runners("gates", 1, 0));
+    let attempt = sent(path.arrive(request(1, ms(900)), ms(0), 0));
+    let End::Retry(_, retry) = path.finish(attempt, Outcome::ConnectionLost, ms(1), 0) else {
+        panic!("not retried");
+    };
+    let Decision::Refused(refused) = path.retry(*retry, ms(900), 0) else {
+        panic!("sent after its deadline");
+    };
+    assert_eq!(refused.code, Code::ConnectionLost);
+}
+
+#[test]
+fn idempotent_attempt_leaves_time_for_another_and_the_last_one_does_not() {
+    let mut path = path(&runners("gates", 2, 0));
+    let attempt = sent(path.arrive(request(1, ms(5000)), ms(0), 0));
+    assert!(attempt.timeout < ms(2500));
+    let mut once = request(2, ms(5000));
+    once.idempotent = false;
+    assert_eq!(sent(path.arrive(once, ms(0), 0)).timeout, ms(5000));
+}
+
+#[test]
+fn draining_entry_instance_refuses_new_requests_and_finishes_queued_ones() {
+    let mut path = path(&runners("gates", 1, 0));
+    let mut running = fill(&mut path, true, ms(0));
+    path.arrive(request(1, ms(5000)), ms(0), 0);
+    path.drain();
+    let Decision::Refused(refused) = path.arrive(request(2, ms(5000)), ms(0), 0) else {
+        panic!("admitted while draining");
+    };
+    assert_eq!(refused.refusal, Refusal::ShuttingDown);
+    path.finish(running.remove(0), Outcome::Success, ms(1), 0);
+    assert!(path.next(ms(1), 0).is_some());
+}
