Measure the request path against plain baselines

Cause: the policy's effect was not measured.

Change: the benchmark command request-path runs the policy, round robin without limits and random choice with up to three attempts in a deployment in virtual time: nine entry instances, ten runners of a service and ten spare ones.

--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod measure;
+mod request_path;
 
 use std::process::ExitCode;
 
@@ -46,7 +47,9 @@
 fn main() -> ExitCode {
     let flags = flags::Bench::from_env_or_exit();
     let (json, measures) = match flags.subcommand {
-        flags::BenchCmd::RequestPath(flags) => (flags.json, request_path(seed(flags.seed))),
+        flags::BenchCmd::RequestPath(flags) => {
+            (flags.json, request_path::measures(seed(flags.seed)))
+        }
         flags::BenchCmd::Fleet(flags) => (flags.json, fleet(seed(flags.seed))),
         flags::BenchCmd::Capacity(flags) => (flags.json, capacity(seed(flags.seed))),
     };
@@ -58,11 +61,6 @@
     given.unwrap_or(DEFAULT_SEED)
 }
 
-/// Returns the measures of the request path.
-fn request_path(_seed: u64) -> Vec<Measure> {
-    Vec::new()
-}
-
 /// Returns the measures of the fleet decisions.
 fn fleet(_seed: u64) -> Vec<Measure> {
     Vec::new()
--- a/crates/nutmegcart_request/src/connection.rs
+++ b/crates/nutmegcart_request/src/connection.rs
@@ -136,6 +136,12 @@
         self.open.is_empty()
     }
 
+    /// Returns the identifier that the next new connection gets.
+    #[must_use]
+    pub fn next_id(&self) -> ConnectionId {
+        self.next
+    }
+
     fn close(&mut self, closed: &mut Vec<ConnectionId>, which: impl Fn(&Connection) -> bool) {
         self.open.retain(|connection| {
             let close = !connection.busy && which(connection);
