Drop waiting requests whose answer would probably be late

Cause: the queue is ordered by deadline, so in a burst requests were sent when little time was left; a tenth of the answers came late.

--- a/crates/nutmegcart_request/src/load.rs
+++ b/crates/nutmegcart_request/src/load.rs
@@ -114,6 +114,12 @@
     /// Returns the time by which nearly all samples end.
     #[must_use]
     pub fn bound(&self) -> Duration {
-        Duration::from_secs_f64((self.mean + MARGIN * self.deviation).max(0.0))
+        self.with_margin(MARGIN)
+    }
+
+    /// Returns the mean and the given number of deviations.
+    #[must_use]
+    pub fn with_margin(&self, deviations: f64) -> Duration {
+        Duration::from_secs_f64((self.mean + deviations * self.deviation).max(0.0))
     }
 }
--- a/crates/nutmegcart_request/src/path.rs
+++ b/crates/nutmegcart_request/src/path.rs
@@ -34,6 +34,13 @@
 use crate::router::RouterSettings;
 use crate::share::EntrySpec;
 
+/// Deviations of the time on a runner beyond its mean that must remain when a waiting request is
+/// sent.
+///
+/// Requests are ordered by deadline, so in a long queue every one is sent when little time is left.
+/// Sending one whose answer will probably be late costs a slot that another could use.
+const LATENESS: f64 = 2.0;
+
 /// Settings of the request path.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PathSettings {
@@ -466,7 +473,7 @@
             return None;
         }
         let lane = self.lane(service);
-        let needed = Duration::ZERO;
+        let needed = lane.estimate.with_margin(LATENESS);
         let mut dropped = Vec::new();
         let request = lane.queue.pop(travelling_only, needed, now, &mut dropped);
         for (request, refusal) in dropped {
--- a/crates/nutmegcart_request/tests/admission.rs
+++ b/crates/nutmegcart_request/tests/admission.rs
@@ -151,6 +151,19 @@
     drop(running);
 }
 
+#[test]
+fn waiting_request_whose_answer_would_be_late_gives_its_turn_to_another() {
+    let mut path = path(&runners("gates", 1, 0));
+    let mut running = fill(&mut path, true, ms(0));
+    path.arrive(request(1, ms(500)), ms(0), 0);
+    path.arrive(request(2, ms(5000)), ms(0), 0);
+    path.finish(running.remove(0), Outcome::Success, ms(490), 0);
+    let next = path.next(ms(490), 0).expect("a slot is free");
+    assert_eq!(next.request().id, 2);
+    let refused = path.take_refused();
+    assert_eq!(refused[0].refusal, Refusal::DeadlineTooShort);
+}
+
 #[test]
 fn spare_pool_lends_up_to_its_cap_and_stops_when_it_has_demand() {
     let mut specs = runners("gates", 1, 0);
