Report a runner's first refusal to peers, for a short time each

Cause: at low demand an entry instance may first reach a leaving runner more than 3 s after it began to leave; peers reported a runner only after two refusals.

Change: every report lists the runners that refused at least once. A report does not replace an entry instance's own refusal; fuzzing found that it shortened the hold, which has a test of its own.

--- a/crates/nutmegcart_request/src/departure.rs
+++ b/crates/nutmegcart_request/src/departure.rs
@@ -24,6 +24,10 @@
 /// Time after which a runner that counts as leaving is tested although the list says nothing.
 const HOLD: Duration = Duration::from_secs(30);
 
+/// Time for which a peer's report closes a runner; a peer that is still refused reports every
+/// second, so a lost report does not reopen the runner.
+const HEARSAY: Duration = Duration::from_millis(2500);
+
 /// How much new work a runner may receive.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Intake {
@@ -42,7 +46,6 @@
     Refused {
         first: Duration,
         next: usize,
-        refusals: u32,
     },
     Leaving {
         since: Duration,
@@ -78,20 +81,14 @@
             State::Serving => State::Refused {
                 first: now,
                 next: 0,
-                refusals: 1,
             },
-            State::Refused {
-                first,
-                next,
-                refusals,
-            } => State::Refused {
+            State::Refused { first, next } => State::Refused {
                 first,
                 next: PROBES
                     .iter()
                     .position(|&probe| first + probe > now)
                     .unwrap_or(PROBES.len())
                     .max(next),
-                refusals: refusals + 1,
             },
             State::Leaving { since, until, .. } => State::Leaving {
                 since,
@@ -135,8 +132,10 @@
     /// Notes that a peer was refused by the runner.
     pub fn heard(&mut self, now: Duration) {
         self.advance(now);
-        let until = now + LIST_LAG;
+        let until = now + HEARSAY;
         self.state = match self.state {
+            // Its own refusals tell this entry instance more; the tests end within two seconds.
+            State::Refused { .. } => return,
             State::Leaving {
                 since,
                 until: earlier,
@@ -146,10 +145,10 @@
                 until: earlier.max(until),
                 hearsay,
             },
-            State::Serving | State::Refused { .. } | State::Testing => State::Leaving {
+            State::Serving | State::Testing => State::Leaving {
                 since: now,
                 until,
-                hearsay: !matches!(self.state, State::Refused { .. }),
+                hearsay: true,
             },
         };
     }
@@ -163,7 +162,7 @@
             _ if later.listed => Intake::Closed,
             State::Serving => Intake::Full,
             State::Testing => Intake::Probe,
-            State::Refused { first, next, .. } => match PROBES.get(next) {
+            State::Refused { first, next } => match PROBES.get(next) {
                 Some(&probe) if now >= first + probe => Intake::Probe,
                 _ => Intake::Closed,
             },
@@ -177,7 +176,7 @@
         match self.state {
             State::Serving | State::Testing => None,
             State::Leaving { until, .. } => Some(until),
-            State::Refused { first, next, .. } => PROBES[next..]
+            State::Refused { first, next } => PROBES[next..]
                 .iter()
                 .map(|&probe| first + probe)
                 .find(|&probe| probe > now)
@@ -185,15 +184,13 @@
         }
     }
 
-    /// Returns whether peers should be told that the runner leaves.
-    ///
-    /// One refusal may come from a full runner, so it takes two.
+    /// Returns whether peers should be told that the runner refused.
     #[must_use]
     pub fn is_reported(&self, now: Duration) -> bool {
         let mut later = *self;
         later.advance(now);
         match later.state {
-            State::Refused { refusals, .. } => refusals > 1,
+            State::Refused { .. } => true,
             State::Leaving { hearsay, .. } => !hearsay,
             State::Serving | State::Testing => false,
         }
--- a/crates/nutmegcart_request/tests/routing.rs
+++ b/crates/nutmegcart_request/tests/routing.rs
@@ -196,6 +196,34 @@
     let attempts = fill(&mut path, true, ms(1));
     assert_eq!(count(&attempts, "gates-0"), 0);
     assert_eq!(path.router.load_report(ms(1)).leaving, []);
+    // A peer that is answered again stops reporting; the runner is then tested.
+    let id = "gates-0".into();
+    assert_eq!(path.router.intake(&id, ms(2499)), Some(Intake::Closed));
+    assert_eq!(path.router.intake(&id, ms(2500)), Some(Intake::Probe));
+}
+
+#[test]
+fn report_of_a_peer_does_not_shorten_the_hold_after_an_own_refusal() {
+    // Found by fuzzing: the runner was tested again 2.5 s after the report.
+    let mut path = path(&runners("gates", 1, 0));
+    let attempt = sent(path.arrive(request(1, ms(900)), ms(0), 0));
+    path.finish(attempt, Outcome::RefusedBeforeStart, ms(1), 0);
+    let report = LoadReport {
+        leaving: vec!["gates-0".into()],
+        ..LoadReport::default()
+    };
+    path.router.report(&"e1".into(), report, ms(50));
+    let intake = path.router.intake(&"gates-0".into(), ms(5000));
+    assert_eq!(intake, Some(Intake::Closed));
+}
+
+#[test]
+fn first_refusal_is_reported_to_peers() {
+    // Entry instances with little traffic learn of a leaving runner in no other way in 3 s.
+    let mut path = path(&runners("gates", 1, 0));
+    let attempt = sent(path.arrive(request(1, ms(900)), ms(0), 0));
+    path.finish(attempt, Outcome::RefusedBeforeStart, ms(1), 0);
+    assert_eq!(path.router.load_report(ms(2)).leaving, ["gates-0".into()]);
 }
 
 #[test]
