Take a peer's report of a refusal as confirmation of an own one

A test that began late could reach the runner after the limit of 3 s.

Change: two refused entry instances mean that the runner leaves, so the report ends the tests and starts the hold of 30 s.

--- a/crates/nutmegcart_request/src/departure.rs
+++ b/crates/nutmegcart_request/src/departure.rs
@@ -134,8 +134,13 @@
         self.advance(now);
         let until = now + HEARSAY;
         self.state = match self.state {
-            // Its own refusals tell this entry instance more; the tests end within two seconds.
-            State::Refused { .. } => return,
+            // Two entry instances were refused, so the runner is hardly just full; further tests
+            // could reach it after the limit.
+            State::Refused { first, .. } => State::Leaving {
+                since: first,
+                until: first + HOLD,
+                hearsay: false,
+            },
             State::Leaving {
                 since,
                 until: earlier,
