--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! * [`Platform`]: store, instance list, drain and reboot, over HTTP on loopback;
 //! * [`Runner`]: a backend server with slots that can fail in scripted ways;
+//! * [`Link`]: a TCP relay that can be cut or silenced;
 //! * [`Oracle`]: counts what really ran, independent of the system under test.
 
+pub mod link;
 pub mod oracle;
 pub mod platform;
 pub mod runner;
 pub mod server;
 mod store_api;
 
+pub use link::Link;
 pub use oracle::Oracle;
 pub use platform::Faults;
 pub use platform::Platform;
