--- a/crates/nutmegcart_bench/src/capacity.rs
+++ b/crates/nutmegcart_bench/src/capacity.rs
@@ -1,23 +1,38 @@
-//! Slopes of bytes and messages over the size of the deployment.
+//! Slopes of bytes, processor time and heap over the size of the deployment.
 
 use nutmegcart_config::Configuration;
+use nutmegcart_config::View;
 use nutmegcart_model::Document;
+use nutmegcart_platform::Instance;
+use nutmegcart_platform::InstanceState;
+use nutmegcart_platform::Role;
+use nutmegcart_platform::fleet::InstanceList;
 use serde::Serialize;
 
+use crate::cost;
 use crate::measure::Measure;
+use crate::slope::Slope;
 
-/// Numbers of pools at which configuration bytes are measured.
+/// Numbers of pools at which configuration is measured, up to the size to come.
 const POOLS: [usize; 3] = [25, 75, 275];
+/// Numbers of instances at which lists are measured, up to the size to come.
+const INSTANCES: [usize; 3] = [50, 500, 2600];
+/// Repetitions of each timed call.
+const REPETITIONS: usize = 21;
 
 fn documents(pools: usize) -> Vec<Document> {
     (0..pools)
         .flat_map(|index| {
+            let name = format!("{index}");
             [
                 format!(
-                    r#"{{"schema":1,"kind":"pool","name":"pool-{index}","service":"service-{index}","size":10}}"#
+                    r#"{{"schema":1,"kind":"pool","name":"pool-{name}","service":"service-{name}","size":10}}"#
                 ),
                 format!(
-                    r#"{{"schema":1,"kind":"budget","name":"budget-{index}","pool":"pool-{index}","unavailable":1}}"#
+                    r#"{{"schema":1,"kind":"budget","name":"budget-{name}","pool":"pool-{name}","unavailable":1}}"#
+                ),
+                format!(
+                    r#"{{"schema":1,"kind":"job","name":"job-{name}","pool":"pool-{name}","cpu":2000,"memory":4096}}"#
                 ),
             ]
         })
@@ -25,15 +40,28 @@
         .collect()
 }
 
+/// Returns the size of a message between entry instances in bytes.
+fn encoded(message: &impl Serialize) -> f64 {
+    rmp_serde::to_vec_named(message)
+        .expect("message is serialisable")
+        .len() as f64
+}
+
+fn whole(pools: usize) -> Configuration {
+    Configuration::default()
+        .with(&documents(pools), &[])
+        .expect("references hold")
+}
+
 /// Measures a one-document change sent to a peer against sending the whole configuration.
 pub fn configuration() -> Vec<Measure> {
     POOLS
         .iter()
         .map(|&pools| {
-            let documents = documents(pools);
-            let base = Configuration::default();
-            let whole = base.with(&documents, &[]).expect("references hold");
-            let next = whole.with(&documents[..1], &[]).expect("references hold");
+            let whole = whole(pools);
+            let next = whole
+                .with(&documents(1)[..1], &[])
+                .expect("references hold");
             let changes = next.changes_since(whole.generation);
             Measure::new(
                 format!("change of one document, {pools} pools"),
@@ -45,9 +73,59 @@
         .collect()
 }
 
-/// Returns the size of a message between entry instances in bytes.
-fn encoded(message: &impl Serialize) -> f64 {
-    rmp_serde::to_vec_named(message)
-        .expect("message is serialisable")
-        .len() as f64
+fn listed(instances: usize) -> InstanceList {
+    let line = |index: usize| Instance {
+        id: format!("runner-{index:04}").into(),
+        role: Role::Runner,
+        address: ([127, 0, 0, 1], 9000).into(),
+        centre: format!("centre-{}", index % 8).into(),
+        rack: format!("centre-{}-rack-{}", index % 8, index / 32)
+            .as_str()
+            .into(),
+        state: InstanceState::Live,
+        age_ms: 250,
+        boots: 3,
+    };
+    InstanceList {
+        instances: (0..instances).map(line).collect(),
+    }
+}
+
+/// Returns the slopes of lists and configuration.
+pub fn slopes() -> Vec<Slope> {
+    // The first use compiles the schemas, which is no cost of a configuration.
+    drop(documents(1));
+    let pools = |name: &str, unit: &str, cost: &dyn Fn(usize) -> f64| {
+        let points = POOLS.map(|size| (size as f64, cost(size)));
+        Slope::fit(name, unit, "pool", points.to_vec(), 275.0)
+    };
+    let instances = |name: &str, unit: &str, cost: &dyn Fn(usize) -> f64| {
+        let points = INSTANCES.map(|size| (size as f64, cost(size)));
+        Slope::fit(name, unit, "instance", points.to_vec(), 2600.0)
+    };
+    vec![
+        pools("configuration: heap", "bytes", &|size| {
+            cost::heap(|| whole(size))
+        }),
+        pools("configuration: typed view", "us", &|size| {
+            let whole = whole(size);
+            cost::processor(REPETITIONS, || {
+                View::build(&whole).expect("references hold")
+            })
+        }),
+        instances("instance list: answer", "bytes", &|size| {
+            serde_json::to_vec(&listed(size))
+                .expect("list is serialisable")
+                .len() as f64
+        }),
+        instances("instance list: parsing", "us", &|size| {
+            let text = serde_json::to_vec(&listed(size)).expect("list is serialisable");
+            cost::processor(REPETITIONS, || {
+                serde_json::from_slice::<InstanceList>(&text).expect("list is readable")
+            })
+        }),
+        instances("instance list: heap", "bytes", &|size| {
+            cost::heap(|| listed(size))
+        }),
+    ]
 }
--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -3,7 +3,9 @@
 //! Each command prints one JSON object a line with name, unit, baseline, current and ratio.
 
 mod capacity;
+mod cost;
 mod measure;
+mod slope;
 
 use std::process::ExitCode;
 
@@ -45,6 +47,9 @@
 
 fn main() -> ExitCode {
     let flags = flags::Bench::from_env_or_exit();
+    if let flags::BenchCmd::Capacity(flags) = &flags.subcommand {
+        slope::print(&capacity::slopes(), flags.json);
+    }
     let (json, measures) = match flags.subcommand {
         flags::BenchCmd::RequestPath(flags) => (flags.json, request_path(seed(flags.seed))),
         flags::BenchCmd::Fleet(flags) => (flags.json, fleet(seed(flags.seed))),
