Test a partition during a wave with three real entry instances

Cause: no test joined several entry instances.

Change: a test site of entry instances over loopback, each with its own links to platform, peers and remote runners that a test can cut; the first golden session isolates a data centre during a wave, applies a change meanwhile and joins it again.

--- /dev/null
+++ b/crates/nutmegcart_entry/tests/sessions.rs
@@ -0,0 +1,132 @@
+//! Whole sessions of several real entry instances over loopback, with golden transcripts.
+
+mod site;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::thread::spawn;
+use std::time::Duration;
+
+use nutmegcart_fakes::Platform;
+use nutmegcart_platform::InstanceState;
+
+use crate::site::Site;
+use crate::site::Transcript;
+use crate::site::budget;
+use crate::site::pool;
+use crate::site::until;
+use crate::site::wave;
+
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+
+/// Records the largest number of runners that were out of service at once.
+struct OutWatch {
+    stop: Arc<AtomicBool>,
+    most: Arc<AtomicUsize>,
+}
+
+impl OutWatch {
+    fn start(platform: &Platform) -> Self {
+        let (stop, most) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicUsize::new(0)),
+        );
+        let (ended, seen, platform) = (stop.clone(), most.clone(), platform.clone());
+        spawn(move || {
+            while !ended.load(Ordering::Acquire) {
+                let instances = platform.instances();
+                let live = |state| state == InstanceState::Live;
+                let out = instances
+                    .iter()
+                    .filter(|instance| !live(instance.state))
+                    .count();
+                seen.fetch_max(out, Ordering::AcqRel);
+                sleep(Duration::from_millis(1));
+            }
+        });
+        Self { stop, most }
+    }
+
+    fn most(&self) -> usize {
+        self.stop.store(true, Ordering::Release);
+        self.most.load(Ordering::Acquire)
+    }
+}
+
+fn ready(site: &Site, runners: usize) {
+    until(|| {
+        site.nodes.iter().all(|node| {
+            let seats: usize = node
+                .entry
+                .tables
+                .maps
+                .read()
+                .values()
+                .map(|map| map.seats.len())
+                .sum();
+            seats == runners && node.entry.is_ready()
+        })
+    });
+}
+
+fn wave_state(site: &Site, node: usize) -> String {
+    let answer = site.nodes[node].get("/admin/v1/waves/monthly");
+    format!(
+        "{} {} of {}",
+        answer["state"], answer["done"], answer["total"]
+    )
+    .replace('"', "")
+}
+
+/// Guards against a cut-off data centre stopping its own service, against its instances being
+/// maintained unseen, and against the budget being exceeded when it comes back.
+#[test]
+fn partition_of_a_data_centre_during_a_wave() {
+    let site = Site::start(&["suva", "nadi", "labasa"], 2, SERVICE_TIME);
+    let log = Transcript::default();
+    let records = [
+        pool("gates", 6),
+        budget("gates", 1),
+        wave("monthly", &["gates"]),
+    ];
+    log.note(format!("apply: {}", site.apply(0, &records)["generation"]));
+    ready(&site, 6);
+    let watch = OutWatch::start(&site.platform);
+    site.isolate("labasa");
+    log.note("labasa is cut off from the platform and the others");
+    let started = site.nodes[0].post("/admin/v1/waves/monthly/start", &serde_json::Value::Null);
+    log.note(format!("wave over {} instances", started["total"]));
+    until(|| site.reboots("suva") + site.reboots("nadi") == 4);
+    until(|| site.out() == 0);
+    log.note(format!(
+        "rebooted in labasa meanwhile: {}",
+        site.reboots("labasa")
+    ));
+    log.note(format!(
+        "call in labasa: {}",
+        site.nodes[2].call("gates", "t1", &[])
+    ));
+    log.note(format!(
+        "call in suva: {}",
+        site.nodes[0].call("gates", "t2", &[])
+    ));
+    log.note(format!(
+        "apply: {}",
+        site.apply(0, &[pool("gates", 7)])["generation"]
+    ));
+    until(|| site.generations()[..2] == [2, 2]);
+    log.note(format!("generations: {:?}", site.generations()));
+    site.rejoin("labasa");
+    log.note("labasa is back");
+    until(|| site.generations() == [2, 2, 2]);
+    log.note(format!("generations: {:?}", site.generations()));
+    until(|| wave_state(&site, 0).starts_with("finished"));
+    log.note(format!("wave: {}", wave_state(&site, 0)));
+    log.note(format!("rebooted in labasa: {}", site.reboots("labasa")));
+    log.note(format!("most out at once: {}", watch.most()));
+    log.note(format!("cut: {}", site.oracle.cuts()));
+    insta::assert_snapshot!(log.text());
+}
--- /dev/null
+++ b/crates/nutmegcart_entry/tests/site/mod.rs
@@ -0,0 +1,316 @@
+//! Several real entry instances in one process, joined by links that a test can cut.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread::sleep;
+use std::time::Duration;
+
+use nutmegcart_entry::Entry;
+use nutmegcart_entry::Settings;
+use nutmegcart_fakes::Link;
+use nutmegcart_fakes::Oracle;
+use nutmegcart_fakes::Platform;
+use nutmegcart_fakes::Runner;
+use nutmegcart_fakes::server::free_address;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_platform::Fleet;
+use nutmegcart_platform::InstanceState;
+use nutmegcart_platform::etcd;
+use nutmegcart_platform::fleet::Call;
+use serde_json::Value;
+use serde_json::json;
+
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(500);
+const POLL: Duration = Duration::from_millis(5);
+
+/// An entry instance with the links that it uses.
+pub struct Node {
+    pub entry: Arc<Entry>,
+    pub centre: &'static str,
+    /// Link that callers and operators use.
+    pub front: Link,
+    /// Link to the platform.
+    pub platform: Link,
+    /// Links to the other entry instances by their centre.
+    pub peers: Vec<(&'static str, Link)>,
+    /// Links to the runners of other data centres.
+    pub remote: Vec<Link>,
+}
+
+/// A deployment on loopback.
+pub struct Site {
+    pub platform: Platform,
+    pub oracle: Oracle,
+    pub runners: Vec<Runner>,
+    pub nodes: Vec<Node>,
+    runner_centres: BTreeMap<String, &'static str>,
+}
+
+impl Site {
+    /// Starts one entry instance for each named data centre and some runners in each.
+    pub fn start(centres: &[&'static str], runners_each: usize, service_time: Duration) -> Self {
+        let oracle = Oracle::default();
+        let platform = Platform::start(Duration::from_millis(30));
+        let mut runners = Vec::new();
+        let mut runner_centres = BTreeMap::new();
+        for centre in centres {
+            for index in 0..runners_each {
+                let id = format!("{centre}-{index}");
+                let runner = Runner::start(id.as_str(), &oracle, service_time);
+                let rack = format!("{centre}-rack-{index}").as_str().into();
+                platform.add_runner(&runner, &DataCentre::from(*centre), &rack);
+                runner_centres.insert(id, *centre);
+                runners.push(runner);
+            }
+        }
+        let mut site = Self {
+            platform,
+            oracle,
+            runners,
+            nodes: Vec::new(),
+            runner_centres,
+        };
+        let addresses: Vec<(&'static str, SocketAddr)> = centres
+            .iter()
+            .map(|centre| (*centre, free_address()))
+            .collect();
+        for (index, (centre, listen)) in addresses.iter().enumerate() {
+            let others = addresses
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != index);
+            let others: Vec<(&'static str, SocketAddr)> = others.map(|(_, peer)| *peer).collect();
+            let node = site.start_node(&format!("entry-{index}"), centre, *listen, &others);
+            site.nodes.push(node);
+        }
+        site
+    }
+
+    /// Starts an entry instance that reaches everything through links of its own.
+    pub fn start_node(
+        &self,
+        id: &str,
+        centre: &'static str,
+        listen: SocketAddr,
+        others: &[(&'static str, SocketAddr)],
+    ) -> Node {
+        let link = |target| Link::start(target).expect("a link can be started");
+        let platform = link(self.platform.address);
+        let peers: Vec<(&'static str, Link)> = others
+            .iter()
+            .map(|(centre, address)| (*centre, link(*address)))
+            .collect();
+        let addresses: Vec<String> = peers
+            .iter()
+            .map(|(_, link)| link.address.to_string())
+            .collect();
+        let settings = Settings::read(|name| match name {
+            "listen" => Some(listen.to_string()),
+            "id" => Some(id.to_owned()),
+            "centre" => Some(centre.to_owned()),
+            "platform" => Some(platform.address.to_string()),
+            "peers" => Some(addresses.join(",")),
+            "round-ms" => Some("20".into()),
+            "lease-ms" => Some("1000".into()),
+            "grace-ms" => Some("50".into()),
+            "threads" => Some("4".into()),
+            _ => None,
+        });
+        let remote: BTreeMap<String, Link> = self
+            .runners
+            .iter()
+            .filter(|runner| self.runner_centres[&*runner.id] != centre)
+            .map(|runner| (runner.id.to_string(), link(runner.address)))
+            .collect();
+        let links = remote.values().cloned().collect();
+        let inner = Fleet::http(platform.address, PLATFORM_TIMEOUT);
+        let fleet = Fleet::new(move |call| match call {
+            Call::List => inner.list().map(|mut instances| {
+                for instance in &mut instances {
+                    if let Some(link) = remote.get(&*instance.id) {
+                        instance.address = link.address;
+                    }
+                }
+                instances
+            }),
+            Call::Drain(id, operation) => inner.drain(&id, &operation).map(|()| Vec::new()),
+            Call::Reboot(id, operation) => inner.reboot(&id, &operation).map(|()| Vec::new()),
+            Call::Restore(id, operation) => inner.restore(&id, &operation).map(|()| Vec::new()),
+        });
+        let store = etcd::connect(platform.address, PLATFORM_TIMEOUT);
+        let settings = settings.expect("test settings are accepted");
+        let entry = Entry::start(settings, Incarnation::random(), store, fleet)
+            .expect("the entry instance starts");
+        Node {
+            front: link(listen),
+            entry,
+            centre,
+            platform,
+            peers,
+            remote: links,
+        }
+    }
+
+    /// Cuts a data centre off from the platform and from all others.
+    pub fn isolate(&self, centre: &str) {
+        self.for_links(centre, Link::cut);
+    }
+
+    /// Ends the isolation of a data centre.
+    pub fn rejoin(&self, centre: &str) {
+        self.for_links(centre, Link::heal);
+    }
+
+    fn for_links(&self, centre: &str, act: fn(&Link)) {
+        for node in &self.nodes {
+            let inside = node.centre == centre;
+            if inside {
+                act(&node.platform);
+                node.remote.iter().for_each(act);
+            }
+            for (other, link) in &node.peers {
+                if inside != (*other == centre) {
+                    act(link);
+                }
+            }
+        }
+    }
+
+    /// Applies records through a node and returns the answer.
+    pub fn apply(&self, node: usize, documents: &[Value]) -> Value {
+        self.nodes[node].post("/admin/v1/apply", &json!({"documents": documents}))
+    }
+
+    /// Returns the generation in force at each node.
+    pub fn generations(&self) -> Vec<u64> {
+        self.nodes.iter().map(Node::generation).collect()
+    }
+
+    /// Returns the number of instances in the list that are not live.
+    pub fn out(&self) -> usize {
+        let instances = self.platform.instances();
+        instances
+            .iter()
+            .filter(|instance| instance.state != InstanceState::Live)
+            .count()
+    }
+
+    /// Returns the reboots of all runners of a data centre.
+    pub fn reboots(&self, centre: &str) -> u64 {
+        let instances = self.platform.instances();
+        let own = instances
+            .iter()
+            .filter(|instance| &*instance.centre == centre);
+        own.map(|instance| instance.boots).sum()
+    }
+}
+
+impl Node {
+    /// Returns the generation in force.
+    pub fn generation(&self) -> u64 {
+        self.entry.tables.in_force.get().configuration.generation.0
+    }
+
+    /// Posts JSON through the front link and returns the JSON answer, or null without one.
+    pub fn post(&self, path: &str, body: &Value) -> Value {
+        let url = format!("http://{}{path}", self.front.address);
+        let answer = agent().post(url).send(body.to_string().as_bytes());
+        read(answer).1
+    }
+
+    /// Gets JSON through the front link, or null without an answer.
+    pub fn get(&self, path: &str) -> Value {
+        read(
+            agent()
+                .get(format!("http://{}{path}", self.front.address))
+                .call(),
+        )
+        .1
+    }
+
+    /// Sends a caller's request and returns what the caller is told.
+    pub fn call(&self, service: &str, token: &str, headers: &[(&str, &str)]) -> String {
+        let url = format!("http://{}/v1/services/{service}/tally", self.front.address);
+        let mut request = agent().post(url).header("nutmegcart-caller", "member-1");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let (status, body) = read(request.send(token.as_bytes()));
+        match (status, &body) {
+            (0, _) => "no answer".into(),
+            (200, Value::String(text)) => format!("200 {text}"),
+            (_, body) => format!("{status} {} {}", body["code"], body["verdict"]).replace('"', ""),
+        }
+    }
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into()
+}
+
+type Answer = Result<ureq::http::Response<ureq::Body>, ureq::Error>;
+
+fn read(answer: Answer) -> (u16, Value) {
+    let Ok(mut answer) = answer else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    match answer.body_mut().read_to_string() {
+        Ok(text) => (
+            status,
+            serde_json::from_str(&text).unwrap_or(Value::String(text)),
+        ),
+        Err(_) => (0, Value::Null),
+    }
+}
+
+/// Waits for a condition; a test that never gets there hangs rather than guesses a time.
+pub fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        sleep(POLL);
+    }
+}
+
+/// Returns the record of a pool.
+pub fn pool(name: &str, size: usize) -> Value {
+    json!({"schema": 1, "kind": "pool", "name": name, "service": name, "size": size})
+}
+
+/// Returns the record of a budget.
+pub fn budget(pool: &str, unavailable: u32) -> Value {
+    json!({
+        "schema": 1, "kind": "budget", "name": pool, "pool": pool, "unavailable": unavailable,
+    })
+}
+
+/// Returns the record of a wave.
+pub fn wave(name: &str, pools: &[&str]) -> Value {
+    json!({"schema": 1, "kind": "wave", "name": name, "pools": pools})
+}
+
+/// The lines of a session for its golden file.
+#[derive(Default)]
+pub struct Transcript(Mutex<Vec<String>>);
+
+impl Transcript {
+    /// Adds a line.
+    pub fn note(&self, line: impl Into<String>) {
+        self.0
+            .lock()
+            .expect("no test thread panicked")
+            .push(line.into());
+    }
+
+    /// Returns all lines.
+    pub fn text(&self) -> String {
+        self.0.lock().expect("no test thread panicked").join("\n")
+    }
+}
