--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -85,6 +85,7 @@
     OperationSealed = 1110, NotRun, 409, "the operation was sealed as not run";
     TooManyConnections = 1111, NotRun, 503, "the connection limit of this entry instance is reached";
     MemoryLimit = 1112, NotRun, 503, "the limit of buffered bytes is reached";
+    OperationCancelled = 1180, NotRun, 409, "the operation was cancelled before it was sent";
     RefusedByRunner = 1201, RefusedByBackend, 503, "the runner refused the request before starting it";
     AnswerTimeout = 1301, Unknown, 504, "no whole answer arrived before the deadline";
     ConnectionLost = 1302, Unknown, 502, "the connection was lost after the request was sent";
@@ -96,6 +97,9 @@
     OperationRunning = 1308, Unknown, 409, "the operation is still running";
     AnswerDropped = 1309, Unknown, 410, "the operation ran and its answer is no longer stored";
     TakeoverBarrier = 1310, Unknown, 503, "the ledger of the operation's key was lost; wait for the barrier to end or use a ticket";
+    OperationForgotten = 1380, Unknown, 410, "the record of the operation was forgotten; use a new ticket";
+    NotAttempted = 1381, Unknown, 503, "this attempt sent nothing; an earlier attempt may have run";
+    RosterDisagreement = 1382, Unknown, 503, "the entry instances do not agree on the owner yet; this attempt sent nothing";
     BadRequest = 1401, Invalid, 400, "the request is malformed";
     BodyTooLarge = 1402, Invalid, 413, "the request body exceeds the size limit";
     HeaderTooLarge = 1403, Invalid, 431, "the request headers exceed the size limit";
--- /dev/null
+++ b/crates/nutmegcart_request/src/ticket.rs
@@ -0,0 +1,190 @@
+//! Tickets and the identifiers of operations.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::Display;
+use derive_more::Error;
+use nutmegcart_model::CallerName;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::InstanceId;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Longest operation header and longest plain key in bytes.
+pub const MAX_IDENTIFIER: usize = 512;
+
+/// Result of parsing an identifier.
+pub type Result<T> = std::result::Result<T, Malformed>;
+
+/// The text is not a ticket, an operation header or a key.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("the operation identifier is malformed")]
+pub struct Malformed;
+
+/// Permission to number requests of which only the issuing incarnation dispatches any.
+///
+/// ```
+/// # use nutmegcart_request::Ticket;
+/// let text = "suva.entry.3.00000000000000ff.7.-";
+/// let ticket: Ticket = text.parse().unwrap();
+/// assert_eq!(&*ticket.instance, "entry.3");
+/// assert_eq!(ticket.to_string(), text);
+/// ```
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Ticket {
+    /// Data centre of the owner; contains no dot.
+    pub centre: DataCentre,
+    /// Entry instance that issued the ticket.
+    pub instance: InstanceId,
+    /// Incarnation that issued the ticket.
+    pub incarnation: Incarnation,
+    /// Number of the ticket, ascending within the incarnation.
+    pub serial: u64,
+    /// Incarnation that records every intent, if there is one.
+    pub witness: Option<Incarnation>,
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            centre,
+            instance,
+            incarnation,
+            serial,
+            ..
+        } = self;
+        write!(f, "{centre}.{instance}.{incarnation}.{serial}.")?;
+        match self.witness {
+            Some(witness) => write!(f, "{witness}"),
+            None => write!(f, "-"),
+        }
+    }
+}
+
+impl FromStr for Ticket {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self> {
+        if text.len() > MAX_IDENTIFIER {
+            return Err(Malformed);
+        }
+        let (centre, rest) = text.split_once('.').ok_or(Malformed)?;
+        let mut parts = rest.rsplitn(4, '.');
+        let mut part = || parts.next().filter(|part| !part.is_empty());
+        let witness = match part().ok_or(Malformed)? {
+            "-" => None,
+            witness => Some(incarnation(witness)?),
+        };
+        let serial = decimal(part().ok_or(Malformed)?)?;
+        let issuer = incarnation(part().ok_or(Malformed)?)?;
+        let instance = part().ok_or(Malformed)?;
+        if centre.is_empty() {
+            return Err(Malformed);
+        }
+        Ok(Self {
+            centre: centre.into(),
+            instance: instance.into(),
+            incarnation: issuer,
+            serial,
+            witness,
+        })
+    }
+}
+
+/// Accepts only the canonical form, so that one operation has one spelling.
+fn incarnation(text: &str) -> Result<Incarnation> {
+    let value: Incarnation = text.parse().map_err(|_| Malformed)?;
+    (value.to_string() == text)
+        .then_some(value)
+        .ok_or(Malformed)
+}
+
+fn decimal(text: &str) -> Result<u64> {
+    let value: u64 = text.parse().map_err(|_| Malformed)?;
+    (value.to_string() == text)
+        .then_some(value)
+        .ok_or(Malformed)
+}
+
+/// Content of the header `Nutmegcart-Operation`.
+///
+/// ```
+/// # use nutmegcart_request::TicketedOperation;
+/// let operation: TicketedOperation = "suva.e1.00000000000000ff.7.-/3".parse().unwrap();
+/// assert_eq!((operation.ticket.serial, operation.number), (7, 3));
+/// ```
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct TicketedOperation {
+    /// Ticket.
+    pub ticket: Ticket,
+    /// Number that the caller gave to the request.
+    pub number: u64,
+}
+
+impl TicketedOperation {
+    /// Returns the key of the operation in a ledger.
+    #[must_use]
+    pub fn id(&self) -> OperationId {
+        OperationId::Ticket(TicketNumber {
+            owner: self.ticket.incarnation,
+            serial: self.ticket.serial,
+            number: self.number,
+        })
+    }
+}
+
+impl FromStr for TicketedOperation {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (ticket, number) = text.rsplit_once('/').ok_or(Malformed)?;
+        Ok(Self {
+            ticket: ticket.parse()?,
+            number: decimal(number)?,
+        })
+    }
+}
+
+/// A request under a ticket; the names in the ticket serve routing only.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct TicketNumber {
+    /// Incarnation that issued the ticket.
+    pub owner: Incarnation,
+    /// Number of the ticket.
+    pub serial: u64,
+    /// Number of the request under the ticket.
+    pub number: u64,
+}
+
+/// Identifies an operation in a ledger.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub enum OperationId {
+    /// A numbered request under a ticket.
+    Ticket(TicketNumber),
+    /// A plain key within the scope of its caller.
+    Key(Arc<str>),
+}
+
+impl OperationId {
+    /// Creates the identifier of a plain key; equal keys of two callers are two operations.
+    ///
+    /// # Errors
+    ///
+    /// Refuses an empty or overlong key.
+    ///
+    /// ```
+    /// # use nutmegcart_request::OperationId;
+    /// let [a, b] = ["a", "b"].map(|caller| OperationId::key(&caller.into(), "k").unwrap());
+    /// assert_ne!(a, b);
+    /// ```
+    pub fn key(caller: &CallerName, key: &str) -> Result<Self> {
+        if key.is_empty() || key.len() > MAX_IDENTIFIER {
+            return Err(Malformed);
+        }
+        // The length prefix keeps `a` + `bc` and `ab` + `c` apart.
+        Ok(Self::Key(format!("{}:{caller}{key}", caller.len()).into()))
+    }
+}
