--- a/crates/nutmegcart_request/src/coordinator.rs
+++ b/crates/nutmegcart_request/src/coordinator.rs
@@ -5,7 +5,6 @@
 
 use nutmegcart_model::Code;
 use nutmegcart_model::Incarnation;
-use nutmegcart_model::Verdict;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -14,9 +13,9 @@
 use crate::ledger::Ledger;
 use crate::ledger::Limits;
 use crate::ledger::Outcome;
-use crate::ledger::PERMIT_LIFE;
 use crate::ledger::Resolution;
 use crate::roster::Member;
+use crate::roster::PERMIT_LIFE;
 use crate::roster::Roster;
 use crate::roster::RosterView;
 use crate::roster::Version;
@@ -230,7 +229,7 @@
             }
             return Step::Forward(pair.owner);
         }
-        if let Some(known) = self.ledger.find(&id, fingerprint) {
+        if let Some(known) = self.ledger.find(&id, fingerprint, now) {
             return Step::Reply(known);
         }
         let version = self.view.roster().version;
@@ -341,9 +340,6 @@
         let outcome = match &known {
             Resolution::Answer(answer) => Some(Outcome::Answered(answer.clone())),
             Resolution::Code(Code16(Code::AnswerDropped)) => Some(Outcome::Ran),
-            Resolution::Code(code) if code.0.verdict() == Verdict::NotRun => {
-                Some(Outcome::Refused(*code))
-            }
             Resolution::Code(_) => None,
         };
         let Attempt { id, number, .. } = &attempt;
@@ -351,7 +347,8 @@
             Some(outcome) => {
                 self.ledger.finish(id, *number, outcome, now);
             }
-            // A retry asks the witness again, which may know more by then.
+            // A retry asks the witness again, which may know more by then. A refusal is not
+            // copied: a copy would outlive the original.
             None => self.ledger.abandon(id, *number),
         }
         Step::Reply(known)
@@ -396,7 +393,7 @@
             Outcome::Refused(Code16(code))
         };
         let report = self.finish(attempt, outcome, now);
-        let known = self.ledger.find(&attempt.id, attempt.fingerprint);
+        let known = self.ledger.find(&attempt.id, attempt.fingerprint, now);
         (known.unwrap_or(Code::OperationUnknown.into()), report)
     }
 
--- a/crates/nutmegcart_request/src/ledger.rs
+++ b/crates/nutmegcart_request/src/ledger.rs
@@ -14,19 +14,16 @@
 use crate::answer::Answer;
 use crate::floors::Floors;
 use crate::roster::CLOCK_MARGIN;
+use crate::roster::PERMIT_LIFE;
 use crate::roster::RETENTION;
 use crate::ticket::OperationId;
 
-/// Time within which an owner dispatches after it asked its witness.
-///
-/// A thread that was suspended for longer may hold a permit that the witness has forgotten.
-pub const PERMIT_LIFE: Duration = Duration::from_secs(30);
-
 /// Time after the last change at which a record is forgotten.
 ///
-/// The witness records up to [`PERMIT_LIFE`] before the owner dispatches.
+/// The witness records up to [`PERMIT_LIFE`] before the owner dispatches or refuses, and the owner
+/// repeats a refusal for as long again.
 pub const HOLD: Duration =
-    Duration::from_secs(RETENTION.as_secs() + PERMIT_LIFE.as_secs() + CLOCK_MARGIN.as_secs());
+    Duration::from_secs(RETENTION.as_secs() + 2 * PERMIT_LIFE.as_secs() + CLOCK_MARGIN.as_secs());
 
 /// Bounds of a ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -133,8 +130,13 @@
 }
 
 impl Entry {
-    fn resolution(&self) -> Resolution {
+    fn resolution(&self, id: &OperationId, now: Duration) -> Resolution {
+        let plain = matches!(id, OperationId::Key(_));
         match &self.state {
+            // The other member of the pair may forget the key within the retention time from now.
+            State::Over(Outcome::Refused(_)) if plain && now >= self.changed + PERMIT_LIFE => {
+                Code::NotAttempted.into()
+            }
             State::Intent { .. } | State::Running { .. } => Code::OperationRunning.into(),
             State::Recorded { .. } => Code::OperationUnknown.into(),
             State::Sealed => Code::OperationSealed.into(),
@@ -239,12 +241,12 @@
 
     /// Returns what is on record about the operation.
     #[must_use]
-    pub fn find(&self, id: &OperationId, fingerprint: u64) -> Option<Resolution> {
+    pub fn find(&self, id: &OperationId, fingerprint: u64, now: Duration) -> Option<Resolution> {
         match self.entries.get(id) {
             // A seal holds for every request under the number.
-            Some(entry) if entry.state == State::Sealed => Some(entry.resolution()),
+            Some(entry) if entry.state == State::Sealed => Some(entry.resolution(id, now)),
             Some(entry) if entry.fingerprint != fingerprint => Some(Code::KeyReused.into()),
-            Some(entry) => Some(entry.resolution()),
+            Some(entry) => Some(entry.resolution(id, now)),
             None if self.floors.covers(id) => Some(Code::OperationForgotten.into()),
             None => None,
         }
@@ -261,7 +263,7 @@
         fingerprint: u64,
         now: Duration,
     ) -> Result<u64, Resolution> {
-        if let Some(known) = self.find(id, fingerprint) {
+        if let Some(known) = self.find(id, fingerprint, now) {
             return Err(known);
         }
         self.attempts += 1;
@@ -284,7 +286,7 @@
         let entry = self.entries.get_mut(id);
         let entry = entry.ok_or(Resolution::from(Code::OperationUnknown))?;
         if entry.state != (State::Intent { attempt }) {
-            return Err(entry.resolution());
+            return Err(entry.resolution(id, now));
         }
         entry.state = State::Running { attempt };
         entry.changed = now;
@@ -347,7 +349,7 @@
             None if self.floors.covers(id) => {}
             None => return self.insert(id, fingerprint, State::Recorded { by }, now),
         }
-        let known = self.find(id, fingerprint);
+        let known = self.find(id, fingerprint, now);
         Err(known.unwrap_or(Code::OperationUnknown.into()))
     }
 
@@ -361,7 +363,7 @@
 
     /// Promises to record no intent, or returns what the intent on record led to.
     pub fn seal(&mut self, id: &OperationId, fingerprint: u64, now: Duration) -> Resolution {
-        if let Some(known) = self.find(id, fingerprint) {
+        if let Some(known) = self.find(id, fingerprint, now) {
             return known;
         }
         match self.insert(id, fingerprint, State::Sealed, now) {
@@ -388,6 +390,10 @@
                 id: id.clone(),
                 fingerprint: entry.fingerprint,
                 state: match &entry.state {
+                    // A refusal is not repeated from a copy, which others may not have.
+                    State::Over(Outcome::Refused(_)) => {
+                        HandedState::Over(Outcome::Lost(Code16(Code::OperationUnknown)))
+                    }
                     State::Over(outcome) => HandedState::Over(outcome.clone()),
                     State::Recorded { by } => HandedState::Recorded(*by),
                     _ => HandedState::Recorded(me),
--- a/crates/nutmegcart_request/src/lib.rs
+++ b/crates/nutmegcart_request/src/lib.rs
@@ -30,8 +30,6 @@
 pub use ledger::Handed;
 pub use ledger::HandedState;
 pub use ledger::Ledger;
-pub use ledger::Limits;
-pub use ledger::Outcome;
 pub use ledger::Resolution;
 pub use members::Heard;
 pub use members::Members;
--- a/crates/nutmegcart_request/src/roster.rs
+++ b/crates/nutmegcart_request/src/roster.rs
@@ -18,6 +18,12 @@
 /// A removed entry instance that cannot learn of its removal has stopped dispatching after this.
 pub const CONFIRMATION: Duration = Duration::from_mins(10);
 
+/// Time within which an owner dispatches or refuses after it asked its witness.
+///
+/// A thread that was suspended for longer may hold a permit that the witness has forgotten. A
+/// refusal is repeated for as long.
+pub const PERMIT_LIFE: Duration = Duration::from_secs(30);
+
 /// Allowance for clocks of two processes that run at different rates (1 % of the times above).
 pub const CLOCK_MARGIN: Duration = Duration::from_secs(12);
 
