--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -3,8 +3,10 @@
 //! Each command prints one JSON object a line with name, unit, baseline, current and ratio.
 
 mod capacity;
+mod cost;
 mod measure;
 mod request_path;
+mod slope;
 
 use std::process::ExitCode;
 
@@ -46,6 +48,9 @@
 
 fn main() -> ExitCode {
     let flags = flags::Bench::from_env_or_exit();
+    if let flags::BenchCmd::Capacity(flags) = &flags.subcommand {
+        slope::print(&capacity::slopes(), flags.json);
+    }
     let (json, measures) = match flags.subcommand {
         flags::BenchCmd::RequestPath(flags) => {
             (flags.json, request_path::measures(seed(flags.seed)))
--- a/crates/nutmegcart_request/src/lib.rs
+++ b/crates/nutmegcart_request/src/lib.rs
@@ -1,24 +1,68 @@
 //! Request path decisions as pure state machines: routing, admission, retries, at-most-once and membership.
 //!
 //! * [`admission`]: bounded queue of a service with deadlines, classes and fairness;
+//! * [`answer`]: answers stored for retries;
 //! * [`connection`]: which open connection to use and when to distrust one;
+//! * [`coordinator`]: who may dispatch an operation, and when;
 //! * [`departure`]: whether a runner is leaving;
 //! * [`ejector`]: which runners are left out because of their outcomes;
+//! * [`floors`]: which operations under tickets were forgotten;
+//! * [`ledger`]: the record of operations, as owner and as witness;
 //! * [`load`]: load reports between entry instances and time estimates;
+//! * [`members`]: heartbeats and suspicion;
 //! * [`outcome`]: what happened to an attempt;
 //! * [`path`]: the request path that joins all of them;
 //! * [`retry`]: retry budget, reasons and backoff;
+//! * [`roster`]: the agreed list of entry instances and the pairs of plain keys;
 //! * [`router`]: which runner an attempt is sent to;
-//! * [`share`]: shares of a runner between entry instances.
+//! * [`share`]: shares of a runner between entry instances;
+//! * [`ticket`]: tickets and identifiers of operations.
 
 pub mod admission;
+pub mod answer;
 pub mod connection;
+pub mod coordinator;
 pub mod departure;
 pub mod ejector;
+pub mod floors;
+pub mod ledger;
 pub mod load;
+pub mod members;
 pub mod outcome;
 pub mod path;
 pub mod retry;
+pub mod roster;
 pub mod router;
 pub mod share;
 mod table;
+pub mod ticket;
+
+pub use answer::Answer;
+pub use answer::Bytes;
+pub use coordinator::Attempt;
+pub use coordinator::Coordinator;
+pub use coordinator::Handover;
+pub use coordinator::Intent;
+pub use coordinator::IntentReply;
+pub use coordinator::Operation;
+pub use coordinator::Report;
+pub use coordinator::Step;
+pub use ledger::Code16;
+pub use ledger::Handed;
+pub use ledger::HandedState;
+pub use ledger::Ledger;
+pub use ledger::Resolution;
+pub use members::Heard;
+pub use members::Members;
+pub use members::Presence;
+pub use roster::Adoption;
+pub use roster::Change;
+pub use roster::Member;
+pub use roster::Pair;
+pub use roster::Roster;
+pub use roster::RosterView;
+pub use roster::Version;
+pub use ticket::OperationId;
+pub use ticket::Ticket;
+pub use ticket::TicketNumber;
+pub use ticket::TicketedOperation;
