Forward requests through the request path's policy

Cause: the forwarding code tried runners in turn without queue, budget, ejection or limits, and let the HTTP client choose connections.

Change: Dispatch runs the policy under one lock; a connection's thread blocks while its request waits. Backend gives every connection an agent of its own, so that a silent connection and older idle ones can be closed. Heartbeats carry load reports. Counters for refusals, retries, denied retries, attempts and ejections.

--- a/crates/nutmegcart_bench/src/request_path.rs
+++ b/crates/nutmegcart_bench/src/request_path.rs
@@ -16,6 +16,7 @@
 use nutmegcart_request::router::Reach;
 use nutmegcart_request::router::Router;
 use nutmegcart_request::router::RouterSettings;
+use nutmegcart_request::router::Wish;
 use nutmegcart_request::share::EntrySpec;
 use nutmegcart_request::share::RunnerSpec;
 
@@ -248,12 +249,17 @@
     let mut router = Router::new(RouterSettings::default(), own);
     router.set_runners(&specs(servers), Duration::ZERO);
     let gates = router.service(&"gates".into());
+    let wish = Wish {
+        reach: Reach::Everywhere,
+        avoid: None,
+        once: false,
+    };
     let mut now = Duration::ZERO;
     fastest(|| {
         for step in 0..u64::from(DECISIONS) {
             now += Duration::from_micros(100);
             let random = world::mix(step);
-            let chosen = router.choose(gates, Reach::Everywhere, None, now, random);
+            let chosen = router.choose(gates, wish, now, random);
             let chosen = black_box(chosen).expect("runners are idle");
             router.finish(&chosen, Outcome::Success, now, now, random);
         }
--- a/crates/nutmegcart_bench/src/request_path/world.rs
+++ b/crates/nutmegcart_bench/src/request_path/world.rs
@@ -293,7 +293,7 @@
     fn decide(&mut self, decision: Decision, entry: usize) {
         match decision {
             Decision::Send(attempt) => self.send(*attempt, entry),
-            Decision::Queued => self.drive(entry),
+            Decision::Queued(_) => self.drive(entry),
             Decision::Refused(refused) => self.done(refused.id),
         }
     }
@@ -471,7 +471,7 @@
         match (handle, &mut self.policies[entry]) {
             (Handle::Real(attempt), Policy::Real(path)) => {
                 match path.finish(*attempt, outcome, self.now, random) {
-                    End::Retry(at, retry) => {
+                    End::Retry(at, _, retry) => {
                         self.waiting.insert(request, Waiting::Real(retry));
                         self.at(at, Event::Retry(request));
                     }
--- /dev/null
+++ b/crates/nutmegcart_entry/src/backend.rs
@@ -0,0 +1,131 @@
+//! Connections to runners.
+//!
+//! The HTTP client chooses among its idle connections itself. Each of its agents therefore holds
+//! one connection, and [`Connections`] decides which agent is used and which one is dropped.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use nutmegcart_request::connection::Choice;
+use nutmegcart_request::connection::ConnectionId;
+use nutmegcart_request::connection::Connections;
+use parking_lot::Mutex;
+use ureq::Agent;
+
+/// Idle time after which the client would close a connection; longer than the one of
+/// [`Connections`], which decides.
+const IDLE: Duration = Duration::from_mins(5);
+
+/// The connections to all runners.
+#[derive(Default)]
+pub struct Backend {
+    runners: Mutex<HashMap<SocketAddr, Runner>>,
+}
+
+#[derive(Default)]
+struct Runner {
+    connections: Connections,
+    agents: HashMap<ConnectionId, Agent>,
+}
+
+/// A connection in use.
+pub struct Lease {
+    /// Client that holds the connection.
+    pub agent: Agent,
+    /// Whether the connection was used before.
+    pub reused: bool,
+    address: SocketAddr,
+    id: ConnectionId,
+}
+
+/// How a request left its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Condition {
+    /// A whole answer was read.
+    Whole,
+    /// It broke or delivered something unexpected.
+    Broken,
+    /// No first byte arrived in time.
+    Silent,
+}
+
+impl Backend {
+    /// Takes a connection to a runner; none if the share is in use.
+    pub fn acquire(&self, address: SocketAddr, share: u32, now: Duration) -> Option<Lease> {
+        let mut closed = Vec::new();
+        let mut dropped = Vec::new();
+        let mut runners = self.runners.lock();
+        let runner = runners.entry(address).or_default();
+        let choice = runner.connections.acquire(share as usize, now, &mut closed);
+        for id in closed {
+            dropped.extend(runner.agents.remove(&id));
+        }
+        let (id, reused) = match choice {
+            Choice::Reuse(id) => (id, true),
+            Choice::Open(id) => (id, false),
+            Choice::Full => return None,
+        };
+        let agent = runner.agents.entry(id).or_insert_with(agent).clone();
+        // Dropping an agent closes its connection, which must not happen under the lock.
+        drop(runners);
+        drop(dropped);
+        Some(Lease {
+            agent,
+            reused,
+            address,
+            id,
+        })
+    }
+
+    /// Gives a connection back.
+    pub fn release(&self, lease: Lease, condition: Condition, now: Duration) {
+        let Lease {
+            agent, address, id, ..
+        } = lease;
+        let mut closed = Vec::new();
+        let mut dropped = Vec::new();
+        let mut runners = self.runners.lock();
+        if let Some(runner) = runners.get_mut(&address) {
+            match condition {
+                Condition::Whole if runner.connections.release(id, now) => {}
+                Condition::Whole => closed.push(id),
+                Condition::Broken => {
+                    runner.connections.broken(id);
+                    closed.push(id);
+                }
+                Condition::Silent => {
+                    runner.connections.silent(id, &mut closed);
+                    closed.push(id);
+                }
+            }
+            dropped.extend(closed.iter().filter_map(|id| runner.agents.remove(id)));
+        }
+        drop(runners);
+        drop((agent, dropped));
+    }
+
+    /// Forgets the runners that are no longer known.
+    pub fn retain(&self, known: impl Fn(&SocketAddr) -> bool) {
+        let mut gone = Vec::new();
+        self.runners.lock().retain(|address, runner| {
+            let keep = known(address);
+            if !keep {
+                gone.push(std::mem::take(runner));
+            }
+            keep
+        });
+    }
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .max_idle_connections(1)
+        .max_idle_connections_per_host(1)
+        .max_idle_age(IDLE)
+        .build()
+        .into()
+}
--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -16,10 +16,15 @@
 use nutmegcart_peer::Sender;
 use nutmegcart_platform::Fleet;
 use nutmegcart_platform::Store;
-use ureq::Agent;
+use nutmegcart_request::path::PathSettings;
+use nutmegcart_request::share::EntrySpec;
 
+use crate::backend::Backend;
 use crate::config_sync;
+use crate::dispatch;
+use crate::dispatch::Dispatch;
 use crate::duty;
+use crate::limits::Buffered;
 use crate::metrics::Metrics;
 use crate::peering;
 use crate::server;
@@ -66,8 +71,12 @@
     pub fleet: Fleet,
     /// Client for peers.
     pub peers: Client,
-    /// Client for runners.
-    pub backend: Agent,
+    /// Connections to runners.
+    pub backend: Backend,
+    /// Decisions of the request path.
+    pub dispatch: Dispatch,
+    /// Bytes buffered by requests and answers.
+    pub buffered: Buffered,
     /// Background threads.
     pub workers: Workers,
     /// Start of the process's monotonic time.
@@ -92,13 +101,15 @@
             centre: settings.centre.clone(),
             address: settings.listen,
         };
-        let backend = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(settings.connections)
-            .max_idle_connections_per_host(64)
-            .build();
+        let own = EntrySpec {
+            id: settings.id.clone(),
+            centre: settings.centre.clone(),
+        };
         let entry = Arc::new(Self {
             workers: Workers::start(settings.threads),
+            dispatch: Dispatch::new(own, PathSettings::default(), incarnation.0),
+            buffered: Buffered::new(settings.buffer_limit),
+            backend: Backend::default(),
             settings,
             sender,
             tables: Tables::default(),
@@ -107,13 +118,13 @@
             store,
             fleet,
             peers: Client::new(PEER_TIMEOUT),
-            backend: backend.into(),
             started: Instant::now(),
         });
         server::start(&entry)?;
         entry.spawn("config", config_sync::run)?;
         entry.spawn("instances", config_sync::run_list)?;
         entry.spawn("peering", peering::run)?;
+        entry.spawn("dispatch", dispatch::run)?;
         entry.spawn("duty", duty::run)?;
         log_event!(
             Event::EntryStarted,
--- a/crates/nutmegcart_entry/src/forward.rs
+++ b/crates/nutmegcart_entry/src/forward.rs
@@ -1,41 +1,55 @@
 //! Callers' requests on their way to runners.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegcart_model::CallerName;
 use nutmegcart_model::Code;
-use nutmegcart_platform::InstanceState;
+use nutmegcart_model::ServiceName;
 use nutmegcart_platform::http::is_not_sent;
+use nutmegcart_request::admission::Class;
+use nutmegcart_request::outcome::Outcome;
+use nutmegcart_request::path;
+use nutmegcart_request::path::Attempt;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 use uuid::Uuid;
 
+use crate::backend::Condition;
+use crate::backend::Lease;
+use crate::dispatch::Next;
 use crate::entry::Entry;
 use crate::http;
-use crate::pool_map::Phase;
+use crate::limits::Reserved;
 
 /// Result of forwarding a request.
 pub type Result<T> = std::result::Result<T, Code>;
 
-/// Attempts for requests that may be repeated or were provably not sent.
-const ATTEMPTS: usize = 3;
 /// Header with the request identifier that runners echo.
 pub const REQUEST: &str = "nutmegcart-request";
 /// Header of a runner's refusal before it started the request.
 pub const REFUSED: &str = "nutmegcart-refused";
+/// Header with the number of the attempt.
+pub const ATTEMPT: &str = "nutmegcart-attempt";
+/// Header with the remaining time in milliseconds.
+pub const DEADLINE: &str = "nutmegcart-deadline-ms";
+/// Caller of requests that name none; they share one part of the queue.
+const ANONYMOUS: &str = "anonymous";
+/// Bytes read at a time.
+const CHUNK: usize = 16 << 10;
 
 /// A caller's request, read completely.
 struct Call {
     id: String,
     method: String,
     path: String,
-    service: String,
+    kind: Option<String>,
     body: Vec<u8>,
-    idempotent: bool,
-    end: Instant,
+    request: path::Request,
 }
 
 /// A runner's whole answer.
@@ -45,11 +59,30 @@
     body: Vec<u8>,
 }
 
+/// A failed attempt: what it means for the path and for the caller.
+struct Fault {
+    outcome: Outcome,
+    code: Code,
+    answer: Option<Answer>,
+}
+
+impl From<Outcome> for Fault {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            code: outcome.code(),
+            answer: None,
+        }
+    }
+}
+
 /// Handles `/v1/services/<service>/<path>`.
 pub fn handle(entry: &Arc<Entry>, request: &mut Request<Body>, rest: &str) -> Response<Body> {
     let id = Uuid::new_v4().to_string();
-    let result = read(entry, request, rest, &id).and_then(|call| send(entry, &call));
-    match result {
+    let mut reserved = entry.buffered.reserve();
+    let result = read(entry, request, rest, &id, &mut reserved)
+        .and_then(|call| send(entry, &call, &mut reserved));
+    let response = match result {
         Ok(answer) => {
             entry.metrics.count(Code::Ok);
             http::answer(answer.status, &answer.kind, answer.body)
@@ -58,115 +91,188 @@
             entry.metrics.count(code);
             http::error(code, &id, "")
         }
-    }
+    };
+    // A caller that reads slowly keeps its bytes counted until they are written.
+    http::hold(response, reserved)
 }
 
-fn read(entry: &Entry, request: &mut Request<Body>, rest: &str, id: &str) -> Result<Call> {
-    let service = rest.split('/').next().unwrap_or("").to_owned();
+fn read(
+    entry: &Entry,
+    request: &mut Request<Body>,
+    rest: &str,
+    id: &str,
+    reserved: &mut Reserved,
+) -> Result<Call> {
+    check_headers(entry, request)?;
+    let service = rest.split('/').next().unwrap_or("");
     let method = request.method().as_str().to_owned();
     let marked = http::header(request, "nutmegcart-idempotent") == Some("true");
-    let deadline = http::header(request, "nutmegcart-deadline-ms")
+    let deadline = http::header(request, DEADLINE)
         .map(|text| text.parse().map_err(|_| Code::BadRequest))
         .transpose()?
         .map_or(entry.settings.deadline, Duration::from_millis);
+    let class = match http::header(request, "nutmegcart-class") {
+        None | Some("urgent") => Class::Urgent,
+        Some("deferrable") => Class::Deferrable,
+        Some(_) => return Err(Code::BadRequest),
+    };
+    let attempt: u32 = http::header(request, ATTEMPT)
+        .map(|text| text.parse().map_err(|_| Code::BadRequest))
+        .transpose()?
+        .unwrap_or(1);
+    let caller = http::header(request, "nutmegcart-caller").unwrap_or(ANONYMOUS);
+    let query = request.uri().query();
+    let query = query.map_or(String::new(), |query| format!("?{query}"));
     Ok(Call {
         id: id.to_owned(),
-        idempotent: marked || method != "POST" && method != "PATCH",
+        path: format!("/v1/services/{rest}{query}"),
+        kind: http::header(request, "content-type").map(str::to_owned),
+        request: path::Request {
+            id: 0,
+            service: ServiceName::from(service),
+            caller: CallerName::from(caller),
+            class,
+            deadline: entry.dispatch.now().saturating_add(deadline),
+            idempotent: marked || method != "POST" && method != "PATCH",
+            retried: attempt > 1,
+            cost: 1,
+        },
         method,
-        path: format!("/v1/services/{rest}"),
-        service,
-        end: Instant::now() + deadline,
-        body: http::read_body(request, entry.settings.body_limit)?,
+        body: read_body(entry, request, reserved)?,
     })
 }
 
-/// Returns the addresses of the service's runners that take new work, the own data centre first.
-fn runners(entry: &Entry, service: &str) -> Result<Vec<SocketAddr>> {
-    let loaded = entry.tables.in_force.get();
-    let pool = loaded.view.pool_of(service).ok_or(Code::UnknownService)?;
-    let maps = entry.tables.maps.read().clone();
-    let listed = entry.tables.instances.read().clone();
-    let mut local = Vec::new();
-    let mut remote = Vec::new();
-    for (centre, map) in maps.iter() {
-        for (id, seat) in &map.seats {
-            let listed = listed.instances.get(id);
-            let live = listed.filter(|instance| instance.state == InstanceState::Live);
-            let Some(instance) = live else { continue };
-            if seat.pool == pool.name && seat.phase == Phase::Serving {
-                let group = if *centre == entry.settings.centre {
-                    &mut local
-                } else {
-                    &mut remote
-                };
-                group.push(instance.address);
-            }
-        }
+fn check_headers(entry: &Entry, request: &Request<Body>) -> Result<()> {
+    let headers = request.headers().iter();
+    let bytes: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    if bytes + request.uri().path().len() > entry.settings.header_limit {
+        return Err(Code::HeaderTooLarge);
     }
-    let mut routes = entry.tables.routes.lock();
-    let turn = routes.entry(service.to_owned()).or_default();
-    *turn = turn.wrapping_add(1);
-    for group in [&mut local, &mut remote] {
-        if !group.is_empty() {
-            let shift = *turn % group.len();
-            group.rotate_left(shift);
-        }
+    let length = http::header(request, "content-length").and_then(|text| text.parse().ok());
+    if length.is_some_and(|length: usize| length > entry.settings.body_limit) {
+        return Err(Code::BodyTooLarge);
     }
-    local.extend(remote);
-    Ok(local)
+    Ok(())
 }
 
-fn send(entry: &Entry, call: &Call) -> Result<Answer> {
-    let runners = runners(entry, &call.service)?;
-    if runners.is_empty() {
-        return Err(Code::NoRunner);
-    }
-    let mut failure = Code::NoRunner;
-    for address in runners.iter().cycle().take(ATTEMPTS.max(runners.len())) {
-        if Instant::now() >= call.end {
-            return Err(worse(failure, Code::DeadlinePassed));
+/// Reads the body within the limits of size, time and buffered bytes.
+fn read_body(
+    entry: &Entry,
+    request: &mut Request<Body>,
+    reserved: &mut Reserved,
+) -> Result<Vec<u8>> {
+    let end = Instant::now() + entry.settings.body_time;
+    let mut body = Vec::new();
+    let mut chunk = [0; CHUNK];
+    loop {
+        let count = request
+            .body_mut()
+            .read(&mut chunk)
+            .map_err(|error| http::body_fault(&error))?;
+        if count == 0 {
+            return Ok(body);
+        }
+        if body.len() + count > entry.settings.body_limit {
+            return Err(Code::BodyTooLarge);
         }
-        match attempt(entry, call, *address) {
-            Ok(answer) => return Ok(answer),
-            Err(code) => failure = worse(failure, code),
+        if !reserved.grow(count) {
+            return Err(Code::MemoryLimit);
         }
-        let sent = matches!(failure.verdict(), nutmegcart_model::Verdict::Unknown);
-        if sent && !call.idempotent {
-            break;
+        // A caller that sends a byte now and then never meets the timeout of a single read.
+        if Instant::now() > end {
+            return Err(Code::BodyTooSlow);
         }
-        entry
-            .metrics
-            .retries
-            .with_label_values(&[failure.label()])
-            .inc();
+        body.extend_from_slice(&chunk[..count]);
     }
-    Err(failure)
 }
 
-/// An unknown outcome of any attempt decides the answer: a later refusal does not undo it.
-fn worse(first: Code, second: Code) -> Code {
-    if matches!(first.verdict(), nutmegcart_model::Verdict::Unknown) {
-        first
-    } else {
-        second
+fn send(entry: &Entry, call: &Call, reserved: &mut Reserved) -> Result<Answer> {
+    let loaded = entry.tables.in_force.get();
+    if loaded.view.pool_of(&call.request.service).is_none() {
+        return Err(Code::UnknownService);
+    }
+    let metrics = &entry.metrics;
+    let admitted = entry.dispatch.admit(call.request.clone(), metrics);
+    // The pool is known but its runners are not yet.
+    let mut attempt = admitted.map_err(|code| match code {
+        Code::UnknownService => Code::NoRunner,
+        code => code,
+    })?;
+    loop {
+        metrics.attempts.inc();
+        let (outcome, code, answer) = match try_once(entry, call, &attempt, reserved) {
+            Ok(answer) => (Outcome::Success, Code::Ok, Some(answer)),
+            Err(fault) => (fault.outcome, fault.code, fault.answer),
+        };
+        match entry.dispatch.finish(*attempt, outcome, metrics) {
+            Next::Answered => return answer.ok_or(code),
+            Next::Again(next) => attempt = next,
+            Next::Failed(_) if outcome == Outcome::TooLarge => return Err(code),
+            Next::Failed(code) => return Err(code),
+        }
     }
 }
 
-fn attempt(entry: &Entry, call: &Call, address: SocketAddr) -> Result<Answer> {
-    let left = call.end.saturating_duration_since(Instant::now());
-    let request = Request::builder()
+fn try_once(
+    entry: &Entry,
+    call: &Call,
+    attempt: &Attempt,
+    reserved: &mut Reserved,
+) -> std::result::Result<Answer, Fault> {
+    let address = entry.dispatch.address(&attempt.runner.id);
+    let address = address.ok_or(Outcome::NotSent)?;
+    let now = entry.dispatch.now();
+    let share = attempt.runner.connections;
+    let lease = entry.backend.acquire(address, share, now);
+    let lease = lease.ok_or(Outcome::NotSent)?;
+    let result = exchange(entry, call, attempt, &lease, address, reserved);
+    let condition = match &result {
+        Ok(_) => Condition::Whole,
+        Err(fault) => match fault.outcome {
+            Outcome::ServerError | Outcome::RefusedBeforeStart => Condition::Whole,
+            Outcome::SilentNew | Outcome::SilentReused => Condition::Silent,
+            _ => Condition::Broken,
+        },
+    };
+    entry
+        .backend
+        .release(lease, condition, entry.dispatch.now());
+    result
+}
+
+fn exchange(
+    entry: &Entry,
+    call: &Call,
+    attempt: &Attempt,
+    lease: &Lease,
+    address: SocketAddr,
+    reserved: &mut Reserved,
+) -> std::result::Result<Answer, Fault> {
+    let left = attempt.remaining(entry.dispatch.now());
+    let mut request = Request::builder()
         .method(call.method.as_str())
         .uri(format!("http://{address}{}", call.path))
         .header(REQUEST, &call.id)
-        .header("nutmegcart-deadline-ms", left.as_millis().to_string())
-        .body(&call.body[..])
-        .map_err(|_| Code::BadRequest)?;
-    let request = entry.backend.configure_request(request);
-    let request = request.timeout_global(Some(left)).build();
-    let mut answer = entry.backend.run(request).map_err(|error| match error {
-        error if is_not_sent(&error) => Code::ConnectFailed,
-        ureq::Error::Timeout(_) => Code::AnswerTimeout,
-        _ => Code::ConnectionLost,
+        .header(ATTEMPT, attempt.number())
+        .header(DEADLINE, left.as_millis().to_string());
+    if let Some(kind) = &call.kind {
+        request = request.header("content-type", kind);
+    }
+    let request = request.body(&call.body[..]).map_err(|_| Outcome::NotSent)?;
+    let request = lease
+        .agent
+        .configure_request(request)
+        .timeout_global(Some(left))
+        .timeout_connect(Some(attempt.timeout))
+        .timeout_recv_response(Some(attempt.timeout))
+        .build();
+    let mut answer = lease.agent.run(request).map_err(|error| match error {
+        error if is_not_sent(&error) => Outcome::ConnectFailed,
+        ureq::Error::Timeout(_) if lease.reused => Outcome::SilentReused,
+        ureq::Error::Timeout(_) => Outcome::SilentNew,
+        _ => Outcome::ConnectionLost,
     })?;
     let text = |name: &str| {
         let value = answer
@@ -177,20 +283,60 @@
     };
     let (echo, refused, kind) = (text(REQUEST), text(REFUSED), text("content-type"));
     let status = answer.status().as_u16();
-    let reader = answer
-        .body_mut()
-        .with_config()
-        .limit(entry.settings.body_limit as u64);
-    let body = reader.read_to_vec().map_err(|error| match error {
-        ureq::Error::BodyExceedsLimit(_) => Code::AnswerTooLarge,
-        ureq::Error::Timeout(_) => Code::AnswerTimeout,
-        _ => Code::AnswerTruncated,
-    })?;
+    let body = read_answer(entry, &mut answer, reserved)?;
     if echo != call.id {
-        return Err(Code::AnswerMismatch);
+        return Err(Outcome::Mismatched.into());
     }
     if status == 503 && refused == "before-start" {
-        return Err(Code::RefusedByRunner);
+        return Err(Outcome::RefusedBeforeStart.into());
+    }
+    let answer = Answer { status, kind, body };
+    if status >= 500 {
+        return Err(Fault {
+            answer: Some(answer),
+            ..Outcome::ServerError.into()
+        });
+    }
+    Ok(answer)
+}
+
+fn read_answer(
+    entry: &Entry,
+    answer: &mut Response<ureq::Body>,
+    reserved: &mut Reserved,
+) -> std::result::Result<Vec<u8>, Fault> {
+    let limit = entry.settings.body_limit;
+    // One byte more than the limit, so that a body of exactly the limit is seen to end.
+    let config = answer.body_mut().with_config().limit(limit as u64 + 1);
+    let mut reader = config.reader();
+    let mut body = Vec::new();
+    let mut chunk = [0; CHUNK];
+    loop {
+        let count = reader.read(&mut chunk).map_err(|error| {
+            let late = error.kind() == std::io::ErrorKind::TimedOut;
+            // The answer began, so the connection works; the runner was too slow.
+            let code = if late {
+                Code::AnswerTimeout
+            } else {
+                Code::AnswerTruncated
+            };
+            Fault {
+                code,
+                ..Outcome::Truncated.into()
+            }
+        })?;
+        if count == 0 {
+            return Ok(body);
+        }
+        if body.len() + count > limit {
+            return Err(Outcome::TooLarge.into());
+        }
+        if !reserved.grow(count) {
+            return Err(Fault {
+                code: Code::AnswerDiscarded,
+                ..Outcome::TooLarge.into()
+            });
+        }
+        body.extend_from_slice(&chunk[..count]);
     }
-    Ok(Answer { status, kind, body })
 }
--- a/crates/nutmegcart_entry/src/http.rs
+++ b/crates/nutmegcart_entry/src/http.rs
@@ -29,16 +29,22 @@
     let mut reader = request.body_mut().take(limit as u64 + 1);
     reader
         .read_to_end(&mut bytes)
-        .map_err(|error| match error.kind() {
-            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Code::BodyTooSlow,
-            _ => Code::BadRequest,
-        })?;
+        .map_err(|error| body_fault(&error))?;
     if bytes.len() > limit {
         return Err(Code::BodyTooLarge);
     }
     Ok(bytes)
 }
 
+/// Returns the code for a request body that could not be read.
+#[must_use]
+pub fn body_fault(error: &io::Error) -> Code {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => Code::BodyTooSlow,
+        _ => Code::BadRequest,
+    }
+}
+
 /// Returns an answer with status, content type and body.
 ///
 /// # Panics
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -4,11 +4,14 @@
 //! [`Entry::start`] brings up an entry instance from checked [`Settings`].
 
 pub mod admin;
+pub mod backend;
 pub mod config_sync;
+pub mod dispatch;
 pub mod duty;
 pub mod entry;
 pub mod forward;
 pub mod http;
+pub mod limits;
 pub mod metrics;
 pub mod peering;
 pub mod pool_map;
--- a/crates/nutmegcart_entry/src/metrics.rs
+++ b/crates/nutmegcart_entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use nutmegcart_model::Code;
 use prometheus::Encoder;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -15,6 +16,14 @@
     pub requests: IntCounterVec,
     /// Retries by reason.
     pub retries: IntCounterVec,
+    /// Requests refused or dropped by admission, by code.
+    pub refusals: IntCounterVec,
+    /// Failed attempts that were not retried, by reason.
+    pub denials: IntCounterVec,
+    /// Attempts at runners.
+    pub attempts: IntCounter,
+    /// Runners ejected by their outcomes.
+    pub ejections: IntCounter,
     /// Caller requests in flight.
     pub active: IntGauge,
     /// Generation of the configuration in force.
@@ -31,6 +40,12 @@
             registry.register(boxed).expect("metric name is unique");
             counter
         };
+        let plain = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("metric name is valid");
+            let boxed = Box::new(counter.clone());
+            registry.register(boxed).expect("metric name is unique");
+            counter
+        };
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help).expect("metric name is valid");
             let boxed = Box::new(gauge.clone());
@@ -44,6 +59,18 @@
                 "code",
             ),
             retries: counter("nutmegcart_retries_total", "Retries by reason.", "reason"),
+            refusals: counter(
+                "nutmegcart_refusals_total",
+                "Requests refused or dropped by admission, by code.",
+                "code",
+            ),
+            denials: counter(
+                "nutmegcart_retries_denied_total",
+                "Failed attempts that were not retried, by reason.",
+                "reason",
+            ),
+            attempts: plain("nutmegcart_attempts_total", "Attempts at runners."),
+            ejections: plain("nutmegcart_ejections_total", "Runners ejected by outcomes."),
             active: gauge("nutmegcart_requests_active", "Caller requests in flight."),
             generation: gauge(
                 "nutmegcart_config_generation",
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -46,6 +46,7 @@
         sender: entry.sender.clone(),
         generation: entry.tables.in_force.get().configuration.generation,
         draining: entry.lifecycle.draining.load(Ordering::Acquire),
+        load: entry.dispatch.load_report(),
     }
 }
 
@@ -57,6 +58,8 @@
 }
 
 fn heard(entry: &Entry, heartbeat: &Heartbeat) {
+    let load = heartbeat.load.clone();
+    entry.dispatch.report(&heartbeat.sender.id, load);
     let peer = Peer {
         sender: heartbeat.sender.clone(),
         generation: heartbeat.generation,
--- a/crates/nutmegcart_entry/src/server.rs
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -19,6 +19,9 @@
 /// Longest wait for a byte from or to a caller.
 const SOCKET_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Connections beyond the limit that are accepted so that their requests receive a refusal.
+const SPARE_CONNECTIONS: usize = 64;
+
 /// Starts the HTTP server of an entry instance.
 ///
 /// # Errors
@@ -29,7 +32,7 @@
     Server::new(move |request| handle(&handler, request))
         .bind(entry.settings.listen)
         .with_global_timeout(SOCKET_TIMEOUT)
-        .with_max_concurrent_connections(entry.settings.connections)
+        .with_max_concurrent_connections(entry.settings.connections + SPARE_CONNECTIONS)
         .spawn()
         .map(drop)
 }
@@ -61,6 +64,9 @@
         let response = if entry.lifecycle.refusing.load(Ordering::Acquire) {
             entry.metrics.count(Code::ShuttingDown);
             http::error(Code::ShuttingDown, "", "")
+        } else if entry.lifecycle.active.load(Ordering::Acquire) > entry.settings.connections {
+            entry.metrics.count(Code::TooManyConnections);
+            http::error(Code::TooManyConnections, "", "")
         } else {
             forward::handle(entry, request, rest)
         };
--- a/crates/nutmegcart_entry/src/settings.rs
+++ b/crates/nutmegcart_entry/src/settings.rs
@@ -53,6 +53,12 @@
     pub connections: usize,
     /// Largest request or answer body in bytes.
     pub body_limit: usize,
+    /// Largest size of a request's headers and path in bytes.
+    pub header_limit: usize,
+    /// Largest number of bytes buffered by all requests and answers.
+    pub buffer_limit: usize,
+    /// Longest time in which a request body must arrive.
+    pub body_time: Duration,
     /// Deadline of requests that carry none.
     pub deadline: Duration,
     /// Time between failing readiness and refusing requests at shutdown.
@@ -90,6 +96,18 @@
         "body-limit",
         "bytes of a body, 1024 to 67108864, default 1048576",
     ),
+    (
+        "header-limit",
+        "bytes of a request's headers and path, 256 to 65536, default 8192",
+    ),
+    (
+        "buffer-limit",
+        "bytes buffered by all requests and answers, 1024 to 1073741824, default 67108864",
+    ),
+    (
+        "body-ms",
+        "time in which a request body must arrive, 10 to 600000, default 10000",
+    ),
     (
         "deadline-ms",
         "deadline of requests without one, 10 to 3600000, default 10000",
@@ -204,6 +222,9 @@
             runners: reader.addresses("runners")?,
             connections: reader.number("connections", 1024, 1, 100_000)?,
             body_limit: reader.number("body-limit", 1 << 20, 1024, 64 << 20)?,
+            header_limit: reader.number("header-limit", 8 << 10, 256, 64 << 10)?,
+            buffer_limit: reader.number("buffer-limit", 64 << 20, 1024, 1 << 30)?,
+            body_time: reader.millis("body-ms", 10_000, 10, 600_000)?,
             deadline: reader.millis("deadline-ms", 10_000, 10, 3_600_000)?,
             grace: reader.millis("grace-ms", 3_000, 0, 600_000)?,
             threads: reader.number("threads", 8, 1, 256)?,
--- a/crates/nutmegcart_entry/src/tables.rs
+++ b/crates/nutmegcart_entry/src/tables.rs
@@ -1,7 +1,8 @@
 //! Tables shared by all threads of an entry instance.
 //!
-//! Lock order: `in_force` (inside [`InForce`]), `maps`, `instances`, `peers`, `routes`. A thread
-//! that holds one lock takes only later ones, and none is held across I/O.
+//! Lock order: `in_force` (inside [`InForce`]), `maps`, `instances`, `peers`, then the locks of
+//! [`Dispatch`](crate::dispatch::Dispatch) and [`Backend`](crate::backend::Backend). A thread that
+//! holds one lock takes only later ones, and none is held across I/O.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -63,6 +64,4 @@
     pub instances: RwLock<Arc<Listed>>,
     /// Peers by address.
     pub peers: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// Next runner of each service in turn.
-    pub routes: Mutex<BTreeMap<String, usize>>,
 }
--- a/crates/nutmegcart_peer/src/message.rs
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -7,6 +7,7 @@
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::InstanceId;
+use nutmegcart_request::load::LoadReport;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -41,6 +42,9 @@
     pub generation: Generation,
     /// Whether the sender is shutting down.
     pub draining: bool,
+    /// Runners in use by the sender; older versions send none.
+    #[serde(default)]
+    pub load: LoadReport,
 }
 
 impl Message for Heartbeat {
--- a/crates/nutmegcart_request/src/path.rs
+++ b/crates/nutmegcart_request/src/path.rs
@@ -32,6 +32,7 @@
 use crate::router::Reach;
 use crate::router::Router;
 use crate::router::RouterSettings;
+use crate::router::Wish;
 use crate::share::EntrySpec;
 
 /// Deviations of the time on a runner beyond its mean that must remain when a waiting request is
@@ -137,8 +138,8 @@
 pub enum Decision {
     /// Carry out the attempt.
     Send(Box<Attempt>),
-    /// Wait for [`Path::next`] or [`Path::take_refused`].
-    Queued,
+    /// Wait for [`Path::next`] or [`Path::take_refused`] to return the request.
+    Queued(u64),
     /// Answer the caller.
     Refused(Refused),
 }
@@ -159,8 +160,8 @@
 pub enum End {
     /// The answer goes to the caller.
     Answered,
-    /// Pass the ticket to [`Path::retry`] at the given time.
-    Retry(Duration, Box<Retry>),
+    /// Pass the retry to [`Path::retry`] at the given time.
+    Retry(Duration, Reason, Box<Retry>),
     /// The request failed; the code is for the caller.
     Failed(Code, Denial),
 }
@@ -350,7 +351,7 @@
             Ok((at, reason)) => {
                 *self.counters.retries.entry(reason).or_default() += 1;
                 progress.avoid = Some(runner.id);
-                End::Retry(at, Box::new(Retry { progress, service }))
+                End::Retry(at, reason, Box::new(Retry { progress, service }))
             }
             Err(denial) => {
                 *self.counters.denials.entry(denial).or_default() += 1;
@@ -422,8 +423,12 @@
         }
         let reach = self.reach(service, request.idempotent);
         if self.lane(service).queue.is_empty() {
-            let avoid = progress.avoid.as_ref();
-            if let Some(runner) = self.router.choose(service, reach, avoid, now, random) {
+            let wish = Wish {
+                reach,
+                avoid: progress.avoid.as_ref(),
+                once: !request.idempotent,
+            };
+            if let Some(runner) = self.router.choose(service, wish, now, random) {
                 return Decision::Send(Box::new(self.begin(progress, service, runner, now)));
             }
         }
@@ -451,7 +456,8 @@
         };
         match lane.queue.offer(waiting, pace, now) {
             Ok(dropped) => {
-                lane.waiting.insert(progress.request.id, progress);
+                let id = progress.request.id;
+                lane.waiting.insert(id, progress);
                 if let Some(dropped) = dropped {
                     self.drop_waiting(service, dropped.id, Refusal::FairShare);
                 }
@@ -459,7 +465,7 @@
                     self.turns.push_back(service);
                 }
                 self.mark(service);
-                Decision::Queued
+                Decision::Queued(id)
             }
             Err(refusal) => Decision::Refused(self.refuse(&progress, refusal)),
         }
@@ -483,9 +489,12 @@
         let reach = self.reach(service, request.travels);
         let avoid = self.lanes[service].waiting.get(&request.id);
         let avoid = avoid.and_then(|progress| progress.avoid.clone());
-        let chosen = self
-            .router
-            .choose(service, reach, avoid.as_ref(), now, random);
+        let wish = Wish {
+            reach,
+            avoid: avoid.as_ref(),
+            once: !request.travels,
+        };
+        let chosen = self.router.choose(service, wish, now, random);
         let Some(runner) = chosen else {
             self.drop_waiting(service, request.id, Refusal::NoRunner);
             return None;
--- a/crates/nutmegcart_request/src/router.rs
+++ b/crates/nutmegcart_request/src/router.rs
@@ -3,6 +3,7 @@
 //! The cost of a decision does not depend on the number of runners: the runners of a service that
 //! have room are kept in lists from which two are drawn.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -56,6 +57,20 @@
     Everywhere,
 }
 
+/// What is asked of a runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Wish<'a> {
+    /// Where the request may be sent.
+    pub reach: Reach,
+    /// Runner that an earlier attempt used.
+    pub avoid: Option<&'a InstanceId>,
+    /// Whether the request may run only once.
+    ///
+    /// Such a request tests no doubtful runner as long as another has room: if the runner dies,
+    /// its outcome is unknown.
+    pub once: bool,
+}
+
 /// A runner chosen for an attempt; [`Router::finish`] takes it back.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Chosen {
@@ -223,35 +238,39 @@
 
     /// Chooses a runner and counts a request in flight on it.
     ///
-    /// `random` decides between the runners; `avoid` is the runner that an earlier attempt used.
+    /// `random` decides between the runners.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use nutmegcart_request::router::{Reach, Router, RouterSettings};
+    /// # use nutmegcart_request::router::{Reach, Router, RouterSettings, Wish};
     /// # use nutmegcart_request::share::{EntrySpec, RunnerSpec};
     /// let own = EntrySpec { id: "entry-1".into(), centre: "suva".into() };
     /// let mut router = Router::new(RouterSettings::default(), own);
     /// let spec = RunnerSpec { id: "r1".into(), centre: "suva".into(), service: "gates".into() };
     /// router.set_runners(&[spec], Duration::ZERO);
     /// let gates = router.service(&"gates".into());
-    /// let chosen = router.choose(gates, Reach::Local, None, Duration::ZERO, 0).unwrap();
+    /// let wish = Wish { reach: Reach::Local, avoid: None, once: false };
+    /// let chosen = router.choose(gates, wish, Duration::ZERO, 0).unwrap();
     /// assert_eq!(&*chosen.id, "r1");
     /// ```
     pub fn choose(
         &mut self,
         service: usize,
-        reach: Reach,
-        avoid: Option<&InstanceId>,
+        wish: Wish<'_>,
         now: Duration,
         random: u64,
     ) -> Option<Chosen> {
         self.wake(now);
-        let avoid = avoid.and_then(|id| self.table.by_id.get(id).copied());
-        if let Some(runner) = self.draw(service, reach, avoid, now, random) {
+        let avoid = wish.avoid.and_then(|id| self.table.by_id.get(id).copied());
+        let rank = |index: usize| {
+            let probe = wish.once && self.table.runners[index].intake(now) == Intake::Probe;
+            u32::from(Some(index) == avoid) + 2 * u32::from(probe)
+        };
+        if let Some(runner) = self.draw(service, wish.reach, rank, now, random) {
             return Some(self.begin(runner, None, now));
         }
         let lender = self.lender(service)?;
-        let runner = self.draw(lender, reach, avoid, now, random)?;
+        let runner = self.draw(lender, wish.reach, rank, now, random)?;
         Some(self.begin(runner, Some(lender), now))
     }
 
@@ -368,16 +387,16 @@
         &self,
         service: usize,
         reach: Reach,
-        avoid: Option<usize>,
+        rank: impl Fn(usize) -> u32,
         now: Duration,
         random: u64,
     ) -> Option<usize> {
         let open = &self.table.services[service].open;
         if !open[LOCAL].is_empty() {
-            return self.better(&open[LOCAL], avoid, now, random);
+            return self.better(&open[LOCAL], rank, now, random);
         }
         if reach == Reach::Everywhere {
-            return self.better(&open[REMOTE], avoid, now, random);
+            return self.better(&open[REMOTE], rank, now, random);
         }
         None
     }
@@ -385,7 +404,7 @@
     fn better(
         &self,
         open: &[usize],
-        avoid: Option<usize>,
+        rank: impl Fn(usize) -> u32,
         now: Duration,
         random: u64,
     ) -> Option<usize> {
@@ -396,10 +415,11 @@
         let second = pick(random >> 32, open.len() - 1);
         let second = second + usize::from(second >= first);
         let (first, second) = (open[first], open[second]);
-        if Some(first) == avoid || Some(second) == avoid {
-            return Some(if Some(first) == avoid { second } else { first });
-        }
-        let better = self.score(first, now) <= self.score(second, now);
+        let better = match rank(first).cmp(&rank(second)) {
+            Ordering::Less => true,
+            Ordering::Greater => false,
+            Ordering::Equal => self.score(first, now) <= self.score(second, now),
+        };
         Some(if better { first } else { second })
     }
 
--- a/crates/nutmegcart_request/tests/admission.rs
+++ b/crates/nutmegcart_request/tests/admission.rs
@@ -141,7 +141,7 @@
     let mut path = path(&runners("gates", 1, 0));
     let running = fill(&mut path, true, ms(0));
     let decision = path.arrive(request(1, ms(500)), ms(0), 0);
-    assert!(matches!(decision, Decision::Queued));
+    assert!(matches!(decision, Decision::Queued(_)));
     path.tick(ms(499));
     assert!(path.take_refused().is_empty());
     path.tick(ms(500));
@@ -180,10 +180,13 @@
     for id in 0..2 {
         sent(path.arrive(portal(id), ms(0), 0));
     }
-    assert!(matches!(path.arrive(portal(2), ms(0), 0), Decision::Queued));
+    assert!(matches!(
+        path.arrive(portal(2), ms(0), 0),
+        Decision::Queued(_)
+    ));
     assert!(matches!(
         path.arrive(request(3, ms(5000)), ms(0), 0),
-        Decision::Queued
+        Decision::Queued(_)
     ));
     // A slot that becomes free goes back to the spare pool's own request.
     let borrowed = running
@@ -212,7 +215,7 @@
     for step in 0..1000 {
         let now = ms(step * 10);
         let attempt = sent(path.arrive(request(step, now + ms(900)), now, mix(step)));
-        if let End::Retry(at, retry) = path.finish(attempt, Outcome::ServerError, now, 0) {
+        if let End::Retry(at, _, retry) = path.finish(attempt, Outcome::ServerError, now, 0) {
             let attempt = sent(path.retry(*retry, at, 0));
             path.finish(attempt, Outcome::ServerError, at, 0);
         }
@@ -259,7 +262,7 @@
     once.idempotent = false;
     let attempt = sent(path.arrive(once, ms(0), 0));
     let first = attempt.runner.id.clone();
-    let End::Retry(at, retry) = path.finish(attempt, Outcome::ConnectFailed, ms(1), 0) else {
+    let End::Retry(at, _, retry) = path.finish(attempt, Outcome::ConnectFailed, ms(1), 0) else {
         panic!("not retried");
     };
     let second = sent(path.retry(*retry, at, 0));
@@ -270,7 +273,7 @@
 fn refusal_of_a_retry_does_not_claim_that_the_request_did_not_run() {
     let mut path = path(&runners("gates", 1, 0));
     let attempt = sent(path.arrive(request(1, ms(900)), ms(0), 0));
-    let End::Retry(_, retry) = path.finish(attempt, Outcome::ConnectionLost, ms(1), 0) else {
+    let End::Retry(_, _, retry) = path.finish(attempt, Outcome::ConnectionLost, ms(1), 0) else {
         panic!("not retried");
     };
     let Decision::Refused(refused) = path.retry(*retry, ms(900), 0) else {
--- a/crates/nutmegcart_request/tests/common/mod.rs
+++ b/crates/nutmegcart_request/tests/common/mod.rs
@@ -73,7 +73,7 @@
         request.idempotent = idempotent;
         match path.arrive(request, now, mix(id)) {
             Decision::Send(attempt) => attempts.push(*attempt),
-            Decision::Queued => {
+            Decision::Queued(_) => {
                 path.cancel(&"gates".into(), id);
                 break;
             }
--- a/crates/nutmegcart_request/tests/fuzz.rs
+++ b/crates/nutmegcart_request/tests/fuzz.rs
@@ -130,7 +130,7 @@
     fn decide(&mut self, decision: Decision, id: u64, service: &ServiceName) {
         match decision {
             Decision::Send(attempt) => self.begin(*attempt),
-            Decision::Queued => assert!(self.queued.insert(id, service.clone()).is_none()),
+            Decision::Queued(_) => assert!(self.queued.insert(id, service.clone()).is_none()),
             Decision::Refused(refused) => {
                 assert_eq!(refused.id, id);
                 self.end(id);
@@ -182,7 +182,7 @@
         }
         let random = self.random();
         match self.path.finish(attempt, outcome, self.now, random) {
-            End::Retry(at, retry) => {
+            End::Retry(at, _, retry) => {
                 assert!(at < request.deadline);
                 self.backoff.push((at, retry, request.id));
             }
--- a/crates/nutmegcart_request/tests/routing.rs
+++ b/crates/nutmegcart_request/tests/routing.rs
@@ -10,6 +10,7 @@
 use nutmegcart_request::load::LoadReport;
 use nutmegcart_request::outcome::Outcome;
 use nutmegcart_request::router::Reach;
+use nutmegcart_request::router::Wish;
 use nutmegcart_request::share::SLOTS;
 
 use crate::common::count;
@@ -69,6 +70,12 @@
     assert_eq!(count(&attempts, "gates-1"), 0);
 }
 
+const ANY: Wish<'static> = Wish {
+    reach: Reach::Local,
+    avoid: None,
+    once: false,
+};
+
 /// Share of 200 single requests that go to `gates-0` while a peer reports load on it.
 fn share_under_peer_load(age: Duration) -> usize {
     let mut path = path(&runners("gates", 2, 0));
@@ -82,7 +89,7 @@
         .filter(|&draw| {
             let chosen = path
                 .router
-                .choose(gates, Reach::Local, None, age, mix(draw))
+                .choose(gates, ANY, age, mix(draw))
                 .expect("runners are idle");
             path.router.finish(&chosen, Outcome::Cancelled, age, age, 0);
             &*chosen.id == "gates-0"
@@ -104,7 +111,7 @@
     for (now, expected) in [(0, "gates-1"), (0, "gates-1"), (3000, "gates-0")] {
         let chosen = path
             .router
-            .choose(gates, Reach::Local, None, ms(now), mix(now))
+            .choose(gates, ANY, ms(now), mix(now))
             .expect("a runner has room");
         assert_eq!(&*chosen.id, expected, "after {now} ms");
     }
@@ -163,6 +170,23 @@
     assert_eq!(fill(&mut path, true, ms(160)).len(), 8);
 }
 
+#[test]
+fn request_that_runs_once_does_not_test_a_doubtful_runner() {
+    // A draining runner was tested just before its reboot, and the outcome was unknown.
+    let mut path = path(&runners("gates", 2, 0));
+    let attempt = sent(path.arrive(request(1, ms(900)), ms(0), 0));
+    let doubtful = attempt.runner.id.clone();
+    path.finish(attempt, Outcome::RefusedBeforeStart, ms(1), 0);
+    for id in 2..9 {
+        let mut once = request(id, ms(900));
+        once.idempotent = false;
+        let attempt = sent(path.arrive(once, ms(150), mix(id)));
+        assert_ne!(attempt.runner.id, doubtful);
+    }
+    let intake = path.router.intake(&doubtful, ms(150));
+    assert_eq!(intake, Some(Intake::Probe));
+}
+
 #[test]
 fn probe_stays_within_a_share_that_shrank() {
     // Found by fuzzing: a probe was sent although the new share was already used up.
