Seed every fuzzing input, since bolero seeds only the first

Cause: faults_never_cause_a_second_run_or_a_false_not_run passed and failed on the same commit; a probe printed the same first input and different later ones in three runs with one BOLERO_RANDOM_SEED. Hash order was ruled out by a probe without any map.

--- a/crates/nutmegcart_request/tests/fuzz.rs
+++ b/crates/nutmegcart_request/tests/fuzz.rs
@@ -295,7 +295,7 @@
 
 #[test]
 fn every_request_ends_once_and_no_rule_is_broken() {
-    bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
+    nutmegcart_fuzz::for_each(2_000, &bolero::produce::<Vec<Step>>(), |steps| {
         let mut world = World::new();
         for &step in steps {
             world.step(step);
--- a/crates/nutmegcart_request/tests/operation_fuzz.rs
+++ b/crates/nutmegcart_request/tests/operation_fuzz.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bolero::TypeGenerator;
-use bolero::check;
 use bolero::produce;
 use nutmegcart_model::CallerName;
 use nutmegcart_model::Code;
@@ -242,6 +241,9 @@
     usize::from(index) % NODES
 }
 
+/// Sessions of a run, each from its own fixed seed.
+const SESSIONS: u64 = 2_000;
+
 #[derive(Default)]
 struct Totals {
     dispatches: usize,
@@ -250,24 +252,21 @@
 
 fn fuzz(limits: Limits, totals: &Mutex<Totals>) {
     let actions = produce::<Vec<Action>>().with().len(20..250_usize);
-    check!()
-        .with_max_len(1 << 14)
-        .with_generator(actions)
-        .for_each(|actions| {
-            let world = World::new(NODES, NODES - 1, limits);
-            let mut session = Session {
-                world,
-                operations: Vec::new(),
-            };
-            for action in actions {
-                session.apply(*action);
-            }
-            let mut totals = totals.lock().unwrap();
-            totals.dispatches += session.world.oracle.dispatches;
-            for (code, count) in &session.world.oracle.replies {
-                *totals.replies.entry(*code).or_default() += count;
-            }
-        });
+    nutmegcart_fuzz::for_each(SESSIONS, &actions, |actions| {
+        let world = World::new(NODES, NODES - 1, limits);
+        let mut session = Session {
+            world,
+            operations: Vec::new(),
+        };
+        for action in actions {
+            session.apply(*action);
+        }
+        let mut totals = totals.lock().unwrap();
+        totals.dispatches += session.world.oracle.dispatches;
+        for (code, count) in &session.world.oracle.replies {
+            *totals.replies.entry(*code).or_default() += count;
+        }
+    });
 }
 
 #[test]
