Count maintained instances from maps read after the wave's state

Change: the maps are read again after the wave.

Conclusion: a finished wave now counts every instance.

--- a/crates/nutmegcart_entry/src/admin.rs
+++ b/crates/nutmegcart_entry/src/admin.rs
@@ -201,6 +201,10 @@
     let Some(progress) = progress else {
         return http::error(Code::WaveNotFound, "", name);
     };
+    // The maps are read after the wave, since a wave is finished only after its last map was.
+    if config_sync::read(entry).is_err() {
+        return http::error(Code::StoreUnavailable, "", "");
+    }
     let maps = entry.tables.maps.read().clone();
     let boots = |id: &str| {
         let seat = maps.values().find_map(|map| map.seats.get(id));
