Test a shutdown under load with two entry instances

Cause: the order of readiness, refusal and exit had a test for one request only.

Change: a golden session drains one of two entry instances under eight callers and lists every kind of answer that they were told.

--- a/crates/nutmegcart_entry/tests/sessions.rs
+++ b/crates/nutmegcart_entry/tests/sessions.rs
@@ -2,10 +2,12 @@
 
 mod site;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
 use std::thread::sleep;
 use std::thread::spawn;
 use std::time::Duration;
@@ -130,3 +132,54 @@
     log.note(format!("cut: {}", site.oracle.cuts()));
     insta::assert_snapshot!(log.text());
 }
+
+/// Sends requests through a node until told to stop, and returns what each was told.
+fn load(site: &Arc<Site>, node: usize, stop: &Arc<AtomicBool>) -> JoinHandle<Vec<String>> {
+    let (site, stop) = (site.clone(), stop.clone());
+    spawn(move || {
+        let mut told = Vec::new();
+        while !stop.load(Ordering::Acquire) {
+            let token = format!("load-{node}-{}", told.len());
+            let answer = site.nodes[node].call("gates", &token, &[]);
+            told.push(answer.replace(&token, "token"));
+        }
+        told
+    })
+}
+
+/// Guards against a shutdown that cuts requests in flight, or refuses them before readiness
+/// failed and the balancer could turn away.
+#[test]
+fn shutdown_under_load() {
+    let site = Arc::new(Site::start(&["suva", "nadi"], 2, SERVICE_TIME));
+    let log = Transcript::default();
+    let records = [pool("gates", 4), budget("gates", 1)];
+    log.note(format!("apply: {}", site.apply(0, &records)["generation"]));
+    ready(&site, 4);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..8).map(|index| load(&site, index % 2, &stop)).collect();
+    until(|| site.runners.iter().all(|runner| runner.started() > 20));
+    let entry = site.nodes[1].entry.clone();
+    let drain = spawn(move || entry.drain());
+    until(|| !site.nodes[1].entry.is_ready());
+    log.note(format!("readiness fails: {}", site.nodes[1].get("/readyz")));
+    drain.join().expect("the drain ends");
+    log.note("drained");
+    log.note(format!(
+        "call to the drained one: {}",
+        site.nodes[1].call("gates", "t1", &[])
+    ));
+    log.note(format!(
+        "call to the other one: {}",
+        site.nodes[0].call("gates", "t2", &[])
+    ));
+    stop.store(true, Ordering::Release);
+    let told = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("a caller ends"));
+    let kinds: BTreeSet<String> = told.collect();
+    for kind in kinds {
+        log.note(format!("callers were told: {kind}"));
+    }
+    insta::assert_snapshot!(log.text());
+}
