Read the instance list as changes since a version

Cause: the whole list is 384 KB at 2,600 instances; two reads a second take 769 KB/s of the 20 KB/s that control may cost a node.

Change: the list call takes since=<version> and answers with changed and removed instances; the client keeps the list. A platform without versions answers with whole lists as before.

Two tests compare the sum of the changes with whole reads.

--- a/crates/nutmegcart_bench/src/capacity.rs
+++ b/crates/nutmegcart_bench/src/capacity.rs
@@ -47,6 +47,11 @@
         .len() as f64
 }
 
+fn json_bytes(message: &impl Serialize) -> f64 {
+    let text = serde_json::to_vec(message).expect("message is serialisable");
+    text.len() as f64
+}
+
 fn whole(pools: usize) -> Configuration {
     Configuration::default()
         .with(&documents(pools), &[])
@@ -88,6 +93,9 @@
     };
     InstanceList {
         instances: (0..instances).map(line).collect(),
+        version: 1,
+        full: true,
+        removed: Vec::new(),
     }
 }
 
@@ -113,10 +121,14 @@
                 View::build(&whole).expect("references hold")
             })
         }),
-        instances("instance list: answer", "bytes", &|size| {
-            serde_json::to_vec(&listed(size))
-                .expect("list is serialisable")
-                .len() as f64
+        instances("instance list: whole answer", "bytes", &|size| {
+            json_bytes(&listed(size))
+        }),
+        instances("instance list: answer with one change", "bytes", &|size| {
+            let mut list = listed(size);
+            list.instances.truncate(1);
+            list.full = false;
+            json_bytes(&list)
         }),
         instances("instance list: parsing", "us", &|size| {
             let text = serde_json::to_vec(&listed(size)).expect("list is serialisable");
--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`Oracle`]: counts what really ran, independent of the system under test.
 
 pub mod link;
+mod list_log;
 pub mod oracle;
 pub mod platform;
 pub mod runner;
--- /dev/null
+++ b/crates/nutmegcart_fakes/src/list_log.rs
@@ -0,0 +1,59 @@
+//! Versions of the instance list, so that a reader can ask for the changes only.
+
+use std::collections::BTreeMap;
+
+use nutmegcart_model::InstanceId;
+use nutmegcart_platform::Instance;
+use nutmegcart_platform::fleet::InstanceList;
+
+/// The list with the version that last changed each line.
+#[derive(Default)]
+pub struct ListLog {
+    version: u64,
+    lines: BTreeMap<InstanceId, (Instance, u64)>,
+    removed: BTreeMap<InstanceId, u64>,
+}
+
+impl ListLog {
+    /// Takes the present list and returns what changed after the version; zero asks for all.
+    pub fn since(&mut self, version: u64, present: Vec<Instance>) -> InstanceList {
+        self.update(present);
+        // A version from an earlier life of the platform means nothing here.
+        let full = version == 0 || version > self.version;
+        let changed = self.lines.values().filter(|line| full || line.1 > version);
+        let gone = self
+            .removed
+            .iter()
+            .filter(|(_, at)| !full && **at > version);
+        InstanceList {
+            version: self.version,
+            full,
+            instances: changed.map(|line| line.0.clone()).collect(),
+            removed: gone.map(|(id, _)| id.clone()).collect(),
+        }
+    }
+
+    fn update(&mut self, present: Vec<Instance>) {
+        let next = self.version + 1;
+        let mut changed = self.version == 0;
+        let mut old = std::mem::take(&mut self.lines);
+        for mut instance in present {
+            let age_ms = std::mem::take(&mut instance.age_ms);
+            let same = old
+                .remove(&instance.id)
+                .filter(|line| line.0 == instance && age_ms == 0);
+            changed |= same.is_none();
+            instance.age_ms = age_ms;
+            self.removed.remove(&instance.id);
+            let at = same.map_or(next, |line| line.1);
+            self.lines.insert(instance.id.clone(), (instance, at));
+        }
+        changed |= !old.is_empty();
+        for id in old.into_keys() {
+            self.removed.insert(id, next);
+        }
+        if changed {
+            self.version = next;
+        }
+    }
+}
--- a/crates/nutmegcart_fakes/src/platform.rs
+++ b/crates/nutmegcart_fakes/src/platform.rs
@@ -15,13 +15,13 @@
 use nutmegcart_platform::InstanceState;
 use nutmegcart_platform::MemoryStore;
 use nutmegcart_platform::Role;
-use nutmegcart_platform::fleet::InstanceList;
 use nutmegcart_platform::fleet::OperationBody;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 use parking_lot::Mutex;
 
+use crate::list_log::ListLog;
 use crate::runner::Behaviour;
 use crate::runner::Runner;
 use crate::server;
@@ -57,6 +57,7 @@
     operations: BTreeSet<String>,
     reboot: Duration,
     store_calls: u64,
+    list: ListLog,
 }
 
 struct Machine {
@@ -147,18 +148,7 @@
         server::disconnect();
     }
     if path == "/v1/instances" {
-        let state = state.lock();
-        let instances = state
-            .machines
-            .values()
-            .map(|machine| machine.instance.clone());
-        let list = InstanceList {
-            instances: instances.collect(),
-        };
-        return server::answer(
-            200,
-            serde_json::to_vec(&list).expect("list is serialisable"),
-        );
+        return list(state, request.uri().query());
     }
     let parts: Vec<&str> = path.split('/').collect();
     let ["", "v1", "instances", id, verb] = parts[..] else {
@@ -170,6 +160,20 @@
     act(state, id, verb, &body.operation)
 }
 
+/// Answers the list call; `since=<version>` asks for changes only.
+fn list(state: &Shared, query: Option<&str>) -> Response<Body> {
+    let since = query.and_then(|query| query.strip_prefix("since="));
+    let since = since.and_then(|version| version.parse().ok()).unwrap_or(0);
+    let mut state = state.lock();
+    let machines = state.machines.values();
+    let present = machines.map(|machine| machine.instance.clone()).collect();
+    let list = state.list.since(since, present);
+    server::answer(
+        200,
+        serde_json::to_vec(&list).expect("list is serialisable"),
+    )
+}
+
 fn handle_store(call: &str, body: &[u8], store: &MemoryStore, state: &Shared) -> Response<Body> {
     let faults = {
         let mut state = state.lock();
--- /dev/null
+++ b/crates/nutmegcart_fakes/tests/list_changes.rs
@@ -0,0 +1,54 @@
+//! Guards against a reader of list changes that ends with another list than a whole read.
+
+use std::time::Duration;
+
+use nutmegcart_fakes::Oracle;
+use nutmegcart_fakes::Platform;
+use nutmegcart_fakes::Runner;
+use nutmegcart_platform::Fleet;
+use nutmegcart_platform::InstanceState;
+use nutmegcart_platform::fleet::InstanceList;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+#[test]
+fn changes_add_up_to_the_whole_list() {
+    let platform = Platform::start(Duration::from_millis(1));
+    let oracle = Oracle::default();
+    let reader = Fleet::http(platform.address, TIMEOUT);
+    assert!(reader.list().unwrap().is_empty());
+    for id in ["runner-1", "runner-2"] {
+        let runner = Runner::start(id, &oracle, Duration::ZERO);
+        platform.add_runner(&runner, &"suva".into(), &"rack-1".into());
+        assert_eq!(reader.list().unwrap(), platform.instances());
+    }
+    platform.set_state("runner-1", InstanceState::Failed);
+    assert_eq!(reader.list().unwrap(), platform.instances());
+    assert_eq!(
+        Fleet::http(platform.address, TIMEOUT).list().unwrap(),
+        platform.instances()
+    );
+}
+
+#[test]
+fn unchanged_list_is_answered_without_lines() {
+    let platform = Platform::start(Duration::from_millis(1));
+    let runner = Runner::start("runner-1", &Oracle::default(), Duration::ZERO);
+    platform.add_runner(&runner, &"suva".into(), &"rack-1".into());
+    let read = |since: u64| {
+        let url = format!("http://{}/v1/instances?since={since}", platform.address);
+        let text = ureq::get(&url)
+            .call()
+            .unwrap()
+            .body_mut()
+            .read_to_string()
+            .unwrap();
+        serde_json::from_str::<InstanceList>(&text).unwrap()
+    };
+    let first = read(0);
+    assert_eq!((first.full, first.instances.len()), (true, 1));
+    let second = read(first.version);
+    assert_eq!((second.full, second.instances.len()), (false, 0));
+    // A version that this platform never gave out is answered with the whole list.
+    assert!(read(first.version + 100).full);
+}
--- a/crates/nutmegcart_platform/src/fleet.rs
+++ b/crates/nutmegcart_platform/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The platform's list of instances, and its drain and reboot calls.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::InstanceId;
 use nutmegcart_model::Rack;
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -85,11 +87,47 @@
     pub operation: String,
 }
 
-/// Answer to the list call.
+/// Answer to the list call, whole or as changes after the version that was asked for.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct InstanceList {
+    /// Version of the list; zero if the platform does not number its lists.
+    #[serde(default)]
+    pub version: u64,
+    /// Whether all instances are listed, not only changed ones.
+    #[serde(default = "whole")]
+    pub full: bool,
     /// Instances in ascending order of identifier.
     pub instances: Vec<Instance>,
+    /// Instances that left the list since the version asked for.
+    #[serde(default)]
+    pub removed: Vec<InstanceId>,
+}
+
+/// A platform that does not know changes answers with whole lists.
+fn whole() -> bool {
+    true
+}
+
+/// The list as known after the latest answer.
+#[derive(Default)]
+struct Known {
+    version: u64,
+    instances: BTreeMap<InstanceId, Instance>,
+}
+
+impl Known {
+    fn update(&mut self, list: InstanceList) {
+        if list.full {
+            self.instances.clear();
+        }
+        for id in &list.removed {
+            self.instances.remove(id);
+        }
+        let lines = list.instances.into_iter();
+        self.instances
+            .extend(lines.map(|line| (line.id.clone(), line)));
+        self.version = list.version;
+    }
 }
 
 /// The platform's fleet interface behind a closure.
@@ -116,10 +154,18 @@
             http::post::<serde_json::Value>(&agent, &url, &body).map(|_| Vec::new())
         };
         let reader = http::agent(timeout);
+        let known = Mutex::new(Known::default());
         Self::new(move |call| match call {
             Call::List => {
-                let url = format!("http://{address}/v1/instances");
-                http::get::<InstanceList>(&reader, &url).map(|list| list.instances)
+                let since = known.lock().version;
+                let url = format!("http://{address}/v1/instances?since={since}");
+                let list = http::get::<InstanceList>(&reader, &url)?;
+                let mut known = known.lock();
+                // Of two concurrent calls the later answer already covers the earlier one.
+                if list.full || known.version == since {
+                    known.update(list);
+                }
+                Ok(known.instances.values().cloned().collect())
             }
             Call::Drain(id, operation) => act(id, "drain", operation),
             Call::Reboot(id, operation) => act(id, "reboot", operation),
