--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -7,6 +7,9 @@
 mod measure;
 mod request_path;
 mod slope;
+mod waves;
+mod waves_baseline;
+mod waves_planner;
 
 use std::process::ExitCode;
 
@@ -67,8 +70,8 @@
 }
 
 /// Returns the measures of the fleet decisions.
-fn fleet(_seed: u64) -> Vec<Measure> {
-    Vec::new()
+fn fleet(seed: u64) -> Vec<Measure> {
+    waves::measures(seed)
 }
 
 /// Returns the capacity slopes.
