Place tasks on workers with learnt sizes, leases, quotas and quarantine

Cause: the fleet crate was empty; jobs had no planner.

Change: modules for placement, usage, jobs, tasks, quarantine and quotas, as pure functions over plain state.

Faults found by fuzzing, each with a test of its own: - a start whose answer was lost before a reboot was reported as not run; calls now carry the worker's boot and the answer 'lost' was added; - three bad workers that had each failed two jobs set one of the jobs aside; failures on a worker that fails other jobs too count half, and a job set aside is tried again with one task every 10 minutes.

--- /dev/null
+++ b/crates/nutmegcart_fleet/src/outcome.rs
@@ -0,0 +1,208 @@
+//! What reports, answers and the passing of time change in the planner's state.
+
+use std::time::Duration;
+
+use nutmegcart_model::WorkerId;
+
+use crate::job::Stray;
+use crate::planner::Planner;
+use crate::quarantine::BAD_JOB;
+use crate::size::Size;
+use crate::task::AttemptId;
+use crate::task::Phase;
+use crate::worker::Outcome;
+use crate::worker::Report;
+
+/// Longest delay before a failed task is tried again.
+const MAX_BACKOFF: Duration = Duration::from_mins(1);
+
+impl Planner {
+    /// Takes in a report of a worker.
+    pub fn report(&mut self, now: Duration, report: &Report) {
+        let Some(&place) = self.places.get(&report.worker) else {
+            return;
+        };
+        let station = &mut self.stations[place];
+        if report.boot < station.boot {
+            return;
+        }
+        let newer = station.heard.is_none_or(|heard| heard < report.at);
+        if newer {
+            station.heard = Some(report.at);
+            station.usage.clear();
+            let running = report.attempts.iter();
+            station.usage.extend(
+                running
+                    .filter(|line| line.outcome == Outcome::Running)
+                    .map(|line| (line.attempt.number, line.usage)),
+            );
+        }
+        // The outcomes of the report come first: an attempt that ended before the reboot is known.
+        for line in &report.attempts {
+            if newer && line.outcome == Outcome::Running {
+                self.learn(&line.attempt, line.usage);
+            }
+            self.settle(now, &report.worker, &line.attempt, line.outcome);
+        }
+        if report.boot > self.stations[place].boot {
+            self.stations[place].boot = report.boot;
+            self.end_earlier_boots(&report.worker, report.boot);
+        }
+    }
+
+    /// Takes in what a worker said of an attempt, in a report or in the answer to a call.
+    pub fn settle(
+        &mut self,
+        now: Duration,
+        worker: &WorkerId,
+        attempt: &AttemptId,
+        outcome: Outcome,
+    ) {
+        let job = self.state.jobs.get_mut(&attempt.job);
+        let known = job.and_then(|job| {
+            job.tasks
+                .get_mut(&attempt.index)
+                .filter(|task| task.attempt == attempt.number && task.is_live())
+        });
+        let Some(task) = known else {
+            self.settle_unknown(worker, attempt, outcome);
+            return;
+        };
+        if outcome == Outcome::Running {
+            if task.phase == Phase::Starting {
+                task.phase = Phase::Running;
+                task.since = now;
+                self.dirty = true;
+            }
+            return;
+        }
+        self.ended.push((worker.clone(), attempt.clone()));
+        self.end(now, worker, attempt, outcome);
+    }
+
+    fn learn(&mut self, attempt: &AttemptId, usage: Size) {
+        if let Some(job) = self.state.jobs.get_mut(&attempt.job)
+            && let Some(task) = job.tasks.get(&attempt.index)
+            && task.attempt == attempt.number
+            && !task.throttled
+            && usage.cpu > 0
+        {
+            job.estimate.observe(usage);
+        }
+    }
+
+    fn settle_unknown(&mut self, worker: &WorkerId, attempt: &AttemptId, outcome: Outcome) {
+        let entry = (worker.clone(), attempt.clone());
+        if outcome == Outcome::Running {
+            self.foreign.push(entry);
+            return;
+        }
+        if let Some(job) = self.state.jobs.get_mut(&attempt.job) {
+            let before = job.strays.len();
+            job.strays.retain(|stray| stray.attempt != attempt.number);
+            self.dirty |= job.strays.len() != before;
+        }
+        // The state may not be written yet; `written` moves the entry on.
+        self.ended.push(entry);
+    }
+
+    fn end(&mut self, now: Duration, worker: &WorkerId, attempt: &AttemptId, outcome: Outcome) {
+        self.dirty = true;
+        let Some(job) = self.state.jobs.get_mut(&attempt.job) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(&attempt.index) else {
+            return;
+        };
+        task.phase = Phase::Waiting;
+        task.worker = None;
+        task.throttled = false;
+        task.sent = None;
+        task.ran |= outcome != Outcome::NotRun;
+        task.unknown |= outcome == Outcome::Lost;
+        match outcome {
+            Outcome::Done => {
+                job.tasks.remove(&attempt.index);
+                job.done.insert(attempt.index);
+                self.state.blame.succeeded(&attempt.job, worker);
+                return;
+            }
+            Outcome::Failed => {
+                if !task.failed.contains(worker) {
+                    task.failed.push(worker.clone());
+                }
+                let tries = u32::try_from(task.failed.len()).unwrap_or(6).min(6);
+                let delay = Duration::from_secs(1) * (1 << tries);
+                task.not_before = now + delay.min(MAX_BACKOFF);
+                let blame = &self.state.blame;
+                let healthy = task
+                    .failed
+                    .iter()
+                    .filter(|id| blame.is_healthy(&attempt.job, id));
+                if healthy.count() >= BAD_JOB {
+                    job.tasks.remove(&attempt.index);
+                    job.failed.insert(attempt.index);
+                }
+                self.state.blame.failed(&attempt.job, worker);
+            }
+            Outcome::Checkpointed => task.saved = Some(attempt.number),
+            Outcome::Running | Outcome::Stopped | Outcome::Lost => {}
+            Outcome::NotRun => task.not_before = now + self.settings.repeat,
+        }
+        job.close(attempt.index);
+    }
+
+    /// Ends every attempt that started under an earlier boot of the worker.
+    fn end_earlier_boots(&mut self, worker: &WorkerId, boot: u64) {
+        for job in self.state.jobs.values_mut() {
+            let tasks = job.tasks.iter_mut();
+            let stopped: Vec<u32> = tasks
+                .filter(|(_, task)| {
+                    task.is_live() && task.worker.as_ref() == Some(worker) && task.boot < boot
+                })
+                .map(|(index, task)| {
+                    task.lose();
+                    *index
+                })
+                .collect();
+            self.dirty |= !stopped.is_empty();
+            for index in stopped {
+                job.close(index);
+            }
+        }
+    }
+
+    /// Ends attempts whose lease is over everywhere, and gives up idempotent ones on silent
+    /// workers.
+    pub(crate) fn expire(&mut self, now: Duration) {
+        let error = self.settings.clock_error;
+        let began = self.began.unwrap_or(now);
+        for job in self.state.jobs.values_mut() {
+            let before = job.strays.len();
+            job.strays.retain(|stray| now <= stray.until + error);
+            self.dirty |= job.strays.len() != before;
+            let idempotent = job.spec.as_ref().is_some_and(|spec| spec.idempotent);
+            let mut lost = Vec::new();
+            for (index, task) in job.tasks.iter_mut().filter(|(_, task)| task.is_live()) {
+                let place = task.worker.as_ref().and_then(|id| self.places.get(id));
+                let heard = place.and_then(|&place| self.stations[place].heard);
+                let silent = heard.unwrap_or(began) + self.settings.silent < now;
+                if now > task.until + error {
+                    lost.push((*index, None));
+                } else if idempotent && silent && now > task.since + self.settings.silent {
+                    lost.push((*index, Some((task.attempt, task.until))));
+                }
+            }
+            self.dirty |= !lost.is_empty();
+            for (index, stray) in lost {
+                if let Some((attempt, until)) = stray {
+                    job.strays.push(Stray { attempt, until });
+                }
+                if let Some(task) = job.tasks.get_mut(&index) {
+                    task.lose();
+                }
+                job.close(index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_fleet/src/size.rs
@@ -0,0 +1,106 @@
+//! Amounts of processor, memory and accelerators.
+
+use std::ops::Add;
+use std::ops::AddAssign;
+
+use nutmegcart_model::record::Job;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An amount of each resource that a worker has or a task needs.
+///
+/// ```
+/// # use nutmegcart_fleet::Size;
+/// let worker = Size::new(64_000, 256_000, 4);
+/// assert!(Size::new(1_000, 2_000, 1).fits(worker));
+/// assert_eq!(worker.minus(Size::new(80_000, 0, 0)).cpu, 0);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Size {
+    /// Processor in thousandths of a core.
+    pub cpu: u64,
+    /// Memory in MB.
+    pub memory: u64,
+    /// Accelerators, each used by one task at a time.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+impl Size {
+    /// Creates a size from thousandths of a core, MB and accelerators.
+    #[must_use]
+    pub const fn new(cpu: u64, memory: u64, accelerators: u32) -> Self {
+        Self {
+            cpu,
+            memory,
+            accelerators,
+        }
+    }
+
+    /// Returns the declared size of one task of a job.
+    #[must_use]
+    pub const fn declared(job: &Job) -> Self {
+        Self::new(job.cpu, job.memory, job.accelerators)
+    }
+
+    /// Returns whether this size fits into the given room.
+    #[must_use]
+    pub const fn fits(self, room: Self) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
+    }
+
+    /// Subtracts each resource, down to zero.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self::new(
+            self.cpu.saturating_sub(other.cpu),
+            self.memory.saturating_sub(other.memory),
+            self.accelerators.saturating_sub(other.accelerators),
+        )
+    }
+
+    /// Returns the smaller amount of each resource.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self::new(
+            self.cpu.min(other.cpu),
+            self.memory.min(other.memory),
+            self.accelerators.min(other.accelerators),
+        )
+    }
+
+    /// Returns the larger amount of each resource.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self::new(
+            self.cpu.max(other.cpu),
+            self.memory.max(other.memory),
+            self.accelerators.max(other.accelerators),
+        )
+    }
+
+    /// Returns the mean share of processor and memory that this size takes of a whole.
+    #[must_use]
+    pub fn share(self, whole: Self) -> f64 {
+        let part = |some: u64, all: u64| some as f64 / all.max(1) as f64;
+        f64::midpoint(part(self.cpu, whole.cpu), part(self.memory, whole.memory))
+    }
+}
+
+impl Add for Size {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self::new(
+            self.cpu + other.cpu,
+            self.memory + other.memory,
+            self.accelerators + other.accelerators,
+        )
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_fleet/src/urgent.rs
@@ -0,0 +1,138 @@
+//! Starts of urgent tasks, and the room that is made for them.
+
+use crate::placement::Holding;
+use crate::placement::Seat;
+use crate::round::Round;
+use crate::round::begin;
+use crate::size::Size;
+use crate::task::Phase;
+
+impl Round<'_> {
+    /// Starts urgent tasks, and ends deferrable ones where nothing is free.
+    pub fn start_urgent(&mut self) {
+        let urgent: Vec<usize> = (0..self.jobs.len())
+            .filter(|&job| self.entries[job].urgent && self.jobs[job].1.may_start(self.now))
+            .collect();
+        for job in urgent {
+            let mut claiming = false;
+            while let Some(index) = self.candidate(job) {
+                if !self.ledger.allows(&self.jobs[job].1.charge, self.teams) {
+                    break;
+                }
+                let chosen = self.choose(job, index, Seat::spare);
+                if let Some(place) = chosen.filter(|_| !claiming) {
+                    self.start(job, index, place);
+                } else if self.claim(job, index) {
+                    claiming = true;
+                } else {
+                    break;
+                }
+            }
+        }
+        self.hurry();
+    }
+
+    /// Reserves room that will be free soon, and makes it if there is none.
+    fn claim(&mut self, job: usize, index: u32) -> bool {
+        let soon = self.choose(job, index, Seat::later);
+        let Some(place) = soon.or_else(|| self.make_room(job)) else {
+            return false;
+        };
+        self.seats[place].claimed += self.entries[job].size;
+        self.ledger.charge(&self.jobs[job].1.charge);
+        true
+    }
+
+    /// Ends the fewest and smallest deferrable tasks that make room on one worker.
+    fn make_room(&mut self, job: usize) -> Option<usize> {
+        let size = self.entries[job].size;
+        let pool = &self.pools[self.entries[job].pool?];
+        let mut chosen: Option<(usize, f64, usize, Vec<usize>)> = None;
+        for &place in pool {
+            let Some(victims) = self.victims(place, size) else {
+                continue;
+            };
+            let seat = &self.seats[place];
+            let shares = victims.iter().map(|&at| seat.tasks[at].size);
+            let lost = shares.map(|size| size.share(seat.capacity)).sum();
+            let better = chosen
+                .as_ref()
+                .is_none_or(|(count, least, ..)| (victims.len(), lost) < (*count, *least));
+            if better {
+                chosen = Some((victims.len(), lost, place, victims));
+            }
+        }
+        let (_, _, place, victims) = chosen?;
+        for at in victims {
+            self.end(place, at);
+        }
+        Some(place)
+    }
+
+    /// Returns deferrable tasks whose end makes room for the size, largest first.
+    fn victims(&self, place: usize, size: Size) -> Option<Vec<usize>> {
+        let seat = &self.seats[place];
+        if !seat.accepts() || !size.fits(seat.capacity) {
+            return None;
+        }
+        let mut able: Vec<usize> = (0..seat.tasks.len())
+            .filter(|&at| self.can_end(seat.tasks[at]))
+            .collect();
+        able.sort_by(|&a, &b| {
+            let share = |at: usize| seat.tasks[at].size.share(seat.capacity);
+            share(b).total_cmp(&share(a))
+        });
+        let after = |victims: &[usize]| {
+            let freed = victims
+                .iter()
+                .fold(seat.leaving, |sum, &at| sum + seat.tasks[at].size);
+            let rest = seat.used.minus(freed) + seat.claimed;
+            seat.capacity.minus(rest)
+        };
+        let mut victims = Vec::new();
+        for at in able {
+            if size.fits(after(&victims)) {
+                break;
+            }
+            victims.push(at);
+        }
+        if !size.fits(after(&victims)) {
+            return None;
+        }
+        // A task taken early may have become superfluous through a later one.
+        for at in victims.clone() {
+            let fewer: Vec<usize> = victims.iter().copied().filter(|&v| v != at).collect();
+            if size.fits(after(&fewer)) {
+                victims = fewer;
+            }
+        }
+        Some(victims)
+    }
+
+    pub fn can_end(&self, holding: Holding) -> bool {
+        let running = self
+            .task(holding)
+            .is_some_and(|task| task.phase == Phase::Running);
+        running && self.entries[holding.job].gives_way()
+    }
+
+    /// Cuts checkpoints short that keep an urgent task waiting, if the task may run again.
+    fn hurry(&mut self) {
+        for seat in &self.seats {
+            if seat.claimed == Size::default() {
+                continue;
+            }
+            for holding in &seat.tasks {
+                let idempotent = self.entries[holding.job].idempotent;
+                let Some(task) = self.jobs[holding.job].1.tasks.get_mut(&holding.index) else {
+                    continue;
+                };
+                let late = self.now >= task.since + self.settings.checkpoint;
+                if idempotent && late && task.phase == Phase::Checkpointing {
+                    begin(task, Phase::Stopping, self.now);
+                    *self.dirty = true;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_fleet/src/worker.rs
@@ -0,0 +1,73 @@
+//! Workers and what they report.
+
+use std::time::Duration;
+
+use nutmegcart_model::PoolName;
+use nutmegcart_model::Rack;
+use nutmegcart_model::WorkerId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::size::Size;
+use crate::task::AttemptId;
+
+/// A worker as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Worker {
+    /// Identifier, stable over reboots.
+    pub id: WorkerId,
+    /// Pool that it belongs to.
+    pub pool: PoolName,
+    /// Rack, a failure domain.
+    pub rack: Rack,
+    /// What it has.
+    pub capacity: Size,
+    /// Whether it is to be emptied for maintenance.
+    pub leaving: bool,
+}
+
+/// How an attempt stands according to its worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// It runs.
+    Running,
+    /// It finished.
+    Done,
+    /// It failed by itself.
+    Failed,
+    /// It was saved, and then ended.
+    Checkpointed,
+    /// It was stopped, or its lease ended.
+    Stopped,
+    /// It never ran, and the worker refuses any later start under this identifier.
+    NotRun,
+    /// It does not run, and the worker rebooted since it was meant to start, so nobody knows
+    /// whether it ran.
+    Lost,
+}
+
+/// One attempt in a report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AttemptReport {
+    /// Which attempt.
+    pub attempt: AttemptId,
+    /// How it stands.
+    pub outcome: Outcome,
+    /// What it used when the report was made.
+    #[serde(default)]
+    pub usage: Size,
+}
+
+/// What a worker said about its attempts; it lags.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Worker that reports.
+    pub worker: WorkerId,
+    /// Time at which the report was made, by the reader's clock.
+    pub at: Duration,
+    /// Number of boots so far; attempts of an earlier boot have stopped.
+    pub boot: u64,
+    /// Running attempts, and ended ones that were not acknowledged yet.
+    pub attempts: Vec<AttemptReport>,
+}
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -119,6 +119,9 @@
     WavePastDeadline = 3002, Invalid, 409, "the wave cannot finish before its deadline";
     NotInPool = 3003, Invalid, 404, "the instance is in no pool";
     BudgetExhausted = 3004, NotRun, 409, "the availability budget of the pool allows no further instance out";
+    JobTooLarge = 3050, NotRun, 409, "the declared size of the job exceeds every worker of its pool";
+    JobFailing = 3051, Invalid, 409, "the job failed on three distinct healthy workers";
+    TaskNotFound = 3052, Invalid, 404, "there is no such task";
     BadSetting = 4001, Invalid, 400, "a setting is out of range";
 }
 
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -59,6 +59,13 @@
     WaveReturned = 411, Info, "instance returned to service";
     WaveHalted = 412, Warn, "wave halted";
     WaveFinished = 413, Info, "wave finished";
+    JobSetAside = 450, Error, "job set aside";
+    WorkerQuarantined = 451, Warn, "worker quarantined";
+    WorkerReleased = 452, Info, "worker released from quarantine";
+    TaskMoved = 453, Info, "task checkpointed or stopped to make room";
+    TaskStateConflict = 454, Warn, "task state written by another duty holder; reading it again";
+    TaskStateInvalid = 455, Error, "task state in the store cannot be read";
+    WorkersUnreachable = 456, Warn, "the task interface does not answer";
     RunnerEjected = 500, Warn, "runner ejected by outcomes";
     RunnerReturned = 501, Info, "ejected runner returned";
     PeerSuspect = 600, Warn, "peer is silent";
