Learn sizes from grown tasks only, and memory at a higher quantile

Cause: samples of young tasks made the learnt sizes too small; workers ran out of memory.

Change: usage of a task younger than 30 s counts only above the reserved size; memory is learnt at the 0.99 quantile; the declared size weighs one observation.

--- a/crates/nutmegcart_fleet/src/outcome.rs
+++ b/crates/nutmegcart_fleet/src/outcome.rs
@@ -15,6 +15,9 @@
 
 /// Longest delay before a failed task is tried again.
 const MAX_BACKOFF: Duration = Duration::from_mins(1);
+/// Time in which a task grows to its usual size; learning from it earlier packs workers too
+/// densely, and they run out of memory.
+const WARM_UP: Duration = Duration::from_secs(30);
 
 impl Planner {
     /// Takes in a report of a worker.
@@ -40,7 +43,7 @@
         // The outcomes of the report come first: an attempt that ended before the reboot is known.
         for line in &report.attempts {
             if newer && line.outcome == Outcome::Running {
-                self.learn(&line.attempt, line.usage);
+                self.learn(now, &line.attempt, line.usage);
             }
             self.settle(now, &report.worker, &line.attempt, line.outcome);
         }
@@ -80,12 +83,14 @@
         self.end(now, worker, attempt, outcome);
     }
 
-    fn learn(&mut self, attempt: &AttemptId, usage: Size) {
+    /// Learns from usage; that of a young task counts only if it exceeds what is reserved.
+    fn learn(&mut self, now: Duration, attempt: &AttemptId, usage: Size) {
         if let Some(job) = self.state.jobs.get_mut(&attempt.job)
             && let Some(task) = job.tasks.get(&attempt.index)
             && task.attempt == attempt.number
             && !task.throttled
             && usage.cpu > 0
+            && (task.since + WARM_UP <= now || !usage.fits(job.size()))
         {
             job.estimate.observe(usage);
         }
--- a/crates/nutmegcart_fleet/src/usage.rs
+++ b/crates/nutmegcart_fleet/src/usage.rs
@@ -5,11 +5,13 @@
 
 use crate::size::Size;
 
-/// Share of observations that the learnt size covers.
-const QUANTILE: f32 = 0.95;
-/// Weight of the declared size, in observations. At a quantile of 0.95 the declared size stops
-/// counting after about 60 observations.
-const PRIOR: f32 = 3.0;
+/// Share of observations that the learnt processor use covers; the rest is met by throttling.
+const CPU_QUANTILE: f32 = 0.95;
+/// Share of observations that the learnt memory covers; the rest costs a move.
+const MEMORY_QUANTILE: f32 = 0.99;
+/// Weight of the declared size, in observations. It stops counting after about 20 observations of
+/// processor use and 100 of memory.
+const PRIOR: f32 = 1.0;
 /// Observations that are remembered; older ones fade, so a job that changes is learnt anew.
 const MEMORY: f32 = 400.0;
 /// Buckets for each doubling; the learnt size is at most a fifth above the true quantile.
@@ -50,12 +52,12 @@
     }
 
     /// Returns the quantile when the declared amount counts as `PRIOR` observations.
-    fn quantile(&self, declared: u64) -> u64 {
+    fn quantile(&self, declared: u64, share: f32) -> u64 {
         if self.0.is_empty() {
             return declared;
         }
         let prior = Self::bucket(declared);
-        let mut above = (self.total() + PRIOR) * (1.0 - QUANTILE);
+        let mut above = (self.total() + PRIOR) * (1.0 - share);
         let mut declared_counts = true;
         for &(bucket, weight) in self.0.iter().rev() {
             if declared_counts && bucket <= prior {
@@ -105,8 +107,8 @@
     #[must_use]
     pub fn size(&self, declared: Size) -> Size {
         Size::new(
-            self.cpu.quantile(declared.cpu),
-            self.memory.quantile(declared.memory),
+            self.cpu.quantile(declared.cpu, CPU_QUANTILE),
+            self.memory.quantile(declared.memory, MEMORY_QUANTILE),
             declared.accelerators,
         )
     }
