Make processor room for urgent tasks by throttling before checkpointing

Cause: most moves checkpointed a deferrable task for an urgent one although only processors were short.

Change: deferrable tasks of one worker are limited to no less than a quarter of their learnt size, and the urgent task starts in the same round; limits are lifted before anything else starts there.

--- a/crates/nutmegcart_fleet/src/outcome.rs
+++ b/crates/nutmegcart_fleet/src/outcome.rs
@@ -88,7 +88,7 @@
         if let Some(job) = self.state.jobs.get_mut(&attempt.job)
             && let Some(task) = job.tasks.get(&attempt.index)
             && task.attempt == attempt.number
-            && !task.throttled
+            && task.limit.is_none()
             && usage.cpu > 0
             && (task.since + WARM_UP <= now || !usage.fits(job.size()))
         {
@@ -121,7 +121,7 @@
         };
         task.phase = Phase::Waiting;
         task.worker = None;
-        task.throttled = false;
+        task.limit = None;
         task.sent = None;
         task.ran |= outcome != Outcome::NotRun;
         task.unknown |= outcome == Outcome::Lost;
--- a/crates/nutmegcart_fleet/src/overload.rs
+++ b/crates/nutmegcart_fleet/src/overload.rs
@@ -1,5 +1,7 @@
 //! Relief of workers whose tasks use more than the worker has.
 
+use std::time::Duration;
+
 use crate::action::Action;
 use crate::placement::Holding;
 use crate::round::Round;
@@ -7,9 +9,9 @@
 use crate::task::AttemptId;
 use crate::task::Phase;
 
-/// Share of the processors below which a throttled task is released, in percent. The distance to
-/// 100 keeps a task from alternating between the two states.
-const CALM_CPU: u64 = 80;
+/// Time after a step against overload in which no throttled task is released, so that a task does
+/// not alternate between the two states.
+const CALM: Duration = Duration::from_secs(10);
 
 impl Round<'_> {
     /// Takes at most one step for each worker and report: throttle, then checkpoint, then stop.
@@ -30,8 +32,6 @@
                 self.evict(place, |usage| usage.memory)
             } else if sum.cpu > capacity.cpu {
                 self.throttle(place, actions) || self.evict(place, |usage| usage.cpu)
-            } else if sum.cpu * 100 < capacity.cpu * CALM_CPU {
-                self.lift(place, sum, actions)
             } else {
                 false
             };
@@ -56,7 +56,7 @@
             used.saturating_sub(granted(*holding))
         };
         let able = self.seats[place].tasks.iter().copied().filter(|holding| {
-            let free = |task: &crate::Task| task.phase == Phase::Running && !task.throttled;
+            let free = |task: &crate::Task| task.phase == Phase::Running && task.limit.is_none();
             !self.entries[holding.job].urgent && self.task(*holding).is_some_and(free)
         });
         let worst = able
@@ -70,22 +70,29 @@
         true
     }
 
-    /// Releases one throttled task if its learnt size would still fit.
-    fn lift(&mut self, place: usize, sum: Size, actions: &mut Vec<Action>) -> bool {
-        let capacity = self.seats[place].capacity.cpu;
-        let throttled = self.seats[place].tasks.iter().copied().find(|holding| {
-            let extra = self.entries[holding.job].size.cpu;
-            self.task(*holding).is_some_and(|task| task.throttled)
-                && (sum.cpu + extra) * 100 <= capacity * CALM_CPU
-        });
-        let Some(holding) = throttled else {
-            return false;
-        };
-        self.limit(place, holding, None, actions);
-        true
+    /// Releases throttled tasks whose learnt size fits again, before anything else may start there.
+    pub fn restore(&mut self, actions: &mut Vec<Action>) {
+        for place in 0..self.seats.len() {
+            if self.now < self.stations[place].acted + CALM {
+                continue;
+            }
+            for at in 0..self.seats[place].tasks.len() {
+                let holding = self.seats[place].tasks[at];
+                if self.task(holding).is_none_or(|task| task.limit.is_none()) {
+                    continue;
+                }
+                let full = self.entries[holding.job].size.cpu;
+                let extra = full.saturating_sub(holding.size.cpu);
+                if extra <= self.seats[place].spare().cpu {
+                    self.seats[place].used.cpu += extra;
+                    self.seats[place].tasks[at].size.cpu += extra;
+                    self.limit(place, holding, None, actions);
+                }
+            }
+        }
     }
 
-    fn limit(
+    pub fn limit(
         &mut self,
         place: usize,
         holding: Holding,
@@ -97,7 +104,7 @@
         let Some(task) = job.tasks.get_mut(&holding.index) else {
             return;
         };
-        task.throttled = cpu.is_some();
+        task.limit = cpu;
         *self.counter += 1;
         *self.dirty = true;
         actions.push(Action::Throttle {
--- a/crates/nutmegcart_fleet/src/round.rs
+++ b/crates/nutmegcart_fleet/src/round.rs
@@ -79,7 +79,8 @@
         let mut round = Self::open(planner, now);
         round.relieve(actions);
         round.empty_leaving();
-        round.start_urgent();
+        round.start_urgent(actions);
+        round.restore(actions);
         round.start_deferrable();
         round.unblock();
         round.call(actions);
@@ -161,8 +162,10 @@
                 };
                 let seat = &mut self.seats[place];
                 let usage = self.stations[place].usage.get(&task.attempt);
-                let observed = usage.copied().filter(|_| !task.throttled);
-                let size = entry.size.max(observed.unwrap_or_default());
+                let mut size = entry.size.max(usage.copied().unwrap_or_default());
+                if let Some(limit) = task.limit {
+                    size.cpu = size.cpu.min(limit);
+                }
                 entry.spread.add(seat.rack);
                 seat.take(Holding {
                     job: number,
--- a/crates/nutmegcart_fleet/src/task.rs
+++ b/crates/nutmegcart_fleet/src/task.rs
@@ -149,9 +149,9 @@
     /// Attempt whose checkpoint the next start continues from.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub saved: Option<u64>,
-    /// Whether the processor use is limited.
-    #[serde(default)]
-    pub throttled: bool,
+    /// Limit of the processor use in thousandths of a core, while the task is throttled.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<u64>,
     /// Whether an earlier attempt ran or may have run.
     #[serde(default)]
     pub ran: bool,
@@ -186,7 +186,7 @@
     pub(crate) fn lose(&mut self) {
         self.phase = Phase::Waiting;
         self.worker = None;
-        self.throttled = false;
+        self.limit = None;
         self.sent = None;
         self.ran = true;
         self.unknown = true;
--- a/crates/nutmegcart_fleet/src/urgent.rs
+++ b/crates/nutmegcart_fleet/src/urgent.rs
@@ -1,15 +1,20 @@
 //! Starts of urgent tasks, and the room that is made for them.
 
+use crate::action::Action;
 use crate::placement::Holding;
 use crate::placement::Seat;
 use crate::round::Round;
 use crate::round::begin;
 use crate::size::Size;
 use crate::task::Phase;
+use crate::task::Task;
+
+/// A task keeps this part of its learnt size when it is throttled for an urgent one.
+const FLOOR_PARTS: u64 = 4;
 
 impl Round<'_> {
     /// Starts urgent tasks, and ends deferrable ones where nothing is free.
-    pub fn start_urgent(&mut self) {
+    pub fn start_urgent(&mut self, actions: &mut Vec<Action>) {
         let urgent: Vec<usize> = (0..self.jobs.len())
             .filter(|&job| self.entries[job].urgent && self.jobs[job].1.may_start(self.now))
             .collect();
@@ -19,8 +24,13 @@
                 if !self.ledger.allows(&self.jobs[job].1.charge, self.teams) {
                     break;
                 }
-                let chosen = self.choose(job, index, Seat::spare);
-                if let Some(place) = chosen.filter(|_| !claiming) {
+                // All tasks of the job have one size, so after a claim no further one fits now.
+                let mut chosen = None;
+                if !claiming {
+                    chosen = self.choose(job, index, Seat::spare);
+                    chosen = chosen.or_else(|| self.squeeze(job, actions));
+                }
+                if let Some(place) = chosen {
                     self.start(job, index, place);
                 } else if self.claim(job, index) {
                     claiming = true;
@@ -32,6 +42,43 @@
         self.hurry();
     }
 
+    /// Makes processor room by throttling deferrable tasks, which costs no progress already made.
+    fn squeeze(&mut self, job: usize, actions: &mut Vec<Action>) -> Option<usize> {
+        let size = self.entries[job].size;
+        let pool = &self.pools[self.entries[job].pool?];
+        let lacking = |place: usize| size.cpu.saturating_sub(self.seats[place].spare().cpu);
+        let able = pool.iter().copied().filter(|&place| {
+            let seat = &self.seats[place];
+            let mut room = seat.spare();
+            room.cpu = size.cpu;
+            let given: u64 = seat.tasks.iter().map(|task| self.yields(*task)).sum();
+            seat.accepts() && size.fits(room) && lacking(place) <= given
+        });
+        let place = able.min_by_key(|&place| lacking(place))?;
+        let mut rest = lacking(place);
+        for at in 0..self.seats[place].tasks.len() {
+            let holding = self.seats[place].tasks[at];
+            let part = self.yields(holding).min(rest);
+            if part > 0 {
+                rest -= part;
+                self.limit(place, holding, Some(holding.size.cpu - part), actions);
+                self.seats[place].used.cpu -= part;
+                self.seats[place].tasks[at].size.cpu -= part;
+            }
+        }
+        Some(place)
+    }
+
+    /// Returns the processor use that throttling may take from a task.
+    fn yields(&self, holding: Holding) -> u64 {
+        let running = |task: &Task| task.phase == Phase::Running;
+        if self.entries[holding.job].urgent || !self.task(holding).is_some_and(running) {
+            return 0;
+        }
+        let floor = self.entries[holding.job].size.cpu / FLOOR_PARTS;
+        holding.size.cpu.saturating_sub(floor)
+    }
+
     /// Reserves room that will be free soon, and makes it if there is none.
     fn claim(&mut self, job: usize, index: u32) -> bool {
         let soon = self.choose(job, index, Seat::later);
