Move tasks only for a job of which nothing runs

Cause: in a full pool every job waits for room, and the planner took that for fragmentation and checkpointed tasks for jobs that had others running.

Change: no move for a job that has a task running.

--- a/crates/nutmegcart_fleet/src/round.rs
+++ b/crates/nutmegcart_fleet/src/round.rs
@@ -233,6 +233,10 @@
             };
             let waited = self.now.saturating_sub(since);
             let moving = |&place: &usize| self.seats[place].leaving != Size::default();
+            // A job that has tasks running waits because the pool is full, which no move changes.
+            if self.jobs[job].1.tasks.values().any(Task::is_live) {
+                continue;
+            }
             if waited < self.settings.blocked || self.pools[pool].iter().any(moving) {
                 continue;
             }
