Rename the planner of tasks to scheduler

Cause: the waves modules of the same crate have a planner and a round. Change: modules scheduler and pass, types Scheduler and Decision; an unused type was removed. No behaviour changes. Conclusion: both sets of modules fit into one crate.

--- a/crates/nutmegcart_bench/src/placement.rs
+++ b/crates/nutmegcart_bench/src/placement.rs
@@ -1,4 +1,4 @@
-//! Placement of tasks: the planner against declared sizes, first fit and a static buffer.
+//! Placement of tasks: the scheduler against declared sizes, first fit and a static buffer.
 //!
 //! Both policies run the same generated work on the same simulated workers in virtual time.
 
@@ -15,7 +15,7 @@
 use crate::placement::baseline::Baseline;
 use crate::placement::site::Deployment;
 use crate::placement::site::Figures;
-use crate::placement::site::Planned;
+use crate::placement::site::Scheduled;
 use crate::placement::site::Site;
 
 /// Deployments of today: five pools of ten workers with 64 cores.
@@ -36,7 +36,7 @@
     for deployment in DEPLOYMENTS {
         let site = || Site::new(deployment, &mut SmallRng::seed_from_u64(seed));
         let old = site().run(&mut Baseline::default());
-        let new = site().run(&mut Planned::default());
+        let new = site().run(&mut Scheduled::default());
         measures.extend(compare(deployment.name, &old, &new));
     }
     measures.extend(scale::rounds());
--- a/crates/nutmegcart_bench/src/placement/scale.rs
+++ b/crates/nutmegcart_bench/src/placement/scale.rs
@@ -7,8 +7,8 @@
 use nutmegcart_fleet::Action;
 use nutmegcart_fleet::AttemptId;
 use nutmegcart_fleet::Outcome;
-use nutmegcart_fleet::Planner;
 use nutmegcart_fleet::Report;
+use nutmegcart_fleet::Scheduler;
 use nutmegcart_fleet::Settings;
 use nutmegcart_fleet::Size;
 use nutmegcart_fleet::Worker;
@@ -29,7 +29,7 @@
 /// Jobs of a pool and tasks of a job; about 12 tasks run on each worker.
 const JOBS: usize = 4;
 const TASKS: usize = 30;
-/// Copies of the largest planner whose memory is measured; smaller ones are copied more often.
+/// Copies of the largest scheduler whose memory is measured; smaller ones are copied more often.
 const COPIES: usize = 4;
 /// Rounds that are measured; the median counts.
 const ROUNDS: usize = 41;
@@ -40,17 +40,17 @@
 pub fn rounds() -> Vec<Measure> {
     let mut measures = Vec::new();
     // Copies are kept, so that a later one does not reuse the memory of an earlier one.
-    let mut kept: Vec<Planner> = Vec::new();
+    let mut kept: Vec<Scheduler> = Vec::new();
     let mut first: Option<[f64; 4]> = None;
     for workers in WORKERS {
         let mut fleet = Fleet::new(workers);
         fleet.settle();
         let before = resident();
         let copies = COPIES * FLEET / workers;
-        kept.extend((0..copies).map(|_| fleet.planner.clone()));
+        kept.extend((0..copies).map(|_| fleet.scheduler.clone()));
         let memory = (resident() - before) / copies as f64;
         let (steady, busy) = fleet.measure();
-        let stored = serde_json::to_vec(fleet.planner.stored()).expect("state is JSON");
+        let stored = serde_json::to_vec(fleet.scheduler.stored()).expect("state is JSON");
         let figures = [steady, busy, memory, stored.len() as f64];
         let linear = workers as f64 / WORKERS[0] as f64;
         let base = first.get_or_insert(figures).map(|figure| figure * linear);
@@ -77,7 +77,7 @@
 
 struct Fleet {
     now: Duration,
-    planner: Planner,
+    scheduler: Scheduler,
     workers: Vec<Worker>,
     running: Vec<(WorkerId, AttemptId)>,
 }
@@ -87,8 +87,8 @@
         let part = |whole: usize| (whole * count).div_ceil(FLEET);
         let pools = part(POOLS);
         let teams = part(TEAMS);
-        let mut planner = Planner::new(Settings::default());
-        planner.set_teams((0..teams).map(|team| Team {
+        let mut scheduler = Scheduler::new(Settings::default());
+        scheduler.set_teams((0..teams).map(|team| Team {
             name: format!("team-{team}").into(),
             cpu: 1 << 40,
             memory: 1 << 40,
@@ -109,8 +109,8 @@
                 leaving: false,
             })
             .collect();
-        planner.set_workers(workers.iter().cloned());
-        planner.set_jobs((0..pools * JOBS).map(|number| {
+        scheduler.set_workers(workers.iter().cloned());
+        scheduler.set_jobs((0..pools * JOBS).map(|number| {
             Arc::new(Job {
                 name: format!("job-{number}").into(),
                 pool: format!("pool-{}", number % pools).into(),
@@ -128,7 +128,7 @@
         }));
         Self {
             now: Duration::from_hours(1),
-            planner,
+            scheduler,
             workers,
             running: Vec::new(),
         }
@@ -144,14 +144,14 @@
 
     fn round(&mut self) {
         self.now += Duration::from_millis(250);
-        let plan = self.planner.plan(self.now);
-        self.planner.written();
+        let plan = self.scheduler.plan(self.now);
+        self.scheduler.written();
         for action in plan.actions {
             if let Action::Start {
                 worker, attempt, ..
             } = action
             {
-                self.planner
+                self.scheduler
                     .settle(self.now, &worker, &attempt, Outcome::Running);
                 self.running.push((worker, attempt));
             }
@@ -175,7 +175,7 @@
                 boot: 1,
                 attempts: lines.remove(&worker.id).unwrap_or_default(),
             };
-            self.planner.report(self.now, &report);
+            self.scheduler.report(self.now, &report);
         }
     }
 
--- a/crates/nutmegcart_bench/src/placement/site.rs
+++ b/crates/nutmegcart_bench/src/placement/site.rs
@@ -1,4 +1,4 @@
-//! Simulated workers, the work given to them, and the planner as a policy.
+//! Simulated workers, the work given to them, and the scheduler as a policy.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -7,8 +7,8 @@
 use nutmegcart_fleet::Action;
 use nutmegcart_fleet::AttemptId;
 use nutmegcart_fleet::Outcome;
-use nutmegcart_fleet::Planner;
 use nutmegcart_fleet::Report;
+use nutmegcart_fleet::Scheduler;
 use nutmegcart_fleet::Settings;
 use nutmegcart_fleet::Size;
 use nutmegcart_fleet::Worker;
@@ -395,18 +395,18 @@
     (amount as f64 * factor) as u64
 }
 
-/// The planner as a policy, with reports that lag.
-pub struct Planned {
-    planner: Planner,
+/// The scheduler as a policy, with reports that lag.
+pub struct Scheduled {
+    scheduler: Scheduler,
     step: usize,
     ended: Vec<(usize, AttemptId, Outcome)>,
     late: Vec<(usize, Report)>,
 }
 
-impl Default for Planned {
+impl Default for Scheduled {
     fn default() -> Self {
         Self {
-            planner: Planner::new(Settings::default()),
+            scheduler: Scheduler::new(Settings::default()),
             step: 0,
             ended: Vec::new(),
             late: Vec::new(),
@@ -414,7 +414,7 @@
     }
 }
 
-impl Planned {
+impl Scheduled {
     /// Collects the reports of one step's share of the workers.
     fn collect(&mut self, site: &Site) {
         let due = |worker: usize| worker % REPORT == self.step % REPORT;
@@ -452,25 +452,25 @@
     }
 }
 
-impl Policy for Planned {
+impl Policy for Scheduled {
     fn step(&mut self, site: &Site) -> Vec<Order> {
         self.step += 1;
         for ended in &site.ended {
             if ended.2 == Outcome::Checkpointed {
                 // The answer to the repeated call tells at once that the checkpoint is complete.
                 let worker = &site.workers[ended.0].id;
-                self.planner.settle(site.now, worker, &ended.1, ended.2);
+                self.scheduler.settle(site.now, worker, &ended.1, ended.2);
             } else {
                 self.ended.push(ended.clone());
             }
         }
         self.collect(site);
         for (_, report) in self.late.extract_if(.., |(due, _)| *due <= self.step) {
-            self.planner.report(site.now, &report);
+            self.scheduler.report(site.now, &report);
         }
-        let plan = self.planner.plan(site.now);
+        let plan = self.scheduler.plan(site.now);
         if plan.write {
-            self.planner.written();
+            self.scheduler.written();
         }
         let worker = |id: &str| site.workers.iter().position(|worker| &*worker.id == id);
         let work = |name: &str| site.works.iter().position(|work| &*work.job.name == name);
@@ -493,12 +493,12 @@
 
     fn settle(&mut self, site: &Site, worker: usize, attempt: &AttemptId, outcome: Outcome) {
         let worker = &site.workers[worker].id;
-        self.planner.settle(site.now, worker, attempt, outcome);
+        self.scheduler.settle(site.now, worker, attempt, outcome);
     }
 
     fn configure(&mut self, site: &Site) {
         let jobs = site.works.iter().map(|work| work.job.clone());
-        self.planner.set_jobs(jobs);
-        self.planner.set_workers(site.workers.iter().cloned());
+        self.scheduler.set_jobs(jobs);
+        self.scheduler.set_workers(site.workers.iter().cloned());
     }
 }
--- a/crates/nutmegcart_fleet/src/action.rs
+++ b/crates/nutmegcart_fleet/src/action.rs
@@ -1,4 +1,4 @@
-//! What the planner asks for.
+//! What the scheduler asks for.
 
 use std::time::Duration;
 
@@ -8,7 +8,6 @@
 use crate::job::SetAside;
 use crate::size::Size;
 use crate::task::AttemptId;
-use crate::worker::Outcome;
 
 /// An effect, to be carried out after the state that contains its intent was written.
 ///
@@ -125,18 +124,9 @@
 
 /// The result of one planning round.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Plan {
+pub struct Decision {
     /// Effects in the order in which to carry them out.
     pub actions: Vec<Action>,
     /// Whether the state must be written before the effects.
     pub write: bool,
 }
-
-/// What became of the call that carried out an action.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Settled {
-    /// The worker answered how the attempt stands.
-    Answer(Outcome),
-    /// No answer arrived; the call is repeated with the same identifier.
-    Silent,
-}
--- a/crates/nutmegcart_fleet/src/calls.rs
+++ b/crates/nutmegcart_fleet/src/calls.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::action::Action;
-use crate::planner::Planner;
-use crate::round::Round;
+use crate::pass::Pass;
+use crate::scheduler::Scheduler;
 use crate::task::AttemptId;
 use crate::task::Phase;
 
@@ -13,7 +13,7 @@
 /// A lease is renewed when less than three quarters of it are left, so one lost renewal is safe.
 const RENEW_PARTS: u32 = 4;
 
-impl<'a> Round<'a> {
+impl<'a> Pass<'a> {
     /// Emits the calls of tasks whose start or end is not confirmed.
     pub fn call(&mut self, actions: &mut Vec<Action>) {
         for (number, (name, job)) in self.jobs.iter_mut().enumerate() {
@@ -62,22 +62,22 @@
 
     /// Extends leases on workers that report, up to the permit for tasks that must not run twice.
     pub fn renew(
-        planner: &'a mut Planner,
+        scheduler: &'a mut Scheduler,
         now: Duration,
         permit: Duration,
         actions: &mut Vec<Action>,
     ) {
-        let settings = planner.settings;
+        let settings = scheduler.settings;
         let early = settings.lease * (RENEW_PARTS - 1) / RENEW_PARTS;
-        let mut lists: Vec<Vec<(AttemptId, Duration)>> = vec![Vec::new(); planner.stations.len()];
-        for (name, job) in &mut planner.state.jobs {
+        let mut lists: Vec<Vec<(AttemptId, Duration)>> = vec![Vec::new(); scheduler.stations.len()];
+        for (name, job) in &mut scheduler.state.jobs {
             let idempotent = job.spec.as_ref().is_some_and(|spec| spec.idempotent);
             for (&index, task) in &mut job.tasks {
                 let held = matches!(task.phase, Phase::Running | Phase::Checkpointing);
                 if !held || now + early < task.until {
                     continue;
                 }
-                let place = task.worker.as_ref().and_then(|id| planner.places.get(id));
+                let place = task.worker.as_ref().and_then(|id| scheduler.places.get(id));
                 let Some(&place) = place else {
                     continue;
                 };
@@ -87,7 +87,7 @@
                 } else {
                     longest.min(permit)
                 };
-                if until <= task.until || planner.stations[place].is_silent(now, &settings) {
+                if until <= task.until || scheduler.stations[place].is_silent(now, &settings) {
                     continue;
                 }
                 task.until = until;
@@ -101,7 +101,7 @@
         }
         for (place, leases) in lists.into_iter().enumerate() {
             if !leases.is_empty() {
-                let worker = planner.stations[place].worker.id.clone();
+                let worker = scheduler.stations[place].worker.id.clone();
                 actions.push(Action::Renew { worker, leases });
             }
         }
--- a/crates/nutmegcart_fleet/src/lib.rs
+++ b/crates/nutmegcart_fleet/src/lib.rs
@@ -1,6 +1,6 @@
 //! Fleet decisions as pure functions: waves, placement, jobs, quotas, quarantine and lending.
 //!
-//! * [`Planner`]: places the tasks of jobs on workers and keeps their leases;
+//! * [`Scheduler`]: places the tasks of jobs on workers and keeps their leases;
 //! * [`Estimate`]: sizes learnt from usage, with the declared size as prior;
 //! * [`Blame`]: decides whether a job or a worker is at fault when tasks fail;
 //! * [`Ledger`]: quotas of teams.
@@ -10,12 +10,12 @@
 pub mod job;
 mod outcome;
 mod overload;
+mod pass;
 pub mod placement;
-pub mod planner;
 pub mod quarantine;
 pub mod quota;
 pub mod ranges;
-mod round;
+pub mod scheduler;
 pub mod size;
 pub mod task;
 mod urgent;
@@ -23,19 +23,17 @@
 pub mod worker;
 
 pub use action::Action;
-pub use action::Plan;
-pub use action::Settled;
+pub use action::Decision;
 pub use job::JobState;
 pub use job::SetAside;
-pub use planner::Planner;
-pub use planner::Settings;
 pub use quarantine::Blame;
 pub use quota::Ledger;
 pub use ranges::Ranges;
+pub use scheduler::Scheduler;
+pub use scheduler::Settings;
 pub use size::Size;
 pub use task::AttemptId;
 pub use task::Fate;
-pub use task::Phase;
 pub use task::Task;
 pub use usage::Estimate;
 pub use worker::Outcome;
--- a/crates/nutmegcart_fleet/src/outcome.rs
+++ b/crates/nutmegcart_fleet/src/outcome.rs
@@ -1,12 +1,12 @@
-//! What reports, answers and the passing of time change in the planner's state.
+//! What reports, answers and the passing of time change in the scheduler's state.
 
 use std::time::Duration;
 
 use nutmegcart_model::WorkerId;
 
 use crate::job::Stray;
-use crate::planner::Planner;
 use crate::quarantine::BAD_JOB;
+use crate::scheduler::Scheduler;
 use crate::size::Size;
 use crate::task::AttemptId;
 use crate::task::Phase;
@@ -19,7 +19,7 @@
 /// densely, and they run out of memory.
 const WARM_UP: Duration = Duration::from_secs(30);
 
-impl Planner {
+impl Scheduler {
     /// Takes in a report of a worker.
     pub fn report(&mut self, now: Duration, report: &Report) {
         let Some(&place) = self.places.get(&report.worker) else {
--- a/crates/nutmegcart_fleet/src/overload.rs
+++ b/crates/nutmegcart_fleet/src/overload.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::action::Action;
+use crate::pass::Pass;
 use crate::placement::Holding;
-use crate::round::Round;
 use crate::size::Size;
 use crate::task::AttemptId;
 use crate::task::Phase;
@@ -13,7 +13,7 @@
 /// not alternate between the two states.
 const CALM: Duration = Duration::from_secs(10);
 
-impl Round<'_> {
+impl Pass<'_> {
     /// Takes at most one step for each worker and report: throttle, then checkpoint, then stop.
     ///
     /// Reports lag, so a report made before the last step says nothing about its effect.
--- a/crates/nutmegcart_fleet/src/round.rs
+++ b/crates/nutmegcart_fleet/src/pass.rs
@@ -1,4 +1,4 @@
-//! One planning round over the planner's state.
+//! One planning round over the scheduler's state.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -17,13 +17,13 @@
 use crate::placement::Seat;
 use crate::placement::Spread;
 use crate::placement::best;
-use crate::planner::Planner;
-use crate::planner::Settings;
-use crate::planner::Station;
-use crate::planner::Stored;
-use crate::planner::TRIAL;
 use crate::quarantine::Blame;
 use crate::quota::Ledger;
+use crate::scheduler::Scheduler;
+use crate::scheduler::Settings;
+use crate::scheduler::Station;
+use crate::scheduler::Stored;
+use crate::scheduler::TRIAL;
 use crate::size::Size;
 use crate::task::Phase;
 use crate::task::Task;
@@ -56,8 +56,8 @@
     }
 }
 
-/// The planner's state, indexed for one round.
-pub(crate) struct Round<'a> {
+/// The scheduler's state, indexed for one round.
+pub(crate) struct Pass<'a> {
     pub now: Duration,
     pub settings: &'a Settings,
     pub jobs: Vec<(&'a JobName, &'a mut JobState)>,
@@ -73,21 +73,21 @@
     pub dirty: &'a mut bool,
 }
 
-impl<'a> Round<'a> {
+impl<'a> Pass<'a> {
     /// Runs one round and appends its effects.
-    pub fn run(planner: &'a mut Planner, now: Duration, actions: &mut Vec<Action>) {
-        let mut round = Self::open(planner, now);
-        round.relieve(actions);
-        round.empty_leaving();
-        round.start_urgent(actions);
-        round.restore(actions);
-        round.start_deferrable();
-        round.unblock();
-        round.call(actions);
+    pub fn run(scheduler: &'a mut Scheduler, now: Duration, actions: &mut Vec<Action>) {
+        let mut pass = Self::open(scheduler, now);
+        pass.relieve(actions);
+        pass.empty_leaving();
+        pass.start_urgent(actions);
+        pass.restore(actions);
+        pass.start_deferrable();
+        pass.unblock();
+        pass.call(actions);
     }
 
-    fn open(planner: &'a mut Planner, now: Duration) -> Self {
-        let Planner {
+    fn open(scheduler: &'a mut Scheduler, now: Duration) -> Self {
+        let Scheduler {
             settings,
             state,
             teams,
@@ -96,7 +96,7 @@
             pools: numbers,
             dirty,
             ..
-        } = planner;
+        } = scheduler;
         let Stored {
             counter,
             jobs,
@@ -111,7 +111,7 @@
             .iter()
             .map(|station| seat(station, now, settings, blame))
             .collect();
-        let mut round = Self {
+        let mut pass = Self {
             now,
             settings,
             jobs: jobs.iter_mut().collect(),
@@ -125,8 +125,8 @@
             counter,
             dirty,
         };
-        round.enter(places, numbers);
-        round
+        pass.enter(places, numbers);
+        pass
     }
 
     /// Reserves room for every task that may run, and ends tasks that are not wanted.
--- a/crates/nutmegcart_fleet/src/planner.rs
+++ b/crates/nutmegcart_fleet/src/scheduler.rs
@@ -1,6 +1,6 @@
-//! The planner of a data centre: its state, and what changes the state.
+//! The scheduler of a data centre: its state, and what changes the state.
 //!
-//! The state in [`Planner::stored`] is written before any effect of a round is carried out, so a
+//! The state in [`Scheduler::stored`] is written before any effect of a round is carried out, so a
 //! successor that loads it repeats the same operations under the same identifiers.
 
 use std::collections::BTreeMap;
@@ -19,13 +19,13 @@
 use serde::Serialize;
 
 use crate::action::Action;
-use crate::action::Plan;
+use crate::action::Decision;
 use crate::job::JobState;
 use crate::job::SetAside;
+use crate::pass::Pass;
 use crate::quarantine::Blame;
 use crate::quota::Charge;
 use crate::ranges::Ranges;
-use crate::round::Round;
 use crate::size::Size;
 use crate::task::AttemptId;
 use crate::task::Fate;
@@ -35,7 +35,7 @@
 /// Time between trials of a job that was set aside as failing.
 pub(crate) const TRIAL: Duration = Duration::from_mins(10);
 
-/// Times of the planner.
+/// Times of the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
     /// Length of a task's lease.
@@ -111,12 +111,12 @@
 ///
 /// ```
 /// # use std::time::Duration;
-/// # use nutmegcart_fleet::{Planner, Settings};
-/// let mut planner = Planner::new(Settings::default());
-/// assert!(planner.plan(Duration::from_secs(1)).actions.is_empty());
+/// # use nutmegcart_fleet::{Scheduler, Settings};
+/// let mut scheduler = Scheduler::new(Settings::default());
+/// assert!(scheduler.plan(Duration::from_secs(1)).actions.is_empty());
 /// ```
 #[derive(Clone, Debug)]
-pub struct Planner {
+pub struct Scheduler {
     pub(crate) settings: Settings,
     pub(crate) state: Stored,
     pub(crate) teams: BTreeMap<TeamName, Team>,
@@ -137,8 +137,8 @@
     pub(crate) began: Option<Duration>,
 }
 
-impl Planner {
-    /// Creates a planner without any state.
+impl Scheduler {
+    /// Creates a scheduler without any state.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
         Self::load(settings, Stored::default())
@@ -181,7 +181,7 @@
         &self.state
     }
 
-    /// Notes that the state returned by [`Planner::stored`] was written.
+    /// Notes that the state returned by [`Scheduler::stored`] was written.
     pub fn written(&mut self) {
         self.dirty = false;
         self.permitted = self.state.permit;
@@ -295,7 +295,7 @@
     }
 
     /// Returns the effects of one round; write the state first if the plan says so.
-    pub fn plan(&mut self, now: Duration) -> Plan {
+    pub fn plan(&mut self, now: Duration) -> Decision {
         self.began.get_or_insert(now);
         let half = self.settings.permit / 2;
         if self.state.permit < now + half {
@@ -305,15 +305,15 @@
         let mut actions = Vec::new();
         self.expire(now);
         self.judge_failures(now, &mut actions);
-        Round::run(self, now, &mut actions);
+        Pass::run(self, now, &mut actions);
         let permit = self.state.permit;
-        Round::renew(self, now, permit, &mut actions);
+        Pass::renew(self, now, permit, &mut actions);
         self.forget(&mut actions);
         let removed = |job: &JobState| job.removed && job.tasks.is_empty() && job.strays.is_empty();
         let before = self.state.jobs.len();
         self.state.jobs.retain(|_, job| !removed(job));
         self.dirty |= self.state.jobs.len() != before;
-        Plan {
+        Decision {
             actions,
             write: self.dirty,
         }
@@ -323,7 +323,7 @@
     pub fn renew(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         let permitted = self.permitted;
-        Round::renew(self, now, permitted, &mut actions);
+        Pass::renew(self, now, permitted, &mut actions);
         actions
     }
 
--- a/crates/nutmegcart_fleet/src/urgent.rs
+++ b/crates/nutmegcart_fleet/src/urgent.rs
@@ -1,10 +1,10 @@
 //! Starts of urgent tasks, and the room that is made for them.
 
 use crate::action::Action;
+use crate::pass::Pass;
+use crate::pass::begin;
 use crate::placement::Holding;
 use crate::placement::Seat;
-use crate::round::Round;
-use crate::round::begin;
 use crate::size::Size;
 use crate::task::Phase;
 use crate::task::Task;
@@ -12,7 +12,7 @@
 /// A task keeps this part of its learnt size when it is throttled for an urgent one.
 const FLOOR_PARTS: u64 = 4;
 
-impl Round<'_> {
+impl Pass<'_> {
     /// Starts urgent tasks, and ends deferrable ones where nothing is free.
     pub fn start_urgent(&mut self, actions: &mut Vec<Action>) {
         let urgent: Vec<usize> = (0..self.jobs.len())
--- a/crates/nutmegcart_fleet/tests/placement.rs
+++ b/crates/nutmegcart_fleet/tests/placement.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use nutmegcart_fleet::Fate;
-use nutmegcart_fleet::Planner;
+use nutmegcart_fleet::Scheduler;
 use nutmegcart_fleet::SetAside;
 use nutmegcart_fleet::Settings;
 use nutmegcart_fleet::Size;
@@ -150,7 +150,7 @@
     let mut world = pool(4, vec![job("one", &json!({"seconds": 3600}))]);
     world.run(ms(3000));
     let worker = place(&world, "one");
-    let mut paused = world.planner.clone();
+    let mut paused = world.scheduler.clone();
     world.machine(&worker).linked = false;
     world.restart();
     world.run(ms(15_000));
@@ -177,12 +177,12 @@
 fn renewal_without_the_store_ends_at_the_written_permit() {
     let mut world = pool(1, vec![job("one", &json!({"seconds": 36_000}))]);
     world.run(ms(3000));
-    let permit = world.planner.stored().permit;
+    let permit = world.scheduler.stored().permit;
     while world.now < permit + ms(60_000) {
         world.paused = true;
         world.step(ms(1000));
         world.deliver_reports();
-        for action in world.planner.renew(world.now) {
+        for action in world.scheduler.renew(world.now) {
             world.carry_out(&action);
         }
         let expected = usize::from(world.now + ms(5000) < permit);
@@ -200,13 +200,13 @@
     world.lose_answers = 1;
     world.lag = ms(60_000);
     world.machine("a00").linked = true;
-    world.planner.report(world.now, &world.snapshot("a00"));
+    world.scheduler.report(world.now, &world.snapshot("a00"));
     world.step(ms(250));
     assert!(world.ran("one", 0));
     world.reboot("a00");
     world.cancel("one", 0..1);
     world.run(ms(3000));
-    assert_eq!(world.planner.fate("one", 0), Fate::Unknown);
+    assert_eq!(world.scheduler.fate("one", 0), Fate::Unknown);
 }
 
 #[test]
@@ -217,16 +217,16 @@
     ];
     let mut world = pool(4, jobs);
     world.run(ms(20_000));
-    let giant = world.planner.job("giant").expect("job exists");
+    let giant = world.scheduler.job("giant").expect("job exists");
     assert_eq!(giant.aside, Some(SetAside::TooLarge));
     assert_eq!(
-        world.planner.job("small").expect("job exists").done.len(),
+        world.scheduler.job("small").expect("job exists").done.len(),
         9
     );
     world.machine("a00").worker.capacity = Size::new(32_000, 64_000, 0);
     world.configure();
     world.run(ms(10_000));
-    assert_eq!(world.planner.fate("giant", 0), Fate::Done);
+    assert_eq!(world.scheduler.fate("giant", 0), Fate::Done);
 }
 
 #[test]
@@ -238,11 +238,11 @@
     let mut world = pool(30, jobs);
     world.broken.insert("broken".into());
     world.run(ms(60_000));
-    let broken = world.planner.job("broken").expect("job exists");
+    let broken = world.scheduler.job("broken").expect("job exists");
     assert_eq!(broken.aside, Some(SetAside::Failing));
     assert_eq!(world.most_quarantined, 0);
     assert_eq!(
-        world.planner.job("sound").expect("job exists").done.len(),
+        world.scheduler.job("sound").expect("job exists").done.len(),
         20
     );
     let before = world.started.len();
@@ -257,7 +257,7 @@
     world.run(ms(30_000));
     assert!(
         world
-            .planner
+            .scheduler
             .job("broken")
             .expect("job exists")
             .aside
@@ -265,7 +265,10 @@
     );
     world.broken.clear();
     world.run(Duration::from_mins(15));
-    assert_eq!(world.planner.job("broken").expect("job exists").aside, None);
+    assert_eq!(
+        world.scheduler.job("broken").expect("job exists").aside,
+        None
+    );
 }
 
 #[test]
@@ -275,14 +278,14 @@
     let mut world = pool(10, names.map(|name| job(name, &spec)).to_vec());
     world.machine("a03").fails = true;
     world.run(ms(60_000));
-    assert!(world.planner.is_quarantined("a03"));
+    assert!(world.scheduler.is_quarantined("a03"));
     for name in names {
-        assert_eq!(world.planner.job(name).expect("job exists").aside, None);
+        assert_eq!(world.scheduler.job(name).expect("job exists").aside, None);
     }
     let before = running_at(&world, "a03");
     world.machine("a03").fails = false;
     world.run(Duration::from_mins(11));
-    assert!(!world.planner.is_quarantined("a03"));
+    assert!(!world.scheduler.is_quarantined("a03"));
     assert_eq!(before, 0);
 }
 
@@ -304,7 +307,7 @@
         .values_mut()
         .for_each(|machine| machine.fails = false);
     world.run(Duration::from_mins(25));
-    let done = |name: &str| world.planner.job(name).expect("job exists").done.len();
+    let done = |name: &str| world.scheduler.job(name).expect("job exists").done.len();
     assert!(names.iter().all(|name| done(name) > 0));
 }
 
@@ -319,7 +322,7 @@
     }
     world.run(Duration::from_mins(2));
     for name in names {
-        let job = world.planner.job(name).expect("job exists");
+        let job = world.scheduler.job(name).expect("job exists");
         assert_eq!((job.aside, job.done.len()), (None, 40), "{name}");
     }
 }
@@ -437,7 +440,7 @@
     world.cancel("bulk", 0..99_000);
     world.run(ms(3000));
     let stops = logged(&world, "-stop");
-    let bytes = serde_json::to_string(world.planner.stored())
+    let bytes = serde_json::to_string(world.scheduler.stored())
         .expect("state is JSON")
         .len();
     assert!((16..=32).contains(&stops), "{stops}");
@@ -445,8 +448,8 @@
     world.configure();
     world.run(ms(3000));
     assert_eq!(logged(&world, "-stop"), stops);
-    assert_eq!(world.planner.fate("bulk", 0), Fate::Stopped);
-    assert_eq!(world.planner.fate("bulk", 98_000), Fate::NotRun);
+    assert_eq!(world.scheduler.fate("bulk", 0), Fate::Stopped);
+    assert_eq!(world.scheduler.fate("bulk", 98_000), Fate::NotRun);
     assert_eq!(running(&world, "bulk"), 16);
 }
 
@@ -462,7 +465,7 @@
         .clear();
     world.configure();
     world.run(ms(60_000));
-    assert_eq!(world.planner.fate("one", 20), Fate::NotRun);
+    assert_eq!(world.scheduler.fate("one", 20), Fate::NotRun);
 }
 
 /// A pool whose free room is split between two workers, and a job that needs it in one piece.
@@ -487,7 +490,7 @@
 fn blocked_job_gets_room_by_one_move() {
     let mut world = fragmented(6000);
     world.run(Duration::from_mins(5));
-    assert_eq!(world.planner.fate("wide", 0), Fate::Done);
+    assert_eq!(world.scheduler.fate("wide", 0), Fate::Done);
     assert_eq!(
         logged(&world, "-checkpoint on"),
         logged(&world, "small/0#1-") + logged(&world, "small/1#2-")
@@ -550,16 +553,16 @@
     world.lose_write = true;
     world.run(ms(20_000));
     assert_eq!(world.started.len(), 1, "a finished task ran again");
-    assert_eq!(world.planner.fate("one", 0), Fate::Done);
+    assert_eq!(world.scheduler.fate("one", 0), Fate::Done);
 }
 
 #[test]
 fn state_written_by_one_planner_is_read_by_the_next() {
     let mut world = pool(4, vec![job("one", &json!({"tasks": 30, "seconds": 3}))]);
     world.run(ms(5000));
-    let text = serde_json::to_string(world.planner.stored()).expect("state is JSON");
+    let text = serde_json::to_string(world.scheduler.stored()).expect("state is JSON");
     let read = serde_json::from_str(&text).expect("state is readable");
-    let next = Planner::load(Settings::default(), read);
+    let next = Scheduler::load(Settings::default(), read);
     let again = serde_json::to_string(next.stored()).expect("state is JSON");
     assert_eq!(again.len(), text.len());
 }
--- a/crates/nutmegcart_fleet/tests/placement_fuzz.rs
+++ b/crates/nutmegcart_fleet/tests/placement_fuzz.rs
@@ -138,7 +138,7 @@
             let tasks = world.jobs[*name].tasks;
             (0..tasks).map(move |index| (*name, index))
         });
-        let open = all.filter(|(name, index)| world.planner.fate(name, *index) == Fate::Open);
+        let open = all.filter(|(name, index)| world.scheduler.fate(name, *index) == Fate::Open);
         open.collect::<Vec<_>>()
     };
     for _ in 0..RECOVERY {
@@ -148,11 +148,11 @@
         world.step(ms(1000));
     }
     assert!(open(world).is_empty(), "never done: {:?}", open(world));
-    let giant = world.planner.job("giant").expect("job exists");
+    let giant = world.scheduler.job("giant").expect("job exists");
     assert_eq!(giant.aside, Some(SetAside::TooLarge));
     for (name, job) in &world.jobs {
         for index in 0..job.tasks {
-            let not_run = world.planner.fate(name, index) == Fate::NotRun;
+            let not_run = world.scheduler.fate(name, index) == Fate::NotRun;
             assert!(!not_run || !world.ran(name, index), "{name}/{index} ran");
         }
     }
--- a/crates/nutmegcart_fleet/tests/world/mod.rs
+++ b/crates/nutmegcart_fleet/tests/world/mod.rs
@@ -11,12 +11,12 @@
 use nutmegcart_fleet::AttemptId;
 use nutmegcart_fleet::Fate;
 use nutmegcart_fleet::Outcome;
-use nutmegcart_fleet::Planner;
 use nutmegcart_fleet::Report;
+use nutmegcart_fleet::Scheduler;
 use nutmegcart_fleet::Settings;
 use nutmegcart_fleet::Size;
 use nutmegcart_fleet::Worker;
-use nutmegcart_fleet::planner::Stored;
+use nutmegcart_fleet::scheduler::Stored;
 use nutmegcart_fleet::worker::AttemptReport;
 use nutmegcart_model::Document;
 use nutmegcart_model::JobName;
@@ -118,10 +118,10 @@
     }
 }
 
-/// Planner, store and workers in virtual time.
+/// Scheduler, store and workers in virtual time.
 pub struct World {
     pub now: Duration,
-    pub planner: Planner,
+    pub scheduler: Scheduler,
     pub machines: BTreeMap<WorkerId, Machine>,
     pub jobs: BTreeMap<JobName, Job>,
     pub teams: BTreeMap<TeamName, Team>,
@@ -178,7 +178,7 @@
         let settings = Settings::default();
         let mut world = Self {
             now: Duration::from_hours(1),
-            planner: Planner::new(settings),
+            scheduler: Scheduler::new(settings),
             machines,
             jobs: jobs
                 .into_iter()
@@ -210,25 +210,25 @@
         world
     }
 
-    /// Hands the present configuration to the planner.
+    /// Hands the present configuration to the scheduler.
     pub fn configure(&mut self) {
-        self.planner.set_teams(self.teams.values().cloned());
-        self.planner
+        self.scheduler.set_teams(self.teams.values().cloned());
+        self.scheduler
             .set_jobs(self.jobs.values().cloned().map(Arc::new));
         let workers = self.machines.values().map(|machine| machine.worker.clone());
-        self.planner.set_workers(workers);
+        self.scheduler.set_workers(workers);
     }
 
-    /// Replaces the planner by one that knows only what was written.
+    /// Replaces the scheduler by one that knows only what was written.
     pub fn restart(&mut self) {
         let text = serde_json::to_string(&self.stored).expect("state is JSON");
         let stored = serde_json::from_str(&text).expect("state is readable");
-        self.planner = Planner::load(Settings::default(), stored);
+        self.scheduler = Scheduler::load(Settings::default(), stored);
         self.configure();
     }
 
     pub fn cancel(&mut self, job: &str, indexes: impl Iterator<Item = u32>) {
-        let counter = self.planner.stored().counter;
+        let counter = self.scheduler.stored().counter;
         let spec = self.jobs.get_mut(job).expect("job exists");
         for index in indexes {
             spec.cancel.push(format!("{job}/{index}").into());
@@ -266,11 +266,11 @@
         self.check();
     }
 
-    /// Hands the reports that are due to the planner.
+    /// Hands the reports that are due to the scheduler.
     pub fn deliver_reports(&mut self) {
         for (due, report) in std::mem::take(&mut self.reports) {
             if due <= self.now {
-                self.planner.report(self.now, &report);
+                self.scheduler.report(self.now, &report);
             } else {
                 self.reports.push((due, report));
             }
@@ -291,15 +291,15 @@
     }
 
     fn round(&mut self) {
-        let plan = self.planner.plan(self.now);
+        let plan = self.scheduler.plan(self.now);
         if plan.write {
             if std::mem::take(&mut self.lose_write) {
                 // The write may have been fenced off: the holder reads the state again.
                 self.restart();
                 return;
             }
-            self.stored = self.planner.stored().clone();
-            self.planner.written();
+            self.stored = self.scheduler.stored().clone();
+            self.scheduler.written();
         }
         for action in plan.actions {
             self.log_action(&action);
@@ -314,7 +314,7 @@
             if let Some((worker, attempt, outcome)) = answer
                 && !take(&mut self.lose_answers)
             {
-                self.planner.settle(self.now, &worker, &attempt, outcome);
+                self.scheduler.settle(self.now, &worker, &attempt, outcome);
             }
         }
     }
@@ -442,7 +442,7 @@
                 "{attempt} was ordered after its cancellation"
             );
         }
-        let fate = self.planner.fate(&attempt.job, attempt.index);
+        let fate = self.scheduler.fate(&attempt.job, attempt.index);
         assert_ne!(
             fate,
             Fate::NotRun,
@@ -478,7 +478,7 @@
         for machine in self.machines.values() {
             let counts = pools.entry(&machine.worker.pool).or_default();
             counts.0 += 1;
-            counts.1 += usize::from(self.planner.is_quarantined(&machine.worker.id));
+            counts.1 += usize::from(self.scheduler.is_quarantined(&machine.worker.id));
         }
         for (pool, (size, quarantined)) in pools {
             assert!(
