--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -3,8 +3,14 @@
 //! Each command prints one JSON object a line with name, unit, baseline, current and ratio.
 
 mod capacity;
+mod cost;
 mod measure;
 mod placement;
+mod request_path;
+mod slope;
+mod waves;
+mod waves_baseline;
+mod waves_planner;
 
 use std::process::ExitCode;
 
@@ -46,8 +52,13 @@
 
 fn main() -> ExitCode {
     let flags = flags::Bench::from_env_or_exit();
+    if let flags::BenchCmd::Capacity(flags) = &flags.subcommand {
+        slope::print(&capacity::slopes(), flags.json);
+    }
     let (json, measures) = match flags.subcommand {
-        flags::BenchCmd::RequestPath(flags) => (flags.json, request_path(seed(flags.seed))),
+        flags::BenchCmd::RequestPath(flags) => {
+            (flags.json, request_path::measures(seed(flags.seed)))
+        }
         flags::BenchCmd::Fleet(flags) => (flags.json, fleet(seed(flags.seed))),
         flags::BenchCmd::Capacity(flags) => (flags.json, capacity(seed(flags.seed))),
     };
@@ -59,14 +70,11 @@
     given.unwrap_or(DEFAULT_SEED)
 }
 
-/// Returns the measures of the request path.
-fn request_path(_seed: u64) -> Vec<Measure> {
-    Vec::new()
-}
-
 /// Returns the measures of the fleet decisions.
 fn fleet(seed: u64) -> Vec<Measure> {
-    placement::placement(seed)
+    let mut measures = waves::measures(seed);
+    measures.extend(placement::placement(seed));
+    measures
 }
 
 /// Returns the capacity slopes.
--- a/crates/nutmegcart_bench/src/placement/scale.rs
+++ b/crates/nutmegcart_bench/src/placement/scale.rs
@@ -1,8 +1,8 @@
 //! Cost of one planning round over the size of the fleet.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use nutmegcart_fleet::Action;
 use nutmegcart_fleet::AttemptId;
@@ -17,6 +17,7 @@
 use nutmegcart_model::record::Job;
 use nutmegcart_model::record::Team;
 
+use crate::cost;
 use crate::measure::Measure;
 
 /// Numbers of workers.
@@ -29,8 +30,6 @@
 /// Jobs of a pool and tasks of a job; about 12 tasks run on each worker.
 const JOBS: usize = 4;
 const TASKS: usize = 30;
-/// Copies of the largest scheduler whose memory is measured; smaller ones are copied more often.
-const COPIES: usize = 4;
 /// Rounds that are measured; the median counts.
 const ROUNDS: usize = 41;
 
@@ -39,16 +38,11 @@
 /// The baseline of each figure is the first size's, scaled linearly, so a ratio of 1 is linear.
 pub fn rounds() -> Vec<Measure> {
     let mut measures = Vec::new();
-    // Copies are kept, so that a later one does not reuse the memory of an earlier one.
-    let mut kept: Vec<Scheduler> = Vec::new();
     let mut first: Option<[f64; 4]> = None;
     for workers in WORKERS {
         let mut fleet = Fleet::new(workers);
         fleet.settle();
-        let before = resident();
-        let copies = COPIES * FLEET / workers;
-        kept.extend((0..copies).map(|_| fleet.scheduler.clone()));
-        let memory = (resident() - before) / copies as f64;
+        let memory = cost::heap(|| fleet.scheduler.clone());
         let (steady, busy) = fleet.measure();
         let stored = serde_json::to_vec(fleet.scheduler.stored()).expect("state is JSON");
         let figures = [steady, busy, memory, stored.len() as f64];
@@ -68,13 +62,6 @@
     measures
 }
 
-/// Resident memory of this process in bytes, zero where it cannot be read.
-fn resident() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
-    pages.unwrap_or(0.0) * 4096.0
-}
-
 struct Fleet {
     now: Duration,
     scheduler: Scheduler,
@@ -159,8 +146,7 @@
     }
 
     fn report(&mut self) {
-        let mut lines: std::collections::HashMap<&WorkerId, Vec<AttemptReport>> =
-            std::collections::HashMap::new();
+        let mut lines: HashMap<&WorkerId, Vec<AttemptReport>> = HashMap::new();
         for (worker, attempt) in &self.running {
             lines.entry(worker).or_default().push(AttemptReport {
                 attempt: attempt.clone(),
@@ -181,20 +167,11 @@
 
     /// Returns the median time of a round without and with reports, in microseconds.
     fn measure(&mut self) -> (f64, f64) {
-        let mut median = |reports: bool| {
-            let mut times: Vec<f64> = (0..ROUNDS)
-                .map(|_| {
-                    let begin = Instant::now();
-                    if reports {
-                        self.report();
-                    }
-                    self.round();
-                    begin.elapsed().as_secs_f64() * 1e6
-                })
-                .collect();
-            times.sort_by(f64::total_cmp);
-            times[ROUNDS / 2]
-        };
-        (median(false), median(true))
+        let steady = cost::processor(ROUNDS, || self.round());
+        let busy = cost::processor(ROUNDS, || {
+            self.report();
+            self.round();
+        });
+        (steady, busy)
     }
 }
--- a/crates/nutmegcart_fleet/src/lib.rs
+++ b/crates/nutmegcart_fleet/src/lib.rs
@@ -1,31 +1,57 @@
 //! Fleet decisions as pure functions: waves, placement, jobs, quotas, quarantine and lending.
 //!
+//! * [`map`]: which pool each instance belongs to, one value per data centre;
+//! * [`budget`]: how many instances of a pool are unavailable, and how many more may be;
+//! * [`wave`]: progress of a maintenance wave, its policy and its estimated duration;
+//! * [`planner`]: one planning round of a duty holder, with the transaction that fences it;
+//! * [`lending`]: moves of instances between pools by a demand estimate over minutes;
+//! * [`duty`]: the lease on a data centre, and the pace of store calls;
 //! * [`Scheduler`]: places the tasks of jobs on workers and keeps their leases;
 //! * [`Estimate`]: sizes learnt from usage, with the declared size as prior;
 //! * [`Blame`]: decides whether a job or a worker is at fault when tasks fail;
 //! * [`Ledger`]: quotas of teams.
 
 pub mod action;
+mod advance;
+mod assign;
+pub mod budget;
 mod calls;
+pub mod duty;
 pub mod job;
+pub mod lending;
+pub mod map;
 mod outcome;
 mod overload;
 mod pass;
 pub mod placement;
+pub mod planner;
 pub mod quarantine;
 pub mod quota;
 pub mod ranges;
+mod round;
 pub mod scheduler;
 pub mod size;
 pub mod task;
 mod urgent;
 pub mod usage;
+pub mod wave;
 pub mod worker;
 
 pub use action::Action;
 pub use action::Decision;
+pub use budget::Standing;
+pub use duty::Duty;
 pub use job::JobState;
 pub use job::SetAside;
+pub use lending::Demand;
+pub use lending::Lending;
+pub use map::Entry;
+pub use map::Listing;
+pub use map::PoolMap;
+pub use map::State;
+pub use planner::Memory;
+pub use planner::Plan;
+pub use planner::View;
 pub use quarantine::Blame;
 pub use quota::Ledger;
 pub use ranges::Ranges;
@@ -36,6 +62,9 @@
 pub use task::Fate;
 pub use task::Task;
 pub use usage::Estimate;
+pub use wave::Phase;
+pub use wave::Policy;
+pub use wave::Progress;
 pub use worker::Outcome;
 pub use worker::Report;
 pub use worker::Worker;
--- a/crates/nutmegcart_fleet/tests/placement_fuzz.rs
+++ b/crates/nutmegcart_fleet/tests/placement_fuzz.rs
@@ -1,17 +1,17 @@
 //! Guards the placement invariants under every combination of faults.
 
-mod world;
+mod cluster;
 
 use bolero::TypeGenerator;
-use bolero::check;
+use bolero::produce;
+use cluster::Cluster;
+use cluster::job;
+use cluster::ms;
+use cluster::team;
 use nutmegcart_fleet::Fate;
 use nutmegcart_fleet::SetAside;
 use nutmegcart_fleet::Size;
 use serde_json::json;
-use world::World;
-use world::job;
-use world::ms;
-use world::team;
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
 enum Fault {
@@ -34,12 +34,14 @@
     Leave(u8),
 }
 
+/// Fault sequences that are tried.
+const RUNS: u64 = 2000;
 /// Tasks of each runnable job.
 const TASKS: u32 = 6;
 /// Virtual time within which everything must be done once the faults are over.
 const RECOVERY: u64 = 60 * 60;
 
-fn setting() -> World {
+fn setting() -> Cluster {
     let jobs = vec![
         job("batch", &json!({"tasks": TASKS, "team": "t", "seconds": 9})),
         job(
@@ -61,14 +63,14 @@
         job("broken", &json!({"tasks": 40, "pool": "b"})),
         job("giant", &json!({"tasks": 3, "cpu": 17000})),
     ];
-    let mut world = World::new(&[("a", 12), ("b", 4)], jobs, vec![team("t", 20_000)]);
-    world.broken.insert("broken".into());
-    world.real.insert("liar".into(), Size::new(9000, 9000, 0));
-    world
+    let mut cluster = Cluster::new(&[("a", 12), ("b", 4)], jobs, vec![team("t", 20_000)]);
+    cluster.broken.insert("broken".into());
+    cluster.real.insert("liar".into(), Size::new(9000, 9000, 0));
+    cluster
 }
 
-fn apply(world: &mut World, fault: Fault) {
-    let count = world.machines.len();
+fn apply(cluster: &mut Cluster, fault: Fault) {
+    let count = cluster.machines.len();
     let name = |pick: u8| {
         let at = usize::from(pick) % count;
         if at < 12 {
@@ -78,98 +80,99 @@
         }
     };
     match fault {
-        Fault::Wait(steps) => (0..steps % 40).for_each(|_| world.step(ms(250))),
+        Fault::Wait(steps) => (0..steps % 40).for_each(|_| cluster.step(ms(250))),
         Fault::Pause(seconds) => {
-            world.paused = true;
-            (0..seconds % 64).for_each(|_| world.step(ms(1000)));
-            world.paused = false;
+            cluster.paused = true;
+            (0..seconds % 64).for_each(|_| cluster.step(ms(1000)));
+            cluster.paused = false;
         }
-        Fault::Restart => world.restart(),
-        Fault::LoseWrite => world.lose_write = true,
-        Fault::LoseAnswers(count) => world.lose_answers = u32::from(count % 8),
-        Fault::LoseCalls(count) => world.lose_calls = u32::from(count % 8),
-        Fault::DelayCalls(count) => world.delay_calls = u32::from(count % 8),
-        Fault::Cut(pick) => world.machine(&name(pick)).linked = false,
+        Fault::Restart => cluster.restart(),
+        Fault::LoseWrite => cluster.lose_write = true,
+        Fault::LoseAnswers(count) => cluster.lose_answers = u32::from(count % 8),
+        Fault::LoseCalls(count) => cluster.lose_calls = u32::from(count % 8),
+        Fault::DelayCalls(count) => cluster.delay_calls = u32::from(count % 8),
+        Fault::Cut(pick) => cluster.machine(&name(pick)).linked = false,
         Fault::Crash(pick) => {
-            world.reboot(&name(pick));
-            world.machine(&name(pick)).up = false;
+            cluster.reboot(&name(pick));
+            cluster.machine(&name(pick)).up = false;
         }
         Fault::CrashRack(pick) => (0..4).for_each(|number| {
             let at = pick / 4 * 4 + number;
-            world.reboot(&name(at));
-            world.machine(&name(at)).up = false;
+            cluster.reboot(&name(at));
+            cluster.machine(&name(at)).up = false;
         }),
-        Fault::Reboot(pick) => world.reboot(&name(pick)),
-        Fault::FailAll(pick) => world.machine(&name(pick)).fails = true,
+        Fault::Reboot(pick) => cluster.reboot(&name(pick)),
+        Fault::FailAll(pick) => cluster.machine(&name(pick)).fails = true,
         Fault::Heal(pick) => {
-            let machine = world.machine(&name(pick));
+            let machine = cluster.machine(&name(pick));
             (machine.up, machine.linked, machine.fails) = (true, true, false);
         }
-        Fault::Lag(tenths) => world.lag = ms(u64::from(tenths % 50) * 100),
+        Fault::Lag(tenths) => cluster.lag = ms(u64::from(tenths % 50) * 100),
         Fault::Cancel(pick, last) => {
             let name = ["batch", "saved", "again", "liar", "broken"][usize::from(pick % 5)];
-            world.cancel(name, u32::from(last % 4)..u32::from(last % 8));
+            cluster.cancel(name, u32::from(last % 4)..u32::from(last % 8));
         }
         Fault::Burst(tasks) => {
-            let urgent = world.jobs.get_mut("urgent").expect("job exists");
+            let urgent = cluster.jobs.get_mut("urgent").expect("job exists");
             urgent.tasks = (urgent.tasks + u32::from(tasks % 4)).min(40);
-            world.configure();
+            cluster.configure();
         }
         Fault::Leave(pick) => {
-            let machine = world.machine(&name(pick));
+            let machine = cluster.machine(&name(pick));
             machine.worker.leaving ^= true;
-            world.configure();
+            cluster.configure();
         }
     }
 }
 
 /// Ends every fault and requires that all work that can run is done, and nothing else is blamed.
-fn recover(world: &mut World) {
-    for machine in world.machines.values_mut() {
+fn recover(cluster: &mut Cluster) {
+    for machine in cluster.machines.values_mut() {
         (machine.up, machine.linked, machine.fails) = (true, true, false);
         machine.worker.leaving = false;
     }
-    (world.lose_calls, world.lose_answers, world.delay_calls) = (0, 0, 0);
-    world.lag = ms(0);
-    world.configure();
+    (
+        cluster.lose_calls,
+        cluster.lose_answers,
+        cluster.delay_calls,
+    ) = (0, 0, 0);
+    cluster.lag = ms(0);
+    cluster.configure();
     let runnable = ["batch", "saved", "again", "liar", "urgent"];
-    let open = |world: &World| {
+    let open = |cluster: &Cluster| {
         let all = runnable.iter().flat_map(|name| {
-            let tasks = world.jobs[*name].tasks;
+            let tasks = cluster.jobs[*name].tasks;
             (0..tasks).map(move |index| (*name, index))
         });
-        let open = all.filter(|(name, index)| world.scheduler.fate(name, *index) == Fate::Open);
+        let open = all.filter(|(name, index)| cluster.scheduler.fate(name, *index) == Fate::Open);
         open.collect::<Vec<_>>()
     };
     for _ in 0..RECOVERY {
-        if open(world).is_empty() {
+        if open(cluster).is_empty() {
             break;
         }
-        world.step(ms(1000));
+        cluster.step(ms(1000));
     }
-    assert!(open(world).is_empty(), "never done: {:?}", open(world));
-    let giant = world.scheduler.job("giant").expect("job exists");
+    assert!(open(cluster).is_empty(), "never done: {:?}", open(cluster));
+    let giant = cluster.scheduler.job("giant").expect("job exists");
     assert_eq!(giant.aside, Some(SetAside::TooLarge));
-    for (name, job) in &world.jobs {
+    for (name, job) in &cluster.jobs {
         for index in 0..job.tasks {
-            let not_run = world.scheduler.fate(name, index) == Fate::NotRun;
-            assert!(!not_run || !world.ran(name, index), "{name}/{index} ran");
+            let not_run = cluster.scheduler.fate(name, index) == Fate::NotRun;
+            assert!(!not_run || !cluster.ran(name, index), "{name}/{index} ran");
         }
     }
 }
 
 #[test]
 fn invariants_hold_under_faults() {
-    check!()
-        .with_type::<Vec<Fault>>()
-        .cloned()
-        .for_each(|faults| {
-            let mut world = setting();
-            world.run(ms(2000));
-            for fault in faults {
-                apply(&mut world, fault);
-                world.step(ms(250));
-            }
-            recover(&mut world);
-        });
+    nutmegcart_fuzz::for_each(RUNS, &produce::<Vec<Fault>>(), |faults| {
+        let mut cluster = setting();
+        cluster.run(ms(2000));
+        for fault in faults {
+            apply(&mut cluster, *fault);
+            cluster.step(ms(250));
+        }
+        recover(&mut cluster);
+    });
 }
--- a/crates/nutmegcart_fleet/tests/world/mod.rs
+++ b/crates/nutmegcart_fleet/tests/world/mod.rs
@@ -1,541 +1,534 @@
-//! Workers that really run attempts, and the oracle over what they run.
+//! A simulated deployment that knows the true state of every instance.
+#![allow(dead_code)] // Each test binary uses its own part.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+mod oracle;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
-use nutmegcart_fleet::Action;
-use nutmegcart_fleet::AttemptId;
-use nutmegcart_fleet::Fate;
-use nutmegcart_fleet::Outcome;
-use nutmegcart_fleet::Report;
-use nutmegcart_fleet::Scheduler;
-use nutmegcart_fleet::Settings;
-use nutmegcart_fleet::Size;
-use nutmegcart_fleet::Worker;
-use nutmegcart_fleet::scheduler::Stored;
-use nutmegcart_fleet::worker::AttemptReport;
-use nutmegcart_model::Document;
-use nutmegcart_model::JobName;
-use nutmegcart_model::Record;
-use nutmegcart_model::TeamName;
-use nutmegcart_model::WorkerId;
-use nutmegcart_model::record::Job;
-use nutmegcart_model::record::Team;
-use serde_json::Value;
-use serde_json::json;
-
-/// Time for which a worker refuses attempts that it was told to forget or to stop.
-const TOMBSTONE: Duration = Duration::from_mins(1);
-/// Time between reports of a worker.
-const REPORT: Duration = Duration::from_secs(1);
-
-pub fn ms(time: u64) -> Duration {
-    Duration::from_millis(time)
-}
-
-/// Parses a job; `extra` overrides fields of a small deferrable job of pool `a`.
-pub fn job(name: &str, extra: &Value) -> Job {
-    let mut value = json!({"schema": 2, "kind": "job", "name": name, "pool": "a",
-        "cpu": 4000, "memory": 4000, "seconds": 5});
-    let fields = extra
-        .as_object()
-        .expect("extra fields are an object")
-        .clone();
-    value.as_object_mut().expect("object").extend(fields);
-    match Document::from_value(value).and_then(|document| document.record()) {
-        Ok(Record::Job(job)) => job,
-        other => panic!("not a job: {other:?}"),
-    }
-}
-
-pub fn team(name: &str, cpu: u64) -> Team {
-    Team {
-        name: name.into(),
-        cpu,
-        memory: 1 << 40,
-        accelerators: 100,
-        urgent: None,
-    }
-}
+use nutmegcart_fleet::Demand;
+use nutmegcart_fleet::Duty;
+use nutmegcart_fleet::Entry;
+use nutmegcart_fleet::Listing;
+use nutmegcart_fleet::Memory;
+use nutmegcart_fleet::Plan;
+use nutmegcart_fleet::Progress;
+use nutmegcart_fleet::View;
+use nutmegcart_fleet::duty::LEASE_TIME;
+use nutmegcart_fleet::duty::Step;
+use nutmegcart_fleet::map::MAP_PREFIX;
+use nutmegcart_fleet::map::Maps;
+use nutmegcart_fleet::map::Stored;
+use nutmegcart_fleet::planner;
+use nutmegcart_fleet::planner::Effect;
+use nutmegcart_fleet::planner::Settings;
+use nutmegcart_fleet::planner::Verb;
+use nutmegcart_fleet::planner::Waves;
+use nutmegcart_fleet::wave;
+use nutmegcart_fleet::wave::WAVE_PREFIX;
+use nutmegcart_model::Code;
+use nutmegcart_model::DataCentre;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::record::Allowance;
+use nutmegcart_model::record::Pool;
+use nutmegcart_model::record::Wave;
+use nutmegcart_model::record::Weights;
+use nutmegcart_platform::Instance;
+use nutmegcart_platform::InstanceState;
+use nutmegcart_platform::LeaseId;
+use nutmegcart_platform::MemoryStore;
+use nutmegcart_platform::Role;
+use nutmegcart_platform::Txn;
+use nutmegcart_platform::store::Revision;
 
-struct Run {
-    outcome: Outcome,
-    until: Duration,
-    ends: Duration,
-    with: Outcome,
-    forgotten: Option<Duration>,
-    limit: Option<u64>,
-}
+/// Time at which a world starts, in seconds.
+pub const START: u64 = 1000;
+/// Key of the configuration's head.
+pub const HEAD: &str = "/nutmegcart/config/head";
+/// The wave of all tests.
+pub const WAVE: &str = "kernel";
+/// Data centres.
+pub const CENTRES: [&str; 2] = ["a", "b"];
+/// Pools; the last one is the spare pool.
+pub const POOLS: [&str; 3] = ["gates", "tours", "reports"];
+/// Time that a drain takes.
+pub const DRAIN: Duration = Duration::from_secs(10);
+/// Time that a reboot takes.
+pub const REBOOT: Duration = Duration::from_secs(30);
 
-/// A worker with a clock of its own.
+/// The true state of an instance.
 pub struct Machine {
-    pub worker: Worker,
-    pub boot: u64,
-    pub up: bool,
-    /// Whether calls and reports pass.
-    pub linked: bool,
-    pub fails: bool,
-    /// How far the clock is behind, at most the bound on clock error.
-    pub behind: Duration,
-    runs: BTreeMap<AttemptId, Run>,
-    reported: Duration,
+    pub line: Instance,
+    pub ends: Duration,
+    /// A reboot never comes back.
+    pub stuck: bool,
+    /// Run of the reboot under way, and runs whose reboot succeeded.
+    pub booting: Option<String>,
+    pub booted: Vec<String>,
 }
 
-impl Machine {
-    pub fn running(&self) -> impl Iterator<Item = &AttemptId> {
-        let runs = self.runs.iter();
-        runs.filter(|(_, run)| run.outcome == Outcome::Running)
-            .map(|(attempt, _)| attempt)
-    }
-
-    fn clock(&self, now: Duration) -> Duration {
-        now.saturating_sub(self.behind)
-    }
-
-    fn tick(&mut self, now: Duration) -> Vec<AttemptId> {
-        let clock = self.clock(now);
-        let mut done = Vec::new();
-        for (attempt, run) in &mut self.runs {
-            if run.outcome != Outcome::Running {
-                continue;
-            }
-            if run.ends <= now {
-                run.outcome = run.with;
-                if run.with == Outcome::Done {
-                    done.push(attempt.clone());
-                }
-            } else if clock >= run.until {
-                run.outcome = Outcome::Stopped;
-            }
-        }
-        self.runs
-            .retain(|_, run| run.forgotten.is_none_or(|end| now < end));
-        done
-    }
+/// An entry instance that competes for the duty of a data centre.
+pub struct Holder {
+    pub centre: DataCentre,
+    pub duty: Duty,
+    pub memory: Memory,
+    pub listing: Listing,
+    pub pending: Option<(Plan, Listing, Revision)>,
+    maps: Maps,
+    waves: Waves,
+    settings: (Settings, Revision),
 }
 
-/// Scheduler, store and workers in virtual time.
+/// Everything outside the planner.
 pub struct World {
     pub now: Duration,
-    pub scheduler: Scheduler,
-    pub machines: BTreeMap<WorkerId, Machine>,
-    pub jobs: BTreeMap<JobName, Job>,
-    pub teams: BTreeMap<TeamName, Team>,
-    pub paused: bool,
-    /// Messages to come whose answer, or which themselves, are lost or late.
-    pub lose_answers: u32,
-    pub lose_calls: u32,
-    pub delay_calls: u32,
-    pub lose_write: bool,
+    pub memory: MemoryStore,
+    pub settings: Settings,
+    pub machines: BTreeMap<String, Machine>,
+    pub holders: Vec<Holder>,
+    pub demand: BTreeMap<PoolName, Demand>,
     pub lag: Duration,
-    /// Time that a checkpoint takes.
-    pub save: Duration,
-    /// What happened, for golden files.
+    pub store_down: bool,
+    pub stale_settings: bool,
+    pub lose_calls: u32,
+    used: BTreeSet<(String, Verb)>,
+    /// Operations that were ever written, with the state they were in.
+    written: BTreeSet<(String, String)>,
+    renewed: BTreeMap<LeaseId, Duration>,
+    history: Vec<(Duration, Vec<Instance>)>,
+    serial: u32,
+    /// Committed actions with time and data centre.
     pub log: Vec<String>,
-    pub started: BTreeMap<AttemptId, Duration>,
-    pub most_quarantined: usize,
-    /// Real use of a task, by job; absent means the declared size.
-    pub real: BTreeMap<JobName, Size>,
-    /// Jobs whose tasks fail everywhere.
-    pub broken: BTreeSet<JobName>,
-    stored: Stored,
-    cancelled: BTreeMap<(JobName, u32), u64>,
-    succeeded: BTreeSet<(JobName, u32)>,
-    late: Vec<(Duration, Action)>,
-    reports: Vec<(Duration, Report)>,
+}
+
+fn pool(name: &str, size: u32, workers: u32) -> (PoolName, Pool) {
+    let pool = Pool {
+        name: name.into(),
+        service: name.into(),
+        size,
+        spare: name == POOLS[2],
+        minimum: 0,
+        workers,
+    };
+    (name.into(), pool)
 }
 
 impl World {
-    /// Creates workers `<pool><number>` of 16 cores and 64 GB, 4 to a rack.
-    pub fn new(pools: &[(&str, usize)], jobs: Vec<Job>, teams: Vec<Team>) -> Self {
-        let mut machines = BTreeMap::new();
-        for (pool, size) in pools {
-            for number in 0..*size {
-                let worker = Worker {
-                    id: format!("{pool}{number:02}").into(),
-                    pool: (*pool).into(),
-                    rack: format!("{pool}-r{}", number / 4).into(),
-                    capacity: Size::new(16_000, 64_000, 1),
-                    leaving: false,
-                };
-                let machine = Machine {
-                    worker: worker.clone(),
-                    boot: 1,
-                    up: true,
-                    linked: true,
-                    fails: false,
-                    behind: ms(number as u64 % 3 * 900),
-                    runs: BTreeMap::new(),
-                    reported: Duration::ZERO,
-                };
-                machines.insert(worker.id.clone(), machine);
-            }
+    /// Creates pools of `per_rack` instances in each of two racks of each data centre.
+    pub fn new(per_rack: u32, allowance: Allowance) -> Self {
+        let mut settings = Settings::default();
+        for name in POOLS {
+            settings.pools.extend([pool(name, 4 * per_rack, 0)]);
+            settings.budgets.insert(name.into(), allowance);
         }
-        let settings = Settings::default();
+        let wave = Wave {
+            name: WAVE.into(),
+            pools: POOLS[..2].iter().map(|pool| (*pool).into()).collect(),
+            deadline: None,
+            weights: Weights::default(),
+            width: None,
+        };
+        settings.waves.insert(WAVE.into(), wave);
         let mut world = Self {
-            now: Duration::from_hours(1),
-            scheduler: Scheduler::new(settings),
-            machines,
-            jobs: jobs
-                .into_iter()
-                .map(|job| (job.name.clone(), job))
-                .collect(),
-            teams: teams
-                .into_iter()
-                .map(|team| (team.name.clone(), team))
-                .collect(),
-            paused: false,
-            lose_answers: 0,
+            now: Duration::from_secs(START),
+            memory: MemoryStore::default(),
+            settings,
+            machines: BTreeMap::new(),
+            holders: Vec::new(),
+            demand: BTreeMap::new(),
+            lag: Duration::ZERO,
+            store_down: false,
+            stale_settings: false,
             lose_calls: 0,
-            delay_calls: 0,
-            lose_write: false,
-            lag: ms(0),
-            save: ms(300),
+            used: BTreeSet::new(),
+            written: BTreeSet::new(),
+            renewed: BTreeMap::new(),
+            history: Vec::new(),
+            serial: 0,
             log: Vec::new(),
-            started: BTreeMap::new(),
-            most_quarantined: 0,
-            real: BTreeMap::new(),
-            broken: BTreeSet::new(),
-            stored: Stored::default(),
-            cancelled: BTreeMap::new(),
-            succeeded: BTreeSet::new(),
-            late: Vec::new(),
-            reports: Vec::new(),
         };
-        world.configure();
+        for centre in CENTRES {
+            for rack in ["r1", "r2"] {
+                for _ in 0..per_rack * 3 {
+                    world.add_machine(centre, &format!("{centre}-{rack}"));
+                }
+            }
+            for _ in 0..2 {
+                let incarnation = Incarnation(world.holders.len() as u64);
+                world.holders.push(Holder {
+                    centre: centre.into(),
+                    duty: Duty::new(&centre.into(), incarnation),
+                    memory: Memory::default(),
+                    listing: Listing::default(),
+                    pending: None,
+                    maps: Maps::new(),
+                    waves: Waves::new(),
+                    settings: (Settings::default(), 0),
+                });
+            }
+        }
+        world.publish();
+        world.pass(0);
+        world.rounds(4);
         world
     }
 
-    /// Hands the present configuration to the scheduler.
-    pub fn configure(&mut self) {
-        self.scheduler.set_teams(self.teams.values().cloned());
-        self.scheduler
-            .set_jobs(self.jobs.values().cloned().map(Arc::new));
-        let workers = self.machines.values().map(|machine| machine.worker.clone());
-        self.scheduler.set_workers(workers);
-    }
-
-    /// Replaces the scheduler by one that knows only what was written.
-    pub fn restart(&mut self) {
-        let text = serde_json::to_string(&self.stored).expect("state is JSON");
-        let stored = serde_json::from_str(&text).expect("state is readable");
-        self.scheduler = Scheduler::load(Settings::default(), stored);
-        self.configure();
+    pub fn add_machine(&mut self, centre: &str, rack: &str) {
+        self.serial += 1;
+        let id = format!("{centre}{:02}", self.serial);
+        let line = Instance {
+            id: id.as_str().into(),
+            role: Role::Runner,
+            address: ([127, 0, 0, 1], 80).into(),
+            centre: centre.into(),
+            rack: rack.into(),
+            state: InstanceState::Live,
+            age_ms: 0,
+            boots: 0,
+        };
+        let machine = Machine {
+            line,
+            ends: Duration::ZERO,
+            stuck: false,
+            booting: None,
+            booted: Vec::new(),
+        };
+        self.machines.insert(id, machine);
     }
 
-    pub fn cancel(&mut self, job: &str, indexes: impl Iterator<Item = u32>) {
-        let counter = self.scheduler.stored().counter;
-        let spec = self.jobs.get_mut(job).expect("job exists");
-        for index in indexes {
-            spec.cancel.push(format!("{job}/{index}").into());
-            let key = (spec.name.clone(), index);
-            self.cancelled.entry(key).or_insert(counter);
-        }
-        self.configure();
+    /// Writes the configuration's head, as every accepted change does.
+    pub fn publish(&mut self) {
+        let _ = self
+            .memory
+            .store()
+            .txn(&Txn::default().put(HEAD, Vec::new()));
     }
 
-    pub fn step(&mut self, time: Duration) {
-        self.now += time;
-        let now = self.now;
-        for machine in self.machines.values_mut().filter(|machine| machine.up) {
-            for attempt in machine.tick(now) {
-                self.succeeded.insert((attempt.job, attempt.index));
+    /// Lets time pass: drains and reboots end, leases expire, the list is refreshed.
+    pub fn pass(&mut self, seconds: u64) {
+        self.now += Duration::from_secs(seconds);
+        for machine in self.machines.values_mut() {
+            if machine.ends > self.now {
+                continue;
             }
-            if machine.linked && machine.reported + REPORT <= now {
-                machine.reported = now;
-                let report = report(machine, now, &self.jobs, &self.real);
-                self.reports.push((now + self.lag, report));
+            match machine.line.state {
+                InstanceState::Leaving => machine.line.state = InstanceState::Drained,
+                InstanceState::Rebooting if !machine.stuck => {
+                    machine.line.state = InstanceState::Live;
+                    machine.line.boots += 1;
+                    machine.booted.extend(machine.booting.take());
+                }
+                _ => {}
             }
         }
-        let late = std::mem::take(&mut self.late);
-        for (due, action) in late {
-            if due <= now {
-                self.carry_out(&action);
-            } else {
-                self.late.push((due, action));
+        if !self.store_down {
+            let now = self.now;
+            let ended = self.renewed.extract_if(.., |_, at| now >= *at + LEASE_TIME);
+            for (lease, _) in ended {
+                self.memory.expire(lease);
             }
         }
-        if !self.paused {
-            self.deliver_reports();
-            self.round();
-        }
-        self.check();
+        let list = self.machines.values().map(|machine| machine.line.clone());
+        self.history.push((self.now, list.collect()));
+        let oldest = self.now.saturating_sub(Duration::from_mins(2));
+        self.history.retain(|(at, _)| *at >= oldest);
     }
 
-    /// Hands the reports that are due to the scheduler.
-    pub fn deliver_reports(&mut self) {
-        for (due, report) in std::mem::take(&mut self.reports) {
-            if due <= self.now {
-                self.scheduler.report(self.now, &report);
-            } else {
-                self.reports.push((due, report));
-            }
-        }
+    /// Returns the list as it was when the lag began.
+    fn list(&self) -> Vec<Instance> {
+        let seen = self.now.saturating_sub(self.lag);
+        let found = self.history.iter().rev().find(|(at, _)| *at <= seen);
+        let Some((at, list)) = found else {
+            return Vec::new();
+        };
+        let age_ms = u64::try_from(self.now.saturating_sub(*at).as_millis()).unwrap_or(u64::MAX);
+        let aged = |line: &Instance| Instance {
+            age_ms,
+            ..line.clone()
+        };
+        list.iter().map(aged).collect()
     }
 
-    /// Returns what a worker would report now.
-    pub fn snapshot(&self, worker: &str) -> Report {
-        report(&self.machines[worker], self.now, &self.jobs, &self.real)
+    /// Reads the true maps, whether or not the store answers.
+    pub fn maps(&self) -> Maps {
+        read(&self.memory, MAP_PREFIX)
+            .into_iter()
+            .map(|(key, map)| (DataCentre::from(key), map))
+            .collect()
     }
 
-    /// Runs for a time in steps of a quarter second.
-    pub fn run(&mut self, time: Duration) {
-        let end = self.now + time;
-        while self.now < end {
-            self.step(ms(250));
-        }
+    /// Returns the instances that are out, with their entries.
+    pub fn out(&self) -> Vec<(String, Entry)> {
+        let maps = self.maps();
+        let entries = maps.values().flat_map(|map| &map.value.instances);
+        let out = entries.filter(|(_, entry)| entry.state.is_out());
+        out.map(|(id, entry)| (id.to_string(), entry.clone()))
+            .collect()
     }
 
-    fn round(&mut self) {
-        let plan = self.scheduler.plan(self.now);
-        if plan.write {
-            if std::mem::take(&mut self.lose_write) {
-                // The write may have been fenced off: the holder reads the state again.
-                self.restart();
-                return;
-            }
-            self.stored = self.scheduler.stored().clone();
-            self.scheduler.written();
-        }
-        for action in plan.actions {
-            self.log_action(&action);
-            if take(&mut self.lose_calls) {
-                continue;
-            }
-            if take(&mut self.delay_calls) {
-                self.late.push((self.now + ms(7000), action));
-                continue;
-            }
-            let answer = self.carry_out(&action);
-            if let Some((worker, attempt, outcome)) = answer
-                && !take(&mut self.lose_answers)
-            {
-                self.scheduler.settle(self.now, &worker, &attempt, outcome);
-            }
-        }
+    /// Returns the pool of an instance.
+    pub fn pool_of(&self, id: &str) -> String {
+        let maps = self.maps();
+        let entry = maps.values().find_map(|map| map.value.instances.get(id));
+        entry.expect("the instance is in a map").pool.to_string()
     }
 
-    fn log_action(&mut self, action: &Action) {
-        if matches!(action, Action::Renew { .. } | Action::Forget { .. }) {
-            return;
-        }
-        let time = self
-            .now
-            .checked_sub(Duration::from_hours(1))
-            .expect("later");
-        let place = match action {
-            Action::Start { worker, size, .. } => format!(" on {worker} with {} m", size.cpu),
-            Action::Stop { worker, .. } | Action::Checkpoint { worker, .. } => {
-                format!(" on {worker}")
-            }
-            Action::Throttle { worker, cpu, .. } => format!(" on {worker} to {cpu:?}"),
-            Action::SetAside { reason, .. } => format!(": {reason:?}"),
-            _ => String::new(),
-        };
-        let line = format!("{:>7} {}{place}", time.as_millis(), action.operation());
-        self.log.push(line);
+    /// Returns the instances of a pool.
+    pub fn members(&self, pool: &str) -> Vec<String> {
+        let maps = self.maps();
+        let entries = maps.values().flat_map(|map| &map.value.instances);
+        let members = entries.filter(|(_, entry)| &*entry.pool == pool);
+        members.map(|(id, _)| id.to_string()).collect()
     }
 
-    pub fn carry_out(&mut self, action: &Action) -> Option<(WorkerId, AttemptId, Outcome)> {
-        let (worker, attempt) = match action {
-            Action::Start {
-                worker, attempt, ..
-            }
-            | Action::Stop {
-                worker, attempt, ..
-            }
-            | Action::Checkpoint {
-                worker, attempt, ..
-            }
-            | Action::Throttle {
-                worker, attempt, ..
-            } => (worker, attempt),
-            Action::Renew { worker, leases } => {
-                let machine = self.machines.get_mut(worker).filter(|m| m.up && m.linked)?;
-                for (attempt, until) in leases {
-                    if let Some(run) = machine.runs.get_mut(attempt) {
-                        run.until = run.until.max(*until);
-                    }
+    /// Reads the true progress of the wave.
+    pub fn progress(&self) -> Progress {
+        let waves: BTreeMap<String, Stored<Progress>> = read(&self.memory, WAVE_PREFIX);
+        waves.get(WAVE).cloned().unwrap_or_default().value
+    }
+
+    fn revision(&self, key: &str) -> Revision {
+        let snapshot = self.memory.store().range(key).unwrap_or_default();
+        snapshot.get(key).map_or(0, |entry| entry.modified)
+    }
+
+    /// Keeps the lease alive or claims the duty.
+    fn keep(&mut self, index: usize) {
+        let (store, now) = (self.memory.store(), self.now);
+        let duty = &mut self.holders[index].duty;
+        for _ in 0..3 {
+            match duty.step(now) {
+                Step::Grant(_) => {
+                    // The simulated clock expires leases, so the real one must not.
+                    let lease = store.grant(Duration::from_hours(24)).unwrap_or_default();
+                    self.renewed.insert(lease, now);
+                    duty.granted(lease, now);
                 }
-                return None;
-            }
-            Action::Forget { worker, attempts } => {
-                let end = self.now + TOMBSTONE;
-                let machine = self.machines.get_mut(worker).filter(|m| m.up && m.linked)?;
-                for attempt in attempts {
-                    if let Some(run) = machine.runs.get_mut(attempt) {
-                        run.forgotten.get_or_insert(end);
+                Step::Claim(txn) => {
+                    let _ = store.txn(&txn);
+                    let snapshot = store.range(&duty.key).unwrap_or_default();
+                    duty.read(snapshot.get(&duty.key), now);
+                }
+                Step::Renew(lease) => {
+                    let alive = store.keep_alive(lease).unwrap_or(false);
+                    if alive {
+                        self.renewed.insert(lease, now);
                     }
+                    duty.renewed(alive, now);
                 }
-                return None;
+                Step::Wait(_) => return,
+            }
+        }
+    }
+
+    /// First part of a round: reads and plans.
+    pub fn plan(&mut self, index: usize) {
+        let online = !self.store_down;
+        if online {
+            self.keep(index);
+        }
+        let list = self.list();
+        let maps = self.maps();
+        let waves = read(&self.memory, WAVE_PREFIX)
+            .into_iter()
+            .map(|(name, progress)| (name.into(), progress))
+            .collect();
+        let head = self.revision(HEAD);
+        let holder = &mut self.holders[index];
+        if online {
+            holder.maps = maps;
+            holder.waves = waves;
+            holder
+                .memory
+                .store_returned(self.now, Duration::from_secs(3));
+            if !self.stale_settings || holder.settings.1 == 0 {
+                holder.settings = (self.settings.clone(), head);
             }
-            _ => return None,
-        };
-        let now = self.now;
-        let machine = self.machines.get_mut(worker).filter(|m| m.up && m.linked)?;
-        let clock = machine.clock(now);
-        let spec = self.jobs.get(&attempt.job);
-        let fails = machine.fails || self.broken.contains(&attempt.job);
-        let (time, with) = if fails {
-            (ms(200), Outcome::Failed)
         } else {
-            let seconds = spec.and_then(|spec| spec.seconds).unwrap_or(1);
-            (Duration::from_secs(seconds), Outcome::Done)
+            holder.memory.store_lost();
+        }
+        holder.listing.record(&list, self.now);
+        holder.memory.lending.observe(&self.demand, self.now);
+        let Some(created) = holder.duty.held(self.now) else {
+            holder.pending = None;
+            return;
         };
-        let seal = Run {
-            outcome: Outcome::NotRun,
-            until: Duration::ZERO,
-            ends: Duration::ZERO,
-            with,
-            forgotten: None,
-            limit: None,
+        let key = holder.duty.key.clone();
+        let view = View {
+            centre: &holder.centre,
+            duty: (&key, created),
+            head: (HEAD, holder.settings.1),
+            maps: &holder.maps,
+            waves: &holder.waves,
+            listing: &holder.listing,
+            settings: &holder.settings.0,
+            store: online,
         };
-        let is_new = !machine.runs.contains_key(attempt);
-        let meant = match action {
-            Action::Start { boot, .. }
-            | Action::Stop { boot, .. }
-            | Action::Checkpoint { boot, .. } => *boot,
-            _ => machine.boot,
+        let plan = planner::plan(&view, &mut holder.memory, self.now);
+        holder.pending = Some((plan, holder.listing.clone(), created));
+    }
+
+    /// Second part of a round: commits, however long after planning. Whether the answer is lost
+    /// makes no difference, since a holder starts every round from a fresh read.
+    pub fn commit(&mut self, index: usize) -> bool {
+        let Some((plan, listing, created)) = self.holders[index].pending.clone() else {
+            return false;
         };
-        if is_new && meant != machine.boot {
-            return Some((worker.clone(), attempt.clone(), Outcome::Lost));
+        let Some(txn) = plan.txn.as_ref().filter(|_| !self.store_down) else {
+            return false;
+        };
+        let before = self.maps();
+        let committed = self
+            .memory
+            .store()
+            .txn(txn)
+            .is_ok_and(|reply| reply.committed);
+        if committed {
+            self.check_commit(index, &plan, &listing, created, &before);
         }
-        let run = machine.runs.entry(attempt.clone()).or_insert(seal);
-        match action {
-            Action::Start { until, .. }
-                if is_new && clock < *until && *until < clock + TOMBSTONE =>
-            {
-                run.outcome = Outcome::Running;
-                run.until = *until;
-                run.ends = now + time;
+        committed
+    }
+
+    /// Third part of a round: calls the platform, however long after planning.
+    pub fn call(&mut self, index: usize) {
+        let Some((plan, ..)) = self.holders[index].pending.clone() else {
+            return;
+        };
+        for effect in &plan.effects {
+            self.carry_out(effect);
+            if self.lose_calls > 0 {
+                self.lose_calls -= 1;
+            } else {
+                self.holders[index].memory.acknowledge(effect, self.now);
             }
-            Action::Stop { .. } if run.outcome == Outcome::Running => {
-                run.outcome = Outcome::Stopped;
+        }
+    }
+
+    pub fn round(&mut self, index: usize) {
+        self.plan(index);
+        self.call(index);
+        self.commit(index);
+    }
+
+    /// Runs rounds of all holders, five seconds apart.
+    pub fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            for index in 0..self.holders.len() {
+                self.round(index);
             }
-            Action::Checkpoint { .. }
-                if run.outcome == Outcome::Running && run.with != Outcome::Checkpointed =>
-            {
-                run.ends = run.ends.min(now + self.save);
-                run.with = Outcome::Checkpointed;
+            self.pass(5);
+        }
+    }
+
+    fn carry_out(&mut self, effect: &Effect) {
+        self.check_effect(effect);
+        let fresh = self
+            .used
+            .insert((effect.operation.to_string(), effect.verb));
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(&*effect.instance) else {
+            return;
+        };
+        let state = &mut machine.line.state;
+        match (effect.verb, *state) {
+            _ if !fresh => {}
+            (Verb::Drain, InstanceState::Live) => {
+                *state = InstanceState::Leaving;
+                machine.ends = now + DRAIN;
+            }
+            (Verb::Reboot, InstanceState::Drained) => {
+                *state = InstanceState::Rebooting;
+                machine.ends = now + REBOOT;
+                let run = effect.operation.rsplit_once('.').map(|(run, _)| run.into());
+                machine.booting = run;
+            }
+            (Verb::Restore, InstanceState::Leaving | InstanceState::Drained) => {
+                *state = InstanceState::Live;
             }
-            Action::Throttle { cpu, .. } => run.limit = *cpu,
             _ => {}
         }
-        let outcome = run.outcome;
-        if is_new && outcome == Outcome::Running {
-            self.check_start(attempt);
-        }
-        Some((worker.clone(), attempt.clone(), outcome))
     }
 
-    /// The oracle's view of one real start.
-    fn check_start(&mut self, attempt: &AttemptId) {
-        self.started.insert(attempt.clone(), self.now);
-        let key = (attempt.job.clone(), attempt.index);
-        if let Some(counter) = self.cancelled.get(&key) {
-            assert!(
-                attempt.number <= *counter,
-                "{attempt} was ordered after its cancellation"
-            );
+    /// An instance fails by itself.
+    pub fn fail(&mut self, id: &str) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.line.state = InstanceState::Failed;
+            machine.booting = None;
         }
-        let fate = self.scheduler.fate(&attempt.job, attempt.index);
-        assert_ne!(
-            fate,
-            Fate::NotRun,
-            "{attempt} runs although reported as not run"
-        );
-        assert_ne!(fate, Fate::Done, "{attempt} runs although its task is done");
-        let idempotent = self
-            .jobs
-            .get(&attempt.job)
-            .is_some_and(|job| job.idempotent);
-        let running = self.machines.values().flat_map(Machine::running);
-        let same =
-            running.filter(|other| (&other.job, other.index) == (&attempt.job, attempt.index));
-        assert!(idempotent || same.count() == 1, "{attempt} runs twice");
     }
 
-    /// Invariants that hold after every step.
-    fn check(&mut self) {
-        let mut held: BTreeMap<&TeamName, u64> = BTreeMap::new();
-        for attempt in self.machines.values().flat_map(Machine::running) {
-            let job = &self.jobs[&attempt.job];
-            if let Some(team) = &job.team {
-                *held.entry(team).or_default() += job.cpu;
+    /// Somebody repairs and reboots a failed or hanging instance.
+    pub fn repair(&mut self, id: &str) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            let hangs = machine.stuck && machine.line.state == InstanceState::Rebooting;
+            if machine.line.state == InstanceState::Failed || hangs {
+                machine.line.state = InstanceState::Live;
+                machine.line.boots += 1;
             }
-        }
-        for (team, cpu) in held {
-            assert!(
-                cpu <= self.teams[team].cpu,
-                "{team} holds {cpu} of its quota"
-            );
-        }
-        let mut pools: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for machine in self.machines.values() {
-            let counts = pools.entry(&machine.worker.pool).or_default();
-            counts.0 += 1;
-            counts.1 += usize::from(self.scheduler.is_quarantined(&machine.worker.id));
-        }
-        for (pool, (size, quarantined)) in pools {
-            assert!(
-                quarantined * 10 <= size,
-                "{quarantined} of {size} quarantined in {pool}"
-            );
-            self.most_quarantined = self.most_quarantined.max(quarantined);
+            machine.stuck = false;
         }
     }
 
-    /// Returns whether a task ever really started.
-    pub fn ran(&self, job: &str, index: u32) -> bool {
-        let mut started = self.started.keys();
-        started.any(|attempt| &*attempt.job == job && attempt.index == index)
+    fn operator<T>(&self, run: impl FnOnce(&View) -> T) -> T {
+        let holder = &self.holders[0];
+        let (maps, revision) = (self.maps(), self.revision(HEAD));
+        let waves = read(&self.memory, WAVE_PREFIX)
+            .into_iter()
+            .map(|(name, progress)| (name.into(), progress))
+            .collect();
+        run(&View {
+            centre: &holder.centre,
+            duty: (&holder.duty.key, holder.duty.held(self.now).unwrap_or(-1)),
+            head: (HEAD, revision),
+            maps: &maps,
+            waves: &waves,
+            listing: &holder.listing,
+            settings: &self.settings,
+            store: true,
+        })
     }
 
-    pub fn reboot(&mut self, worker: &str) {
-        let machine = self.machines.get_mut(worker).expect("worker exists");
-        machine.boot += 1;
-        machine.runs.clear();
-        machine.up = true;
+    fn write(&self, txn: Result<Txn, Code>) -> Result<bool, Code> {
+        let reply = self.memory.store().txn(&txn?);
+        Ok(reply.is_ok_and(|reply| reply.committed))
     }
 
-    pub fn machine(&mut self, worker: &str) -> &mut Machine {
-        self.machines.get_mut(worker).expect("worker exists")
+    /// An operator starts the wave.
+    pub fn start(&self) -> Result<bool, Code> {
+        self.write(self.operator(|view| wave::start(view, &WAVE.into(), self.now)))
     }
-}
 
-fn take(count: &mut u32) -> bool {
-    let some = *count > 0;
-    *count = count.saturating_sub(1);
-    some
+    /// An operator pauses the wave.
+    pub fn pause(&self) -> Result<bool, Code> {
+        self.write(self.operator(|view| wave::pause(view, &WAVE.into())))
+    }
+
+    /// An operator drains an instance of the first data centre.
+    pub fn drain(&mut self, id: &str) -> Result<bool, Code> {
+        self.serial += 1;
+        let operation = self.serial.to_string();
+        let txn = self.operator(|view| planner::drain(view, &id.into(), &operation, self.now));
+        let done = self.write(txn)?;
+        self.note_written();
+        Ok(done)
+    }
 }
 
-fn report(
-    machine: &Machine,
-    now: Duration,
-    jobs: &BTreeMap<JobName, Job>,
-    real: &BTreeMap<JobName, Size>,
-) -> Report {
-    let runs = machine.runs.iter();
-    let lines = runs.filter(|(_, run)| run.forgotten.is_none());
-    let attempts = lines.map(|(attempt, run)| {
-        let declared = jobs.get(&attempt.job).map(Size::declared);
-        let used = real.get(&attempt.job).copied().or(declared);
-        let mut usage = used.unwrap_or_default();
-        usage.cpu = usage.cpu.min(run.limit.unwrap_or(u64::MAX));
-        AttemptReport {
-            attempt: attempt.clone(),
-            outcome: run.outcome,
-            usage,
-        }
+/// Reads all values with a prefix, by the rest of their keys.
+fn read<T: serde::de::DeserializeOwned + Default>(
+    memory: &MemoryStore,
+    prefix: &str,
+) -> BTreeMap<String, Stored<T>> {
+    let snapshot = memory.store().range(prefix).unwrap_or_default();
+    let values = snapshot.entries.into_iter().map(|entry| {
+        let value = planner::decode(&entry.value).expect("value is readable");
+        let stored = Stored {
+            value,
+            modified: entry.modified,
+        };
+        (entry.key[prefix.len()..].to_owned(), stored)
     });
-    Report {
-        worker: machine.worker.id.clone(),
-        at: now,
-        boot: machine.boot,
-        attempts: attempts.collect(),
-    }
+    values.collect()
 }
