--- a/crates/nutmegcart_fleet/tests/waves_fuzz.rs
+++ b/crates/nutmegcart_fleet/tests/waves_fuzz.rs
@@ -175,15 +175,13 @@
 
 #[test]
 fn no_fault_breaks_an_invariant_or_hangs_the_wave() {
-    bolero::check!()
-        .with_generator(produce::<Vec<Step>>().with().len(20..120_usize))
-        .with_iterations(1500)
-        .for_each(|steps| {
-            let mut world = World::new(1, Allowance::Count(1));
-            let _ = world.start();
-            for step in steps {
-                apply(&mut world, step);
-            }
-            settle(&mut world);
-        });
+    let sessions = produce::<Vec<Step>>().with().len(20..120_usize);
+    nutmegcart_fuzz::for_each(1_500, &sessions, |steps| {
+        let mut world = World::new(1, Allowance::Count(1));
+        let _ = world.start();
+        for step in steps {
+            apply(&mut world, step);
+        }
+        settle(&mut world);
+    });
 }
