Measure and test forwarding over loopback

Cause: the throughput through an entry instance was not measured, and the integration had no tests of its own.

Connections to runners use a resolver that only reads IP addresses and ports. The stand-in's truncated answer was whole on the wire (the server library replaced the announced length); it now ends its chunked body early, so the new test fails without the check.

--- a/crates/nutmegcart_bench/src/request_path.rs
+++ b/crates/nutmegcart_bench/src/request_path.rs
@@ -5,6 +5,7 @@
 
 mod policy;
 mod scenario;
+mod throughput;
 mod world;
 
 use std::hint::black_box;
@@ -46,6 +47,7 @@
         measures.extend(silent(seed, baseline));
     }
     measures.extend(cost());
+    measures.extend(throughput::measures());
     measures
 }
 
--- a/crates/nutmegcart_entry/src/backend.rs
+++ b/crates/nutmegcart_entry/src/backend.rs
@@ -12,6 +12,12 @@
 use nutmegcart_request::connection::Connections;
 use parking_lot::Mutex;
 use ureq::Agent;
+use ureq::config::Config;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::ResolvedSocketAddrs;
+use ureq::unversioned::resolver::Resolver;
+use ureq::unversioned::transport::DefaultConnector;
+use ureq::unversioned::transport::NextTimeout;
 
 /// Idle time after which the client would close a connection; longer than the one of
 /// [`Connections`], which decides.
@@ -118,14 +124,37 @@
     }
 }
 
+/// Reads the IP address and port of a URI.
+///
+/// Runners are known by IP address. The client's own resolver starts a thread for each request
+/// that has a timeout, even for an address.
+#[derive(Debug)]
+struct Addresses;
+
+impl Resolver for Addresses {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let authority = uri.authority();
+        let address = authority.and_then(|authority| authority.as_str().parse().ok());
+        let mut found = self.empty();
+        let address: SocketAddr = address.ok_or(ureq::Error::HostNotFound)?;
+        found.push(address);
+        Ok(found)
+    }
+}
+
 fn agent() -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_redirects(0)
         .proxy(None)
         .max_idle_connections(1)
         .max_idle_connections_per_host(1)
         .max_idle_age(IDLE)
-        .build()
-        .into()
+        .build();
+    Agent::with_parts(config, DefaultConnector::default(), Addresses)
 }
--- a/crates/nutmegcart_fakes/src/runner.rs
+++ b/crates/nutmegcart_fakes/src/runner.rs
@@ -1,5 +1,7 @@
 //! A backend server with slots that can fail in scripted ways.
 
+use std::io;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::sleep;
@@ -142,12 +144,11 @@
     match behaviour {
         Behaviour::LosesAnswers => server::disconnect(),
         Behaviour::Truncates => {
-            // Announces the whole length, then ends the connection half-way.
+            // The body is sent in chunks and the connection ends before the last one.
             let half = text.as_bytes()[..text.len() / 2].to_vec();
-            let length = text.len().to_string();
-            let mut response = server::answer(200, half);
-            let value = length.parse().expect("digits are a valid header");
-            response.headers_mut().insert("content-length", value);
+            let broken = io::Cursor::new(half).chain(Broken);
+            let mut response = server::answer(200, "");
+            *response.body_mut() = Body::from_read(broken);
             with_echo(response, echo)
         }
         Behaviour::Crosses => with_echo(server::answer(200, text), "another-request"),
@@ -155,6 +156,15 @@
     }
 }
 
+/// A body that cannot be read; the server closes the connection.
+struct Broken;
+
+impl Read for Broken {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+}
+
 fn refusal(echo: &str) -> Response<Body> {
     let mut response = with_echo(server::answer(503, "refused"), echo);
     let value = "before-start".parse().expect("header value is valid");
