--- /dev/null
+++ b/crates/nutmegcart_request/tests/sessions.rs
@@ -0,0 +1,167 @@
+//! Whole sessions in virtual time, with golden transcripts.
+
+mod common;
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use nutmegcart_request::outcome::Outcome;
+use nutmegcart_request::path::Attempt;
+use nutmegcart_request::path::Decision;
+use nutmegcart_request::path::End;
+use nutmegcart_request::path::Path;
+use nutmegcart_request::path::Retry;
+
+use crate::common::mix;
+use crate::common::ms;
+use crate::common::path;
+use crate::common::request;
+use crate::common::runners;
+
+/// Time of a run.
+const RUN: Duration = Duration::from_millis(100);
+
+/// A session whose requests arrive every 5 ms and whose runs take [`RUN`].
+struct Session {
+    path: Path,
+    /// Outcome of a run on a runner at a time.
+    outcome: fn(&str, Duration) -> Outcome,
+    running: Vec<(Duration, Attempt)>,
+    backoff: Vec<(Duration, Retry)>,
+    answered: u64,
+    failed: u64,
+    log: String,
+}
+
+impl Session {
+    fn run(mut self, service: &str, arrivals: u64, per_step: u64, lines: u64) -> String {
+        let mut id = 0;
+        for step in 0..arrivals + 100 {
+            let now = ms(step * 5);
+            self.due(now);
+            for _ in 0..if step < arrivals { per_step } else { 0 } {
+                let mut request = request(id, now + ms(600));
+                request.service = service.into();
+                request.caller = ["ferry", "reef", "market"][id as usize % 3].into();
+                let decision = self.path.arrive(request, now, mix(id));
+                self.decide(decision, now);
+                id += 1;
+            }
+            self.path.tick(now);
+            self.pump(now);
+            if step % lines == 0 {
+                self.line(now, service);
+            }
+        }
+        self.log
+    }
+
+    fn due(&mut self, now: Duration) {
+        while let Some(index) = self.running.iter().position(|(at, _)| *at <= now) {
+            let (_, attempt) = self.running.remove(index);
+            let outcome = (self.outcome)(&attempt.runner.id, now);
+            match self.path.finish(attempt, outcome, now, 0) {
+                End::Answered => self.answered += u64::from(outcome == Outcome::Success),
+                End::Failed(..) => self.failed += 1,
+                End::Retry(at, _, retry) => self.backoff.push((at, *retry)),
+            }
+        }
+        while let Some(index) = self.backoff.iter().position(|(at, _)| *at <= now) {
+            let (_, retry) = self.backoff.remove(index);
+            let decision = self.path.retry(retry, now, mix(index as u64));
+            self.decide(decision, now);
+        }
+    }
+
+    fn decide(&mut self, decision: Decision, now: Duration) {
+        if let Decision::Send(attempt) = decision {
+            self.send(*attempt, now);
+        }
+    }
+
+    fn send(&mut self, attempt: Attempt, now: Duration) {
+        let time = match (self.outcome)(&attempt.runner.id, now) {
+            Outcome::Success => RUN,
+            _ => ms(1),
+        };
+        self.running.push((now + time, attempt));
+    }
+
+    fn pump(&mut self, now: Duration) {
+        while let Some(attempt) = self.path.next(now, mix(now.as_millis() as u64)) {
+            self.send(attempt, now);
+        }
+        self.path.take_refused();
+    }
+
+    fn line(&mut self, now: Duration, service: &str) {
+        let counters = &self.path.counters;
+        let refused: Vec<String> = counters
+            .refusals
+            .iter()
+            .map(|(refusal, count)| format!("{refusal:?} {count}"))
+            .collect();
+        let retries: u64 = counters.retries.values().sum();
+        writeln!(
+            self.log,
+            "{:>5} ms: {} running, {} waiting; {} answered, {} failed, {retries} retried, \
+             {} borrowed, {} ejected, {} returned; refused: {}",
+            now.as_millis(),
+            self.running.len(),
+            self.path.waiting(&service.into()),
+            self.answered,
+            self.failed,
+            counters.borrowed,
+            counters.ejected,
+            counters.returned,
+            refused.join(", "),
+        )
+        .expect("writing to a string succeeds");
+    }
+}
+
+fn session(
+    runners: &[nutmegcart_request::share::RunnerSpec],
+    outcome: fn(&str, Duration) -> Outcome,
+) -> Session {
+    let mut path = path(runners);
+    path.router.set_spare(&"portal".into(), true);
+    Session {
+        path,
+        outcome,
+        running: Vec::new(),
+        backoff: Vec::new(),
+        answered: 0,
+        failed: 0,
+        log: String::new(),
+    }
+}
+
+/// Guards against changes of admission and borrowing that go unnoticed.
+#[test]
+fn burst_borrows_waits_refuses_and_recovers() {
+    let mut specs = runners("gates", 2, 1);
+    specs.extend(runners("portal", 1, 0));
+    let session = session(&specs, |_, _| Outcome::Success);
+    insta::assert_snapshot!(session.run("gates", 300, 3, 25));
+}
+
+/// Guards against changes of ejection and retries that go unnoticed.
+#[test]
+fn failing_runner_is_ejected_and_returns() {
+    let session = session(&runners("gates", 4, 0), |runner, now| match runner {
+        "gates-1" if now > ms(500) && now < ms(2500) => Outcome::ConnectionLost,
+        _ => Outcome::Success,
+    });
+    insta::assert_snapshot!(session.run("gates", 1600, 1, 100));
+}
+
+/// Guards against changes of departure that go unnoticed.
+#[test]
+fn leaving_runner_is_left_out_while_the_list_is_silent() {
+    let session = session(&runners("gates", 4, 0), |runner, now| match runner {
+        "gates-2" if now > ms(500) => Outcome::RefusedBeforeStart,
+        _ => Outcome::Success,
+    });
+    insta::assert_snapshot!(session.run("gates", 1000, 1, 100));
+}
