Follow the published etcd v3 JSON mapping in client and store stand-in

Cause: the stand-in answered one watch message and closed, wrote default values that a real gateway leaves out, reported errors as plain text, and knew no history, compaction, operation limit or rates. The client took every error status for "nothing was written", although a real service reports "request timed out" (code 14) for writes that may stand.

Change: errors are objects with code and message; only gRPC statuses that exclude an effect count as refusals, all others as a lost answer. The watch is a stream that starts with `created`, reports deletions, and is cancelled with `compact_revision`; a watch on a restored store ends at once. Transactions take a failure branch that reads keys, so a lost race needs no second, possibly stale read. Ranges take `min_mod_revision`. `FaultyStore` adds rates, the 1 MB value, 128 operations a transaction, lost requests and answers, stale reads, lagging and skipping watches. The instance list can lag, lose lines or be silent. A drain, reboot or restore that was refused is no longer remembered as done.

--- a/crates/nutmegcart_fakes/src/platform.rs
+++ b/crates/nutmegcart_fakes/src/platform.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::thread::spawn;
 use std::time::Duration;
+use std::time::Instant;
 
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::InstanceId;
@@ -26,6 +28,12 @@
 use crate::runner::Runner;
 use crate::server;
 use crate::store_api;
+use crate::store_faults::FaultyStore;
+
+/// Writes a second that the store takes.
+const WRITE_RATE: u32 = 400;
+/// Other calls a second that the store takes.
+const READ_RATE: u32 = 2000;
 
 /// Faults of the platform, switchable at any time.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -34,6 +42,12 @@
     pub store_down: bool,
     /// The instance list closes every connection.
     pub list_down: bool,
+    /// The instance list accepts connections and answers only when this is switched off.
+    pub list_silent: bool,
+    /// Time by which the instance list lags behind.
+    pub list_lag: Duration,
+    /// Instances that the list leaves out.
+    pub hidden: BTreeSet<InstanceId>,
     /// Delay of each store call.
     pub slow: Duration,
     /// Number of transactions to come whose answer is lost after the write took effect.
@@ -47,6 +61,8 @@
     pub address: SocketAddr,
     /// Contents of the store.
     pub store: MemoryStore,
+    /// The store with its rates and faults.
+    pub faulty: FaultyStore,
     state: Arc<Mutex<State>>,
 }
 
@@ -56,9 +72,13 @@
     machines: BTreeMap<InstanceId, Machine>,
     operations: BTreeSet<String>,
     reboot: Duration,
-    store_calls: u64,
+    /// The list as it was after each change, for a list that lags.
+    past: VecDeque<(Instant, Vec<Instance>)>,
 }
 
+/// Past lists that are kept.
+const PAST_LISTS: usize = 256;
+
 struct Machine {
     instance: Instance,
     runner: Option<Runner>,
@@ -68,17 +88,25 @@
     /// Starts a platform whose reboots take the given time.
     #[must_use]
     pub fn start(reboot: Duration) -> Self {
-        let store = MemoryStore::default();
+        let faulty = FaultyStore::default();
+        faulty.set_faults(|faults| {
+            (faults.write_rate, faults.read_rate) = (WRITE_RATE, READ_RATE);
+        });
         let state = Arc::new(Mutex::new(State {
             reboot,
             ..State::default()
         }));
-        let handler_store = store.clone();
+        let start = Instant::now();
+        let handler_store = faulty.clone();
         let handler_state = state.clone();
-        let address = server::start(move |request| handle(request, &handler_store, &handler_state));
+        let address = server::start(move |request| {
+            handler_store.set_time(start.elapsed());
+            handle(request, &handler_store, &handler_state)
+        });
         Self {
             address,
-            store,
+            store: faulty.memory.clone(),
+            faulty,
             state,
         }
     }
@@ -99,20 +127,30 @@
             instance,
             runner: Some(runner.clone()),
         };
-        self.state
-            .lock()
-            .machines
-            .insert(runner.id.clone(), machine);
+        let mut state = self.state.lock();
+        state.record();
+        state.machines.insert(runner.id.clone(), machine);
     }
 
     /// Changes the faults in force.
     pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
-        change(&mut self.state.lock().faults);
+        let mut state = self.state.lock();
+        let store = self.faulty.faults();
+        let faults = &mut state.faults;
+        faults.lose_answers = store.lose_answers;
+        change(faults);
+        self.faulty.set_faults(|store| {
+            store.down = faults.store_down;
+            store.slow = faults.slow;
+            store.lose_answers = faults.lose_answers;
+        });
     }
 
     /// Changes the state of an instance in the list, as a failure would.
     pub fn set_state(&self, id: &str, state: InstanceState) {
-        if let Some(machine) = self.state.lock().machines.get_mut(id) {
+        let mut shared = self.state.lock();
+        shared.record();
+        if let Some(machine) = shared.machines.get_mut(id) {
             machine.instance.state = state;
         }
     }
@@ -120,45 +158,67 @@
     /// Returns the instance list without lag.
     #[must_use]
     pub fn instances(&self) -> Vec<Instance> {
-        let state = self.state.lock();
-        state
-            .machines
-            .values()
-            .map(|machine| machine.instance.clone())
-            .collect()
+        self.state.lock().instances()
     }
 
     /// Returns the number of store calls so far; a waiting watch counts as one.
     #[must_use]
     pub fn store_calls(&self) -> u64 {
-        self.state.lock().store_calls
+        let calls = self.faulty.calls();
+        calls.writes + calls.reads
+    }
+}
+
+impl State {
+    fn instances(&self) -> Vec<Instance> {
+        let machines = self.machines.values();
+        machines.map(|machine| machine.instance.clone()).collect()
+    }
+
+    /// Keeps the present list; called before each change.
+    fn record(&mut self) {
+        let list = self.instances();
+        self.past.push_back((Instant::now(), list));
+        if self.past.len() > PAST_LISTS {
+            self.past.pop_front();
+        }
+    }
+
+    /// Returns the list as callers see it.
+    fn listed(&self) -> Vec<Instance> {
+        let lag = self.faults.list_lag;
+        // The list at a past time is what the first change after that time replaced.
+        let past = self.past.iter().find(|past| past.0.elapsed() < lag);
+        let mut list = past.map_or_else(|| self.instances(), |past| past.1.clone());
+        list.retain(|instance| !self.faults.hidden.contains(&instance.id));
+        for instance in &mut list {
+            instance.age_ms += u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
+        }
+        list
     }
 }
 
 type Shared = Arc<Mutex<State>>;
 
-fn handle(request: &mut Request<Body>, store: &MemoryStore, state: &Shared) -> Response<Body> {
+/// Interval at which a silent list looks whether it may answer.
+const SILENCE: Duration = Duration::from_millis(5);
+
+fn handle(request: &mut Request<Body>, store: &FaultyStore, state: &Shared) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let body = server::body(request);
     if let Some(call) = path.strip_prefix("/v3/") {
-        return handle_store(call, &body, store, state);
+        return store_api::handle(call, &body, store);
+    }
+    while state.lock().faults.list_silent {
+        sleep(SILENCE);
     }
     if state.lock().faults.list_down {
         server::disconnect();
     }
     if path == "/v1/instances" {
-        let state = state.lock();
-        let instances = state
-            .machines
-            .values()
-            .map(|machine| machine.instance.clone());
-        let list = InstanceList {
-            instances: instances.collect(),
-        };
-        return server::answer(
-            200,
-            serde_json::to_vec(&list).expect("list is serialisable"),
-        );
+        let instances = state.lock().listed();
+        let list = serde_json::to_vec(&InstanceList { instances });
+        return server::answer(200, list.expect("list is serialisable"));
     }
     let parts: Vec<&str> = path.split('/').collect();
     let ["", "v1", "instances", id, verb] = parts[..] else {
@@ -170,36 +230,16 @@
     act(state, id, verb, &body.operation)
 }
 
-fn handle_store(call: &str, body: &[u8], store: &MemoryStore, state: &Shared) -> Response<Body> {
-    let faults = {
-        let mut state = state.lock();
-        state.store_calls += 1;
-        state.faults.clone()
-    };
-    if faults.store_down {
-        server::disconnect();
-    }
-    sleep(faults.slow);
-    let response = store_api::handle(call, body, store);
-    if call == "kv/txn" {
-        let faults = &mut state.lock().faults;
-        if faults.lose_answers > 0 {
-            faults.lose_answers -= 1;
-            server::disconnect();
-        }
-    }
-    response
-}
-
 /// Carries out drain, reboot or restore; a repeated operation identifier changes nothing.
 fn act(shared: &Shared, id: &str, verb: &str, operation: &str) -> Response<Body> {
     let mut state = shared.lock();
-    let fresh = state.operations.insert(format!("{verb} {operation}"));
+    let repeated = state.operations.contains(&format!("{verb} {operation}"));
     let reboot = state.reboot;
+    state.record();
     let Some(machine) = state.machines.get_mut(id) else {
         return server::answer(404, "no such instance");
     };
-    if !fresh {
+    if repeated {
         return server::answer(200, "{}");
     }
     match (verb, machine.instance.state) {
@@ -229,6 +269,7 @@
         }
         _ => return server::answer(409, "the instance's state does not allow it"),
     }
+    state.operations.insert(format!("{verb} {operation}"));
     server::answer(200, "{}")
 }
 
@@ -247,7 +288,10 @@
             .as_ref()
             .is_none_or(|runner| runner.active() == 0)
         {
-            machine.instance.state = InstanceState::Drained;
+            state.record();
+            if let Some(machine) = state.machines.get_mut(id) {
+                machine.instance.state = InstanceState::Drained;
+            }
             return;
         }
     }
@@ -256,6 +300,7 @@
 fn finish_reboot(shared: &Shared, id: &InstanceId, time: Duration) {
     sleep(time);
     let mut state = shared.lock();
+    state.record();
     if let Some(machine) = state.machines.get_mut(id) {
         machine.instance.state = InstanceState::Live;
         machine.instance.boots += 1;
--- a/crates/nutmegcart_fakes/src/store_api.rs
+++ b/crates/nutmegcart_fakes/src/store_api.rs
@@ -1,163 +1,256 @@
-//! The server side of the JSON mapping of the etcd v3 API, over a [`MemoryStore`].
+//! The server side of the JSON mapping of the etcd v3 API, over a [`FaultyStore`].
+//!
+//! As in the published mapping, 64-bit numbers are strings, fields with their default value are
+//! absent, and an error is an object with `code` (the numeric gRPC status) and `message`.
 
 use std::time::Duration;
 
+use nutmegcart_platform::Compare;
 use nutmegcart_platform::KeyValue;
-use nutmegcart_platform::MemoryStore;
+use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use nutmegcart_platform::etcd::decode;
 use nutmegcart_platform::etcd::encode;
+use nutmegcart_platform::etcd::prefix_end;
 use nutmegcart_platform::store::Call;
 use nutmegcart_platform::store::Reply;
+use nutmegcart_platform::store::Snapshot;
 use oxhttp::model::Body;
 use oxhttp::model::Response;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::server;
+use crate::store_faults::FaultyStore;
+use crate::watch_stream;
 
-/// Largest value in bytes.
-const MAX_VALUE: usize = 1_000_000;
-/// Longest time that a watch is held before it ends without an event.
-const WATCH_TIME: Duration = Duration::from_mins(1);
+/// A refused call: HTTP status, gRPC status and message.
+pub struct Refusal(u16, u16, String);
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+impl From<StoreError> for Refusal {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Refused { reason } if reason.contains("too many requests") => {
+                Self(429, 8, reason)
+            }
+            StoreError::Refused { reason } if reason.contains("not found") => Self(404, 5, reason),
+            StoreError::Refused { reason } => Self(400, 3, reason),
+            StoreError::Compacted { .. } => {
+                let reason = "etcdserver: mvcc: required revision has been compacted";
+                Self(400, 11, reason.into())
+            }
+            StoreError::Unreachable { .. } | StoreError::AnswerLost { .. } => server::disconnect(),
+        }
+    }
+}
+
+fn malformed(reason: &str) -> Refusal {
+    Refusal(400, 3, reason.into())
+}
 
 /// Answers one call, given the path below `/v3/`.
-pub fn handle(path: &str, body: &[u8], store: &MemoryStore) -> Response<Body> {
-    let Ok(body) = serde_json::from_slice::<Value>(body) else {
-        return server::answer(400, "not JSON");
+pub fn handle(path: &str, body: &[u8], store: &FaultyStore) -> Response<Body> {
+    let answer = match serde_json::from_slice::<Value>(body) {
+        Ok(body) if path == "watch" => {
+            return watch_stream::answer(&body["create_request"], store)
+                .unwrap_or_else(|refusal| refuse(&refusal));
+        }
+        Ok(body) => call(path, &body, store),
+        Err(error) => Err(malformed(&error.to_string())),
     };
-    let answer = match path {
-        "kv/range" => range(&body, store),
-        "kv/txn" => txn(&body, store),
+    match answer {
+        Ok(answer) => json(200, &answer),
+        Err(refusal) => refuse(&refusal),
+    }
+}
+
+fn refuse(Refusal(status, code, reason): &Refusal) -> Response<Body> {
+    let answer = json!({"error": reason, "code": code, "message": reason});
+    json(*status, &answer)
+}
+
+fn json(status: u16, answer: &Value) -> Response<Body> {
+    let mut response = server::answer(status, answer.to_string());
+    let kind = "application/json".parse().expect("header value is valid");
+    response.headers_mut().insert("content-type", kind);
+    response
+}
+
+fn call(path: &str, body: &Value, store: &FaultyStore) -> Result<Value> {
+    match path {
+        "kv/range" => range(body, store),
+        "kv/txn" => txn(body, store),
         "lease/grant" => {
             let length = Duration::from_secs(number(&body["TTL"]).max(1).unsigned_abs());
-            match store.call(Call::Grant(length)) {
-                Reply::Lease(id) => json!({"ID": id.to_string(), "TTL": body["TTL"]}),
-                _ => Value::Null,
-            }
+            let Reply::Lease(id) = store.call(Call::Grant(length))? else {
+                return Err(malformed("no lease"));
+            };
+            let length = length.as_secs().to_string();
+            Ok(json!({"header": header(0), "ID": id.to_string(), "TTL": length}))
         }
         "lease/keepalive" => {
-            let alive = matches!(
-                store.call(Call::KeepAlive(number(&body["ID"]))),
-                Reply::Flag(true)
-            );
-            json!({"result": {"ID": body["ID"], "TTL": if alive { "1" } else { "0" }}})
+            let alive = store.call(Call::KeepAlive(number(&body["ID"])))?;
+            let mut result = json!({"header": header(0), "ID": body["ID"]});
+            // An ended lease has no TTL in the answer, since zero is the default.
+            if matches!(alive, Reply::Flag(true)) {
+                result["TTL"] = "1".into();
+            }
+            Ok(json!({"result": result}))
         }
         "lease/revoke" => {
-            let _ = store.call(Call::Revoke(number(&body["ID"])));
-            json!({})
+            let lease = number(&body["ID"]);
+            if !matches!(
+                store.memory.call(Call::KeepAlive(lease))?,
+                Reply::Flag(true)
+            ) {
+                let reason = "etcdserver: requested lease not found".into();
+                return Err(Refusal(404, 5, reason));
+            }
+            store.call(Call::Revoke(lease))?;
+            Ok(json!({"header": header(0)}))
         }
-        "watch" => watch(&body["create_request"], store),
-        _ => return server::answer(404, "no such call"),
-    };
-    if answer.is_null() {
-        return server::answer(400, "malformed call or value above 1 MB");
+        _ => Err(Refusal(404, 5, "Not Found".into())),
     }
-    server::answer(200, format!("{answer}\n"))
 }
 
-fn number(value: &Value) -> i64 {
+/// Reads a 64-bit number, which may be a string or a JSON number.
+pub fn number(value: &Value) -> i64 {
     match value {
         Value::String(text) => text.parse().unwrap_or(0),
         other => other.as_i64().unwrap_or(0),
     }
 }
 
-fn text(value: &Value) -> Option<String> {
-    String::from_utf8(decode(value.as_str()?)?).ok()
+/// Returns a field under its published name or its camel-case alias.
+fn field<'a>(body: &'a Value, name: &str, alias: &str) -> &'a Value {
+    body.get(name).unwrap_or(&body[alias])
 }
 
-fn entry(entry: &KeyValue) -> Value {
-    json!({
+/// Returns the key of a call, and whether the call covers the whole prefix.
+pub fn prefix(body: &Value) -> Result<(String, bool)> {
+    let key = body["key"].as_str().and_then(decode);
+    let key = key.ok_or_else(|| malformed("key is not base64"))?;
+    let end = field(body, "range_end", "rangeEnd");
+    let whole = !end.is_null();
+    if whole && end.as_str().and_then(decode) != Some(prefix_end(&key)) {
+        let reason = "the stand-in serves single keys and prefixes";
+        return Err(Refusal(501, 12, reason.into()));
+    }
+    let key = String::from_utf8(key).map_err(|error| malformed(&error.to_string()))?;
+    Ok((key, whole))
+}
+
+/// Returns the header of every answer.
+pub fn header(revision: i64) -> Value {
+    json!({"cluster_id": "1", "member_id": "1", "revision": revision.to_string(), "raft_term": "1"})
+}
+
+/// Returns a key with its value, without fields that have their default value.
+pub fn entry(entry: &KeyValue) -> Value {
+    let mut value = json!({
         "key": encode(entry.key.as_bytes()),
-        "value": encode(&entry.value),
-        "create_revision": entry.created.to_string(),
         "mod_revision": entry.modified.to_string(),
-        "lease": entry.lease.to_string(),
-    })
+    });
+    if entry.created != 0 {
+        value["create_revision"] = entry.created.to_string().into();
+    }
+    if !entry.value.is_empty() {
+        value["value"] = encode(&entry.value).into();
+    }
+    if entry.lease != 0 {
+        value["lease"] = entry.lease.to_string().into();
+    }
+    value
 }
 
-/// Only prefix ranges are served: a `range_end` is taken as the end of the key's prefix.
-fn range(body: &Value, store: &MemoryStore) -> Value {
-    let Some(prefix) = text(&body["key"]) else {
-        return Value::Null;
-    };
-    let whole = body.get("range_end").is_some();
-    let Reply::Range(snapshot) = store.call(Call::Range(prefix.clone())) else {
-        return Value::Null;
+fn entries(answer: &mut Value, found: &[KeyValue]) {
+    if !found.is_empty() {
+        answer["kvs"] = found.iter().map(entry).collect();
+        answer["count"] = found.len().to_string().into();
+    }
+}
+
+fn range(body: &Value, store: &FaultyStore) -> Result<Value> {
+    let (key, whole) = prefix(body)?;
+    let from = number(field(body, "min_mod_revision", "minModRevision"));
+    let reply = store.call(Call::RangeSince(key.clone(), from))?;
+    let Reply::Range(Snapshot {
+        revision,
+        entries: mut found,
+    }) = reply
+    else {
+        return Err(malformed("no range"));
     };
-    let entries = snapshot.entries.iter();
-    let entries: Vec<Value> = entries
-        .filter(|found| whole || found.key == prefix)
-        .map(entry)
-        .collect();
-    json!({
-        "header": {"revision": snapshot.revision.to_string()},
-        "kvs": entries,
-        "count": entries.len().to_string(),
-    })
+    found.retain(|entry| whole || entry.key == key);
+    let mut answer = json!({"header": header(revision)});
+    entries(&mut answer, &found);
+    Ok(answer)
 }
 
-fn parse_txn(body: &Value) -> Option<Txn> {
+fn parse_txn(body: &Value) -> Result<Txn> {
     let empty = Vec::new();
+    let list = |name| body[name].as_array().unwrap_or(&empty).iter();
     let mut txn = Txn::default();
-    for compare in body["compare"].as_array().unwrap_or(&empty) {
-        let key = text(&compare["key"])?;
-        txn = match compare["target"].as_str()? {
-            "MOD" => txn.unchanged(key, number(&compare["mod_revision"])),
-            "CREATE" => txn.held(key, number(&compare["create_revision"])),
-            _ => return None,
-        };
+    for compare in list("compare") {
+        let (key, _) = prefix(compare)?;
+        if compare["result"].as_str().unwrap_or("EQUAL") != "EQUAL" {
+            return Err(Refusal(
+                501,
+                12,
+                "the stand-in compares for equality".into(),
+            ));
+        }
+        txn.compare.push(match compare["target"].as_str() {
+            Some("MOD") => {
+                Compare::Modified(key, number(field(compare, "mod_revision", "modRevision")))
+            }
+            Some("CREATE") => {
+                let revision = field(compare, "create_revision", "createRevision");
+                Compare::Created(key, number(revision))
+            }
+            _ => return Err(Refusal(501, 12, "the stand-in compares revisions".into())),
+        });
     }
-    for change in body["success"].as_array().unwrap_or(&empty) {
-        let put = &change["requestPut"];
+    for change in list("success") {
+        let put = field(change, "request_put", "requestPut");
         if put.is_null() {
-            txn = txn.delete(text(&change["requestDeleteRange"]["key"])?);
+            let delete = field(change, "request_delete_range", "requestDeleteRange");
+            txn = txn.delete(prefix(delete)?.0);
         } else {
-            let value = decode(put["value"].as_str()?)?;
-            if value.len() > MAX_VALUE {
-                return None;
-            }
-            txn = txn.put_leased(text(&put["key"])?, value, number(&put["lease"]));
+            let value = put["value"].as_str().unwrap_or("");
+            let value = decode(value).ok_or_else(|| malformed("value is not base64"))?;
+            txn = txn.put_leased(prefix(put)?.0, value, number(&put["lease"]));
         }
     }
-    Some(txn)
-}
-
-fn txn(body: &Value, store: &MemoryStore) -> Value {
-    let Some(txn) = parse_txn(body) else {
-        return Value::Null;
-    };
-    let Reply::Txn(reply) = store.call(Call::Txn(txn)) else {
-        return Value::Null;
-    };
-    json!({
-        "header": {"revision": reply.revision.to_string()},
-        "succeeded": reply.committed,
-    })
+    for read in list("failure") {
+        txn = txn.or_read(prefix(field(read, "request_range", "requestRange"))?.0);
+    }
+    Ok(txn)
 }
 
-fn watch(create: &Value, store: &MemoryStore) -> Value {
-    let Some(prefix) = text(&create["key"]) else {
-        return Value::Null;
-    };
-    let from = number(&create["start_revision"]);
-    let changed = store.call(Call::Wait(prefix.clone(), from, WATCH_TIME));
-    let Reply::Range(snapshot) = store.call(Call::Range(prefix)) else {
-        return Value::Null;
+fn txn(body: &Value, store: &FaultyStore) -> Result<Value> {
+    let txn = parse_txn(body)?;
+    let Reply::Txn(reply) = store.call(Call::Txn(txn.clone()))? else {
+        return Err(malformed("no transaction"));
     };
-    let written = snapshot
-        .entries
-        .iter()
-        .filter(|found| found.modified >= from);
-    let mut events: Vec<Value> = written
-        .map(|found| json!({"type": "PUT", "kv": entry(found)}))
-        .collect();
-    if matches!(changed, Reply::Flag(true)) && events.is_empty() {
-        events.push(json!({"type": "DELETE"}));
+    let mut answer = json!({"header": header(reply.revision)});
+    if reply.committed {
+        answer["succeeded"] = true.into();
+        return Ok(answer);
     }
-    json!({"result": {
-        "header": {"revision": snapshot.revision.to_string()},
-        "events": events,
-    }})
+    let reads = txn.otherwise.iter().map(|key| {
+        let found: Vec<KeyValue> = reply
+            .found
+            .iter()
+            .filter(|entry| entry.key == *key)
+            .cloned()
+            .collect();
+        let mut range = json!({"header": header(reply.revision)});
+        entries(&mut range, &found);
+        json!({"response_range": range})
+    });
+    answer["responses"] = reads.collect();
+    Ok(answer)
 }
--- a/crates/nutmegcart_platform/src/etcd.rs
+++ b/crates/nutmegcart_platform/src/etcd.rs
@@ -1,7 +1,7 @@
 //! The JSON-over-HTTP mapping of the etcd v3 API.
 //!
-//! Keys and values are base64, 64-bit numbers are decimal strings. The types serve both the
-//! client here and stand-ins of the server.
+//! Keys and values are base64, 64-bit numbers are decimal strings. A field with its default value
+//! (zero, false, empty, `PUT`) may be absent from an answer. `docs/interfaces.md` has the details.
 
 use std::io::BufRead;
 use std::io::BufReader;
@@ -23,9 +23,11 @@
 use crate::store::KeyValue;
 use crate::store::Reply;
 use crate::store::Result;
+use crate::store::Revision;
 use crate::store::Snapshot;
 use crate::store::Store;
 use crate::store::StoreError;
+use crate::store::Txn;
 use crate::store::TxnReply;
 
 /// Encodes bytes as the API expects them.
@@ -85,8 +87,51 @@
 struct WireTxn {
     header: WireHeader,
     succeeded: bool,
+    responses: Vec<WireResponse>,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct WireResponse {
+    #[serde(alias = "responseRange")]
+    response_range: WireRange,
+}
+
+/// An error as the gateway reports it: `code` is the numeric gRPC status.
+///
+/// Older gateways repeat the message in `error`; errors within a stream carry `grpc_code`.
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct WireError {
+    #[serde(alias = "grpc_code")]
+    code: u16,
+    message: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct WireWatch {
+    result: WireWatchResult,
+    error: Option<WireError>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct WireWatchResult {
+    header: WireHeader,
+    events: Vec<Value>,
+    canceled: bool,
+    compact_revision: String,
+    cancel_reason: String,
+}
+
+/// gRPC status of a read at a revision that the store has compacted.
+const OUT_OF_RANGE: u16 = 11;
+/// gRPC statuses with which a write has certainly not taken effect: invalid argument, not found,
+/// already exists, permission denied, resource exhausted, failed precondition, out of range,
+/// unimplemented, unauthenticated. All others, such as "request timed out" (14), leave it open.
+const WITHOUT_EFFECT: [u16; 9] = [3, 5, 6, 7, 8, 9, OUT_OF_RANGE, 12, 16];
+
 fn number(text: &str) -> i64 {
     text.parse().unwrap_or(0)
 }
@@ -128,7 +173,25 @@
         match error {
             HttpError::NotSent { reason } => Self::Unreachable { reason },
             HttpError::NoAnswer { reason } => Self::AnswerLost { reason },
-            HttpError::Status { reason, .. } => Self::Refused { reason },
+            HttpError::Status { status, reason } => {
+                match serde_json::from_str::<WireError>(&reason) {
+                    Ok(wire) if wire.code != 0 => wire.into(),
+                    // Not from the store itself; a proxy's 5xx says nothing of the write.
+                    _ if status >= 500 => Self::AnswerLost { reason },
+                    _ => Self::Refused { reason },
+                }
+            }
+        }
+    }
+}
+
+impl From<WireError> for StoreError {
+    fn from(wire: WireError) -> Self {
+        let reason = format!("{} (code {})", wire.message, wire.code);
+        if WITHOUT_EFFECT.contains(&wire.code) {
+            Self::Refused { reason }
+        } else {
+            Self::AnswerLost { reason }
         }
     }
 }
@@ -161,18 +224,9 @@
 
     fn call(&self, call: &Call) -> Result<Reply> {
         match call {
-            Call::Range(prefix) => self.range(prefix),
-            Call::Txn(txn) => {
-                let body = json!({
-                    "compare": txn.compare.iter().map(compare).collect::<Vec<_>>(),
-                    "success": txn.change.iter().map(change).collect::<Vec<_>>(),
-                });
-                let wire: WireTxn = self.post("/kv/txn", &body)?;
-                Ok(Reply::Txn(TxnReply {
-                    committed: wire.succeeded,
-                    revision: number(&wire.header.revision),
-                }))
-            }
+            Call::Range(prefix) => self.range(prefix, 0),
+            Call::RangeSince(prefix, from) => self.range(prefix, *from),
+            Call::Txn(txn) => self.txn(txn),
             Call::Grant(time) => {
                 let seconds = time.as_secs().max(1).to_string();
                 let wire: Value = self.post("/lease/grant", &json!({"TTL": seconds}))?;
@@ -185,31 +239,56 @@
             }
             Call::Revoke(lease) => {
                 let body = json!({"ID": lease.to_string()});
-                self.post::<Value>("/lease/revoke", &body)?;
+                match self.post::<Value>("/lease/revoke", &body) {
+                    // The lease is gone already, which is what the call is for.
+                    Err(StoreError::Refused { reason }) if reason.contains("not found") => {}
+                    other => drop(other?),
+                }
                 Ok(Reply::Done)
             }
             Call::Wait(prefix, from, time) => self.wait(prefix, *from, *time),
         }
     }
 
-    fn range(&self, prefix: &str) -> Result<Reply> {
+    fn txn(&self, txn: &Txn) -> Result<Reply> {
+        let reads = txn.otherwise.iter();
+        let reads = reads.map(|key| json!({"requestRange": {"key": encode(key.as_bytes())}}));
         let body = json!({
+            "compare": txn.compare.iter().map(compare).collect::<Vec<_>>(),
+            "success": txn.change.iter().map(change).collect::<Vec<_>>(),
+            "failure": reads.collect::<Vec<_>>(),
+        });
+        let wire: WireTxn = self.post("/kv/txn", &body)?;
+        let mut found = Vec::new();
+        if !wire.succeeded {
+            let entries = wire.responses.iter();
+            let entries = entries.flat_map(|response| &response.response_range.kvs);
+            found = read_entries(entries)?;
+        }
+        Ok(Reply::Txn(TxnReply {
+            committed: wire.succeeded,
+            revision: number(&wire.header.revision),
+            found,
+        }))
+    }
+
+    fn range(&self, prefix: &str, from: Revision) -> Result<Reply> {
+        let mut body = json!({
             "key": encode(prefix.as_bytes()),
             "range_end": encode(&prefix_end(prefix.as_bytes())),
         });
+        if from > 0 {
+            body["min_mod_revision"] = from.to_string().into();
+        }
         let wire: WireRange = self.post("/kv/range", &body)?;
-        let entries: Option<Vec<KeyValue>> = wire.kvs.iter().map(entry).collect();
-        let entries = entries.ok_or_else(|| StoreError::AnswerLost {
-            reason: "malformed base64".into(),
-        })?;
         Ok(Reply::Range(Snapshot {
             revision: number(&wire.header.revision),
-            entries,
+            entries: read_entries(&wire.kvs)?,
         }))
     }
 
     /// A watch is a streamed answer with one JSON object a line; the first write ends the wait.
-    fn wait(&self, prefix: &str, from: i64, time: Duration) -> Result<Reply> {
+    fn wait(&self, prefix: &str, from: Revision, time: Duration) -> Result<Reply> {
         let body = json!({"create_request": {
             "key": encode(prefix.as_bytes()),
             "range_end": encode(&prefix_end(prefix.as_bytes())),
@@ -218,35 +297,73 @@
         let request = self.agent.post(format!("{}/watch", self.base));
         let request = request.config().timeout_global(Some(time)).build();
         let body = body.to_string();
-        let answer = match request
+        let answer = request
             .content_type("application/json")
-            .send(body.as_bytes())
-        {
-            Ok(answer) if answer.status().is_success() => answer,
-            Ok(answer) => {
-                let reason = format!("status {}", answer.status());
-                return Err(StoreError::Refused { reason });
-            }
+            .send(body.as_bytes());
+        let mut answer = match answer {
+            Ok(answer) => answer,
             Err(ureq::Error::Timeout(_)) => return Ok(Reply::Flag(false)),
-            Err(error) => {
-                let reason = error.to_string();
-                return Err(StoreError::Unreachable { reason });
-            }
+            Err(error) => return Err(http::failed(&error).into()),
         };
+        let status = answer.status().as_u16();
+        if status >= 400 {
+            let reason = answer.body_mut().read_to_string().unwrap_or_default();
+            return Err(HttpError::Status { status, reason }.into());
+        }
         for line in BufReader::new(answer.into_body().into_reader()).lines() {
-            let Ok(line) = line else {
-                return Ok(Reply::Flag(false));
+            let line = match line {
+                Ok(line) => line,
+                Err(error) if is_timeout(&error) => return Ok(Reply::Flag(false)),
+                Err(error) => {
+                    let reason = error.to_string();
+                    return Err(StoreError::AnswerLost { reason });
+                }
             };
-            let wire: Value = serde_json::from_str(&line).unwrap_or_default();
-            let events = wire["result"]["events"].as_array();
-            if events.is_some_and(|events| !events.is_empty()) {
-                return Ok(Reply::Flag(true));
+            if line.trim().is_empty() {
+                continue;
+            }
+            if let Some(changed) = read_watch(&line, from)? {
+                return Ok(Reply::Flag(changed));
             }
         }
         Ok(Reply::Flag(false))
     }
 }
 
+/// Reads one message of a watch; none if the wait goes on.
+fn read_watch(line: &str, from: Revision) -> Result<Option<bool>> {
+    let wire: WireWatch = serde_json::from_str(line).map_err(|error| StoreError::AnswerLost {
+        reason: error.to_string(),
+    })?;
+    if let Some(error) = wire.error {
+        return Err(error.into());
+    }
+    let result = wire.result;
+    let compacted = number(&result.compact_revision);
+    if compacted > 0 {
+        return Err(StoreError::Compacted { oldest: compacted });
+    }
+    if result.canceled {
+        let reason = result.cancel_reason;
+        return Err(StoreError::Refused { reason });
+    }
+    // The first message carries the store's present revision and no events.
+    let restored = number(&result.header.revision) + 1 < from;
+    Ok((restored || !result.events.is_empty()).then_some(true))
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    let inner = error.get_ref().and_then(|inner| inner.downcast_ref());
+    matches!(inner, Some(ureq::Error::Timeout(_))) || error.kind() == std::io::ErrorKind::TimedOut
+}
+
+fn read_entries<'a>(wire: impl IntoIterator<Item = &'a WireEntry>) -> Result<Vec<KeyValue>> {
+    let entries: Option<Vec<KeyValue>> = wire.into_iter().map(entry).collect();
+    entries.ok_or_else(|| StoreError::AnswerLost {
+        reason: "malformed base64".into(),
+    })
+}
+
 /// Reads a 64-bit number that the mapping writes as a string.
 fn field(value: &Value, name: &str) -> i64 {
     match &value[name] {
--- a/crates/nutmegcart_platform/src/http.rs
+++ b/crates/nutmegcart_platform/src/http.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn failed(error: &ureq::Error) -> HttpError {
+pub(crate) fn failed(error: &ureq::Error) -> HttpError {
     let reason = error.to_string();
     if is_not_sent(error) {
         HttpError::NotSent { reason }
--- a/crates/nutmegcart_platform/src/memory.rs
+++ b/crates/nutmegcart_platform/src/memory.rs
@@ -1,6 +1,7 @@
 //! A key-value store in the memory of one process.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,12 +15,17 @@
 use crate::store::KeyValue;
 use crate::store::LeaseId;
 use crate::store::Reply;
+use crate::store::Result;
 use crate::store::Revision;
 use crate::store::Snapshot;
 use crate::store::Store;
+use crate::store::StoreError;
 use crate::store::Txn;
 use crate::store::TxnReply;
 
+/// Writes kept for watches; older ones are compacted.
+const HISTORY: usize = 4096;
+
 /// A store that lives as long as the process; clones share the contents.
 ///
 /// ```
@@ -42,13 +48,24 @@
 #[derive(Clone, Default)]
 struct State {
     revision: Revision,
-    /// Revision of the last deletion.
-    deleted: Revision,
+    /// Latest writes in ascending order of revision.
+    history: VecDeque<Event>,
+    /// Revision of the latest write that is no longer in the history.
+    compacted: Revision,
     next_lease: LeaseId,
     entries: BTreeMap<String, KeyValue>,
     leases: BTreeMap<LeaseId, Lease>,
 }
 
+/// One write, as watches report it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// The entry after the write; only the key and the revision after a deletion.
+    pub entry: KeyValue,
+    /// Whether the key was deleted.
+    pub deleted: bool,
+}
+
 #[derive(Clone, Copy)]
 struct Lease {
     length: Duration,
@@ -64,23 +81,28 @@
     #[must_use]
     pub fn store(&self) -> Store {
         let memory = self.clone();
-        Store::new(move |call| Ok(memory.call(call)))
+        Store::new(move |call| memory.call(call))
     }
 
     /// Carries out one call.
-    #[must_use]
-    pub fn call(&self, call: Call) -> Reply {
-        match call {
-            Call::Range(prefix) => Reply::Range(self.range(&prefix)),
-            Call::Txn(txn) => Reply::Txn(self.txn(&txn)),
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Compacted`] if a watch asks for history that is gone, and with
+    /// [`StoreError::Refused`] if a lease does not exist.
+    pub fn call(&self, call: Call) -> Result<Reply> {
+        Ok(match call {
+            Call::Range(prefix) => Reply::Range(self.range(&prefix, 0)),
+            Call::RangeSince(prefix, from) => Reply::Range(self.range(&prefix, from)),
+            Call::Txn(txn) => Reply::Txn(self.txn(&txn)?),
             Call::Grant(length) => Reply::Lease(self.grant(length)),
             Call::KeepAlive(lease) => Reply::Flag(self.keep_alive(lease)),
             Call::Revoke(lease) => {
                 self.expire(lease);
                 Reply::Done
             }
-            Call::Wait(prefix, from, time) => Reply::Flag(self.wait(&prefix, from, time)),
-        }
+            Call::Wait(prefix, from, time) => Reply::Flag(self.wait(&prefix, from, time)?),
+        })
     }
 
     /// Ends a lease at once, as if its holder had been silent for too long.
@@ -102,30 +124,61 @@
         self.shared.written.notify_all();
     }
 
-    fn range(&self, prefix: &str) -> Snapshot {
+    /// Returns the writes with the prefix at or after the revision, and the store's revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Compacted`] if the history is gone.
+    pub fn events(&self, prefix: &str, from: Revision) -> Result<(Vec<Event>, Revision)> {
+        let mut state = self.shared.state.lock();
+        state.end_expired();
+        Ok((
+            state.events(prefix, from)?.cloned().collect(),
+            state.revision,
+        ))
+    }
+
+    /// Drops the history up to the present revision.
+    pub fn compact(&self) {
+        let mut state = self.shared.state.lock();
+        state.history.clear();
+        state.compacted = state.revision;
+    }
+
+    fn range(&self, prefix: &str, from: Revision) -> Snapshot {
         let mut state = self.shared.state.lock();
         state.end_expired();
         Snapshot {
             revision: state.revision,
-            entries: state.matching(prefix).cloned().collect(),
+            entries: state
+                .matching(prefix)
+                .filter(|entry| entry.modified >= from)
+                .cloned()
+                .collect(),
         }
     }
 
-    fn txn(&self, txn: &Txn) -> TxnReply {
+    fn txn(&self, txn: &Txn) -> Result<TxnReply> {
         let mut state = self.shared.state.lock();
         state.end_expired();
         let committed = txn.compare.iter().all(|compare| state.holds(compare));
-        if committed && !txn.change.is_empty() {
+        let mut found = Vec::new();
+        if committed && txn.writes() {
+            state.check_leases(txn)?;
             state.revision += 1;
             for change in &txn.change {
                 state.apply(change);
             }
             self.shared.written.notify_all();
+        } else if !committed {
+            let keys = txn.otherwise.iter();
+            found.extend(keys.filter_map(|key| state.entries.get(key).cloned()));
         }
-        TxnReply {
+        Ok(TxnReply {
             committed,
             revision: state.revision,
-        }
+            found,
+        })
     }
 
     fn grant(&self, length: Duration) -> LeaseId {
@@ -147,19 +200,19 @@
         true
     }
 
-    fn wait(&self, prefix: &str, from: Revision, time: Duration) -> bool {
+    fn wait(&self, prefix: &str, from: Revision, time: Duration) -> Result<bool> {
         let end = Instant::now() + time;
         let mut state = self.shared.state.lock();
         loop {
             state.end_expired();
-            if state.changed_since(prefix, from) {
-                return true;
+            if state.revision + 1 < from || state.events(prefix, from)?.next().is_some() {
+                return Ok(true);
             }
             let lease_end = state.leases.values().map(|lease| lease.expiry).min();
             let wake = lease_end.map_or(end, |expiry| expiry.min(end));
             if self.shared.written.wait_until(&mut state, wake).timed_out() && Instant::now() >= end
             {
-                return false;
+                return Ok(false);
             }
         }
     }
@@ -173,10 +226,43 @@
             .take_while(move |entry| entry.key.starts_with(prefix))
     }
 
-    /// Deletions are not tracked by key, so any newer revision counts as a possible change.
-    fn changed_since(&self, prefix: &str, from: Revision) -> bool {
-        self.revision >= from
-            && (self.matching(prefix).any(|entry| entry.modified >= from) || self.deleted >= from)
+    fn events<'a>(
+        &'a self,
+        prefix: &'a str,
+        from: Revision,
+    ) -> Result<impl Iterator<Item = &'a Event>> {
+        if from <= self.compacted {
+            let oldest = self.compacted + 1;
+            return Err(StoreError::Compacted { oldest });
+        }
+        let start = self
+            .history
+            .partition_point(|event| event.entry.modified < from);
+        let events = self.history.range(start..);
+        Ok(events.filter(move |event| event.entry.key.starts_with(prefix)))
+    }
+
+    fn record(&mut self, entry: KeyValue, deleted: bool) {
+        self.history.push_back(Event { entry, deleted });
+        if self.history.len() > HISTORY
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.compacted = oldest.entry.modified;
+        }
+    }
+
+    /// Refuses a value attached to a lease that does not exist, which nothing would ever remove.
+    fn check_leases(&self, txn: &Txn) -> Result<()> {
+        for change in &txn.change {
+            if let Change::Put(_, _, lease) = change
+                && *lease != 0
+                && !self.leases.contains_key(lease)
+            {
+                let reason = "requested lease not found".into();
+                return Err(StoreError::Refused { reason });
+            }
+        }
+        Ok(())
     }
 
     fn holds(&self, compare: &Compare) -> bool {
@@ -202,19 +288,35 @@
                 entry.value.clone_from(value);
                 entry.modified = revision;
                 entry.lease = *lease;
+                let entry = entry.clone();
+                self.record(entry, false);
             }
-            Change::Delete(key) => {
-                self.entries.remove(key);
-                self.deleted = revision;
-            }
+            Change::Delete(key) => self.delete(key),
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            let entry = KeyValue {
+                key: key.to_owned(),
+                modified: self.revision,
+                ..KeyValue::default()
+            };
+            self.record(entry, true);
         }
     }
 
     fn end_lease(&mut self, lease: LeaseId) {
-        if self.leases.remove(&lease).is_some() {
+        if self.leases.remove(&lease).is_none() {
+            return;
+        }
+        let attached = self.entries.values().filter(|entry| entry.lease == lease);
+        let keys: Vec<String> = attached.map(|entry| entry.key.clone()).collect();
+        if !keys.is_empty() {
             self.revision += 1;
-            self.deleted = self.revision;
-            self.entries.retain(|_, entry| entry.lease != lease);
+        }
+        for key in keys {
+            self.delete(&key);
         }
     }
 
--- a/crates/nutmegcart_platform/src/store.rs
+++ b/crates/nutmegcart_platform/src/store.rs
@@ -30,12 +30,18 @@
         /// What the transport reported.
         reason: String,
     },
-    /// The store refused the call, for example because of its rate limit.
+    /// The store refused the call, for example because of its rate limit; nothing was written.
     #[display("the store refused the call: {reason}")]
     Refused {
         /// What the store reported.
         reason: String,
     },
+    /// The store no longer holds the history that a watch asked for; read the keys again.
+    #[display("the store's history starts at revision {oldest}")]
+    Compacted {
+        /// Oldest revision that can be watched.
+        oldest: Revision,
+    },
 }
 
 /// A key with its value and revisions.
@@ -86,6 +92,8 @@
     pub compare: Vec<Compare>,
     /// Writes made if the conditions hold.
     pub change: Vec<Change>,
+    /// Keys read at the same revision if the conditions do not hold.
+    pub otherwise: Vec<String>,
 }
 
 impl Txn {
@@ -128,15 +136,38 @@
         self.change.push(Change::Delete(key.into()));
         self
     }
+
+    /// Reads a key if the conditions do not hold; the read is never stale.
+    ///
+    /// ```
+    /// # use nutmegcart_platform::{MemoryStore, Txn};
+    /// let store = MemoryStore::default().store();
+    /// let txn = Txn::default().absent("k").put("k", b"v".to_vec()).or_read("k");
+    /// assert!(store.txn(&txn).unwrap().found.is_empty());
+    /// assert_eq!(store.txn(&txn).unwrap().found[0].value, b"v");
+    /// ```
+    #[must_use]
+    pub fn or_read(mut self, key: impl Into<String>) -> Self {
+        self.otherwise.push(key.into());
+        self
+    }
+
+    /// Returns whether the transaction writes.
+    #[must_use]
+    pub fn writes(&self) -> bool {
+        !self.change.is_empty()
+    }
 }
 
 /// Outcome of a transaction.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TxnReply {
     /// Whether the conditions held and the writes were made.
     pub committed: bool,
     /// Revision of the store after the transaction.
     pub revision: Revision,
+    /// Existing keys among [`Txn::otherwise`] if the conditions did not hold.
+    pub found: Vec<KeyValue>,
 }
 
 /// A consistent read of all keys with a prefix.
@@ -164,6 +195,8 @@
 pub enum Call {
     /// Reads all keys with the prefix.
     Range(String),
+    /// Reads the keys with the prefix that were written at or after the revision.
+    RangeSince(String, Revision),
     /// Runs a transaction.
     Txn(Txn),
     /// Grants a lease for the time.
@@ -179,7 +212,7 @@
 /// Answer of the store.
 #[derive(Clone, Debug)]
 pub enum Reply {
-    /// Answers [`Call::Range`].
+    /// Answers [`Call::Range`] and [`Call::RangeSince`].
     Range(Snapshot),
     /// Answers [`Call::Txn`].
     Txn(TxnReply),
@@ -225,6 +258,25 @@
         expect_reply!((self.call)(Call::Range(prefix.into()))?, Reply::Range(snapshot) => snapshot)
     }
 
+    /// Reads the keys with the prefix that were written at or after the revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn range_since(&self, prefix: &str, from: Revision) -> Result<Snapshot> {
+        let call = Call::RangeSince(prefix.into(), from);
+        expect_reply!((self.call)(call)?, Reply::Range(snapshot) => snapshot)
+    }
+
+    /// Carries out one call, for wrappers around the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the call's own method does.
+    pub fn call(&self, call: Call) -> Result<Reply> {
+        (self.call)(call)
+    }
+
     /// Runs a transaction.
     ///
     /// # Errors
@@ -263,9 +315,13 @@
 
     /// Waits for a write with the prefix at or after the revision; false when the time is over.
     ///
+    /// Returns true at once if the store is at an older revision than the caller has seen, since
+    /// a restored store would otherwise keep the caller waiting for a revision that it has read.
+    ///
     /// # Errors
     ///
-    /// Fails if the store does not answer.
+    /// Fails if the store does not answer, and with [`StoreError::Compacted`] if the store no
+    /// longer holds the history since the revision.
     pub fn wait(&self, prefix: &str, from: Revision, time: Duration) -> Result<bool> {
         let call = Call::Wait(prefix.into(), from, time);
         expect_reply!((self.call)(call)?, Reply::Flag(changed) => changed)
