Limit store calls per entry instance and space out attempts after an outage

Cause: every loop called the store directly, so nothing kept nine entry instances within the platform's rates, and all of them would have returned to a store after an outage in the same moment.

Change: `Guard` wraps a store with two token buckets (300 writes and 1,500 reads a second divided by the roster's size, a tenth of a second of burst), counters per kind of call, and a health state (reachable, slow, away) with events 200, 201, 203 and 204. While the store is away, calls fail without being sent, except attempts spaced by exponential backoff with full jitter (0.1 s to 2 s); on return the buckets start empty.

Conclusion: the limits hold without any agreement between instances, as long as each knows the size of the roster.

--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -48,6 +48,8 @@
     StoreUnreachable = 200, Warn, "the platform's store does not answer";
     StoreReachable = 201, Info, "the platform's store answers again";
     ListUnreachable = 202, Warn, "the instance list does not answer";
+    StoreSlow = 203, Warn, "the platform's store answers late";
+    StoreLimited = 204, Warn, "call to the store refused by this entry instance's rate limit";
     ConfigAccepted = 300, Info, "configuration accepted";
     ConfigInForce = 301, Info, "configuration in force";
     ConfigOlderRefused = 302, Error, "older configuration refused";
--- a/crates/nutmegcart_platform/src/lib.rs
+++ b/crates/nutmegcart_platform/src/lib.rs
@@ -2,13 +2,17 @@
 //!
 //! * [`Store`]: compare-and-swap, leases and watches, over HTTP ([`etcd`]) or in memory
 //!   ([`MemoryStore`]);
+//! * [`Guard`]: a store behind an entry instance's share of the rates, with its health;
 //! * [`Fleet`]: the list of instances, draining and rebooting.
 //!
 //! Both are plain structs around a closure, so tests and stand-ins replace the transport.
 
 pub mod etcd;
 pub mod fleet;
+pub mod guard;
+pub mod health;
 pub mod http;
+pub mod limit;
 pub mod memory;
 pub mod store;
 
@@ -16,6 +20,9 @@
 pub use fleet::Instance;
 pub use fleet::InstanceState;
 pub use fleet::Role;
+pub use guard::Guard;
+pub use health::Reach;
+pub use limit::TokenBucket;
 pub use memory::MemoryStore;
 pub use store::Change;
 pub use store::Compare;
