--- a/crates/nutmegcart_bench/src/capacity.rs
+++ b/crates/nutmegcart_bench/src/capacity.rs
@@ -34,7 +34,7 @@
             let base = Configuration::default();
             let whole = base.with(&documents, &[]).expect("references hold");
             let next = whole.with(&documents[..1], &[]).expect("references hold");
-            let changes = next.changes_since(whole.generation);
+            let changes = next.changes_since(whole.generation());
             Measure::new(
                 format!("change of one document, {pools} pools"),
                 "bytes",
--- a/crates/nutmegcart_config/src/accept.rs
+++ b/crates/nutmegcart_config/src/accept.rs
@@ -1,33 +1,36 @@
 //! Acceptance of a configuration change through the platform's store.
 
-use std::collections::BTreeMap;
-
 use nutmegcart_model::Code;
 use nutmegcart_model::Document;
 use nutmegcart_model::record::Fault;
-use nutmegcart_platform::KeyValue;
-use nutmegcart_platform::Revision;
 use nutmegcart_platform::Store;
-use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::configuration::Configuration;
-use crate::configuration::Entry;
 use crate::configuration::Generation;
+use crate::history::History;
+use crate::history::Relation;
+use crate::history::digest;
+use crate::standing::Standing;
+use crate::stored::HEAD;
+use crate::stored::Head;
+use crate::stored::Settled;
+use crate::stored::Stored;
+use crate::stored::confirm;
+use crate::stored::document_key;
+use crate::stored::load;
+use crate::stored::settle;
+use crate::stored::to_json;
 
-/// Prefix of all configuration keys.
-pub const PREFIX: &str = "/nutmegcart/config/";
-/// Key of the head.
-pub const HEAD: &str = "/nutmegcart/config/head";
-/// Prefix of the documents.
-pub const DOCUMENTS: &str = "/nutmegcart/config/doc/";
-/// Operation identifiers kept in the head, so that a lost answer can be resolved.
-const KEPT_OPERATIONS: usize = 64;
-
-/// Result of reading the configuration from the store.
-pub type Result<T> = std::result::Result<T, StoreError>;
+/// Longest operation identifier in bytes; the head holds 64 of them.
+pub const MAX_OPERATION: usize = 64;
+/// Documents and deletions of one change. The store takes 128 operations a transaction, of which
+/// the head and purged deletions need some.
+pub const MAX_CHANGES: usize = 100;
+/// Bytes of one change; the store takes values and transactions of about this size.
+pub const MAX_BYTES: usize = 1_000_000;
+/// Times that a change is judged again because the read before was stale.
+const ATTEMPTS: usize = 4;
 
 /// A change asked for by an operator.
 #[derive(Clone, Debug, Default)]
@@ -40,6 +43,10 @@
     pub deletions: Vec<String>,
     /// Generation that the change was based on, if the operator insists on it.
     pub based_on: Option<Generation>,
+    /// A generation that was in force before the first attempt; zero if none is known.
+    pub since: Generation,
+    /// Whether the identifier was drawn for this call, so that there was no earlier attempt.
+    pub fresh: bool,
 }
 
 /// What became of a change.
@@ -47,160 +54,216 @@
 pub enum Outcome {
     /// The write is known to stand, at this generation.
     Accepted(Generation),
-    /// The change was refused and nothing was written.
+    /// The change was refused and does not stand.
     Refused(Fault),
     /// Another change was accepted first; the present generation is given.
     Conflict(Generation),
-    /// The store cannot be reached and nothing was written.
+    /// The store cannot be reached and the change does not stand.
     Unavailable,
-    /// The answer was lost and the store does not tell; repeat with the same operation.
+    /// It cannot be told whether the change stands; repeat with the same operation.
     Unknown,
+    /// Too many changes were accepted since the first attempt to tell whether this one was.
+    Forgotten(Generation),
 }
 
-/// The value of the head key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Head {
-    /// Identifies the store's history.
-    pub lineage: String,
-    /// Present generation.
-    pub generation: Generation,
-    /// The latest operations, oldest first, with the generation that each made.
-    pub operations: Vec<(String, Generation)>,
-}
-
-/// What the store holds.
-#[derive(Clone, Debug, Default)]
-pub struct Stored {
-    /// The configuration.
-    pub configuration: Configuration,
-    /// The head.
-    pub head: Head,
-    /// Revision of the head's last write; zero if there is none.
-    pub modified: Revision,
-    /// Revision of the store at the read.
-    pub revision: Revision,
+/// What a read of the store says of a change.
+enum Judgement {
+    /// The change stands.
+    Stands(Generation),
+    /// The change is not possible, provided that the read was not stale.
+    Not(Outcome),
+    /// The change can be committed.
+    Next(Box<Configuration>),
 }
 
-/// Reads the configuration at one revision.
-///
-/// # Errors
-///
-/// Fails if the store does not answer or holds something that cannot be read.
-pub fn load(store: &Store) -> Result<Stored> {
-    let snapshot = store.range(PREFIX)?;
-    let mut stored = Stored {
-        revision: snapshot.revision,
-        ..Stored::default()
-    };
-    if let Some(entry) = snapshot.get(HEAD) {
-        stored.head = parse(entry)?;
-        stored.modified = entry.modified;
-    }
-    let mut entries = BTreeMap::new();
-    for entry in &snapshot.entries {
-        if let Some(key) = entry.key.strip_prefix(DOCUMENTS) {
-            entries.insert(key.to_owned(), parse::<Entry>(entry)?);
-        }
-    }
-    stored.configuration = Configuration {
-        lineage: stored.head.lineage.clone(),
-        generation: stored.head.generation,
-        entries,
-    };
-    Ok(stored)
-}
-
-fn parse<'a, T: Deserialize<'a>>(entry: &'a KeyValue) -> Result<T> {
-    serde_json::from_slice(&entry.value).map_err(|error| StoreError::Refused {
-        reason: format!("{}: {error}", entry.key),
-    })
-}
-
-/// Commits a change; `floor` is the generation already in force here.
-///
-/// The store is refused as reverted if it holds less than the floor, since accepting on top of it
-/// would number two different configurations alike.
+/// Commits a change, unless the store may have lost what is in force somewhere.
 ///
 /// ```
-/// # use nutmegcart_config::{Apply, Generation, Outcome, accept};
+/// # use nutmegcart_config::{Apply, Generation, Outcome, Standing, accept};
 /// # use nutmegcart_platform::MemoryStore;
 /// let store = MemoryStore::default().store();
 /// let apply = Apply { operation: "op-1".into(), ..Apply::default() };
-/// assert_eq!(accept(&store, &apply, Generation(0)), Outcome::Accepted(Generation(1)));
+/// let standing = Standing::alone("lineage");
+/// assert_eq!(accept(&store, &apply, &standing), Outcome::Accepted(Generation(1)));
 /// // The repeated operation is recognised.
-/// assert_eq!(accept(&store, &apply, Generation(1)), Outcome::Accepted(Generation(1)));
+/// assert_eq!(accept(&store, &apply, &standing), Outcome::Accepted(Generation(1)));
 /// ```
 #[must_use]
-pub fn accept(store: &Store, apply: &Apply, floor: Generation) -> Outcome {
-    let Ok(stored) = load(store) else {
-        return Outcome::Unavailable;
-    };
-    if stored.head.generation < floor {
-        let reason = format!("store at {}, in force {floor}", stored.head.generation);
-        return Outcome::Refused(Fault::new(Code::StoreReverted, "", reason));
-    }
-    if let Some(done) = find(&stored.head, &apply.operation) {
-        return Outcome::Accepted(done);
-    }
-    let present = stored.head.generation;
+pub fn accept(store: &Store, apply: &Apply, standing: &Standing) -> Outcome {
+    if apply.operation.is_empty() || apply.operation.len() > MAX_OPERATION {
+        let reason = format!("{} bytes", apply.operation.len());
+        return Outcome::Refused(Fault::new(Code::BadOperation, "/operation", reason));
+    }
+    if let Some(outcome) = recall(&standing.configuration.history, apply) {
+        return outcome;
+    }
+    for _ in 0..ATTEMPTS {
+        let Ok(stored) = load(store) else {
+            return unavailable(apply);
+        };
+        let next = match judge(&stored, apply, standing) {
+            Judgement::Stands(generation) => return Outcome::Accepted(generation),
+            Judgement::Next(next) => next,
+            Judgement::Not(outcome) => match confirm(store, &stored) {
+                Ok(true) => return outcome,
+                Ok(false) => continue,
+                Err(_) => return unavailable(apply),
+            },
+        };
+        let head = head(&stored, &next);
+        let txn = transaction(&stored, &next, &head);
+        return match settle(store, &txn, &head) {
+            Settled::Committed(_) => Outcome::Accepted(next.generation()),
+            Settled::Beaten(present) => match recall(&present.history, apply) {
+                Some(outcome) => outcome,
+                // The store was restored, or the read was stale; judge again.
+                None if present.history.generation <= stored.head.history.generation => continue,
+                None if provable(&present.history, apply) => {
+                    Outcome::Conflict(present.history.generation)
+                }
+                None => Outcome::Forgotten(present.history.generation),
+            },
+            Settled::Unsent => unavailable(apply),
+            Settled::Unknown => Outcome::Unknown,
+        };
+    }
+    unavailable(apply)
+}
+
+/// A change that may have been attempted before may stand, although the store cannot tell now.
+fn unavailable(apply: &Apply) -> Outcome {
+    if apply.fresh {
+        Outcome::Unavailable
+    } else {
+        Outcome::Unknown
+    }
+}
+
+/// Finds an earlier attempt of the change.
+fn recall(history: &History, apply: &Apply) -> Option<Outcome> {
+    let done = history.find(&apply.operation)?;
+    if done.digest == digest(apply) {
+        return Some(Outcome::Accepted(done.generation));
+    }
+    let reason = format!("used at generation {}", done.generation);
+    let fault = Fault::new(Code::OperationReused, "/operation", reason);
+    Some(Outcome::Refused(fault))
+}
+
+/// Returns whether the history, which does not hold the change, proves that it was not accepted.
+fn provable(history: &History, apply: &Apply) -> bool {
+    let since = apply.since.max(apply.based_on.unwrap_or_default());
+    apply.fresh || history.reaches(since)
+}
+
+fn judge(stored: &Stored, apply: &Apply, standing: &Standing) -> Judgement {
+    let history = &stored.head.history;
+    let present = history.generation;
+    if let Some(fault) = lost(stored, standing) {
+        // The newest history known here stands in for the store's.
+        let own = &standing.configuration.history;
+        let known = standing.heard && standing.is_newest() && provable(own, apply);
+        return Judgement::Not(without_store(fault, known, apply));
+    }
+    match recall(history, apply) {
+        Some(Outcome::Accepted(generation)) => return Judgement::Stands(generation),
+        Some(outcome) => return Judgement::Not(outcome),
+        None if !provable(history, apply) => return Judgement::Not(Outcome::Forgotten(present)),
+        None => {}
+    }
+    if !standing.heard {
+        // The store may have lost the change, and somebody who is silent may have it in force.
+        let fault = Fault::new(Code::PeersUnheard, "", "");
+        return Judgement::Not(without_store(fault, false, apply));
+    }
     if apply.based_on.is_some_and(|based_on| based_on != present) {
-        return Outcome::Conflict(present);
-    }
-    let next = match stored
-        .configuration
-        .with(&apply.documents, &apply.deletions)
-    {
-        Ok(next) => next,
-        Err(fault) => return Outcome::Refused(fault),
-    };
-    let txn = transaction(&stored, &next, &apply.operation);
-    match store.txn(&txn) {
-        Ok(reply) if reply.committed => Outcome::Accepted(next.generation),
-        Ok(_) => resolve(store, &apply.operation, Some(present)),
-        Err(StoreError::AnswerLost { .. }) => resolve(store, &apply.operation, None),
-        Err(_) => Outcome::Unavailable,
+        return Judgement::Not(Outcome::Conflict(present));
+    }
+    let next = stored.configuration.applied(apply, &standing.lineage);
+    match next.and_then(|next| fits(stored, next)) {
+        Ok(next) => Judgement::Next(Box::new(next)),
+        Err(fault) => Judgement::Not(Outcome::Refused(fault)),
     }
 }
 
-fn transaction(stored: &Stored, next: &Configuration, operation: &str) -> Txn {
-    let mut head = stored.head.clone();
-    if head.lineage.is_empty() {
-        operation.clone_into(&mut head.lineage);
-    }
-    head.generation = next.generation;
-    head.operations
-        .push((operation.to_owned(), next.generation));
-    let surplus = head.operations.len().saturating_sub(KEPT_OPERATIONS);
-    head.operations.drain(..surplus);
-    let mut txn = Txn::default().unchanged(HEAD, stored.modified);
-    txn = txn.put(HEAD, to_json(&head));
-    for (key, entry) in next.changes_since(stored.head.generation).entries {
-        txn = txn.put(format!("{DOCUMENTS}{key}"), to_json(&entry));
+/// Refuses a change that is known not to stand anywhere.
+fn without_store(fault: Fault, known: bool, apply: &Apply) -> Outcome {
+    if known || apply.fresh {
+        Outcome::Refused(fault)
+    } else {
+        Outcome::Unknown
     }
-    txn
 }
 
-fn to_json(value: &impl Serialize) -> Vec<u8> {
-    serde_json::to_vec(value).expect("value is serialisable")
+/// Returns why the store may have lost what is in force somewhere.
+fn lost(stored: &Stored, standing: &Standing) -> Option<Fault> {
+    if let Some(repair) = &stored.head.repair {
+        let reason = format!("repair {repair} is not finished");
+        return Some(Fault::new(Code::StoreReverted, "", reason));
+    }
+    let history = &stored.head.history;
+    standing.marks().find_map(|mark| {
+        let code = match history.relation(&mark) {
+            Relation::Same | Relation::Newer => return None,
+            Relation::Older => Code::StoreReverted,
+            Relation::Forked | Relation::Foreign => Code::StoreForked,
+        };
+        let reason = format!(
+            "store at {} of {:?}, in force {} of {:?}",
+            history.generation, history.lineage, mark.generation, mark.lineage
+        );
+        Some(Fault::new(code, "", reason))
+    })
+}
+
+fn fits(stored: &Stored, next: Configuration) -> Result<Configuration, Fault> {
+    let mut bytes = 0;
+    let mut count = 0;
+    for (key, entry) in &next.entries {
+        if entry.generation != next.generation() {
+            continue;
+        }
+        let size = to_json(entry).len();
+        if size > MAX_BYTES {
+            let reason = format!("{key} takes {size} bytes in the store");
+            return Err(Fault::new(Code::DocumentTooLarge, "", reason));
+        }
+        bytes += size;
+        count += 1;
+    }
+    bytes += to_json(&head(stored, &next)).len();
+    if count > MAX_CHANGES || bytes > MAX_BYTES {
+        let reason = format!(
+            "{count} documents of {bytes} bytes; at most {MAX_CHANGES} of {MAX_BYTES} bytes"
+        );
+        return Err(Fault::new(Code::ChangeTooLarge, "/documents", reason));
+    }
+    Ok(next)
 }
 
-fn find(head: &Head, operation: &str) -> Option<Generation> {
-    let mut operations = head.operations.iter();
-    operations
-        .find(|done| done.0 == operation)
-        .map(|done| done.1)
+/// Returns the head that describes a configuration.
+pub(crate) fn head(stored: &Stored, next: &Configuration) -> Head {
+    Head {
+        history: next.history.clone(),
+        purged: next.purged,
+        sum: next.sum(),
+        repair: None,
+        other: stored.head.other.clone(),
+    }
 }
 
-/// Finds out whether an operation took effect, after a lost answer or a lost race.
-fn resolve(store: &Store, operation: &str, raced: Option<Generation>) -> Outcome {
-    match load(store) {
-        Ok(stored) => match find(&stored.head, operation) {
-            Some(done) => Outcome::Accepted(done),
-            None if raced.is_some() => Outcome::Conflict(stored.head.generation),
-            // The write can still arrive after this read, so "refused" would be a guess.
-            None => Outcome::Unknown,
-        },
-        Err(_) if raced.is_some() => Outcome::Conflict(raced.unwrap_or_default()),
-        Err(_) => Outcome::Unknown,
+fn transaction(stored: &Stored, next: &Configuration, head: &Head) -> Txn {
+    let mut txn = Txn::default()
+        .unchanged(HEAD, stored.modified)
+        .put(HEAD, to_json(head));
+    for (key, entry) in &next.entries {
+        if entry.generation == next.generation() {
+            txn = txn.put(document_key(key), to_json(entry));
+        }
     }
+    let entries = stored.configuration.entries.keys();
+    for key in entries.filter(|key| !next.entries.contains_key(*key)) {
+        txn = txn.delete(document_key(key));
+    }
+    txn
 }
--- a/crates/nutmegcart_config/src/configuration.rs
+++ b/crates/nutmegcart_config/src/configuration.rs
@@ -1,4 +1,7 @@
 //! A configuration: documents with the generation that last changed each.
+//!
+//! A deletion is kept as an entry without document, so that it reaches instances that are behind.
+//! The oldest deletions are purged; instances further behind then receive the whole configuration.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -9,9 +12,18 @@
 use nutmegcart_model::record::Fault;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::accept::Apply;
+use crate::history::History;
+use crate::history::digest;
 use crate::view::View;
 
+/// Deletions kept; about a day's worth at 2,500 changes a day of which a tenth deletes.
+const KEPT_DELETIONS: usize = 256;
+/// Keys that one transaction may write beside the head.
+const MAX_WRITTEN: usize = 126;
+
 /// Result of checking a configuration.
 pub type Result<T> = std::result::Result<T, Fault>;
 
@@ -33,6 +45,14 @@
 #[serde(transparent)]
 pub struct Generation(pub u64);
 
+impl Generation {
+    /// Returns the generation after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// A document, or its deletion, with the generation that made it so.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -45,10 +65,11 @@
 /// All documents at one generation.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
-    /// Identifies the store's history; empty before the first acceptance.
-    pub lineage: String,
-    /// Present generation.
-    pub generation: Generation,
+    /// Lineage, generation and the latest operations.
+    pub history: History,
+    /// Generation of the latest deletion that was purged.
+    #[serde(default)]
+    pub purged: Generation,
     /// Documents and deletions by `<kind>/<name>`.
     pub entries: BTreeMap<String, Entry>,
 }
@@ -56,26 +77,46 @@
 /// What changed between two generations of one lineage.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Changes {
-    /// Lineage of both generations.
-    pub lineage: String,
     /// Generation that the changes start from.
     pub from: Generation,
-    /// Generation after the changes.
-    pub to: Generation,
+    /// Whether the entries are all there are, and replace what the receiver has.
+    pub whole: bool,
+    /// History after the changes; operations up to `from` may be left out but for the last.
+    pub history: History,
+    /// Generation of the latest deletion that was purged.
+    #[serde(default)]
+    pub purged: Generation,
+    /// [`Configuration::sum`] after the changes.
+    pub sum: u64,
     /// Changed documents and deletions by `<kind>/<name>`.
     pub entries: BTreeMap<String, Entry>,
 }
 
 impl Configuration {
-    /// Returns the configuration with the documents written and the names deleted, at the next
-    /// generation.
+    /// Returns the present generation.
+    #[must_use]
+    pub fn generation(&self) -> Generation {
+        self.history.generation
+    }
+
+    /// Returns the configuration with the documents written and the names deleted, by an
+    /// operation that makes the next generation.
     ///
     /// # Errors
     ///
-    /// Refuses a name used twice in the change, and results whose references do not hold.
-    pub fn with(&self, documents: &[Document], deletions: &[String]) -> Result<Self> {
+    /// Refuses a name used twice in the change, the deletion of something that does not exist or
+    /// is still referred to, and results whose references do not hold.
+    ///
+    /// ```
+    /// # use nutmegcart_config::{Apply, Configuration};
+    /// let apply = Apply { operation: "op-1".into(), ..Apply::default() };
+    /// let next = Configuration::default().applied(&apply, "lineage").unwrap();
+    /// assert_eq!(next.generation().0, 1);
+    /// ```
+    pub fn applied(&self, apply: &Apply, lineage: &str) -> Result<Self> {
+        let (documents, deletions) = (&apply.documents, &apply.deletions);
         let mut next = self.clone();
-        next.generation = Generation(self.generation.0 + 1);
+        next.history.push(&apply.operation, digest(apply), lineage);
         let mut named = BTreeSet::new();
         for document in documents {
             let key = document.key();
@@ -96,12 +137,75 @@
             }
             next.write(key.clone(), None);
         }
-        View::build(&next)?;
+        let view = View::assemble(&next)?;
+        if let Some(dangling) = view.dangling() {
+            return Err(if deletions.contains(&dangling.key) {
+                let reason = format!("{} refers to {}", dangling.referrer, dangling.key);
+                Fault::new(Code::StillReferenced, "/delete", reason)
+            } else {
+                dangling.into()
+            });
+        }
+        next.purge(MAX_WRITTEN.saturating_sub(documents.len() + deletions.len()));
         Ok(next)
     }
 
+    /// Returns the configuration with the documents written and the names deleted, by an
+    /// operation without identifier, for checks outside of acceptance.
+    ///
+    /// # Errors
+    ///
+    /// Refuses what [`Configuration::applied`] refuses.
+    pub fn with(&self, documents: &[Document], deletions: &[String]) -> Result<Self> {
+        let apply = Apply {
+            documents: documents.to_vec(),
+            deletions: deletions.to_vec(),
+            ..Apply::default()
+        };
+        self.applied(&apply, "")
+    }
+
+    /// Forgets the oldest deletions, so that the store and the instances do not fill up with them.
+    ///
+    /// All deletions of a generation are purged together, up to a number of keys.
+    fn purge(&mut self, most: usize) {
+        let mut deletions: BTreeMap<Generation, Vec<String>> = BTreeMap::new();
+        let mut kept = 0;
+        for (key, entry) in &self.entries {
+            if entry.document.is_none() {
+                let keys = deletions.entry(entry.generation).or_default();
+                keys.push(key.clone());
+                kept += 1;
+            }
+        }
+        let mut purged = 0;
+        for (generation, keys) in deletions {
+            purged += keys.len();
+            if kept <= KEPT_DELETIONS || purged > most {
+                return;
+            }
+            kept -= keys.len();
+            for key in keys {
+                self.entries.remove(&key);
+            }
+            self.purged = generation;
+        }
+    }
+
+    /// Returns a sum over all keys with their generations, by which a receiver of changes sees
+    /// that some are missing.
+    #[must_use]
+    pub fn sum(&self) -> u64 {
+        let entries = self.entries.iter();
+        entries.fold(0, |sum, (key, entry)| {
+            let mut bytes = entry.generation.0.to_le_bytes().to_vec();
+            bytes.extend(key.as_bytes());
+            sum ^ xxh3_64(&bytes)
+        })
+    }
+
     fn write(&mut self, key: String, document: Option<Document>) {
-        let generation = self.generation;
+        let generation = self.generation();
         self.entries.insert(
             key,
             Entry {
@@ -132,31 +236,46 @@
     /// ```
     #[must_use]
     pub fn changes_since(&self, from: Generation) -> Changes {
+        let whole = from.0 == 0 || from < self.purged;
+        let entries = self.entries.iter();
+        let entries = entries.filter(|(_, entry)| whole || entry.generation > from);
+        let mut history = self.history.clone();
+        if !whole {
+            // The operation at the receiver's generation tells it that the histories agree.
+            history
+                .operations
+                .retain(|operation| operation.generation >= from);
+        }
         Changes {
-            lineage: self.lineage.clone(),
             from,
-            to: self.generation,
-            entries: self
-                .entries
-                .iter()
-                .filter(|(_, entry)| entry.generation > from)
+            whole,
+            history,
+            purged: self.purged,
+            sum: self.sum(),
+            entries: entries
                 .map(|(key, entry)| (key.clone(), entry.clone()))
                 .collect(),
         }
     }
 
-    /// Returns the configuration after the changes, or none if they start later than it ends or
-    /// belong to another lineage.
+    /// Returns the configuration after the changes, or none if some are missing.
     #[must_use]
     pub fn after(&self, changes: &Changes) -> Option<Self> {
-        let same = self.lineage.is_empty() || self.lineage == changes.lineage;
-        if !same || changes.from > self.generation {
+        let missing = changes.from > self.generation() || changes.purged > self.generation();
+        if !changes.whole && missing {
             return None;
         }
         let mut next = self.clone();
-        next.lineage.clone_from(&changes.lineage);
-        next.generation = changes.to;
+        if changes.whole {
+            next.entries.clear();
+        }
         next.entries.extend(changes.entries.clone());
-        Some(next)
+        if next.purged < changes.purged {
+            next.purged = changes.purged;
+            let kept = |entry: &Entry| entry.document.is_some() || entry.generation > next.purged;
+            next.entries.retain(|_, entry| kept(entry));
+        }
+        next.history = self.history.joined(&changes.history);
+        (next.sum() == changes.sum).then_some(next)
     }
 }
--- a/crates/nutmegcart_config/src/in_force.rs
+++ b/crates/nutmegcart_config/src/in_force.rs
@@ -8,6 +8,8 @@
 
 use crate::configuration::Changes;
 use crate::configuration::Configuration;
+use crate::history::History;
+use crate::history::Relation;
 use crate::view::View;
 
 /// A configuration with its typed view.
@@ -28,8 +30,12 @@
     Same,
     /// It is older, or of another lineage, and was refused.
     Older,
-    /// The changes start later than the configuration in force, so more are needed.
+    /// Its history has another configuration at the generation in force, and it was refused.
+    Forked,
+    /// Changes are missing, so the whole configuration is needed.
     Gap,
+    /// The store is being repaired and holds no configuration to adopt.
+    Repairing,
     /// It cannot be read by this version and was refused.
     Unreadable,
 }
@@ -38,7 +44,7 @@
 ///
 /// ```
 /// # use nutmegcart_config::InForce;
-/// assert_eq!(InForce::default().get().configuration.generation.0, 0);
+/// assert_eq!(InForce::default().get().configuration.generation().0, 0);
 /// ```
 #[derive(Default)]
 pub struct InForce {
@@ -56,26 +62,16 @@
     pub fn offer(&self, configuration: Configuration, source: &str) -> Offer {
         let mut loaded = self.loaded.write();
         let present = &loaded.configuration;
-        let known = !present.lineage.is_empty();
-        let foreign = known && present.lineage != configuration.lineage;
-        if foreign || configuration.generation < present.generation {
-            log_event!(
-                Event::ConfigOlderRefused,
-                source = source,
-                offered = configuration.generation,
-                generation = present.generation,
-            );
-            return Offer::Older;
-        }
-        if configuration.generation == present.generation {
-            return Offer::Same;
+        let fate = judge(&present.history, &configuration.history, source);
+        if let Some(refused) = fate {
+            return refused;
         }
         match View::build(&configuration) {
             Ok(view) => {
                 log_event!(
                     Event::ConfigInForce,
                     source = source,
-                    generation = configuration.generation,
+                    generation = configuration.generation(),
                 );
                 *loaded = Arc::new(Loaded {
                     configuration,
@@ -93,15 +89,38 @@
     /// Offers the changes since an earlier generation.
     pub fn offer_changes(&self, changes: &Changes, source: &str) -> Offer {
         let present = self.get();
-        if changes.from > present.configuration.generation {
-            return Offer::Gap;
-        }
-        if changes.to < present.configuration.generation {
-            return Offer::Older;
+        let fate = judge(&present.configuration.history, &changes.history, source);
+        if let Some(refused) = fate {
+            return refused;
         }
-        match present.configuration.after(changes) {
-            Some(next) => self.offer(next, source),
-            None => Offer::Older,
+        if let Some(next) = present.configuration.after(changes) {
+            return self.offer(next, source);
         }
+        log_event!(
+            Event::ConfigGap,
+            source = source,
+            from = changes.from,
+            generation = present.configuration.generation(),
+        );
+        Offer::Gap
     }
 }
+
+/// Returns why a history is not adopted, or none if it is newer than the present one.
+fn judge(present: &History, offered: &History, source: &str) -> Option<Offer> {
+    let mark = present.mark();
+    let (event, offer) = match offered.relation(&mark) {
+        Relation::Newer => return None,
+        Relation::Same => return Some(Offer::Same),
+        Relation::Older | Relation::Foreign => (Event::ConfigOlderRefused, Offer::Older),
+        Relation::Forked => (Event::ConfigForked, Offer::Forked),
+    };
+    log_event!(
+        event,
+        source = source,
+        offered = offered.generation,
+        generation = mark.generation,
+        lineage = offered.lineage,
+    );
+    Some(offer)
+}
--- a/crates/nutmegcart_config/src/view.rs
+++ b/crates/nutmegcart_config/src/view.rs
@@ -15,6 +15,7 @@
 use nutmegcart_model::record::Pool;
 use nutmegcart_model::record::Team;
 use nutmegcart_model::record::Wave;
+use nutmegcart_model::schema;
 
 use crate::configuration::Configuration;
 
@@ -36,6 +37,24 @@
     pub teams: BTreeMap<TeamName, Team>,
 }
 
+/// A reference to a record that does not exist.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Dangling {
+    /// Key `<kind>/<name>` of the missing record.
+    pub key: String,
+    /// Key of the record that refers to it.
+    pub referrer: String,
+    /// JSON pointer of the reference within its document.
+    pub path: String,
+}
+
+impl From<Dangling> for Fault {
+    fn from(dangling: Dangling) -> Self {
+        let reason = format!("{} refers to missing {}", dangling.referrer, dangling.key);
+        Self::new(Code::MissingReference, dangling.path, reason)
+    }
+}
+
 impl View {
     /// Builds the view and checks references between records.
     ///
@@ -43,9 +62,27 @@
     ///
     /// Returns the first reference that does not hold.
     pub fn build(configuration: &Configuration) -> Result<Self> {
+        let view = Self::assemble(configuration)?;
+        match view.dangling() {
+            Some(dangling) => Err(dangling.into()),
+            None => Ok(view),
+        }
+    }
+
+    /// Builds the view without checking references.
+    ///
+    /// Documents of a kind that this version does not know are left out; they stay in the
+    /// configuration and are passed on.
+    ///
+    /// # Errors
+    ///
+    /// Refuses documents that cannot be read, and two records for one thing.
+    pub fn assemble(configuration: &Configuration) -> Result<Self> {
         let mut view = Self::default();
         for document in configuration.documents() {
-            view.insert(document.record()?)?;
+            if schema::knows_kind(document.kind()) {
+                view.insert(document.record()?)?;
+            }
         }
         view.check()?;
         Ok(view)
@@ -76,35 +113,41 @@
                 return Err(Fault::new(Code::DuplicateName, "/service", reason));
             }
         }
+        Ok(())
+    }
+
+    /// Returns the first reference that does not hold.
+    #[must_use]
+    pub fn dangling(&self) -> Option<Dangling> {
+        let missing = |kind, name: &str, referrer: String, path: &str| Dangling {
+            key: format!("{kind}/{name}"),
+            referrer,
+            path: path.to_owned(),
+        };
         for job in self.jobs.values() {
-            self.need_pool(&job.pool, "/pool", &format!("job {}", job.name))?;
-            let missing = job
-                .team
-                .as_ref()
-                .filter(|team| !self.teams.contains_key(*team));
-            if let Some(team) = missing {
-                let reason = format!("job {} refers to missing team {team}", job.name);
-                return Err(Fault::new(Code::MissingReference, "/team", reason));
+            let referrer = format!("job/{}", job.name);
+            if !self.pools.contains_key(&job.pool) {
+                return Some(missing("pool", &job.pool, referrer, "/pool"));
+            }
+            let mut teams = job.team.iter();
+            if let Some(team) = teams.find(|team| !self.teams.contains_key(*team)) {
+                return Some(missing("team", team, referrer, "/team"));
             }
         }
         for budget in self.budgets.values() {
-            self.need_pool(&budget.pool, "/pool", &format!("budget {}", budget.name))?;
+            if !self.pools.contains_key(&budget.pool) {
+                let referrer = format!("budget/{}", budget.name);
+                return Some(missing("pool", &budget.pool, referrer, "/pool"));
+            }
         }
         for wave in self.waves.values() {
-            for (index, pool) in wave.pools.iter().enumerate() {
-                let path = format!("/pools/{index}");
-                self.need_pool(pool, &path, &format!("wave {}", wave.name))?;
+            let mut pools = wave.pools.iter().enumerate();
+            if let Some((index, pool)) = pools.find(|(_, pool)| !self.pools.contains_key(*pool)) {
+                let referrer = format!("wave/{}", wave.name);
+                return Some(missing("pool", pool, referrer, &format!("/pools/{index}")));
             }
         }
-        Ok(())
-    }
-
-    fn need_pool(&self, pool: &PoolName, path: &str, referrer: &str) -> Result<()> {
-        if self.pools.contains_key(pool) {
-            return Ok(());
-        }
-        let reason = format!("{referrer} refers to missing pool {pool}");
-        Err(Fault::new(Code::MissingReference, path, reason))
+        None
     }
 
     /// Returns the pool that carries a service.
--- /dev/null
+++ b/crates/nutmegcart_config/tests/acceptance.rs
@@ -0,0 +1,292 @@
+//! Guards against changes that are lost, applied twice or answered untruthfully.
+
+mod common;
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use common::accepted;
+use common::apply;
+use common::change;
+use common::document;
+use common::pool;
+use common::refusal;
+use nutmegcart_config::Apply;
+use nutmegcart_config::Configuration;
+use nutmegcart_config::Generation;
+use nutmegcart_config::Outcome;
+use nutmegcart_config::Standing;
+use nutmegcart_config::accept;
+use nutmegcart_config::load;
+use nutmegcart_config::stored::HEAD;
+use nutmegcart_fakes::FaultyStore;
+use nutmegcart_model::Document;
+use nutmegcart_platform::Store;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+use nutmegcart_platform::store::Call;
+
+const FIRST: Outcome = Outcome::Accepted(Generation(1));
+
+fn generation(store: &FaultyStore) -> u64 {
+    load(&store.memory.store())
+        .unwrap()
+        .head
+        .history
+        .generation
+        .0
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_sending_the_transaction_again() {
+    let store = FaultyStore::default();
+    store.set_faults(|faults| faults.lose_answers = 1);
+    assert_eq!(apply(&store, &change("op", 1)), FIRST);
+    assert_eq!(generation(&store), 1);
+}
+
+#[test]
+fn a_lost_request_is_carried_out_once() {
+    let store = FaultyStore::default();
+    store.set_faults(|faults| faults.lose_requests = 2);
+    assert_eq!(apply(&store, &change("op", 1)), FIRST);
+    assert_eq!(generation(&store), 1);
+}
+
+#[test]
+fn an_unknown_change_is_resolved_by_repeating_it() {
+    let store = FaultyStore::default();
+    // Only the first copy is carried out; the store says so of none.
+    store.set_faults(|faults| faults.lose_answers = 3);
+    assert_eq!(apply(&store, &change("op", 1)), Outcome::Unknown);
+    assert_eq!(apply(&store, &change("op", 1)), FIRST);
+    assert_eq!(generation(&store), 1);
+}
+
+#[test]
+fn a_repeated_change_is_not_called_unavailable_during_an_outage() {
+    let (store, _) = accepted(1);
+    store.set_faults(|faults| faults.down = true);
+    assert_eq!(apply(&store, &change("op-1", 1)), Outcome::Unknown);
+    let fresh = Apply {
+        fresh: true,
+        ..change("op-2", 2)
+    };
+    assert_eq!(apply(&store, &fresh), Outcome::Unavailable);
+}
+
+#[test]
+fn a_stale_read_causes_neither_conflict_nor_refusal_of_a_standing_change() {
+    let store = FaultyStore::default();
+    store.set_stale(true);
+    let based = Apply {
+        based_on: Some(Generation(1)),
+        ..change("op-2", 2)
+    };
+    let deletion = Apply {
+        deletions: vec!["pool/a".into()],
+        operation: "op-3".into(),
+        ..Apply::default()
+    };
+    let fresh_reads = FaultyStore::over(store.memory.clone());
+    for change in [&change("op-1", 1), &based, &deletion] {
+        let outcome = apply(&fresh_reads, change);
+        assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+        // The stale reads show the empty store, where the change would conflict or be refused.
+        let again = apply(&store, change);
+        assert!(
+            !matches!(again, Outcome::Refused(_) | Outcome::Conflict(_)),
+            "{again:?}"
+        );
+    }
+}
+
+#[test]
+fn a_lost_race_is_a_conflict_only_if_the_store_says_so() {
+    let (racing, _) = accepted(1);
+    let memory = racing.memory.clone();
+    let other = racing.clone();
+    let raced = AtomicBool::new(false);
+    // Another attempt of the same operation wins between read and write; then reads fail.
+    let store = Store::new(move |call| {
+        let first = matches!(call, Call::Txn(_)) && !raced.swap(true, Ordering::Relaxed);
+        if first {
+            assert!(matches!(
+                apply(&other, &change("op-2", 2)),
+                Outcome::Accepted(_)
+            ));
+        }
+        match call {
+            Call::Range(_) if raced.load(Ordering::Relaxed) => {
+                let reason = "scripted".into();
+                Err(StoreError::Unreachable { reason })
+            }
+            call => memory.call(call),
+        }
+    });
+    let standing = Standing::alone("lineage");
+    let outcome = accept(&store, &change("op-2", 2), &standing);
+    assert_eq!(outcome, Outcome::Accepted(Generation(2)));
+}
+
+#[test]
+fn operators_that_race_get_one_acceptance_and_one_conflict() {
+    let (store, _) = accepted(1);
+    let based_on = Some(Generation(1));
+    let one = Apply {
+        based_on,
+        ..change("one", 2)
+    };
+    let two = Apply {
+        based_on,
+        ..change("two", 3)
+    };
+    assert_eq!(apply(&store, &one), Outcome::Accepted(Generation(2)));
+    assert_eq!(apply(&store, &two), Outcome::Conflict(Generation(2)));
+    assert_eq!(apply(&store, &one), Outcome::Accepted(Generation(2)));
+}
+
+#[test]
+fn a_change_repeated_after_more_changes_than_are_kept_is_not_applied_again() {
+    let (store, _) = accepted(66);
+    let outcome = apply(&store, &change("op-1", 1));
+    assert_eq!(outcome, Outcome::Forgotten(Generation(66)));
+    let based = Apply {
+        based_on: Some(Generation(1)),
+        ..change("op-2", 2)
+    };
+    assert_eq!(apply(&store, &based), Outcome::Forgotten(Generation(66)));
+    // A change whose first attempt is known to be later is accepted.
+    let later = Apply {
+        since: Generation(60),
+        ..change("new", 1)
+    };
+    assert_eq!(apply(&store, &later), Outcome::Accepted(Generation(67)));
+}
+
+#[test]
+fn the_head_keeps_the_last_64_operations_and_fields_of_newer_versions() {
+    let (store, _) = accepted(3);
+    let client = store.memory.store();
+    let mut head = serde_json::to_value(load(&client).unwrap().head).unwrap();
+    head["colour"] = "red".into();
+    let txn = Txn::default().put(HEAD, head.to_string().into_bytes());
+    client.txn(&txn).unwrap();
+    for index in 4..80 {
+        let since = Generation(index - 1);
+        apply(
+            &store,
+            &Apply {
+                since,
+                ..change(&format!("op-{index}"), index)
+            },
+        );
+    }
+    let head = load(&client).unwrap().head;
+    assert_eq!(head.history.operations.len(), 64);
+    assert_eq!(head.other["colour"], "red");
+}
+
+macro_rules! refused {
+    ($($name:ident: $apply:expr => $code:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let (store, _) = accepted(1);
+            let team = r#"{"schema":1,"kind":"team","name":"t","cpu":1,"memory":1}"#;
+            let job = r#"{"schema":2,"kind":"job","name":"j","pool":"a","team":"t","cpu":1,"memory":1}"#;
+            let base = Apply {
+                operation: "base".into(),
+                documents: vec![document(team), document(job)],
+                ..Apply::default()
+            };
+            assert_eq!(apply(&store, &base), Outcome::Accepted(Generation(2)));
+            assert_eq!(refusal(&apply(&store, &$apply)), $code);
+            assert_eq!(generation(&store), 2);
+        }
+    )*};
+}
+
+fn deleting(key: &str) -> Apply {
+    Apply {
+        operation: "op".into(),
+        deletions: vec![key.into()],
+        ..Apply::default()
+    }
+}
+
+fn writing(documents: Vec<Document>) -> Apply {
+    Apply {
+        operation: "op".into(),
+        documents,
+        ..Apply::default()
+    }
+}
+
+refused! {
+    refuses_an_empty_operation_which_would_start_no_lineage: change("", 1) => 2113;
+    refuses_an_operation_that_would_fill_the_head: change(&"x".repeat(65), 1) => 2113;
+    refuses_an_operation_used_for_another_change: change("op-1", 9) => 2114;
+    refuses_deleting_a_pool_that_a_job_refers_to: deleting("pool/a") => 2008;
+    refuses_deleting_a_team_that_a_job_refers_to: deleting("team/t") => 2008;
+    refuses_deleting_what_does_not_exist: deleting("pool/z") => 1406;
+    refuses_a_reference_to_what_does_not_exist: writing(vec![document(
+        r#"{"schema":1,"kind":"budget","name":"b","pool":"z","unavailable":1}"#)]) => 2007;
+    refuses_a_name_used_twice: writing(vec![pool("b", 1), pool("b", 2)]) => 2006;
+    refuses_more_documents_than_a_transaction_takes:
+        writing((0..101).map(|index| pool(&format!("p{index}"), 1)).collect()) => 2112;
+    refuses_a_document_that_exceeds_a_value_of_the_store: writing(vec![document(&format!(
+        r#"{{"schema":1,"kind":"pool","name":"b","service":"b","size":1,"x":"{}"}}"#,
+        "x".repeat(999_930)))]) => 2005;
+}
+
+#[test]
+fn deletions_are_purged_and_instances_far_behind_receive_the_whole() {
+    let store = FaultyStore::default();
+    let mut since = 0;
+    let mut next = |change: Apply| {
+        let change = Apply {
+            fresh: true,
+            operation: since.to_string(),
+            ..change
+        };
+        since += 1;
+        assert_eq!(apply(&store, &change), Outcome::Accepted(Generation(since)));
+    };
+    next(writing(vec![pool("kept", 1)]));
+    for _ in 0..4 {
+        let pools: Vec<Document> = (0..100)
+            .map(|index| pool(&format!("p{index}-{}", 0), 1))
+            .collect();
+        let keys = pools.iter().map(Document::key).collect();
+        next(writing(pools));
+        next(Apply {
+            deletions: keys,
+            ..Apply::default()
+        });
+    }
+    for index in 0..300 {
+        next(writing(vec![pool("gone", index)]));
+        next(Apply {
+            deletions: vec!["pool/gone".into()],
+            ..Apply::default()
+        });
+        next(writing(vec![pool(&format!("gone-{index}"), 1)]));
+        next(Apply {
+            deletions: vec![format!("pool/gone-{index}")],
+            ..Apply::default()
+        });
+    }
+    let client = store.memory.store();
+    let stored = load(&client).unwrap();
+    assert!(stored.configuration.entries.len() < 300);
+    assert_eq!(stored.head.sum, stored.configuration.sum());
+    assert!(stored.head.purged > Generation(1));
+    // Purged deletions would be missing from a difference, so the whole is sent.
+    let behind = Configuration::default()
+        .with(&[pool("p0-0", 1)], &[])
+        .unwrap();
+    let changes = stored.configuration.changes_since(behind.generation());
+    assert!(changes.whole);
+    let after = behind.after(&changes).unwrap();
+    assert_eq!(after.entries, stored.configuration.entries);
+}
--- /dev/null
+++ b/crates/nutmegcart_config/tests/common/mod.rs
@@ -0,0 +1,81 @@
+//! Short forms for tests of accepted configuration.
+#![allow(dead_code)]
+
+use std::sync::Arc;
+
+use nutmegcart_config::Apply;
+use nutmegcart_config::Generation;
+use nutmegcart_config::InForce;
+use nutmegcart_config::Outcome;
+use nutmegcart_config::Report;
+use nutmegcart_config::Standing;
+use nutmegcart_config::accept;
+use nutmegcart_config::load;
+use nutmegcart_fakes::FaultyStore;
+use nutmegcart_model::Document;
+
+/// Returns a pool document of a size.
+pub fn pool(name: &str, size: u64) -> Document {
+    document(&format!(
+        r#"{{"schema":1,"kind":"pool","name":"{name}","service":"{name}","size":{size}}}"#
+    ))
+}
+
+/// Parses a document.
+pub fn document(text: &str) -> Document {
+    Document::parse(text.as_bytes()).expect("document is valid")
+}
+
+/// Returns a change of one pool under an identifier that an operator chose.
+pub fn change(operation: &str, size: u64) -> Apply {
+    Apply {
+        operation: operation.into(),
+        documents: vec![pool("a", size)],
+        ..Apply::default()
+    }
+}
+
+/// Returns the standing of an instance that has the configuration in force and hears the others.
+pub fn standing(in_force: &InForce, others: &[Option<Report>]) -> Standing {
+    let loaded = in_force.get();
+    let own = Report {
+        mark: loaded.configuration.history.mark(),
+        established: true,
+    };
+    Standing::new(&loaded, &own, others).with_lineage("lineage")
+}
+
+/// Accepts a change as an instance that is alone.
+pub fn apply(store: &FaultyStore, apply: &Apply) -> Outcome {
+    accept(&store.store(), apply, &Standing::alone("lineage"))
+}
+
+/// Returns a store with the number of accepted changes, and an instance that has the last.
+pub fn accepted(changes: u64) -> (FaultyStore, Arc<InForce>) {
+    let store = FaultyStore::default();
+    for index in 1..=changes {
+        let change = Apply {
+            since: Generation(index - 1),
+            ..change(&format!("op-{index}"), index)
+        };
+        let outcome = apply(&store, &change);
+        assert_eq!(outcome, Outcome::Accepted(Generation(index)));
+    }
+    let in_force = Arc::new(InForce::default());
+    adopt(&store, &in_force);
+    (store, in_force)
+}
+
+/// Offers what the store holds.
+pub fn adopt(store: &FaultyStore, in_force: &InForce) {
+    let stored = load(&store.memory.store()).expect("the store answers");
+    in_force.offer(stored.configuration, "store");
+}
+
+/// Returns the number of a refusal.
+pub fn refusal(outcome: &Outcome) -> u16 {
+    match outcome {
+        Outcome::Refused(fault) => fault.code.number(),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_config/tests/simulation.rs
@@ -0,0 +1,455 @@
+//! Stateful fuzzing of acceptance, propagation and repair against a simple oracle.
+//!
+//! Guards against an accepted configuration that reverts, two configurations under one generation,
+//! operations that are applied twice, and refusals or conflicts that are said of standing changes.
+//!
+//! A backup is restored only when more than half of the instances have what the store holds, and
+//! an instance is replaced only while more than half of the others have caught up: section 5 of
+//! the design page states both as conditions.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use common::document;
+use nutmegcart_config::Apply;
+use nutmegcart_config::Configuration;
+use nutmegcart_config::Follower;
+use nutmegcart_config::Generation;
+use nutmegcart_config::InForce;
+use nutmegcart_config::Mark;
+use nutmegcart_config::Outcome;
+use nutmegcart_config::Repair;
+use nutmegcart_config::Report;
+use nutmegcart_config::Standing;
+use nutmegcart_config::accept;
+use nutmegcart_config::load;
+use nutmegcart_config::repair;
+use nutmegcart_config::standing::establish;
+use nutmegcart_fakes::FaultyStore;
+use nutmegcart_platform::memory::Backup;
+
+/// Entry instances of the deployment.
+const INSTANCES: usize = 5;
+/// Steps of one run, and bytes from which they are made.
+const STEPS: usize = 200;
+const MAX_INPUT: usize = 8192;
+/// Situations that must come up.
+const REACHED: [&str; 12] = [
+    "accepted",
+    "StillReferenced",
+    "StoreReverted",
+    "PeersUnheard",
+    "conflict",
+    "unavailable",
+    "unknown",
+    "repeated",
+    "replaced",
+    "restored",
+    "repaired",
+    "interrupted",
+];
+/// Documents that operators change.
+const NAMES: u8 = 4;
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    /// An operator asks an instance for a change of one document, perhaps on a stated basis.
+    Apply {
+        at: u8,
+        name: u8,
+        based: bool,
+        delete: bool,
+    },
+    /// An operator repeats an earlier change at an instance.
+    Repeat { at: u8, which: u8 },
+    /// An instance reads what changed in the store.
+    Follow { at: u8 },
+    /// Every instance reads the store and hears its neighbour.
+    Round,
+    /// An instance learns from another.
+    Pull { at: u8, from: u8 },
+    /// An instance is cut off from its peers, or reaches them again.
+    CutPeers { at: u8, odds: u8 },
+    /// An instance is cut off from the store, or reaches it again.
+    CutStore { at: u8, odds: u8 },
+    /// An instance is replaced by one that knows nothing.
+    Replace { at: u8 },
+    /// The store goes away or returns.
+    Outage { odds: u8 },
+    /// The next answers of the store are lost.
+    LoseAnswers { count: u8 },
+    /// The next calls to the store are lost.
+    LoseRequests { count: u8 },
+    /// Reads of the store are stale from now on, or no longer.
+    Stale { odds: u8 },
+    /// The store is backed up.
+    Backup,
+    /// The store is restored from the backup.
+    Restore,
+    /// An operator repairs the store from an instance.
+    Repair { at: u8 },
+}
+
+struct Instance {
+    in_force: InForce,
+    follower: Follower,
+    own: Report,
+    cut_peers: bool,
+    cut_store: bool,
+    /// The configuration that was in force when last looked.
+    last: Mark,
+}
+
+impl Instance {
+    fn new(store: &FaultyStore) -> Self {
+        Self {
+            in_force: InForce::default(),
+            follower: Follower::new(store.store()),
+            own: Report::default(),
+            cut_peers: false,
+            cut_store: false,
+            last: Mark::default(),
+        }
+    }
+}
+
+/// What must hold, kept without regard to how the system does it.
+#[derive(Default)]
+struct Oracle {
+    /// Every configuration ever in force or in the store, by lineage and generation.
+    seen: BTreeMap<(String, Generation), Configuration>,
+    /// Generation at which each operation was applied.
+    applied: BTreeMap<String, Generation>,
+}
+
+impl Oracle {
+    fn saw(&mut self, configuration: &Configuration) {
+        let history = &configuration.history;
+        let key = (history.lineage.clone(), history.generation);
+        let first = self
+            .seen
+            .entry(key)
+            .or_insert_with(|| configuration.clone());
+        assert_eq!(
+            first, configuration,
+            "two configurations under one generation"
+        );
+        for operation in &history.operations {
+            let first = self.applied.entry(operation.id.clone());
+            let first = first.or_insert(operation.generation);
+            assert_eq!(
+                *first, operation.generation,
+                "{} applied twice",
+                operation.id
+            );
+        }
+    }
+}
+
+struct World {
+    store: FaultyStore,
+    instances: Vec<Instance>,
+    oracle: Oracle,
+    changes: Vec<Apply>,
+    backup: Option<Backup>,
+    counts: BTreeMap<&'static str, u32>,
+}
+
+impl World {
+    fn new() -> Self {
+        let store = FaultyStore::default();
+        let instances = (0..INSTANCES).map(|_| Instance::new(&store)).collect();
+        Self {
+            store,
+            instances,
+            oracle: Oracle::default(),
+            changes: Vec::new(),
+            backup: None,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    /// Returns what the others last told an instance.
+    fn heard(&self, at: usize) -> Vec<Option<Report>> {
+        let others = self
+            .instances
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != at);
+        let cut = self.instances[at].cut_peers;
+        let heard = others.map(|(_, other)| (!cut && !other.cut_peers).then(|| other.own.clone()));
+        heard.collect()
+    }
+
+    /// Runs calls of an instance to the store under its own partition.
+    fn reaching<T>(&mut self, at: usize, run: impl FnOnce(&mut Self) -> T) -> T {
+        let down = self.store.faults().down;
+        let cut = self.instances[at].cut_store;
+        self.store.set_faults(|faults| faults.down = down || cut);
+        let result = run(self);
+        self.store.set_faults(|faults| faults.down = down);
+        result
+    }
+
+    fn standing(&self, at: usize) -> Standing {
+        let instance = &self.instances[at];
+        let others = self.heard(at);
+        let loaded = instance.in_force.get();
+        let lineage = format!("lineage-{}", self.changes.len());
+        Standing::new(&loaded, &instance.own, &others).with_lineage(lineage)
+    }
+
+    fn ask(&mut self, at: usize, apply: &Apply) {
+        let standing = self.standing(at);
+        let outcome = self.reaching(at, |world| accept(&world.store.store(), apply, &standing));
+        let present = load(&self.store.memory.store()).unwrap().configuration;
+        let id = &apply.operation;
+        self.count(match &outcome {
+            Outcome::Accepted(_) if apply.fresh => "accepted",
+            Outcome::Accepted(_) => "repeated",
+            Outcome::Refused(fault) => fault.code.label(),
+            Outcome::Conflict(_) => "conflict",
+            Outcome::Unavailable => "unavailable",
+            Outcome::Unknown => "unknown",
+            Outcome::Forgotten(_) => "forgotten",
+        });
+        match outcome {
+            Outcome::Accepted(generation) => {
+                let applied = self.oracle.applied.get(id).copied();
+                let stands = present.history.find(id).map(|done| done.generation);
+                assert_eq!(
+                    Some(generation),
+                    applied.or(stands),
+                    "{id} accepted untruthfully"
+                );
+                self.follow(at);
+            }
+            Outcome::Refused(_) | Outcome::Conflict(_) | Outcome::Unavailable => {
+                let instances = self
+                    .instances
+                    .iter()
+                    .map(|instance| instance.in_force.get());
+                let mut histories: Vec<_> = instances
+                    .map(|loaded| loaded.configuration.history.clone())
+                    .collect();
+                histories.push(present.history);
+                let stands = histories.iter().any(|history| history.find(id).is_some());
+                assert!(!stands, "{id} stands but the answer was {outcome:?}");
+            }
+            Outcome::Unknown | Outcome::Forgotten(_) => {}
+        }
+    }
+
+    fn follow(&mut self, at: usize) {
+        self.reaching(at, |world| {
+            let instance = &mut world.instances[at];
+            let _ = instance.follower.step(&instance.in_force, Duration::ZERO);
+        });
+    }
+
+    fn pull(&mut self, at: usize, from: usize) {
+        let (to, source) = (&self.instances[at], &self.instances[from]);
+        if to.cut_peers || source.cut_peers {
+            return;
+        }
+        let generation = to.in_force.get().configuration.generation();
+        let changes = source
+            .in_force
+            .get()
+            .configuration
+            .changes_since(generation);
+        to.in_force.offer_changes(&changes, "peer");
+    }
+
+    fn step(&mut self, step: Step) {
+        let index = |at: u8| usize::from(at) % INSTANCES;
+        // Three in four steps end a fault, so that most of the time something is possible.
+        let fault = |odds: u8| odds.is_multiple_of(4);
+        match step {
+            Step::Apply {
+                at,
+                name,
+                based,
+                delete,
+            } => {
+                let apply = self.change(index(at), name % NAMES, based, delete);
+                self.changes.push(apply.clone());
+                self.ask(index(at), &apply);
+            }
+            Step::Repeat { at, which } => {
+                if let Some(apply) = self
+                    .changes
+                    .iter()
+                    .rev()
+                    .nth(usize::from(which % 8))
+                    .cloned()
+                {
+                    let repeated = Apply {
+                        fresh: false,
+                        ..apply
+                    };
+                    self.ask(index(at), &repeated);
+                }
+            }
+            Step::Follow { at } => self.follow(index(at)),
+            Step::Round => {
+                for at in 0..INSTANCES {
+                    self.follow(at);
+                    self.pull(at, (at + 1) % INSTANCES);
+                }
+            }
+            Step::Pull { at, from } => self.pull(index(at), index(from)),
+            Step::CutPeers { at, odds } => self.instances[index(at)].cut_peers = fault(odds),
+            Step::CutStore { at, odds } => self.instances[index(at)].cut_store = fault(odds),
+            Step::Replace { at } => self.replace(index(at)),
+            Step::Outage { odds } => self.store.set_faults(|faults| faults.down = fault(odds)),
+            Step::LoseAnswers { count } => {
+                self.store
+                    .set_faults(|faults| faults.lose_answers = u32::from(count % 4));
+            }
+            Step::LoseRequests { count } => {
+                self.store
+                    .set_faults(|faults| faults.lose_requests = u32::from(count % 4));
+            }
+            Step::Stale { odds } => self.store.set_stale(fault(odds)),
+            Step::Backup => self.backup = Some(self.store.memory.backup()),
+            Step::Restore => self.restore(),
+            Step::Repair { at } => {
+                let standing = self.standing(index(at));
+                let request = Repair {
+                    operation: format!("repair-{}", self.changes.len()),
+                    discard: false,
+                };
+                let outcome = self.reaching(index(at), |world| {
+                    repair(&world.store.store(), &request, &standing)
+                });
+                let stored = load(&self.store.memory.store()).unwrap();
+                if matches!(outcome, Outcome::Accepted(_)) {
+                    self.count("repaired");
+                } else if stored.head.repair.is_some() {
+                    self.count("interrupted");
+                }
+            }
+        }
+        self.check();
+    }
+
+    fn change(&self, at: usize, name: u8, based: bool, delete: bool) -> Apply {
+        let serial = self.changes.len();
+        let generation = self.instances[at].in_force.get().configuration.generation();
+        // Versions are mixed, and fields are unknown to both.
+        let version = 1 + serial % 2;
+        let text = match name {
+            0 => format!(
+                r#"{{"schema":1,"kind":"budget","name":"p0","pool":"p1","unavailable":{serial}}}"#
+            ),
+            _ => format!(
+                r#"{{"schema":{version},"kind":"pool","name":"p{name}","service":"p{name}","size":{serial},"new":1}}"#
+            ),
+        };
+        let kind = if name == 0 { "budget" } else { "pool" };
+        Apply {
+            operation: format!("op-{serial}"),
+            documents: if delete {
+                Vec::new()
+            } else {
+                vec![document(&text)]
+            },
+            deletions: delete
+                .then(|| format!("{kind}/p{name}"))
+                .into_iter()
+                .collect(),
+            based_on: based.then_some(generation),
+            since: Generation(0),
+            fresh: true,
+        }
+    }
+
+    fn replace(&mut self, at: usize) {
+        let others = self
+            .instances
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != at);
+        let known = others.filter(|(_, other)| other.own.established).count();
+        if known * 2 > INSTANCES {
+            self.instances[at] = Instance::new(&self.store);
+            self.count("replaced");
+        }
+    }
+
+    fn restore(&mut self) {
+        let Some(backup) = self.backup.clone() else {
+            return;
+        };
+        let present = load(&self.store.memory.store())
+            .unwrap()
+            .head
+            .history
+            .mark();
+        let have = |instance: &&Instance| {
+            instance.own.established && instance.own.mark.generation >= present.generation
+        };
+        if self.instances.iter().filter(have).count() * 2 > INSTANCES {
+            self.store.memory.restore(&backup);
+            self.count("restored");
+        }
+    }
+
+    fn check(&mut self) {
+        let stored = load(&self.store.memory.store()).unwrap();
+        if stored.head.repair.is_none() {
+            self.oracle.saw(&stored.configuration);
+        }
+        for at in 0..INSTANCES {
+            let others = self.heard(at);
+            let instance = &mut self.instances[at];
+            let configuration = &instance.in_force.get().configuration;
+            let mark = configuration.history.mark();
+            let last = &instance.last;
+            assert!(
+                mark.generation >= last.generation,
+                "{last:?} reverted to {mark:?}"
+            );
+            let same = last.lineage.is_empty() || last.lineage == mark.lineage;
+            assert!(same, "{last:?} replaced by {mark:?}");
+            instance.last = mark.clone();
+            instance.own.mark = mark;
+            instance.own.established = establish(&instance.own, &others);
+            self.oracle.saw(configuration);
+        }
+    }
+}
+
+#[test]
+fn configurations_never_revert_fork_or_repeat() {
+    let counts: Mutex<BTreeMap<&str, u32>> = Mutex::default();
+    bolero::check!()
+        .with_generator(bolero::produce::<Vec<Step>>().with().len(0..STEPS))
+        .with_max_len(MAX_INPUT)
+        .for_each(|steps| {
+            let mut world = World::new();
+            for &step in steps {
+                world.step(step);
+            }
+            for (what, count) in world.counts {
+                *counts.lock().unwrap().entry(what).or_default() += count;
+            }
+        });
+    let counts = counts.into_inner().unwrap();
+    // Every situation that the test is about must have come up.
+    for what in REACHED {
+        assert!(
+            counts.contains_key(what),
+            "{what} never came up: {counts:?}"
+        );
+    }
+}
--- a/crates/nutmegcart_fakes/src/store_faults.rs
+++ b/crates/nutmegcart_fakes/src/store_faults.rs
@@ -84,6 +84,15 @@
 }
 
 impl FaultyStore {
+    /// Wraps contents that others reach by other ways.
+    #[must_use]
+    pub fn over(memory: MemoryStore) -> Self {
+        Self {
+            memory,
+            ..Self::default()
+        }
+    }
+
     /// Returns the calling interface.
     #[must_use]
     pub fn store(&self) -> Store {
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -115,6 +115,13 @@
     StoreUnavailable = 2102, NotRun, 503, "the platform's store does not answer; nothing was changed";
     ApplyUnknown = 2103, Unknown, 503, "the store's answer was lost; repeat the call with the same operation identifier";
     StoreReverted = 2104, NotRun, 503, "the store holds an older configuration than the one in force";
+    StoreForked = 2110, NotRun, 503, "the store holds another history than the one in force";
+    PeersUnheard = 2111, NotRun, 503, "too few entry instances were heard to tell whether the store lost changes";
+    ChangeTooLarge = 2112, Invalid, 413, "the change does not fit one transaction of the store; split it";
+    BadOperation = 2113, Invalid, 400, "the operation identifier is empty or longer than 64 bytes";
+    OperationReused = 2114, Invalid, 422, "the operation identifier was used for another change";
+    OperationForgotten = 2115, Unknown, 409, "too many changes since the first attempt; read the records to see whether it was accepted";
+    NothingToRepair = 2116, Invalid, 409, "the store is not behind the configuration in force";
     WaveNotFound = 3001, Invalid, 404, "there is no such wave";
     WavePastDeadline = 3002, Invalid, 409, "the wave cannot finish before its deadline";
     NotInPool = 3003, Invalid, 404, "the instance is in no pool";
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -55,6 +55,9 @@
     ConfigOlderRefused = 302, Error, "older configuration refused";
     ConfigConflict = 303, Warn, "racing configuration change refused";
     ConfigInvalid = 304, Error, "configuration from the store or a peer cannot be read";
+    ConfigForked = 310, Error, "configuration of a forked history refused";
+    ConfigGap = 311, Warn, "changes to the configuration are missing; the whole is read";
+    StoreRepaired = 312, Warn, "the store's configuration was repaired from an entry instance";
     DutyTaken = 400, Info, "duty for the data centre taken";
     DutyLost = 401, Warn, "duty for the data centre lost";
     WaveStep = 410, Info, "instance taken out for maintenance";
