--- a/crates/nutmegcart_config/src/follow.rs
+++ b/crates/nutmegcart_config/src/follow.rs
@@ -41,6 +41,12 @@
         }
     }
 
+    /// Returns the revision of the latest read; zero before the first.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Waits until the head is written or the time is over, then reads what changed.
     ///
     /// # Errors
@@ -69,6 +75,8 @@
             return self.read_all(in_force);
         }
         let Some((head, changes)) = written else {
+            // Documents are written only together with the head, or behind a marked one.
+            self.revision = revision;
             return Ok(Offer::Same);
         };
         if head.repair.is_some() {
--- a/crates/nutmegcart_config/tests/reverted_store.rs
+++ b/crates/nutmegcart_config/tests/reverted_store.rs
@@ -323,3 +323,31 @@
     assert_eq!(colour, "red");
     assert_ne!(report(&started).mark, Mark::default());
 }
+
+#[test]
+fn a_follower_reports_a_restored_store_although_nothing_was_written_since() {
+    let (store, _) = accepted(1);
+    let backup = store.memory.backup();
+    apply(&store, &change("op-2", 2));
+    let in_force = InForce::default();
+    let mut follower = Follower::new(store.store());
+    assert_eq!(follower.read(&in_force).unwrap(), Offer::Adopted);
+    store.memory.restore(&backup);
+    assert_eq!(
+        follower.step(&in_force, Duration::ZERO).unwrap(),
+        Offer::Older
+    );
+}
+
+#[test]
+fn another_lineage_is_refused_although_its_operations_have_the_same_names() {
+    let (_, in_force) = accepted(2);
+    let store = FaultyStore::default();
+    for index in 1..=3 {
+        let change = change(&format!("op-{index}"), index);
+        let outcome = accept(&store.store(), &change, &Standing::alone("other"));
+        assert_eq!(outcome, Outcome::Accepted(Generation(index)));
+    }
+    let other = load(&store.store()).unwrap().configuration;
+    assert_eq!(in_force.offer(other, "store"), Offer::Older);
+}
--- a/crates/nutmegcart_config/tests/simulation.rs
+++ b/crates/nutmegcart_config/tests/simulation.rs
@@ -10,7 +10,6 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use bolero::TypeGenerator;
@@ -34,9 +33,9 @@
 
 /// Entry instances of the deployment.
 const INSTANCES: usize = 5;
-/// Steps of one run, and bytes from which they are made.
+/// Runs, and the bound of steps of each.
+const RUNS: u64 = 1000;
 const STEPS: usize = 200;
-const MAX_INPUT: usize = 8192;
 /// Situations that must come up.
 const REACHED: [&str; 12] = [
     "accepted",
@@ -431,20 +430,17 @@
 
 #[test]
 fn configurations_never_revert_fork_or_repeat() {
-    let counts: Mutex<BTreeMap<&str, u32>> = Mutex::default();
-    bolero::check!()
-        .with_generator(bolero::produce::<Vec<Step>>().with().len(0..STEPS))
-        .with_max_len(MAX_INPUT)
-        .for_each(|steps| {
-            let mut world = World::new();
-            for &step in steps {
-                world.step(step);
-            }
-            for (what, count) in world.counts {
-                *counts.lock().unwrap().entry(what).or_default() += count;
-            }
-        });
-    let counts = counts.into_inner().unwrap();
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    let generator = bolero::produce::<Vec<Step>>().with().len(0..STEPS);
+    nutmegcart_fuzz::for_each(RUNS, &generator, |steps| {
+        let mut world = World::new();
+        for &step in steps {
+            world.step(step);
+        }
+        for (what, count) in world.counts {
+            *counts.entry(what).or_default() += count;
+        }
+    });
     // Every situation that the test is about must have come up.
     for what in REACHED {
         assert!(
--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -3,8 +3,10 @@
 //! * [`Platform`]: store, instance list, drain and reboot, over HTTP on loopback;
 //! * [`FaultyStore`]: the store in memory with the platform's rates and scripted faults;
 //! * [`Runner`]: a backend server with slots that can fail in scripted ways;
+//! * [`Link`]: a TCP relay that can be cut or silenced;
 //! * [`Oracle`]: counts what really ran, independent of the system under test.
 
+pub mod link;
 pub mod oracle;
 pub mod platform;
 pub mod runner;
@@ -13,6 +15,7 @@
 pub mod store_faults;
 mod watch_stream;
 
+pub use link::Link;
 pub use oracle::Oracle;
 pub use platform::Faults;
 pub use platform::Platform;
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -85,6 +85,7 @@
     OperationSealed = 1110, NotRun, 409, "the operation was sealed as not run";
     TooManyConnections = 1111, NotRun, 503, "the connection limit of this entry instance is reached";
     MemoryLimit = 1112, NotRun, 503, "the limit of buffered bytes is reached";
+    OperationCancelled = 1180, NotRun, 409, "the operation was cancelled before it was sent";
     RefusedByRunner = 1201, RefusedByBackend, 503, "the runner refused the request before starting it";
     AnswerTimeout = 1301, Unknown, 504, "no whole answer arrived before the deadline";
     ConnectionLost = 1302, Unknown, 502, "the connection was lost after the request was sent";
@@ -96,6 +97,10 @@
     OperationRunning = 1308, Unknown, 409, "the operation is still running";
     AnswerDropped = 1309, Unknown, 410, "the operation ran and its answer is no longer stored";
     TakeoverBarrier = 1310, Unknown, 503, "the ledger of the operation's key was lost; wait for the barrier to end or use a ticket";
+    RunnerFailed = 1311, Unknown, 502, "the runner answered an earlier attempt with a server error and no further attempt was made";
+    OperationForgotten = 1380, Unknown, 410, "the record of the operation was forgotten; use a new ticket";
+    NotAttempted = 1381, Unknown, 503, "this attempt sent nothing; an earlier attempt may have run";
+    RosterDisagreement = 1382, Unknown, 503, "the entry instances do not agree on the owner yet; this attempt sent nothing";
     BadRequest = 1401, Invalid, 400, "the request is malformed";
     BodyTooLarge = 1402, Invalid, 413, "the request body exceeds the size limit";
     HeaderTooLarge = 1403, Invalid, 431, "the request headers exceed the size limit";
@@ -120,12 +125,16 @@
     ChangeTooLarge = 2112, Invalid, 413, "the change does not fit one transaction of the store; split it";
     BadOperation = 2113, Invalid, 400, "the operation identifier is empty or longer than 64 bytes";
     OperationReused = 2114, Invalid, 422, "the operation identifier was used for another change";
-    OperationForgotten = 2115, Unknown, 409, "too many changes since the first attempt; read the records to see whether it was accepted";
+    ApplyForgotten = 2115, Unknown, 409, "too many changes since the first attempt; read the records to see whether it was accepted";
     NothingToRepair = 2116, Invalid, 409, "the store is not behind the configuration in force";
     WaveNotFound = 3001, Invalid, 404, "there is no such wave";
     WavePastDeadline = 3002, Invalid, 409, "the wave cannot finish before its deadline";
     NotInPool = 3003, Invalid, 404, "the instance is in no pool";
     BudgetExhausted = 3004, NotRun, 409, "the availability budget of the pool allows no further instance out";
+    WaveWithoutBudget = 3010, Invalid, 409, "the budget of a pool of the wave allows no instance out";
+    WaveNotRunning = 3011, Invalid, 409, "the wave is not under way";
+    InstanceBusy = 3012, Invalid, 409, "an operation on the instance is under way, or the instance is not available";
+    DutyElsewhere = 3013, Invalid, 409, "another entry instance has the duty for the instance's data centre";
     BadSetting = 4001, Invalid, 400, "a setting is out of range";
 }
 
