--- a/crates/nutmegcart_bench/src/capacity.rs
+++ b/crates/nutmegcart_bench/src/capacity.rs
@@ -67,7 +67,7 @@
             let next = whole
                 .with(&documents(1)[..1], &[])
                 .expect("references hold");
-            let changes = next.changes_since(whole.generation);
+            let changes = next.changes_since(whole.generation());
             Measure::new(
                 format!("change of one document, {pools} pools"),
                 "bytes",
--- a/crates/nutmegcart_entry/src/dispatch.rs
+++ b/crates/nutmegcart_entry/src/dispatch.rs
@@ -282,7 +282,7 @@
 pub fn refresh(entry: &Entry) {
     let loaded = entry.tables.in_force.get();
     let seen = Seen {
-        generation: Some(loaded.configuration.generation),
+        generation: Some(loaded.configuration.generation()),
         maps: entry.tables.maps.read().clone(),
         listed: entry.tables.instances.read().clone(),
         entries: entries(entry),
--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -15,7 +15,9 @@
 use nutmegcart_peer::Client;
 use nutmegcart_peer::Sender;
 use nutmegcart_platform::Fleet;
+use nutmegcart_platform::Guard;
 use nutmegcart_platform::Store;
+use nutmegcart_platform::guard::Clock;
 use nutmegcart_request::path::PathSettings;
 use nutmegcart_request::share::EntrySpec;
 
@@ -65,8 +67,10 @@
     pub metrics: Metrics,
     /// Shutdown state.
     pub lifecycle: Lifecycle,
-    /// Store of the platform.
+    /// Store of the platform, behind this instance's share of its rates.
     pub store: Store,
+    /// Rates, counters and health of the store.
+    pub guard: Guard,
     /// Instance list and maintenance calls of the platform.
     pub fleet: Fleet,
     /// Client for peers.
@@ -105,6 +109,7 @@
             id: settings.id.clone(),
             centre: settings.centre.clone(),
         };
+        let guard = Guard::new(store, settings.peers.len() + 1, Clock::default());
         let entry = Arc::new(Self {
             workers: Workers::start(settings.threads),
             dispatch: Dispatch::new(own, PathSettings::default(), incarnation.0),
@@ -115,7 +120,8 @@
             tables: Tables::default(),
             metrics: Metrics::default(),
             lifecycle: Lifecycle::default(),
-            store,
+            store: guard.store(),
+            guard,
             fleet,
             peers: Client::new(PEER_TIMEOUT),
             started: Instant::now(),
@@ -154,7 +160,15 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let draining = self.lifecycle.draining.load(Ordering::Acquire);
-        !draining && !self.tables.in_force.get().configuration.lineage.is_empty()
+        !draining
+            && !self
+                .tables
+                .in_force
+                .get()
+                .configuration
+                .history
+                .lineage
+                .is_empty()
     }
 
     /// Sleeps for a control round, or less if the instance stops.
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegcart_config::Generation;
+use nutmegcart_config::in_force::Offer;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
@@ -17,6 +19,7 @@
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 
+use crate::config_sync;
 use crate::entry::Entry;
 use crate::http;
 use crate::tables::Peer;
@@ -36,6 +39,7 @@
                 .submit(move || exchange(&entry_for_call, address));
         }
         mark_suspects(entry);
+        config_sync::establish(entry);
         entry.pause();
     }
 }
@@ -44,7 +48,8 @@
 fn heartbeat(entry: &Entry) -> Heartbeat {
     Heartbeat {
         sender: entry.sender.clone(),
-        generation: entry.tables.in_force.get().configuration.generation,
+        generation: entry.tables.in_force.get().configuration.generation(),
+        report: config_sync::report(entry),
         draining: entry.lifecycle.draining.load(Ordering::Acquire),
         load: entry.dispatch.load_report(),
     }
@@ -63,6 +68,7 @@
     let peer = Peer {
         sender: heartbeat.sender.clone(),
         generation: heartbeat.generation,
+        report: heartbeat.report.clone(),
         draining: heartbeat.draining,
         heard: Instant::now(),
         suspect: false,
@@ -78,7 +84,7 @@
 }
 
 fn pull(entry: &Entry, address: SocketAddr, heartbeat: &Heartbeat) {
-    let from = entry.tables.in_force.get().configuration.generation;
+    let from = entry.tables.in_force.get().configuration.generation();
     if heartbeat.generation <= from {
         return;
     }
@@ -86,11 +92,16 @@
         sender: entry.sender.clone(),
         from,
     };
-    if let Ok(changes) = entry.peers.call(address, &request) {
-        entry
-            .tables
-            .in_force
-            .offer_changes(&changes, &heartbeat.sender.id);
+    let Ok(changes) = entry.peers.call(address, &request) else {
+        return;
+    };
+    let in_force = &entry.tables.in_force;
+    if in_force.offer_changes(&changes, &heartbeat.sender.id) == Offer::Gap {
+        let from = Generation(0);
+        let whole = ConfigSince { from, ..request };
+        if let Ok(changes) = entry.peers.call(address, &whole) {
+            in_force.offer_changes(&changes, &heartbeat.sender.id);
+        }
     }
 }
 
--- a/crates/nutmegcart_entry/src/tables.rs
+++ b/crates/nutmegcart_entry/src/tables.rs
@@ -7,11 +7,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
 use nutmegcart_config::Generation;
 use nutmegcart_config::InForce;
+use nutmegcart_config::Report;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::InstanceId;
 use nutmegcart_peer::Sender;
@@ -28,6 +30,8 @@
     pub sender: Sender,
     /// Generation of the configuration in force there.
     pub generation: Generation,
+    /// Configuration in force there, and whether it has caught up with the others.
+    pub report: Report,
     /// Whether it is shutting down.
     pub draining: bool,
     /// When it was last heard.
@@ -58,6 +62,8 @@
 pub struct Tables {
     /// Configuration in force.
     pub in_force: InForce,
+    /// Whether this instance has caught up with the others since it started.
+    pub established: AtomicBool,
     /// Pool maps by data centre.
     pub maps: RwLock<Arc<BTreeMap<DataCentre, PoolMap>>>,
     /// Instance list.
