Measure the cost of a configuration change and of the store's return

Change: `capacity` measures, at 25, 75 and 275 pools with a budget and a job each and 120 teams, bytes to a peer, bytes and calls at the store per change and per acceptance, and processor time of an acceptance, against a plain design that keeps one value and sends everything; and the calls of nine instances through a minute's outage and the second after it, against asking without limit.

--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Each command prints one JSON object a line with name, unit, baseline, current and ratio.
 
 mod capacity;
+mod configuration;
 mod cost;
 mod measure;
 mod request_path;
@@ -72,6 +73,8 @@
 }
 
 /// Returns the capacity slopes.
-fn capacity(_seed: u64) -> Vec<Measure> {
-    capacity::configuration()
+fn capacity(seed: u64) -> Vec<Measure> {
+    let mut measures = capacity::configuration();
+    measures.extend(configuration::measures(seed));
+    measures
 }
