--- a/crates/nutmegcart_fleet/src/outcome.rs
+++ b/crates/nutmegcart_fleet/src/outcome.rs
@@ -107,7 +107,6 @@
             job.strays.retain(|stray| stray.attempt != attempt.number);
             self.dirty |= job.strays.len() != before;
         }
-        // The state may not be written yet; `written` moves the entry on.
         self.ended.push(entry);
     }
 
--- a/crates/nutmegcart_fleet/src/scheduler.rs
+++ b/crates/nutmegcart_fleet/src/scheduler.rs
@@ -127,9 +127,8 @@
     capacities: Vec<Vec<Size>>,
     /// Permit of the last written state.
     permitted: Duration,
-    /// Ended attempts whose outcome is not stored yet, and those whose outcome is.
+    /// Ended attempts that their workers may forget after the next write.
     pub(crate) ended: Vec<(WorkerId, AttemptId)>,
-    pub(crate) stored: Vec<(WorkerId, AttemptId)>,
     /// Attempts that run although the state does not know them.
     pub(crate) foreign: Vec<(WorkerId, AttemptId)>,
     pub(crate) dirty: bool,
@@ -168,7 +167,6 @@
             pools: HashMap::new(),
             capacities: Vec::new(),
             ended: Vec::new(),
-            stored: Vec::new(),
             foreign: Vec::new(),
             dirty: false,
             began: None,
@@ -185,7 +183,6 @@
     pub fn written(&mut self) {
         self.dirty = false;
         self.permitted = self.state.permit;
-        self.stored.append(&mut self.ended);
     }
 
     /// Replaces the teams.
@@ -384,7 +381,7 @@
 
     fn forget(&mut self, actions: &mut Vec<Action>) {
         let mut lists: BTreeMap<WorkerId, Vec<AttemptId>> = BTreeMap::new();
-        for (worker, attempt) in self.stored.drain(..) {
+        for (worker, attempt) in self.ended.drain(..) {
             lists.entry(worker).or_default().push(attempt);
         }
         for (worker, mut attempts) in lists {
