Describe the task interface in code, with a stand-in

Cause: nothing connected the scheduler to workers.

Change: nutmegcart_platform::tasks (workers, reports and commands over HTTP and JSON; a repeated operation changes nothing) and nutmegcart_fakes::worker (leases, boots, seals, lost answers, a clock that tests advance).

--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod runner;
 pub mod server;
 mod store_api;
+pub mod worker;
 
 pub use link::Link;
 pub use oracle::Oracle;
@@ -19,3 +20,5 @@
 pub use platform::Platform;
 pub use runner::Behaviour;
 pub use runner::Runner;
+pub use worker::WorkerFaults;
+pub use worker::Workers;
--- a/crates/nutmegcart_fleet/src/worker.rs
+++ b/crates/nutmegcart_fleet/src/worker.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use nutmegcart_platform::tasks::Outcome;
+
 use crate::size::Size;
 use crate::task::AttemptId;
 
@@ -26,27 +28,6 @@
     pub leaving: bool,
 }
 
-/// How an attempt stands according to its worker.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Outcome {
-    /// It runs.
-    Running,
-    /// It finished.
-    Done,
-    /// It failed by itself.
-    Failed,
-    /// It was saved, and then ended.
-    Checkpointed,
-    /// It was stopped, or its lease ended.
-    Stopped,
-    /// It never ran, and the worker refuses any later start under this identifier.
-    NotRun,
-    /// It does not run, and the worker rebooted since it was meant to start, so nobody knows
-    /// whether it ran.
-    Lost,
-}
-
 /// One attempt in a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AttemptReport {
--- a/crates/nutmegcart_platform/src/lib.rs
+++ b/crates/nutmegcart_platform/src/lib.rs
@@ -2,15 +2,17 @@
 //!
 //! * [`Store`]: compare-and-swap, leases and watches, over HTTP ([`etcd`]) or in memory
 //!   ([`MemoryStore`]);
-//! * [`Fleet`]: the list of instances, draining and rebooting.
+//! * [`Fleet`]: the list of instances, draining and rebooting;
+//! * [`Tasks`]: workers, and the tasks that run on them under leases.
 //!
-//! Both are plain structs around a closure, so tests and stand-ins replace the transport.
+//! All are plain structs around a closure, so tests and stand-ins replace the transport.
 
 pub mod etcd;
 pub mod fleet;
 pub mod http;
 pub mod memory;
 pub mod store;
+pub mod tasks;
 
 pub use fleet::Fleet;
 pub use fleet::Instance;
@@ -26,3 +28,4 @@
 pub use store::StoreError;
 pub use store::Txn;
 pub use store::TxnReply;
+pub use tasks::Tasks;
