Run the scheduler in the duty holder's loop

Cause: no process placed tasks.

Change: nutmegcart_entry::tasks reads and writes the task state fenced by the duty key, then sends commands, those of one worker in one call. A write without an answer is compared with what the store holds. While the store is away, leases are renewed within the written permit. Each job is claimed by one data centre, so that two never start its tasks. A test for the bound on clock error was added: its removal went unnoticed, since cut workers hold shorter leases than granted.

--- a/crates/nutmegcart_entry/src/duty.rs
+++ b/crates/nutmegcart_entry/src/duty.rs
@@ -29,6 +29,7 @@
 use crate::pool_map::WaveProgress;
 use crate::pool_map::WaveState;
 use crate::tables::Listed;
+use crate::tasks;
 
 /// Oldest instance list on which a decision may rest.
 const LIST_AGE: std::time::Duration = std::time::Duration::from_secs(5);
@@ -42,11 +43,13 @@
 /// Runs control rounds until the instance stops.
 pub fn run(entry: &Arc<Entry>) {
     let mut duty = None;
+    let mut tasks = tasks::runner(entry);
     while !entry.is_stopped() {
         if round(entry, &mut duty).is_err() {
             // Effects that may or may not have happened are found in the store next time.
             entry.pause();
         }
+        tasks::round(entry, &mut tasks, duty.as_ref().map(|duty| duty.created));
         entry.pause();
     }
     if let Some(duty) = duty {
@@ -67,7 +70,7 @@
     Ok(())
 }
 
-fn duty_key(entry: &Entry) -> String {
+pub(crate) fn duty_key(entry: &Entry) -> String {
     format!("{DUTIES}{}", entry.settings.centre)
 }
 
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod settings;
 pub mod tables;
+pub mod tasks;
 pub mod workers;
 
 pub use entry::Entry;
--- a/crates/nutmegcart_fleet/tests/cluster/mod.rs
+++ b/crates/nutmegcart_fleet/tests/cluster/mod.rs
@@ -72,6 +72,10 @@
 }
 
 /// A worker with a clock of its own.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fault independent of the others"
+)]
 pub struct Machine {
     pub worker: Worker,
     pub boot: u64,
@@ -79,6 +83,8 @@
     /// Whether calls and reports pass.
     pub linked: bool,
     pub fails: bool,
+    /// Whether reports are lost while calls pass.
+    pub mute: bool,
     /// How far the clock is behind, at most the bound on clock error.
     pub behind: Duration,
     runs: BTreeMap<AttemptId, Run>,
@@ -168,6 +174,7 @@
                     up: true,
                     linked: true,
                     fails: false,
+                    mute: false,
                     behind: ms(number as u64 % 3 * 900),
                     runs: BTreeMap::new(),
                     reported: Duration::ZERO,
@@ -245,7 +252,7 @@
             for attempt in machine.tick(now) {
                 self.succeeded.insert((attempt.job, attempt.index));
             }
-            if machine.linked && machine.reported + REPORT <= now {
+            if machine.linked && !machine.mute && machine.reported + REPORT <= now {
                 machine.reported = now;
                 let report = report(machine, now, &self.jobs, &self.real);
                 self.reports.push((now + self.lag, report));
--- a/crates/nutmegcart_fleet/tests/placement.rs
+++ b/crates/nutmegcart_fleet/tests/placement.rs
@@ -151,6 +151,18 @@
     assert!(time > ms(17_000) && time < ms(40_000), "{time:?}");
 }
 
+#[test]
+fn slow_clock_of_a_worker_does_not_make_a_task_run_twice() {
+    let mut cluster = pool(4, vec![job("one", &json!({"seconds": 600}))]);
+    cluster.run(ms(3000));
+    let worker = place(&cluster, "one");
+    // Calls pass, so the worker has the longest lease that was granted and ends it late.
+    cluster.machine(&worker).mute = true;
+    cluster.machine(&worker).behind = ms(1900);
+    cluster.run(Duration::from_mins(2));
+    assert_eq!(cluster.started.len(), 2);
+}
+
 #[test]
 fn idempotent_task_does_not_wait_for_the_lease() {
     let time = restart_time(true);
