Do not forget an attempt again because it was forgotten

Cause: the answer to a forget command was taken as news of an unknown attempt, which asked for another forget in every round. Change: answers to forget are ignored; a test counts the calls.

--- a/crates/nutmegcart_entry/src/tasks.rs
+++ b/crates/nutmegcart_entry/src/tasks.rs
@@ -318,24 +318,30 @@
         }
         let calls: Vec<(WorkerId, Vec<Command>)> = commands.into_iter().collect();
         for group in calls.chunks(CALLS) {
-            let answers: Vec<(&WorkerId, Vec<Answer>)> = scope(|scope| {
+            let answers: Vec<(&WorkerId, &[Command], Vec<Answer>)> = scope(|scope| {
                 let threads: Vec<_> = group
                     .iter()
                     .map(|(worker, commands)| {
                         let call = || self.tasks.command(worker, commands.clone());
-                        (worker, scope.spawn(call))
+                        (worker, &commands[..], scope.spawn(call))
                     })
                     .collect();
-                let joined = threads.into_iter().filter_map(|(worker, thread)| {
-                    // A call without an answer is repeated under the same identifiers.
-                    let answers = thread.join().ok()?.ok()?;
-                    Some((worker, answers))
-                });
+                let joined = threads
+                    .into_iter()
+                    .filter_map(|(worker, commands, thread)| {
+                        // A call without an answer is repeated under the same identifiers.
+                        let answers = thread.join().ok()?.ok()?;
+                        Some((worker, commands, answers))
+                    });
                 joined.collect()
             });
             let now = self.now();
-            for (worker, answers) in answers {
-                for answer in answers {
+            for (worker, commands, answers) in answers {
+                for (command, answer) in commands.iter().zip(answers) {
+                    // The answer to a forgotten attempt would only ask for forgetting it again.
+                    if command.verb == Verb::Forget {
+                        continue;
+                    }
                     if let Ok(attempt) = answer.attempt.parse::<AttemptId>() {
                         scheduler.settle(now, worker, &attempt, answer.outcome);
                     }
--- a/crates/nutmegcart_entry/tests/tasks.rs
+++ b/crates/nutmegcart_entry/tests/tasks.rs
@@ -201,6 +201,19 @@
     assert_eq!(site.starts(0), 0);
 }
 
+#[test]
+fn ended_attempt_is_forgotten_by_one_call() {
+    let site = Site::new(1);
+    let mut runner = site.runner();
+    let duty = site.take_duty();
+    runner.round(Some(duty), GENERATION, &site.view);
+    site.workers.finish("report/0", Outcome::Done);
+    for _ in 0..10 {
+        runner.round(Some(duty), GENERATION, &site.view);
+    }
+    assert_eq!(site.workers.commands(), 2, "a start and a forget");
+}
+
 #[test]
 fn lapsed_lease_stops_a_task_on_its_worker() {
     let site = Site::new(1);
