--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -15,6 +15,7 @@
 mod store_api;
 pub mod store_faults;
 mod watch_stream;
+pub mod worker;
 
 pub use link::Link;
 pub use oracle::Oracle;
@@ -24,3 +25,5 @@
 pub use runner::Runner;
 pub use store_faults::FaultyStore;
 pub use store_faults::StoreFaults;
+pub use worker::WorkerFaults;
+pub use worker::Workers;
