--- a/crates/nutmegcart_request/tests/operation_fuzz.rs
+++ b/crates/nutmegcart_request/tests/operation_fuzz.rs
@@ -259,7 +259,9 @@
                 world,
                 operations: Vec::new(),
             };
-            actions.iter().for_each(|action| session.apply(*action));
+            for action in actions {
+                session.apply(*action);
+            }
             let mut totals = totals.lock().unwrap();
             totals.dispatches += session.world.oracle.dispatches;
             for (code, count) in &session.world.oracle.replies {
@@ -268,6 +270,20 @@
         });
 }
 
+#[test]
+fn faults_with_a_full_ledger_never_cause_a_second_run_or_a_false_not_run() {
+    // Room for about three records.
+    let limits = Limits {
+        memory: 1_200,
+        ..Limits::default()
+    };
+    let totals = Mutex::default();
+    fuzz(limits, &totals);
+    let totals: Totals = totals.into_inner().unwrap();
+    let dropped = totals.replies.get(&Code::AnswerDropped.number());
+    assert!(dropped.is_some_and(|count| *count >= 20), "{dropped:?}");
+}
+
 #[test]
 fn faults_never_cause_a_second_run_or_a_false_not_run() {
     let totals = Mutex::default();
--- a/crates/nutmegcart_request/tests/operation_model/mod.rs
+++ b/crates/nutmegcart_request/tests/operation_model/mod.rs
@@ -3,21 +3,19 @@
 // Each test binary uses a part of the model.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+mod oracle;
+
 use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_model::Code;
 use nutmegcart_model::Incarnation;
-use nutmegcart_model::Verdict;
-use nutmegcart_request::Answer;
 use nutmegcart_request::Attempt;
 use nutmegcart_request::Coordinator;
 use nutmegcart_request::Intent;
 use nutmegcart_request::IntentReply;
 use nutmegcart_request::Member;
 use nutmegcart_request::Operation;
-use nutmegcart_request::OperationId;
 use nutmegcart_request::Report;
 use nutmegcart_request::Resolution;
 use nutmegcart_request::Roster;
@@ -26,74 +24,13 @@
 use nutmegcart_request::Version;
 use nutmegcart_request::ledger::Limits;
 use nutmegcart_request::ledger::Outcome;
-use nutmegcart_request::roster::RETENTION;
+
+use self::oracle::Oracle;
+use self::oracle::answer_of;
 
 /// Time to live of a member's store lease.
 pub const LEASE: Duration = Duration::from_secs(10);
 
-/// What the oracle saw, by operation.
-#[derive(Default)]
-pub struct Oracle {
-    runs: BTreeMap<OperationId, Vec<Duration>>,
-    refused: BTreeMap<OperationId, Duration>,
-    /// Number of replies by code.
-    pub replies: BTreeMap<u16, usize>,
-    /// Number of dispatches.
-    pub dispatches: usize,
-}
-
-impl Oracle {
-    fn dispatch(&mut self, id: &OperationId, now: Duration) {
-        self.dispatches += 1;
-        // A ticketed operation is one operation for ever, a plain key for the retention time.
-        let plain = matches!(id, OperationId::Key(_));
-        let counts = |time: Duration| !plain || now < time + RETENTION;
-        if let Some(said) = self.refused.get(id) {
-            assert!(
-                !counts(*said),
-                "{id:?} ran after it was reported as not run"
-            );
-        }
-        let runs = self.runs.entry(id.clone()).or_default();
-        let last = runs.last().copied();
-        assert!(!last.is_some_and(counts), "{id:?} was dispatched twice");
-        runs.push(now);
-    }
-
-    fn reply(&mut self, id: &OperationId, resolution: &Resolution, now: Duration) {
-        let code = resolution.code();
-        *self.replies.entry(code.number()).or_default() += 1;
-        let runs = self.runs.get(id).map_or(&[][..], Vec::as_slice);
-        if code.verdict() == Verdict::NotRun {
-            let plain = matches!(id, OperationId::Key(_));
-            let ran = |time: &Duration| !plain || now < *time + RETENTION;
-            let ran = runs.last().is_some_and(ran);
-            assert!(!ran, "{id:?} ran and was reported as {code}");
-            self.refused.insert(id.clone(), now);
-        }
-        if let Resolution::Answer(answer) = resolution {
-            let expected = |index| answer_of(id, index) == **answer;
-            assert!(
-                (1..=runs.len()).any(expected),
-                "{id:?} got a foreign answer"
-            );
-        }
-    }
-
-    /// Returns how often the operation was dispatched.
-    pub fn runs(&self, id: &OperationId) -> usize {
-        self.runs.get(id).map_or(0, Vec::len)
-    }
-}
-
-fn answer_of(id: &OperationId, run: usize) -> Answer {
-    Answer {
-        status: 200,
-        headers: Vec::new(),
-        body: format!("{id:?} {run}").into_bytes().into(),
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Message {
     Forward(usize),
@@ -105,6 +42,21 @@
     Sealed(usize, Option<Resolution>),
 }
 
+fn describe(message: &Message) -> String {
+    match message {
+        Message::Forward(_) => "forward".into(),
+        Message::Reply(_, resolution) => format!("reply {}", resolution.code()),
+        Message::Intent(..) => "intent".into(),
+        Message::Recorded(IntentReply::Known(known), _) => format!("known {}", known.code()),
+        Message::Recorded(reply, _) => format!("{reply:?}"),
+        Message::Report(_) => "outcome".into(),
+        Message::Seal(..) => "seal".into(),
+        Message::Sealed(_, resolution) => {
+            format!("sealed {:?}", resolution.as_ref().map(Resolution::code))
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Envelope {
     from: usize,
@@ -119,6 +71,7 @@
     fingerprint: u64,
     entry: usize,
     life: Incarnation,
+    sealing: bool,
     reply: Option<Resolution>,
 }
 
@@ -168,6 +121,8 @@
     pub roster: Roster,
     /// Runs and replies.
     pub oracle: Oracle,
+    /// Lines of a recorded session; none unless recording was started.
+    pub trace: Option<Vec<String>>,
     network: Vec<Envelope>,
     requests: Vec<Request>,
     work: Vec<Work>,
@@ -203,6 +158,7 @@
             store: true,
             roster,
             oracle: Oracle::default(),
+            trace: None,
             network: Vec::new(),
             requests: Vec::new(),
             work: Vec::new(),
@@ -213,6 +169,13 @@
         world
     }
 
+    /// Adds a line to a recorded session.
+    pub fn note(&mut self, line: impl FnOnce() -> String) {
+        if let Some(trace) = &mut self.trace {
+            trace.push(format!("{:>5} s  {}", self.now.as_secs(), line()));
+        }
+    }
+
     fn life(&self, node: usize) -> Incarnation {
         self.nodes[node].coordinator.me().incarnation
     }
@@ -356,9 +319,11 @@
             fingerprint,
             entry,
             life: self.life(entry),
+            sealing: false,
             reply: None,
         });
         if self.acts(entry) {
+            self.note(|| format!("caller -> e{entry}"));
             self.submit(entry, request, None);
         }
         request
@@ -424,6 +389,7 @@
     /// The entry instance answers the caller, once.
     fn conclude(&mut self, node: usize, request: usize, resolution: Resolution) {
         let life = self.life(node);
+        self.note(|| format!("e{node} -> caller  {}", resolution.code()));
         let request = &mut self.requests[request];
         if request.reply.is_none() && request.entry == node && request.life == life {
             request.reply = Some(resolution);
@@ -456,6 +422,7 @@
         if !self.nodes[to].alive || self.nodes[to].cut != self.nodes[from].cut {
             return;
         }
+        self.note(|| format!("e{from} -> e{to}  {}", describe(&message)));
         let now = self.now;
         let coordinator = &mut self.nodes[to].coordinator;
         let back = match message {
@@ -519,6 +486,7 @@
             Phase::Witness => self.witnessed(work.node, index, None),
             Phase::Permit => match coordinator.dispatch(&work.attempt, self.now) {
                 Ok(()) => {
+                    self.note(|| format!("e{} -> runner", work.node));
                     self.work[index].phase = Phase::Running;
                     self.oracle.dispatch(id, self.now);
                 }
@@ -566,19 +534,23 @@
         }
     }
 
-    /// The entry instance that received the request gives up waiting for the owner.
+    /// The entry instance that received the request gives up waiting for the owner, then for the
+    /// witness.
     pub fn time_out(&mut self, request: usize) {
         let Request {
             operation,
             fingerprint,
             entry,
             reply,
+            sealing,
             ..
         } = self.requests[request].clone();
         if reply.is_some() || !self.acts(entry) || self.requests[request].life != self.life(entry) {
             return;
         }
+        self.requests[request].sealing = true;
         let step = match &operation {
+            _ if sealing => Step::Reply(Code::OwnerUnreachable.into()),
             Operation::Ticketed(ticketed) if ticketed.ticket.incarnation != self.life(entry) => {
                 let coordinator = &mut self.nodes[entry].coordinator;
                 coordinator.owner_lost(ticketed, fingerprint, self.now)
@@ -619,7 +591,7 @@
 
     /// Delivers everything and lets every attempt end.
     pub fn settle(&mut self) {
-        for _ in 0..4 {
+        for _ in 0..6 {
             for _ in 0..self.network.len().min(64) {
                 self.deliver(0);
             }
