--- /dev/null
+++ b/crates/nutmegcart_request/tests/operation_model/message.rs
@@ -0,0 +1,43 @@
+//! Messages of the model.
+
+use nutmegcart_model::Incarnation;
+use nutmegcart_request::Intent;
+use nutmegcart_request::IntentReply;
+use nutmegcart_request::Report;
+use nutmegcart_request::Resolution;
+
+/// A message by the number of its request or attempt.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Forward(usize),
+    Reply(usize, Resolution),
+    Intent(Intent, usize),
+    Recorded(IntentReply, usize),
+    Report(Report),
+    Seal(usize, Incarnation),
+    Sealed(usize, Option<Resolution>),
+}
+
+/// Returns the line of a recorded session.
+pub fn describe(message: &Message) -> String {
+    match message {
+        Message::Forward(_) => "forward".into(),
+        Message::Reply(_, resolution) => format!("reply {}", resolution.code()),
+        Message::Intent(..) => "intent".into(),
+        Message::Recorded(IntentReply::Known(known), _) => format!("known {}", known.code()),
+        Message::Recorded(reply, _) => format!("{reply:?}"),
+        Message::Report(_) => "outcome".into(),
+        Message::Seal(..) => "seal".into(),
+        Message::Sealed(_, resolution) => {
+            format!("sealed {:?}", resolution.as_ref().map(Resolution::code))
+        }
+    }
+}
+
+/// A message in the network.
+#[derive(Clone, Debug)]
+pub struct Envelope {
+    pub from: usize,
+    pub to: usize,
+    pub message: Message,
+}
--- a/crates/nutmegcart_request/tests/operation_model/mod.rs
+++ b/crates/nutmegcart_request/tests/operation_model/mod.rs
@@ -3,6 +3,7 @@
 // Each test binary uses a part of the model.
 #![allow(dead_code)]
 
+mod message;
 mod oracle;
 
 use std::sync::Arc;
@@ -12,7 +13,6 @@
 use nutmegcart_model::Incarnation;
 use nutmegcart_request::Attempt;
 use nutmegcart_request::Coordinator;
-use nutmegcart_request::Intent;
 use nutmegcart_request::IntentReply;
 use nutmegcart_request::Member;
 use nutmegcart_request::Operation;
@@ -25,45 +25,15 @@
 use nutmegcart_request::ledger::Limits;
 use nutmegcart_request::ledger::Outcome;
 
+use self::message::Envelope;
+use self::message::Message;
+use self::message::describe;
 use self::oracle::Oracle;
 use self::oracle::answer_of;
 
 /// Time to live of a member's store lease.
 pub const LEASE: Duration = Duration::from_secs(10);
 
-#[derive(Clone, Debug)]
-enum Message {
-    Forward(usize),
-    Reply(usize, Resolution),
-    Intent(Intent, usize),
-    Recorded(IntentReply, usize),
-    Report(Report),
-    Seal(usize, Incarnation),
-    Sealed(usize, Option<Resolution>),
-}
-
-fn describe(message: &Message) -> String {
-    match message {
-        Message::Forward(_) => "forward".into(),
-        Message::Reply(_, resolution) => format!("reply {}", resolution.code()),
-        Message::Intent(..) => "intent".into(),
-        Message::Recorded(IntentReply::Known(known), _) => format!("known {}", known.code()),
-        Message::Recorded(reply, _) => format!("{reply:?}"),
-        Message::Report(_) => "outcome".into(),
-        Message::Seal(..) => "seal".into(),
-        Message::Sealed(_, resolution) => {
-            format!("sealed {:?}", resolution.as_ref().map(Resolution::code))
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Envelope {
-    from: usize,
-    to: usize,
-    message: Message,
-}
-
 /// A caller's request at the entry instance that received it.
 #[derive(Clone, Debug)]
 struct Request {
