--- a/crates/nutmegcart_request/src/lib.rs
+++ b/crates/nutmegcart_request/src/lib.rs
@@ -1,19 +1,40 @@
 //! Request path decisions as pure state machines: routing, admission, retries, at-most-once and membership.
 //!
+//! * [`admission`]: bounded queue of a service with deadlines, classes and fairness;
 //! * [`answer`]: answers stored for retries;
+//! * [`connection`]: which open connection to use and when to distrust one;
 //! * [`coordinator`]: who may dispatch an operation, and when;
+//! * [`departure`]: whether a runner is leaving;
+//! * [`ejector`]: which runners are left out because of their outcomes;
 //! * [`floors`]: which operations under tickets were forgotten;
 //! * [`ledger`]: the record of operations, as owner and as witness;
+//! * [`load`]: load reports between entry instances and time estimates;
 //! * [`members`]: heartbeats and suspicion;
+//! * [`outcome`]: what happened to an attempt;
+//! * [`path`]: the request path that joins all of them;
+//! * [`retry`]: retry budget, reasons and backoff;
 //! * [`roster`]: the agreed list of entry instances and the pairs of plain keys;
+//! * [`router`]: which runner an attempt is sent to;
+//! * [`share`]: shares of a runner between entry instances;
 //! * [`ticket`]: tickets and identifiers of operations.
 
+pub mod admission;
 pub mod answer;
+pub mod connection;
 pub mod coordinator;
+pub mod departure;
+pub mod ejector;
 pub mod floors;
 pub mod ledger;
+pub mod load;
 pub mod members;
+pub mod outcome;
+pub mod path;
+pub mod retry;
 pub mod roster;
+pub mod router;
+pub mod share;
+mod table;
 pub mod ticket;
 
 pub use answer::Answer;
