Add the operation messages, and tell a message not sent from one not answered

Cause: forwarding, witness calls, seals and handover had no messages, and the client reported every failure alike.

Change: forward, intent, outcome, seal and handover name the life of their recipient; the heartbeat carries the roster's version and hands a newer roster to a peer that is behind; a dispatcher maps path and bytes to handlers; the client distinguishes 'not sent' from 'no answer' and takes a time for each call.

Figures: a byte of a body takes one byte in a message (sequences of integers would take two bytes for values from 128).

--- /dev/null
+++ b/crates/nutmegcart_peer/src/dispatcher.rs
@@ -0,0 +1,87 @@
+//! Maps paths and bytes to typed messages and back, for any HTTP server.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use derive_more::Error;
+
+use crate::message;
+use crate::message::Message;
+
+/// Result of dispatching a message.
+pub type Result<T> = std::result::Result<T, DispatchError>;
+
+/// Why a message could not be dispatched.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum DispatchError {
+    /// No handler is registered for the path.
+    #[display("no message has the path {path}")]
+    UnknownPath {
+        /// Path below `/peer/v1/`.
+        path: String,
+    },
+    /// The body is not a message of the path's type.
+    #[display("the message cannot be read: {reason}")]
+    Malformed {
+        /// What the decoder reported.
+        reason: String,
+    },
+}
+
+type Handler<C> = Box<dyn Fn(&C, &[u8]) -> Result<Vec<u8>> + Send + Sync>;
+
+/// Handlers by path, each called with a context of type `C`.
+///
+/// ```
+/// # use nutmegcart_peer::{Dispatcher, Message, message};
+/// # use serde::{Deserialize, Serialize};
+/// #[derive(Serialize, Deserialize)]
+/// struct Ping(u8);
+/// impl Message for Ping {
+///     const PATH: &str = "ping";
+///     type Answer = u8;
+/// }
+/// let dispatcher = Dispatcher::default().on(|add: &u8, ping: Ping| ping.0 + add);
+/// let answer = dispatcher.dispatch(&1, "ping", &message::encode(&Ping(2))).unwrap();
+/// assert_eq!(message::decode::<u8>(&answer).unwrap(), 3);
+/// ```
+pub struct Dispatcher<C> {
+    handlers: BTreeMap<&'static str, Handler<C>>,
+}
+
+impl<C> Default for Dispatcher<C> {
+    fn default() -> Self {
+        Self {
+            handlers: BTreeMap::new(),
+        }
+    }
+}
+
+impl<C> Dispatcher<C> {
+    /// Adds the handler of a message type.
+    #[must_use]
+    pub fn on<M: Message + 'static>(
+        mut self,
+        handler: impl Fn(&C, M) -> M::Answer + Send + Sync + 'static,
+    ) -> Self {
+        let handler: Handler<C> = Box::new(move |context, body| {
+            let message = message::decode(body).map_err(|error| DispatchError::Malformed {
+                reason: error.to_string(),
+            })?;
+            Ok(message::encode(&handler(context, message)))
+        });
+        self.handlers.insert(M::PATH, handler);
+        self
+    }
+
+    /// Decodes the message, calls its handler and encodes the answer.
+    ///
+    /// # Errors
+    ///
+    /// Refuses unknown paths and malformed bodies without calling a handler.
+    pub fn dispatch(&self, context: &C, path: &str, body: &[u8]) -> Result<Vec<u8>> {
+        let handler = self.handlers.get(path);
+        let handler = handler.ok_or_else(|| DispatchError::UnknownPath { path: path.into() })?;
+        handler(context, body)
+    }
+}
--- a/crates/nutmegcart_peer/src/message.rs
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -7,6 +7,8 @@
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::InstanceId;
+use nutmegcart_request::Roster;
+use nutmegcart_request::Version;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -41,6 +43,12 @@
     pub generation: Generation,
     /// Whether the sender is shutting down.
     pub draining: bool,
+    /// Version of the roster in force at the sender.
+    #[serde(default)]
+    pub roster: Version,
+    /// The sender's roster, in an answer to a peer that has an older one.
+    #[serde(default)]
+    pub newer: Option<Roster>,
 }
 
 impl Message for Heartbeat {
--- /dev/null
+++ b/crates/nutmegcart_peer/tests/messages.rs
@@ -0,0 +1,125 @@
+//! Guards against messages that other versions cannot read, and against a call that may have been
+//! carried out being taken for one that was not sent.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::thread::spawn;
+use std::time::Duration;
+
+use nutmegcart_model::Code;
+use nutmegcart_model::Incarnation;
+use nutmegcart_peer::Client;
+use nutmegcart_peer::DispatchError;
+use nutmegcart_peer::Dispatcher;
+use nutmegcart_peer::Forward;
+use nutmegcart_peer::Heartbeat;
+use nutmegcart_peer::Identifier;
+use nutmegcart_peer::PeerError;
+use nutmegcart_peer::Seal;
+use nutmegcart_peer::Sender;
+use nutmegcart_peer::message;
+use nutmegcart_request::OperationId;
+use nutmegcart_request::Resolution;
+use nutmegcart_request::TicketNumber;
+use nutmegcart_request::Version;
+use serde::Serialize;
+
+fn sender() -> Sender {
+    Sender {
+        id: "e1".into(),
+        incarnation: Incarnation(1),
+        centre: "suva".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn seal() -> Seal {
+    Seal {
+        sender: sender(),
+        roster: Version::default(),
+        to: Incarnation(2),
+        id: OperationId::Ticket(TicketNumber {
+            owner: Incarnation(1),
+            serial: 7,
+            number: 3,
+        }),
+        fingerprint: 9,
+    }
+}
+
+#[test]
+fn every_body_byte_takes_one_byte() {
+    let forward = |size| Forward {
+        sender: sender(),
+        roster: Version::default(),
+        to: Incarnation(2),
+        operation: Identifier::Key("k".into()),
+        request: String::new(),
+        caller: String::new(),
+        method: "POST".into(),
+        path: "gates".into(),
+        headers: Vec::new(),
+        body: vec![255; size].into(),
+        left: 100,
+    };
+    let (small, large) = (
+        message::encode(&forward(1_000)),
+        message::encode(&forward(2_000)),
+    );
+    assert_eq!(large.len() - small.len(), 1_000);
+    assert_eq!(message::decode::<Forward>(&large).unwrap(), forward(2_000));
+}
+
+#[test]
+fn heartbeat_of_an_older_version_is_read() {
+    #[derive(Serialize)]
+    struct Older {
+        sender: Sender,
+        generation: u64,
+        draining: bool,
+    }
+    let older = Older {
+        sender: sender(),
+        generation: 4,
+        draining: true,
+    };
+    let heartbeat: Heartbeat = message::decode(&message::encode(&older)).unwrap();
+    assert_eq!((heartbeat.generation.0, heartbeat.roster.epoch), (4, 0));
+}
+
+#[test]
+fn dispatcher_answers_known_messages_and_refuses_others() {
+    let dispatcher = Dispatcher::default()
+        .on(|code: &Code, seal: Seal| (seal.to == Incarnation(2)).then(|| Resolution::from(*code)));
+    let code = Code::OperationSealed;
+    let body = message::encode(&seal());
+    let answer = dispatcher.dispatch(&code, "seal", &body).unwrap();
+    let answer: Option<Resolution> = message::decode(&answer).unwrap();
+    assert_eq!(answer.map(|answer| answer.code()), Some(code));
+    let unknown = dispatcher.dispatch(&code, "other", &body).unwrap_err();
+    assert_eq!(
+        unknown,
+        DispatchError::UnknownPath {
+            path: "other".into()
+        }
+    );
+    let malformed = dispatcher.dispatch(&code, "seal", &body[1..]);
+    assert!(matches!(malformed, Err(DispatchError::Malformed { .. })));
+}
+
+#[test]
+fn refused_connection_is_not_sent_and_closed_connection_is_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = Client::new(Duration::from_secs(30));
+    let closing = spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut first = [0];
+        stream.read_exact(&mut first).unwrap();
+    });
+    let error = client.call(address, &seal()).unwrap_err();
+    assert!(matches!(error, PeerError::NoAnswer { .. }), "{error}");
+    closing.join().unwrap();
+    let error = client.call(address, &seal()).unwrap_err();
+    assert!(matches!(error, PeerError::NotSent { .. }), "{error}");
+}
