Run callers' operations at most once through owners, witnesses and the roster

Cause: the entry instance forwarded every request without regard to tickets and keys.

Change: POST /v1/tickets, the headers Nutmegcart-Operation and Idempotency-Key, forwarding to the owner, witness calls, seals, waiting for a running attempt, the roster in the store by compare-and-swap with a lease for each member, handover at shutdown. A refusal that was made without asking the owner is reported as NC1381 (unknown), since an earlier attempt may have run.

Conclusion: an owner that is lost between dispatch and answer leads to 'unknown' for what was dispatched, the stored answer for what had finished and 'not run' for what was not sent.

--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -16,12 +16,15 @@
 use nutmegcart_peer::Sender;
 use nutmegcart_platform::Fleet;
 use nutmegcart_platform::Store;
+use nutmegcart_request::Member;
 use ureq::Agent;
 
 use crate::config_sync;
 use crate::duty;
 use crate::metrics::Metrics;
+use crate::operation::Operations;
 use crate::peering;
+use crate::roster;
 use crate::server;
 use crate::settings::Settings;
 use crate::tables::Tables;
@@ -64,6 +67,8 @@
     pub store: Store,
     /// Instance list and maintenance calls of the platform.
     pub fleet: Fleet,
+    /// At-most-once execution.
+    pub operations: Operations,
     /// Client for peers.
     pub peers: Client,
     /// Client for runners.
@@ -92,6 +97,12 @@
             centre: settings.centre.clone(),
             address: settings.listen,
         };
+        let member = Member {
+            centre: settings.centre.clone(),
+            instance: settings.id.clone(),
+            incarnation,
+            address: settings.listen.to_string(),
+        };
         let backend = Agent::config_builder()
             .http_status_as_error(false)
             .max_idle_connections(settings.connections)
@@ -101,6 +112,7 @@
             workers: Workers::start(settings.threads),
             settings,
             sender,
+            operations: Operations::new(member),
             tables: Tables::default(),
             metrics: Metrics::default(),
             lifecycle: Lifecycle::default(),
@@ -115,6 +127,7 @@
         entry.spawn("instances", config_sync::run_list)?;
         entry.spawn("peering", peering::run)?;
         entry.spawn("duty", duty::run)?;
+        entry.spawn("roster", roster::run)?;
         log_event!(
             Event::EntryStarted,
             id = entry.settings.id,
@@ -133,12 +146,24 @@
         Ok(())
     }
 
+    /// Returns the time since the process started.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Returns whether the control loops should end.
     #[must_use]
     pub fn is_stopped(&self) -> bool {
         self.lifecycle.stopped.load(Ordering::Acquire)
     }
 
+    /// Returns whether the shutdown refuses new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lifecycle.refusing.load(Ordering::Acquire)
+    }
+
     /// Returns whether new caller requests should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -161,9 +186,11 @@
         self.lifecycle.draining.store(true, Ordering::Release);
         sleep(self.settings.grace);
         self.lifecycle.refusing.store(true, Ordering::Release);
+        self.operations.freeze();
         while self.lifecycle.active.load(Ordering::Acquire) > 0 {
             sleep(DRAIN_POLL);
         }
+        roster::leave(self);
         self.stop();
         log_event!(Event::EntryStopped, id = self.settings.id);
     }
--- a/crates/nutmegcart_entry/src/forward.rs
+++ b/crates/nutmegcart_entry/src/forward.rs
@@ -15,6 +15,7 @@
 
 use crate::entry::Entry;
 use crate::http;
+use crate::operation;
 use crate::pool_map::Phase;
 
 /// Result of forwarding a request.
@@ -28,27 +29,45 @@
 pub const REFUSED: &str = "nutmegcart-refused";
 
 /// A caller's request, read completely.
-struct Call {
-    id: String,
-    method: String,
-    path: String,
-    service: String,
-    body: Vec<u8>,
-    idempotent: bool,
-    end: Instant,
+pub struct Call {
+    /// Identifier that runners echo.
+    pub id: String,
+    /// Caller, empty if it gave no name.
+    pub caller: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path as received.
+    pub path: String,
+    /// Service.
+    pub service: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Deadline.
+    pub end: Instant,
 }
 
 /// A runner's whole answer.
-struct Answer {
-    status: u16,
-    kind: String,
-    body: Vec<u8>,
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub kind: String,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
 /// Handles `/v1/services/<service>/<path>`.
 pub fn handle(entry: &Arc<Entry>, request: &mut Request<Body>, rest: &str) -> Response<Body> {
     let id = Uuid::new_v4().to_string();
-    let result = read(entry, request, rest, &id).and_then(|call| send(entry, &call));
+    let result = operation::identifier(request).and_then(|identifier| {
+        let call = read(entry, request, rest, &id)?;
+        match identifier {
+            Some(identifier) => operation::run(entry, &identifier, &call, false),
+            None => send(entry, &call),
+        }
+    });
     match result {
         Ok(answer) => {
             entry.metrics.count(Code::Ok);
@@ -71,6 +90,9 @@
         .map_or(entry.settings.deadline, Duration::from_millis);
     Ok(Call {
         id: id.to_owned(),
+        caller: http::header(request, "nutmegcart-caller")
+            .unwrap_or("")
+            .to_owned(),
         idempotent: marked || method != "POST" && method != "PATCH",
         method,
         path: format!("/v1/services/{rest}"),
@@ -116,7 +138,12 @@
     Ok(local)
 }
 
-fn send(entry: &Entry, call: &Call) -> Result<Answer> {
+/// Sends a request to a runner and returns its answer.
+///
+/// # Errors
+///
+/// Only a code with the verdict unknown leaves open whether the request ran.
+pub fn send(entry: &Entry, call: &Call) -> Result<Answer> {
     let runners = runners(entry, &call.service)?;
     if runners.is_empty() {
         return Err(Code::NoRunner);
--- /dev/null
+++ b/crates/nutmegcart_entry/src/operation.rs
@@ -0,0 +1,504 @@
+//! Operations that run at most once: tickets, keys, and calls to owners and witnesses.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_model::CallerName;
+use nutmegcart_model::Code;
+use nutmegcart_model::Event;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::Verdict;
+use nutmegcart_model::log_event;
+use nutmegcart_peer::Dispatcher;
+use nutmegcart_peer::Forward;
+use nutmegcart_peer::HandoverMessage;
+use nutmegcart_peer::Heartbeat;
+use nutmegcart_peer::Identifier;
+use nutmegcart_peer::IntentMessage;
+use nutmegcart_peer::Message;
+use nutmegcart_peer::OutcomeMessage;
+use nutmegcart_peer::Seal;
+use nutmegcart_request::Adoption;
+use nutmegcart_request::Attempt;
+use nutmegcart_request::Code16;
+use nutmegcart_request::Coordinator;
+use nutmegcart_request::Member;
+use nutmegcart_request::Members;
+use nutmegcart_request::Operation;
+use nutmegcart_request::OperationId;
+use nutmegcart_request::Presence;
+use nutmegcart_request::Report;
+use nutmegcart_request::Resolution;
+use nutmegcart_request::Roster;
+use nutmegcart_request::Step;
+use nutmegcart_request::Version;
+use nutmegcart_request::fingerprint;
+use nutmegcart_request::ledger::Limits;
+use nutmegcart_request::ledger::Outcome;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::entry::Entry;
+use crate::forward;
+use crate::forward::Answer;
+use crate::forward::Call;
+use crate::forward::Result;
+use crate::http;
+
+/// Time that the owner has, beyond the deadline, to answer the entry instance that forwarded.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Header of a ticketed operation.
+const OPERATION: &str = "nutmegcart-operation";
+/// Header of a plain key.
+const KEY: &str = "idempotency-key";
+
+/// Shared state of at-most-once execution; each lock is taken alone and not held across I/O.
+pub struct Operations {
+    coordinator: Mutex<Coordinator>,
+    /// Signals that an operation of this owner ended.
+    ended: Condvar,
+    members: Mutex<Members>,
+    /// Address at which each life of a peer last answered.
+    links: Mutex<BTreeMap<Incarnation, SocketAddr>>,
+}
+
+impl Operations {
+    /// Creates the state of a new incarnation.
+    #[must_use]
+    pub fn new(me: Member) -> Self {
+        Self {
+            coordinator: Mutex::new(Coordinator::new(me, Limits::default())),
+            ended: Condvar::new(),
+            members: Mutex::default(),
+            links: Mutex::default(),
+        }
+    }
+
+    /// Runs a closure on the decisions; it must not perform I/O.
+    pub fn decide<T>(&self, decide: impl FnOnce(&mut Coordinator) -> T) -> T {
+        decide(&mut self.coordinator.lock())
+    }
+
+    /// Returns the version of the roster in force.
+    pub fn version(&self) -> Version {
+        self.decide(|coordinator| coordinator.view().roster().version)
+    }
+
+    /// Returns the roster in force if it is newer than the version.
+    pub fn newer(&self, version: Version) -> Option<Roster> {
+        self.decide(|coordinator| {
+            let roster = coordinator.view().roster();
+            (roster.version.epoch > version.epoch).then(|| roster.clone())
+        })
+    }
+
+    /// Offers a roster and logs what became of it.
+    pub fn offer(&self, roster: &Roster, now: Duration) -> Adoption {
+        let adoption = self.decide(|coordinator| coordinator.view_mut().offer(roster, now));
+        match adoption {
+            Adoption::Adopted => {
+                let members = roster.members.len();
+                let epoch = roster.version.epoch;
+                log_event!(Event::RosterChanged, epoch = epoch, members = members);
+            }
+            Adoption::Conflict => {
+                log_event!(Event::RosterConflict, epoch = roster.version.epoch);
+            }
+            Adoption::Same | Adoption::Older => {}
+        }
+        adoption
+    }
+
+    /// Notes a heartbeat.
+    pub fn hear(&self, heartbeat: &Heartbeat, now: Duration) {
+        let sender = heartbeat.sender.clone();
+        let presence = Presence {
+            centre: sender.centre,
+            instance: sender.id,
+            incarnation: sender.incarnation,
+            address: sender.address.to_string(),
+            roster: heartbeat.roster,
+            draining: heartbeat.draining,
+        };
+        self.members.lock().hear(presence, now);
+    }
+
+    /// Returns the peers that were heard.
+    pub fn members(&self) -> Members {
+        self.members.lock().clone()
+    }
+
+    /// Notes that a life of a peer answered at the address.
+    pub fn reached(&self, incarnation: Incarnation, address: SocketAddr) {
+        let mut links = self.links.lock();
+        links.retain(|_, known| *known != address);
+        links.insert(incarnation, address);
+    }
+
+    /// Returns whether plain keys may be dispatched now and every other member can be reached.
+    pub fn is_joined(&self, now: Duration) -> bool {
+        let (others, allowed) = self.decide(|coordinator| {
+            let (me, view) = (coordinator.me().incarnation, coordinator.view());
+            let roster = view.roster();
+            let members = roster.members.iter().map(|member| member.incarnation);
+            let others: Vec<Incarnation> = members.filter(|member| *member != me).collect();
+            (others, view.may_dispatch(roster.version, me, now))
+        });
+        allowed && others.iter().all(|other| self.link(*other, now).is_some())
+    }
+
+    /// Returns the address of a peer that is not suspect.
+    fn link(&self, incarnation: Incarnation, now: Duration) -> Option<SocketAddr> {
+        if self.members.lock().is_suspect(incarnation, now) {
+            return None;
+        }
+        self.links.lock().get(&incarnation).copied()
+    }
+
+    /// Stops opening and witnessing operations.
+    pub fn freeze(&self) {
+        self.decide(Coordinator::freeze);
+    }
+}
+
+/// Returns the identifier that a request carries.
+///
+/// # Errors
+///
+/// Refuses a request with both headers, or with one that is not text.
+pub fn identifier(request: &Request<Body>) -> Result<Option<Identifier>> {
+    let given = |name| request.headers().contains_key(name);
+    let text = |name| http::header(request, name).map(str::to_owned);
+    match (given(OPERATION), given(KEY)) {
+        (false, false) => Ok(None),
+        (true, true) => Err(Code::BadRequest),
+        (true, false) => text(OPERATION)
+            .map(Identifier::Operation)
+            .map(Some)
+            .ok_or(Code::BadTicket),
+        (false, true) => text(KEY)
+            .map(Identifier::Key)
+            .map(Some)
+            .ok_or(Code::BadTicket),
+    }
+}
+
+/// Returns the code of a refusal that was made without asking the owner.
+///
+/// An earlier attempt at an operation may have run, so it must not be reported as not run.
+pub fn unheard(request: &Request<Body>, code: Code) -> Code {
+    match identifier(request) {
+        Ok(None) => code,
+        _ => Code::NotAttempted,
+    }
+}
+
+/// Handles `POST /v1/tickets`.
+pub fn issue(entry: &Entry, request: &Request<Body>) -> Response<Body> {
+    if request.method().as_str() != "POST" {
+        return http::error(Code::NotFound, "", "tickets are issued by POST");
+    }
+    if !entry.is_ready() {
+        return http::error(Code::ShuttingDown, "", "");
+    }
+    let random = Incarnation::random().0;
+    let members = entry.operations.members();
+    let witness = members.witness(&entry.settings.centre, random, entry.now());
+    let ticket = entry
+        .operations
+        .decide(|coordinator| coordinator.issue(witness));
+    http::json(200, &json!({ "ticket": ticket.to_string() }))
+}
+
+fn parse(identifier: &Identifier, caller: &str) -> Result<Operation> {
+    match identifier {
+        Identifier::Operation(text) => text.parse().map(Operation::Ticketed),
+        Identifier::Key(text) => {
+            OperationId::key(&CallerName::from(caller), text).map(Operation::Plain)
+        }
+    }
+    .map_err(|_| Code::BadTicket)
+}
+
+/// Runs a caller's operation, here or at its owner.
+///
+/// # Errors
+///
+/// Returns the code for the caller.
+pub fn run(
+    entry: &Arc<Entry>,
+    identifier: &Identifier,
+    call: &Call,
+    forwarded: bool,
+) -> Result<Answer> {
+    let operation = parse(identifier, &call.caller)?;
+    let run = Run {
+        entry,
+        identifier,
+        operation,
+        fingerprint: fingerprint(&[
+            call.caller.as_bytes(),
+            call.method.as_bytes(),
+            call.path.as_bytes(),
+            &call.body,
+        ]),
+        call,
+        forwarded,
+    };
+    run.submit()
+}
+
+/// A request with its operation.
+struct Run<'a> {
+    entry: &'a Arc<Entry>,
+    identifier: &'a Identifier,
+    operation: Operation,
+    fingerprint: u64,
+    call: &'a Call,
+    forwarded: bool,
+}
+
+impl Run<'_> {
+    fn submit(&self) -> Result<Answer> {
+        let operations = &self.entry.operations;
+        let mut coordinator = operations.coordinator.lock();
+        let step = loop {
+            let now = self.entry.now();
+            let print = self.fingerprint;
+            let step = coordinator.submit(&self.operation, print, self.forwarded, now);
+            let running = Step::Reply(Code::OperationRunning.into());
+            // A retry waits for the first attempt until its own deadline.
+            let over = Instant::now() >= self.call.end;
+            if step != running || over {
+                break step;
+            }
+            operations.ended.wait_until(&mut coordinator, self.call.end);
+        };
+        drop(coordinator);
+        match step {
+            Step::Forward(owner) => self.forward(owner),
+            Step::AskWitness(intent, attempt) => {
+                let to = intent.to;
+                let sender = self.entry.sender.clone();
+                let answer = self.ask(to, &IntentMessage { sender, intent });
+                let now = self.entry.now();
+                let step = operations.decide(|c| c.witnessed(attempt, answer, now));
+                match step {
+                    Step::Send(attempt) => self.dispatch(&attempt),
+                    Step::Reply(resolution) => self.end(resolution),
+                    _ => Err(Code::NotAttempted),
+                }
+            }
+            Step::Send(attempt) => self.dispatch(&attempt),
+            Step::Seal(witness) => self.seal(witness),
+            Step::Reply(resolution) => answer(resolution),
+        }
+    }
+
+    /// Calls a peer within the time that is left; none without an answer.
+    fn ask<M: Message>(&self, to: Incarnation, message: &M) -> Option<M::Answer> {
+        let address = self.entry.operations.link(to, self.entry.now())?;
+        let answer = self.entry.peers.call(address, message);
+        answer.ok()
+    }
+
+    fn dispatch(&self, attempt: &Attempt) -> Result<Answer> {
+        let operations = &self.entry.operations;
+        let now = self.entry.now();
+        if let Err(resolution) = operations.decide(|c| c.dispatch(attempt, now)) {
+            return self.end(resolution);
+        }
+        let result = forward::send(self.entry, self.call);
+        let outcome = match &result {
+            Ok(answer) => Outcome::Answered(Arc::new(stored(answer))),
+            Err(code) if code.verdict() == Verdict::Unknown => Outcome::Lost(Code16(*code)),
+            Err(code) => Outcome::Refused(Code16(*code)),
+        };
+        let now = self.entry.now();
+        let report = operations.decide(|c| c.finish(attempt, outcome, now));
+        operations.ended.notify_all();
+        if let Some(report) = report {
+            self.report(report);
+        }
+        result
+    }
+
+    /// Ends a request whose attempt ended without a dispatch.
+    fn end(&self, resolution: Resolution) -> Result<Answer> {
+        self.entry.operations.ended.notify_all();
+        answer(resolution)
+    }
+
+    /// Sends the outcome to the witness; if it is lost, the witness answers "unknown".
+    fn report(&self, report: Report) {
+        let entry = self.entry.clone();
+        self.entry.workers.submit(move || {
+            let Some(address) = entry.operations.link(report.to, entry.now()) else {
+                return;
+            };
+            let sender = entry.sender.clone();
+            let _ = entry
+                .peers
+                .call(address, &OutcomeMessage { sender, report });
+        });
+    }
+
+    fn forward(&self, owner: Incarnation) -> Result<Answer> {
+        let operations = &self.entry.operations;
+        let Some(address) = operations.link(owner, self.entry.now()) else {
+            return self.owner_lost();
+        };
+        let left = self.call.end.saturating_duration_since(Instant::now());
+        let message = Forward {
+            sender: self.entry.sender.clone(),
+            roster: operations.version(),
+            to: owner,
+            operation: self.identifier.clone(),
+            request: self.call.id.clone(),
+            caller: self.call.caller.clone(),
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            headers: vec![("idempotent".into(), self.call.idempotent.to_string())],
+            body: self.call.body.clone().into(),
+            left: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        };
+        let within = left + ANSWER_MARGIN;
+        match self.entry.peers.call_within(address, &message, within) {
+            Ok(resolution) => answer(resolution),
+            Err(_) => self.owner_lost(),
+        }
+    }
+
+    fn owner_lost(&self) -> Result<Answer> {
+        let Operation::Ticketed(operation) = &self.operation else {
+            return Err(Code::OwnerUnreachable);
+        };
+        let now = self.entry.now();
+        let operations = &self.entry.operations;
+        match operations.decide(|c| c.owner_lost(operation, self.fingerprint, now)) {
+            Step::Seal(witness) => self.seal(witness),
+            Step::Reply(resolution) => answer(resolution),
+            _ => Err(Code::OwnerUnreachable),
+        }
+    }
+
+    fn seal(&self, witness: Incarnation) -> Result<Answer> {
+        let message = Seal {
+            sender: self.entry.sender.clone(),
+            roster: self.entry.operations.version(),
+            to: witness,
+            id: self.operation.id(),
+            fingerprint: self.fingerprint,
+        };
+        let sealed = self.ask(witness, &message).flatten();
+        answer(sealed.unwrap_or(Code::OwnerUnreachable.into()))
+    }
+}
+
+fn stored(answer: &Answer) -> nutmegcart_request::Answer {
+    nutmegcart_request::Answer {
+        status: answer.status,
+        headers: vec![("content-type".into(), answer.kind.clone())],
+        body: answer.body.clone().into(),
+    }
+}
+
+fn answer(resolution: Resolution) -> Result<Answer> {
+    match resolution {
+        Resolution::Answer(stored) => Ok(Answer {
+            status: stored.status,
+            kind: stored
+                .headers
+                .first()
+                .map_or_else(String::new, |(_, kind)| kind.clone()),
+            body: stored.body.0.to_vec(),
+        }),
+        Resolution::Code(code) => Err(code.0),
+    }
+}
+
+/// Handles a request that a peer passed on to its owner.
+fn on_forward(entry: &Arc<Entry>, message: Forward) -> Resolution {
+    if message.to != entry.sender.incarnation {
+        return Code::OwnerUnreachable.into();
+    }
+    let service = message.path.strip_prefix("/v1/services/").unwrap_or("");
+    let call = Call {
+        id: message.request,
+        caller: message.caller,
+        method: message.method,
+        service: service.split('/').next().unwrap_or("").to_owned(),
+        path: message.path,
+        idempotent: message
+            .headers
+            .contains(&("idempotent".into(), "true".into())),
+        body: message.body.0.to_vec(),
+        end: Instant::now() + Duration::from_millis(message.left),
+    };
+    match run(entry, &message.operation, &call, true) {
+        Ok(answer) => Resolution::Answer(Arc::new(stored(&answer))),
+        Err(code) => code.into(),
+    }
+}
+
+/// Adds the handlers of the operation messages.
+pub fn register(dispatcher: Dispatcher<Arc<Entry>>) -> Dispatcher<Arc<Entry>> {
+    dispatcher
+        .on(on_forward)
+        .on(|entry: &Arc<Entry>, message: IntentMessage| {
+            let now = entry.now();
+            let operations = &entry.operations;
+            operations.decide(|c| c.on_intent(&message.intent, now))
+        })
+        .on(|entry: &Arc<Entry>, message: OutcomeMessage| {
+            let now = entry.now();
+            let operations = &entry.operations;
+            operations.decide(|c| c.on_report(message.report, now));
+        })
+        .on(|entry: &Arc<Entry>, message: Seal| {
+            let now = entry.now();
+            let Seal {
+                to,
+                id,
+                fingerprint,
+                ..
+            } = message;
+            let operations = &entry.operations;
+            operations.decide(|c| c.on_seal(to, &id, fingerprint, now))
+        })
+        .on(|entry: &Arc<Entry>, message: HandoverMessage| {
+            let now = entry.now();
+            let operations = &entry.operations;
+            operations.decide(|c| c.on_handover(message.to, message.records, now))
+        })
+}
+
+/// Sends the ledger of a frozen entry instance to the pairs that follow.
+///
+/// Returns the version of the roster for which every recipient confirmed.
+pub fn hand_over(entry: &Entry) -> Option<Version> {
+    let now = entry.now();
+    let handover = entry.operations.decide(|c| c.handover(now));
+    for (to, records) in handover.records {
+        let address = entry.operations.link(to, entry.now())?;
+        let count = records.len();
+        let message = HandoverMessage {
+            sender: entry.sender.clone(),
+            roster: handover.version,
+            to,
+            records,
+        };
+        if !entry.peers.call(address, &message).ok()? {
+            return None;
+        }
+        log_event!(Event::LedgerHanded, to = to, records = count);
+    }
+    Some(handover.version)
+}
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,15 +11,16 @@
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_peer::ConfigSince;
+use nutmegcart_peer::DispatchError;
+use nutmegcart_peer::Dispatcher;
 use nutmegcart_peer::Heartbeat;
-use nutmegcart_peer::Message;
-use nutmegcart_peer::message;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 
 use crate::entry::Entry;
 use crate::http;
+use crate::operation;
 use crate::tables::Peer;
 
 /// Silence after which a peer is suspect: three missed heartbeats.
@@ -46,17 +48,24 @@
         sender: entry.sender.clone(),
         generation: entry.tables.in_force.get().configuration.generation,
         draining: entry.lifecycle.draining.load(Ordering::Acquire),
+        roster: entry.operations.version(),
+        newer: None,
     }
 }
 
 fn exchange(entry: &Entry, address: SocketAddr) {
-    if let Ok(answer) = entry.peers.call(address, &heartbeat(entry)) {
+    if let Ok(mut answer) = entry.peers.call(address, &heartbeat(entry)) {
+        entry.operations.reached(answer.sender.incarnation, address);
+        if let Some(roster) = answer.newer.take() {
+            entry.operations.offer(&roster, entry.now());
+        }
         heard(entry, &answer);
         pull(entry, address, &answer);
     }
 }
 
 fn heard(entry: &Entry, heartbeat: &Heartbeat) {
+    entry.operations.hear(heartbeat, entry.now());
     let peer = Peer {
         sender: heartbeat.sender.clone(),
         generation: heartbeat.generation,
@@ -106,29 +115,29 @@
         Ok(body) => body,
         Err(code) => return http::error(code, "", ""),
     };
-    match path {
-        Heartbeat::PATH => reply::<Heartbeat>(&body, |message| {
-            heard(entry, &message);
-            heartbeat(entry)
-        }),
-        ConfigSince::PATH => reply::<ConfigSince>(&body, |message| {
-            entry
-                .tables
-                .in_force
-                .get()
-                .configuration
-                .changes_since(message.from)
-        }),
-        _ => http::error(Code::NotFound, "", path),
+    match dispatcher().dispatch(entry, path, &body) {
+        Ok(body) => http::answer(200, "application/msgpack", body),
+        Err(DispatchError::UnknownPath { path }) => http::error(Code::NotFound, "", &path),
+        Err(DispatchError::Malformed { reason }) => http::error(Code::BadRequest, "", &reason),
     }
 }
 
-fn reply<M: Message>(body: &[u8], answer: impl FnOnce(M) -> M::Answer) -> Response<Body> {
-    match message::decode::<M>(body) {
-        Ok(message) => {
-            let body = message::encode(&answer(message));
-            http::answer(200, "application/msgpack", body)
-        }
-        Err(error) => http::error(Code::BadRequest, "", &error.to_string()),
-    }
+/// Returns the handlers of all messages.
+fn dispatcher() -> &'static Dispatcher<Arc<Entry>> {
+    static DISPATCHER: OnceLock<Dispatcher<Arc<Entry>>> = OnceLock::new();
+    DISPATCHER.get_or_init(|| {
+        let dispatcher = Dispatcher::default()
+            .on(|entry: &Arc<Entry>, message: Heartbeat| {
+                heard(entry, &message);
+                Heartbeat {
+                    newer: entry.operations.newer(message.roster),
+                    ..heartbeat(entry)
+                }
+            })
+            .on(|entry: &Arc<Entry>, message: ConfigSince| {
+                let loaded = entry.tables.in_force.get();
+                loaded.configuration.changes_since(message.from)
+            });
+        operation::register(dispatcher)
+    })
 }
--- a/crates/nutmegcart_entry/src/server.rs
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use nutmegcart_model::Code;
+use nutmegcart_peer::Forward;
+use nutmegcart_peer::Message;
 use oxhttp::Server;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
@@ -14,6 +16,7 @@
 use crate::entry::Entry;
 use crate::forward;
 use crate::http;
+use crate::operation;
 use crate::peering;
 
 /// Longest wait for a byte from or to a caller.
@@ -59,15 +62,20 @@
         // The refusal is checked after counting, so a drain that sees no request in flight
         // cannot miss one that passed the check.
         let response = if entry.lifecycle.refusing.load(Ordering::Acquire) {
-            entry.metrics.count(Code::ShuttingDown);
-            http::error(Code::ShuttingDown, "", "")
+            let code = operation::unheard(request, Code::ShuttingDown);
+            entry.metrics.count(code);
+            http::error(code, "", "")
         } else {
             forward::handle(entry, request, rest)
         };
         return http::hold(response, active);
     }
     if let Some(message) = path.strip_prefix("/peer/v1/") {
-        return peering::handle(entry, request, message);
+        let active = (message == Forward::PATH).then(|| Active::begin(entry));
+        return http::hold(peering::handle(entry, request, message), active);
+    }
+    if path == "/v1/tickets" {
+        return operation::issue(entry, request);
     }
     if let Some(rest) = path.strip_prefix("/admin/v1/") {
         return admin::handle(entry, request, rest);
--- /dev/null
+++ b/crates/nutmegcart_entry/tests/operations.rs
@@ -0,0 +1,149 @@
+//! Operations that run at most once, with several real entry instances over loopback.
+
+mod site;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::spawn;
+use std::time::Duration;
+
+use nutmegcart_entry::Entry;
+use nutmegcart_fakes::Link;
+use nutmegcart_request::Coordinator;
+use serde_json::Value;
+
+use crate::site::Site;
+use crate::site::Transcript;
+use crate::site::pool;
+use crate::site::until;
+
+/// Returns whether an entry instance is in a roster of the size and can reach all of it.
+fn joined(entry: &Entry, size: usize) -> bool {
+    let members = |c: &mut Coordinator| c.view().roster().members.len();
+    entry.operations.decide(members) == size && entry.operations.is_joined(entry.now())
+}
+
+/// Starts three entry instances that serve a pool and agree on a roster.
+fn start(service_time: Duration) -> Site {
+    let site = Site::start(&["suva", "nadi", "labasa"], 1, service_time);
+    site.apply(0, &[pool("gates", 3)]);
+    until(|| {
+        site.nodes.iter().all(|node| {
+            let maps = node.entry.tables.maps.read().clone();
+            let seats: usize = maps.values().map(|map| map.seats.len()).sum();
+            seats == 3 && node.entry.is_ready() && joined(&node.entry, 3)
+        })
+    });
+    site
+}
+
+fn ticket(site: &Site, node: usize) -> String {
+    let answer = site.nodes[node].post("/v1/tickets", &Value::Null);
+    answer["ticket"]
+        .as_str()
+        .expect("a ticket was issued")
+        .to_owned()
+}
+
+fn call(site: &Site, node: usize, token: &str, ticket: &str, number: u64) -> String {
+    let operation = format!("{ticket}/{number}");
+    site.nodes[node].call("gates", token, &[("nutmegcart-operation", &operation)])
+}
+
+fn keyed(site: &Site, node: usize, token: &str, key: &str) -> String {
+    site.nodes[node].call("gates", token, &[("idempotency-key", key)])
+}
+
+/// Cuts an entry instance off from everybody and ends its loops, as a death would.
+fn lose(site: &Site, node: usize) {
+    let lost = &site.nodes[node];
+    lost.front.cut();
+    lost.platform.cut();
+    lost.remote.iter().for_each(Link::cut);
+    for (index, other) in site.nodes.iter().enumerate() {
+        for (centre, link) in &other.peers {
+            if index == node || *centre == lost.centre {
+                link.cut();
+            }
+        }
+    }
+    lost.entry.stop();
+}
+
+/// Guards against retries that run again, and against answers that differ between entries.
+#[test]
+fn retries_through_any_entry_instance_get_the_first_answer() {
+    let site = start(Duration::from_millis(2));
+    let log = Transcript::default();
+    let ticket = ticket(&site, 0);
+    for node in 0..3 {
+        log.note(format!("ticket: {}", call(&site, node, "t1", &ticket, 1)));
+        log.note(format!("key: {}", keyed(&site, node, "k1", "monday")));
+    }
+    log.note(format!("other body: {}", keyed(&site, 1, "k2", "monday")));
+    let forged = ticket.rsplit_once('.').unwrap().0.to_owned() + ".-";
+    log.note(format!(
+        "other witness: {}",
+        call(&site, 1, "t2", &forged, 2)
+    ));
+    for token in ["t1", "k1", "k2", "t2"] {
+        log.note(format!("{token} ran {}", site.oracle.runs(token).started));
+    }
+    insta::assert_snapshot!(log.text());
+}
+
+/// Guards against a second run, and against "not run" for what may have run, when the owner is
+/// lost between dispatch and answer.
+#[test]
+fn owner_lost_between_dispatch_and_answer() {
+    let site = start(Duration::from_millis(2));
+    let log = Transcript::default();
+    let ticket = ticket(&site, 0);
+    log.note(format!("first: {}", call(&site, 0, "t1", &ticket, 1)));
+    until(|| {
+        let stored = |c: &mut Coordinator| c.ledger().stored();
+        site.nodes[1..]
+            .iter()
+            .any(|node| node.entry.operations.decide(stored) == 1)
+    });
+    for runner in &site.runners {
+        runner.set_service_time(Duration::from_mins(5));
+    }
+    let site = Arc::new(site);
+    let (caller, second) = (site.clone(), ticket.clone());
+    let cut_short = spawn(move || call(&caller, 0, "t2", &second, 2));
+    until(|| site.oracle.runs("t2").started == 1);
+    lose(&site, 0);
+    log.note(format!("caller: {}", cut_short.join().unwrap()));
+    log.note(format!("finished: {}", call(&site, 1, "t1", &ticket, 1)));
+    log.note(format!("dispatched: {}", call(&site, 2, "t2", &ticket, 2)));
+    log.note(format!("unsent: {}", call(&site, 1, "t3", &ticket, 3)));
+    for token in ["t1", "t2", "t3"] {
+        log.note(format!("{token} ran {}", site.oracle.runs(token).started));
+    }
+    insta::assert_snapshot!(log.text());
+}
+
+/// Guards against plain keys that run again, or wait for the barrier, after a graceful shutdown.
+#[test]
+fn keys_survive_the_graceful_shutdown_of_their_owner() {
+    let site = start(Duration::from_millis(2));
+    let keys: Vec<String> = (0..12).map(|number| format!("key {number}")).collect();
+    for key in &keys {
+        assert_eq!(keyed(&site, 1, key, key), format!("200 {key} done"));
+    }
+    site.nodes[0].entry.drain();
+    assert!(
+        site.nodes[0]
+            .entry
+            .lifecycle
+            .stopped
+            .load(Ordering::Acquire)
+    );
+    until(|| joined(&site.nodes[1].entry, 2) && joined(&site.nodes[2].entry, 2));
+    for key in &keys {
+        assert_eq!(keyed(&site, 2, key, key), format!("200 {key} done"));
+        assert_eq!(site.oracle.runs(key).started, 1);
+    }
+    assert_eq!(keyed(&site, 2, "new", "new"), "200 new done");
+}
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -72,6 +72,9 @@
     PeerSuspect = 600, Warn, "peer is silent";
     PeerReturned = 601, Info, "peer answers again";
     RosterChanged = 602, Info, "roster of entry instances changed";
+    RosterConflict = 610, Error, "two rosters of the same epoch differ, or the store holds an older one; plain keys stop";
+    LedgerHanded = 611, Info, "records of plain keys handed over";
+    LedgerNotHanded = 612, Warn, "left without a complete handover; plain keys of this instance wait for the barrier";
 }
 
 /// Logs a numbered event with key-value fields.
--- a/crates/nutmegcart_request/src/ledger.rs
+++ b/crates/nutmegcart_request/src/ledger.rs
@@ -239,6 +239,13 @@
         self.memory
     }
 
+    /// Returns the number of stored answers.
+    #[must_use]
+    pub fn stored(&self) -> usize {
+        let answered = |entry: &&Entry| matches!(entry.state, State::Over(Outcome::Answered(_)));
+        self.entries.values().filter(answered).count()
+    }
+
     /// Returns what is on record about the operation.
     #[must_use]
     pub fn find(&self, id: &OperationId, fingerprint: u64, now: Duration) -> Option<Resolution> {
--- a/crates/nutmegcart_request/src/lib.rs
+++ b/crates/nutmegcart_request/src/lib.rs
@@ -66,3 +66,4 @@
 pub use ticket::Ticket;
 pub use ticket::TicketNumber;
 pub use ticket::TicketedOperation;
+pub use ticket::fingerprint;
--- a/crates/nutmegcart_request/src/roster.rs
+++ b/crates/nutmegcart_request/src/roster.rs
@@ -28,8 +28,9 @@
 pub const CLOCK_MARGIN: Duration = Duration::from_secs(12);
 
 /// Time after which no operation of an older epoch can lie within the retention time.
-pub const BARRIER: Duration =
-    Duration::from_secs(CONFIRMATION.as_secs() + RETENTION.as_secs() + CLOCK_MARGIN.as_secs());
+pub const BARRIER: Duration = Duration::from_secs(
+    CONFIRMATION.as_secs() + PERMIT_LIFE.as_secs() + RETENTION.as_secs() + CLOCK_MARGIN.as_secs(),
+);
 
 /// One life of an entry instance.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- a/crates/nutmegcart_request/src/ticket.rs
+++ b/crates/nutmegcart_request/src/ticket.rs
@@ -12,6 +12,7 @@
 use nutmegcart_model::InstanceId;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 /// Longest operation header and longest plain key in bytes.
 pub const MAX_IDENTIFIER: usize = 512;
@@ -188,3 +189,19 @@
         Ok(Self::Key(format!("{}:{caller}{key}", caller.len()).into()))
     }
 }
+
+/// Returns the fingerprint by which a reused identifier with another request is recognised.
+///
+/// ```
+/// # use nutmegcart_request::fingerprint;
+/// assert_ne!(fingerprint(&[b"a", b"bc"]), fingerprint(&[b"ab", b"c"]));
+/// ```
+#[must_use]
+pub fn fingerprint(parts: &[&[u8]]) -> u64 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
--- a/crates/nutmegcart_request/tests/operation_rules.rs
+++ b/crates/nutmegcart_request/tests/operation_rules.rs
@@ -20,12 +20,14 @@
 use nutmegcart_request::Presence;
 use nutmegcart_request::Resolution;
 use nutmegcart_request::Roster;
+use nutmegcart_request::TicketNumber;
 use nutmegcart_request::TicketedOperation;
 use nutmegcart_request::Version;
 use nutmegcart_request::ledger::HOLD;
 use nutmegcart_request::ledger::Limits;
 use nutmegcart_request::ledger::Outcome;
 use nutmegcart_request::roster::BARRIER;
+use nutmegcart_request::roster::CLOCK_MARGIN;
 use nutmegcart_request::roster::CONFIRMATION;
 use nutmegcart_request::roster::PERMIT_LIFE;
 use nutmegcart_request::roster::RETENTION;
@@ -162,6 +164,48 @@
     assert_eq!(settled(&mut world, 2, &ticketed), Code::OwnerUnreachable);
 }
 
+#[test]
+fn new_life_of_the_witness_records_no_intent() {
+    let mut world = world(3);
+    let ticketed = world.ticket(0, Some(1), 1).unwrap();
+    world.kill(1);
+    remove(&mut world, 2, 1);
+    world.restart(1);
+    assert_eq!(settled(&mut world, 0, &ticketed), Code::WitnessUnreachable);
+}
+
+#[test]
+fn barrier_outlasts_the_last_refusal_of_a_removed_owner() {
+    // The last confirmed owner repeats a refusal once more, and clocks differ by a margin.
+    assert!(BARRIER >= CONFIRMATION + PERMIT_LIFE + RETENTION + CLOCK_MARGIN);
+    assert!(HOLD >= RETENTION + 2 * PERMIT_LIFE + CLOCK_MARGIN);
+}
+
+#[test]
+fn key_is_remembered_for_the_retention_time() {
+    let mut world = world(3);
+    let operation = Operation::Plain(plain("key"));
+    assert_eq!(settled(&mut world, 1, &operation), Code::Ok);
+    world.now += RETENTION;
+    sync(&mut world, 0..3);
+    assert_eq!(settled(&mut world, 2, &operation), Code::Ok);
+    assert_eq!(world.oracle.runs(&operation.id()), 1);
+}
+
+#[test]
+fn attempt_starts_once_and_an_attempt_under_a_ticket_is_not_abandoned() {
+    let mut ledger = Ledger::default();
+    let id = OperationId::Ticket(TicketNumber {
+        owner: Incarnation(1),
+        serial: 1,
+        number: 1,
+    });
+    let attempt = ledger.begin(&id, 1, SECOND).unwrap();
+    ledger.abandon(&id, attempt);
+    ledger.start(&id, attempt, SECOND).unwrap();
+    assert!(ledger.start(&id, attempt, SECOND).is_err());
+}
+
 #[test]
 fn forgotten_ticket_is_never_sealed_as_not_run_nor_run_again() {
     let mut world = world(3);
@@ -248,6 +292,23 @@
     assert_eq!(world.oracle.runs(&id), 0);
 }
 
+#[test]
+fn removed_owner_that_wakes_does_not_refuse_as_not_run() {
+    for removed in [true, false] {
+        let mut world = world(4);
+        let id = key(&world.roster, |owner, witness| (owner, witness) == (0, 2));
+        let (request, attempt) = permitted(&mut world, &Operation::Plain(id), 0);
+        if removed {
+            remove(&mut world, 1, 0);
+        } else {
+            world.now += PERMIT_LIFE;
+            world.sync(0);
+        }
+        world.refuse(attempt, false);
+        assert_eq!(world.code(request), Some(Code::OperationUnknown));
+    }
+}
+
 #[test]
 fn permit_that_the_witness_may_have_forgotten_is_void() {
     let mut world = world(4);
@@ -270,6 +331,11 @@
     world.remove(1, 0);
     world.gossip(1, 2);
     assert_eq!(settled(&mut world, 0, &operation), Code::NotAttempted);
+    // The pair is the same, but the owner does not know that the roster changed.
+    let same = key(&world.roster, |owner, witness| (owner, witness) == (1, 3));
+    world.remove(3, 2);
+    let stale = settled(&mut world, 1, &Operation::Plain(same));
+    assert_eq!(stale, Code::NotAttempted);
 }
 
 #[test]
