--- a/crates/nutmegcart_entry/src/operation.rs
+++ b/crates/nutmegcart_entry/src/operation.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use nutmegcart_model::CallerName;
 use nutmegcart_model::Code;
@@ -38,6 +39,7 @@
 use nutmegcart_request::fingerprint;
 use nutmegcart_request::ledger::Limits;
 use nutmegcart_request::ledger::Outcome;
+use nutmegcart_request::roster::CLOCK_MARGIN;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
@@ -67,6 +69,8 @@
     members: Mutex<Members>,
     /// Address at which each life of a peer last answered.
     links: Mutex<BTreeMap<Incarnation, SocketAddr>>,
+    /// Both clocks at the last read of the roster.
+    clocks: Mutex<Option<(Instant, SystemTime)>>,
 }
 
 impl Operations {
@@ -78,6 +82,31 @@
             ended: Condvar::new(),
             members: Mutex::default(),
             links: Mutex::default(),
+            clocks: Mutex::default(),
+        }
+    }
+
+    /// Notes that the store held the version at some moment after `asked`.
+    pub fn confirm(&self, version: Version, asked: Duration, clocks: (Instant, SystemTime)) {
+        *self.clocks.lock() = Some(clocks);
+        self.decide(|coordinator| coordinator.view_mut().confirm(version, asked));
+    }
+
+    /// Withdraws the confirmation if the machine seems to have been suspended since it was given.
+    ///
+    /// The monotonic clock does not count the time for which a virtual machine is suspended.
+    pub fn check_clocks(&self, instant: Instant, system: SystemTime) {
+        let clocks = *self.clocks.lock();
+        let Some((then, then_system)) = clocks else {
+            return;
+        };
+        let monotonic = instant.saturating_duration_since(then);
+        let drift = match system.duration_since(then_system) {
+            Ok(elapsed) => elapsed.abs_diff(monotonic),
+            Err(backwards) => backwards.duration() + monotonic,
+        };
+        if drift > CLOCK_MARGIN {
+            self.decide(|coordinator| coordinator.view_mut().unconfirm());
         }
     }
 
@@ -311,6 +340,7 @@
 
     fn dispatch(&self, attempt: &Attempt) -> Result<Answer> {
         let operations = &self.entry.operations;
+        operations.check_clocks(Instant::now(), SystemTime::now());
         let now = self.entry.now();
         if let Err(resolution) = operations.decide(|c| c.dispatch(attempt, now)) {
             return self.end(resolution);
--- a/crates/nutmegcart_entry/src/roster.rs
+++ b/crates/nutmegcart_entry/src/roster.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
 
 use nutmegcart_model::Event;
 use nutmegcart_model::Incarnation;
@@ -95,6 +97,7 @@
 
 /// Reads the roster with its revision, and puts it in force.
 fn read(entry: &Entry) -> Result<(Option<Roster>, Revision)> {
+    let clocks = (Instant::now(), SystemTime::now());
     let asked = entry.now();
     let snapshot = entry.store.range(ROSTER)?;
     let Some(found) = snapshot.get(ROSTER) else {
@@ -105,10 +108,7 @@
         return Ok((None, 0));
     };
     entry.operations.offer(&roster, entry.now());
-    let version = roster.version;
-    entry
-        .operations
-        .decide(|coordinator| coordinator.view_mut().confirm(version, asked));
+    entry.operations.confirm(roster.version, asked, clocks);
     Ok((Some(roster), found.modified))
 }
 
--- a/crates/nutmegcart_entry/tests/operations.rs
+++ b/crates/nutmegcart_entry/tests/operations.rs
@@ -6,10 +6,16 @@
 use std::sync::atomic::Ordering;
 use std::thread::spawn;
 use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
 
 use nutmegcart_entry::Entry;
+use nutmegcart_entry::operation::Operations;
 use nutmegcart_fakes::Link;
+use nutmegcart_model::Incarnation;
 use nutmegcart_request::Coordinator;
+use nutmegcart_request::Member;
+use nutmegcart_request::Roster;
 use serde_json::Value;
 
 use crate::site::Site;
@@ -147,3 +153,25 @@
     }
     assert_eq!(keyed(&site, 2, "new", "new"), "200 new done");
 }
+
+/// Guards against a dispatch by an owner that was suspended with its virtual machine: others may
+/// have counted on its silence.
+#[test]
+fn suspended_machine_withdraws_the_right_to_dispatch_plain_keys() {
+    let me = Member {
+        centre: "suva".into(),
+        instance: "entry-1".into(),
+        incarnation: Incarnation(1),
+        address: String::new(),
+    };
+    let (start, system) = (Instant::now(), SystemTime::now());
+    for (monotonic, wall, kept) in [(60, 60, true), (1, 600, false), (60, 0, false)] {
+        let operations = Operations::new(me.clone());
+        let roster = Roster::first(vec![me.clone()], 1);
+        operations.offer(&roster, Duration::ZERO);
+        operations.confirm(roster.version, Duration::ZERO, (start, system));
+        let after = Duration::from_secs;
+        operations.check_clocks(start + after(monotonic), system + after(wall));
+        assert_eq!(operations.is_joined(after(monotonic)), kept);
+    }
+}
--- a/crates/nutmegcart_request/src/roster.rs
+++ b/crates/nutmegcart_request/src/roster.rs
@@ -309,6 +309,11 @@
         }
     }
 
+    /// Withdraws the confirmation, because the clock that it rests on cannot be trusted.
+    pub fn unconfirm(&mut self) {
+        self.confirmed = None;
+    }
+
     /// Returns whether plain keys may be dispatched under the version.
     ///
     /// The entry instance must be listed, and the store must have confirmed this within
