Keep refusals of plain keys out of other ledgers

Cause: of a run of a million sessions: the report of a refusal reached the witness 1,250 s late; the owner, which had forgotten the key, repeated 'not run' from the witness's record, and ran the key when that witness had left.

Conclusion: 'not run' for a plain key comes from the owner's own record only.

--- a/crates/nutmegcart_request/src/ledger.rs
+++ b/crates/nutmegcart_request/src/ledger.rs
@@ -211,6 +211,17 @@
     }
 }
 
+/// Returns the outcome as another ledger keeps it.
+///
+/// A copy of a plain key's refusal may outlive the original: "not run" would be repeated by one
+/// member of the pair, and the key run by the other, which has forgotten it.
+fn copy(id: &OperationId, outcome: Outcome) -> Outcome {
+    match (id, outcome) {
+        (OperationId::Key(_), Outcome::Refused(_)) => Outcome::Lost(Code16(Code::NotAttempted)),
+        (_, outcome) => outcome,
+    }
+}
+
 impl Ledger {
     /// Creates an empty ledger.
     #[must_use]
@@ -364,7 +375,7 @@
     pub fn outcome(&mut self, id: &OperationId, by: Incarnation, outcome: Outcome, now: Duration) {
         let recorded = |entry: &Entry| entry.state == State::Recorded { by };
         if self.entries.get(id).is_some_and(recorded) {
-            self.set(id, State::Over(outcome), now);
+            self.set(id, State::Over(copy(id, outcome)), now);
         }
     }
 
@@ -397,11 +408,7 @@
                 id: id.clone(),
                 fingerprint: entry.fingerprint,
                 state: match &entry.state {
-                    // A refusal is not repeated from a copy, which others may not have.
-                    State::Over(Outcome::Refused(_)) => {
-                        HandedState::Over(Outcome::Lost(Code16(Code::OperationUnknown)))
-                    }
-                    State::Over(outcome) => HandedState::Over(outcome.clone()),
+                    State::Over(outcome) => HandedState::Over(copy(id, outcome.clone())),
                     State::Recorded { by } => HandedState::Recorded(*by),
                     _ => HandedState::Recorded(me),
                 },
--- a/crates/nutmegcart_request/tests/operation_fuzz.rs
+++ b/crates/nutmegcart_request/tests/operation_fuzz.rs
@@ -250,17 +250,31 @@
     replies: BTreeMap<u16, usize>,
 }
 
+fn run(actions: &[Action], limits: Limits) -> Session {
+    let mut session = Session {
+        world: World::new(NODES, NODES - 1, limits),
+        operations: Vec::new(),
+    };
+    for action in actions {
+        session.apply(*action);
+    }
+    session
+}
+
+/// A seed that failed in a longer run: the report of a refusal reached the witness late, the owner
+/// repeated "not run" from the witness's record and ran the key when that witness was gone.
+#[test]
+fn late_report_of_a_refusal_is_not_followed_by_a_run() {
+    let actions = produce::<Vec<Action>>().with().len(20..250_usize);
+    nutmegcart_fuzz::replay(419_182, &actions, |actions| {
+        run(actions, Limits::default());
+    });
+}
+
 fn fuzz(limits: Limits, totals: &Mutex<Totals>) {
     let actions = produce::<Vec<Action>>().with().len(20..250_usize);
     nutmegcart_fuzz::for_each(SESSIONS, &actions, |actions| {
-        let world = World::new(NODES, NODES - 1, limits);
-        let mut session = Session {
-            world,
-            operations: Vec::new(),
-        };
-        for action in actions {
-            session.apply(*action);
-        }
+        let session = run(actions, limits);
         let mut totals = totals.lock().unwrap();
         totals.dispatches += session.world.oracle.dispatches;
         for (code, count) in &session.world.oracle.replies {
