Measure at-most-once execution, and bound what it costs

Cause: nothing showed what the ledger, the witness and stored answers cost.

Change: benchmarks against a cache of operation identifiers in the owner alone.

--- /dev/null
+++ b/crates/nutmegcart_bench/src/operation.rs
@@ -0,0 +1,354 @@
+//! At-most-once execution against a cache of operation identifiers in the owner alone.
+
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use nutmegcart_fakes::Oracle;
+use nutmegcart_fakes::Runner;
+use nutmegcart_fakes::server;
+use nutmegcart_model::Code;
+use nutmegcart_model::Incarnation;
+use nutmegcart_model::Verdict;
+use nutmegcart_peer::Client;
+use nutmegcart_peer::Dispatcher;
+use nutmegcart_peer::IntentMessage;
+use nutmegcart_peer::OutcomeMessage;
+use nutmegcart_peer::Sender;
+use nutmegcart_peer::message;
+use nutmegcart_request::Answer;
+use nutmegcart_request::Attempt;
+use nutmegcart_request::Coordinator;
+use nutmegcart_request::Intent;
+use nutmegcart_request::IntentReply;
+use nutmegcart_request::Ledger;
+use nutmegcart_request::Member;
+use nutmegcart_request::Operation;
+use nutmegcart_request::OperationId;
+use nutmegcart_request::Report;
+use nutmegcart_request::Resolution;
+use nutmegcart_request::Step;
+use nutmegcart_request::TicketNumber;
+use nutmegcart_request::TicketedOperation;
+use nutmegcart_request::ledger::Limits;
+use nutmegcart_request::ledger::Outcome;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::cost::heap;
+use crate::measure::Measure;
+
+/// Operations on record at which memory and lookups are measured.
+const SIZES: [u64; 3] = [10_000, 100_000, 500_000];
+/// Lookups for each size.
+const LOOKUPS: u64 = 1_000_000;
+/// Sequential requests for the cost of the witness.
+const REQUESTS: usize = 3_000;
+/// Operations that callers ask about after an owner's death.
+const OPERATIONS: u64 = 100_000;
+
+/// Returns all measures.
+pub fn measures(seed: u64) -> Vec<Measure> {
+    let mut measures = ledger();
+    measures.extend(witness());
+    measures.extend(owner_death(seed));
+    measures.extend(stored_answers());
+    measures
+}
+
+fn id(number: u64) -> OperationId {
+    OperationId::Ticket(TicketNumber {
+        owner: Incarnation(1),
+        // A ticket covers a hundred requests.
+        serial: number / 100,
+        number: number % 100,
+    })
+}
+
+fn record(ledger: &mut Ledger, number: u64) {
+    let id = id(number);
+    let now = Duration::from_micros(number);
+    let attempt = ledger.begin(&id, number, now).expect("the ledger has room");
+    ledger.start(&id, attempt, now).expect("it was not started");
+    ledger.finish(&id, attempt, Outcome::Ran, now);
+}
+
+fn ledger() -> Vec<Measure> {
+    let limits = Limits {
+        memory: usize::MAX,
+        ..Limits::default()
+    };
+    let mut measures = Vec::new();
+    for size in SIZES {
+        let fill_cache = || (0..size).map(|number| (id(number), number)).collect();
+        let fill_ledger = || {
+            let mut ledger = Ledger::new(limits);
+            (0..size).for_each(|number| record(&mut ledger, number));
+            ledger
+        };
+        let cache: HashMap<OperationId, u64> = fill_cache();
+        let ledger = fill_ledger();
+        let per = |bytes: f64| bytes / size as f64;
+        let (cached, held) = (
+            per(heap::<HashMap<OperationId, u64>>(fill_cache)),
+            per(heap(fill_ledger)),
+        );
+        let name = format!("memory of a record, {size} operations");
+        measures.push(Measure::new(name, "bytes", cached, held));
+        let name = format!("accounted against allocated, {size} operations");
+        let accounted = per(ledger.memory() as f64);
+        measures.push(Measure::new(name, "bytes", held, accounted));
+        let find = |lookup: &dyn Fn(u64) -> bool| {
+            let begun = Instant::now();
+            let found = (0..LOOKUPS).filter(|number| lookup(number * 7_919 % size));
+            black_box(found.count());
+            begun.elapsed().as_nanos() as f64 / LOOKUPS as f64
+        };
+        let baseline = find(&|number| cache.contains_key(&id(number)));
+        let current = find(&|number| ledger.find(&id(number), number, Duration::ZERO).is_some());
+        let name = format!("lookup, {size} operations");
+        measures.push(Measure::new(name, "ns", baseline, current));
+    }
+    measures
+}
+
+fn member(life: u64) -> Member {
+    Member {
+        centre: "suva".into(),
+        instance: format!("entry-{life}").into(),
+        incarnation: Incarnation(life),
+        address: String::new(),
+    }
+}
+
+fn sender() -> Sender {
+    Sender {
+        id: "entry-1".into(),
+        incarnation: Incarnation(1),
+        centre: "suva".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn operations(owner: &mut Coordinator, count: u64) -> Vec<TicketedOperation> {
+    let ticket = owner.issue(Some(Incarnation(2)));
+    let numbers = 0..count;
+    numbers
+        .map(|number| TicketedOperation {
+            ticket: ticket.clone(),
+            number,
+        })
+        .collect()
+}
+
+fn open(owner: &mut Coordinator, operation: &TicketedOperation) -> (Intent, Attempt) {
+    let operation = Operation::Ticketed(operation.clone());
+    match owner.submit(&operation, 1, false, Duration::ZERO) {
+        Step::AskWitness(intent, attempt) => (intent, attempt),
+        step => panic!("a new operation asks its witness, not {step:?}"),
+    }
+}
+
+/// Starts the peer interface of a witness.
+fn start_witness() -> SocketAddr {
+    let witness = Mutex::new(Coordinator::new(member(2), Limits::default()));
+    let dispatcher = Dispatcher::default()
+        .on(|witness: &Mutex<Coordinator>, message: IntentMessage| {
+            let mut witness = witness.lock().expect("no handler panicked");
+            witness.on_intent(&message.intent, Duration::ZERO)
+        })
+        .on(|witness: &Mutex<Coordinator>, message: OutcomeMessage| {
+            let mut witness = witness.lock().expect("no handler panicked");
+            witness.on_report(message.report, Duration::ZERO);
+        });
+    let shared = Arc::new((witness, dispatcher));
+    server::start(move |request| {
+        let (witness, dispatcher) = &*shared;
+        let body = server::body(request);
+        let path = request.uri().path().rsplit('/').next().unwrap_or("");
+        match dispatcher.dispatch(witness, path, &body) {
+            Ok(body) => server::answer(200, body),
+            Err(_) => server::answer(400, ""),
+        }
+    })
+}
+
+fn median(mut times: Vec<f64>) -> f64 {
+    times.sort_by(f64::total_cmp);
+    times[times.len() / 2]
+}
+
+/// Measures a request to a runner without and with the intent and outcome at the witness.
+fn witness() -> Vec<Measure> {
+    let address = start_witness();
+    let client = Client::new(Duration::from_secs(5));
+    let oracle = Oracle::default();
+    let agent = ureq::Agent::new_with_defaults();
+    let mut measures = Vec::new();
+    for service in [0, 2, 20] {
+        let runner = Runner::start("runner", &oracle, Duration::from_millis(service));
+        let url = format!("http://{}/v1/services/gates/", runner.address);
+        let send = || {
+            let mut answer = agent.post(&url).send("token").expect("the runner answers");
+            answer.body_mut().read_to_vec().expect("the body is whole")
+        };
+        let count = if service > 2 { REQUESTS / 10 } else { REQUESTS };
+        let mut owner = Coordinator::new(member(1), Limits::default());
+        // Witness ledgers of the three rounds must not share operations.
+        (0..service).for_each(|_| drop(owner.issue(Some(Incarnation(2)))));
+        let operations = operations(&mut owner, count as u64);
+        let (mut plain, mut witnessed, mut intents) = (Vec::new(), Vec::new(), Vec::new());
+        for operation in &operations {
+            let begun = Instant::now();
+            black_box(send());
+            plain.push(begun.elapsed().as_nanos() as f64);
+            let begun = Instant::now();
+            let (intent, attempt) = open(&mut owner, operation);
+            let sender = sender();
+            let reply = client.call(address, &IntentMessage { sender, intent });
+            assert_eq!(reply, Ok(IntentReply::Recorded));
+            intents.push(begun.elapsed().as_nanos() as f64);
+            owner
+                .dispatch(&attempt, Duration::ZERO)
+                .expect("it may run");
+            let answer = Answer {
+                body: send().into(),
+                ..Answer::default()
+            };
+            witnessed.push(begun.elapsed().as_nanos() as f64);
+            let outcome = Outcome::Answered(Arc::new(answer));
+            let report = owner.finish(&attempt, outcome, Duration::ZERO);
+            let sender = self::sender();
+            let report = report.expect("the operation has a witness");
+            client
+                .call(address, &OutcomeMessage { sender, report })
+                .expect("the witness answers");
+        }
+        let name = format!("request with the witness's record, service time {service} ms");
+        measures.push(Measure::new(
+            name,
+            "ns",
+            median(plain.clone()),
+            median(witnessed),
+        ));
+        let name = format!("witness's record against a request, service time {service} ms");
+        measures.push(Measure::new(name, "ns", median(plain), median(intents)));
+    }
+    measures
+}
+
+/// What callers learn about operations of the last second before their owner died.
+#[derive(Default)]
+struct Tally {
+    unknown: u64,
+    answered: u64,
+    not_run: u64,
+}
+
+/// Lets an owner die at a random moment of each operation's life.
+///
+/// An operation arrives in the last second, waits in a queue, runs, and its outcome reaches the
+/// witness a millisecond later. The cache of the baseline dies with the owner, so each retry is
+/// "unknown" there, or a second run if the entry instance that receives it takes its own empty
+/// cache for an answer.
+fn owner_death(seed: u64) -> Vec<Measure> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut owner = Coordinator::new(member(1), Limits::default());
+    let mut witness = Coordinator::new(member(2), Limits::default());
+    let mut other = Coordinator::new(member(3), Limits::default());
+    let operations = operations(&mut owner, OPERATIONS);
+    let mut tally = Tally::default();
+    let mut dispatched = 0;
+    for operation in &operations {
+        let before_death = random.random_range(0.0..1_000.0);
+        let queue = -random.random::<f64>().max(1e-9).ln() * 20.0;
+        let service = -random.random::<f64>().max(1e-9).ln() * 20.0;
+        if before_death > queue {
+            let (intent, attempt) = open(&mut owner, operation);
+            witness.on_intent(&intent, Duration::ZERO);
+            let sent = owner.dispatch(&attempt, Duration::ZERO);
+            dispatched += u64::from(sent.is_ok());
+            let outcome = Outcome::Answered(Arc::default());
+            let report = owner.finish(&attempt, outcome, Duration::ZERO);
+            if before_death > queue + service + 1.0 {
+                let report = report.expect("the operation has a witness");
+                witness.on_report(report, Duration::ZERO);
+            }
+        }
+        let Step::Seal(to) = other.owner_lost(operation, 1, Duration::ZERO) else {
+            panic!("an operation with a witness is sealed there");
+        };
+        let resolution = witness.on_seal(to, &operation.id(), 1, Duration::ZERO);
+        match resolution.unwrap_or(Code::OwnerUnreachable.into()) {
+            Resolution::Answer(_) => tally.answered += 1,
+            Resolution::Code(code) if code.0.verdict() == Verdict::NotRun => tally.not_run += 1,
+            Resolution::Code(_) => tally.unknown += 1,
+        }
+    }
+    let share = |count: u64| 100.0 * count as f64 / OPERATIONS as f64;
+    let measure = |name: &str, baseline, count| Measure::new(name, "%", baseline, share(count));
+    vec![
+        measure("unknown after the owner's death", 100.0, tally.unknown),
+        measure("answered after the owner's death", 0.0, tally.answered),
+        measure("not run after the owner's death", 0.0, tally.not_run),
+        measure(
+            "second runs if a retry trusts an empty cache",
+            share(dispatched),
+            0,
+        ),
+    ]
+}
+
+/// Measures what storing answers for retries costs: bytes to the witness and time in the ledger.
+fn stored_answers() -> Vec<Measure> {
+    let mut measures = Vec::new();
+    for size in [200_usize, 4 << 10, 64 << 10] {
+        let answer = Arc::new(Answer {
+            body: vec![7; size].into(),
+            ..Answer::default()
+        });
+        let outcome = |stored: bool| {
+            if stored {
+                Outcome::Answered(answer.clone())
+            } else {
+                Outcome::Ran
+            }
+        };
+        let bytes = |stored| {
+            let report = Report {
+                id: id(1),
+                by: Incarnation(1),
+                to: Incarnation(2),
+                outcome: outcome(stored),
+            };
+            let sender = sender();
+            message::encode(&OutcomeMessage { sender, report }).len() as f64
+        };
+        let name = format!("outcome message with the answer, {size} bytes");
+        measures.push(Measure::new(name, "bytes", bytes(false), bytes(true)));
+        let time = |stored: bool| {
+            let mut ledger = Ledger::default();
+            let begun = Instant::now();
+            for number in 0..50_000 {
+                let (id, now) = (id(number), Duration::from_micros(number));
+                let attempt = ledger.begin(&id, 1, now).expect("the ledger has room");
+                ledger.finish(&id, attempt, outcome(stored), now);
+            }
+            (
+                begun.elapsed().as_nanos() as f64 / 50_000.0,
+                ledger.stored(),
+            )
+        };
+        let ((without, _), (with, kept)) = (time(false), time(true));
+        let name = format!("recording with the answer, {size} bytes");
+        measures.push(Measure::new(name, "ns", without, with));
+        let name = format!("answers kept of 50000 in 64 MB, {size} bytes");
+        measures.push(Measure::new(name, "answers", 50_000.0, kept as f64));
+    }
+    measures
+}
--- a/crates/nutmegcart_request/src/coordinator.rs
+++ b/crates/nutmegcart_request/src/coordinator.rs
@@ -23,6 +23,10 @@
 use crate::ticket::Ticket;
 use crate::ticket::TicketedOperation;
 
+/// Largest answer in bytes that is sent to the witness: 4 KB cost 33 times the bytes of the message
+/// without an answer, 64 KB 517 times.
+pub const WITNESS_ANSWER: usize = 4 << 10;
+
 /// Identifier that the caller gave to its request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Operation {
@@ -403,6 +407,10 @@
         if !self.ledger.finish(id, *number, outcome.clone(), now) {
             return None;
         }
+        let outcome = match outcome {
+            Outcome::Answered(answer) if answer.size() > WITNESS_ANSWER => Outcome::Ran,
+            outcome => outcome,
+        };
         attempt.witness.map(|to| Report {
             id: id.clone(),
             by: self.me.incarnation,
--- a/crates/nutmegcart_request/src/ledger.rs
+++ b/crates/nutmegcart_request/src/ledger.rs
@@ -25,6 +25,9 @@
 pub const HOLD: Duration =
     Duration::from_secs(RETENTION.as_secs() + 2 * PERMIT_LIFE.as_secs() + CLOCK_MARGIN.as_secs());
 
+/// Oldest records among which one is looked for when memory runs out.
+const FORGET_SCAN: usize = 64;
+
 /// Bounds of a ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -476,14 +479,37 @@
         state: State,
         now: Duration,
     ) -> Result<(), Resolution> {
-        self.shed(record_size(id));
-        if self.memory + record_size(id) > self.limits.memory {
-            return Err(Code::NotAttempted.into());
+        let size = record_size(id);
+        self.shed(size);
+        while self.memory + size > self.limits.memory {
+            if !self.forget_ticket() {
+                return Err(Code::NotAttempted.into());
+            }
+        }
+        // Making room may have closed the ticket of this very operation.
+        if self.floors.covers(id) {
+            return Err(Code::OperationForgotten.into());
         }
         self.put(id, fingerprint, state, now);
         Ok(())
     }
 
+    /// Forgets the oldest operation under a ticket that is not under way; false if none is old.
+    ///
+    /// The floors keep such an operation from running again. A plain key has no floor.
+    fn forget_ticket(&mut self) -> bool {
+        let old = self.due.iter().take(FORGET_SCAN).position(|(_, id)| {
+            let state = self.entries.get(id).map(|entry| &entry.state);
+            let under_way = matches!(state, Some(State::Intent { .. } | State::Running { .. }));
+            matches!(id, OperationId::Ticket(_)) && !under_way
+        });
+        let Some((_, id)) = old.and_then(|index| self.due.remove(index)) else {
+            return false;
+        };
+        self.remove(&id);
+        true
+    }
+
     fn put(&mut self, id: &OperationId, fingerprint: u64, state: State, now: Duration) {
         self.memory += record_size(id);
         self.floors.add(id);
