--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -6,8 +6,13 @@
 mod cost;
 mod measure;
 mod operation;
+mod placement;
 mod request_path;
 mod slope;
+mod waves;
+mod waves_baseline;
+mod waves_cost;
+mod waves_planner;
 
 use std::process::ExitCode;
 
@@ -73,8 +78,11 @@
 }
 
 /// Returns the measures of the fleet decisions.
-fn fleet(_seed: u64) -> Vec<Measure> {
-    Vec::new()
+fn fleet(seed: u64) -> Vec<Measure> {
+    let mut measures = waves::measures(seed);
+    measures.extend(waves_cost::measures());
+    measures.extend(placement::placement(seed));
+    measures
 }
 
 /// Returns the capacity slopes.
--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -17,10 +17,15 @@
 use nutmegcart_platform::Fleet;
 use nutmegcart_platform::Store;
 use nutmegcart_request::Member;
-use ureq::Agent;
+use nutmegcart_request::path::PathSettings;
+use nutmegcart_request::share::EntrySpec;
 
+use crate::backend::Backend;
 use crate::config_sync;
+use crate::dispatch;
+use crate::dispatch::Dispatch;
 use crate::duty;
+use crate::limits::Buffered;
 use crate::metrics::Metrics;
 use crate::operation::Operations;
 use crate::peering;
@@ -71,8 +76,12 @@
     pub operations: Operations,
     /// Client for peers.
     pub peers: Client,
-    /// Client for runners.
-    pub backend: Agent,
+    /// Connections to runners.
+    pub backend: Backend,
+    /// Decisions of the request path.
+    pub dispatch: Dispatch,
+    /// Bytes buffered by requests and answers.
+    pub buffered: Buffered,
     /// Background threads.
     pub workers: Workers,
     /// Start of the process's monotonic time.
@@ -103,13 +112,15 @@
             incarnation,
             address: settings.listen.to_string(),
         };
-        let backend = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(settings.connections)
-            .max_idle_connections_per_host(64)
-            .build();
+        let own = EntrySpec {
+            id: settings.id.clone(),
+            centre: settings.centre.clone(),
+        };
         let entry = Arc::new(Self {
             workers: Workers::start(settings.threads),
+            dispatch: Dispatch::new(own, PathSettings::default(), incarnation.0),
+            buffered: Buffered::new(settings.buffer_limit),
+            backend: Backend::default(),
             settings,
             sender,
             operations: Operations::new(member),
@@ -119,13 +130,13 @@
             store,
             fleet,
             peers: Client::new(PEER_TIMEOUT),
-            backend: backend.into(),
             started: Instant::now(),
         });
         server::start(&entry)?;
         entry.spawn("config", config_sync::run)?;
         entry.spawn("instances", config_sync::run_list)?;
         entry.spawn("peering", peering::run)?;
+        entry.spawn("dispatch", dispatch::run)?;
         entry.spawn("duty", duty::run)?;
         entry.spawn("roster", roster::run)?;
         log_event!(
--- a/crates/nutmegcart_entry/src/operation.rs
+++ b/crates/nutmegcart_entry/src/operation.rs
@@ -11,6 +11,7 @@
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::Incarnation;
+use nutmegcart_model::ServiceName;
 use nutmegcart_model::Verdict;
 use nutmegcart_model::log_event;
 use nutmegcart_peer::Dispatcher;
@@ -36,9 +37,11 @@
 use nutmegcart_request::Roster;
 use nutmegcart_request::Step;
 use nutmegcart_request::Version;
+use nutmegcart_request::admission::Class;
 use nutmegcart_request::fingerprint;
 use nutmegcart_request::ledger::Limits;
 use nutmegcart_request::ledger::Outcome;
+use nutmegcart_request::path;
 use nutmegcart_request::roster::CLOCK_MARGIN;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
@@ -53,11 +56,16 @@
 use crate::forward::Call;
 use crate::forward::Result;
 use crate::http;
+use crate::limits::Reserved;
 
 /// Time that the owner has, beyond the deadline, to answer the entry instance that forwarded.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Header of a ticketed operation.
 const OPERATION: &str = "nutmegcart-operation";
+/// Header with the class of a request.
+const CLASS: &str = "nutmegcart-class";
+/// Header with the content type.
+const KIND: &str = "content-type";
 /// Header of a plain key.
 const KEY: &str = "idempotency-key";
 
@@ -220,12 +228,20 @@
 }
 
 /// Returns the code of a refusal that was made without asking the owner.
-///
-/// An earlier attempt at an operation may have run, so it must not be reported as not run.
 pub fn unheard(request: &Request<Body>, code: Code) -> Code {
     match identifier(request) {
         Ok(None) => code,
-        _ => Code::NotAttempted,
+        _ => withheld(code),
+    }
+}
+
+/// Replaces "not run" for a request with an identifier: an earlier attempt may have run.
+#[must_use]
+pub fn withheld(code: Code) -> Code {
+    if code.verdict() == Verdict::NotRun {
+        Code::NotAttempted
+    } else {
+        code
     }
 }
 
@@ -265,20 +281,34 @@
     entry: &Arc<Entry>,
     identifier: &Identifier,
     call: &Call,
+    reserved: &mut Reserved,
+) -> Result<Answer> {
+    start(entry, identifier, call, reserved, false)
+}
+
+fn start(
+    entry: &Arc<Entry>,
+    identifier: &Identifier,
+    call: &Call,
+    reserved: &mut Reserved,
     forwarded: bool,
 ) -> Result<Answer> {
-    let operation = parse(identifier, &call.caller)?;
-    let run = Run {
+    let operation = parse(identifier, &call.request.caller)?;
+    let print = fingerprint(&[
+        call.request.caller.as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ]);
+    let left = call.request.deadline.saturating_sub(entry.dispatch.now());
+    let mut run = Run {
         entry,
         identifier,
         operation,
-        fingerprint: fingerprint(&[
-            call.caller.as_bytes(),
-            call.method.as_bytes(),
-            call.path.as_bytes(),
-            &call.body,
-        ]),
+        fingerprint: print,
         call,
+        reserved,
+        end: Instant::now() + left,
         forwarded,
     };
     run.submit()
@@ -291,11 +321,13 @@
     operation: Operation,
     fingerprint: u64,
     call: &'a Call,
+    reserved: &'a mut Reserved,
+    end: Instant,
     forwarded: bool,
 }
 
 impl Run<'_> {
-    fn submit(&self) -> Result<Answer> {
+    fn submit(&mut self) -> Result<Answer> {
         let operations = &self.entry.operations;
         let mut coordinator = operations.coordinator.lock();
         let step = loop {
@@ -304,11 +336,11 @@
             let step = coordinator.submit(&self.operation, print, self.forwarded, now);
             let running = Step::Reply(Code::OperationRunning.into());
             // A retry waits for the first attempt until its own deadline.
-            let over = Instant::now() >= self.call.end;
+            let over = Instant::now() >= self.end;
             if step != running || over {
                 break step;
             }
-            operations.ended.wait_until(&mut coordinator, self.call.end);
+            operations.ended.wait_until(&mut coordinator, self.end);
         };
         drop(coordinator);
         match step {
@@ -338,21 +370,51 @@
         answer.ok()
     }
 
-    fn dispatch(&self, attempt: &Attempt) -> Result<Answer> {
-        let operations = &self.entry.operations;
-        operations.check_clocks(Instant::now(), SystemTime::now());
-        let now = self.entry.now();
-        if let Err(resolution) = operations.decide(|c| c.dispatch(attempt, now)) {
-            return self.end(resolution);
-        }
-        let result = forward::send(self.entry, self.call);
-        let outcome = match &result {
-            Ok(answer) => Outcome::Answered(Arc::new(stored(answer))),
-            Err(code) if code.verdict() == Verdict::Unknown => Outcome::Lost(Code16(*code)),
-            Err(code) => Outcome::Refused(Code16(*code)),
+    fn dispatch(&mut self, attempt: &Attempt) -> Result<Answer> {
+        let entry = self.entry;
+        let operations = &entry.operations;
+        let mut started = false;
+        let permit = || {
+            operations.check_clocks(Instant::now(), SystemTime::now());
+            let now = entry.now();
+            let granted = operations.decide(|c| c.dispatch(attempt, now));
+            started = granted.is_ok();
+            granted.map_err(|resolution| resolution.code())
+        };
+        // An operation is dispatched once, whatever its method says.
+        let call = Call {
+            id: self.call.id.clone(),
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            kind: self.call.kind.clone(),
+            body: self.call.body.clone(),
+            request: path::Request {
+                idempotent: false,
+                ..self.call.request.clone()
+            },
+        };
+        let result = forward::send(entry, &call, self.reserved, permit);
+        let now = entry.now();
+        let (result, report) = match result {
+            Ok(answer) => {
+                let outcome = Outcome::Answered(Arc::new(stored(&answer)));
+                let report = operations.decide(|c| c.finish(attempt, outcome, now));
+                (Ok(answer), report)
+            }
+            Err(code) if started => {
+                let outcome = if code.verdict() == Verdict::Unknown {
+                    Outcome::Lost(Code16(code))
+                } else {
+                    Outcome::Refused(Code16(code))
+                };
+                let report = operations.decide(|c| c.finish(attempt, outcome, now));
+                (Err(code), report)
+            }
+            Err(code) => {
+                let (resolution, report) = operations.decide(|c| c.refuse(attempt, code, now));
+                (answer(resolution), report)
+            }
         };
-        let now = self.entry.now();
-        let report = operations.decide(|c| c.finish(attempt, outcome, now));
         operations.ended.notify_all();
         if let Some(report) = report {
             self.report(report);
@@ -385,17 +447,22 @@
         let Some(address) = operations.link(owner, self.entry.now()) else {
             return self.owner_lost();
         };
-        let left = self.call.end.saturating_duration_since(Instant::now());
+        let left = self.end.saturating_duration_since(Instant::now());
+        let request = &self.call.request;
+        let mut headers = vec![(CLASS.into(), class_name(request.class).into())];
+        if let Some(kind) = &self.call.kind {
+            headers.push((KIND.into(), kind.clone()));
+        }
         let message = Forward {
             sender: self.entry.sender.clone(),
             roster: operations.version(),
             to: owner,
             operation: self.identifier.clone(),
             request: self.call.id.clone(),
-            caller: self.call.caller.clone(),
+            caller: request.caller.to_string(),
             method: self.call.method.clone(),
             path: self.call.path.clone(),
-            headers: vec![("idempotent".into(), self.call.idempotent.to_string())],
+            headers,
             body: self.call.body.clone().into(),
             left: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
@@ -459,25 +526,52 @@
     if message.to != entry.sender.incarnation {
         return Code::OwnerUnreachable.into();
     }
-    let service = message.path.strip_prefix("/v1/services/").unwrap_or("");
+    let rest = message.path.strip_prefix("/v1/services/").unwrap_or("");
+    let service = rest.split(['/', '?']).next().unwrap_or("");
+    let header = |name: &str| {
+        let found = message.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.clone())
+    };
+    let class = match header(CLASS).as_deref() {
+        Some("deferrable") => Class::Deferrable,
+        _ => Class::Urgent,
+    };
+    let left = Duration::from_millis(message.left);
     let call = Call {
+        kind: header(KIND),
+        request: path::Request {
+            id: 0,
+            service: ServiceName::from(service),
+            caller: CallerName::from(message.caller),
+            class,
+            deadline: entry.dispatch.now().saturating_add(left),
+            idempotent: false,
+            retried: false,
+            cost: 1,
+        },
         id: message.request,
-        caller: message.caller,
         method: message.method,
-        service: service.split('/').next().unwrap_or("").to_owned(),
         path: message.path,
-        idempotent: message
-            .headers
-            .contains(&("idempotent".into(), "true".into())),
         body: message.body.0.to_vec(),
-        end: Instant::now() + Duration::from_millis(message.left),
     };
-    match run(entry, &message.operation, &call, true) {
+    let mut reserved = entry.buffered.reserve();
+    if !reserved.grow(call.body.len()) {
+        // An earlier attempt may have run.
+        return Code::NotAttempted.into();
+    }
+    match start(entry, &message.operation, &call, &mut reserved, true) {
         Ok(answer) => Resolution::Answer(Arc::new(stored(&answer))),
         Err(code) => code.into(),
     }
 }
 
+fn class_name(class: Class) -> &'static str {
+    match class {
+        Class::Urgent => "urgent",
+        Class::Deferrable => "deferrable",
+    }
+}
+
 /// Adds the handlers of the operation messages.
 pub fn register(dispatcher: Dispatcher<Arc<Entry>>) -> Dispatcher<Arc<Entry>> {
     dispatcher
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -50,6 +50,7 @@
         draining: entry.lifecycle.draining.load(Ordering::Acquire),
         roster: entry.operations.version(),
         newer: None,
+        load: entry.dispatch.load_report(),
     }
 }
 
@@ -66,6 +67,8 @@
 
 fn heard(entry: &Entry, heartbeat: &Heartbeat) {
     entry.operations.hear(heartbeat, entry.now());
+    let load = heartbeat.load.clone();
+    entry.dispatch.report(&heartbeat.sender.id, load);
     let peer = Peer {
         sender: heartbeat.sender.clone(),
         generation: heartbeat.generation,
--- a/crates/nutmegcart_entry/src/server.rs
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -22,6 +22,9 @@
 /// Longest wait for a byte from or to a caller.
 const SOCKET_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Connections beyond the limit that are accepted so that their requests receive a refusal.
+const SPARE_CONNECTIONS: usize = 64;
+
 /// Starts the HTTP server of an entry instance.
 ///
 /// # Errors
@@ -32,7 +35,7 @@
     Server::new(move |request| handle(&handler, request))
         .bind(entry.settings.listen)
         .with_global_timeout(SOCKET_TIMEOUT)
-        .with_max_concurrent_connections(entry.settings.connections)
+        .with_max_concurrent_connections(entry.settings.connections + SPARE_CONNECTIONS)
         .spawn()
         .map(drop)
 }
@@ -65,6 +68,10 @@
             let code = operation::unheard(request, Code::ShuttingDown);
             entry.metrics.count(code);
             http::error(code, "", "")
+        } else if entry.lifecycle.active.load(Ordering::Acquire) > entry.settings.connections {
+            let code = operation::unheard(request, Code::TooManyConnections);
+            entry.metrics.count(code);
+            http::error(code, "", "")
         } else {
             forward::handle(entry, request, rest)
         };
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -98,6 +98,7 @@
     AnswerDropped = 1309, Unknown, 410, "the operation ran and its answer is no longer stored";
     TakeoverBarrier = 1310, Unknown, 503, "the ledger of the operation's key was lost; wait for the barrier to end or use a ticket";
     RunnerFailed = 1311, Unknown, 502, "the runner answered an earlier attempt with a server error and no further attempt was made";
+    AnswerDiscarded = 1312, Unknown, 503, "the answer was discarded because the limit of buffered bytes is reached";
     OperationForgotten = 1380, Unknown, 410, "the record of the operation was forgotten; use a new ticket";
     NotAttempted = 1381, Unknown, 503, "this attempt sent nothing; an earlier attempt may have run";
     RosterDisagreement = 1382, Unknown, 503, "the entry instances do not agree on the owner yet; this attempt sent nothing";
@@ -128,6 +129,9 @@
     WaveNotRunning = 3011, Invalid, 409, "the wave is not under way";
     InstanceBusy = 3012, Invalid, 409, "an operation on the instance is under way, or the instance is not available";
     DutyElsewhere = 3013, Invalid, 409, "another entry instance has the duty for the instance's data centre";
+    JobTooLarge = 3050, NotRun, 409, "the declared size of the job exceeds every worker of its pool";
+    JobFailing = 3051, Invalid, 409, "the job failed on three distinct healthy workers";
+    TaskNotFound = 3052, Invalid, 404, "there is no such task";
     BadSetting = 4001, Invalid, 400, "a setting is out of range";
 }
 
--- a/crates/nutmegcart_peer/src/message.rs
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -9,6 +9,7 @@
 use nutmegcart_model::InstanceId;
 use nutmegcart_request::Roster;
 use nutmegcart_request::Version;
+use nutmegcart_request::load::LoadReport;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -49,6 +50,9 @@
     /// The sender's roster, in an answer to a peer that has an older one.
     #[serde(default)]
     pub newer: Option<Roster>,
+    /// Runners in use by the sender; older versions send none.
+    #[serde(default)]
+    pub load: LoadReport,
 }
 
 impl Message for Heartbeat {
