--- a/crates/nutmegcart_entry/src/tasks.rs
+++ b/crates/nutmegcart_entry/src/tasks.rs
@@ -368,9 +368,9 @@
 pub fn round(entry: &Entry, runner: &mut Option<Runner>, duty: Option<Revision>) {
     let loaded = entry.tables.in_force.get();
     if let Some(runner) = runner
-        && !loaded.configuration.lineage.is_empty()
+        && !loaded.configuration.history.lineage.is_empty()
     {
-        runner.round(duty, loaded.configuration.generation, &loaded.view);
+        runner.round(duty, loaded.configuration.generation(), &loaded.view);
     }
 }
 
--- a/crates/nutmegcart_entry/tests/tasks.rs
+++ b/crates/nutmegcart_entry/tests/tasks.rs
@@ -90,7 +90,7 @@
             if fault == 1 && matches!(call, Call::Txn(_)) {
                 return Err(StoreError::Unreachable { reason });
             }
-            let reply: Reply = memory.call(call);
+            let reply: Reply = memory.call(call)?;
             if fault == 2 && matches!(reply, Reply::Txn(_)) {
                 return Err(StoreError::AnswerLost { reason });
             }
--- a/crates/nutmegcart_peer/src/message.rs
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -8,6 +8,8 @@
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::InstanceId;
+use nutmegcart_request::Roster;
+use nutmegcart_request::Version;
 use nutmegcart_request::load::LoadReport;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +48,12 @@
     pub report: Report,
     /// Whether the sender is shutting down.
     pub draining: bool,
+    /// Version of the roster in force at the sender.
+    #[serde(default)]
+    pub roster: Version,
+    /// The sender's roster, in an answer to a peer that has an older one.
+    #[serde(default)]
+    pub newer: Option<Roster>,
     /// Runners in use by the sender; older versions send none.
     #[serde(default)]
     pub load: LoadReport,
--- a/crates/nutmegcart_request/src/ledger.rs
+++ b/crates/nutmegcart_request/src/ledger.rs
@@ -25,6 +25,9 @@
 pub const HOLD: Duration =
     Duration::from_secs(RETENTION.as_secs() + 2 * PERMIT_LIFE.as_secs() + CLOCK_MARGIN.as_secs());
 
+/// Oldest records among which one is looked for when memory runs out.
+const FORGET_SCAN: usize = 64;
+
 /// Bounds of a ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -211,6 +214,17 @@
     }
 }
 
+/// Returns the outcome as another ledger keeps it.
+///
+/// A copy of a plain key's refusal may outlive the original: "not run" would be repeated by one
+/// member of the pair, and the key run by the other, which has forgotten it.
+fn copy(id: &OperationId, outcome: Outcome) -> Outcome {
+    match (id, outcome) {
+        (OperationId::Key(_), Outcome::Refused(_)) => Outcome::Lost(Code16(Code::NotAttempted)),
+        (_, outcome) => outcome,
+    }
+}
+
 impl Ledger {
     /// Creates an empty ledger.
     #[must_use]
@@ -239,6 +253,13 @@
         self.memory
     }
 
+    /// Returns the number of stored answers.
+    #[must_use]
+    pub fn stored(&self) -> usize {
+        let answered = |entry: &&Entry| matches!(entry.state, State::Over(Outcome::Answered(_)));
+        self.entries.values().filter(answered).count()
+    }
+
     /// Returns what is on record about the operation.
     #[must_use]
     pub fn find(&self, id: &OperationId, fingerprint: u64, now: Duration) -> Option<Resolution> {
@@ -357,7 +378,7 @@
     pub fn outcome(&mut self, id: &OperationId, by: Incarnation, outcome: Outcome, now: Duration) {
         let recorded = |entry: &Entry| entry.state == State::Recorded { by };
         if self.entries.get(id).is_some_and(recorded) {
-            self.set(id, State::Over(outcome), now);
+            self.set(id, State::Over(copy(id, outcome)), now);
         }
     }
 
@@ -390,11 +411,7 @@
                 id: id.clone(),
                 fingerprint: entry.fingerprint,
                 state: match &entry.state {
-                    // A refusal is not repeated from a copy, which others may not have.
-                    State::Over(Outcome::Refused(_)) => {
-                        HandedState::Over(Outcome::Lost(Code16(Code::OperationUnknown)))
-                    }
-                    State::Over(outcome) => HandedState::Over(outcome.clone()),
+                    State::Over(outcome) => HandedState::Over(copy(id, outcome.clone())),
                     State::Recorded { by } => HandedState::Recorded(*by),
                     _ => HandedState::Recorded(me),
                 },
@@ -462,14 +479,37 @@
         state: State,
         now: Duration,
     ) -> Result<(), Resolution> {
-        self.shed(record_size(id));
-        if self.memory + record_size(id) > self.limits.memory {
-            return Err(Code::NotAttempted.into());
+        let size = record_size(id);
+        self.shed(size);
+        while self.memory + size > self.limits.memory {
+            if !self.forget_ticket() {
+                return Err(Code::NotAttempted.into());
+            }
+        }
+        // Making room may have closed the ticket of this very operation.
+        if self.floors.covers(id) {
+            return Err(Code::OperationForgotten.into());
         }
         self.put(id, fingerprint, state, now);
         Ok(())
     }
 
+    /// Forgets the oldest operation under a ticket that is not under way; false if none is old.
+    ///
+    /// The floors keep such an operation from running again. A plain key has no floor.
+    fn forget_ticket(&mut self) -> bool {
+        let old = self.due.iter().take(FORGET_SCAN).position(|(_, id)| {
+            let state = self.entries.get(id).map(|entry| &entry.state);
+            let under_way = matches!(state, Some(State::Intent { .. } | State::Running { .. }));
+            matches!(id, OperationId::Ticket(_)) && !under_way
+        });
+        let Some((_, id)) = old.and_then(|index| self.due.remove(index)) else {
+            return false;
+        };
+        self.remove(&id);
+        true
+    }
+
     fn put(&mut self, id: &OperationId, fingerprint: u64, state: State, now: Duration) {
         self.memory += record_size(id);
         self.floors.add(id);
--- a/crates/nutmegcart_request/src/roster.rs
+++ b/crates/nutmegcart_request/src/roster.rs
@@ -28,8 +28,9 @@
 pub const CLOCK_MARGIN: Duration = Duration::from_secs(12);
 
 /// Time after which no operation of an older epoch can lie within the retention time.
-pub const BARRIER: Duration =
-    Duration::from_secs(CONFIRMATION.as_secs() + RETENTION.as_secs() + CLOCK_MARGIN.as_secs());
+pub const BARRIER: Duration = Duration::from_secs(
+    CONFIRMATION.as_secs() + PERMIT_LIFE.as_secs() + RETENTION.as_secs() + CLOCK_MARGIN.as_secs(),
+);
 
 /// One life of an entry instance.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -308,6 +309,11 @@
         }
     }
 
+    /// Withdraws the confirmation, because the clock that it rests on cannot be trusted.
+    pub fn unconfirm(&mut self) {
+        self.confirmed = None;
+    }
+
     /// Returns whether plain keys may be dispatched under the version.
     ///
     /// The entry instance must be listed, and the store must have confirmed this within
