Keep the store watch open between waits, and give each listener its own IP

Cause: every change closed the watch and opened a new one, so that each cost a store call and the stand-in's server printed a broken pipe; one demo in nine failed since another connection had taken a listener's port.

Change: the etcd client keeps its streamed watch and reads on; stand-ins bind to loopback addresses from which no connection goes out.

--- a/crates/nutmegcart_fakes/src/server.rs
+++ b/crates/nutmegcart_fakes/src/server.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::panic::resume_unwind;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use oxhttp::Server;
 use oxhttp::model::Body;
@@ -14,14 +16,25 @@
 /// Attempts to start a server before giving up; another process may take a free port first.
 const ATTEMPTS: usize = 20;
 
+/// Number of loopback addresses handed out by this process.
+static ADDRESSES: AtomicU32 = AtomicU32::new(0);
+
 /// Returns a loopback address whose port was free a moment ago.
 ///
+/// Each call returns another IP address of the loopback range. Outgoing connections come from
+/// 127.0.0.1, so that none of them can take the port before it is bound.
+///
 /// # Panics
 ///
 /// Panics if the machine has no free port.
 #[must_use]
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = number.to_be_bytes();
+    let process = std::process::id().to_be_bytes()[3] % 200;
+    // The second byte tells test processes that run side by side apart.
+    let address = Ipv4Addr::new(127, 1 + process, high, low.max(1));
+    TcpListener::bind((address, 0))
         .and_then(|listener| listener.local_addr())
         .expect("a loopback port is free")
 }
--- a/crates/nutmegcart_platform/src/etcd.rs
+++ b/crates/nutmegcart_platform/src/etcd.rs
@@ -5,15 +5,18 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Lines;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
+use ureq::BodyReader;
 
 use crate::http;
 use crate::http::HttpError;
@@ -202,6 +205,7 @@
 #[must_use]
 pub fn connect(address: SocketAddr, timeout: Duration) -> Store {
     let client = Client {
+        watch: Mutex::new(None),
         agent: http::agent(timeout),
         base: format!("http://{address}/v3"),
     };
@@ -209,6 +213,7 @@
 }
 
 struct Client {
+    watch: Mutex<Option<Watch>>,
     agent: ureq::Agent,
     base: String,
 }
@@ -287,8 +292,26 @@
         }))
     }
 
-    /// A watch is a streamed answer with one JSON object a line; the first write ends the wait.
+    /// Waits on the open watch if it covers the revision, and opens one otherwise.
     fn wait(&self, prefix: &str, from: Revision, time: Duration) -> Result<Reply> {
+        let open = self.watch.lock().take();
+        let open = open.filter(|watch| watch.prefix == prefix && watch.next <= from);
+        let watch = match open {
+            Some(watch) => Some(watch),
+            None => self.open_watch(prefix, from, time)?,
+        };
+        let Some(mut watch) = watch else {
+            return Ok(Reply::Flag(false));
+        };
+        let changed = watch.wait(from)?;
+        if changed {
+            *self.watch.lock() = Some(watch);
+        }
+        Ok(Reply::Flag(changed))
+    }
+
+    /// Opens a watch, which ends after the time; none if the store did not answer within it.
+    fn open_watch(&self, prefix: &str, from: Revision, time: Duration) -> Result<Option<Watch>> {
         let body = json!({"create_request": {
             "key": encode(prefix.as_bytes()),
             "range_end": encode(&prefix_end(prefix.as_bytes())),
@@ -302,7 +325,7 @@
             .send(body.as_bytes());
         let mut answer = match answer {
             Ok(answer) => answer,
-            Err(ureq::Error::Timeout(_)) => return Ok(Reply::Flag(false)),
+            Err(ureq::Error::Timeout(_)) => return Ok(None),
             Err(error) => return Err(http::failed(&error).into()),
         };
         let status = answer.status().as_u16();
@@ -310,10 +333,31 @@
             let reason = answer.body_mut().read_to_string().unwrap_or_default();
             return Err(HttpError::Status { status, reason }.into());
         }
-        for line in BufReader::new(answer.into_body().into_reader()).lines() {
+        Ok(Some(Watch {
+            prefix: prefix.to_owned(),
+            next: from,
+            lines: BufReader::new(answer.into_body().into_reader()).lines(),
+        }))
+    }
+}
+
+/// An open watch: a streamed answer with one JSON object a line.
+///
+/// It stays open between waits, so that a change costs one message and no new call.
+struct Watch {
+    prefix: String,
+    /// Writes before this revision have been reported.
+    next: Revision,
+    lines: Lines<BufReader<BodyReader<'static>>>,
+}
+
+impl Watch {
+    /// Reads messages until one reports a write at or after the revision, or the time is over.
+    fn wait(&mut self, from: Revision) -> Result<bool> {
+        for line in self.lines.by_ref() {
             let line = match line {
                 Ok(line) => line,
-                Err(error) if is_timeout(&error) => return Ok(Reply::Flag(false)),
+                Err(error) if is_timeout(&error) => return Ok(false),
                 Err(error) => {
                     let reason = error.to_string();
                     return Err(StoreError::AnswerLost { reason });
@@ -322,16 +366,17 @@
             if line.trim().is_empty() {
                 continue;
             }
-            if let Some(changed) = read_watch(&line, from)? {
-                return Ok(Reply::Flag(changed));
+            if let Some(latest) = read_watch(&line, from)? {
+                self.next = latest + 1;
+                return Ok(true);
             }
         }
-        Ok(Reply::Flag(false))
+        Ok(false)
     }
 }
 
-/// Reads one message of a watch; none if the wait goes on.
-fn read_watch(line: &str, from: Revision) -> Result<Option<bool>> {
+/// Reads one message of a watch; none if the wait goes on, else the latest revision reported.
+fn read_watch(line: &str, from: Revision) -> Result<Option<Revision>> {
     let wire: WireWatch = serde_json::from_str(line).map_err(|error| StoreError::AnswerLost {
         reason: error.to_string(),
     })?;
@@ -347,9 +392,17 @@
         let reason = result.cancel_reason;
         return Err(StoreError::Refused { reason });
     }
-    // The first message carries the store's present revision and no events.
-    let restored = number(&result.header.revision) + 1 < from;
-    Ok((restored || !result.events.is_empty()).then_some(true))
+    let present = number(&result.header.revision);
+    let Some(latest) = result.events.iter().map(event_revision).max() else {
+        // The first message carries the store's present revision and no events.
+        let restored = present + 1 < from;
+        return Ok(restored.then_some(present));
+    };
+    Ok((latest >= from).then_some(latest))
+}
+
+fn event_revision(event: &Value) -> Revision {
+    field(&event["kv"], "mod_revision")
 }
 
 fn is_timeout(error: &std::io::Error) -> bool {
