Test that making room in a full ledger reopens no closed ticket

Cause: taking out the check of the floor after making room went unnoticed.

Change: the test of a full ledger begins a second operation under the oldest ticket.

--- a/crates/nutmegcart_request/tests/operation_ledger.rs
+++ b/crates/nutmegcart_request/tests/operation_ledger.rs
@@ -100,13 +100,14 @@
         ..Limits::default()
     };
     let mut ledger = Ledger::new(limits);
-    let id = |serial| {
+    let numbered = |serial, number| {
         OperationId::Ticket(TicketNumber {
             owner: Incarnation(1),
             serial,
-            number: 1,
+            number,
         })
     };
+    let id = |serial| numbered(serial, 1);
     for serial in 1..1_000 {
         let attempt = ledger.begin(&id(serial), 1, SECOND).unwrap();
         ledger.finish(&id(serial), attempt, Outcome::Ran, SECOND);
@@ -116,6 +117,13 @@
     assert_eq!(again.code(), Code::OperationForgotten);
     let sealed = ledger.seal(&id(2), 1, SECOND);
     assert_eq!(sealed.code(), Code::OperationForgotten);
+    // Making room closes the oldest open ticket, which must not be opened again without its floor.
+    let kept = |ledger: &Ledger, serial| ledger.find(&id(serial), 1, SECOND).unwrap().code();
+    let oldest = (1..1_000).find(|serial| kept(&ledger, *serial) == Code::AnswerDropped);
+    let oldest = oldest.unwrap();
+    let next = ledger.begin(&numbered(oldest, 2), 1, SECOND).unwrap_err();
+    assert_eq!(next.code(), Code::OperationForgotten);
+    assert_eq!(kept(&ledger, oldest), Code::OperationForgotten);
 }
 
 #[test]
