--- a/crates/nutmegcart/src/demo/mod.rs
+++ b/crates/nutmegcart/src/demo/mod.rs
@@ -130,7 +130,7 @@
         deployment
             .entries
             .iter()
-            .all(|entry| entry.tables.in_force.get().configuration.generation.0 >= generation)
+            .all(|entry| entry.tables.in_force.get().configuration.generation().0 >= generation)
     })
 }
 
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod server;
 pub mod settings;
 pub mod tables;
+pub mod tasks;
 pub mod workers;
 
 pub use entry::Entry;
