--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -105,11 +105,11 @@
             centre: settings.centre.clone(),
             address: settings.listen,
         };
-        let guard = Guard::new(store, settings.peers.len() + 1, Clock::default());
         let own = EntrySpec {
             id: settings.id.clone(),
             centre: settings.centre.clone(),
         };
+        let guard = Guard::new(store, settings.peers.len() + 1, Clock::default());
         let entry = Arc::new(Self {
             workers: Workers::start(settings.threads),
             dispatch: Dispatch::new(own, PathSettings::default(), incarnation.0),
--- a/crates/nutmegcart_fakes/src/platform.rs
+++ b/crates/nutmegcart_fakes/src/platform.rs
@@ -72,9 +72,9 @@
     machines: BTreeMap<InstanceId, Machine>,
     operations: BTreeSet<String>,
     reboot: Duration,
+    list: ListLog,
     /// The list as it was after each change, for a list that lags.
     past: VecDeque<(Instant, Vec<Instance>)>,
-    list: ListLog,
 }
 
 /// Past lists that are kept.
@@ -235,11 +235,8 @@
     let since = since.and_then(|version| version.parse().ok()).unwrap_or(0);
     let mut state = state.lock();
     let present = state.listed();
-    let list = state.list.since(since, present);
-    server::answer(
-        200,
-        serde_json::to_vec(&list).expect("list is serialisable"),
-    )
+    let list = serde_json::to_vec(&state.list.since(since, present));
+    server::answer(200, list.expect("list is serialisable"))
 }
 
 /// Carries out drain, reboot or restore; a repeated operation identifier changes nothing.
