--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -18,6 +18,7 @@
 use nutmegcart_platform::Guard;
 use nutmegcart_platform::Store;
 use nutmegcart_platform::guard::Clock;
+use nutmegcart_request::Member;
 use nutmegcart_request::path::PathSettings;
 use nutmegcart_request::share::EntrySpec;
 
@@ -28,7 +29,9 @@
 use crate::duty;
 use crate::limits::Buffered;
 use crate::metrics::Metrics;
+use crate::operation::Operations;
 use crate::peering;
+use crate::roster;
 use crate::server;
 use crate::settings::Settings;
 use crate::tables::Tables;
@@ -73,6 +76,8 @@
     pub guard: Guard,
     /// Instance list and maintenance calls of the platform.
     pub fleet: Fleet,
+    /// At-most-once execution.
+    pub operations: Operations,
     /// Client for peers.
     pub peers: Client,
     /// Connections to runners.
@@ -105,6 +110,12 @@
             centre: settings.centre.clone(),
             address: settings.listen,
         };
+        let member = Member {
+            centre: settings.centre.clone(),
+            instance: settings.id.clone(),
+            incarnation,
+            address: settings.listen.to_string(),
+        };
         let own = EntrySpec {
             id: settings.id.clone(),
             centre: settings.centre.clone(),
@@ -117,6 +128,7 @@
             backend: Backend::default(),
             settings,
             sender,
+            operations: Operations::new(member),
             tables: Tables::default(),
             metrics: Metrics::default(),
             lifecycle: Lifecycle::default(),
@@ -132,6 +144,7 @@
         entry.spawn("peering", peering::run)?;
         entry.spawn("dispatch", dispatch::run)?;
         entry.spawn("duty", duty::run)?;
+        entry.spawn("roster", roster::run)?;
         log_event!(
             Event::EntryStarted,
             id = entry.settings.id,
@@ -150,12 +163,24 @@
         Ok(())
     }
 
+    /// Returns the time since the process started.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Returns whether the control loops should end.
     #[must_use]
     pub fn is_stopped(&self) -> bool {
         self.lifecycle.stopped.load(Ordering::Acquire)
     }
 
+    /// Returns whether the shutdown refuses new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lifecycle.refusing.load(Ordering::Acquire)
+    }
+
     /// Returns whether new caller requests should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -186,9 +211,11 @@
         self.lifecycle.draining.store(true, Ordering::Release);
         sleep(self.settings.grace);
         self.lifecycle.refusing.store(true, Ordering::Release);
+        self.operations.freeze();
         while self.lifecycle.active.load(Ordering::Acquire) > 0 {
             sleep(DRAIN_POLL);
         }
+        roster::leave(self);
         self.stop();
         log_event!(Event::EntryStopped, id = self.settings.id);
     }
