--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -79,8 +79,14 @@
         .operation
         .clone()
         .unwrap_or_else(|| Uuid::new_v4().to_string());
+    // A later repetition is recognised as long as the store remembers all changes since here.
+    let since = match flags.since {
+        None if flags.operation.is_none() => present(flags.entry),
+        since => since,
+    };
     let body = json!({
         "operation": operation,
+        "since": since.unwrap_or(0),
         "based_on": flags.based_on,
         "documents": documents,
         "delete": flags.delete,
@@ -95,6 +101,12 @@
     )
 }
 
+/// Returns the generation in force, if the entry instance tells it.
+fn present(entry: Option<SocketAddr>) -> Option<u64> {
+    let client = Client::new(entry).ok()?;
+    client.get("status").ok()?["generation"].as_u64()
+}
+
 /// Prints one record.
 pub fn get(flags: &Get) -> ExitCode {
     let path = format!("records/{}/{}", flags.kind, flags.name);
--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -10,6 +10,7 @@
 mod slope;
 mod waves;
 mod waves_baseline;
+mod waves_cost;
 mod waves_planner;
 
 use std::process::ExitCode;
@@ -73,6 +74,7 @@
 /// Returns the measures of the fleet decisions.
 fn fleet(seed: u64) -> Vec<Measure> {
     let mut measures = waves::measures(seed);
+    measures.extend(waves_cost::measures());
     measures.extend(placement::placement(seed));
     measures
 }
--- a/crates/nutmegcart_bench/src/placement/scale.rs
+++ b/crates/nutmegcart_bench/src/placement/scale.rs
@@ -97,22 +97,25 @@
             })
             .collect();
         scheduler.set_workers(workers.iter().cloned());
-        scheduler.set_jobs((0..pools * JOBS).map(|number| {
-            Arc::new(Job {
-                name: format!("job-{number}").into(),
-                pool: format!("pool-{}", number % pools).into(),
-                team: Some(format!("team-{}", number % teams).into()),
-                cpu: 4_000,
-                memory: 16_000,
-                accelerators: u32::from(number % 8 == 0),
-                tasks: u32::try_from(TASKS).expect("small"),
-                urgent: number % 16 == 1,
-                idempotent: number % 2 == 0,
-                checkpoint: true,
-                seconds: None,
-                cancel: Vec::new(),
-            })
-        }));
+        scheduler.set_jobs(
+            1,
+            (0..pools * JOBS).map(|number| {
+                Arc::new(Job {
+                    name: format!("job-{number}").into(),
+                    pool: format!("pool-{}", number % pools).into(),
+                    team: Some(format!("team-{}", number % teams).into()),
+                    cpu: 4_000,
+                    memory: 16_000,
+                    accelerators: u32::from(number % 8 == 0),
+                    tasks: u32::try_from(TASKS).expect("small"),
+                    urgent: number % 16 == 1,
+                    idempotent: number % 2 == 0,
+                    checkpoint: true,
+                    seconds: None,
+                    cancel: Vec::new(),
+                })
+            }),
+        );
         Self {
             now: Duration::from_hours(1),
             scheduler,
--- a/crates/nutmegcart_entry/src/config_sync.rs
+++ b/crates/nutmegcart_entry/src/config_sync.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
-use nutmegcart_config::accept;
+use nutmegcart_config::Follower;
+use nutmegcart_config::Report;
+use nutmegcart_config::Standing;
+use nutmegcart_config::in_force::Offer;
+use nutmegcart_config::standing;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
-use nutmegcart_platform::Revision;
 use nutmegcart_platform::store::Result;
+use uuid::Uuid;
 
 use crate::entry::Entry;
 use crate::pool_map::MAPS;
@@ -22,40 +27,34 @@
 /// Longest wait for a change before everything is read again.
 const WAIT: Duration = Duration::from_secs(10);
 
-/// Watches the store until the instance stops.
+/// Silence after which a peer's report no longer counts: three missed heartbeats.
+const REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// Watches the store until the instance stops; the guard logs when it is away.
 pub fn run(entry: &Arc<Entry>) {
-    let mut reachable = true;
+    let mut follower = Follower::new(entry.store.clone());
     while !entry.is_stopped() {
-        match read(entry) {
-            Ok(revision) => {
-                if !reachable {
-                    log_event!(Event::StoreReachable, id = entry.settings.id);
-                }
-                reachable = true;
-                if entry.store.wait(ALL, revision + 1, WAIT).is_err() {
+        match read(entry, &mut follower) {
+            // The store is behind or being repaired; reading it again at once would not help.
+            Ok(Offer::Older | Offer::Forked | Offer::Repairing) | Err(_) => entry.pause(),
+            Ok(_) => {
+                let from = follower.revision() + 1;
+                if entry.store.wait(ALL, from, WAIT).is_err() {
                     entry.pause();
                 }
             }
-            Err(error) => {
-                if reachable {
-                    log_event!(Event::StoreUnreachable, reason = error);
-                }
-                reachable = false;
-                entry.pause();
-            }
         }
     }
 }
 
-/// Reads configuration and pool maps, and returns the revision of the older read.
+/// Reads what changed in the configuration, and the pool maps.
 ///
 /// # Errors
 ///
 /// Fails if the store does not answer.
-pub fn read(entry: &Entry) -> Result<Revision> {
-    let stored = accept::load(&entry.store)?;
-    entry.tables.in_force.offer(stored.configuration, "store");
-    let generation = entry.tables.in_force.get().configuration.generation;
+pub fn read(entry: &Entry, follower: &mut Follower) -> Result<Offer> {
+    let offer = follower.read(&entry.tables.in_force)?;
+    let generation = entry.tables.in_force.get().configuration.generation();
     let gauge = i64::try_from(generation.0).unwrap_or(i64::MAX);
     entry.metrics.generation.set(gauge);
     let snapshot = entry.store.range(MAPS)?;
@@ -67,7 +66,60 @@
         }
     }
     *entry.tables.maps.write() = Arc::new(maps);
-    Ok(stored.revision)
+    Ok(offer)
+}
+
+/// Returns what this instance tells its peers of its configuration.
+pub fn report(entry: &Entry) -> Report {
+    Report {
+        mark: entry.tables.in_force.get().configuration.history.mark(),
+        established: entry.tables.established.load(Ordering::Acquire),
+    }
+}
+
+/// Returns one report for each peer in the settings; none for those that are silent.
+fn reports(entry: &Entry) -> Vec<Option<Report>> {
+    let peers = entry.tables.peers.lock();
+    // A peer may be reached by another address than the one that it serves.
+    let heard = peers
+        .values()
+        .filter(|peer| peer.heard.elapsed() <= REPORT_AGE);
+    let mut reports: Vec<Option<Report>> = heard.map(|peer| Some(peer.report.clone())).collect();
+    reports.resize(reports.len().max(entry.settings.peers.len()), None);
+    reports
+}
+
+/// Returns the basis on which this instance accepts a change now.
+///
+/// An instance that has just started waits for its first heartbeats.
+pub fn standing(entry: &Entry) -> Standing {
+    let end = Instant::now() + REPORT_AGE;
+    loop {
+        establish(entry);
+        let loaded = entry.tables.in_force.get();
+        let standing = Standing::new(&loaded, &report(entry), &reports(entry));
+        if standing.heard || Instant::now() >= end || entry.is_stopped() {
+            return standing.with_lineage(Uuid::new_v4().to_string());
+        }
+        entry.pause();
+    }
+}
+
+/// Reads configuration and pool maps apart from the watch.
+///
+/// # Errors
+///
+/// Fails if the store does not answer.
+pub fn read_once(entry: &Entry) -> Result<Offer> {
+    read(entry, &mut Follower::new(entry.store.clone()))
+}
+
+/// Notes whether this instance has caught up with the others.
+pub fn establish(entry: &Entry) {
+    let established = standing::establish(&report(entry), &reports(entry));
+    if established {
+        entry.tables.established.store(true, Ordering::Release);
+    }
 }
 
 /// Polls the instance list until the instance stops.
--- a/crates/nutmegcart_entry/tests/site/mod.rs
+++ b/crates/nutmegcart_entry/tests/site/mod.rs
@@ -213,7 +213,13 @@
 impl Node {
     /// Returns the generation in force.
     pub fn generation(&self) -> u64 {
-        self.entry.tables.in_force.get().configuration.generation.0
+        self.entry
+            .tables
+            .in_force
+            .get()
+            .configuration
+            .generation()
+            .0
     }
 
     /// Posts JSON through the front link and returns the JSON answer, or null without one.
--- a/crates/nutmegcart_entry/tests/tasks.rs
+++ b/crates/nutmegcart_entry/tests/tasks.rs
@@ -90,7 +90,7 @@
             if fault == 1 && matches!(call, Call::Txn(_)) {
                 return Err(StoreError::Unreachable { reason });
             }
-            let reply: Reply = memory.call(call);
+            let reply = memory.call(call)?;
             if fault == 2 && matches!(reply, Reply::Txn(_)) {
                 return Err(StoreError::AnswerLost { reason });
             }
@@ -201,6 +201,20 @@
     assert_eq!(site.starts(0), 0);
 }
 
+#[test]
+fn successor_with_an_older_configuration_cancels_nothing() {
+    let site = Site::new(2);
+    let mut runner = site.runner();
+    runner.round(Some(site.take_duty()), Generation(7), &site.view);
+    let mut next = site.runner();
+    let duty = site.take_duty();
+    next.round(Some(duty), Generation(6), &View::default());
+    next.round(Some(duty), Generation(6), &View::default());
+    assert_eq!(site.workers.running().len(), 2);
+    next.round(Some(duty), Generation(8), &View::default());
+    assert!(site.workers.running().is_empty());
+}
+
 #[test]
 fn ended_attempt_is_forgotten_by_one_call() {
     let site = Site::new(1);
--- a/crates/nutmegcart_fleet/tests/cluster/mod.rs
+++ b/crates/nutmegcart_fleet/tests/cluster/mod.rs
@@ -221,7 +221,7 @@
     pub fn configure(&mut self) {
         self.scheduler.set_teams(self.teams.values().cloned());
         self.scheduler
-            .set_jobs(self.jobs.values().cloned().map(Arc::new));
+            .set_jobs(1, self.jobs.values().cloned().map(Arc::new));
         let workers = self.machines.values().map(|machine| machine.worker.clone());
         self.scheduler.set_workers(workers);
     }
--- a/crates/nutmegcart_fleet/tests/placement.rs
+++ b/crates/nutmegcart_fleet/tests/placement.rs
@@ -434,6 +434,20 @@
     assert_eq!(logged(&cluster, "checkpoint"), 0);
 }
 
+#[test]
+fn job_that_has_tasks_running_moves_no_others() {
+    let mut cluster = fragmented(6000);
+    cluster.jobs.get_mut("wide").expect("job exists").tasks = 2;
+    cluster.jobs.get_mut("wide").expect("job exists").seconds = Some(6000);
+    cluster.configure();
+    cluster.run(Duration::from_mins(5));
+    assert_eq!(running(&cluster, "wide"), 1);
+    let moved = |line: &&String| line.contains("small") && line.contains("-checkpoint");
+    let before = cluster.log.iter().filter(moved).count();
+    cluster.run(Duration::from_mins(30));
+    assert_eq!(cluster.log.iter().filter(moved).count(), before);
+}
+
 #[test]
 fn leaving_worker_is_emptied_and_receives_nothing() {
     let spec = json!({"tasks": 8, "checkpoint": true, "seconds": 600});
--- a/crates/nutmegcart_peer/src/message.rs
+++ b/crates/nutmegcart_peer/src/message.rs
@@ -4,6 +4,7 @@
 
 use nutmegcart_config::Changes;
 use nutmegcart_config::Generation;
+use nutmegcart_config::Report;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::InstanceId;
@@ -40,6 +41,9 @@
     pub sender: Sender,
     /// Generation of the configuration in force.
     pub generation: Generation,
+    /// Configuration in force, and whether the sender has caught up with the others.
+    #[serde(default)]
+    pub report: Report,
     /// Whether the sender is shutting down.
     pub draining: bool,
     /// Runners in use by the sender; older versions send none.
--- a/crates/nutmegcart_platform/src/lib.rs
+++ b/crates/nutmegcart_platform/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`Store`]: compare-and-swap, leases and watches, over HTTP ([`etcd`]) or in memory
 //!   ([`MemoryStore`]);
+//! * [`Guard`]: a store behind an entry instance's share of the rates, with its health;
 //! * [`Fleet`]: the list of instances, draining and rebooting;
 //! * [`Tasks`]: workers, and the tasks that run on them under leases.
 //!
@@ -9,7 +10,10 @@
 
 pub mod etcd;
 pub mod fleet;
+pub mod guard;
+pub mod health;
 pub mod http;
+pub mod limit;
 pub mod memory;
 pub mod store;
 pub mod tasks;
@@ -18,6 +22,9 @@
 pub use fleet::Instance;
 pub use fleet::InstanceState;
 pub use fleet::Role;
+pub use guard::Guard;
+pub use health::Reach;
+pub use limit::TokenBucket;
 pub use memory::MemoryStore;
 pub use store::Change;
 pub use store::Compare;
