--- a/crates/nutmegcart_bench/src/placement/site.rs
+++ b/crates/nutmegcart_bench/src/placement/site.rs
@@ -498,7 +498,7 @@
 
     fn configure(&mut self, site: &Site) {
         let jobs = site.works.iter().map(|work| work.job.clone());
-        self.scheduler.set_jobs(jobs);
+        self.scheduler.set_jobs(1, jobs);
         self.scheduler.set_workers(site.workers.iter().cloned());
     }
 }
--- a/crates/nutmegcart_entry/src/tasks.rs
+++ b/crates/nutmegcart_entry/src/tasks.rs
@@ -123,16 +123,20 @@
                     log_event!(Event::TaskStateConflict, centre = self.centre);
                     return;
                 }
-                Err(_) => {
-                    let now = self.now();
-                    let renewals = held.scheduler.renew(now);
-                    self.carry_out(&mut held.scheduler, renewals);
-                }
+                Err(_) => self.renew(&mut held),
             }
+        } else {
+            self.renew(&mut held);
         }
         self.held = Some(held);
     }
 
+    /// Keeps tasks running while nothing can be decided.
+    fn renew(&self, held: &mut Held) {
+        let renewals = held.scheduler.renew(self.now());
+        self.carry_out(&mut held.scheduler, renewals);
+    }
+
     fn now(&self) -> Duration {
         self.epoch + self.started.elapsed()
     }
@@ -188,10 +192,14 @@
                 leaving: listed.leaving,
             })
             .collect();
-        if held.generation != Some(generation) && self.claim(held, view, &workers).is_ok() {
+        // A successor that lags behind its predecessor's configuration must not cancel new jobs.
+        let is_current = generation.0 >= held.scheduler.stored().generation;
+        let is_new = is_current && held.generation != Some(generation);
+        if is_new && self.claim(held, view, &workers).is_ok() {
             let ours = view.jobs.values();
             let ours = ours.filter(|job| held.homes.get(&job.name) == Some(&self.centre));
-            held.scheduler.set_jobs(ours.cloned().map(Arc::new));
+            held.scheduler
+                .set_jobs(generation.0, ours.cloned().map(Arc::new));
             held.scheduler.set_teams(view.teams.values().cloned());
             held.generation = Some(generation);
         }
--- a/crates/nutmegcart_fleet/src/scheduler.rs
+++ b/crates/nutmegcart_fleet/src/scheduler.rs
@@ -84,6 +84,9 @@
     /// Latest end of a lease that may have been granted.
     #[serde(with = "millis")]
     pub permit: Duration,
+    /// Highest generation of the configuration that jobs were taken from.
+    #[serde(default)]
+    pub generation: u64,
     /// Jobs with their tasks.
     pub jobs: BTreeMap<JobName, JobState>,
     /// Evidence from failures.
@@ -193,8 +196,13 @@
 
     /// Replaces the jobs; a job that is missing is cancelled as a whole.
     ///
-    /// Call it only with a whole configuration, since an empty one cancels everything.
-    pub fn set_jobs(&mut self, jobs: impl IntoIterator<Item = Arc<Job>>) {
+    /// Call it only with a whole configuration, since an empty one cancels everything. Jobs of a
+    /// generation lower than the stored one are ignored.
+    pub fn set_jobs(&mut self, generation: u64, jobs: impl IntoIterator<Item = Arc<Job>>) {
+        if generation < self.state.generation {
+            return;
+        }
+        self.state.generation = generation;
         let mut given: BTreeMap<JobName, Arc<Job>> = jobs
             .into_iter()
             .map(|job| (job.name.clone(), job))
