Carry out waves with the planner in every entry instance

Cause: the duty loop of the entry instance took one instance of each pool out without steps, failure domains, halts or cancellation, and read all maps in every round.

Change: the loop keeps the lease, commits the planner's writes and makes its calls; it reads maps and waves only after the watch has seen a change. Operators start, pause, follow and drain through the planner; the status shows step, halts, estimate and whether people are needed. A start is refused for its deadline only on durations learnt from earlier runs: with the assumed five minutes the demo's wave over 50 instances would be refused.

--- a/crates/nutmegcart/src/demo/deployment.rs
+++ b/crates/nutmegcart/src/demo/deployment.rs
@@ -85,7 +85,7 @@
         let known = self.entries.iter().map(|entry| {
             let maps = entry.tables.maps.read().clone();
             let listed = entry.tables.instances.read().clone();
-            let seats: usize = maps.values().map(|map| map.seats.len()).sum();
+            let seats: usize = maps.values().map(|map| map.instances.len()).sum();
             seats.min(listed.instances.len())
         });
         known.min().unwrap_or(0)
--- a/crates/nutmegcart/src/demo/observer.rs
+++ b/crates/nutmegcart/src/demo/observer.rs
@@ -9,11 +9,11 @@
 use std::thread::spawn;
 use std::time::Duration;
 
-use nutmegcart_entry::pool_map::MAPS;
-use nutmegcart_entry::pool_map::PoolMap;
 use nutmegcart_fakes::Platform;
 use nutmegcart_fakes::Runner;
 use nutmegcart_fakes::runner::SLOTS;
+use nutmegcart_fleet::PoolMap;
+use nutmegcart_fleet::map::MAP_PREFIX;
 use nutmegcart_model::InstanceId;
 use nutmegcart_model::PoolName;
 use nutmegcart_platform::InstanceState;
@@ -80,11 +80,11 @@
     observed: &mut Observed,
 ) {
     let instances = platform.instances();
-    let snapshot = platform.store.store().range(MAPS).unwrap_or_default();
+    let snapshot = platform.store.store().range(MAP_PREFIX).unwrap_or_default();
     let mut seen = BTreeMap::new();
     for entry in &snapshot.entries {
         let map: PoolMap = serde_json::from_slice(&entry.value).unwrap_or_default();
-        for (id, seat) in map.seats {
+        for (id, seat) in map.instances {
             if seen.insert(id.clone(), seat.pool.clone()).is_some() {
                 observed.double_pools += 1;
             }
--- a/crates/nutmegcart_entry/src/config_sync.rs
+++ b/crates/nutmegcart_entry/src/config_sync.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use nutmegcart_config::accept;
+use nutmegcart_fleet::PoolMap;
+use nutmegcart_fleet::map::MAP_PREFIX;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
@@ -13,8 +16,6 @@
 use nutmegcart_platform::store::Result;
 
 use crate::entry::Entry;
-use crate::pool_map::MAPS;
-use crate::pool_map::PoolMap;
 use crate::tables::Listed;
 
 /// Prefix of all keys of the deployment.
@@ -58,15 +59,19 @@
     let generation = entry.tables.in_force.get().configuration.generation;
     let gauge = i64::try_from(generation.0).unwrap_or(i64::MAX);
     entry.metrics.generation.set(gauge);
-    let snapshot = entry.store.range(MAPS)?;
+    let snapshot = entry.store.range(MAP_PREFIX)?;
     let mut maps = BTreeMap::new();
     for found in &snapshot.entries {
-        let centre = found.key.strip_prefix(MAPS).unwrap_or("");
+        let centre = found.key.strip_prefix(MAP_PREFIX).unwrap_or("");
         if let Ok(map) = serde_json::from_slice::<PoolMap>(&found.value) {
             maps.insert(DataCentre::from(centre), map);
         }
     }
     *entry.tables.maps.write() = Arc::new(maps);
+    entry
+        .tables
+        .revision
+        .store(stored.revision, Ordering::Release);
     Ok(stored.revision)
 }
 
@@ -74,13 +79,15 @@
 pub fn run_list(entry: &Arc<Entry>) {
     let mut reachable = true;
     while !entry.is_stopped() {
+        // The list is at most as old as the call, which an answer's time would not ensure.
+        let sent = Instant::now();
         match entry.fleet.list() {
             Ok(list) => {
                 reachable = true;
                 let instances = list.into_iter().map(|line| (line.id.clone(), line));
                 *entry.tables.instances.write() = Arc::new(Listed {
                     instances: instances.collect(),
-                    read: Some(Instant::now()),
+                    read: Some(sent),
                 });
             }
             Err(error) => {
--- a/crates/nutmegcart_entry/src/dispatch.rs
+++ b/crates/nutmegcart_entry/src/dispatch.rs
@@ -12,6 +12,8 @@
 use crossbeam::channel;
 use crossbeam::channel::Sender;
 use nutmegcart_config::Generation;
+use nutmegcart_fleet::PoolMap;
+use nutmegcart_fleet::map;
 use nutmegcart_model::Code;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Event;
@@ -38,8 +40,6 @@
 
 use crate::entry::Entry;
 use crate::metrics::Metrics;
-use crate::pool_map::Phase;
-use crate::pool_map::PoolMap;
 use crate::tables::Listed;
 
 /// Time between looks for expired requests and for runners that return.
@@ -303,12 +303,13 @@
     let mut live = Vec::new();
     let mut addresses = HashMap::new();
     for (centre, map) in seen.maps.iter() {
-        for (id, seat) in &map.seats {
+        for (id, seat) in &map.instances {
             let pool = loaded.view.pools.get(&seat.pool);
             let (Some(pool), Some(instance)) = (pool, seen.listed.instances.get(id)) else {
                 continue;
             };
-            let serving = instance.state == InstanceState::Live && seat.phase == Phase::Serving;
+            let serving =
+                instance.state == InstanceState::Live && seat.state == map::State::Service;
             let age = seen.listed.age() + Duration::from_millis(instance.age_ms);
             live.push((id.clone(), serving, age));
             addresses.insert(id.clone(), instance.address);
--- /dev/null
+++ b/crates/nutmegcart_entry/src/fleet_state.rs
@@ -0,0 +1,117 @@
+//! Pool maps, wave progress and records as fleet decisions need them.
+
+use std::collections::BTreeMap;
+
+use nutmegcart_config::accept::HEAD;
+use nutmegcart_config::accept::Head;
+use nutmegcart_fleet::Listing;
+use nutmegcart_fleet::View;
+use nutmegcart_fleet::map::MAP_PREFIX;
+use nutmegcart_fleet::map::Maps;
+use nutmegcart_fleet::map::Stored;
+use nutmegcart_fleet::planner;
+use nutmegcart_fleet::planner::Settings;
+use nutmegcart_fleet::planner::Waves;
+use nutmegcart_fleet::wave::WAVE_PREFIX;
+use nutmegcart_model::DataCentre;
+use nutmegcart_platform::Instance;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::store::Result;
+use serde::de::DeserializeOwned;
+
+use crate::entry::Entry;
+
+/// What fleet decisions rest on, as last read.
+#[derive(Default)]
+pub struct FleetState {
+    /// Pool maps.
+    pub maps: Maps,
+    /// Progress of the waves.
+    pub waves: Waves,
+    /// Records in effect.
+    pub settings: Settings,
+    /// Instance list.
+    pub listing: Listing,
+    /// Revision of the configuration's head that the records stem from.
+    pub head: Revision,
+}
+
+/// Reads all values with the prefix; none if one is unreadable, since a plan would overwrite it.
+fn read_all<K: Ord + From<String>, T: DeserializeOwned>(
+    entry: &Entry,
+    prefix: &str,
+) -> Result<Option<BTreeMap<K, Stored<T>>>> {
+    let snapshot = entry.store.range(prefix)?;
+    let values = snapshot.entries.iter().map(|found| {
+        let stored = Stored {
+            value: planner::decode(&found.value)?,
+            modified: found.modified,
+        };
+        Some((K::from(found.key[prefix.len()..].to_owned()), stored))
+    });
+    Ok(values.collect())
+}
+
+impl FleetState {
+    /// Reads maps, waves and the head; false if they are unreadable or the head is newer than
+    /// the configuration in effect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub fn read(&mut self, entry: &Entry) -> Result<bool> {
+        let loaded = entry.tables.in_force.get();
+        let snapshot = entry.store.range(HEAD)?;
+        let found = snapshot.get(HEAD);
+        let head = found.and_then(|found| planner::decode::<Head>(&found.value));
+        if head.map(|head| head.generation) != Some(loaded.configuration.generation) {
+            return Ok(false);
+        }
+        let waves = read_all(entry, WAVE_PREFIX)?;
+        let (Some(waves), Some(maps)) = (waves, read_all(entry, MAP_PREFIX)?) else {
+            return Ok(false);
+        };
+        self.head = found.map_or(0, |found| found.modified);
+        self.waves = waves;
+        self.maps = maps;
+        let budgets = loaded.view.budgets.iter();
+        self.settings = Settings {
+            pools: loaded.view.pools.clone(),
+            budgets: budgets
+                .map(|(pool, budget)| (pool.clone(), budget.allowance))
+                .collect(),
+            waves: loaded.view.waves.clone(),
+        };
+        Ok(true)
+    }
+
+    /// Takes over the instance list as last fetched.
+    pub fn observe(&mut self, entry: &Entry) {
+        let listed = entry.tables.instances.read().clone();
+        if let Some(read) = listed.read {
+            let list: Vec<Instance> = listed.instances.values().cloned().collect();
+            let at = read.saturating_duration_since(entry.started);
+            self.listing.record(&list, at);
+        }
+    }
+
+    /// Returns the input of a planning round.
+    #[must_use]
+    pub const fn view<'a>(
+        &'a self,
+        centre: &'a DataCentre,
+        duty: (&'a str, Revision),
+        store: bool,
+    ) -> View<'a> {
+        View {
+            centre,
+            duty,
+            head: (HEAD, self.head),
+            maps: &self.maps,
+            waves: &self.waves,
+            listing: &self.listing,
+            settings: &self.settings,
+            store,
+        }
+    }
+}
--- a/crates/nutmegcart_entry/src/tables.rs
+++ b/crates/nutmegcart_entry/src/tables.rs
@@ -7,11 +7,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicI64;
 use std::time::Duration;
 use std::time::Instant;
 
 use nutmegcart_config::Generation;
 use nutmegcart_config::InForce;
+use nutmegcart_fleet::PoolMap;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::InstanceId;
 use nutmegcart_peer::Sender;
@@ -19,8 +21,6 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
-use crate::pool_map::PoolMap;
-
 /// What is known of a peer.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -58,6 +58,8 @@
 pub struct Tables {
     /// Configuration in force.
     pub in_force: InForce,
+    /// Revision of the store at the last read of configuration and maps.
+    pub revision: AtomicI64,
     /// Pool maps by data centre.
     pub maps: RwLock<Arc<BTreeMap<DataCentre, PoolMap>>>,
     /// Instance list.
--- /dev/null
+++ b/crates/nutmegcart_entry/tests/waves.rs
@@ -0,0 +1,38 @@
+//! Guards the operators' calls for waves and drains over loopback.
+
+mod site;
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::site::Site;
+use crate::site::budget;
+use crate::site::pool;
+use crate::site::until;
+use crate::site::wave;
+
+#[test]
+fn operators_drain_and_pause_within_the_budget() {
+    let site = Site::start(&["suva", "nadi"], 2, Duration::from_millis(1));
+    let records = [
+        pool("gates", 4),
+        budget("gates", 1),
+        wave("monthly", &["gates"]),
+    ];
+    site.apply(0, &records);
+    let node = &site.nodes[0];
+    let post = |path: &str| node.post(&format!("/admin/v1/{path}"), &Value::Null);
+    let status = || node.get("/admin/v1/waves/monthly");
+    until(|| node.get("/admin/v1/status")["pools"]["gates"] == 4);
+    assert_eq!(post("drain/nowhere")["code"], "NC3003");
+    // An instance of the other data centre, whose holder carries the drain out.
+    assert_eq!(post("drain/nadi-0")["instance"], "nadi-0");
+    assert_eq!(post("drain/suva-0")["code"], "NC3004");
+    until(|| site.out() == 1);
+    assert_eq!(status()["code"], "NC3001", "the wave was never started");
+    assert_eq!(post("waves/monthly/start")["total"], 4);
+    assert_eq!(post("waves/monthly/pause")["state"], "paused");
+    assert_eq!(post("waves/monthly/pause")["code"], "NC3011");
+    assert_eq!(status()["done"], 0, "the drain uses the budget up");
+}
--- a/crates/nutmegcart_fleet/src/duty.rs
+++ b/crates/nutmegcart_fleet/src/duty.rs
@@ -12,15 +12,15 @@
 /// Prefix of the duty keys in the store.
 pub const DUTY_PREFIX: &str = "/nutmegcart/duty/";
 
-/// Length of the lease.
+/// Length of the lease unless another is set.
 pub const LEASE_TIME: Duration = Duration::from_secs(10);
 
-/// Time between renewals; three may be lost before the lease ends.
-pub const RENEW_TIME: Duration = Duration::from_millis(2500);
+/// Renewals within a lease; three may be lost before it ends.
+const RENEWALS: u32 = 4;
 
-/// Part of the lease after which the holder makes no more effects, since the store's clock may
-/// run faster and an effect takes time to arrive.
-pub const SAFE_TIME: Duration = Duration::from_secs(7);
+/// Part of the lease in percent after which the holder makes no more effects, since the store's
+/// clock may run faster and an effect takes time to arrive.
+const SAFE_PERCENT: u32 = 70;
 
 /// Next call of a duty's keeper.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -51,6 +51,8 @@
 pub struct Duty {
     /// Key of the duty.
     pub key: String,
+    /// Length of the lease.
+    pub length: Duration,
     holder: Vec<u8>,
     lease: Option<LeaseId>,
     created: Option<Revision>,
@@ -66,6 +68,7 @@
     pub fn new(centre: &DataCentre, incarnation: Incarnation) -> Self {
         Self {
             key: format!("{DUTY_PREFIX}{centre}"),
+            length: LEASE_TIME,
             holder: incarnation.to_string().into_bytes(),
             lease: None,
             created: None,
@@ -74,15 +77,32 @@
         }
     }
 
+    /// Sets the length of the lease.
+    #[must_use]
+    pub const fn with_length(mut self, length: Duration) -> Self {
+        self.length = length;
+        self
+    }
+
+    /// Returns the lease if one was granted, so that it can be revoked.
+    #[must_use]
+    pub const fn lease(&self) -> Option<LeaseId> {
+        self.lease
+    }
+
+    fn safe(&self) -> Duration {
+        self.length * SAFE_PERCENT / 100
+    }
+
     /// Returns the next call.
     #[must_use]
     pub fn step(&self, now: Duration) -> Step {
-        let renewal = self.confirmed + RENEW_TIME;
+        let renewal = self.confirmed + self.length / RENEWALS;
         match (self.lease, self.created) {
             (Some(lease), _) if now >= renewal => Step::Renew(lease),
             (Some(_), Some(_)) => Step::Wait(renewal),
             _ if now < self.retry => Step::Wait(self.retry),
-            (None, _) => Step::Grant(LEASE_TIME),
+            (None, _) => Step::Grant(self.length),
             (Some(lease), None) => Step::Claim(Txn::default().absent(&self.key).put_leased(
                 &self.key,
                 self.holder.clone(),
@@ -106,8 +126,8 @@
             entry.filter(|entry| entry.value == self.holder && Some(entry.lease) == self.lease);
         self.created = own.map(|entry| entry.created);
         if own.is_none() {
-            // Another holder renews every 2.5 s; asking more often only costs store calls.
-            self.retry = now + RENEW_TIME;
+            // Another holder renews as often; asking more often only costs store calls.
+            self.retry = now + self.length / RENEWALS;
         }
         own.is_some()
     }
@@ -126,7 +146,7 @@
     #[must_use]
     pub fn held(&self, now: Duration) -> Option<Revision> {
         self.created
-            .filter(|_| now.saturating_sub(self.confirmed) < SAFE_TIME)
+            .filter(|_| now.saturating_sub(self.confirmed) < self.safe())
     }
 }
 
@@ -161,6 +181,11 @@
         }
     }
 
+    /// Adapts the share to a changed roster.
+    pub fn resize(&mut self, total: f64, roster: u32) {
+        self.rate = total / f64::from(roster.max(1));
+    }
+
     /// Takes a token; false if the call must wait.
     pub fn take(&mut self, now: Duration) -> bool {
         let passed = now.saturating_sub(self.filled).as_secs_f64();
--- a/crates/nutmegcart_fleet/src/planner.rs
+++ b/crates/nutmegcart_fleet/src/planner.rs
@@ -225,6 +225,14 @@
 }
 
 impl Memory {
+    /// Forgets what an earlier term of the duty saw; others may have acted in between.
+    pub fn succeed_holder(&mut self) {
+        self.acks.clear();
+        self.seen.clear();
+        self.calm.clear();
+        self.ending.clear();
+    }
+
     /// Records that the platform answered a call.
     pub fn acknowledge(&mut self, effect: &Effect, now: Duration) {
         self.acks
--- a/crates/nutmegcart_fleet/src/wave.rs
+++ b/crates/nutmegcart_fleet/src/wave.rs
@@ -275,8 +275,8 @@
 ///
 /// # Errors
 ///
-/// Refuses a wave that does not exist, that cannot finish before its deadline, or that contains a
-/// pool whose budget allows no instance out.
+/// Refuses a wave that does not exist, that cannot finish before its deadline as far as its earlier
+/// runs show, or that contains a pool whose budget allows no instance out.
 pub fn start(view: &View, name: &WaveName, now: Duration) -> Result<Txn, Code> {
     let wave = view.settings.waves.get(name).ok_or(Code::WaveNotFound)?;
     let mut stored = view.waves.get(name).cloned().unwrap_or_default();
@@ -284,7 +284,9 @@
         estimate_wave(view, wave, stored.value.seconds, now).ok_or(Code::WaveWithoutBudget)?;
     let fresh = matches!(stored.value.phase, Phase::Idle | Phase::Finished);
     let deadline = wave.deadline.map(Duration::from_secs);
-    if fresh && deadline.is_some_and(|deadline| estimate > deadline) {
+    // An estimate that rests on an assumed duration is reported in the status only.
+    let learnt = stored.value.seconds > 0.0;
+    if fresh && learnt && deadline.is_some_and(|deadline| estimate > deadline) {
         return Err(Code::WavePastDeadline);
     }
     stored.value.start();
