Merge branch 'waves'

# Conflicts: # crates/nutmegcart_entry/src/admin.rs # crates/nutmegcart_entry/src/config_sync.rs # crates/nutmegcart_entry/src/duty.rs # crates/nutmegcart_entry/src/lib.rs # crates/nutmegcart_entry/src/tables.rs

--- a/crates/nutmegcart_entry/src/config_sync.rs
+++ b/crates/nutmegcart_entry/src/config_sync.rs
@@ -11,6 +11,8 @@
 use nutmegcart_config::Standing;
 use nutmegcart_config::in_force::Offer;
 use nutmegcart_config::standing;
+use nutmegcart_fleet::PoolMap;
+use nutmegcart_fleet::map::MAP_PREFIX;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
@@ -18,8 +20,6 @@
 use uuid::Uuid;
 
 use crate::entry::Entry;
-use crate::pool_map::MAPS;
-use crate::pool_map::PoolMap;
 use crate::tables::Listed;
 
 /// Prefix of all keys of the deployment.
@@ -54,18 +54,21 @@
 /// Fails if the store does not answer.
 pub fn read(entry: &Entry, follower: &mut Follower) -> Result<Offer> {
     let offer = follower.read(&entry.tables.in_force)?;
+    // Taken before the maps are read, so that a later write is never missed.
+    let revision = follower.revision();
     let generation = entry.tables.in_force.get().configuration.generation();
     let gauge = i64::try_from(generation.0).unwrap_or(i64::MAX);
     entry.metrics.generation.set(gauge);
-    let snapshot = entry.store.range(MAPS)?;
+    let snapshot = entry.store.range(MAP_PREFIX)?;
     let mut maps = BTreeMap::new();
     for found in &snapshot.entries {
-        let centre = found.key.strip_prefix(MAPS).unwrap_or("");
+        let centre = found.key.strip_prefix(MAP_PREFIX).unwrap_or("");
         if let Ok(map) = serde_json::from_slice::<PoolMap>(&found.value) {
             maps.insert(DataCentre::from(centre), map);
         }
     }
     *entry.tables.maps.write() = Arc::new(maps);
+    entry.tables.revision.store(revision, Ordering::Release);
     Ok(offer)
 }
 
@@ -126,13 +129,15 @@
 pub fn run_list(entry: &Arc<Entry>) {
     let mut reachable = true;
     while !entry.is_stopped() {
+        // The list is at most as old as the call, which an answer's time would not ensure.
+        let sent = Instant::now();
         match entry.fleet.list() {
             Ok(list) => {
                 reachable = true;
                 let instances = list.into_iter().map(|line| (line.id.clone(), line));
                 *entry.tables.instances.write() = Arc::new(Listed {
                     instances: instances.collect(),
-                    read: Some(Instant::now()),
+                    read: Some(sent),
                 });
             }
             Err(error) => {
--- a/crates/nutmegcart_entry/src/tables.rs
+++ b/crates/nutmegcart_entry/src/tables.rs
@@ -8,12 +8,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicI64;
 use std::time::Duration;
 use std::time::Instant;
 
 use nutmegcart_config::Generation;
 use nutmegcart_config::InForce;
 use nutmegcart_config::Report;
+use nutmegcart_fleet::PoolMap;
 use nutmegcart_model::DataCentre;
 use nutmegcart_model::InstanceId;
 use nutmegcart_peer::Sender;
@@ -21,8 +23,6 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 
-use crate::pool_map::PoolMap;
-
 /// What is known of a peer.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -64,6 +64,8 @@
     pub in_force: InForce,
     /// Whether this instance has caught up with the others since it started.
     pub established: AtomicBool,
+    /// Revision of the store at the last read of configuration and maps.
+    pub revision: AtomicI64,
     /// Pool maps by data centre.
     pub maps: RwLock<Arc<BTreeMap<DataCentre, PoolMap>>>,
     /// Instance list.
--- a/crates/nutmegcart_entry/tests/forward.rs
+++ b/crates/nutmegcart_entry/tests/forward.rs
@@ -112,7 +112,7 @@
 
 fn seats(entry: &Entry) -> usize {
     let maps = entry.tables.maps.read();
-    maps.values().map(|map| map.seats.len()).sum()
+    maps.values().map(|map| map.instances.len()).sum()
 }
 
 #[test]
--- a/crates/nutmegcart_entry/tests/operations.rs
+++ b/crates/nutmegcart_entry/tests/operations.rs
@@ -36,7 +36,7 @@
     until(|| {
         site.nodes.iter().all(|node| {
             let maps = node.entry.tables.maps.read().clone();
-            let seats: usize = maps.values().map(|map| map.seats.len()).sum();
+            let seats: usize = maps.values().map(|map| map.instances.len()).sum();
             seats == 3 && node.entry.is_ready() && joined(&node.entry, 3)
         })
     });
