--- a/crates/nutmegcart_entry/src/roster.rs
+++ b/crates/nutmegcart_entry/src/roster.rs
@@ -109,6 +109,7 @@
     };
     entry.operations.offer(&roster, entry.now());
     entry.operations.confirm(roster.version, asked, clocks);
+    entry.guard.set_members(roster.members.len());
     Ok((Some(roster), found.modified))
 }
 
