--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod settings;
 pub mod tables;
 pub mod tasks;
+pub mod tickets;
 pub mod workers;
 
 pub use entry::Entry;
--- a/crates/nutmegcart_entry/src/operation.rs
+++ b/crates/nutmegcart_entry/src/operation.rs
@@ -45,10 +45,8 @@
 use nutmegcart_request::roster::CLOCK_MARGIN;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
-use oxhttp::model::Response;
 use parking_lot::Condvar;
 use parking_lot::Mutex;
-use serde_json::json;
 
 use crate::entry::Entry;
 use crate::forward;
@@ -192,7 +190,7 @@
     }
 
     /// Returns the address of a peer that is not suspect.
-    fn link(&self, incarnation: Incarnation, now: Duration) -> Option<SocketAddr> {
+    pub fn link(&self, incarnation: Incarnation, now: Duration) -> Option<SocketAddr> {
         if self.members.lock().is_suspect(incarnation, now) {
             return None;
         }
@@ -245,23 +243,6 @@
     }
 }
 
-/// Handles `POST /v1/tickets`.
-pub fn issue(entry: &Entry, request: &Request<Body>) -> Response<Body> {
-    if request.method().as_str() != "POST" {
-        return http::error(Code::NotFound, "", "tickets are issued by POST");
-    }
-    if !entry.is_ready() {
-        return http::error(Code::ShuttingDown, "", "");
-    }
-    let random = Incarnation::random().0;
-    let members = entry.operations.members();
-    let witness = members.witness(&entry.settings.centre, random, entry.now());
-    let ticket = entry
-        .operations
-        .decide(|coordinator| coordinator.issue(witness));
-    http::json(200, &json!({ "ticket": ticket.to_string() }))
-}
-
 fn parse(identifier: &Identifier, caller: &str) -> Result<Operation> {
     match identifier {
         Identifier::Operation(text) => text.parse().map(Operation::Ticketed),
@@ -603,26 +584,3 @@
             operations.decide(|c| c.on_handover(message.to, message.records, now))
         })
 }
-
-/// Sends the ledger of a frozen entry instance to the pairs that follow.
-///
-/// Returns the version of the roster for which every recipient confirmed.
-pub fn hand_over(entry: &Entry) -> Option<Version> {
-    let now = entry.now();
-    let handover = entry.operations.decide(|c| c.handover(now));
-    for (to, records) in handover.records {
-        let address = entry.operations.link(to, entry.now())?;
-        let count = records.len();
-        let message = HandoverMessage {
-            sender: entry.sender.clone(),
-            roster: handover.version,
-            to,
-            records,
-        };
-        if !entry.peers.call(address, &message).ok()? {
-            return None;
-        }
-        log_event!(Event::LedgerHanded, to = to, records = count);
-    }
-    Some(handover.version)
-}
--- a/crates/nutmegcart_entry/src/roster.rs
+++ b/crates/nutmegcart_entry/src/roster.rs
@@ -12,15 +12,16 @@
 use nutmegcart_model::Event;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::log_event;
+use nutmegcart_peer::HandoverMessage;
 use nutmegcart_platform::LeaseId;
 use nutmegcart_platform::Revision;
 use nutmegcart_platform::Txn;
 use nutmegcart_platform::store::Result;
 use nutmegcart_request::Member;
 use nutmegcart_request::Roster;
+use nutmegcart_request::Version;
 
 use crate::entry::Entry;
-use crate::operation;
 
 /// Key of the roster.
 const ROSTER: &str = "/nutmegcart/roster";
@@ -186,7 +187,7 @@
         if stored.member(own).is_none() {
             return;
         }
-        let handed = operation::hand_over(entry) == Some(stored.version);
+        let handed = hand_over(entry) == Some(stored.version);
         if !handed {
             break;
         }
@@ -206,3 +207,26 @@
     // The lease expires, and another entry instance removes this one.
     log_event!(Event::LedgerNotHanded, id = entry.settings.id);
 }
+
+/// Sends the ledger of a frozen entry instance to the pairs that follow.
+///
+/// Returns the version of the roster for which every recipient confirmed.
+fn hand_over(entry: &Entry) -> Option<Version> {
+    let now = entry.now();
+    let handover = entry.operations.decide(|c| c.handover(now));
+    for (to, records) in handover.records {
+        let address = entry.operations.link(to, entry.now())?;
+        let count = records.len();
+        let message = HandoverMessage {
+            sender: entry.sender.clone(),
+            roster: handover.version,
+            to,
+            records,
+        };
+        if !entry.peers.call(address, &message).ok()? {
+            return None;
+        }
+        log_event!(Event::LedgerHanded, to = to, records = count);
+    }
+    Some(handover.version)
+}
--- a/crates/nutmegcart_entry/src/server.rs
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -18,6 +18,7 @@
 use crate::http;
 use crate::operation;
 use crate::peering;
+use crate::tickets;
 
 /// Longest wait for a byte from or to a caller.
 const SOCKET_TIMEOUT: Duration = Duration::from_mins(1);
@@ -82,7 +83,7 @@
         return http::hold(peering::handle(entry, request, message), active);
     }
     if path == "/v1/tickets" {
-        return operation::issue(entry, request);
+        return tickets::issue(entry, request);
     }
     if let Some(rest) = path.strip_prefix("/admin/v1/") {
         return admin::handle(entry, request, rest);
--- /dev/null
+++ b/crates/nutmegcart_entry/src/tickets.rs
@@ -0,0 +1,28 @@
+//! Issues tickets.
+
+use nutmegcart_model::Code;
+use nutmegcart_model::Incarnation;
+use oxhttp::model::Body;
+use oxhttp::model::Request;
+use oxhttp::model::Response;
+use serde_json::json;
+
+use crate::entry::Entry;
+use crate::http;
+
+/// Handles `POST /v1/tickets`.
+pub fn issue(entry: &Entry, request: &Request<Body>) -> Response<Body> {
+    if request.method().as_str() != "POST" {
+        return http::error(Code::NotFound, "", "tickets are issued by POST");
+    }
+    if !entry.is_ready() {
+        return http::error(Code::ShuttingDown, "", "");
+    }
+    let random = Incarnation::random().0;
+    let members = entry.operations.members();
+    let witness = members.witness(&entry.settings.centre, random, entry.now());
+    let ticket = entry
+        .operations
+        .decide(|coordinator| coordinator.issue(witness));
+    http::json(200, &json!({ "ticket": ticket.to_string() }))
+}
