Choose stand-in ports outside the range of outgoing connections

Cause: an entry instance of a session failed to start with "Address already in use": the port that was free a moment ago had been given to an outgoing connection or to another call of `free_address` in the same process.

Change: ports come from 20,000 to 31,999 by a counter that starts at a place derived from the process, so that no call returns another's port.

The race between two processes remains.

Conclusion: sessions that start several servers no longer race themselves.

--- a/crates/nutmegcart_fakes/src/server.rs
+++ b/crates/nutmegcart_fakes/src/server.rs
@@ -4,7 +4,10 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::panic::resume_unwind;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use oxhttp::Server;
 use oxhttp::model::Body;
@@ -14,16 +17,31 @@
 /// Attempts to start a server before giving up; another process may take a free port first.
 const ATTEMPTS: usize = 20;
 
-/// Returns a loopback address whose port was free a moment ago.
+/// Ports below those that systems commonly give to outgoing connections, one of which could take a
+/// port between its choice and its use.
+const PORTS: Range<u16> = 20_000..32_000;
+
+/// Returns a loopback address whose port was free a moment ago; no two calls return one port until
+/// all were returned.
 ///
 /// # Panics
 ///
 /// Panics if the machine has no free port.
 #[must_use]
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a loopback port is free")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    for _ in 0..count {
+        // Processes start at different ports, so that they seldom meet.
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(97).wrapping_add(step) % count;
+        let port = u16::try_from(offset).expect("offset is below the number of ports");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, PORTS.start + port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no loopback port is free");
 }
 
 /// Starts a server on a free loopback port and returns its address.
