--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -75,6 +75,8 @@
             optional --based-on generation: u64
             /// Identifier of the change; repeat it after an unknown outcome.
             optional --operation identifier: String
+            /// Generation that was in force before the first attempt.
+            optional --since generation: u64
             /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
             optional --entry address: SocketAddr
             /// Print JSON.
--- a/crates/nutmegcart_entry/src/admin.rs
+++ b/crates/nutmegcart_entry/src/admin.rs
@@ -1,10 +1,12 @@
 //! Operators' HTTP interface.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use nutmegcart_config::Apply;
 use nutmegcart_config::Generation;
 use nutmegcart_config::Outcome;
+use nutmegcart_config::Repair;
 use nutmegcart_config::accept;
 use nutmegcart_fleet::Phase;
 use nutmegcart_fleet::State;
@@ -42,6 +44,8 @@
     operation: Option<String>,
     based_on: Option<Generation>,
     #[serde(default)]
+    since: Generation,
+    #[serde(default)]
     documents: Vec<Value>,
     #[serde(default)]
     delete: Vec<String>,
@@ -57,6 +61,7 @@
     let parts: Vec<&str> = path.split('/').collect();
     match (method.as_str(), &parts[..]) {
         ("POST", ["apply"]) => apply(entry, &body),
+        ("POST", ["repair"]) => repair(entry, &body),
         ("GET", ["records", filter @ ..]) => records(entry, filter),
         ("GET", ["status"]) => status(entry),
         ("GET", ["waves", name]) => wave_status(entry, name),
@@ -98,14 +103,43 @@
         Err(fault) => return refused(&fault),
     };
     let apply = Apply {
+        fresh: body.operation.is_none(),
+        since: body.since,
         operation: body.operation.unwrap_or_else(|| Uuid::new_v4().to_string()),
         documents,
         deletions: body.delete,
         based_on: body.based_on,
     };
-    let floor = entry.tables.in_force.get().configuration.generation;
     let operation = &apply.operation;
-    match accept(&entry.store, &apply, floor) {
+    let standing = config_sync::standing(entry);
+    let outcome = accept(&entry.store, &apply, &standing);
+    answer(entry, operation, outcome)
+}
+
+/// Body of the repair call.
+#[derive(Deserialize)]
+struct RepairBody {
+    #[serde(default)]
+    discard: bool,
+}
+
+/// Writes the configuration in force here to a store that lost it.
+fn repair(entry: &Entry, body: &[u8]) -> Response<Body> {
+    let body: RepairBody = match serde_json::from_slice(body) {
+        Ok(body) => body,
+        Err(error) => return http::error(Code::NotJson, "", &error.to_string()),
+    };
+    let repair = Repair {
+        operation: Uuid::new_v4().to_string(),
+        discard: body.discard,
+    };
+    let standing = config_sync::standing(entry);
+    let outcome = nutmegcart_config::repair(&entry.store, &repair, &standing);
+    answer(entry, &repair.operation, outcome)
+}
+
+fn answer(entry: &Entry, operation: &str, outcome: Outcome) -> Response<Body> {
+    match outcome {
         Outcome::Accepted(generation) => {
             log_event!(
                 Event::ConfigAccepted,
@@ -113,7 +147,7 @@
                 operation = operation
             );
             // Peers and this instance's watch also bring the change, so a failure costs little.
-            let _ = config_sync::read(entry);
+            let _ = config_sync::read_once(entry);
             http::json(
                 200,
                 &json!({"generation": generation, "operation": operation}),
@@ -130,6 +164,9 @@
         }
         Outcome::Unavailable => http::error(Code::StoreUnavailable, operation, ""),
         Outcome::Unknown => http::error(Code::ApplyUnknown, operation, ""),
+        Outcome::Forgotten(generation) => {
+            http::error(Code::ApplyForgotten, operation, &generation.to_string())
+        }
     }
 }
 
@@ -149,7 +186,7 @@
     if filter.len() == 2 && found.is_empty() {
         return http::error(Code::NotFound, "", &prefix);
     }
-    let generation = loaded.configuration.generation;
+    let generation = loaded.configuration.generation();
     http::json(200, &json!({"generation": generation, "records": found}))
 }
 
@@ -167,6 +204,7 @@
                 "address": peer.sender.address,
                 "incarnation": peer.sender.incarnation.to_string(),
                 "generation": peer.generation,
+                "established": peer.report.established,
                 "draining": peer.draining,
                 "suspect": peer.suspect,
             })
@@ -185,8 +223,10 @@
             "id": entry.settings.id,
             "centre": entry.settings.centre,
             "incarnation": entry.sender.incarnation.to_string(),
-            "generation": loaded.configuration.generation,
-            "lineage": loaded.configuration.lineage,
+            "generation": loaded.configuration.generation(),
+            "established": entry.tables.established.load(Ordering::Acquire),
+            "store": entry.guard.reach().to_string(),
+            "lineage": loaded.configuration.history.lineage,
             "ready": entry.is_ready(),
             "instances": entry.tables.instances.read().instances.len(),
             "pools": pools,
@@ -202,7 +242,7 @@
     let fresh = state.read(entry).map_err(|_| Code::StoreUnavailable)?;
     // A change that was just accepted may not be in effect here yet.
     let fresh = fresh
-        || config_sync::read(entry).is_ok()
+        || config_sync::read_once(entry).is_ok()
             && state.read(entry).map_err(|_| Code::StoreUnavailable)?;
     fresh.then_some(state).ok_or(Code::FleetUnreadable)
 }
--- a/crates/nutmegcart_entry/src/duty.rs
+++ b/crates/nutmegcart_entry/src/duty.rs
@@ -8,6 +8,7 @@
 use nutmegcart_fleet::Memory;
 use nutmegcart_fleet::Plan;
 use nutmegcart_fleet::duty::CALLS_PER_SECOND;
+use nutmegcart_fleet::duty::DUTY_PREFIX;
 use nutmegcart_fleet::duty::Pace;
 use nutmegcart_fleet::duty::Step;
 use nutmegcart_fleet::planner;
@@ -21,6 +22,7 @@
 
 use crate::entry::Entry;
 use crate::fleet_state::FleetState;
+use crate::tasks;
 
 /// Calls that the keeper of a duty makes before it waits for the next round.
 const CALLS_PER_ROUND: usize = 3;
@@ -45,13 +47,17 @@
         pace: Pace::share(CALLS_PER_SECOND, 1),
         read: None,
     };
+    let mut tasks = tasks::runner(entry);
     while !entry.is_stopped() {
-        match keeper.round(entry) {
-            Ok(true) => continue,
-            Ok(false) => {}
-            Err(_) => keeper.store_lost(entry),
+        let again = keeper.round(entry);
+        if again.is_err() {
+            keeper.store_lost(entry);
+        }
+        let held = keeper.duty.held(entry.started.elapsed());
+        tasks::round(entry, &mut tasks, held);
+        if !again.unwrap_or(false) {
+            entry.pause();
         }
-        entry.pause();
     }
     if let Some(lease) = keeper.duty.lease() {
         // The lease ends by itself if the store does not answer.
@@ -59,6 +65,11 @@
     }
 }
 
+/// Returns the key of the duty for this instance's data centre.
+pub(crate) fn duty_key(entry: &Entry) -> String {
+    format!("{DUTY_PREFIX}{}", entry.settings.centre)
+}
+
 impl Keeper {
     /// Runs one round and returns whether a write was committed.
     fn round(&mut self, entry: &Entry) -> Result<bool> {
--- a/crates/nutmegcart_entry/src/entry.rs
+++ b/crates/nutmegcart_entry/src/entry.rs
@@ -15,7 +15,10 @@
 use nutmegcart_peer::Client;
 use nutmegcart_peer::Sender;
 use nutmegcart_platform::Fleet;
+use nutmegcart_platform::Guard;
 use nutmegcart_platform::Store;
+use nutmegcart_platform::guard::Clock;
+use nutmegcart_request::Member;
 use nutmegcart_request::path::PathSettings;
 use nutmegcart_request::share::EntrySpec;
 
@@ -26,7 +29,9 @@
 use crate::duty;
 use crate::limits::Buffered;
 use crate::metrics::Metrics;
+use crate::operation::Operations;
 use crate::peering;
+use crate::roster;
 use crate::server;
 use crate::settings::Settings;
 use crate::tables::Tables;
@@ -65,10 +70,14 @@
     pub metrics: Metrics,
     /// Shutdown state.
     pub lifecycle: Lifecycle,
-    /// Store of the platform.
+    /// Store of the platform, behind this instance's share of its rates.
     pub store: Store,
+    /// Rates, counters and health of the store.
+    pub guard: Guard,
     /// Instance list and maintenance calls of the platform.
     pub fleet: Fleet,
+    /// At-most-once execution.
+    pub operations: Operations,
     /// Client for peers.
     pub peers: Client,
     /// Connections to runners.
@@ -101,10 +110,17 @@
             centre: settings.centre.clone(),
             address: settings.listen,
         };
+        let member = Member {
+            centre: settings.centre.clone(),
+            instance: settings.id.clone(),
+            incarnation,
+            address: settings.listen.to_string(),
+        };
         let own = EntrySpec {
             id: settings.id.clone(),
             centre: settings.centre.clone(),
         };
+        let guard = Guard::new(store, settings.peers.len() + 1, Clock::default());
         let entry = Arc::new(Self {
             workers: Workers::start(settings.threads),
             dispatch: Dispatch::new(own, PathSettings::default(), incarnation.0),
@@ -112,10 +128,12 @@
             backend: Backend::default(),
             settings,
             sender,
+            operations: Operations::new(member),
             tables: Tables::default(),
             metrics: Metrics::default(),
             lifecycle: Lifecycle::default(),
-            store,
+            store: guard.store(),
+            guard,
             fleet,
             peers: Client::new(PEER_TIMEOUT),
             started: Instant::now(),
@@ -126,6 +144,7 @@
         entry.spawn("peering", peering::run)?;
         entry.spawn("dispatch", dispatch::run)?;
         entry.spawn("duty", duty::run)?;
+        entry.spawn("roster", roster::run)?;
         log_event!(
             Event::EntryStarted,
             id = entry.settings.id,
@@ -144,17 +163,37 @@
         Ok(())
     }
 
+    /// Returns the time since the process started.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Returns whether the control loops should end.
     #[must_use]
     pub fn is_stopped(&self) -> bool {
         self.lifecycle.stopped.load(Ordering::Acquire)
     }
 
+    /// Returns whether the shutdown refuses new work.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.lifecycle.refusing.load(Ordering::Acquire)
+    }
+
     /// Returns whether new caller requests should be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let draining = self.lifecycle.draining.load(Ordering::Acquire);
-        !draining && !self.tables.in_force.get().configuration.lineage.is_empty()
+        !draining
+            && !self
+                .tables
+                .in_force
+                .get()
+                .configuration
+                .history
+                .lineage
+                .is_empty()
     }
 
     /// Sleeps for a control round, or less if the instance stops.
@@ -172,9 +211,11 @@
         self.lifecycle.draining.store(true, Ordering::Release);
         sleep(self.settings.grace);
         self.lifecycle.refusing.store(true, Ordering::Release);
+        self.operations.freeze();
         while self.lifecycle.active.load(Ordering::Acquire) > 0 {
             sleep(DRAIN_POLL);
         }
+        roster::leave(self);
         self.stop();
         log_event!(Event::EntryStopped, id = self.settings.id);
     }
--- a/crates/nutmegcart_entry/src/fleet_state.rs
+++ b/crates/nutmegcart_entry/src/fleet_state.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use nutmegcart_config::accept::HEAD;
-use nutmegcart_config::accept::Head;
+use nutmegcart_config::stored::HEAD;
+use nutmegcart_config::stored::Head;
 use nutmegcart_fleet::Listing;
 use nutmegcart_fleet::View;
 use nutmegcart_fleet::map::MAP_PREFIX;
@@ -64,7 +64,9 @@
         let snapshot = entry.store.range(HEAD)?;
         let found = snapshot.get(HEAD);
         let head = found.and_then(|found| planner::decode::<Head>(&found.value));
-        if head.map(|head| head.generation) != Some(loaded.configuration.generation) {
+        let mark = loaded.configuration.history.mark();
+        let current = |head: &Head| head.repair.is_none() && head.history.mark() == mark;
+        if !head.as_ref().is_some_and(current) {
             return Ok(false);
         }
         let waves = read_all(entry, WAVE_PREFIX)?;
--- a/crates/nutmegcart_entry/src/forward.rs
+++ b/crates/nutmegcart_entry/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::entry::Entry;
 use crate::http;
 use crate::limits::Reserved;
+use crate::operation;
 
 /// Result of forwarding a request.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -43,20 +44,29 @@
 const CHUNK: usize = 16 << 10;
 
 /// A caller's request, read completely.
-struct Call {
-    id: String,
-    method: String,
-    path: String,
-    kind: Option<String>,
-    body: Vec<u8>,
-    request: path::Request,
+pub struct Call {
+    /// Identifier that runners echo.
+    pub id: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query as received.
+    pub path: String,
+    /// Content type.
+    pub kind: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// What the request path needs to know.
+    pub request: path::Request,
 }
 
 /// A runner's whole answer.
-struct Answer {
-    status: u16,
-    kind: String,
-    body: Vec<u8>,
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub kind: String,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
 /// A failed attempt: what it means for the path and for the caller.
@@ -80,8 +90,16 @@
 pub fn handle(entry: &Arc<Entry>, request: &mut Request<Body>, rest: &str) -> Response<Body> {
     let id = Uuid::new_v4().to_string();
     let mut reserved = entry.buffered.reserve();
-    let result = read(entry, request, rest, &id, &mut reserved)
-        .and_then(|call| send(entry, &call, &mut reserved));
+    let result = operation::identifier(request).and_then(|identifier| {
+        let call = read(entry, request, rest, &id, &mut reserved);
+        match identifier {
+            Some(identifier) => {
+                let call = call.map_err(operation::withheld)?;
+                operation::run(entry, &identifier, &call, &mut reserved)
+            }
+            None => send(entry, &call?, &mut reserved, || Ok(())),
+        }
+    });
     let response = match result {
         Ok(answer) => {
             entry.metrics.count(Code::Ok);
@@ -188,7 +206,19 @@
     }
 }
 
-fn send(entry: &Entry, call: &Call, reserved: &mut Reserved) -> Result<Answer> {
+/// Sends a request to a runner and returns its answer.
+///
+/// The permit is asked for once, after admission and before the first byte.
+///
+/// # Errors
+///
+/// Only a code with the verdict unknown leaves open whether the request ran.
+pub fn send(
+    entry: &Entry,
+    call: &Call,
+    reserved: &mut Reserved,
+    permit: impl FnOnce() -> Result<()>,
+) -> Result<Answer> {
     let loaded = entry.tables.in_force.get();
     if loaded.view.pool_of(&call.request.service).is_none() {
         return Err(Code::UnknownService);
@@ -200,6 +230,10 @@
         Code::UnknownService => Code::NoRunner,
         code => code,
     })?;
+    if let Err(code) = permit() {
+        entry.dispatch.finish(*attempt, Outcome::Cancelled, metrics);
+        return Err(code);
+    }
     loop {
         metrics.attempts.inc();
         let (outcome, code, answer) = match try_once(entry, call, &attempt, reserved) {
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -14,10 +14,13 @@
 pub mod http;
 pub mod limits;
 pub mod metrics;
+pub mod operation;
 pub mod peering;
+pub mod roster;
 pub mod server;
 pub mod settings;
 pub mod tables;
+pub mod tasks;
 pub mod workers;
 
 pub use entry::Entry;
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -2,23 +2,28 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegcart_config::Generation;
+use nutmegcart_config::in_force::Offer;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_peer::ConfigSince;
+use nutmegcart_peer::DispatchError;
+use nutmegcart_peer::Dispatcher;
 use nutmegcart_peer::Heartbeat;
-use nutmegcart_peer::Message;
-use nutmegcart_peer::message;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 
+use crate::config_sync;
 use crate::entry::Entry;
 use crate::http;
+use crate::operation;
 use crate::tables::Peer;
 
 /// Silence after which a peer is suspect: three missed heartbeats.
@@ -36,6 +41,7 @@
                 .submit(move || exchange(&entry_for_call, address));
         }
         mark_suspects(entry);
+        config_sync::establish(entry);
         entry.pause();
     }
 }
@@ -44,25 +50,34 @@
 fn heartbeat(entry: &Entry) -> Heartbeat {
     Heartbeat {
         sender: entry.sender.clone(),
-        generation: entry.tables.in_force.get().configuration.generation,
+        generation: entry.tables.in_force.get().configuration.generation(),
+        report: config_sync::report(entry),
         draining: entry.lifecycle.draining.load(Ordering::Acquire),
+        roster: entry.operations.version(),
+        newer: None,
         load: entry.dispatch.load_report(),
     }
 }
 
 fn exchange(entry: &Entry, address: SocketAddr) {
-    if let Ok(answer) = entry.peers.call(address, &heartbeat(entry)) {
+    if let Ok(mut answer) = entry.peers.call(address, &heartbeat(entry)) {
+        entry.operations.reached(answer.sender.incarnation, address);
+        if let Some(roster) = answer.newer.take() {
+            entry.operations.offer(&roster, entry.now());
+        }
         heard(entry, &answer);
         pull(entry, address, &answer);
     }
 }
 
 fn heard(entry: &Entry, heartbeat: &Heartbeat) {
+    entry.operations.hear(heartbeat, entry.now());
     let load = heartbeat.load.clone();
     entry.dispatch.report(&heartbeat.sender.id, load);
     let peer = Peer {
         sender: heartbeat.sender.clone(),
         generation: heartbeat.generation,
+        report: heartbeat.report.clone(),
         draining: heartbeat.draining,
         heard: Instant::now(),
         suspect: false,
@@ -78,7 +93,7 @@
 }
 
 fn pull(entry: &Entry, address: SocketAddr, heartbeat: &Heartbeat) {
-    let from = entry.tables.in_force.get().configuration.generation;
+    let from = entry.tables.in_force.get().configuration.generation();
     if heartbeat.generation <= from {
         return;
     }
@@ -86,11 +101,16 @@
         sender: entry.sender.clone(),
         from,
     };
-    if let Ok(changes) = entry.peers.call(address, &request) {
-        entry
-            .tables
-            .in_force
-            .offer_changes(&changes, &heartbeat.sender.id);
+    let Ok(changes) = entry.peers.call(address, &request) else {
+        return;
+    };
+    let in_force = &entry.tables.in_force;
+    if in_force.offer_changes(&changes, &heartbeat.sender.id) == Offer::Gap {
+        let from = Generation(0);
+        let whole = ConfigSince { from, ..request };
+        if let Ok(changes) = entry.peers.call(address, &whole) {
+            in_force.offer_changes(&changes, &heartbeat.sender.id);
+        }
     }
 }
 
@@ -109,29 +129,29 @@
         Ok(body) => body,
         Err(code) => return http::error(code, "", ""),
     };
-    match path {
-        Heartbeat::PATH => reply::<Heartbeat>(&body, |message| {
-            heard(entry, &message);
-            heartbeat(entry)
-        }),
-        ConfigSince::PATH => reply::<ConfigSince>(&body, |message| {
-            entry
-                .tables
-                .in_force
-                .get()
-                .configuration
-                .changes_since(message.from)
-        }),
-        _ => http::error(Code::NotFound, "", path),
+    match dispatcher().dispatch(entry, path, &body) {
+        Ok(body) => http::answer(200, "application/msgpack", body),
+        Err(DispatchError::UnknownPath { path }) => http::error(Code::NotFound, "", &path),
+        Err(DispatchError::Malformed { reason }) => http::error(Code::BadRequest, "", &reason),
     }
 }
 
-fn reply<M: Message>(body: &[u8], answer: impl FnOnce(M) -> M::Answer) -> Response<Body> {
-    match message::decode::<M>(body) {
-        Ok(message) => {
-            let body = message::encode(&answer(message));
-            http::answer(200, "application/msgpack", body)
-        }
-        Err(error) => http::error(Code::BadRequest, "", &error.to_string()),
-    }
+/// Returns the handlers of all messages.
+fn dispatcher() -> &'static Dispatcher<Arc<Entry>> {
+    static DISPATCHER: OnceLock<Dispatcher<Arc<Entry>>> = OnceLock::new();
+    DISPATCHER.get_or_init(|| {
+        let dispatcher = Dispatcher::default()
+            .on(|entry: &Arc<Entry>, message: Heartbeat| {
+                heard(entry, &message);
+                Heartbeat {
+                    newer: entry.operations.newer(message.roster),
+                    ..heartbeat(entry)
+                }
+            })
+            .on(|entry: &Arc<Entry>, message: ConfigSince| {
+                let loaded = entry.tables.in_force.get();
+                loaded.configuration.changes_since(message.from)
+            });
+        operation::register(dispatcher)
+    })
 }
