--- a/crates/nutmegcart_entry/src/fleet_state.rs
+++ b/crates/nutmegcart_entry/src/fleet_state.rs
@@ -64,8 +64,9 @@
         let snapshot = entry.store.range(HEAD)?;
         let found = snapshot.get(HEAD);
         let head = found.and_then(|found| planner::decode::<Head>(&found.value));
-        let current = loaded.configuration.generation();
-        if head.map(|head| head.history.generation) != Some(current) {
+        let mark = loaded.configuration.history.mark();
+        let current = |head: &Head| head.repair.is_none() && head.history.mark() == mark;
+        if !head.as_ref().is_some_and(current) {
             return Ok(false);
         }
         let waves = read_all(entry, WAVE_PREFIX)?;
