Let the demo's callers repeat unknown requests, under a load above capacity

Cause: the demo's load never filled a pool, and callers took the first unknown answer although a retry under the same key is what the key is for.

Change: 144 callers and 25 ms of service time fill the pool in its burst; a caller repeats an unknown request up to eight times through any entry instance; the report lists result codes and repetitions.

--- a/crates/nutmegcart/src/demo/deployment.rs
+++ b/crates/nutmegcart/src/demo/deployment.rs
@@ -31,7 +31,7 @@
 const CENTRES: [&str; 4] = ["suva", "nadi", "labasa", "lautoka"];
 const ENTRIES: usize = 9;
 const RUNNERS_PER_RACK: usize = 4;
-const SERVICE_TIME: Duration = Duration::from_millis(10);
+const SERVICE_TIME: Duration = Duration::from_millis(25);
 const REBOOT: Duration = Duration::from_millis(150);
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
 /// Attempts to start an entry instance before giving up on finding free ports.
--- a/crates/nutmegcart/src/demo/load.rs
+++ b/crates/nutmegcart/src/demo/load.rs
@@ -20,13 +20,17 @@
 use crate::demo::deployment::SERVICES;
 
 /// Callers, as threads.
-const CALLERS: u64 = 32;
+const CALLERS: u64 = 144;
 /// Time for which one service is in its burst.
 const BURST: Duration = Duration::from_millis(1500);
 /// Share of requests that go to the service in its burst.
 const BURST_SHARE: f64 = 0.8;
 /// Mean pause of a caller between requests in milliseconds.
-const PAUSE_MS: u64 = 12;
+const PAUSE_MS: u64 = 4;
+/// Times that a caller sends a request whose outcome is unknown.
+const TRIES: u64 = 8;
+/// Pause before a caller sends it again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_secs(15);
 
 /// What a caller was told.
@@ -54,6 +58,10 @@
     pub told: Told,
     /// Time to the answer.
     pub time: Duration,
+    /// Times that the request was sent, under one key.
+    pub tries: u64,
+    /// Result code of a request that got no answer of a runner.
+    pub code: Option<String>,
 }
 
 /// Callers under way.
@@ -111,14 +119,25 @@
         };
         let token = format!("caller-{caller}-{}", requests.len());
         let idempotent = rng.random_bool(0.5);
-        let entry = balance(&agent, addresses, &mut rng);
         let sent = Instant::now();
-        let told = call(&agent, entry, SERVICES[service], &token, idempotent, caller);
+        let mut tries = 0;
+        let (told, code) = loop {
+            let entry = balance(&agent, addresses, &mut rng);
+            let answer = call(&agent, entry, SERVICES[service], &token, idempotent, caller);
+            tries += 1;
+            // Any entry instance may be asked again under the same key.
+            if answer.0 != Told::Unknown || tries == TRIES {
+                break answer;
+            }
+            sleep(RETRY_PAUSE);
+        };
         requests.push(Request {
             token,
             idempotent,
             told,
             time: sent.elapsed(),
+            code,
+            tries,
         });
         sleep(Duration::from_millis(rng.random_range(0..2 * PAUSE_MS)));
     }
@@ -143,7 +162,7 @@
     token: &str,
     idempotent: bool,
     caller: u64,
-) -> Told {
+) -> (Told, Option<String>) {
     let url = format!("http://{entry}/v1/services/{service}/tally");
     let mut request = agent
         .post(url)
@@ -155,21 +174,19 @@
         request = request.header("idempotency-key", token);
     }
     let Ok(mut answer) = request.send(token.as_bytes()) else {
-        return Told::Cut;
+        return (Told::Cut, None);
     };
     let Ok(body) = answer.body_mut().read_to_string() else {
-        return Told::Cut;
+        return (Told::Cut, None);
     };
     if answer.status().is_success() {
-        return if body == format!("{token} done") {
-            Told::Whole
-        } else {
-            Told::Wrong
-        };
+        let whole = body == format!("{token} done");
+        return (if whole { Told::Whole } else { Told::Wrong }, None);
     }
     let body: Value = serde_json::from_str(&body).unwrap_or_default();
-    match body["verdict"].as_str() {
+    let told = match body["verdict"].as_str() {
         Some("not_run" | "refused_by_backend" | "invalid") => Told::Refused,
         _ => Told::Unknown,
-    }
+    };
+    (told, body["code"].as_str().map(str::to_owned))
 }
--- a/crates/nutmegcart/src/demo/report.rs
+++ b/crates/nutmegcart/src/demo/report.rs
@@ -1,5 +1,6 @@
 //! The demo's report, read from the oracle and not from the product's counters.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -15,12 +16,16 @@
 pub struct Report {
     /// Requests sent by callers.
     pub requests: u64,
+    /// Repetitions by callers that were told that the outcome is unknown.
+    pub repeated: u64,
     /// Whole answers to the right request.
     pub whole: u64,
     /// Requests refused as not run.
     pub refused: u64,
     /// Requests whose outcome the caller was told to be unknown.
     pub unknown: u64,
+    /// Requests without an answer of a runner, by result code.
+    pub codes: BTreeMap<String, u64>,
     /// Requests answered as successful that no runner finished.
     pub lost: u64,
     /// Successful answers that were not the whole answer to the request.
@@ -71,12 +76,18 @@
         for request in requests {
             times.saturating_record(u64::try_from(request.time.as_micros()).unwrap_or(u64::MAX));
         }
+        let mut codes = BTreeMap::new();
+        for code in requests.iter().filter_map(|request| request.code.clone()) {
+            *codes.entry(code).or_default() += 1;
+        }
         let quantile = |share: f64| times.value_at_quantile(share) as f64 / 1_000.0;
         Self {
             requests: requests.len() as u64,
+            repeated: requests.iter().map(|request| request.tries - 1).sum(),
             whole: count(&|request| request.told == Told::Whole),
             refused: count(&|request| request.told == Told::Refused),
             unknown: count(&|request| request.told == Told::Unknown),
+            codes,
             lost: count(&|request| request.told == Told::Whole && runs(request).finished == 0),
             wrong_answers: count(&|request| request.told == Told::Wrong),
             run_twice: count(&|request| !request.idempotent && runs(request).started > 1),
