--- a/crates/nutmegcart_fakes/src/list_log.rs
+++ b/crates/nutmegcart_fakes/src/list_log.rs
@@ -4,6 +4,7 @@
 
 use nutmegcart_model::InstanceId;
 use nutmegcart_platform::Instance;
+use nutmegcart_platform::fleet::FRESH_MS;
 use nutmegcart_platform::fleet::InstanceList;
 
 /// The list with the version that last changed each line.
@@ -37,13 +38,10 @@
         let next = self.version + 1;
         let mut changed = self.version == 0;
         let mut old = std::mem::take(&mut self.lines);
-        for mut instance in present {
-            let age_ms = std::mem::take(&mut instance.age_ms);
-            let same = old
-                .remove(&instance.id)
-                .filter(|line| line.0 == instance && age_ms == 0);
+        for instance in present {
+            let old = old.remove(&instance.id);
+            let same = old.filter(|line| is_same(&line.0, &instance));
             changed |= same.is_none();
-            instance.age_ms = age_ms;
             self.removed.remove(&instance.id);
             let at = same.map_or(next, |line| line.1);
             self.lines.insert(instance.id.clone(), (instance, at));
@@ -57,3 +55,12 @@
         }
     }
 }
+
+/// A line whose state is too old counts as changed, since its reader must see the age grow.
+fn is_same(old: &Instance, new: &Instance) -> bool {
+    let ageless = Instance {
+        age_ms: old.age_ms,
+        ..new.clone()
+    };
+    *old == ageless && old.age_ms.max(new.age_ms) <= FRESH_MS
+}
--- a/crates/nutmegcart_fakes/src/platform.rs
+++ b/crates/nutmegcart_fakes/src/platform.rs
@@ -156,6 +156,13 @@
         }
     }
 
+    /// Lets the platform's knowledge of an instance age, as if the instance were silent.
+    pub fn set_age(&self, id: &str, age_ms: u64) {
+        if let Some(machine) = self.state.lock().machines.get_mut(id) {
+            machine.instance.age_ms = age_ms;
+        }
+    }
+
     /// Returns the instance list without lag.
     #[must_use]
     pub fn instances(&self) -> Vec<Instance> {
--- a/crates/nutmegcart_fakes/tests/list_changes.rs
+++ b/crates/nutmegcart_fakes/tests/list_changes.rs
@@ -52,3 +52,19 @@
     // A version that this platform never gave out is answered with the whole list.
     assert!(read(first.version + 100).full);
 }
+
+/// Guards against a state that ages without being confirmed and still looks fresh to a reader of
+/// changes, so that it would not count against the availability budget.
+#[test]
+fn ageing_line_is_sent_again() {
+    let platform = Platform::start(Duration::from_millis(1));
+    let runner = Runner::start("runner-1", &Oracle::default(), Duration::ZERO);
+    platform.add_runner(&runner, &"suva".into(), &"rack-1".into());
+    let reader = Fleet::http(platform.address, TIMEOUT);
+    let age = || reader.list().unwrap()[0].age_ms;
+    assert_eq!(age(), 0);
+    for silent in [5_000, 6_000, 0] {
+        platform.set_age("runner-1", silent);
+        assert_eq!(age(), silent);
+    }
+}
--- a/crates/nutmegcart_platform/src/fleet.rs
+++ b/crates/nutmegcart_platform/src/fleet.rs
@@ -46,6 +46,12 @@
     Failed,
 }
 
+/// Largest age in milliseconds of a line that need not be sent again when it is unchanged.
+///
+/// Older lines count as changed in each answer: a state that ages without being confirmed must
+/// not look fresh to a reader of changes.
+pub const FRESH_MS: u64 = 1_000;
+
 /// One line of the instance list.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Instance {
