Let a site without a platform drain runners and notice their restart

Change: the fixed list of runners drains by itself after the default deadline, asks for a restart in the log, and finds the restart by the address, which refuses connections for a while and accepts them again.

Conclusion: a small site can maintain its runners with nothing but the binary and a person.

--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -126,7 +126,7 @@
             /// Print JSON.
             optional --json
         }
-        /// Takes an instance out for maintenance, as the budget allows; it returns after a reboot.
+        /// Takes an instance out, as the budget allows; it returns after somebody rebooted it.
         ///
         /// Example: nutmegcart drain runner-17
         cmd drain {
--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -221,7 +221,7 @@
         |client| client.post(&path, &json!({})),
         |answer| {
             let instance = text(&answer["instance"]);
-            println!("{instance} drains, then reboots and returns");
+            println!("{instance} drains, and returns after its next reboot");
         },
     )
 }
--- a/crates/nutmegcart/src/serve.rs
+++ b/crates/nutmegcart/src/serve.rs
@@ -135,7 +135,7 @@
     match settings.platform {
         PlatformAddress::Memory => {
             log_event!(Event::MemoryPlatform, id = settings.id);
-            let fleet = Fleet::fixed(&settings.centre, &settings.runners);
+            let fleet = Fleet::fixed(&settings.centre, &settings.runners, settings.deadline);
             (MemoryStore::default().store(), fleet)
         }
         PlatformAddress::Http(address) => (
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -50,6 +50,7 @@
     ListUnreachable = 202, Warn, "the instance list does not answer";
     StoreSlow = 203, Warn, "the platform's store answers late";
     StoreLimited = 204, Warn, "call to the store refused by this entry instance's rate limit";
+    RestartAwaited = 205, Warn, "a drained runner waits for somebody to restart it";
     ConfigAccepted = 300, Info, "configuration accepted";
     ConfigInForce = 301, Info, "configuration in force";
     ConfigOlderRefused = 302, Error, "older configuration refused";
--- a/crates/nutmegcart_platform/src/fleet.rs
+++ b/crates/nutmegcart_platform/src/fleet.rs
@@ -179,30 +179,6 @@
         })
     }
 
-    /// Lists a fixed set of runners, for a site without a platform.
-    ///
-    /// Draining, rebooting and restoring fail, since nothing can carry them out.
-    #[must_use]
-    pub fn fixed(centre: &DataCentre, runners: &[SocketAddr]) -> Self {
-        let line = |(index, address): (usize, &SocketAddr)| Instance {
-            id: format!("runner-{}", index + 1).into(),
-            role: Role::Runner,
-            address: *address,
-            centre: centre.clone(),
-            rack: Rack::from("rack-1"),
-            state: InstanceState::Live,
-            age_ms: 0,
-            boots: 0,
-        };
-        let instances: Vec<Instance> = runners.iter().enumerate().map(line).collect();
-        Self::new(move |call| match call {
-            Call::List => Ok(instances.clone()),
-            _ => Err(HttpError::NotSent {
-                reason: "this site has no platform that drains or reboots instances".into(),
-            }),
-        })
-    }
-
     /// Lists the instances.
     ///
     /// # Errors
--- a/crates/nutmegcart_platform/src/lib.rs
+++ b/crates/nutmegcart_platform/src/lib.rs
@@ -9,6 +9,7 @@
 //! All are plain structs around a closure, so tests and stand-ins replace the transport.
 
 pub mod etcd;
+mod fixed;
 pub mod fleet;
 pub mod guard;
 pub mod health;
