--- a/crates/nutmegcart_fleet/src/job.rs
+++ b/crates/nutmegcart_fleet/src/job.rs
@@ -127,14 +127,6 @@
         !self.removed && index < declared && !self.cancelled.contains(index)
     }
 
-    /// Returns whether the task has ended for good.
-    #[must_use]
-    pub fn has_ended(&self, index: u32) -> bool {
-        [&self.done, &self.stopped, &self.failed, &self.unknown]
-            .iter()
-            .any(|set| set.contains(index))
-    }
-
     /// Returns the first wanted task at or after the index, from which none was attempted.
     #[must_use]
     pub fn fresh(&self, from: u32) -> Option<u32> {
--- a/crates/nutmegcart_request/src/path.rs
+++ b/crates/nutmegcart_request/src/path.rs
@@ -388,13 +388,6 @@
         }
     }
 
-    /// Returns the time at which [`Path::tick`] has something to do.
-    #[must_use]
-    pub fn next_tick(&self) -> Option<Duration> {
-        let deadlines = self.lanes.iter().map(|lane| lane.queue.first_deadline());
-        deadlines.chain([self.router.next_wake()]).flatten().min()
-    }
-
     /// Takes the waiting requests that were dropped.
     pub fn take_refused(&mut self) -> Vec<Refused> {
         std::mem::take(&mut self.refused)
--- a/crates/nutmegcart_request/src/router.rs
+++ b/crates/nutmegcart_request/src/router.rs
@@ -133,12 +133,6 @@
         }
     }
 
-    /// Returns whether a service is carried by the spare pool.
-    #[must_use]
-    pub fn is_spare(&self, service: usize) -> bool {
-        self.table.services[service].spare
-    }
-
     /// States whether requests of a service wait; a spare pool with demand lends nothing.
     pub fn set_wanted(&mut self, service: usize, wanted: bool) {
         self.table.services[service].wanted = wanted;
