--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -49,6 +49,17 @@
             /// Log lines as JSON.
             optional --log-json
         }
+        /// Runs an entry instance on the platform whose settings file NUTMEGCART_SETTINGS names.
+        ///
+        /// Example: nutmegcart manage --metrics 7061
+        cmd manage {
+            /// Settings file (default: the path in NUTMEGCART_SETTINGS).
+            optional --settings path: PathBuf
+            /// Port for metrics; none are served without it.
+            optional --metrics port: u16
+            /// Log level: error, warn, info, debug or trace (default info).
+            optional --log level: String
+        }
         /// Checks settings and record files without contacting anything.
         ///
         /// Example: nutmegcart check pools.json budgets.json
--- a/crates/nutmegcart/src/main.rs
+++ b/crates/nutmegcart/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod demo;
 mod flags;
+mod manage;
 mod operator;
 mod serve;
 mod table;
@@ -20,6 +21,7 @@
     let flags = Nutmegcart::from_env_or_exit();
     match flags.subcommand {
         NutmegcartCmd::Serve(flags) => serve::run(&flags),
+        NutmegcartCmd::Manage(flags) => manage::run(&flags),
         NutmegcartCmd::Check(flags) => check::run(&flags),
         NutmegcartCmd::Demo(flags) => demo::run(&flags),
         NutmegcartCmd::Apply(flags) => operator::apply(&flags),
--- /dev/null
+++ b/crates/nutmegcart/src/manage.rs
@@ -0,0 +1,43 @@
+//! Runs an entry instance on the platform that the settings file describes.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use log::LevelFilter;
+use nutmegcart_site::settings::PATH_VARIABLE;
+use nutmegcart_site::start;
+use nutmegcart_site::start::Options;
+
+use crate::flags::Manage;
+
+/// Exit code of wrong settings.
+const USAGE: u8 = 2;
+
+fn options(flags: &Manage) -> Result<Options, String> {
+    let named = std::env::var_os(PATH_VARIABLE).map(PathBuf::from);
+    let settings = flags.settings.clone().or(named);
+    let level = flags.log.as_deref().unwrap_or("info");
+    Ok(Options {
+        settings: settings.ok_or(format!("neither --settings nor {PATH_VARIABLE} is set"))?,
+        metrics: flags.metrics,
+        level: level.parse::<LevelFilter>().map_err(|error| format!("--log {level}: {error}"))?,
+    })
+}
+
+/// Runs an entry instance until SIGTERM.
+pub fn run(flags: &Manage) -> ExitCode {
+    let options = match options(flags) {
+        Ok(options) => options,
+        Err(reason) => {
+            eprintln!("{reason}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match start::run(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            eprintln!("cannot run: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/accept.rs
@@ -0,0 +1,171 @@
+//! Accepting jobs: a job is accepted when the store holds it, and then exactly once.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Accepted;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+use tokio::sync::oneshot;
+
+use crate::clock::now;
+use crate::node::Node;
+
+/// Transactions under way at once; more only wait for each other in the store.
+const MOST_FLIGHTS: usize = 3;
+/// Jobs in one transaction, so that one large batch doesn't delay the next caller.
+const MOST_JOBS: usize = 12;
+/// Pause before a transaction whose answer was lost is sent again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(40);
+
+/// Whether a job was accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Acceptance {
+    /// The store holds it, from this attempt or an earlier one.
+    Stored,
+    /// The store refused it; this attempt wrote nothing and nothing of it is under way.
+    NotStored,
+    /// The store did not settle it in time; it may be stored, now or later.
+    Unsettled,
+}
+
+struct Submission {
+    id: JobId,
+    value: Vec<u8>,
+    deadline: Duration,
+    uncertain: bool,
+    waiters: Vec<oneshot::Sender<Acceptance>>,
+}
+
+/// Jobs that wait to be stored.
+#[derive(Default)]
+pub struct Acceptor {
+    queue: RefCell<VecDeque<Submission>>,
+    present: RefCell<HashMap<JobId, Vec<oneshot::Sender<Acceptance>>>>,
+    flights: Cell<usize>,
+}
+
+impl Acceptor {
+    /// Stores a job and returns whether it was accepted, at the deadline at the latest.
+    pub async fn accept(self: &Rc<Self>, node: &Rc<Node>, id: JobId, accepted: Accepted, deadline: Duration) -> Acceptance {
+        let (answer, answered) = oneshot::channel();
+        if let Some(waiters) = self.present.borrow_mut().get_mut(&id) {
+            // The same job is being stored for an earlier request of its caller.
+            waiters.push(answer);
+        } else {
+            self.present.borrow_mut().insert(id.clone(), Vec::new());
+            self.queue.borrow_mut().push_back(Submission {
+                id,
+                value: encode(&JobRecord::Accepted(Box::new(accepted))),
+                deadline,
+                uncertain: false,
+                waiters: vec![answer],
+            });
+            self.pump(node);
+        }
+        let left = deadline.saturating_sub(now());
+        match tokio::time::timeout(left, answered).await {
+            Ok(Ok(acceptance)) => acceptance,
+            Ok(Err(_)) | Err(_) => Acceptance::Unsettled,
+        }
+    }
+
+    fn pump(self: &Rc<Self>, node: &Rc<Node>) {
+        while self.flights.get() < MOST_FLIGHTS && !self.queue.borrow().is_empty() {
+            let mut batch = Vec::new();
+            let mut queue = self.queue.borrow_mut();
+            while batch.len() < MOST_JOBS {
+                let Some(submission) = queue.pop_front() else {
+                    break;
+                };
+                batch.push(submission);
+            }
+            drop(queue);
+            self.flights.set(self.flights.get() + 1);
+            let this = self.clone();
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                this.store(&node, batch).await;
+                this.flights.set(this.flights.get() - 1);
+                this.pump(&node);
+            });
+        }
+    }
+
+    /// Stores a batch: all at once, and where a key exists already, the rest once more.
+    async fn store(&self, node: &Rc<Node>, mut batch: Vec<Submission>) {
+        while !batch.is_empty() {
+            let mut txn = Txn::default();
+            for submission in &batch {
+                let key = node.keys.job(&submission.id);
+                txn = txn.absent(key.clone()).put(key.clone(), submission.value.clone()).or_read(key);
+            }
+            match (node.platform.store.txn)(txn).await {
+                Ok(reply) if reply.committed => {
+                    for submission in batch.drain(..) {
+                        self.answer(submission, Acceptance::Stored);
+                    }
+                }
+                Ok(reply) => {
+                    let mut rest = Vec::new();
+                    for submission in batch.drain(..) {
+                        let key = node.keys.job(&submission.id);
+                        if reply.found.iter().any(|found| found.key == key) {
+                            self.answer(submission, Acceptance::Stored);
+                        } else {
+                            rest.push(submission);
+                        }
+                    }
+                    batch = rest;
+                }
+                Err(StoreError::AnswerLost { .. }) => {
+                    node.metrics.retries.with_label_values(&["store_answer_lost"]).inc();
+                    for submission in &mut batch {
+                        submission.uncertain = true;
+                    }
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                    batch = self.give_up_expired(batch);
+                }
+                Err(_) => {
+                    // Nothing was written by this attempt, but an earlier one may yet take effect.
+                    let mut uncertain = Vec::new();
+                    for submission in batch.drain(..) {
+                        if submission.uncertain {
+                            uncertain.push(submission);
+                        } else {
+                            self.answer(submission, Acceptance::NotStored);
+                        }
+                    }
+                    if !uncertain.is_empty() {
+                        tokio::time::sleep(REPEAT_PAUSE).await;
+                    }
+                    batch = self.give_up_expired(uncertain);
+                }
+            }
+        }
+    }
+
+    fn give_up_expired(&self, batch: Vec<Submission>) -> Vec<Submission> {
+        let at = now();
+        let (expired, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(|each| at >= each.deadline);
+        for submission in expired {
+            self.answer(submission, Acceptance::Unsettled);
+        }
+        rest
+    }
+
+    fn answer(&self, submission: Submission, acceptance: Acceptance) {
+        let joined = self.present.borrow_mut().remove(&submission.id).unwrap_or_default();
+        for waiter in submission.waiters.into_iter().chain(joined) {
+            // A caller that has left needs no answer; the job stays accepted.
+            let _ = waiter.send(acceptance);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -0,0 +1,257 @@
+//! Callers' requests about jobs: submit, show, cancel and count.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Accepted;
+use nutmegcart_jobs::Final;
+use nutmegcart_jobs::Job;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::Queue;
+use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_model::Code;
+use nutmegcart_model::Event;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+
+use crate::accept::Acceptance;
+use crate::accept::Acceptor;
+use crate::clock::now;
+use crate::clock::unix_ms;
+use crate::node::Node;
+use crate::peer;
+use crate::peer::Answer as PeerAnswer;
+use crate::peer::Question;
+
+/// Time kept back from a deadline so that the answer still arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(60);
+/// Pause before a call to the store whose answer was lost is made again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a caller should come back when the store does not take jobs. Outages last
+/// seconds, and a second is the least that the header can say.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+/// What a caller asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    /// Hands a job in.
+    Submit(JobId, Box<Job>),
+    /// Asks for a job's state.
+    Show(JobId),
+    /// Cancels a job.
+    Cancel(JobId),
+    /// Asks how many jobs of the queue have started no task.
+    Count,
+}
+
+impl Request {
+    const fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(..) => "submit",
+            Self::Show(_) => "show",
+            Self::Cancel(_) => "cancel",
+            Self::Count => "count",
+        }
+    }
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The job is accepted and stored.
+    Accepted,
+    /// The state of the job.
+    State(JobState),
+    /// The job is cancelled, or had ended before.
+    Cancelled,
+    /// The number of jobs that have started no task.
+    Waiting(u64),
+    /// No such job exists.
+    Gone,
+    /// The request was refused or its outcome is unknown.
+    Refused {
+        /// Why.
+        code: Code,
+        /// Time after which the caller should try again.
+        retry: Option<Duration>,
+    },
+}
+
+impl Answer {
+    /// Refuses a request with a code.
+    #[must_use]
+    pub const fn refused(code: Code) -> Self {
+        Self::Refused { code, retry: None }
+    }
+
+    const fn label(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::State(_) => "shown",
+            Self::Cancelled => "cancelled",
+            Self::Waiting(_) => "counted",
+            Self::Gone => "gone",
+            Self::Refused { code, .. } => code.label(),
+        }
+    }
+}
+
+/// Answers callers.
+#[derive(Clone, Default)]
+pub struct Desk {
+    acceptor: Rc<Acceptor>,
+}
+
+impl Desk {
+    /// Answers a request to a queue, `limit` after now at the latest.
+    pub async fn handle(&self, node: &Rc<Node>, queue: &Arc<Queue>, request: Request, limit: Duration) -> Answer {
+        let start = now();
+        let deadline = start + limit.saturating_sub(ANSWER_MARGIN);
+        let kind = request.kind();
+        node.active.set(node.active.get() + 1);
+        let answer = match request {
+            Request::Submit(id, job) => self.submit(node, queue, id, *job, deadline).await,
+            Request::Show(id) => show(node, id, deadline).await,
+            Request::Cancel(id) => cancel(node, id, deadline).await,
+            Request::Count => count(node, queue).await,
+        };
+        node.active.set(node.active.get() - 1);
+        node.metrics.requests.with_label_values(&[kind, answer.label()]).inc();
+        if let Answer::Refused { code, .. } = &answer {
+            node.metrics.refusals.with_label_values(&[code.label()]).inc();
+        }
+        node.metrics.latency.observe(now().saturating_sub(start).as_secs_f64());
+        answer
+    }
+
+    async fn submit(&self, node: &Rc<Node>, queue: &Arc<Queue>, id: JobId, job: Job, deadline: Duration) -> Answer {
+        if let Err(error) = job.check() {
+            log_event!(Event::JobRefused, job = id, queue = queue.key, reason = error);
+            return Answer::refused(Code::BadRequest);
+        }
+        let accepted = Accepted {
+            queue: (**queue).clone(),
+            at: unix_ms(),
+            job,
+        };
+        let start = now();
+        let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
+        let acceptance = self.acceptor.accept(node, id.clone(), accepted, deadline).await;
+        let took = now().saturating_sub(start).as_millis();
+        match acceptance {
+            Acceptance::Stored => {
+                log_event!(Event::JobAccepted, job = id, queue = queue.key, tasks = tasks, took_ms = took);
+                Answer::Accepted
+            }
+            Acceptance::NotStored => {
+                log_event!(Event::JobRefused, job = id, queue = queue.key, reason = "store", took_ms = took);
+                Answer::Refused {
+                    code: Code::StoreUnavailable,
+                    retry: Some(STORE_RETRY),
+                }
+            }
+            Acceptance::Unsettled => {
+                log_event!(Event::JobUnsettled, job = id, queue = queue.key, took_ms = took);
+                Answer::refused(Code::AnswerTimeout)
+            }
+        }
+    }
+}
+
+/// Shows a job by the owner's memory, or by the store if the owner does not know it.
+async fn show(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
+    match peer::ask(node, &Question::State(id.clone())).await {
+        Ok(PeerAnswer::State(Some(state))) => return Answer::State(state),
+        Ok(_) => {}
+        Err(error) => {
+            node.metrics.retries.with_label_values(&["owner_silent"]).inc();
+            log::debug!("owner not asked about {id}: {error}");
+        }
+    }
+    loop {
+        match (node.platform.store.get)(node.keys.job(&id)).await {
+            Ok(None) => return Answer::Gone,
+            Ok(Some(item)) => {
+                return match decode(&item.value) {
+                    Ok(JobRecord::Ended { how, .. }) => Answer::State(JobState::Ended(how)),
+                    Ok(JobRecord::Accepted(_)) => Answer::State(JobState::Pending),
+                    Err(error) => {
+                        log_event!(Event::JobRecordInvalid, job = id, reason = error);
+                        Answer::refused(Code::JobUnreadable)
+                    }
+                };
+            }
+            Err(_) if now() + REPEAT_PAUSE < deadline => tokio::time::sleep(REPEAT_PAUSE * 2).await,
+            Err(_) => {
+                return Answer::Refused {
+                    code: Code::StoreUnavailable,
+                    retry: Some(STORE_RETRY),
+                };
+            }
+        }
+    }
+}
+
+/// Cancels a job in the store, where its owner sees it.
+async fn cancel(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
+    let key = node.keys.job(&id);
+    loop {
+        match try_cancel(node, &key, &id).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) => {}
+            Err(error) if now() + REPEAT_PAUSE >= deadline => {
+                log::debug!("job {id} not cancelled: {error}");
+                return Answer::refused(Code::AnswerTimeout);
+            }
+            Err(_) => {
+                node.metrics.retries.with_label_values(&["store_cancel"]).inc();
+                tokio::time::sleep(REPEAT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Makes one attempt; nothing if another write came first.
+async fn try_cancel(node: &Rc<Node>, key: &str, id: &JobId) -> Result<Option<Answer>, StoreError> {
+    let Some(item) = (node.platform.store.get)(key.into()).await? else {
+        return Ok(Some(Answer::Gone));
+    };
+    match decode::<JobRecord>(&item.value) {
+        Ok(JobRecord::Ended { .. }) => return Ok(Some(Answer::Cancelled)),
+        Ok(JobRecord::Accepted(_)) => {}
+        Err(error) => {
+            log_event!(Event::JobRecordInvalid, job = id, reason = error);
+            return Ok(Some(Answer::refused(Code::JobUnreadable)));
+        }
+    }
+    let ended = JobRecord::Ended {
+        how: Final::Cancelled,
+        at: unix_ms(),
+    };
+    let txn = Txn::default().unchanged(key, item.modified).put(key, encode(&ended));
+    let reply = (node.platform.store.txn)(txn).await?;
+    if !reply.committed {
+        return Ok(None);
+    }
+    log_event!(Event::CallerJobCancelled, job = id, revision = reply.revision);
+    Ok(Some(Answer::Cancelled))
+}
+
+async fn count(node: &Rc<Node>, queue: &Arc<Queue>) -> Answer {
+    let question = Question::Waiting(queue.key.clone());
+    for _ in 0..3 {
+        if let Ok(PeerAnswer::Waiting(count)) = peer::ask(node, &question).await {
+            return Answer::Waiting(count);
+        }
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+    Answer::Refused {
+        code: Code::DutyVacant,
+        retry: Some(STORE_RETRY),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -0,0 +1,528 @@
+//! What the owner of the cell does: it reads the cell, looks at workers, sends orders and stores
+//! what happened.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Action;
+use nutmegcart_jobs::Flush;
+use nutmegcart_jobs::Flushed;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::KeyNow;
+use nutmegcart_jobs::Order;
+use nutmegcart_jobs::Outcome;
+use nutmegcart_jobs::Refusal;
+use nutmegcart_jobs::WaveState;
+use nutmegcart_jobs::record::CellRecord;
+use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_model::Event;
+use nutmegcart_model::WorkerId;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+use tokio::sync::Semaphore;
+
+use crate::clock::now;
+use crate::clock::unix_ms;
+use crate::follow::Follower;
+use crate::follow::Seen;
+use crate::node::Node;
+use crate::node::Owned;
+use crate::port::LookError;
+use crate::port::Target;
+
+/// Time between two advances of what depends on time alone.
+const TICK: Duration = Duration::from_millis(50);
+/// Pause before a placement pass, in which further events collect.
+const PASS_GAP: Duration = Duration::from_millis(3);
+/// Pause between two looks at a worker after one that showed ends; further ends collect in it.
+const LOOK_GAP: Duration = Duration::from_millis(25);
+/// Pause after a look that failed.
+const LOOK_RETRY: Duration = Duration::from_millis(200);
+/// Orders under way to one worker at once, and so its connections.
+const ORDERS_AT_ONCE: usize = 2;
+/// Pause between two watches of the workers' entries; a worker that leaves has two seconds.
+const WORKERS_GAP: Duration = Duration::from_millis(250);
+/// Pause between two watches of the cell; jobs that arrive in it are taken in together.
+const CELL_GAP: Duration = Duration::from_millis(8);
+/// Time between two lists of machines while orders for some are under way.
+const MACHINES_BUSY: Duration = Duration::from_millis(500);
+/// Time between two lists of machines otherwise.
+const MACHINES_IDLE: Duration = Duration::from_millis(1_500);
+/// Time kept back from a lease before it ends, for orders that cannot be fenced.
+const LEASE_MARGIN: Duration = Duration::from_millis(600);
+/// Pause after a transaction that the store refused.
+const STORE_RETRY: Duration = Duration::from_millis(120);
+
+/// Starts all tasks of an owner; they end with its ownership.
+pub fn start(node: &Rc<Node>, owned: &Rc<Owned>) {
+    tokio::task::spawn_local(follow_cell(node.clone(), owned.clone()));
+    tokio::task::spawn_local(follow_workers(node.clone(), owned.clone()));
+    tokio::task::spawn_local(write(node.clone(), owned.clone()));
+    tokio::task::spawn_local(passes(node.clone(), owned.clone()));
+    tokio::task::spawn_local(ticks(node.clone(), owned.clone()));
+    tokio::task::spawn_local(machines(node.clone(), owned.clone()));
+    tokio::task::spawn_local(wave_progress(node.clone(), owned.clone()));
+}
+
+/// Reads the cell, then follows jobs that are handed in or cancelled.
+async fn follow_cell(node: Rc<Node>, owned: Rc<Owned>) {
+    let mut follower = Follower::new(node.keys.prefix.clone());
+    follower.gap = CELL_GAP;
+    let mut first = Vec::new();
+    while !owned.is_over() {
+        let seen = follower.next(&node.platform.store).await;
+        node.heard.set(follower.heard.max(node.heard.get()));
+        if seen.is_empty() {
+            continue;
+        }
+        if owned.state.loaded.get() {
+            for each in seen {
+                take_in(&node, &owned, &each, false);
+            }
+        } else {
+            let complete = seen.contains(&Seen::Complete);
+            first.extend(seen);
+            if complete {
+                load(&node, &owned, &std::mem::take(&mut first));
+            }
+        }
+        owned.wake.notify_one();
+        owned.store.notify_one();
+    }
+}
+
+/// Takes over what earlier owners left.
+fn load(node: &Rc<Node>, owned: &Rc<Owned>, seen: &[Seen]) {
+    {
+        let mut scheduler = owned.scheduler.borrow_mut();
+        if let Some(configuration) = node.configuration.borrow().as_ref() {
+            scheduler.configure(&configuration.queues, &configuration.pools);
+        }
+    }
+    for each in seen {
+        take_in(node, owned, each, true);
+    }
+    let state = node.keys.state();
+    let record = seen.iter().find_map(|each| match each {
+        Seen::Put(item) if item.key == state => Some(item),
+        _ => None,
+    });
+    if let Some(item) = record {
+        owned.state.written.set(item.modified);
+        match decode::<CellRecord>(&item.value) {
+            Ok(record) => owned.scheduler.borrow_mut().inherit(&record),
+            Err(error) => log_event!(Event::JobRecordInvalid, key = state, reason = error),
+        }
+    }
+    owned.state.loaded.set(true);
+    let scheduler = owned.scheduler.borrow();
+    log_event!(
+        Event::CellLoaded,
+        fence = owned.fence,
+        jobs = scheduler.jobs().count(),
+        workers = scheduler.workers().count(),
+        took_ms = now().saturating_sub(owned.renewed.get()).as_millis(),
+    );
+    let ids: Vec<WorkerId> = scheduler.workers().map(|worker| worker.listing.id.clone()).collect();
+    drop(scheduler);
+    for id in ids {
+        watch_worker(node, owned, id);
+    }
+}
+
+fn take_in(node: &Rc<Node>, owned: &Rc<Owned>, seen: &Seen, inherited: bool) {
+    let Seen::Put(item) = seen else {
+        return;
+    };
+    let Some(id) = node.keys.job_of(&item.key) else {
+        return;
+    };
+    let mut scheduler = owned.scheduler.borrow_mut();
+    match decode::<JobRecord>(&item.value) {
+        Ok(JobRecord::Accepted(accepted)) => {
+            let earlier = u64::try_from(item.created).is_ok_and(|created| created < owned.fence);
+            scheduler.add_job(&id, *accepted, item.modified, inherited || earlier, unix_ms(), now());
+        }
+        Ok(JobRecord::Ended { how, .. }) => scheduler.note_ended(&id, how, now()),
+        Err(error) => log_event!(Event::JobRecordInvalid, job = id, reason = error),
+    }
+}
+
+/// Follows the workers' entries.
+async fn follow_workers(node: Rc<Node>, owned: Rc<Owned>) {
+    let directory = node.platform.directory.clone();
+    let mut follower = Follower::new(&*directory.workers);
+    follower.gap = WORKERS_GAP;
+    while !owned.is_over() {
+        if !owned.state.loaded.get() {
+            tokio::time::sleep(PASS_GAP).await;
+            continue;
+        }
+        for each in follower.next(&node.platform.store).await {
+            match each {
+                Seen::Put(item) => see_listing(&node, &owned, &item),
+                Seen::Gone(key) => {
+                    if let Some(id) = (directory.worker)(&key) {
+                        owned.scheduler.borrow_mut().lose_worker(&id, now());
+                    }
+                }
+                Seen::Complete => {}
+            }
+        }
+        owned.wake.notify_one();
+        owned.store.notify_one();
+    }
+}
+
+fn see_listing(node: &Rc<Node>, owned: &Rc<Owned>, item: &KeyValue) {
+    match (node.platform.directory.listing)(item) {
+        Ok(listing) => {
+            let id = listing.id.clone();
+            owned.scheduler.borrow_mut().see_worker(listing, now());
+            watch_worker(node, owned, id);
+        }
+        Err(reason) => {
+            log_event!(Event::WorkerInvalid, key = item.key, reason = reason);
+            if let Some(id) = (node.platform.directory.worker)(&item.key) {
+                owned.scheduler.borrow_mut().lose_worker(&id, now());
+            }
+        }
+    }
+}
+
+/// Starts looking at a worker unless that is being done.
+fn watch_worker(node: &Rc<Node>, owned: &Rc<Owned>, id: WorkerId) {
+    if owned.state.watched.borrow_mut().insert(id.clone()) {
+        tokio::task::spawn_local(looks(node.clone(), owned.clone(), id));
+    }
+}
+
+/// Looks at a worker until the scheduler forgets it.
+async fn looks(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId) {
+    while !owned.is_over() {
+        if !owned.may_act(node.settings.jobs.authority) {
+            tokio::time::sleep(LOOK_RETRY).await;
+            continue;
+        }
+        let sent = now();
+        let look = owned.scheduler.borrow_mut().next_look(&id, sent);
+        let target = target(&owned, &id);
+        let (Some(look), Some(target)) = (look, target) else {
+            break;
+        };
+        let result = (node.platform.fleet.look)(target, look).await;
+        if owned.is_over() {
+            break;
+        }
+        match result {
+            Ok(report) => {
+                node.metrics.looks.with_label_values(&["answered"]).inc();
+                let ends = !report.ended.is_empty();
+                owned.scheduler.borrow_mut().reported(&id, sent, &report, now());
+                owned.wake.notify_one();
+                owned.store.notify_one();
+                if ends {
+                    tokio::time::sleep(LOOK_GAP).await;
+                }
+            }
+            Err(LookError::Fenced) => {
+                owned.give_up("a worker has seen a higher fencing token");
+            }
+            Err(LookError::OtherLife) => {
+                node.metrics.looks.with_label_values(&["other_life"]).inc();
+                owned.scheduler.borrow_mut().look_failed(&id, now());
+                tokio::time::sleep(LOOK_RETRY).await;
+            }
+            Err(LookError::Failed(reason)) => {
+                node.metrics.looks.with_label_values(&["failed"]).inc();
+                log::debug!("look at {id} failed: {reason}");
+                owned.scheduler.borrow_mut().look_failed(&id, now());
+                owned.wake.notify_one();
+                tokio::time::sleep(LOOK_RETRY).await;
+            }
+        }
+    }
+    owned.state.watched.borrow_mut().remove(&id);
+    owned.state.links.borrow_mut().remove(&id);
+}
+
+fn target(owned: &Owned, id: &WorkerId) -> Option<Target> {
+    let scheduler = owned.scheduler.borrow();
+    let worker = scheduler.worker(id)?;
+    let address: SocketAddr = worker.listing.address.parse().ok()?;
+    Some(Target {
+        worker: id.clone(),
+        address,
+        fence: owned.fence,
+    })
+}
+
+/// Places work whenever something has happened.
+async fn passes(node: Rc<Node>, owned: Rc<Owned>) {
+    while !owned.is_over() {
+        owned.wake.notified().await;
+        tokio::time::sleep(PASS_GAP).await;
+        if !owned.state.loaded.get() || !owned.may_act(node.settings.jobs.authority) {
+            continue;
+        }
+        let actions = {
+            let mut scheduler = owned.scheduler.borrow_mut();
+            let from = owned.state.since.get() + node.settings.handover + node.settings.lease;
+            scheduler.allow_machines(from, owned.renewed.get() + node.settings.lease - LEASE_MARGIN);
+            scheduler.pass(now());
+            scheduler.take_actions()
+        };
+        for action in actions {
+            carry_out(&node, &owned, action);
+        }
+    }
+}
+
+/// Advances time, and wakes the pass and the writer for what time alone makes due.
+async fn ticks(node: Rc<Node>, owned: Rc<Owned>) {
+    while !owned.is_over() {
+        tokio::time::sleep(TICK).await;
+        if !owned.state.loaded.get() {
+            continue;
+        }
+        let mut scheduler = owned.scheduler.borrow_mut();
+        scheduler.tick(unix_ms(), now());
+        node.metrics.jobs.set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
+        owned.wake.notify_one();
+        owned.store.notify_one();
+    }
+}
+
+fn carry_out(node: &Rc<Node>, owned: &Rc<Owned>, action: Action) {
+    let (node, owned) = (node.clone(), owned.clone());
+    match action {
+        Action::Order { worker, order, .. } => {
+            tokio::task::spawn_local(send_order(node, owned, worker, order));
+        }
+        Action::Advise { step, workers } => {
+            tokio::task::spawn_local(async move {
+                let sent = now();
+                match (node.platform.fleet.advise)(step.clone(), workers).await {
+                    Ok(permits) => {
+                        owned.scheduler.borrow_mut().advised(&step, &permits.tickets, permits.valid, sent);
+                        owned.wake.notify_one();
+                    }
+                    Err(reason) => log::info!("no advice on {step}: {reason}"),
+                }
+            });
+        }
+        Action::Machine { machine, order } => {
+            tokio::task::spawn_local(async move {
+                let strict = node.settings.lease - LEASE_MARGIN;
+                if !owned.may_act(strict) {
+                    return;
+                }
+                let holder = node.settings.name.clone();
+                let command = (node.platform.fleet.command)(holder, owned.fence, machine.clone(), order.clone());
+                let outcome = command.await;
+                node.metrics.machines.with_label_values(&[outcome.label()]).inc();
+                owned.scheduler.borrow_mut().machine_answered(&machine, &order, outcome, now());
+                owned.wake.notify_one();
+            });
+        }
+    }
+}
+
+/// Sends an order; a few go to one worker at once, in order of their emission.
+async fn send_order(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId, order: Order) {
+    let link = {
+        let mut links = owned.state.links.borrow_mut();
+        let link = links.entry(id.clone()).or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
+        link.clone()
+    };
+    let Ok(_permit) = link.acquire().await else {
+        return;
+    };
+    let target = target(&owned, &id);
+    // An order that has waited may have lost its reason, or its sender its authority.
+    let wanted = owned.scheduler.borrow().wants(&id, &order);
+    let outcome = match target {
+        Some(target) if wanted && owned.may_act(node.settings.jobs.authority) => {
+            (node.platform.fleet.order)(target, order.clone()).await
+        }
+        _ => Outcome::Withdrawn,
+    };
+    node.metrics.orders.with_label_values(&[order.label(), outcome.label()]).inc();
+    if let Outcome::Refused { why: Refusal::Fenced, .. } = outcome {
+        owned.give_up("a worker has seen a higher fencing token");
+    }
+    owned.scheduler.borrow_mut().answered(&id, &order, outcome, now());
+    owned.wake.notify_one();
+}
+
+/// Reads the list of machines.
+async fn machines(node: Rc<Node>, owned: Rc<Owned>) {
+    while !owned.is_over() {
+        if owned.state.loaded.get() {
+            let asked = now();
+            match (node.platform.fleet.machines)().await {
+                Ok(list) => owned.scheduler.borrow_mut().see_machines(list, asked, now()),
+                Err(reason) => log::debug!("machines not listed: {reason}"),
+            }
+            owned.wake.notify_one();
+        }
+        let busy = owned.scheduler.borrow().machines_change();
+        tokio::time::sleep(if busy { MACHINES_BUSY } else { MACHINES_IDLE }).await;
+    }
+}
+
+/// Hands waves to the scheduler and writes their progress where operators read it.
+async fn wave_progress(node: Rc<Node>, owned: Rc<Owned>) {
+    let mut written: HashMap<u64, WaveState> = HashMap::new();
+    while !owned.is_over() {
+        if owned.state.loaded.get() {
+            let waves = node.waves.borrow().clone();
+            for wave in waves {
+                owned.scheduler.borrow_mut().see_wave(wave, now());
+            }
+            let states = owned.scheduler.borrow().waves();
+            for (number, state) in states {
+                if written.get(&number) == Some(&state) || owned.is_over() {
+                    continue;
+                }
+                let (key, value) = (node.platform.directory.progress)(number, state);
+                let txn = Txn::default().held(node.keys.owner(), fence(&owned)).put(key, value);
+                match (node.platform.store.txn)(txn).await {
+                    Ok(reply) if reply.committed => {
+                        written.insert(number, state);
+                    }
+                    Ok(_) => owned.give_up("the owner's key has changed"),
+                    Err(error) => log::debug!("progress of wave {number} not written: {error}"),
+                }
+            }
+        }
+        tokio::time::sleep(TICK * 2).await;
+    }
+}
+
+fn fence(owned: &Owned) -> Revision {
+    Revision::try_from(owned.fence).unwrap_or(Revision::MAX)
+}
+
+/// Stores what the scheduler wants stored, one transaction after the other.
+async fn write(node: Rc<Node>, owned: Rc<Owned>) {
+    while !owned.is_over() {
+        owned.store.notified().await;
+        while owned.state.loaded.get() && !owned.is_over() {
+            let Some(flush) = owned.scheduler.borrow_mut().next_flush(now()) else {
+                break;
+            };
+            let outcome = flush_once(&node, &owned, &flush).await;
+            let failed = outcome == Flushed::NotStored;
+            owned.scheduler.borrow_mut().flushed(&outcome, now());
+            owned.wake.notify_one();
+            if failed {
+                tokio::time::sleep(STORE_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Runs one transaction, fenced by the owner's key, until its outcome is known.
+async fn flush_once(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush) -> Flushed {
+    let owner = node.keys.owner();
+    let state = node.keys.state();
+    let mut txn = Txn::default().held(owner.clone(), fence(owned)).or_read(owner.clone());
+    for write in &flush.finals {
+        let key = node.keys.job(&write.job);
+        let record = JobRecord::Ended {
+            how: write.how,
+            at: unix_ms(),
+        };
+        txn = txn.unchanged(key.clone(), write.revision).put(key.clone(), encode(&record)).or_read(key);
+    }
+    for id in &flush.expired {
+        txn = txn.delete(node.keys.job(id));
+    }
+    if let Some(bytes) = &flush.state {
+        let written = owned.state.written.get();
+        txn = txn.unchanged(state.clone(), written).put(state.clone(), bytes.clone()).or_read(state.clone());
+    }
+    match (node.platform.store.txn)(txn).await {
+        Ok(reply) if reply.committed => {
+            if flush.state.is_some() {
+                owned.state.written.set(reply.revision);
+            }
+            Flushed::Stored
+        }
+        Ok(reply) => conflict(node, owned, flush, &reply.found),
+        Err(error) => {
+            if matches!(error, StoreError::AnswerLost { .. }) {
+                node.metrics.retries.with_label_values(&["store_answer_lost"]).inc();
+            }
+            log::debug!("state of the cell not stored: {error}");
+            Flushed::NotStored
+        }
+    }
+}
+
+/// Finds out why a transaction failed; an earlier one whose answer was lost may be the reason.
+fn conflict(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
+    let held = found.iter().any(|item| item.key == node.keys.owner() && item.created == fence(owned));
+    if !held {
+        owned.give_up("the owner's key has changed");
+        return Flushed::NotStored;
+    }
+    if flush.state.is_some() {
+        let state = node.keys.state();
+        let present = found.iter().find(|item| item.key == state);
+        owned.state.written.set(present.map_or(0, |item| item.modified));
+    }
+    let mut changed = Vec::new();
+    let mut listed: HashSet<JobId> = HashSet::new();
+    for item in found {
+        let Some(id) = node.keys.job_of(&item.key) else {
+            continue;
+        };
+        listed.insert(id.clone());
+        let key = match decode::<JobRecord>(&item.value) {
+            Ok(JobRecord::Ended { how, .. }) => KeyNow::Ended(how),
+            Ok(JobRecord::Accepted(_)) => KeyNow::Accepted(item.modified),
+            Err(error) => {
+                log_event!(Event::JobRecordInvalid, job = id, reason = error);
+                continue;
+            }
+        };
+        changed.push((id, key));
+    }
+    let absent = flush.finals.iter().filter(|write| !listed.contains(&write.job));
+    changed.extend(absent.map(|write| (write.job.clone(), KeyNow::Absent)));
+    Flushed::Changed(changed)
+}
+
+/// Hands the cell over: no more orders, the last state stored, and the key removed.
+pub async fn hand_over(node: &Rc<Node>) {
+    let Some(owned) = node.owned.borrow().clone() else {
+        return;
+    };
+    owned.state.leaving.set(true);
+    if !owned.state.loaded.get() {
+        owned.give_up("shutdown");
+        release(node, &owned).await;
+        return;
+    }
+    // Orders and a transaction under way settle first, so that a successor finds them settled.
+    tokio::time::sleep(STORE_RETRY).await;
+    owned.give_up("shutdown");
+    release(node, &owned).await;
+    log_event!(Event::CellReleased, fence = owned.fence);
+}
+
+async fn release(node: &Rc<Node>, owned: &Rc<Owned>) {
+    if let Err(error) = (node.platform.store.end)(owned.lease).await {
+        log::info!("lease {} not ended, it will run out: {error}", owned.lease);
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/http.rs
@@ -0,0 +1,256 @@
+//! HTTP/1.1 client and server on one thread.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Longest wait for a connection; peers are milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Connections kept open to one address while they are idle.
+const MOST_IDLE: usize = 4;
+/// Bytes of a response body; a page of the store holds about 1 MB, base64 included.
+const RESPONSE_LIMIT: usize = 16 << 20;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum CallError {
+    /// No byte of the request was sent.
+    #[display("not sent: {reason}")]
+    NotSent {
+        /// What failed.
+        reason: String,
+    },
+    /// The request was sent, and the answer did not arrive whole.
+    #[display("answer lost: {reason}")]
+    Lost {
+        /// What failed.
+        reason: String,
+    },
+}
+
+impl CallError {
+    fn not_sent(error: impl ToString) -> Self {
+        let reason = error.to_string();
+        Self::NotSent { reason }
+    }
+
+    fn lost(error: impl ToString) -> Self {
+        let reason = error.to_string();
+        Self::Lost { reason }
+    }
+}
+
+/// A client that keeps connections open.
+#[derive(Clone, Debug, Default)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>>,
+}
+
+impl Client {
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CallError::Lost`] if the request may have been carried out.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>> {
+        match timeout(limit, self.exchange(address, request)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(CallError::lost("timeout")),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>> {
+        while let Some(mut sender) = self.take_idle(address) {
+            match sender.try_send_request(request).await {
+                Ok(answer) => return self.finish(address, sender, answer).await,
+                Err(mut error) => match error.take_message() {
+                    // The server closed the idle connection before anything was written to it.
+                    Some(unsent) => request = unsent,
+                    None => return Err(CallError::lost(error.into_error())),
+                },
+            }
+        }
+        let mut sender = connect(address).await?;
+        match sender.try_send_request(request).await {
+            Ok(answer) => self.finish(address, sender, answer).await,
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let error = error.into_error();
+                Err(if unsent {
+                    CallError::not_sent(error)
+                } else {
+                    CallError::lost(error)
+                })
+            }
+        }
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn finish(
+        &self,
+        address: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        answer: Response<Incoming>,
+    ) -> Result<Response<Bytes>> {
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, RESPONSE_LIMIT).collect().await;
+        let body = body.map_err(CallError::lost)?.to_bytes();
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < MOST_IDLE && !sender.is_closed() {
+            senders.push(sender);
+        }
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Closes idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(stream) => stream.map_err(CallError::not_sent)?,
+        Err(_) => return Err(CallError::not_sent("connect timeout")),
+    };
+    stream.set_nodelay(true).map_err(CallError::not_sent)?;
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(CallError::not_sent)?;
+    tokio::task::spawn_local(async move {
+        // The sender reports what goes wrong with its own request.
+        drop(connection.await);
+    });
+    Ok(sender)
+}
+
+/// Builds a request.
+///
+/// # Panics
+///
+/// Panics if the path or a header is malformed, which callers rule out.
+#[must_use]
+pub fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::new(body)).expect("path and headers are well-formed")
+}
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Time for a request's head to arrive, and for which a connection may be idle.
+    pub idle: Duration,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            head: 16 << 10,
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Serves requests until `stop` turns true; then connections end after their present request.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("connection lost before its first request: {error}");
+            continue;
+        }
+        let handler = handler.clone();
+        let mut stop = stop.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new());
+            builder.header_read_timeout(limits.idle);
+            builder.max_buf_size(limits.head.max(8 << 10));
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                _ = stop.wait_for(|stop| *stop) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = ended {
+                log::debug!("connection ended: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/port.rs
@@ -0,0 +1,193 @@
+//! What the process needs from its platform, as plain structs around closures.
+//!
+//! An adapter fills them in; it translates names, formats and calls and decides nothing.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Listing;
+use nutmegcart_jobs::Look;
+use nutmegcart_jobs::Machine;
+use nutmegcart_jobs::MachineOrder;
+use nutmegcart_jobs::MachineOutcome;
+use nutmegcart_jobs::Order;
+use nutmegcart_jobs::Outcome;
+use nutmegcart_jobs::PoolConfig;
+use nutmegcart_jobs::Queue;
+use nutmegcart_jobs::Report;
+use nutmegcart_jobs::TaskKey;
+use nutmegcart_jobs::WaveRequest;
+use nutmegcart_jobs::WaveState;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::WorkerId;
+use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::LeaseId;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+use nutmegcart_platform::TxnReply;
+
+/// A future on this thread.
+pub type Local<T> = Pin<Box<dyn Future<Output = T>>>;
+
+/// Result of a call to the store.
+pub type StoreResult<T> = Result<T, StoreError>;
+
+/// A change that a watch reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The key was written.
+    Put(KeyValue),
+    /// The key was removed at the revision.
+    Removed(String, Revision),
+}
+
+/// Keys with a prefix.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Range {
+    /// Keys in ascending order.
+    pub items: Vec<KeyValue>,
+    /// Revision of the store before the first page was read.
+    pub revision: Revision,
+}
+
+/// Changes since a revision.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// Changes in order.
+    pub events: Vec<Event>,
+    /// Revision to continue from.
+    pub revision: Revision,
+}
+
+/// The platform's store.
+#[derive(Clone)]
+pub struct KeyStore {
+    /// Reads one key.
+    pub get: Rc<dyn Fn(String) -> Local<StoreResult<Option<KeyValue>>>>,
+    /// Reads all keys with a prefix.
+    pub range: Rc<dyn Fn(String) -> Local<StoreResult<Range>>>,
+    /// Waits for changes of keys with a prefix after a revision.
+    pub watch: Rc<dyn Fn(String, Revision, Duration) -> Local<StoreResult<Changes>>>,
+    /// Runs a transaction of at most 32 conditions and writes.
+    pub txn: Rc<dyn Fn(Txn) -> Local<StoreResult<TxnReply>>>,
+    /// Grants a lease.
+    pub grant: Rc<dyn Fn(Duration) -> Local<StoreResult<LeaseId>>>,
+    /// Renews a lease; false if it has ended.
+    pub keep: Rc<dyn Fn(LeaseId) -> Local<StoreResult<bool>>>,
+    /// Ends a lease.
+    pub end: Rc<dyn Fn(LeaseId) -> Local<StoreResult<()>>>,
+}
+
+/// A life of a worker that a call is meant for.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// Worker.
+    pub worker: WorkerId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Fencing token of the sender.
+    pub fence: u64,
+}
+
+/// Why a look has no report.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LookError {
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// Another life of a worker answers at the address.
+    OtherLife,
+    /// The worker refused, or cannot be reached.
+    Failed(String),
+}
+
+/// Workers, machines and the service that permits workers.
+#[derive(Clone)]
+pub struct Fleet {
+    /// Renews a lease, acknowledges ends and asks for a report.
+    pub look: Rc<dyn Fn(Target, Look) -> Local<Result<Report, LookError>>>,
+    /// Sends an order.
+    pub order: Rc<dyn Fn(Target, Order) -> Local<Outcome>>,
+    /// Lists all machines.
+    pub machines: Rc<dyn Fn() -> Local<Result<Vec<Machine>, String>>>,
+    /// Gives an order for a machine, with its holder and the fencing token.
+    pub command: Rc<dyn Fn(Arc<str>, u64, Arc<str>, MachineOrder) -> Local<MachineOutcome>>,
+    /// Asks which workers may run a step; returns their tickets and how long these hold.
+    pub advise: Rc<dyn Fn(TaskKey, Vec<WorkerId>) -> Local<Result<Permits, String>>>,
+}
+
+/// Tickets of the workers that may run a step.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Permits {
+    /// Tickets by worker.
+    pub tickets: Vec<(WorkerId, Arc<str>)>,
+    /// Time for which they hold.
+    pub valid: Duration,
+}
+
+/// Limits of callers' connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of a request's body.
+    pub body: usize,
+    /// Time for which a connection may be idle.
+    pub idle: Duration,
+}
+
+/// A configuration that an operator accepted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Version; higher ones replace lower ones.
+    pub version: u64,
+    /// Queues.
+    pub queues: Vec<Queue>,
+    /// Time in milliseconds for which a queue's callers wait, in the order of the queues.
+    pub timeouts: Vec<u64>,
+    /// Pools.
+    pub pools: Vec<(PoolName, PoolConfig)>,
+    /// Limits of callers' connections.
+    pub limits: CallerLimits,
+}
+
+/// What an operator writes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorRecord {
+    /// The configuration in full.
+    Configuration(Box<Configuration>),
+    /// A wave of machine maintenance.
+    Wave(WaveRequest),
+}
+
+/// Where the platform keeps what others write, and how it reads.
+#[derive(Clone)]
+pub struct Directory {
+    /// Prefix of operators' records.
+    pub operator: Arc<str>,
+    /// Reads an operator's record.
+    pub record: Rc<dyn Fn(&KeyValue) -> Result<OperatorRecord, String>>,
+    /// Prefix of the workers' entries.
+    pub workers: Arc<str>,
+    /// Reads a worker's entry.
+    pub listing: Rc<dyn Fn(&KeyValue) -> Result<Listing, String>>,
+    /// Returns the worker that a key names.
+    pub worker: Rc<dyn Fn(&str) -> Option<WorkerId>>,
+    /// Returns key and value of a wave's progress.
+    pub progress: Rc<dyn Fn(u64, WaveState) -> (String, Vec<u8>)>,
+}
+
+/// The platform as a whole.
+#[derive(Clone)]
+pub struct Platform {
+    /// Store.
+    pub store: KeyStore,
+    /// Workers and machines.
+    pub fleet: Fleet,
+    /// Keys of others.
+    pub directory: Directory,
+}
--- /dev/null
+++ b/crates/nutmegcart_control/src/routing.rs
@@ -0,0 +1,60 @@
+//! Which queue a request belongs to, by the configuration in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Queue;
+
+use crate::port::Configuration;
+
+/// A queue with what its callers' requests need.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Queue.
+    pub queue: Arc<Queue>,
+    /// Time for which its callers wait at most.
+    pub timeout: Duration,
+}
+
+/// Routes by host and prefix.
+///
+/// ```
+/// # use nutmegcart_control::routing::Routing;
+/// let routing = Routing::default();
+/// assert!(routing.find("counts.example", "/gates/").is_none());
+/// ```
+#[derive(Debug, Default)]
+pub struct Routing {
+    hosts: HashMap<Arc<str>, Vec<Route>>,
+}
+
+impl Routing {
+    /// Builds the routes of a configuration.
+    #[must_use]
+    pub fn new(configuration: &Configuration) -> Self {
+        let mut hosts: HashMap<Arc<str>, Vec<Route>> = HashMap::new();
+        for (queue, timeout) in configuration.queues.iter().zip(&configuration.timeouts) {
+            let routes = hosts.entry(queue.key.host.clone()).or_default();
+            routes.push(Route {
+                queue: Arc::new(queue.clone()),
+                timeout: Duration::from_millis(*timeout),
+            });
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.queue.key.prefix.len()));
+        }
+        Self { hosts }
+    }
+
+    /// Finds the route with the longest prefix of the path, and what follows the prefix.
+    #[must_use]
+    pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Route, &'a str)> {
+        let host = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(host)?;
+        routes.iter().find_map(|route| {
+            let rest = path.strip_prefix(&*route.queue.key.prefix)?;
+            Some((route, rest))
+        })
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/job.rs
@@ -0,0 +1,379 @@
+//! Jobs as callers hand them in: steps of tasks with dependencies.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::Deref;
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use nutmegcart_fleet::Size;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::Rack;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Result of the functions of this module.
+pub type Result<T> = std::result::Result<T, JobError>;
+
+/// Steps that one job may have; a job of the largest declared kind has five.
+pub const MAX_STEPS: usize = 64;
+/// Tasks that one step may have.
+pub const MAX_TASKS: u32 = 10_000;
+/// Bytes of a job's opaque description, from the published interface.
+pub const MAX_SPEC: usize = 4_000;
+
+/// Why a job is malformed.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum JobError {
+    /// The identifier is not 16 hexadecimal digits.
+    #[display("the job identifier is not 16 hexadecimal digits")]
+    Identifier,
+    /// The description is longer than [`MAX_SPEC`].
+    #[display("the description has {length} bytes, above {MAX_SPEC}")]
+    SpecLength {
+        /// Length in bytes.
+        length: usize,
+    },
+    /// The number of steps is zero or above [`MAX_STEPS`].
+    #[display("the job has {count} steps; 1 to {MAX_STEPS} are allowed")]
+    StepCount {
+        /// Number of steps.
+        count: usize,
+    },
+    /// The number of tasks of a step is zero or above [`MAX_TASKS`].
+    #[display("step {step} has {count} tasks; 1 to {MAX_TASKS} are allowed")]
+    TaskCount {
+        /// Number of the step.
+        step: usize,
+        /// Number of tasks.
+        count: u32,
+    },
+    /// A step depends on itself or on a later step.
+    #[display("step {step} depends on step {on}, which is not an earlier one")]
+    Dependency {
+        /// Number of the step.
+        step: usize,
+        /// Number of the step that it names.
+        on: u16,
+    },
+}
+
+/// Identifier of a job, 16 hexadecimal digits chosen by the caller.
+///
+/// ```
+/// # use nutmegcart_jobs::JobId;
+/// assert!(JobId::parse("5c0e7a21d94b36f8").is_ok());
+/// assert!(JobId::parse("../config").is_err());
+/// ```
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct JobId(Arc<str>);
+
+impl JobId {
+    /// Length of every identifier in characters.
+    pub const LENGTH: usize = 16;
+
+    /// Checks and shares an identifier.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`JobError::Identifier`].
+    pub fn parse(text: &str) -> Result<Self> {
+        let hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() == Self::LENGTH && hex {
+            Ok(Self(text.into()))
+        } else {
+            Err(JobError::Identifier)
+        }
+    }
+}
+
+impl Deref for JobId {
+    type Target = str;
+
+    fn deref(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+/// One task of one occurrence of a job.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// Job.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u16,
+    /// Number of the task within its step.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            occurrence,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}.{index}")
+    }
+}
+
+impl TaskKey {
+    /// Reads the form that [`fmt::Display`] writes.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::TaskKey;
+    /// let key = TaskKey::parse("5c0e7a21d94b36f8.0.1.17").unwrap();
+    /// assert_eq!((key.step, key.index), (1, 17));
+    /// assert_eq!(key.to_string(), "5c0e7a21d94b36f8.0.1.17");
+    /// ```
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split('.');
+        let job = JobId::parse(parts.next()?).ok()?;
+        let occurrence = parts.next()?.parse().ok()?;
+        let step = parts.next()?.parse().ok()?;
+        let index = parts.next()?.parse().ok()?;
+        parts.next().is_none().then_some(Self {
+            job,
+            occurrence,
+            step,
+            index,
+        })
+    }
+}
+
+/// A step: tasks of one kind.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// What each task needs.
+    pub need: Size,
+    /// Declared duration of one task in milliseconds; often far off.
+    pub estimate: u64,
+    /// Earlier steps whose tasks must all have finished.
+    pub after: Vec<u16>,
+    /// Whether the tasks work only all together.
+    pub gang: bool,
+    /// Whether the tasks are slow unless they share a rack.
+    pub together: bool,
+    /// Label that the worker must have.
+    pub label: Option<Arc<str>>,
+    /// Rack that holds the data.
+    pub rack: Option<Rack>,
+    /// Tasks of the step that may share a worker; 0 for any number.
+    pub spread: u32,
+    /// Whether copies may run in parallel.
+    pub speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// Whether the tasks save their progress.
+    pub checkpoints: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: Option<Arc<str>>,
+    /// Bound in milliseconds on the tail of the response times of a serving task; 0 for none.
+    pub target: u64,
+    /// Whether the tasks use only processor time that others leave.
+    pub filler: bool,
+    /// Tasks of a lasting step that may be away at once through our actions, if limited.
+    pub away: Option<u32>,
+}
+
+impl Step {
+    /// Returns what a task takes from its worker's capacity.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::Step;
+    /// # use nutmegcart_fleet::Size;
+    /// let step = Step { need: Size::new(500, 256, 0), filler: true, ..Step::default() };
+    /// assert_eq!(step.room(), Size::new(0, 256, 0));
+    /// ```
+    #[must_use]
+    pub const fn room(&self) -> Size {
+        if self.filler {
+            Size::new(0, self.need.memory, self.need.accelerators)
+        } else {
+            self.need
+        }
+    }
+
+    /// Returns the declared duration.
+    #[must_use]
+    pub const fn declared(&self) -> Duration {
+        Duration::from_millis(self.estimate)
+    }
+}
+
+/// Times at which a job's steps run again.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// First time in milliseconds since 1970.
+    pub first: u64,
+    /// Time between two occurrences in milliseconds.
+    pub period: u64,
+    /// Number of occurrences.
+    pub count: u32,
+}
+
+/// A job as its caller handed it in.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Opaque description that every task receives.
+    pub spec: Arc<str>,
+    /// Steps in order.
+    pub steps: Vec<Step>,
+    /// Times, unless the job runs at once.
+    pub schedule: Option<Schedule>,
+}
+
+impl Job {
+    /// Checks limits and dependencies.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::{Job, JobError, Step};
+    /// let step = Step { count: 1, after: vec![0], ..Step::default() };
+    /// let job = Job { steps: vec![step], ..Job::default() };
+    /// assert_eq!(job.check(), Err(JobError::Dependency { step: 0, on: 0 }));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first violation.
+    pub fn check(&self) -> Result<()> {
+        if self.spec.len() > MAX_SPEC {
+            return Err(JobError::SpecLength {
+                length: self.spec.len(),
+            });
+        }
+        let count = self.steps.len();
+        if count == 0 || count > MAX_STEPS {
+            return Err(JobError::StepCount { count });
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.count == 0 || step.count > MAX_TASKS {
+                return Err(JobError::TaskCount {
+                    step: number,
+                    count: step.count,
+                });
+            }
+            let later = step.after.iter().find(|on| usize::from(**on) >= number);
+            if let Some(on) = later {
+                return Err(JobError::Dependency {
+                    step: number,
+                    on: *on,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether any step runs until the job is cancelled.
+    #[must_use]
+    pub fn lasts(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+
+    /// Returns the work of one occurrence in core-seconds, with the given duration for each step.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use nutmegcart_fleet::Size;
+    /// # use nutmegcart_jobs::{Job, Step};
+    /// let step = Step { count: 3, need: Size::new(2_000, 0, 0), ..Step::default() };
+    /// let job = Job { steps: vec![step], ..Job::default() };
+    /// assert!((job.work(|_| Duration::from_secs(2)) - 12.0).abs() < 1e-9);
+    /// ```
+    #[must_use]
+    pub fn work(&self, duration: impl Fn(&Step) -> Duration) -> f64 {
+        let work = |step: &Step| {
+            let cores = step.need.cpu as f64 / 1_000.0;
+            cores * f64::from(step.count) * duration(step).as_secs_f64()
+        };
+        self.steps.iter().map(work).sum()
+    }
+
+    /// Returns the length of the longest chain of steps that contains a step outside `done`.
+    ///
+    /// ```
+    /// # use std::collections::BTreeSet;
+    /// # use std::time::Duration;
+    /// # use nutmegcart_jobs::{Job, Step};
+    /// let first = Step { count: 1, ..Step::default() };
+    /// let second = Step { count: 1, after: vec![0], ..Step::default() };
+    /// let job = Job { steps: vec![first, second], ..Job::default() };
+    /// let second = |_: &Step| Duration::from_secs(1);
+    /// assert_eq!(job.chain(&BTreeSet::new(), second), Duration::from_secs(2));
+    /// assert_eq!(job.chain(&BTreeSet::from([0]), second), Duration::from_secs(1));
+    /// ```
+    #[must_use]
+    pub fn chain(&self, done: &BTreeSet<u16>, duration: impl Fn(&Step) -> Duration) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let before = step.after.iter().map(|on| ends[usize::from(*on)]).max();
+            let own = if done.contains(&u16::try_from(number).unwrap_or(u16::MAX)) {
+                Duration::ZERO
+            } else {
+                duration(step)
+            };
+            ends.push(before.unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
+
+/// Queue that a job was handed in to: host and path prefix.
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct QueueKey {
+    /// Host.
+    pub host: Arc<str>,
+    /// Path prefix.
+    pub prefix: Arc<str>,
+}
+
+impl fmt::Display for QueueKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}", self.host, self.prefix)
+    }
+}
+
+/// What the configuration says about a queue.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    /// Host and prefix.
+    pub key: QueueKey,
+    /// Pool whose workers run the queue's tasks.
+    pub pool: PoolName,
+    /// Priority; 0 goes first.
+    pub priority: u32,
+    /// Failed runs of one task after which its job has failed.
+    pub attempts: u32,
+    /// Factor on the longest chain of work in the job's latency objective.
+    pub stretch: f64,
+    /// Constant part of the latency objective in milliseconds.
+    pub target: u64,
+    /// What asking for permitted workers costs, if the queue requires it.
+    pub advice: Option<Advice>,
+}
+
+/// Durations of the service that tells which workers may run a step.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Advice {
+    /// Fixed time of a call in milliseconds.
+    pub fixed: u64,
+    /// Time for each worker named in milliseconds.
+    pub each: u64,
+    /// Time for which a ticket holds in milliseconds.
+    pub valid: u64,
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -0,0 +1,164 @@
+//! Moving machines to the pools that need them, and back to the spare pool.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_model::PoolName;
+
+use crate::live::LiveJob;
+use crate::machines::MachineOrder;
+use crate::machines::MachineState;
+use crate::scheduler::Scheduler;
+
+/// Time in which waiting work should be done; a machine that moves is away for most of it.
+const HORIZON: f64 = 1.5;
+/// Time for which a machine has to be idle before another pool may have it.
+const IDLE_LEND: Duration = Duration::from_millis(300);
+/// Time for which a machine has to be idle before it is switched off.
+const IDLE_OFF: Duration = Duration::from_millis(1_200);
+/// Machines beyond those with lasting tasks that a pool keeps for the start of its next burst.
+const KEPT: usize = 2;
+/// Moves begun in one pass.
+const MOST_MOVES: usize = 12;
+
+/// What is remembered between passes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lending {
+    idle: HashMap<Arc<str>, Duration>,
+}
+
+impl Lending {
+    pub(crate) fn note_arrival(&mut self, _job: &LiveJob, _now: Duration) {}
+}
+
+/// Need and room of a pool.
+#[derive(Clone, Debug, Default)]
+struct Balance {
+    /// Machines wanted.
+    want: usize,
+    /// Machines that serve the pool, or will once they have arrived.
+    have: usize,
+    /// Idle machines with the time since when they are.
+    idle: Vec<(Duration, Arc<str>)>,
+}
+
+impl Scheduler {
+    /// Begins the moves that the present demand asks for.
+    ///
+    /// Answers the load pattern of queues that take turns: each asks in its turn for several
+    /// times its pool, while the others stand nearly idle. Idle machines follow the demand, since
+    /// a moved machine earns its price within a second of a burst.
+    pub(crate) fn lend(&mut self, now: Duration) {
+        self.release_reserved();
+        if !self.may_order_machines(now) {
+            return;
+        }
+        let mut balances = self.balances(now);
+        let spare = self.pools.iter().find(|(_, config)| config.spare).map(|(name, _)| name.clone());
+        let mut moves: Vec<(Arc<str>, PoolName)> = Vec::new();
+        loop {
+            let short = balances
+                .iter()
+                .filter(|(pool, balance)| Some(*pool) != spare.as_ref() && balance.want > balance.have)
+                .max_by_key(|(_, balance)| balance.want - balance.have)
+                .map(|(pool, _)| pool.clone());
+            let Some(short) = short.filter(|_| moves.len() < MOST_MOVES) else {
+                break;
+            };
+            let Some((donor, machine)) = donor(&balances, &short, spare.as_ref(), now) else {
+                break;
+            };
+            if let Some(balance) = balances.get_mut(&donor) {
+                balance.have -= 1;
+                balance.idle.retain(|(_, name)| *name != machine);
+            }
+            if let Some(balance) = balances.get_mut(&short) {
+                balance.have += 1;
+            }
+            moves.push((machine, short));
+        }
+        if let Some(spare) = spare {
+            for (pool, balance) in &mut balances {
+                if *pool == spare {
+                    continue;
+                }
+                while balance.have > balance.want && moves.len() < MOST_MOVES {
+                    let long = balance.idle.iter().position(|(since, _)| now >= *since + IDLE_OFF);
+                    let Some(index) = long else {
+                        break;
+                    };
+                    let (_, machine) = balance.idle.remove(index);
+                    balance.have -= 1;
+                    moves.push((machine, spare.clone()));
+                }
+            }
+        }
+        for (machine, pool) in moves {
+            self.lending.idle.remove(&machine);
+            self.order_machine(&machine, MachineOrder::Move(pool), now);
+        }
+    }
+
+    fn balances(&mut self, now: Duration) -> BTreeMap<PoolName, Balance> {
+        let mut balances: BTreeMap<PoolName, Balance> = BTreeMap::new();
+        for pool in self.pools.keys() {
+            balances.insert(pool.clone(), Balance::default());
+        }
+        let mut sizes: Vec<u64> = self.machines.known.values().map(|machine| machine.capacity.cpu).collect();
+        sizes.sort_unstable();
+        let size = sizes.get(sizes.len() / 2).copied().unwrap_or(1).max(1) as f64 / 1_000.0;
+        let mut cores: HashMap<PoolName, f64> = HashMap::new();
+        for job in self.jobs.values().filter(|job| job.ended.is_none() && !job.accepted.job.lasts()) {
+            *cores.entry(job.pool.clone()).or_default() += job.work_left() / HORIZON;
+        }
+        let names: Vec<Arc<str>> = self.machines.known.keys().cloned().collect();
+        let mut seen: HashMap<Arc<str>, Duration> = HashMap::new();
+        for name in names {
+            let machine = &self.machines.known[&name];
+            let target = match self.machines.pending.get(&name).map(|pending| &pending.order) {
+                Some(MachineOrder::Move(pool)) => pool.clone(),
+                _ => machine.pool.clone(),
+            };
+            let (lasting, runs) = self.load_of(machine);
+            let balance = balances.entry(target).or_default();
+            if machine.state != MachineState::Down {
+                balance.have += 1;
+            }
+            if lasting > 0 {
+                balance.want += 1;
+            }
+            let free = machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
+            if free && runs == 0 && !self.upkeep.wants(&name) {
+                let since = self.lending.idle.get(&name).copied().unwrap_or(now);
+                seen.insert(name.clone(), since);
+                balance.idle.push((since, name));
+            }
+        }
+        self.lending.idle = seen;
+        for (pool, balance) in &mut balances {
+            let busy = cores.get(pool).copied().unwrap_or_default() / size;
+            balance.want += KEPT.max(busy.ceil() as usize);
+            balance.idle.sort();
+        }
+        balances
+    }
+}
+
+/// Finds an idle machine for a pool: a switched-off one, else from the pool with the most to spare.
+fn donor(balances: &BTreeMap<PoolName, Balance>, short: &PoolName, spare: Option<&PoolName>, now: Duration) -> Option<(PoolName, Arc<str>)> {
+    let off = spare.and_then(|spare| balances.get(spare).map(|balance| (spare, balance)));
+    if let Some((pool, balance)) = off
+        && let Some((_, machine)) = balance.idle.first()
+    {
+        return Some((pool.clone(), machine.clone()));
+    }
+    let able = balances.iter().filter(|(pool, balance)| {
+        let ripe = balance.idle.first().is_some_and(|(since, _)| now >= *since + IDLE_LEND);
+        *pool != short && ripe && balance.have > balance.want
+    });
+    let (pool, balance) = able.max_by_key(|(_, balance)| balance.have - balance.want)?;
+    let (_, machine) = balance.idle.first()?;
+    Some((pool.clone(), machine.clone()))
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -0,0 +1,68 @@
+//! Decisions about jobs that callers hand in, as pure state machines.
+//!
+//! Nothing here performs I/O; time and the time of day are passed in.
+//!
+//! * [`job`]: jobs, steps and queues as callers and operators describe them;
+//! * [`record`]: what the store keeps;
+//! * [`live`], [`worker`]: jobs and workers as the owner of a cell knows them;
+//! * [`scheduler`]: the [`Scheduler`] of a cell, with its events in [`runs`] and [`durable`];
+//! * [`order`], [`pass`](Scheduler::pass): which work goes first, and where;
+//! * [`machines`], [`upkeep`], [`lending`](Scheduler::pass): machines that change their pool or
+//!   are maintained;
+//! * [`estimate`], [`pacing`]: what is learnt, and how work that shares a worker is kept apart.
+
+mod advice;
+pub mod durable;
+pub mod estimate;
+pub mod job;
+mod lending;
+pub mod live;
+pub mod machines;
+pub mod order;
+pub mod pacing;
+mod pass;
+pub mod record;
+pub mod runs;
+pub mod scheduler;
+pub mod upkeep;
+pub mod worker;
+
+pub use durable::Flush;
+pub use durable::FinalWrite;
+pub use durable::Flushed;
+pub use durable::KeyNow;
+pub use job::Advice;
+pub use job::Job;
+pub use job::JobError;
+pub use job::JobId;
+pub use job::Queue;
+pub use job::QueueKey;
+pub use job::Schedule;
+pub use job::Step;
+pub use job::TaskKey;
+pub use live::LiveJob;
+pub use machines::Machine;
+pub use machines::MachineOrder;
+pub use machines::MachineOutcome;
+pub use machines::MachineState;
+pub use record::Accepted;
+pub use record::CellRecord;
+pub use record::Final;
+pub use record::JobRecord;
+pub use record::JobState;
+pub use runs::ListedEnd;
+pub use runs::ListedRun;
+pub use runs::Look;
+pub use runs::Outcome;
+pub use runs::Refusal;
+pub use runs::Report;
+pub use runs::RunEnd;
+pub use scheduler::Action;
+pub use scheduler::Order;
+pub use scheduler::PoolConfig;
+pub use scheduler::Scheduler;
+pub use scheduler::Settings;
+pub use scheduler::StartOrder;
+pub use upkeep::WaveRequest;
+pub use upkeep::WaveState;
+pub use worker::Listing;
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/live.rs
@@ -0,0 +1,302 @@
+//! Jobs that have been accepted, with the state of every task.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_model::PoolName;
+use nutmegcart_model::WorkerId;
+use nutmegcart_platform::Revision;
+
+use crate::estimate::Estimates;
+use crate::job::Job;
+use crate::job::JobId;
+use crate::job::Step;
+use crate::job::TaskKey;
+use crate::record::Accepted;
+use crate::record::Final;
+use crate::record::JobState;
+
+/// State of one task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Whether a run finished.
+    pub done: bool,
+    /// Numbers of the runs that failed.
+    pub failed: Vec<u32>,
+    /// Highest run number used.
+    pub run: u32,
+    /// Runs that may be alive.
+    pub live: u32,
+    /// Whether any run was ever started.
+    pub started: bool,
+    /// Latest checkpoint.
+    pub saved: Option<Arc<str>>,
+    /// Worker on which the latest run failed.
+    pub avoid: Option<WorkerId>,
+    /// Since when the task waits for a run.
+    pub waiting: Duration,
+}
+
+/// State of one step.
+#[derive(Clone, Debug, Default)]
+pub struct StepState {
+    /// Tasks in order.
+    pub tasks: Vec<Task>,
+    /// Whether all earlier steps that it needs have finished.
+    pub open: bool,
+    /// Finished tasks.
+    pub done: u32,
+    /// Gang: number of the run that the members start or started together.
+    pub gang: u32,
+}
+
+impl StepState {
+    /// Returns the tasks that wait for a run.
+    pub fn pending(&self) -> impl Iterator<Item = u32> + '_ {
+        let waits = |task: &Task| !task.done && task.live == 0;
+        let numbered = (0_u32..).zip(&self.tasks);
+        numbered.filter(move |(_, task)| waits(task)).map(|(index, _)| index)
+    }
+}
+
+/// One run through the job's steps.
+#[derive(Clone, Debug)]
+pub struct Occurrence {
+    /// Steps in order.
+    pub steps: Vec<StepState>,
+    /// When it became due.
+    pub due: Duration,
+    /// Predicted length of the longest chain of work that is left.
+    pub rest: Duration,
+}
+
+impl Occurrence {
+    fn new(job: &Job, due: Duration, rest: Duration) -> Self {
+        let state = |step: &Step| {
+            let waiting = Task {
+                waiting: due,
+                ..Task::default()
+            };
+            StepState {
+                tasks: vec![waiting; step.count as usize],
+                open: step.after.is_empty(),
+                ..StepState::default()
+            }
+        };
+        Self {
+            steps: job.steps.iter().map(state).collect(),
+            due,
+            rest,
+        }
+    }
+
+    /// Returns whether every task has finished.
+    #[must_use]
+    pub fn finished(&self) -> bool {
+        let complete = |step: &StepState| step.done as usize == step.tasks.len();
+        self.steps.iter().all(complete)
+    }
+
+    /// Returns the steps whose tasks have all finished.
+    #[must_use]
+    pub fn done_steps(&self) -> BTreeSet<u16> {
+        let numbered = (0_u16..).zip(&self.steps);
+        let complete = |step: &StepState| step.done as usize == step.tasks.len();
+        let done = numbered.filter(|(_, step)| complete(step));
+        done.map(|(number, _)| number).collect()
+    }
+}
+
+/// An accepted job.
+#[derive(Clone, Debug)]
+pub struct LiveJob {
+    /// Identifier.
+    pub id: JobId,
+    /// Job and queue as accepted.
+    pub accepted: Accepted,
+    /// Revision of its key in the store.
+    pub revision: Revision,
+    /// When it was accepted, on this process's clock.
+    pub since: Duration,
+    /// Pool whose workers run it.
+    pub pool: PoolName,
+    /// Predicted duration of a task of each step.
+    pub durations: Vec<Duration>,
+    /// Predicted work in core-seconds.
+    pub work: f64,
+    /// Predicted length of the longest chain of work.
+    pub chain: Duration,
+    /// Latency objective.
+    pub objective: Duration,
+    /// Occurrences that have become due.
+    pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Number of occurrences that have become due.
+    pub spawned: u32,
+    /// How it ended, whether or not the store knows.
+    pub ended: Option<Final>,
+    /// Whether the store knows how it ended.
+    pub stored: bool,
+    /// Whether an earlier owner may have started tasks that are not known.
+    pub inherited: bool,
+    /// Whether any task was started.
+    pub started: bool,
+}
+
+impl LiveJob {
+    /// Takes over an accepted job; its first occurrence becomes due by [`LiveJob::spawn`].
+    #[must_use]
+    pub fn new(
+        id: JobId,
+        accepted: Accepted,
+        revision: Revision,
+        since: Duration,
+        estimates: &Estimates,
+    ) -> Self {
+        let job = &accepted.job;
+        let queue = &accepted.queue;
+        let predict = |step: &Step| estimates.duration(&queue.key, step);
+        let durations: Vec<Duration> = job.steps.iter().map(predict).collect();
+        let work = job.work(predict);
+        let chain = job.chain(&BTreeSet::new(), predict);
+        let objective =
+            chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target);
+        Self {
+            id,
+            pool: queue.pool.clone(),
+            revision,
+            since,
+            durations,
+            work,
+            chain,
+            objective,
+            occurrences: BTreeMap::new(),
+            spawned: 0,
+            ended: None,
+            stored: false,
+            inherited: false,
+            started: false,
+            accepted,
+        }
+    }
+
+    /// Adds the occurrences that are due at the time of day in milliseconds since 1970.
+    pub fn spawn(&mut self, unix: u64, now: Duration) {
+        let Some(schedule) = self.accepted.job.schedule else {
+            if self.spawned == 0 {
+                let occurrence = Occurrence::new(&self.accepted.job, self.since, self.chain);
+                self.occurrences.insert(0, occurrence);
+                self.spawned = 1;
+            }
+            return;
+        };
+        while self.spawned < schedule.count {
+            let due = schedule.first + u64::from(self.spawned) * schedule.period;
+            if due > unix {
+                break;
+            }
+            let occurrence = Occurrence::new(&self.accepted.job, now, self.chain);
+            self.occurrences.insert(self.spawned, occurrence);
+            self.spawned += 1;
+        }
+    }
+
+    /// Returns whether occurrences are still to come.
+    #[must_use]
+    pub fn has_future(&self) -> bool {
+        let count = self.accepted.job.schedule.map_or(1, |schedule| schedule.count);
+        self.spawned < count
+    }
+
+    /// Returns the declaration of a task's step.
+    #[must_use]
+    pub fn step(&self, key: &TaskKey) -> Option<&Step> {
+        self.accepted.job.steps.get(usize::from(key.step))
+    }
+
+    /// Returns the state of a task's step.
+    pub fn step_state(&mut self, key: &TaskKey) -> Option<&mut StepState> {
+        let occurrence = self.occurrences.get_mut(&key.occurrence)?;
+        occurrence.steps.get_mut(usize::from(key.step))
+    }
+
+    /// Returns the state of a task.
+    pub fn task(&mut self, key: &TaskKey) -> Option<&mut Task> {
+        let step = self.step_state(key)?;
+        step.tasks.get_mut(usize::try_from(key.index).ok()?)
+    }
+
+    /// Marks a task as finished and opens the steps that waited for it; false if it already was.
+    pub fn finish(&mut self, key: &TaskKey) -> bool {
+        let Some(task) = self.task(key) else {
+            return false;
+        };
+        if task.done {
+            return false;
+        }
+        task.done = true;
+        if let Some(step) = self.step_state(key) {
+            step.done += 1;
+        }
+        self.open_steps(key.occurrence);
+        true
+    }
+
+    fn open_steps(&mut self, number: u32) {
+        let Some(occurrence) = self.occurrences.get_mut(&number) else {
+            return;
+        };
+        let done = occurrence.done_steps();
+        let steps = self.accepted.job.steps.iter();
+        for (step, state) in steps.zip(&mut occurrence.steps) {
+            if !state.open && step.after.iter().all(|on| done.contains(on)) {
+                state.open = true;
+            }
+        }
+        let steps = &self.accepted.job.steps;
+        let duration = |step: &Step| {
+            let number = steps.iter().position(|each| std::ptr::eq(each, step));
+            number.map_or(Duration::ZERO, |number| self.durations[number])
+        };
+        occurrence.rest = self.accepted.job.chain(&done, duration);
+    }
+
+    /// Returns whether every task of every occurrence has finished.
+    #[must_use]
+    pub fn finished(&self) -> bool {
+        !self.has_future() && self.occurrences.values().all(Occurrence::finished)
+    }
+
+    /// Returns whether a task waits for a run.
+    #[must_use]
+    pub fn has_pending(&self) -> bool {
+        let steps = self.occurrences.values().flat_map(|each| &each.steps);
+        let mut open = steps.filter(|step| step.open);
+        self.ended.is_none() && open.any(|step| step.pending().next().is_some())
+    }
+
+    /// Returns the predicted work of tasks that have not finished, in core-seconds.
+    #[must_use]
+    pub fn work_left(&self) -> f64 {
+        let mut left = 0.0;
+        for occurrence in self.occurrences.values() {
+            let steps = self.accepted.job.steps.iter().zip(&self.durations);
+            for ((step, duration), state) in steps.zip(&occurrence.steps) {
+                let count = state.tasks.len() as f64 - f64::from(state.done);
+                left += count * step.need.cpu as f64 / 1_000.0 * duration.as_secs_f64();
+            }
+        }
+        left
+    }
+
+    /// Returns what callers are shown; an end counts only once it is stored.
+    #[must_use]
+    pub fn state(&self) -> JobState {
+        match self.ended {
+            Some(how) if self.stored => JobState::Ended(how),
+            _ if self.started => JobState::Running,
+            _ => JobState::Pending,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -0,0 +1,251 @@
+//! Machines as the platform lists them, and the orders given for them.
+//!
+//! Orders for a machine carry the owner's fencing token, but the platform need not check it. A
+//! new owner therefore waits for a lease time before its first order, and an owner gives none
+//! once its own lease may have ended.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_fleet::Size;
+use nutmegcart_model::Event;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::WorkerId;
+use nutmegcart_model::log_event;
+
+use crate::scheduler::Action;
+use crate::scheduler::Scheduler;
+
+/// Time after an order during which the list may still show the state before it.
+const LIST_LAG: Duration = Duration::from_millis(700);
+/// Time after which an order without an answer is given again.
+const REPEAT: Duration = Duration::from_millis(800);
+
+/// State of a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineState {
+    /// Its worker runs, or could run.
+    Up,
+    /// It moves to another pool.
+    Moving,
+    /// It is being maintained.
+    Maintained,
+    /// It has failed or was switched off.
+    Down,
+}
+
+/// A machine as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Name.
+    pub name: Arc<str>,
+    /// Pool.
+    pub pool: PoolName,
+    /// State.
+    pub state: MachineState,
+    /// Its worker, if one runs.
+    pub worker: Option<WorkerId>,
+    /// Capacity.
+    pub capacity: Size,
+}
+
+/// What an order does to a machine.
+#[derive(Clone, Debug, PartialEq)]
+pub enum MachineOrder {
+    /// Moves it to a pool.
+    Move(PoolName),
+    /// Maintains it within a wave.
+    Maintain(u64),
+}
+
+/// What became of an order for a machine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineOutcome {
+    /// It was carried out, now or before.
+    Done,
+    /// The machine is not up, or is leaving.
+    Busy,
+    /// The platform has seen a higher fencing token.
+    Fenced,
+    /// The order makes no sense to the platform, for example because the machine is gone.
+    Invalid,
+    /// The platform refused it for the moment; nothing was done.
+    Refused,
+    /// It may have been carried out.
+    Unknown,
+}
+
+impl MachineOutcome {
+    /// Returns the name of the outcome, for metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Busy => "busy",
+            Self::Fenced => "fenced",
+            Self::Invalid => "invalid",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// An order under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) order: MachineOrder,
+    pub(crate) worker: Option<WorkerId>,
+    /// When it was last sent, unless an answer asks for a repetition.
+    pub(crate) sent: Option<Duration>,
+    /// When it was confirmed.
+    pub(crate) done: Option<Duration>,
+}
+
+/// What is known about machines.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Machines {
+    pub(crate) known: BTreeMap<Arc<str>, Machine>,
+    pub(crate) pending: HashMap<Arc<str>, Pending>,
+    /// Span in which orders may be given.
+    pub(crate) from: Duration,
+    pub(crate) until: Duration,
+    /// When the latest list was asked for.
+    pub(crate) listed: Option<Duration>,
+}
+
+impl Scheduler {
+    /// Sets the span of time in which orders for machines may be given.
+    pub fn allow_machines(&mut self, from: Duration, until: Duration) {
+        self.machines.from = from;
+        self.machines.until = until;
+    }
+
+    /// Returns whether an order for a machine may be given.
+    pub(crate) fn may_order_machines(&self, now: Duration) -> bool {
+        now >= self.machines.from && now < self.machines.until && self.machines.listed.is_some()
+    }
+
+    /// Returns whether any machine changes its state, so that the list should be read often.
+    #[must_use]
+    pub fn machines_change(&self) -> bool {
+        !self.machines.pending.is_empty()
+    }
+
+    /// Takes in the list of machines that was asked for at `asked`.
+    pub fn see_machines(&mut self, list: Vec<Machine>, asked: Duration, now: Duration) {
+        if self.machines.listed.is_some_and(|latest| latest > asked) {
+            return;
+        }
+        self.machines.listed = Some(asked);
+        let by_name = |machine: Machine| (machine.name.clone(), machine);
+        self.machines.known = list.into_iter().map(by_name).collect();
+        let mut ended = Vec::new();
+        for (name, machine) in &self.machines.known {
+            for worker in self.workers.values() {
+                let other = machine.worker.is_some() && machine.worker.as_ref() != Some(&worker.listing.id);
+                if worker.listing.machine.as_ref() == Some(name) && other && !worker.listed {
+                    ended.push(worker.listing.id.clone());
+                }
+            }
+        }
+        for worker in ended {
+            log_event!(Event::WorkerReplaced, worker = worker);
+            self.end_life(&worker, now);
+        }
+        let known = &self.machines.known;
+        self.machines.pending.retain(|name, pending| {
+            let Some(machine) = known.get(name) else {
+                return false;
+            };
+            let settled = pending.done.is_some_and(|done| asked > done + LIST_LAG);
+            !(settled && machine.state == MachineState::Up)
+        });
+    }
+
+    /// Returns the worker of a machine.
+    pub(crate) fn worker_of(&self, machine: &Machine) -> Option<WorkerId> {
+        let listed = machine.worker.clone().filter(|id| self.workers.contains_key(id));
+        listed.or_else(|| {
+            let on_it = |id: &&WorkerId| {
+                let worker = &self.workers[*id];
+                worker.listed && worker.listing.machine.as_ref() == Some(&machine.name)
+            };
+            self.workers.keys().find(on_it).cloned()
+        })
+    }
+
+    /// Gives an order for a machine on which nothing runs that matters.
+    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: MachineOrder, now: Duration) {
+        let Some(machine) = self.machines.known.get(name) else {
+            return;
+        };
+        let worker = self.worker_of(machine);
+        if let Some(worker) = worker.as_ref().and_then(|id| self.workers.get_mut(id)) {
+            worker.reserved = true;
+        }
+        let pending = Pending {
+            order: order.clone(),
+            worker,
+            sent: Some(now),
+            done: None,
+        };
+        self.machines.pending.insert(name.clone(), pending);
+        self.push_machine_order(name, &order);
+    }
+
+    fn push_machine_order(&mut self, name: &Arc<str>, order: &MachineOrder) {
+        self.actions.push(Action::Machine {
+            machine: name.clone(),
+            order: order.clone(),
+        });
+    }
+
+    /// Gives orders again whose answer was lost or that were refused for the moment.
+    pub(crate) fn repeat_machine_orders(&mut self, now: Duration) {
+        let mut due = Vec::new();
+        for (name, pending) in &mut self.machines.pending {
+            let waited = pending.sent.is_none_or(|sent| now >= sent + REPEAT);
+            if pending.done.is_none() && waited {
+                pending.sent = Some(now);
+                due.push((name.clone(), pending.order.clone()));
+            }
+        }
+        for (name, order) in due {
+            self.push_machine_order(&name, &order);
+        }
+    }
+
+    /// Notes what became of an order for a machine.
+    pub fn machine_answered(&mut self, name: &Arc<str>, order: &MachineOrder, outcome: MachineOutcome, now: Duration) {
+        let Some(pending) = self.machines.pending.get_mut(name) else {
+            return;
+        };
+        if pending.order != *order || pending.done.is_some() {
+            return;
+        }
+        log_event!(Event::MachineOrdered, machine = name, order = format_args!("{order:?}"), outcome = format_args!("{outcome:?}"));
+        match outcome {
+            MachineOutcome::Done => {
+                pending.done = Some(now);
+                let worker = pending.worker.clone();
+                if let MachineOrder::Maintain(wave) = order {
+                    self.upkeep.note_done(*wave, name);
+                }
+                if let Some(worker) = worker {
+                    self.end_life(&worker, now);
+                }
+            }
+            MachineOutcome::Unknown => {}
+            MachineOutcome::Refused => pending.sent = Some(now),
+            MachineOutcome::Busy | MachineOutcome::Fenced | MachineOutcome::Invalid => {
+                let worker = pending.worker.clone();
+                self.machines.pending.remove(name);
+                if let Some(worker) = worker.and_then(|id| self.workers.get_mut(&id)) {
+                    worker.reserved = false;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -0,0 +1,538 @@
+//! One placement pass: waiting tasks onto the room of their pool's workers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_fleet::Size;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::Rack;
+use nutmegcart_model::WorkerId;
+
+use crate::advice::MOST_NAMED;
+use crate::job::JobId;
+use crate::job::Step;
+use crate::job::TaskKey;
+use crate::order::Standing;
+use crate::order::rank;
+use crate::scheduler::Action;
+use crate::scheduler::Order;
+use crate::scheduler::Scheduler;
+use crate::scheduler::StartOrder;
+use crate::worker::Run;
+use crate::worker::RunState;
+use crate::worker::StopReason;
+use crate::worker::Worker;
+use crate::worker::millis;
+
+/// Time that a lasting task waits for room before others are stopped to make it.
+const MAKE_ROOM: Duration = Duration::from_millis(900);
+/// Tasks that a worker with unexplained failures may run until one of them finishes.
+const PROBES: usize = 1;
+
+/// A worker that can take tasks in this pass.
+#[derive(Clone, Debug)]
+struct Slot {
+    id: WorkerId,
+    free: Size,
+    capacity: Size,
+    rack: Option<Rack>,
+    labels: Vec<Arc<str>>,
+    lasting: usize,
+    serving: usize,
+    fillers: usize,
+    running: usize,
+    suspect: bool,
+    closed: bool,
+}
+
+impl Slot {
+    fn new(worker: &Worker) -> Self {
+        let count = |test: &dyn Fn(&Run) -> bool| worker.runs.values().filter(|run| test(run)).count();
+        Self {
+            id: worker.listing.id.clone(),
+            free: worker.free(),
+            capacity: worker.listing.capacity,
+            rack: worker.rack(),
+            labels: worker.listing.labels.clone(),
+            lasting: count(&|run| run.lasting),
+            serving: count(&|run| run.serving),
+            fillers: count(&|run| run.filler),
+            running: worker.runs.len(),
+            suspect: !worker.streak.is_empty(),
+            closed: false,
+        }
+    }
+
+    /// Returns how well a task fits; the largest is best.
+    fn score(&self, step: &Step, near: Option<&Rack>) -> f64 {
+        let left = self.free.minus(step.room());
+        let share = |left: u64, all: u64| if all == 0 { 0.0 } else { left as f64 / all as f64 };
+        let spare = share(left.cpu, self.capacity.cpu) + share(left.memory, self.capacity.memory);
+        let mut score = if step.filler {
+            // Fillers disturb what serves, and get what the others leave.
+            spare - 8.0 * self.serving as f64 - self.fillers as f64
+        } else if step.lasting {
+            // Lasting tasks share few workers, so that the others can be moved and maintained.
+            (self.lasting.min(8) as f64) - spare
+        } else {
+            // The fullest worker that fits, so that large tasks find room and others fall empty.
+            -spare + if self.lasting > 0 { 0.5 } else { 0.0 }
+        };
+        if step.target > 0 {
+            score -= 4.0 * self.fillers as f64;
+        }
+        if near.is_some() && near == self.rack.as_ref() {
+            score += 100.0;
+        }
+        if self.suspect {
+            score -= 20.0;
+        }
+        score
+    }
+
+    fn take(&mut self, step: &Step) {
+        self.free = self.free.minus(step.room());
+        self.running += 1;
+        self.lasting += usize::from(step.lasting);
+        self.serving += usize::from(step.target > 0);
+        self.fillers += usize::from(step.filler);
+    }
+}
+
+/// Workers of one pool during a pass.
+#[derive(Debug, Default)]
+struct Field {
+    slots: Vec<Slot>,
+    largest: Size,
+}
+
+impl Field {
+    fn measure(&mut self) {
+        let open = self.slots.iter().filter(|slot| !slot.closed);
+        self.largest = open.fold(Size::default(), |largest, slot| largest.max(slot.free));
+    }
+
+    /// Finds the best worker for a task.
+    fn choose(&self, step: &Step, wish: &Wish<'_>) -> Option<usize> {
+        if !step.room().fits(self.largest) {
+            return None;
+        }
+        let mut best: Option<(usize, f64)> = None;
+        for (index, slot) in self.slots.iter().enumerate() {
+            if (slot.closed && !step.lasting) || !slot.admits(step, wish) || !step.room().fits(slot.free) {
+                continue;
+            }
+            let score = slot.score(step, wish.near);
+            if best.is_none_or(|(_, top)| score > top) {
+                best = Some((index, score));
+            }
+        }
+        best.map(|(index, _)| index)
+    }
+}
+
+/// What a task asks for beyond its step.
+struct Wish<'a> {
+    avoid: Option<&'a WorkerId>,
+    near: Option<&'a Rack>,
+    sharing: &'a HashMap<WorkerId, u32>,
+    tickets: Option<&'a dyn Fn(&WorkerId) -> bool>,
+}
+
+impl Slot {
+    fn admits(&self, step: &Step, wish: &Wish<'_>) -> bool {
+        let labelled = step.label.as_ref().is_none_or(|label| self.labels.contains(label));
+        let sharing = wish.sharing.get(&self.id).copied().unwrap_or_default();
+        let spread = step.spread == 0 || sharing < step.spread;
+        let avoided = wish.avoid == Some(&self.id);
+        let probing = !self.suspect || self.running < PROBES;
+        let permitted = wish.tickets.is_none_or(|permits| permits(&self.id));
+        labelled && spread && !avoided && probing && permitted
+    }
+}
+
+impl Scheduler {
+    /// Places waiting tasks and emits all orders that are due.
+    pub fn pass(&mut self, now: Duration) {
+        self.evacuate(now);
+        self.maintain(now);
+        self.lend(now);
+        let means = self.mean_work();
+        let mut waiting: HashMap<PoolName, Vec<(Standing, JobId, u32)>> = HashMap::new();
+        for job in self.jobs.values() {
+            if !job.has_pending() || (job.inherited && self.unsettled(&job.pool)) {
+                continue;
+            }
+            let mean = means.get(&job.accepted.queue.key).copied().unwrap_or(job.work);
+            for (number, occurrence) in &job.occurrences {
+                let standing = rank(job, occurrence, mean, now);
+                let pool = waiting.entry(job.pool.clone()).or_default();
+                pool.push((standing, job.id.clone(), *number));
+            }
+        }
+        for (pool, mut candidates) in waiting {
+            candidates.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.cmp(&b.1)));
+            let mut field = self.field(&pool, now);
+            for (_, job, occurrence) in candidates {
+                self.place_job(&mut field, &job, occurrence, now);
+            }
+        }
+        self.send_stops();
+        let jobs = &self.jobs;
+        self.tickets.retain(|job| jobs.contains_key(job));
+    }
+
+    /// Returns the mean work of the known jobs of each queue.
+    fn mean_work(&self) -> HashMap<crate::job::QueueKey, f64> {
+        let mut sums: HashMap<crate::job::QueueKey, (f64, f64)> = HashMap::new();
+        for job in self.jobs.values() {
+            let sum = sums.entry(job.accepted.queue.key.clone()).or_default();
+            sum.0 += job.work;
+            sum.1 += 1.0;
+        }
+        sums.into_iter().map(|(queue, (sum, count))| (queue, sum / count)).collect()
+    }
+
+    fn field(&self, pool: &PoolName, now: Duration) -> Field {
+        let workers = self.workers.values().filter(|worker| worker.listing.pool == *pool);
+        let usable = workers.filter(|worker| worker.usable(now));
+        let mut field = Field {
+            slots: usable.map(Slot::new).collect(),
+            largest: Size::default(),
+        };
+        field.measure();
+        field
+    }
+
+    fn place_job(&mut self, field: &mut Field, id: &JobId, number: u32, now: Duration) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrences.get(&number) else {
+            return;
+        };
+        let mut open = Vec::new();
+        for (step, state) in (0_u16..).zip(&occurrence.steps) {
+            if state.open {
+                let pending: Vec<u32> = state.pending().collect();
+                if !pending.is_empty() {
+                    open.push((step, pending));
+                }
+            }
+        }
+        for (step, pending) in open {
+            let key = TaskKey {
+                job: id.clone(),
+                occurrence: number,
+                step,
+                index: 0,
+            };
+            self.place_step(field, &key, &pending, now);
+        }
+    }
+
+    fn place_step(&mut self, field: &mut Field, key: &TaskKey, pending: &[u32], now: Duration) {
+        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)).cloned() else {
+            return;
+        };
+        if !step.room().fits(field.largest) && !step.lasting {
+            return;
+        }
+        let mut sharing = self.sharing(key);
+        if step.gang {
+            self.place_gang(field, key, &step, pending, &mut sharing, now);
+            return;
+        }
+        let racks = if step.together { self.racks_in_use(key) } else { None };
+        for index in pending {
+            let task = TaskKey {
+                index: *index,
+                ..key.clone()
+            };
+            let near = step.rack.as_ref().or(racks.as_ref());
+            match self.choose_slot(field, &task, &step, &sharing, near, now) {
+                Some(slot) => self.start(field, slot, &task, &step, None, &mut sharing, now),
+                None if step.lasting => self.make_room(field, &task, &step, &sharing, now),
+                None if step.spread == 0 => break,
+                None => {}
+            }
+        }
+        field.measure();
+    }
+
+    fn choose_slot(
+        &mut self,
+        field: &Field,
+        task: &TaskKey,
+        step: &Step,
+        sharing: &HashMap<WorkerId, u32>,
+        near: Option<&Rack>,
+        now: Duration,
+    ) -> Option<usize> {
+        let advice = self.jobs.get(&task.job).and_then(|job| job.accepted.queue.advice);
+        let avoid = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)).and_then(|task| task.avoid.clone());
+        let permits = |worker: &WorkerId| self.tickets.get(task, worker, now).is_some();
+        let wish = Wish {
+            avoid: avoid.as_ref(),
+            near,
+            sharing,
+            tickets: advice.as_ref().map(|_| &permits as &dyn Fn(&WorkerId) -> bool),
+        };
+        let chosen = field.choose(step, &wish);
+        let relaxed = Wish { avoid: None, ..wish };
+        let alone = avoid.is_some() && field.slots.len() <= 1;
+        let chosen = chosen.or_else(|| if alone { field.choose(step, &relaxed) } else { None });
+        if let (None, Some(advice)) = (chosen, advice) {
+            let ask = Wish { tickets: None, ..relaxed };
+            let named = field.slots.iter().filter(|slot| slot.admits(step, &ask) && step.room().fits(slot.free));
+            let workers: Vec<WorkerId> = named.take(MOST_NAMED).map(|slot| slot.id.clone()).collect();
+            if !workers.is_empty() && self.tickets.ask(task, advice, now) {
+                self.actions.push(Action::Advise {
+                    step: TaskKey { index: 0, ..task.clone() },
+                    workers,
+                });
+            }
+        }
+        chosen
+    }
+
+    /// Counts the runs of a step on each worker, those being stopped included.
+    fn sharing(&self, key: &TaskKey) -> HashMap<WorkerId, u32> {
+        let mut sharing = HashMap::new();
+        for worker in self.workers.values() {
+            let same = |task: &&TaskKey| {
+                task.job == key.job && task.occurrence == key.occurrence && task.step == key.step
+            };
+            let count = worker.runs.keys().filter(same).count();
+            if count > 0 {
+                sharing.insert(worker.listing.id.clone(), u32::try_from(count).unwrap_or(u32::MAX));
+            }
+        }
+        sharing
+    }
+
+    /// Returns the rack that most runs of a step use.
+    fn racks_in_use(&self, key: &TaskKey) -> Option<Rack> {
+        let sharing = self.sharing(key);
+        let mut racks: HashMap<Rack, u32> = HashMap::new();
+        for (id, count) in sharing {
+            if let Some(rack) = self.workers.get(&id).and_then(Worker::rack) {
+                *racks.entry(rack).or_default() += count;
+            }
+        }
+        racks.into_iter().max_by_key(|(rack, count)| (*count, rack.clone())).map(|(rack, _)| rack)
+    }
+
+    /// Starts all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        field: &mut Field,
+        key: &TaskKey,
+        step: &Step,
+        pending: &[u32],
+        sharing: &mut HashMap<WorkerId, u32>,
+        now: Duration,
+    ) {
+        if pending.len() != step.count as usize {
+            return;
+        }
+        let racks: Vec<Option<Rack>> = if step.together && step.rack.is_none() {
+            let mut racks: Vec<Rack> = field.slots.iter().filter_map(|slot| slot.rack.clone()).collect();
+            racks.sort();
+            racks.dedup();
+            racks.into_iter().map(Some).chain([None]).collect()
+        } else {
+            vec![step.rack.clone()]
+        };
+        for rack in racks {
+            let mut trial = Field {
+                slots: field.slots.clone(),
+                largest: field.largest,
+            };
+            let mut shared = sharing.clone();
+            let mut chosen = Vec::new();
+            for index in pending {
+                let task = TaskKey { index: *index, ..key.clone() };
+                let Some(slot) = self.choose_slot(&trial, &task, step, &shared, rack.as_ref(), now) else {
+                    break;
+                };
+                trial.slots[slot].take(step);
+                *shared.entry(trial.slots[slot].id.clone()).or_default() += 1;
+                trial.measure();
+                chosen.push((task, slot));
+            }
+            let one_rack = rack.is_none()
+                || !step.together
+                || chosen.iter().all(|(_, slot)| field.slots[*slot].rack == rack);
+            if chosen.len() == pending.len() && one_rack {
+                let run = self.gang_run(key);
+                for (task, slot) in chosen {
+                    self.start(field, slot, &task, step, Some(run), sharing, now);
+                }
+                field.measure();
+                return;
+            }
+        }
+    }
+
+    /// Returns the run number of a gang's next start, above all that its members have used.
+    fn gang_run(&mut self, key: &TaskKey) -> u32 {
+        let state = self.jobs.get_mut(&key.job).and_then(|job| job.step_state(key));
+        let highest = state.and_then(|state| state.tasks.iter().map(|task| task.run).max());
+        highest.unwrap_or_default() + 1
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "one start needs its place, its step and the count of copies")]
+    fn start(
+        &mut self,
+        field: &mut Field,
+        slot: usize,
+        key: &TaskKey,
+        step: &Step,
+        gang: Option<u32>,
+        sharing: &mut HashMap<WorkerId, u32>,
+        now: Duration,
+    ) {
+        let id = field.slots[slot].id.clone();
+        let hold = millis(self.settings.hold);
+        let ticket = self.tickets.get(key, &id, now);
+        let Some(worker) = self.workers.get_mut(&id) else {
+            return;
+        };
+        let Some(until) = worker.clock(now).map(|clock| clock + hold) else {
+            return;
+        };
+        if worker.runs.contains_key(key) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let spec = job.accepted.job.spec.clone();
+        job.started = true;
+        let Some(task) = job.task(key) else {
+            return;
+        };
+        task.run = gang.unwrap_or(task.run + 1);
+        task.live += 1;
+        task.started = true;
+        let number = task.run;
+        let checkpoint = task.saved.clone();
+        worker.extend(until);
+        let run = Run {
+            number,
+            state: RunState::Ordered,
+            since: now,
+            confirmed: None,
+            room: step.room(),
+            percent: 0,
+            moved: now,
+            figure: 0,
+            pace: 100,
+            paced: now,
+            saved: checkpoint.clone(),
+            serving: step.target > 0,
+            filler: step.filler,
+            lasting: step.lasting,
+        };
+        worker.runs.insert(key.clone(), run);
+        field.slots[slot].take(step);
+        *sharing.entry(id.clone()).or_default() += 1;
+        self.order(
+            &id,
+            Order::Start(StartOrder {
+                task: key.clone(),
+                run: number,
+                spec,
+                until,
+                checkpoint,
+                ticket,
+            }),
+        );
+    }
+
+    /// Keeps a worker free of shorter tasks until a lasting task fits, and stops them in the end.
+    ///
+    /// Answers the load pattern of a pool that a burst keeps full: a lasting task that fails then
+    /// has to start again within seconds.
+    fn make_room(&mut self, field: &mut Field, task: &TaskKey, step: &Step, sharing: &HashMap<WorkerId, u32>, now: Duration) {
+        let wish = Wish {
+            avoid: None,
+            near: None,
+            sharing,
+            tickets: None,
+        };
+        let room = |slot: &Slot| {
+            let worker = self.workers.get(&slot.id);
+            let runs = worker.into_iter().flat_map(|worker| worker.runs.values());
+            let short = runs.filter(|run| !run.lasting);
+            short.fold(slot.free, |sum, run| sum + run.room)
+        };
+        let fitting = field.slots.iter().enumerate().filter(|(_, slot)| slot.admits(step, &wish) && step.room().fits(room(slot)));
+        let best = fitting.max_by_key(|(_, slot)| (slot.closed, slot.free.cpu));
+        let Some(index) = best.map(|(index, _)| index) else {
+            return;
+        };
+        field.slots[index].closed = true;
+        let id = field.slots[index].id.clone();
+        let waiting = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)).map(|task| task.waiting);
+        if waiting.is_none_or(|since| now < since + MAKE_ROOM) {
+            return;
+        }
+        let Some(worker) = self.workers.get(&id) else {
+            return;
+        };
+        let mut short: Vec<(Duration, TaskKey, Size)> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| !run.lasting && run.state == RunState::Running)
+            .map(|(key, run)| (run.since, key.clone(), run.room))
+            .collect();
+        short.sort_by_key(|(since, _, _)| std::cmp::Reverse(*since));
+        let stopping = worker.runs.values().filter(|run| matches!(run.state, RunState::Stopping { .. }));
+        let mut free = stopping.fold(worker.free(), |sum, run| sum + run.room);
+        for (_, key, size) in short {
+            if step.room().fits(free) {
+                break;
+            }
+            free = free + size;
+            self.stop(&id, &key, StopReason::Preempted);
+        }
+    }
+
+    /// Moves work off workers that are shutting down.
+    ///
+    /// A task that ends before its worker leaves is left alone; the others start again elsewhere.
+    fn evacuate(&mut self, now: Duration) {
+        let mut stops = Vec::new();
+        for worker in self.workers.values() {
+            let leaves = worker.listing.draining || worker.is_missing(now);
+            if !leaves || worker.failing.is_some() {
+                continue;
+            }
+            for (key, run) in &worker.runs {
+                if run.state != RunState::Running {
+                    continue;
+                }
+                let job = self.jobs.get(&key.job);
+                let duration = job.and_then(|job| job.durations.get(usize::from(key.step)));
+                let left = duration.map(|duration| duration.saturating_sub(now.saturating_sub(run.since)));
+                let fits = left.is_some_and(|left| left < worker.listing.remaining);
+                if run.lasting || !fits {
+                    stops.push((worker.listing.id.clone(), key.clone()));
+                }
+            }
+        }
+        for (id, key) in stops {
+            self.stop(&id, &key, StopReason::Evacuated);
+        }
+    }
+}
+
+impl Worker {
+    /// Returns the worker's rack.
+    pub(crate) fn rack(&self) -> Option<Rack> {
+        crate::worker::Listing::rack_of(&self.listing.labels)
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -0,0 +1,612 @@
+//! The scheduler of a cell: its jobs, its workers, and the events that change them.
+//!
+//! A cell is a slice of the fleet with the jobs handed in to it. One entry instance owns it under
+//! a lease of the store, and the revision of the owner's key is the fencing token of every order.
+//! Workers refuse lower tokens, so once a worker has answered this owner, no order of an earlier
+//! one takes effect there.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_model::Event;
+use nutmegcart_model::PoolName;
+use nutmegcart_model::WorkerId;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::Revision;
+
+use crate::advice::Tickets;
+use crate::durable::Durable;
+use crate::estimate::Estimates;
+use crate::job::JobId;
+use crate::job::Queue;
+use crate::job::QueueKey;
+use crate::job::TaskKey;
+use crate::lending::Lending;
+use crate::machines::MachineOrder;
+use crate::machines::Machines;
+use crate::live::LiveJob;
+use crate::record::Accepted;
+use crate::record::CellRecord;
+use crate::record::Final;
+use crate::record::JobState;
+use crate::upkeep::Upkeep;
+use crate::worker::Listing;
+use crate::worker::RunState;
+use crate::worker::StopReason;
+use crate::worker::Worker;
+use crate::worker::slowest;
+
+/// Run numbers that are left out for tasks that an earlier owner may have started unseen.
+const INHERITED_GAP: u32 = 16;
+
+/// Times and bounds of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Length of the lease under which runs live.
+    pub hold: Duration,
+    /// Longest lease that a worker grants.
+    pub hold_max: Duration,
+    /// Time for which an owner may act after its last successful renewal in the store.
+    pub authority: Duration,
+    /// Time that a stop takes at most.
+    pub stop: Duration,
+    /// Time that members of a gang wait for each other.
+    pub gang_wait: Duration,
+    /// Factor on the duration of tasks away from their data.
+    pub far: f64,
+    /// Time that a worker is away for a move.
+    pub move_time: Duration,
+    /// Time that a worker is away for maintenance.
+    pub upkeep_time: Duration,
+    /// Time after which a lasting task that is not at work counts as away.
+    pub notice: Duration,
+    /// Time for which the state of an ended job is shown at least.
+    pub shown: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_secs(6),
+            hold_max: Duration::from_secs(10),
+            authority: Duration::from_secs(8),
+            stop: Duration::from_millis(400),
+            gang_wait: Duration::from_secs(3),
+            far: 2.0,
+            move_time: Duration::from_millis(1_500),
+            upkeep_time: Duration::from_secs(2),
+            notice: Duration::from_millis(4_500),
+            shown: Duration::from_secs(180),
+        }
+    }
+}
+
+/// What the configuration says about a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolConfig {
+    /// Whether its machines are switched off and lent to other pools on demand.
+    pub spare: bool,
+}
+
+/// An order to start a task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOrder {
+    /// Task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Description for the task.
+    pub spec: Arc<str>,
+    /// End of the lease on the worker's clock in milliseconds.
+    pub until: u64,
+    /// Checkpoint to continue from.
+    pub checkpoint: Option<Arc<str>>,
+    /// Proof that the worker may run the step.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// What an order tells a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Starts a task.
+    Start(StartOrder),
+    /// Stops a run.
+    Stop {
+        /// Task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+    },
+    /// Sets the share of its speed that a run is allowed.
+    Pace {
+        /// Task.
+        task: TaskKey,
+        /// Number of the run.
+        run: u32,
+        /// Share in percent.
+        percent: u32,
+    },
+}
+
+/// What the owner's I/O has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Sends an order to a worker.
+    Order {
+        /// Worker.
+        worker: WorkerId,
+        /// Address.
+        address: Arc<str>,
+        /// Order.
+        order: Order,
+    },
+    /// Asks which workers may run a step.
+    Advise {
+        /// First task of the step.
+        step: TaskKey,
+        /// Workers in question.
+        workers: Vec<WorkerId>,
+    },
+    /// Gives an order for a machine.
+    Machine {
+        /// Machine.
+        machine: Arc<str>,
+        /// Order.
+        order: MachineOrder,
+    },
+}
+
+/// The scheduler of a cell.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) settings: Settings,
+    /// Fencing token.
+    pub(crate) fence: u64,
+    /// When this owner took over.
+    pub(crate) taken: Duration,
+    pub(crate) queues: HashMap<QueueKey, Queue>,
+    pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
+    pub(crate) jobs: HashMap<JobId, LiveJob>,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    /// Runs to stop although no job accounts for them.
+    pub(crate) strays: HashSet<(WorkerId, TaskKey, u32)>,
+    pub(crate) estimates: Estimates,
+    pub(crate) durable: Durable,
+    pub(crate) tickets: Tickets,
+    pub(crate) lending: Lending,
+    pub(crate) machines: Machines,
+    pub(crate) upkeep: Upkeep,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Order {
+    /// Returns the name of the kind of order, for metrics.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Start(_) => "start",
+            Self::Stop { .. } => "stop",
+            Self::Pace { .. } => "pace",
+        }
+    }
+}
+
+impl Scheduler {
+    /// Creates the scheduler of an owner that has just taken over with a fencing token.
+    #[must_use]
+    pub fn new(settings: Settings, fence: Revision, now: Duration) -> Self {
+        Self {
+            settings,
+            fence: u64::try_from(fence).unwrap_or_default(),
+            taken: now,
+            queues: HashMap::new(),
+            pools: BTreeMap::new(),
+            jobs: HashMap::new(),
+            workers: BTreeMap::new(),
+            strays: HashSet::new(),
+            estimates: Estimates::default(),
+            durable: Durable::default(),
+            tickets: Tickets::default(),
+            lending: Lending::default(),
+            machines: Machines::default(),
+            upkeep: Upkeep::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Returns the fencing token.
+    #[must_use]
+    pub const fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Returns the jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &LiveJob> {
+        self.jobs.values()
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Takes the actions that have become due.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&mut self, queues: &[Queue], pools: &[(PoolName, PoolConfig)]) {
+        self.queues = queues
+            .iter()
+            .map(|queue| (queue.key.clone(), queue.clone()))
+            .collect();
+        self.pools = pools.iter().cloned().collect();
+        for job in self.jobs.values_mut() {
+            if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
+                job.pool = queue.pool.clone();
+            }
+        }
+    }
+
+    /// Takes over the state of the cell that an earlier owner left.
+    pub fn inherit(&mut self, record: &CellRecord) {
+        for enrolled in &record.workers {
+            let listing = Listing {
+                id: enrolled.worker.clone(),
+                born: enrolled.born,
+                machine: None,
+                address: enrolled.address.clone(),
+                centre: "".into(),
+                pool: enrolled.pool.clone(),
+                draining: false,
+                remaining: Duration::ZERO,
+                capacity: nutmegcart_fleet::Size::default(),
+                labels: Vec::new(),
+            };
+            let mut worker = Worker::new(listing);
+            worker.listed = false;
+            worker.enrolled = true;
+            worker.inherited = true;
+            self.workers.insert(enrolled.worker.clone(), worker);
+        }
+        for progress in &record.tasks {
+            let Some(job) = self.jobs.get_mut(&progress.task.job) else {
+                continue;
+            };
+            if progress.done {
+                job.finish(&progress.task);
+            }
+            if let Some(task) = job.task(&progress.task) {
+                task.failed.clone_from(&progress.failed);
+                task.run = task.run.max(progress.run + INHERITED_GAP);
+                task.saved.clone_from(&progress.saved);
+                task.started = true;
+                job.started = true;
+            }
+        }
+        self.durable.inherit(record);
+        let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            self.settle_job(&id);
+        }
+    }
+
+    /// Adds an accepted job; `inherited` if an earlier owner may have started it.
+    pub fn add_job(
+        &mut self,
+        id: &JobId,
+        accepted: Accepted,
+        revision: Revision,
+        inherited: bool,
+        unix: u64,
+        now: Duration,
+    ) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.revision = job.revision.max(revision);
+            return;
+        }
+        let age = Duration::from_millis(unix.saturating_sub(accepted.at));
+        // The clocks of two instances may differ by seconds; a new job cannot be old.
+        let age = if inherited { age.min(now) } else { Duration::ZERO };
+        let since = now.saturating_sub(age);
+        let mut job = LiveJob::new(id.clone(), accepted, revision, since, &self.estimates);
+        job.inherited = inherited;
+        if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
+            job.pool = queue.pool.clone();
+        }
+        job.spawn(unix, now);
+        if inherited {
+            let steps = job.occurrences.values_mut().flat_map(|each| &mut each.steps);
+            for task in steps.flat_map(|step| &mut step.tasks) {
+                task.run = INHERITED_GAP;
+            }
+        }
+        self.lending.note_arrival(&job, now);
+        self.jobs.insert(id.clone(), job);
+    }
+
+    /// Notes that the store holds the end of a job, its own or one that a caller asked for.
+    pub fn note_ended(&mut self, id: &JobId, how: Final, now: Duration) {
+        self.durable.note_ended(id, how, now);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if how == Final::Cancelled && job.ended.is_none() {
+            log_event!(Event::CallerJobCancelled, job = id, age_ms = now.saturating_sub(job.since).as_millis());
+        }
+        job.ended = Some(how);
+        job.stored = true;
+        self.stop_job(id, now);
+    }
+
+    /// Returns the state of a job that the owner knows.
+    #[must_use]
+    pub fn state(&self, id: &JobId) -> Option<JobState> {
+        let live = self.jobs.get(id).map(LiveJob::state);
+        live.or_else(|| self.durable.ended(id).map(JobState::Ended))
+    }
+
+    /// Returns how many accepted jobs of a queue have started no task.
+    #[must_use]
+    pub fn waiting(&self, queue: &QueueKey) -> usize {
+        let waits = |job: &&LiveJob| {
+            job.ended.is_none() && !job.started && job.accepted.queue.key == *queue
+        };
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Notes what service discovery says about a worker.
+    pub fn see_worker(&mut self, listing: Listing, now: Duration) {
+        let id = listing.id.clone();
+        let Some(worker) = self.workers.get_mut(&id) else {
+            log_event!(Event::WorkerListed, worker = id, pool = listing.pool, born = listing.born);
+            self.workers.insert(id, Worker::new(listing));
+            return;
+        };
+        let replaced = listing.born != 0 && worker.born != 0 && listing.born > worker.born;
+        let pool_changed = worker.listing.pool != listing.pool;
+        if !worker.listed {
+            log_event!(Event::WorkerListed, worker = id, pool = listing.pool, born = listing.born);
+        }
+        if listing.draining && !worker.listing.draining {
+            log_event!(Event::WorkerLeaving, worker = id, left_ms = listing.remaining.as_millis());
+        }
+        let born = listing.born;
+        worker.listing = listing;
+        worker.listed = true;
+        if worker.born == 0 {
+            worker.born = born;
+        }
+        if pool_changed {
+            worker.enrolled = false;
+        }
+        if replaced {
+            self.replace_life(&id, born, now);
+        }
+    }
+
+    /// Returns a worker.
+    #[must_use]
+    pub fn worker(&self, id: &WorkerId) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Notes that service discovery no longer lists a worker.
+    pub fn lose_worker(&mut self, id: &WorkerId, now: Duration) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && worker.listed
+        {
+            worker.listed = false;
+            worker.missing = now;
+            log_event!(Event::WorkerUnlisted, worker = id, runs = worker.runs.len());
+        }
+    }
+
+    /// Notes that a machine's worker was replaced, which ends every run on it.
+    pub fn end_life(&mut self, id: &WorkerId, now: Duration) {
+        self.release_all(id, now);
+        self.workers.remove(id);
+    }
+
+    /// Forgets the runs of an earlier life, except those whose order may still be carried out.
+    pub(crate) fn replace_life(&mut self, id: &WorkerId, born: u64, now: Duration) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        log_event!(Event::WorkerReplaced, worker = id, runs = worker.runs.len(), born = born);
+        worker.born = born;
+        worker.fenced = false;
+        worker.enrolled = false;
+        worker.inherited = false;
+        worker.contact = None;
+        worker.lease = 0;
+        worker.seen = 0;
+        worker.acked = 0;
+        worker.ends.clear();
+        worker.streak.clear();
+        let mut gone = Vec::new();
+        for (task, run) in &mut worker.runs {
+            let unsettled = match run.state {
+                RunState::Ordered => true,
+                RunState::Stopping { reason, .. } => reason == StopReason::Unanswered,
+                RunState::Running => false,
+            };
+            if unsettled {
+                run.state = RunState::Stopping {
+                    reason: StopReason::Unanswered,
+                    sent: false,
+                    settled: None,
+                };
+            } else {
+                gone.push(task.clone());
+            }
+        }
+        // The new life does not know which late orders the earlier one was told to refuse.
+        let late: Vec<(TaskKey, u32)> = worker.late_orders(now);
+        for task in gone {
+            self.release(id, &task, now);
+        }
+        for (task, run) in late {
+            self.strays.insert((id.clone(), task, run));
+        }
+    }
+
+    /// Ends all runs on a worker.
+    pub(crate) fn release_all(&mut self, id: &WorkerId, now: Duration) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = worker.runs.keys().cloned().collect();
+        for task in tasks {
+            self.release(id, &task, now);
+        }
+    }
+
+    /// Notes that a run has certainly ended without finishing; its task may run elsewhere.
+    pub(crate) fn release(&mut self, id: &WorkerId, key: &TaskKey, now: Duration) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.remove(key) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        if let Some(task) = job.task(key) {
+            task.live = task.live.saturating_sub(1);
+            task.waiting = now;
+            if run.saved.is_some() {
+                task.saved = run.saved;
+            }
+        }
+        self.drop_if_over(&key.job);
+    }
+
+    /// Asks for the end of a run.
+    pub(crate) fn stop(&mut self, id: &WorkerId, key: &TaskKey, reason: StopReason) {
+        let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(key)) else {
+            return;
+        };
+        if matches!(run.state, RunState::Stopping { .. }) {
+            return;
+        }
+        if reason != StopReason::JobEnded && reason != StopReason::CopyDone {
+            log_event!(Event::RunStopped, task = key, run = run.number, worker = id, reason = format_args!("{reason:?}"));
+        }
+        run.state = RunState::Stopping {
+            reason,
+            sent: false,
+            settled: None,
+        };
+    }
+
+    /// Stops every run of a job that has ended.
+    pub(crate) fn stop_job(&mut self, id: &JobId, _now: Duration) {
+        let mut runs = Vec::new();
+        for worker in self.workers.values() {
+            for key in worker.runs.keys().filter(|key| key.job == *id) {
+                runs.push((worker.listing.id.clone(), key.clone()));
+            }
+        }
+        for (worker, key) in runs {
+            self.stop(&worker, &key, StopReason::JobEnded);
+        }
+        self.drop_if_over(id);
+    }
+
+    /// Ends a job whose tasks have all finished.
+    pub(crate) fn settle_job(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.ended.is_none() && job.finished() {
+            job.ended = Some(Final::Completed);
+        }
+        if job.ended.is_some() && !job.stored {
+            self.durable.want_final(id);
+        }
+    }
+
+    /// Ends a job of which a task failed too often.
+    pub(crate) fn fail_job(&mut self, id: &JobId, now: Duration) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.ended.is_some() {
+            return;
+        }
+        job.ended = Some(Final::Failed);
+        log_event!(Event::CallerJobFailed, job = id, age_ms = now.saturating_sub(job.since).as_millis());
+        self.durable.want_final(id);
+        self.stop_job(id, now);
+    }
+
+    /// Forgets a job whose end is stored and of which nothing runs.
+    pub(crate) fn drop_if_over(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if !job.stored {
+            return;
+        }
+        let runs = self.workers.values().any(|worker| worker.runs.keys().any(|key| key.job == *id));
+        if !runs {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Returns whether tasks of an inherited job may still run where this owner cannot look.
+    pub(crate) fn unsettled(&self, pool: &PoolName) -> bool {
+        let unsettled = |worker: &Worker| worker.inherited && !worker.fenced && worker.listing.pool == *pool;
+        self.workers.values().any(unsettled)
+    }
+
+    /// Advances what depends on time alone; call it at least every 100 ms.
+    pub fn tick(&mut self, unix: u64, now: Duration) {
+        let scheduled = self.jobs.values_mut().filter(|job| job.accepted.job.schedule.is_some());
+        for job in scheduled {
+            job.spawn(unix, now);
+        }
+        self.bury_workers(now);
+        self.stop_stalled(now);
+        self.pace(now);
+        self.durable.expire(self.settings.shown, now);
+    }
+
+    /// Ends the runs of workers whose leases have run out in silence.
+    fn bury_workers(&mut self, now: Duration) {
+        let inherited = self.taken + self.settings.authority + slowest(self.settings.hold_max);
+        let mut dead = Vec::new();
+        for (id, worker) in &self.workers {
+            let silent = worker.failing.is_some() || !worker.listed;
+            let over = match worker.dead_at() {
+                Some(end) => now >= end,
+                None if worker.inherited => now >= inherited,
+                None => worker.runs.is_empty() && !worker.listed,
+            };
+            if silent && over && !(worker.runs.is_empty() && worker.listed && !worker.inherited) {
+                dead.push((id.clone(), worker.listed));
+            }
+        }
+        for (id, listed) in dead {
+            if let Some(worker) = self.workers.get(&id)
+                && !worker.runs.is_empty()
+            {
+                log_event!(Event::WorkerBuried, worker = id, runs = worker.runs.len());
+            }
+            self.release_all(&id, now);
+            if listed {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.inherited = false;
+                }
+            } else {
+                self.workers.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -85,6 +85,8 @@
     OperationSealed = 1110, NotRun, 409, "the operation was sealed as not run";
     TooManyConnections = 1111, NotRun, 503, "the connection limit of this entry instance is reached";
     MemoryLimit = 1112, NotRun, 503, "the limit of buffered bytes is reached";
+    NoConfiguration = 1113, NotRun, 503, "this entry instance has no configuration yet";
+    UnknownQueue = 1114, NotRun, 404, "no queue has the host and prefix";
     OperationCancelled = 1180, NotRun, 409, "the operation was cancelled before it was sent";
     RefusedByRunner = 1201, RefusedByBackend, 503, "the runner refused the request before starting it";
     AnswerTimeout = 1301, Unknown, 504, "no whole answer arrived before the deadline";
@@ -109,6 +111,8 @@
     KeyReused = 1405, Invalid, 422, "the operation identifier was used with another request";
     NotFound = 1406, Invalid, 404, "there is no such path or record";
     BodyTooSlow = 1407, Invalid, 408, "the request body did not arrive in time";
+    UnknownJob = 1408, Invalid, 410, "no such job exists";
+    JobUnreadable = 1409, Unknown, 503, "the record of the job cannot be read";
     NotJson = 2001, Invalid, 400, "the document is not JSON";
     UnknownVersion = 2002, Invalid, 400, "the schema version is not supported";
     UnknownKind = 2003, Invalid, 400, "the record kind is not known";
