Give inherited workers time to be listed, and store jobs through peers

Jobs on instances that the store refuses ended as unknown after 900 ms. Ruled out: two stops in one pass; each is checked after the one before. Change: missing counts from the take-over, evacuation of unlisted workers keeps the budget, and an instance whose store calls fail hands jobs and cancellations to peers.

--- a/crates/nutmegcart_control/src/accept.rs
+++ b/crates/nutmegcart_control/src/accept.rs
@@ -13,6 +13,8 @@
 use nutmegcart_jobs::record::encode;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::oneshot;
 
 use crate::clock::now;
@@ -22,11 +24,9 @@
 const MOST_FLIGHTS: usize = 3;
 /// Jobs in one transaction, so that one large batch doesn't delay the next caller.
 const MOST_JOBS: usize = 12;
-/// Pause before a transaction whose answer was lost is sent again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(40);
 
 /// Whether a job was accepted.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Acceptance {
     /// The store holds it, from this attempt or an earlier one.
     Stored,
@@ -39,8 +39,6 @@
 struct Submission {
     id: JobId,
     value: Vec<u8>,
-    deadline: Duration,
-    uncertain: bool,
     waiters: Vec<oneshot::Sender<Acceptance>>,
 }
 
@@ -53,8 +51,8 @@
 }
 
 impl Acceptor {
-    /// Stores a job and returns whether it was accepted, at the deadline at the latest.
-    pub async fn accept(self: &Rc<Self>, node: &Rc<Node>, id: JobId, accepted: Accepted, deadline: Duration) -> Acceptance {
+    /// Makes one attempt at storing a job, which ends at the deadline at the latest.
+    pub async fn accept(self: &Rc<Self>, node: &Rc<Node>, id: JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
         let (answer, answered) = oneshot::channel();
         if let Some(waiters) = self.present.borrow_mut().get_mut(&id) {
             // The same job is being stored for an earlier request of its caller.
@@ -63,9 +61,7 @@
             self.present.borrow_mut().insert(id.clone(), Vec::new());
             self.queue.borrow_mut().push_back(Submission {
                 id,
-                value: encode(&JobRecord::Accepted(Box::new(accepted))),
-                deadline,
-                uncertain: false,
+                value: encode(&JobRecord::Accepted(Box::new(accepted.clone()))),
                 waiters: vec![answer],
             });
             self.pump(node);
@@ -109,6 +105,7 @@
             }
             match (node.platform.store.txn)(txn).await {
                 Ok(reply) if reply.committed => {
+                    node.note_store(true);
                     for submission in batch.drain(..) {
                         self.answer(submission, Acceptance::Stored);
                     }
@@ -126,41 +123,22 @@
                     batch = rest;
                 }
                 Err(StoreError::AnswerLost { .. }) => {
+                    node.note_store(false);
                     node.metrics.retries.with_label_values(&["store_answer_lost"]).inc();
-                    for submission in &mut batch {
-                        submission.uncertain = true;
+                    for submission in batch.drain(..) {
+                        self.answer(submission, Acceptance::Unsettled);
                     }
-                    tokio::time::sleep(REPEAT_PAUSE).await;
-                    batch = self.give_up_expired(batch);
                 }
                 Err(_) => {
-                    // Nothing was written by this attempt, but an earlier one may yet take effect.
-                    let mut uncertain = Vec::new();
+                    node.note_store(false);
                     for submission in batch.drain(..) {
-                        if submission.uncertain {
-                            uncertain.push(submission);
-                        } else {
-                            self.answer(submission, Acceptance::NotStored);
-                        }
-                    }
-                    if !uncertain.is_empty() {
-                        tokio::time::sleep(REPEAT_PAUSE).await;
+                        self.answer(submission, Acceptance::NotStored);
                     }
-                    batch = self.give_up_expired(uncertain);
                 }
             }
         }
     }
 
-    fn give_up_expired(&self, batch: Vec<Submission>) -> Vec<Submission> {
-        let at = now();
-        let (expired, rest): (Vec<_>, Vec<_>) = batch.into_iter().partition(|each| at >= each.deadline);
-        for submission in expired {
-            self.answer(submission, Acceptance::Unsettled);
-        }
-        rest
-    }
-
     fn answer(&self, submission: Submission, acceptance: Acceptance) {
         let joined = self.present.borrow_mut().remove(&submission.id).unwrap_or_default();
         for waiter in submission.waiters.into_iter().chain(joined) {
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -1,5 +1,6 @@
 //! Callers' requests about jobs: submit, show, cancel and count.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
@@ -26,12 +28,18 @@
 use crate::node::Node;
 use crate::peer;
 use crate::peer::Answer as PeerAnswer;
+use crate::peer::Cancellation;
+use crate::peer::PeerError;
 use crate::peer::Question;
 
 /// Time kept back from a deadline so that the answer still arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 /// Pause before a call to the store whose answer was lost is made again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// Peers asked in turn to store a job; one that reaches the store is soon among them.
+const MOST_HELPERS: usize = 4;
+/// Longest wait for a peer that stores for this instance.
+const HELP_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time after which a caller should come back when the store does not take jobs. Outages last
 /// seconds, and a second is the least that the header can say.
 const STORE_RETRY: Duration = Duration::from_secs(1);
@@ -141,7 +149,7 @@
         };
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
-        let acceptance = self.acceptor.accept(node, id.clone(), accepted, deadline).await;
+        let acceptance = self.settle(node, &id, &accepted, deadline).await;
         let took = now().saturating_sub(start).as_millis();
         match acceptance {
             Acceptance::Stored => {
@@ -163,6 +171,69 @@
     }
 }
 
+impl Desk {
+    /// Stores a job through the store or, while that fails here, through a peer that reaches it.
+    ///
+    /// The transaction demands that the job does not exist yet. So any number of attempts may be
+    /// under way, here and at peers, and the first definite answer holds for all of them. Only if
+    /// no attempt is left whose effect is open may the job be refused as not run.
+    async fn settle(&self, node: &Rc<Node>, id: &JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
+        let mut uncertain = false;
+        let mut through_peer = node.trouble.get().is_some();
+        let mut helpers = node.helpers().into_iter().take(MOST_HELPERS);
+        let mut tried = false;
+        loop {
+            let helper = if through_peer { helpers.next() } else { None };
+            let exhausted = helper.is_none() && through_peer;
+            let acceptance = if let Some(helper) = helper {
+                node.metrics.retries.with_label_values(&["store_through_peer"]).inc();
+                submit_at(node, helper, id, accepted, deadline).await
+            } else {
+                if tried {
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                    helpers = node.helpers().into_iter().take(MOST_HELPERS);
+                }
+                tried = true;
+                self.acceptor.accept(node, id.clone(), accepted, deadline).await
+            };
+            through_peer = true;
+            match acceptance {
+                Acceptance::Stored => return Acceptance::Stored,
+                Acceptance::NotStored if !uncertain && tried && (exhausted || helpers.len() == 0) => {
+                    return Acceptance::NotStored;
+                }
+                Acceptance::NotStored => {}
+                Acceptance::Unsettled => uncertain = true,
+            }
+            if now() + REPEAT_PAUSE >= deadline {
+                return if uncertain { Acceptance::Unsettled } else { Acceptance::NotStored };
+            }
+        }
+    }
+
+    /// Makes one attempt at storing a job for a peer.
+    pub async fn store_for_peer(&self, node: &Rc<Node>, id: JobId, accepted: Accepted, limit: Duration) -> Acceptance {
+        if node.trouble.get().is_some() {
+            return Acceptance::NotStored;
+        }
+        self.acceptor.accept(node, id, &accepted, now() + limit).await
+    }
+}
+
+async fn submit_at(node: &Rc<Node>, helper: SocketAddr, id: &JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
+    let limit = deadline.saturating_sub(now()).min(HELP_TIMEOUT);
+    let question = Question::Submit(id.clone(), Box::new(accepted.clone()), millis(limit));
+    match peer::ask_at(node, helper, &question, limit).await {
+        Ok(PeerAnswer::Accepted(acceptance)) => acceptance,
+        Ok(_) => Acceptance::NotStored,
+        Err(PeerError::NoOwner | PeerError::Unreachable { .. }) => Acceptance::NotStored,
+        Err(error) => {
+            log::debug!("peer {helper} did not answer on {id}: {error}");
+            Acceptance::Unsettled
+        }
+    }
+}
+
 /// Shows a job by the owner's memory, or by the store if the owner does not know it.
 async fn show(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
     match peer::ask(node, &Question::State(id.clone())).await {
@@ -197,23 +268,50 @@
     }
 }
 
-/// Cancels a job in the store, where its owner sees it.
+/// Cancels a job in the store, where its owner sees it, through a peer if the store fails here.
 async fn cancel(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
     let key = node.keys.job(&id);
+    let mut helpers = node.helpers().into_iter();
+    let mut through_peer = node.trouble.get().is_some();
     loop {
-        match try_cancel(node, &key, &id).await {
-            Ok(Some(answer)) => return answer,
-            Ok(None) => {}
-            Err(error) if now() + REPEAT_PAUSE >= deadline => {
-                log::debug!("job {id} not cancelled: {error}");
-                return Answer::refused(Code::AnswerTimeout);
+        let helper = if through_peer { helpers.next() } else { None };
+        if let Some(helper) = helper {
+            let limit = deadline.saturating_sub(now()).min(HELP_TIMEOUT);
+            let question = Question::Cancel(id.clone(), millis(limit));
+            match peer::ask_at(node, helper, &question, limit).await {
+                Ok(PeerAnswer::Cancelled(Cancellation::Done)) => return Answer::Cancelled,
+                Ok(PeerAnswer::Cancelled(Cancellation::Gone)) => return Answer::Gone,
+                Ok(_) | Err(_) => {}
             }
-            Err(_) => {
-                node.metrics.retries.with_label_values(&["store_cancel"]).inc();
-                tokio::time::sleep(REPEAT_PAUSE).await;
+        } else {
+            helpers = node.helpers().into_iter();
+            match try_cancel(node, &key, &id).await {
+                Ok(Some(answer)) => return answer,
+                Ok(None) => continue,
+                Err(_) => through_peer = true,
             }
         }
+        if now() + REPEAT_PAUSE >= deadline {
+            return Answer::refused(Code::AnswerTimeout);
+        }
+        node.metrics.retries.with_label_values(&["store_cancel"]).inc();
+        tokio::time::sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Cancels a job for a peer that does not reach the store.
+pub async fn cancel_for_peer(node: &Rc<Node>, id: &JobId, limit: Duration) -> Cancellation {
+    let deadline = now() + limit;
+    let key = node.keys.job(id);
+    while now() < deadline && node.trouble.get().is_none() {
+        match try_cancel(node, &key, id).await {
+            Ok(Some(Answer::Cancelled)) => return Cancellation::Done,
+            Ok(Some(Answer::Gone)) => return Cancellation::Gone,
+            Ok(None) => {}
+            Ok(Some(_)) | Err(_) => break,
+        }
     }
+    Cancellation::Unsettled
 }
 
 /// Makes one attempt; nothing if another write came first.
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,12 +29,15 @@
 const RENEWALS: u32 = 4;
 /// Pause between two attempts at a vacant cell, as a bound on load when the store fails.
 const RETRY: Duration = Duration::from_millis(150);
+/// Length of the lease of an instance's address. A stale address costs a failed connection only.
+const MEMBER_LEASE: Duration = Duration::from_secs(8);
 /// Largest delay by which instances spread their attempts at a vacant cell.
 const SPREAD: u64 = 60;
 
 /// Follows the owner's key, and takes the cell over whenever it is vacant.
 pub async fn run(node: Rc<Node>) {
     tokio::task::spawn_local(follow_owner(node.clone()));
+    tokio::task::spawn_local(announce(node.clone()));
     loop {
         if node.is_stopping() {
             return;
@@ -62,30 +66,86 @@
 
 async fn follow_owner(node: Rc<Node>) {
     let key = node.keys.owner();
-    let mut follower = Follower::new(key.clone());
+    let mut follower = Follower::new(node.keys.instances());
     loop {
         let seen = follower.next(&node.platform.store).await;
-        if follower.heard.is_some() {
-            node.heard.set(follower.heard.max(node.heard.get()));
-        }
+        node.note_store(follower.reached);
         for each in seen {
             match each {
                 Seen::Put(item) if item.key == key => see_owner(&node, &item),
-                Seen::Gone(gone) if gone == key => {
-                    *node.owner.borrow_mut() = None;
-                    if let Some(owned) = node.owned.borrow().as_ref() {
-                        owned.give_up("the owner's key is gone");
+                Seen::Put(item) => see_member(&node, &item),
+                Seen::Gone(gone) if gone == key => lose_owner(&node),
+                Seen::Gone(gone) => {
+                    if let Some(name) = node.keys.member_of(&gone) {
+                        node.members.borrow_mut().remove(name);
                     }
                 }
                 Seen::Complete => node.owner_known.set(true),
-                Seen::Put(_) | Seen::Gone(_) => {}
             }
         }
         node.owner_changed.notify_waiters();
     }
 }
 
-fn see_owner(node: &Rc<Node>, item: &KeyValue) {
+/// Notes that nobody owns the cell.
+pub fn lose_owner(node: &Rc<Node>) {
+    *node.owner.borrow_mut() = None;
+    if let Some(owned) = node.owned.borrow().as_ref() {
+        owned.give_up("the owner's key is gone");
+    }
+}
+
+fn see_member(node: &Rc<Node>, item: &KeyValue) {
+    let Some(name) = node.keys.member_of(&item.key) else {
+        return;
+    };
+    match nutmegcart_jobs::record::decode::<SocketAddr>(&item.value) {
+        Ok(address) => {
+            node.members.borrow_mut().insert(name.into(), address);
+        }
+        Err(error) => log_event!(Event::JobRecordInvalid, key = item.key, reason = error),
+    }
+}
+
+/// Keeps the address of this instance in the store, where others find it.
+pub async fn announce(node: Rc<Node>) {
+    let key = node.keys.member(&node.settings.name);
+    let value = nutmegcart_jobs::record::encode(&node.settings.peer);
+    let mut lease = None;
+    while !node.is_stopping() {
+        let result = match lease {
+            None => enter(&node, &key, &value).await.map(Some),
+            Some(held) => {
+                let kept = (node.platform.store.keep)(held).await;
+                kept.map(|alive| alive.then_some(held))
+            }
+        };
+        let pause = match result {
+            Ok(held) => {
+                lease = held;
+                if held.is_some() { MEMBER_LEASE / RENEWALS } else { RETRY }
+            }
+            Err(error) => {
+                log::debug!("address not announced: {error}");
+                RETRY * 4
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+    if let Some(held) = lease {
+        end_lease(&node, held).await;
+    }
+}
+
+async fn enter(node: &Rc<Node>, key: &str, value: &[u8]) -> Result<LeaseId, StoreError> {
+    let lease = (node.platform.store.grant)(MEMBER_LEASE).await?;
+    let txn = Txn::default().put_leased(key, value.to_vec(), lease);
+    (node.platform.store.txn)(txn).await?;
+    Ok(lease)
+}
+
+/// Notes who owns the cell.
+pub fn see_owner(node: &Rc<Node>, item: &KeyValue) {
     let Ok(record) = nutmegcart_jobs::record::decode::<OwnerRecord>(&item.value) else {
         log_event!(Event::JobRecordInvalid, key = item.key);
         *node.owner.borrow_mut() = None;
@@ -193,7 +253,7 @@
         match (node.platform.store.keep)(owned.lease).await {
             Ok(true) => {
                 owned.renewed.set(sent);
-                node.heard.set(Some(now()));
+                node.note_store(true);
             }
             Ok(false) => owned.give_up("the lease has ended"),
             Err(error) => {
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -29,6 +29,7 @@
 use nutmegcart_platform::Txn;
 use tokio::sync::Semaphore;
 
+use crate::cell;
 use crate::clock::now;
 use crate::clock::unix_ms;
 use crate::follow::Follower;
@@ -79,7 +80,19 @@
     let mut first = Vec::new();
     while !owned.is_over() {
         let seen = follower.next(&node.platform.store).await;
-        node.heard.set(follower.heard.max(node.heard.get()));
+        node.note_store(follower.reached);
+        // Ownership and jobs come in one order here: whoever has seen a job has seen before it
+        // whether the cell had changed its owner by then.
+        for each in &seen {
+            match each {
+                Seen::Put(item) if item.key == node.keys.owner() => cell::see_owner(&node, item),
+                Seen::Gone(key) if *key == node.keys.owner() => cell::lose_owner(&node),
+                _ => {}
+            }
+        }
+        if owned.is_over() {
+            break;
+        }
         if seen.is_empty() {
             continue;
         }
--- a/crates/nutmegcart_control/src/follow.rs
+++ b/crates/nutmegcart_control/src/follow.rs
@@ -45,6 +45,8 @@
     pub gap: Duration,
     /// When a call last succeeded.
     pub heard: Option<Duration>,
+    /// Whether the latest call succeeded.
+    pub reached: bool,
 }
 
 impl Follower {
@@ -59,6 +61,7 @@
             failing: None,
             gap: Duration::ZERO,
             heard: None,
+            reached: false,
         }
     }
 
@@ -72,6 +75,7 @@
             Ok(seen) => {
                 self.pause = PAUSE;
                 self.heard = Some(now());
+                self.reached = true;
                 if let Some(since) = self.failing.take() {
                     let silent = now().saturating_sub(since).as_millis();
                     log_event!(LogEvent::DependencyBack, dependency = "store", prefix = self.prefix, silent_ms = silent);
@@ -86,6 +90,7 @@
                 Vec::new()
             }
             Err(error) => {
+                self.reached = false;
                 if self.failing.is_none() {
                     self.failing = Some(now());
                     log_event!(LogEvent::DependencyLost, dependency = "store", prefix = self.prefix, reason = error);
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -81,7 +82,7 @@
     ///
     /// ```
     /// # use nutmegcart_control::node::CellKeys;
-    /// assert_eq!(CellKeys::new(0).owner(), "nutmegcart/cell/0/owner");
+    /// assert_eq!(CellKeys::new(0).owner(), "nutmegcart/cell/0/instance/owner");
     /// ```
     #[must_use]
     pub fn new(cell: u32) -> Self {
@@ -90,10 +91,28 @@
         }
     }
 
+    /// Prefix of the keys about entry instances.
+    #[must_use]
+    pub fn instances(&self) -> String {
+        format!("{}instance/", self.prefix)
+    }
+
     /// Key of the owner.
     #[must_use]
     pub fn owner(&self) -> String {
-        format!("{}owner", self.prefix)
+        format!("{}owner", self.instances())
+    }
+
+    /// Key under which an instance tells its address.
+    #[must_use]
+    pub fn member(&self, name: &str) -> String {
+        format!("{}at/{name}", self.instances())
+    }
+
+    /// Returns the instance that a key names.
+    #[must_use]
+    pub fn member_of<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(&self.instances())?.strip_prefix("at/")
     }
 
     /// Key of the state that outlives an owner.
@@ -204,6 +223,10 @@
     pub owner_known: Cell<bool>,
     /// Scheduler while this instance is the owner.
     pub owned: RefCell<Option<Rc<Owned>>>,
+    /// Addresses of the other instances.
+    pub members: RefCell<BTreeMap<Arc<str>, SocketAddr>>,
+    /// Since when calls to the store fail, if they do.
+    pub trouble: Cell<Option<Duration>>,
     /// Wakes whoever waits for a change of the owner.
     pub owner_changed: Notify,
     /// When the store last answered.
@@ -234,6 +257,8 @@
             owner: RefCell::new(None),
             owner_known: Cell::new(false),
             owned: RefCell::new(None),
+            members: RefCell::default(),
+            trouble: Cell::new(None),
             owner_changed: Notify::new(),
             heard: Cell::new(None),
             stopping: watch::Sender::new(false),
@@ -243,6 +268,33 @@
         })
     }
 
+    /// Notes whether a call to the store was answered.
+    pub fn note_store(&self, answered: bool) {
+        if answered {
+            self.heard.set(Some(now()));
+            self.trouble.set(None);
+        } else if self.trouble.get().is_none() {
+            self.trouble.set(Some(now()));
+        }
+    }
+
+    /// Returns peers to ask for help, the owner first.
+    #[must_use]
+    pub fn helpers(&self) -> Vec<SocketAddr> {
+        let owner = self.owner.borrow().as_ref().filter(|owner| owner.life != self.life).map(|owner| owner.peer);
+        let members = self.members.borrow();
+        let count = members.len().max(1);
+        let turn = usize::try_from(self.life).unwrap_or_default() % count;
+        let others = members.values().cycle().skip(turn).take(members.len());
+        let mut helpers: Vec<SocketAddr> = owner.into_iter().collect();
+        for other in others {
+            if !helpers.contains(other) && *other != self.settings.peer {
+                helpers.push(*other);
+            }
+        }
+        helpers
+    }
+
     /// Returns whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -13,13 +13,18 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use nutmegcart_jobs::Accepted;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::QueueKey;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::accept::Acceptance;
+use crate::caller;
+use crate::caller::Desk;
 use crate::http;
+use crate::http::CallError;
 use crate::node::Node;
 
 /// Result of a question.
@@ -38,8 +43,14 @@
     /// No owner is known.
     #[display("no instance owns the cell")]
     NoOwner,
-    /// The owner did not answer in time.
-    #[display("the owner does not answer: {reason}")]
+    /// The question was not sent.
+    #[display("the peer cannot be reached: {reason}")]
+    Unreachable {
+        /// What failed.
+        reason: String,
+    },
+    /// The peer did not answer in time.
+    #[display("the peer does not answer: {reason}")]
     Silent {
         /// What failed.
         reason: String,
@@ -53,6 +64,10 @@
     State(JobId),
     /// How many jobs of a queue have started no task.
     Waiting(QueueKey),
+    /// Stores a job for an instance that does not reach the store, within the milliseconds.
+    Submit(JobId, Box<Accepted>, u64),
+    /// Cancels a job for such an instance, within the milliseconds.
+    Cancel(JobId, u64),
 }
 
 /// The owner's answer.
@@ -64,6 +79,21 @@
     Waiting(u64),
     /// The instance does not own the cell.
     NotOwner,
+    /// Whether the job was accepted.
+    Accepted(Acceptance),
+    /// What became of the cancellation.
+    Cancelled(Cancellation),
+}
+
+/// What became of a cancellation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Cancellation {
+    /// The job is cancelled, or had ended before.
+    Done,
+    /// No such job exists.
+    Gone,
+    /// It was not settled.
+    Unsettled,
 }
 
 /// Answers a question from memory.
@@ -79,6 +109,7 @@
             let count = scheduler.waiting(queue);
             Answer::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
+        Question::Submit(..) | Question::Cancel(..) => Answer::NotOwner,
     }
 }
 
@@ -95,36 +126,47 @@
     if owner.life == node.life {
         return Err(PeerError::NoOwner);
     }
-    let silent = |reason: String| PeerError::Silent { reason };
-    let body = rmp_serde::to_vec(question).map_err(|error| silent(error.to_string()))?;
-    let host = owner.peer.to_string();
-    let request = http::request("POST", PATH, &[("host", &host)], Bytes::from(body));
-    let response = node.client.call(owner.peer, request, ANSWER_TIMEOUT).await;
-    let response = response.map_err(|error| silent(error.to_string()))?;
-    let answer = rmp_serde::from_slice(response.body()).map_err(|error| silent(error.to_string()))?;
-    match answer {
+    match ask_at(node, owner.peer, question, ANSWER_TIMEOUT).await? {
         Answer::NotOwner => Err(PeerError::NoOwner),
         answer => Ok(answer),
     }
 }
 
+/// Asks one instance.
+///
+/// # Errors
+///
+/// Fails if it does not answer in time.
+pub async fn ask_at(node: &Rc<Node>, peer: SocketAddr, question: &Question, limit: Duration) -> Result<Answer> {
+    let silent = |reason: String| PeerError::Silent { reason };
+    let body = rmp_serde::to_vec(question).map_err(|error| silent(error.to_string()))?;
+    let host = peer.to_string();
+    let request = http::request("POST", PATH, &[("host", &host)], Bytes::from(body));
+    let response = node.client.call(peer, request, limit).await;
+    let response = response.map_err(|error| match error {
+        CallError::NotSent { reason } => PeerError::Unreachable { reason },
+        CallError::Lost { reason } => silent(reason),
+    })?;
+    rmp_serde::from_slice(response.body()).map_err(|error| silent(error.to_string()))
+}
+
 /// Serves questions of other instances.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub async fn serve(node: Rc<Node>, address: SocketAddr) -> std::io::Result<()> {
+pub async fn serve(node: Rc<Node>, desk: Desk, address: SocketAddr) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::bind(address).await?;
     let stop = node.stopping.subscribe();
     let handler = move |request: Request<Incoming>| {
-        let node = node.clone();
-        async move { respond(&node, request).await }
+        let (node, desk) = (node.clone(), desk.clone());
+        async move { respond(&node, &desk, request).await }
     };
     http::serve(listener, http::ServerLimits::default(), stop, handler).await;
     Ok(())
 }
 
-async fn respond(node: &Rc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(node: &Rc<Node>, desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let status = |code: u16| {
         let mut response = Response::new(Full::default());
         *response.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
@@ -140,7 +182,18 @@
     let Ok(question) = rmp_serde::from_slice::<Question>(&body.to_bytes()) else {
         return status(400);
     };
-    match rmp_serde::to_vec(&answer(node, &question)) {
+    let answer = match question {
+        Question::Submit(id, accepted, limit) => {
+            let limit = Duration::from_millis(limit);
+            Answer::Accepted(desk.store_for_peer(node, id, *accepted, limit).await)
+        }
+        Question::Cancel(id, limit) => {
+            let limit = Duration::from_millis(limit);
+            Answer::Cancelled(caller::cancel_for_peer(node, &id, limit).await)
+        }
+        question => answer(node, &question),
+    };
+    match rmp_serde::to_vec(&answer) {
         Ok(body) => Response::new(Full::new(Bytes::from(body))),
         Err(error) => {
             log::error!("answer to a peer cannot be encoded: {error}");
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -6,6 +6,7 @@
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 
+use crate::caller::Desk;
 use crate::cell;
 use crate::clock::now;
 use crate::duty;
@@ -23,10 +24,10 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(900);
 
 /// Starts the tasks of an instance other than its adapter's servers.
-pub fn start(node: &Rc<Node>) {
+pub fn start(node: &Rc<Node>, desk: &Desk) {
     tokio::task::spawn_local(follow_operator(node.clone()));
     tokio::task::spawn_local(cell::run(node.clone()));
-    tokio::task::spawn_local(serve_peers(node.clone()));
+    tokio::task::spawn_local(serve_peers(node.clone(), desk.clone()));
     tokio::task::spawn_local(async {
         loop {
             tokio::time::sleep(logger::FLUSH_EVERY).await;
@@ -36,9 +37,9 @@
     log_event!(Event::EntryStarted, id = node.settings.name, peer = node.settings.peer);
 }
 
-async fn serve_peers(node: Rc<Node>) {
+async fn serve_peers(node: Rc<Node>, desk: Desk) {
     let address = node.settings.peer;
-    while let Err(error) = peer::serve(node.clone(), address).await {
+    while let Err(error) = peer::serve(node.clone(), desk.clone(), address).await {
         log::error!("peers not served on {address}: {error}");
         tokio::time::sleep(Duration::from_secs(1)).await;
     }
@@ -50,7 +51,7 @@
     let mut follower = Follower::new(&*directory.operator);
     loop {
         let seen = follower.next(&node.platform.store).await;
-        node.heard.set(follower.heard.max(node.heard.get()));
+        node.note_store(follower.reached);
         for each in seen {
             let Seen::Put(item) = each else {
                 continue;
--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -520,12 +520,15 @@
                 let left = duration.map(|duration| duration.saturating_sub(now.saturating_sub(run.since)));
                 let fits = left.is_some_and(|left| left < worker.listing.remaining);
                 if run.lasting || !fits {
-                    stops.push((worker.listing.id.clone(), key.clone()));
+                    let sound = !worker.listing.draining;
+                    stops.push((worker.listing.id.clone(), key.clone(), run.lasting && sound));
                 }
             }
         }
-        for (id, key) in stops {
-            self.stop(&id, &key, StopReason::Evacuated);
+        for (id, key, budgeted) in stops {
+            if !budgeted || self.may_interrupt(&key, now) {
+                self.stop(&id, &key, StopReason::Evacuated);
+            }
         }
     }
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -171,6 +171,8 @@
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
     pub(crate) jobs: HashMap<JobId, LiveJob>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    /// Lives that have certainly ended, whose entries may still be listed.
+    pub(crate) buried: HashMap<WorkerId, u64>,
     /// Runs to stop although no job accounts for them.
     pub(crate) strays: HashSet<(WorkerId, TaskKey, u32)>,
     pub(crate) estimates: Estimates,
@@ -206,6 +208,7 @@
             pools: BTreeMap::new(),
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
+            buried: HashMap::new(),
             strays: HashSet::new(),
             estimates: Estimates::default(),
             durable: Durable::default(),
@@ -269,6 +272,7 @@
             };
             let mut worker = Worker::new(listing);
             worker.listed = false;
+            worker.missing = self.taken;
             worker.enrolled = true;
             worker.inherited = true;
             self.workers.insert(enrolled.worker.clone(), worker);
@@ -362,6 +366,9 @@
     /// Notes what service discovery says about a worker.
     pub fn see_worker(&mut self, listing: Listing, now: Duration) {
         let id = listing.id.clone();
+        if self.buried.get(&id).is_some_and(|born| listing.born <= *born) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(&id) else {
             log_event!(Event::WorkerListed, worker = id, pool = listing.pool, born = listing.born);
             self.workers.insert(id, Worker::new(listing));
@@ -404,12 +411,15 @@
             worker.missing = now;
             log_event!(Event::WorkerUnlisted, worker = id, runs = worker.runs.len());
         }
+        self.buried.remove(id);
     }
 
     /// Notes that a machine's worker was replaced, which ends every run on it.
     pub fn end_life(&mut self, id: &WorkerId, now: Duration) {
         self.release_all(id, now);
-        self.workers.remove(id);
+        if let Some(worker) = self.workers.remove(id) {
+            self.buried.insert(id.clone(), worker.born);
+        }
     }
 
     /// Forgets the runs of an earlier life, except those whose order may still be carried out.
