Store wave progress, and let the machine list decide which worker lives ended

Cause: a successor ordered all machines of a wave again; the platform answers 200 for those already maintained, and the owner then buried their live workers, whose lasting tasks did not start again (LOST). Ruled out: the block on inherited jobs, which ends after 14 s. Change: maintained machines are part of the cell's record; the list of machines tells which lives have ended, also for inherited workers, so the block mostly ends at the first list.

--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -179,6 +179,7 @@
             flush.expired = self.durable.expired.drain(..count).collect();
         }
         if self.state_due(now) {
+            self.upkeep.changed = false;
             flush.state = Some(self.snapshot(&mut flight));
         }
         if flush.is_empty() {
@@ -191,7 +192,7 @@
     /// Returns whether a worker waits to be enrolled or ends wait for their progress record.
     fn state_due(&self, now: Duration) -> bool {
         let joins = self.workers.values().any(|worker| worker.listed && !worker.enrolled && worker.born != 0);
-        joins || self.workers.values().any(|worker| {
+        joins || self.upkeep.changed || self.workers.values().any(|worker| {
             let oldest = worker.ends.front();
             oldest.is_some_and(|end| now >= end.seen + PROGRESS_AGE)
         })
@@ -200,6 +201,7 @@
     /// Encodes the workers that may hold tasks and the progress of unfinished jobs.
     fn snapshot(&self, flight: &mut Flight) -> Vec<u8> {
         let mut record = CellRecord::default();
+        record.maintained = self.upkeep.maintained();
         let mut covered = Vec::new();
         for (id, worker) in &self.workers {
             covered.push((id.clone(), worker.born, worker.seen));
@@ -213,6 +215,7 @@
                     born: worker.born,
                     pool: worker.listing.pool.clone(),
                     address: worker.listing.address.clone(),
+                    machine: worker.listing.machine.clone(),
                 });
             }
         }
@@ -260,6 +263,7 @@
     }
 
     fn want_again(&mut self, flight: &Flight) {
+        self.upkeep.changed |= flight.covered.is_some();
         for (id, _) in &flight.finals {
             if self.jobs.get(id).is_some_and(|job| !job.stored) {
                 self.durable.want_final(id);
--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -121,7 +121,8 @@
                 Some(MachineOrder::Move(pool)) => pool.clone(),
                 _ => machine.pool.clone(),
             };
-            let (lasting, runs) = self.load_of(machine);
+            let (lasting, _) = self.load_of(machine);
+            let empty = self.is_empty(machine);
             let balance = balances.entry(target).or_default();
             if machine.state != MachineState::Down {
                 balance.have += 1;
@@ -130,7 +131,7 @@
                 balance.want += 1;
             }
             let free = machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
-            if free && runs == 0 && !self.upkeep.wants(&name) {
+            if free && empty && !self.upkeep.wants(&name) {
                 let since = self.lending.idle.get(&name).copied().unwrap_or(now);
                 seen.insert(name.clone(), since);
                 balance.idle.push((since, name));
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -142,12 +142,15 @@
         let by_name = |machine: Machine| (machine.name.clone(), machine);
         self.machines.known = list.into_iter().map(by_name).collect();
         let mut ended = Vec::new();
-        for (name, machine) in &self.machines.known {
-            for worker in self.workers.values() {
-                let other = machine.worker.is_some() && machine.worker.as_ref() != Some(&worker.listing.id);
-                if worker.listing.machine.as_ref() == Some(name) && other && !worker.listed {
-                    ended.push(worker.listing.id.clone());
-                }
+        for worker in self.workers.values() {
+            let machine = worker.listing.machine.as_ref().and_then(|name| self.machines.known.get(name));
+            let Some(machine) = machine else {
+                continue;
+            };
+            let other = machine.worker.as_ref().is_some_and(|id| *id != worker.listing.id);
+            let heard = worker.contact.is_some_and(|contact| contact.at >= asked);
+            if (other || machine.state != MachineState::Up) && !heard {
+                ended.push(worker.listing.id.clone());
             }
         }
         for worker in ended {
@@ -229,13 +232,11 @@
         match outcome {
             MachineOutcome::Done => {
                 pending.done = Some(now);
-                let worker = pending.worker.clone();
+                // The order may have been carried out long before; the list tells whether the worker
+                // that ran when it was given has ended.
                 if let MachineOrder::Maintain(wave) = order {
                     self.upkeep.note_done(*wave, name);
                 }
-                if let Some(worker) = worker {
-                    self.end_life(&worker, now);
-                }
             }
             MachineOutcome::Unknown => {}
             MachineOutcome::Refused => pending.sent = Some(now),
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -104,6 +104,9 @@
     pub pool: PoolName,
     /// Address that the orders go to.
     pub address: Arc<str>,
+    /// Machine that it runs on, if known.
+    #[serde(default)]
+    pub machine: Option<Arc<str>>,
 }
 
 /// Progress of one task that a successor cannot learn from the workers any more.
@@ -128,6 +131,9 @@
     pub workers: Vec<Enrolled>,
     /// Progress of unfinished jobs.
     pub tasks: Vec<TaskProgress>,
+    /// Machines that have been maintained, by wave.
+    #[serde(default)]
+    pub maintained: Vec<(u64, Vec<Arc<str>>)>,
 }
 
 /// Encodes a record with its version.
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -261,7 +261,7 @@
             let listing = Listing {
                 id: enrolled.worker.clone(),
                 born: enrolled.born,
-                machine: None,
+                machine: enrolled.machine.clone(),
                 address: enrolled.address.clone(),
                 centre: "".into(),
                 pool: enrolled.pool.clone(),
@@ -293,6 +293,7 @@
             }
         }
         self.durable.inherit(record);
+        self.upkeep.inherit(&record.maintained);
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
@@ -590,7 +591,7 @@
 
     /// Ends the runs of workers whose leases have run out in silence.
     fn bury_workers(&mut self, now: Duration) {
-        let inherited = self.taken + self.settings.authority + slowest(self.settings.hold_max);
+        let inherited = self.taken + self.settings.authority + slowest(self.settings.hold);
         let mut dead = Vec::new();
         for (id, worker) in &self.workers {
             let silent = worker.failing.is_some() || !worker.listed;
--- a/crates/nutmegcart_jobs/src/upkeep.rs
+++ b/crates/nutmegcart_jobs/src/upkeep.rs
@@ -59,12 +59,33 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Upkeep {
     waves: BTreeMap<u64, Wave>,
+    inherited: BTreeMap<u64, BTreeSet<Arc<str>>>,
+    /// Whether progress is not stored yet.
+    pub(crate) changed: bool,
 }
 
 impl Upkeep {
+    /// Takes over the progress that an earlier owner stored.
+    pub(crate) fn inherit(&mut self, maintained: &[(u64, Vec<Arc<str>>)]) {
+        for (wave, machines) in maintained {
+            self.inherited.insert(*wave, machines.iter().cloned().collect());
+        }
+    }
+
+    /// Returns the machines that have been maintained, by wave.
+    pub(crate) fn maintained(&self) -> Vec<(u64, Vec<Arc<str>>)> {
+        let mut all = self.inherited.clone();
+        for (number, wave) in &self.waves {
+            all.insert(*number, wave.done.clone());
+        }
+        let listed = all.into_iter().map(|(number, done)| (number, done.into_iter().collect()));
+        listed.collect()
+    }
+
     pub(crate) fn note_done(&mut self, wave: u64, machine: &Arc<str>) {
         if let Some(wave) = self.waves.get_mut(&wave) {
             wave.done.insert(machine.clone());
+            self.changed = true;
             wave.reserved.remove(machine);
         }
     }
@@ -82,12 +103,13 @@
 impl Scheduler {
     /// Takes in a wave; one that is known already keeps its progress.
     pub fn see_wave(&mut self, request: WaveRequest, now: Duration) {
+        let done = self.upkeep.inherited.get(&request.number).cloned().unwrap_or_default();
         let wave = self.upkeep.waves.entry(request.number).or_insert_with(|| {
             log_event!(Event::WaveSeen, wave = request.number, machines = request.machines.len(), most = request.most);
             Wave {
                 request: request.clone(),
                 seen: now,
-                done: BTreeSet::new(),
+                done,
                 reserved: BTreeSet::new(),
                 completed: false,
             }
@@ -156,7 +178,7 @@
             (first, self.load_of(machine), machine.name.clone())
         });
         let mut room = most.saturating_sub(down);
-        let empty: Vec<Arc<str>> = open.iter().filter(|machine| self.load_of(machine) == (0, 0)).map(|machine| machine.name.clone()).collect();
+        let empty: Vec<Arc<str>> = open.iter().filter(|machine| self.is_empty(machine)).map(|machine| machine.name.clone()).collect();
         for name in empty {
             if room == 0 {
                 break;
@@ -174,6 +196,14 @@
         }
     }
 
+    /// Returns whether certainly nothing runs on a machine.
+    pub(crate) fn is_empty(&self, machine: &Machine) -> bool {
+        match self.worker_of(machine).and_then(|id| self.workers.get(&id)) {
+            Some(worker) => worker.runs.is_empty() && worker.fenced,
+            None => machine.worker.as_ref().is_none_or(|id| self.buried.contains_key(id)),
+        }
+    }
+
     /// Returns the numbers of lasting and of all runs on a machine.
     pub(crate) fn load_of(&self, machine: &Machine) -> (usize, usize) {
         let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
