Keep the owner's transactions within the store's 32 entries

Cause: the store counts conditions as entries. Ruled out: a lost race for the state key and the block on inherited jobs, by the new status line. Change: 12 final states a transaction; a status line a second shows such a backlog.

--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -41,6 +41,8 @@
 
 /// Time between two advances of what depends on time alone.
 const TICK: Duration = Duration::from_millis(50);
+/// Time between two lines about the state of the cell.
+const STATUS: Duration = Duration::from_secs(1);
 /// Pause before a placement pass, in which further events collect.
 const PASS_GAP: Duration = Duration::from_millis(3);
 /// Pause between two looks at a worker after one that showed ends; further ends collect in it.
@@ -301,11 +303,16 @@
 
 /// Advances time, and wakes the pass and the writer for what time alone makes due.
 async fn ticks(node: Rc<Node>, owned: Rc<Owned>) {
+    let mut status = now();
     while !owned.is_over() {
         tokio::time::sleep(TICK).await;
         if !owned.state.loaded.get() {
             continue;
         }
+        if now() >= status {
+            status = now() + STATUS;
+            owned.scheduler.borrow().log_status(now());
+        }
         let mut scheduler = owned.scheduler.borrow_mut();
         scheduler.tick(unix_ms(), now());
         node.metrics.jobs.set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -28,10 +28,11 @@
 /// Age of an end after which the progress of its unfinished job is stored; a quarter of the time
 /// in which the platform expects ends to be acknowledged.
 const PROGRESS_AGE: Duration = Duration::from_millis(1_000);
-/// Final states in one transaction; the store takes 32 entries, two are the owner and the state.
-const MOST_FINALS: usize = 24;
-/// Expired jobs removed in one transaction.
-const MOST_EXPIRED: usize = 6;
+/// Final states in one transaction. The store takes 32 entries, conditions included: two for a
+/// final state, two for the state of the cell and one for the owner.
+const MOST_FINALS: usize = 12;
+/// Expired jobs removed in one transaction beside final states.
+const MOST_EXPIRED: usize = 4;
 /// Jobs added to the largest transaction when only expired ones are removed.
 const EXPIRED_BATCH: usize = 24;
 
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -589,6 +589,28 @@
         self.durable.expire(self.settings.shown, now);
     }
 
+    /// Logs a line about jobs and workers.
+    pub fn log_status(&self, now: Duration) {
+        let open = self.jobs.values().filter(|job| job.ended.is_none());
+        let (waiting, active): (Vec<_>, Vec<_>) = open.partition(|job| !job.started);
+        let blocked = self.jobs.values().filter(|job| job.inherited && self.unsettled(&job.pool));
+        let usable = self.workers.values().filter(|worker| worker.usable(now));
+        let silent = self.workers.values().filter(|worker| worker.failing.is_some());
+        let runs: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
+        log_event!(
+            Event::CellStatus,
+            waiting = waiting.len(),
+            active = active.len(),
+            blocked = blocked.count(),
+            ending = self.jobs.values().filter(|job| job.ended.is_some()).count(),
+            workers = self.workers.len(),
+            usable = usable.count(),
+            silent = silent.count(),
+            unenrolled = self.workers.values().filter(|worker| worker.listed && !worker.enrolled).count(),
+            runs = runs,
+        );
+    }
+
     /// Ends the runs of workers whose leases have run out in silence.
     fn bury_workers(&mut self, now: Duration) {
         let inherited = self.taken + self.settings.authority + slowest(self.settings.hold);
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -84,6 +84,7 @@
     CellLost = 701, Warn, "ownership of the cell lost; nothing more is ordered";
     CellLoaded = 702, Info, "jobs and state of the cell read from the store";
     CellReleased = 703, Info, "ownership of the cell released on shutdown";
+    CellStatus = 704, Info, "jobs and workers of the cell";
     JobAccepted = 710, Info, "caller's job accepted and stored";
     JobRefused = 711, Info, "caller's job refused; it never runs";
     JobUnsettled = 712, Warn, "the store did not settle in time whether the caller's job was accepted";
