--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -291,7 +291,7 @@
         let actions = {
             let mut scheduler = owned.scheduler.borrow_mut();
             let from = owned.state.since.get() + node.settings.handover + node.settings.lease;
-            scheduler.allow_machines(from, owned.renewed.get() + node.settings.lease - LEASE_MARGIN);
+            scheduler.set_ownership(from, owned.renewed.get() + node.settings.lease - LEASE_MARGIN);
             scheduler.pass(now());
             scheduler.take_actions()
         };
--- /dev/null
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -0,0 +1,236 @@
+//! A worker that runs tasks under a lease, refuses lower fencing tokens and numbers its ends.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_fleet::Size;
+use nutmegcart_jobs::ListedEnd;
+use nutmegcart_jobs::ListedRun;
+use nutmegcart_jobs::Listing;
+use nutmegcart_jobs::Look;
+use nutmegcart_jobs::Order;
+use nutmegcart_jobs::Outcome;
+use nutmegcart_jobs::Refusal;
+use nutmegcart_jobs::Report;
+use nutmegcart_jobs::RunEnd;
+use nutmegcart_jobs::TaskKey;
+use nutmegcart_jobs::worker::millis;
+
+/// Longest lease that a worker grants.
+const LONGEST_LEASE: Duration = Duration::from_secs(10);
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct FakeRun {
+    /// Number of the run.
+    pub number: u32,
+    /// When it started.
+    pub since: Duration,
+    /// How long it takes.
+    pub takes: Duration,
+    /// Room that it takes.
+    pub room: Size,
+    /// Whether it runs until it is stopped.
+    pub lasting: bool,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct FakeWorker {
+    /// Entry in service discovery.
+    pub listing: Listing,
+    /// Whether the process runs.
+    pub up: bool,
+    /// When its clock began.
+    pub started: Duration,
+    /// Highest fencing token seen.
+    pub fence: u64,
+    /// End of the lease on its clock, in milliseconds.
+    pub lease: u64,
+    /// Runs that are alive.
+    pub runs: BTreeMap<TaskKey, FakeRun>,
+    /// Ends that are not acknowledged.
+    pub ended: Vec<ListedEnd>,
+    /// Number of the latest end.
+    pub last: u64,
+    /// Highest run stopped or ended, by task.
+    pub past: HashMap<TaskKey, u32>,
+    /// Whether all that it starts fails at once.
+    pub failing: bool,
+    /// Whether nothing makes progress.
+    pub hung: bool,
+    /// Factor on the duration of what it starts.
+    pub slow: u32,
+}
+
+impl FakeWorker {
+    /// Starts a worker.
+    #[must_use]
+    pub fn new(listing: Listing, now: Duration) -> Self {
+        Self {
+            listing,
+            up: true,
+            started: now,
+            fence: 0,
+            lease: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            last: 0,
+            past: HashMap::new(),
+            failing: false,
+            hung: false,
+            slow: 1,
+        }
+    }
+
+    /// Returns its clock in milliseconds.
+    #[must_use]
+    pub fn clock(&self, now: Duration) -> u64 {
+        millis(now.saturating_sub(self.started))
+    }
+
+    /// Begins a new life under the same identifier, which remembers nothing.
+    pub fn restart(&mut self, now: Duration) {
+        let mut listing = self.listing.clone();
+        listing.born = millis(now) + 1;
+        *self = Self::new(listing, now);
+    }
+
+    fn extend(&mut self, until: u64, now: Duration) {
+        let most = self.clock(now) + millis(LONGEST_LEASE);
+        self.lease = self.lease.max(until.min(most));
+    }
+
+    /// Ends a run and lists its end.
+    pub fn end(&mut self, task: &TaskKey, how: RunEnd) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        let past = self.past.entry(task.clone()).or_default();
+        *past = (*past).max(run.number);
+        self.last += 1;
+        self.ended.push(ListedEnd {
+            number: self.last,
+            task: task.clone(),
+            run: run.number,
+            how,
+            saved: None,
+        });
+    }
+
+    /// Ends what runs when the lease is over.
+    pub fn lapse(&mut self, now: Duration) {
+        if self.clock(now) < self.lease {
+            return;
+        }
+        let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
+        for task in tasks {
+            self.end(&task, RunEnd::Lapsed);
+        }
+    }
+
+    /// Takes in a look; nothing if a higher fencing token was seen.
+    pub fn look(&mut self, fence: u64, look: &Look, now: Duration) -> bool {
+        if fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
+        if let Some(until) = look.until {
+            self.extend(until, now);
+        }
+        self.ended.retain(|end| end.number > look.acked);
+        true
+    }
+
+    /// Returns what it says of itself.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> Report {
+        let percent = |run: &FakeRun| {
+            if self.hung {
+                return 0;
+            }
+            let age = now.saturating_sub(run.since);
+            if run.lasting {
+                return if age > Duration::from_millis(300) { 100 } else { 0 };
+            }
+            let share = age.as_secs_f64() / run.takes.as_secs_f64().max(0.001);
+            (share * 100.0).min(99.0) as u32
+        };
+        let listed = |(task, run): (&TaskKey, &FakeRun)| ListedRun {
+            task: task.clone(),
+            run: run.number,
+            saved: None,
+            percent: percent(run),
+            figure: 0,
+        };
+        Report {
+            born: self.listing.born,
+            clock: self.clock(now),
+            running: self.runs.iter().map(listed).collect(),
+            ended: self.ended.iter().take(500).cloned().collect(),
+        }
+    }
+
+    /// Carries an order out; `run` is what a start would begin.
+    pub fn carry_out(&mut self, fence: u64, order: &Order, run: Option<FakeRun>, now: Duration) -> Outcome {
+        let clock = Some(self.clock(now));
+        let refused = |why| Outcome::Refused { clock, why };
+        if fence < self.fence {
+            return refused(Refusal::Fenced);
+        }
+        self.fence = fence;
+        match order {
+            Order::Start(start) => {
+                if self.clock(now) >= start.until {
+                    return refused(Refusal::Late);
+                }
+                if self.past.get(&start.task).is_some_and(|past| *past >= start.run) {
+                    return refused(Refusal::OldRun);
+                }
+                self.extend(start.until, now);
+                if self.runs.get(&start.task).is_some_and(|run| run.number == start.run) {
+                    return Outcome::Done { clock };
+                }
+                let Some(run) = run else {
+                    return refused(Refusal::Malformed);
+                };
+                let used = self.runs.values().fold(Size::default(), |sum, each| sum + each.room);
+                if !run.room.fits(self.listing.capacity.minus(used)) {
+                    return refused(Refusal::Room);
+                }
+                self.runs.insert(start.task.clone(), run);
+                if self.failing {
+                    self.end(&start.task, RunEnd::Failed);
+                }
+            }
+            Order::Stop { task, run } => {
+                if self.runs.get(task).is_some_and(|each| each.number <= *run) {
+                    self.end(task, RunEnd::Stopped);
+                }
+                let past = self.past.entry(task.clone()).or_default();
+                *past = (*past).max(*run);
+            }
+            Order::Pace { .. } => {}
+        }
+        Outcome::Done { clock }
+    }
+}
+
+/// Creates the listing of a worker.
+#[must_use]
+pub fn listing(id: &str, pool: &str, rack: &str, capacity: Size) -> Listing {
+    Listing {
+        id: id.into(),
+        born: 1,
+        machine: Some(Arc::from(format!("m-{id}"))),
+        address: "127.0.0.1:1".into(),
+        centre: "suva".into(),
+        pool: pool.into(),
+        draining: false,
+        remaining: Duration::ZERO,
+        capacity,
+        labels: vec!["a".into(), rack.into()],
+    }
+}
--- a/crates/nutmegcart_fakes/src/lib.rs
+++ b/crates/nutmegcart_fakes/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`Link`]: a TCP relay that can be cut or silenced;
 //! * [`Oracle`]: counts what really ran, independent of the system under test.
 
+pub mod cell;
 pub mod link;
 mod list_log;
 pub mod oracle;
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -108,16 +108,18 @@
 pub(crate) struct Machines {
     pub(crate) known: BTreeMap<Arc<str>, Machine>,
     pub(crate) pending: HashMap<Arc<str>, Pending>,
-    /// Span in which orders may be given.
+    /// Time from which orders may be given.
     pub(crate) from: Duration,
+    /// Time until which this owner is certainly the only one.
     pub(crate) until: Duration,
     /// When the latest list was asked for.
     pub(crate) listed: Option<Duration>,
 }
 
 impl Scheduler {
-    /// Sets the span of time in which orders for machines may be given.
-    pub fn allow_machines(&mut self, from: Duration, until: Duration) {
+    /// Sets the time from which orders for machines may be given, and the time until which this
+    /// owner is certainly the only one.
+    pub fn set_ownership(&mut self, from: Duration, until: Duration) {
         self.machines.from = from;
         self.machines.until = until;
     }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -612,7 +612,13 @@
     }
 
     /// Ends the runs of workers whose leases have run out in silence.
+    ///
+    /// Only a certain owner may conclude this: once another may exist, that one may reach the
+    /// worker and renew the lease, and the runs go on.
     fn bury_workers(&mut self, now: Duration) {
+        if now >= self.machines.until {
+            return;
+        }
         let inherited = self.taken + self.settings.authority + slowest(self.settings.hold);
         let mut dead = Vec::new();
         for (id, worker) in &self.workers {
