--- a/crates/nutmegcart/src/manage.rs
+++ b/crates/nutmegcart/src/manage.rs
@@ -20,7 +20,9 @@
     Ok(Options {
         settings: settings.ok_or(format!("neither --settings nor {PATH_VARIABLE} is set"))?,
         metrics: flags.metrics,
-        level: level.parse::<LevelFilter>().map_err(|error| format!("--log {level}: {error}"))?,
+        level: level
+            .parse::<LevelFilter>()
+            .map_err(|error| format!("--log {level}: {error}"))?,
     })
 }
 
--- a/crates/nutmegcart_control/src/accept.rs
+++ b/crates/nutmegcart_control/src/accept.rs
@@ -52,7 +52,13 @@
 
 impl Acceptor {
     /// Makes one attempt at storing a job, which ends at the deadline at the latest.
-    pub async fn accept(self: &Rc<Self>, node: &Rc<Node>, id: JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
+    pub async fn accept(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        id: JobId,
+        accepted: &Accepted,
+        deadline: Duration,
+    ) -> Acceptance {
         let (answer, answered) = oneshot::channel();
         if let Some(waiters) = self.present.borrow_mut().get_mut(&id) {
             // The same job is being stored for an earlier request of its caller.
@@ -101,7 +107,10 @@
             let mut txn = Txn::default();
             for submission in &batch {
                 let key = node.keys.job(&submission.id);
-                txn = txn.absent(key.clone()).put(key.clone(), submission.value.clone()).or_read(key);
+                txn = txn
+                    .absent(key.clone())
+                    .put(key.clone(), submission.value.clone())
+                    .or_read(key);
             }
             match (node.platform.store.txn)(txn).await {
                 Ok(reply) if reply.committed => {
@@ -124,7 +133,10 @@
                 }
                 Err(StoreError::AnswerLost { .. }) => {
                     node.note_store(false);
-                    node.metrics.retries.with_label_values(&["store_answer_lost"]).inc();
+                    node.metrics
+                        .retries
+                        .with_label_values(&["store_answer_lost"])
+                        .inc();
                     for submission in batch.drain(..) {
                         self.answer(submission, Acceptance::Unsettled);
                     }
@@ -140,7 +152,11 @@
     }
 
     fn answer(&self, submission: Submission, acceptance: Acceptance) {
-        let joined = self.present.borrow_mut().remove(&submission.id).unwrap_or_default();
+        let joined = self
+            .present
+            .borrow_mut()
+            .remove(&submission.id)
+            .unwrap_or_default();
         for waiter in submission.waiters.into_iter().chain(joined) {
             // A caller that has left needs no answer; the job stays accepted.
             let _ = waiter.send(acceptance);
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -117,7 +117,13 @@
 
 impl Desk {
     /// Answers a request to a queue, `limit` after now at the latest.
-    pub async fn handle(&self, node: &Rc<Node>, queue: &Arc<Queue>, request: Request, limit: Duration) -> Answer {
+    pub async fn handle(
+        &self,
+        node: &Rc<Node>,
+        queue: &Arc<Queue>,
+        request: Request,
+        limit: Duration,
+    ) -> Answer {
         let start = now();
         let deadline = start + limit.saturating_sub(ANSWER_MARGIN);
         let kind = request.kind();
@@ -129,17 +135,37 @@
             Request::Count => count(node, queue).await,
         };
         node.active.set(node.active.get() - 1);
-        node.metrics.requests.with_label_values(&[kind, answer.label()]).inc();
+        node.metrics
+            .requests
+            .with_label_values(&[kind, answer.label()])
+            .inc();
         if let Answer::Refused { code, .. } = &answer {
-            node.metrics.refusals.with_label_values(&[code.label()]).inc();
+            node.metrics
+                .refusals
+                .with_label_values(&[code.label()])
+                .inc();
         }
-        node.metrics.latency.observe(now().saturating_sub(start).as_secs_f64());
+        node.metrics
+            .latency
+            .observe(now().saturating_sub(start).as_secs_f64());
         answer
     }
 
-    async fn submit(&self, node: &Rc<Node>, queue: &Arc<Queue>, id: JobId, job: Job, deadline: Duration) -> Answer {
+    async fn submit(
+        &self,
+        node: &Rc<Node>,
+        queue: &Arc<Queue>,
+        id: JobId,
+        job: Job,
+        deadline: Duration,
+    ) -> Answer {
         if let Err(error) = job.check() {
-            log_event!(Event::JobRefused, job = id, queue = queue.key, reason = error);
+            log_event!(
+                Event::JobRefused,
+                job = id,
+                queue = queue.key,
+                reason = error
+            );
             return Answer::refused(Code::BadRequest);
         }
         let accepted = Accepted {
@@ -153,18 +179,35 @@
         let took = now().saturating_sub(start).as_millis();
         match acceptance {
             Acceptance::Stored => {
-                log_event!(Event::JobAccepted, job = id, queue = queue.key, tasks = tasks, took_ms = took);
+                log_event!(
+                    Event::JobAccepted,
+                    job = id,
+                    queue = queue.key,
+                    tasks = tasks,
+                    took_ms = took
+                );
                 Answer::Accepted
             }
             Acceptance::NotStored => {
-                log_event!(Event::JobRefused, job = id, queue = queue.key, reason = "store", took_ms = took);
+                log_event!(
+                    Event::JobRefused,
+                    job = id,
+                    queue = queue.key,
+                    reason = "store",
+                    took_ms = took
+                );
                 Answer::Refused {
                     code: Code::StoreUnavailable,
                     retry: Some(STORE_RETRY),
                 }
             }
             Acceptance::Unsettled => {
-                log_event!(Event::JobUnsettled, job = id, queue = queue.key, took_ms = took);
+                log_event!(
+                    Event::JobUnsettled,
+                    job = id,
+                    queue = queue.key,
+                    took_ms = took
+                );
                 Answer::refused(Code::AnswerTimeout)
             }
         }
@@ -177,7 +220,13 @@
     /// The transaction demands that the job does not exist yet. So any number of attempts may be
     /// under way, here and at peers, and the first definite answer holds for all of them. Only if
     /// no attempt is left whose effect is open may the job be refused as not run.
-    async fn settle(&self, node: &Rc<Node>, id: &JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
+    async fn settle(
+        &self,
+        node: &Rc<Node>,
+        id: &JobId,
+        accepted: &Accepted,
+        deadline: Duration,
+    ) -> Acceptance {
         let mut uncertain = false;
         let mut through_peer = node.trouble.get().is_some();
         let mut helpers = node.helpers().into_iter().take(MOST_HELPERS);
@@ -186,7 +235,10 @@
             let helper = if through_peer { helpers.next() } else { None };
             let exhausted = helper.is_none() && through_peer;
             let acceptance = if let Some(helper) = helper {
-                node.metrics.retries.with_label_values(&["store_through_peer"]).inc();
+                node.metrics
+                    .retries
+                    .with_label_values(&["store_through_peer"])
+                    .inc();
                 submit_at(node, helper, id, accepted, deadline).await
             } else {
                 if tried {
@@ -194,39 +246,60 @@
                     helpers = node.helpers().into_iter().take(MOST_HELPERS);
                 }
                 tried = true;
-                self.acceptor.accept(node, id.clone(), accepted, deadline).await
+                self.acceptor
+                    .accept(node, id.clone(), accepted, deadline)
+                    .await
             };
             through_peer = true;
             match acceptance {
                 Acceptance::Stored => return Acceptance::Stored,
-                Acceptance::NotStored if !uncertain && tried && (exhausted || helpers.len() == 0) => {
+                Acceptance::NotStored
+                    if !uncertain && tried && (exhausted || helpers.len() == 0) =>
+                {
                     return Acceptance::NotStored;
                 }
                 Acceptance::NotStored => {}
                 Acceptance::Unsettled => uncertain = true,
             }
             if now() + REPEAT_PAUSE >= deadline {
-                return if uncertain { Acceptance::Unsettled } else { Acceptance::NotStored };
+                return if uncertain {
+                    Acceptance::Unsettled
+                } else {
+                    Acceptance::NotStored
+                };
             }
         }
     }
 
     /// Makes one attempt at storing a job for a peer.
-    pub async fn store_for_peer(&self, node: &Rc<Node>, id: JobId, accepted: Accepted, limit: Duration) -> Acceptance {
+    pub async fn store_for_peer(
+        &self,
+        node: &Rc<Node>,
+        id: JobId,
+        accepted: Accepted,
+        limit: Duration,
+    ) -> Acceptance {
         if node.trouble.get().is_some() {
             return Acceptance::NotStored;
         }
-        self.acceptor.accept(node, id, &accepted, now() + limit).await
+        self.acceptor
+            .accept(node, id, &accepted, now() + limit)
+            .await
     }
 }
 
-async fn submit_at(node: &Rc<Node>, helper: SocketAddr, id: &JobId, accepted: &Accepted, deadline: Duration) -> Acceptance {
+async fn submit_at(
+    node: &Rc<Node>,
+    helper: SocketAddr,
+    id: &JobId,
+    accepted: &Accepted,
+    deadline: Duration,
+) -> Acceptance {
     let limit = deadline.saturating_sub(now()).min(HELP_TIMEOUT);
     let question = Question::Submit(id.clone(), Box::new(accepted.clone()), millis(limit));
     match peer::ask_at(node, helper, &question, limit).await {
         Ok(PeerAnswer::Accepted(acceptance)) => acceptance,
-        Ok(_) => Acceptance::NotStored,
-        Err(PeerError::NoOwner | PeerError::Unreachable { .. }) => Acceptance::NotStored,
+        Ok(_) | Err(PeerError::NoOwner | PeerError::Unreachable { .. }) => Acceptance::NotStored,
         Err(error) => {
             log::debug!("peer {helper} did not answer on {id}: {error}");
             Acceptance::Unsettled
@@ -240,7 +313,10 @@
         Ok(PeerAnswer::State(Some(state))) => return Answer::State(state),
         Ok(_) => {}
         Err(error) => {
-            node.metrics.retries.with_label_values(&["owner_silent"]).inc();
+            node.metrics
+                .retries
+                .with_label_values(&["owner_silent"])
+                .inc();
             log::debug!("owner not asked about {id}: {error}");
         }
     }
@@ -294,7 +370,10 @@
         if now() + REPEAT_PAUSE >= deadline {
             return Answer::refused(Code::AnswerTimeout);
         }
-        node.metrics.retries.with_label_values(&["store_cancel"]).inc();
+        node.metrics
+            .retries
+            .with_label_values(&["store_cancel"])
+            .inc();
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
 }
@@ -331,12 +410,18 @@
         how: Final::Cancelled,
         at: unix_ms(),
     };
-    let txn = Txn::default().unchanged(key, item.modified).put(key, encode(&ended));
+    let txn = Txn::default()
+        .unchanged(key, item.modified)
+        .put(key, encode(&ended));
     let reply = (node.platform.store.txn)(txn).await?;
     if !reply.committed {
         return Ok(None);
     }
-    log_event!(Event::CallerJobCancelled, job = id, revision = reply.revision);
+    log_event!(
+        Event::CallerJobCancelled,
+        job = id,
+        revision = reply.revision
+    );
     Ok(Some(Answer::Cancelled))
 }
 
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -21,8 +21,8 @@
 use crate::follow::Follower;
 use crate::follow::Seen;
 use crate::node::Node;
-use crate::node::OwnedState;
 use crate::node::Owned;
+use crate::node::OwnedState;
 use crate::node::OwnerRecord;
 
 /// Fraction of the lease after which it is renewed.
@@ -123,7 +123,11 @@
         let pause = match result {
             Ok(held) => {
                 lease = held;
-                if held.is_some() { MEMBER_LEASE / RENEWALS } else { RETRY }
+                if held.is_some() {
+                    MEMBER_LEASE / RENEWALS
+                } else {
+                    RETRY
+                }
             }
             Err(error) => {
                 log::debug!("address not announced: {error}");
@@ -184,13 +188,19 @@
     };
     let key = node.keys.owner();
     let value = nutmegcart_jobs::record::encode(&record);
-    let txn = Txn::default().absent(key.clone()).put_leased(key.clone(), value, lease).or_read(key.clone());
+    let txn = Txn::default()
+        .absent(key.clone())
+        .put_leased(key.clone(), value, lease)
+        .or_read(key.clone());
     loop {
         match (store.txn)(txn.clone()).await {
             Ok(reply) if reply.committed => return Ok(Some((reply.revision, lease, sent))),
             Ok(reply) => {
                 // An attempt of ours whose answer was lost may be the one that created the key.
-                let ours = reply.found.iter().find(|found| found.key == key && found.lease == lease);
+                let ours = reply
+                    .found
+                    .iter()
+                    .find(|found| found.key == key && found.lease == lease);
                 if let Some(found) = ours {
                     return Ok(Some((found.created, lease, sent)));
                 }
@@ -257,7 +267,10 @@
             }
             Ok(false) => owned.give_up("the lease has ended"),
             Err(error) => {
-                node.metrics.retries.with_label_values(&["lease_renewal"]).inc();
+                node.metrics
+                    .retries
+                    .with_label_values(&["lease_renewal"])
+                    .inc();
                 log::debug!("lease not renewed: {error}");
             }
         }
--- a/crates/nutmegcart_control/src/clock.rs
+++ b/crates/nutmegcart_control/src/clock.rs
@@ -32,5 +32,7 @@
 #[must_use]
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
 }
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -36,6 +36,7 @@
 use crate::follow::Seen;
 use crate::node::Node;
 use crate::node::Owned;
+use crate::port::Command;
 use crate::port::LookError;
 use crate::port::Target;
 
@@ -146,7 +147,10 @@
         workers = scheduler.workers().count(),
         took_ms = now().saturating_sub(owned.renewed.get()).as_millis(),
     );
-    let ids: Vec<WorkerId> = scheduler.workers().map(|worker| worker.listing.id.clone()).collect();
+    let ids: Vec<WorkerId> = scheduler
+        .workers()
+        .map(|worker| worker.listing.id.clone())
+        .collect();
     drop(scheduler);
     for id in ids {
         watch_worker(node, owned, id);
@@ -164,7 +168,14 @@
     match decode::<JobRecord>(&item.value) {
         Ok(JobRecord::Accepted(accepted)) => {
             let earlier = u64::try_from(item.created).is_ok_and(|created| created < owned.fence);
-            scheduler.add_job(&id, *accepted, item.modified, inherited || earlier, unix_ms(), now());
+            scheduler.add_job(
+                &id,
+                *accepted,
+                item.modified,
+                inherited || earlier,
+                unix_ms(),
+                now(),
+            );
         }
         Ok(JobRecord::Ended { how, .. }) => scheduler.note_ended(&id, how, now()),
         Err(error) => log_event!(Event::JobRecordInvalid, job = id, reason = error),
@@ -241,7 +252,10 @@
             Ok(report) => {
                 node.metrics.looks.with_label_values(&["answered"]).inc();
                 let ends = !report.ended.is_empty();
-                owned.scheduler.borrow_mut().reported(&id, sent, &report, now());
+                owned
+                    .scheduler
+                    .borrow_mut()
+                    .reported(&id, sent, &report, now());
                 owned.wake.notify_one();
                 owned.store.notify_one();
                 if ends {
@@ -269,6 +283,27 @@
     owned.state.links.borrow_mut().remove(&id);
 }
 
+/// Looks at a worker once, without waiting for an end.
+async fn quick_look(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId) {
+    let sent = now();
+    let look = owned.scheduler.borrow_mut().quick_look(&id, sent);
+    let (Some(look), Some(target)) = (look, target(&owned, &id)) else {
+        return;
+    };
+    // The look that waits at the worker notices what goes wrong there.
+    if let Ok(report) = (node.platform.fleet.look)(target, look).await
+        && !owned.is_over()
+    {
+        node.metrics.looks.with_label_values(&["quick"]).inc();
+        owned
+            .scheduler
+            .borrow_mut()
+            .reported(&id, sent, &report, now());
+        owned.wake.notify_one();
+        owned.store.notify_one();
+    }
+}
+
 fn target(owned: &Owned, id: &WorkerId) -> Option<Target> {
     let scheduler = owned.scheduler.borrow();
     let worker = scheduler.worker(id)?;
@@ -291,7 +326,10 @@
         let actions = {
             let mut scheduler = owned.scheduler.borrow_mut();
             let from = owned.state.since.get() + node.settings.handover + node.settings.lease;
-            scheduler.set_ownership(from, owned.renewed.get() + node.settings.lease - LEASE_MARGIN);
+            scheduler.set_ownership(
+                from,
+                (owned.renewed.get() + node.settings.lease).saturating_sub(LEASE_MARGIN),
+            );
             scheduler.pass(now());
             scheduler.take_actions()
         };
@@ -315,7 +353,9 @@
         }
         let mut scheduler = owned.scheduler.borrow_mut();
         scheduler.tick(unix_ms(), now());
-        node.metrics.jobs.set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
+        node.metrics
+            .jobs
+            .set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
         owned.wake.notify_one();
         owned.store.notify_one();
     }
@@ -327,12 +367,20 @@
         Action::Order { worker, order, .. } => {
             tokio::task::spawn_local(send_order(node, owned, worker, order));
         }
+        Action::Look { worker } => {
+            tokio::task::spawn_local(quick_look(node, owned, worker));
+        }
         Action::Advise { step, workers } => {
             tokio::task::spawn_local(async move {
                 let sent = now();
                 match (node.platform.fleet.advise)(step.clone(), workers).await {
                     Ok(permits) => {
-                        owned.scheduler.borrow_mut().advised(&step, &permits.tickets, permits.valid, sent);
+                        owned.scheduler.borrow_mut().advised(
+                            &step,
+                            &permits.tickets,
+                            permits.valid,
+                            sent,
+                        );
                         owned.wake.notify_one();
                     }
                     Err(reason) => log::info!("no advice on {step}: {reason}"),
@@ -341,15 +389,25 @@
         }
         Action::Machine { machine, order } => {
             tokio::task::spawn_local(async move {
-                let strict = node.settings.lease - LEASE_MARGIN;
+                let strict = node.settings.lease.saturating_sub(LEASE_MARGIN);
                 if !owned.may_act(strict) {
                     return;
                 }
-                let holder = node.settings.name.clone();
-                let command = (node.platform.fleet.command)(holder, owned.fence, machine.clone(), order.clone());
-                let outcome = command.await;
-                node.metrics.machines.with_label_values(&[outcome.label()]).inc();
-                owned.scheduler.borrow_mut().machine_answered(&machine, &order, outcome, now());
+                let command = Command {
+                    holder: node.settings.name.clone(),
+                    fence: owned.fence,
+                    machine: machine.clone(),
+                    order: order.clone(),
+                };
+                let outcome = (node.platform.fleet.command)(command).await;
+                node.metrics
+                    .machines
+                    .with_label_values(&[outcome.label()])
+                    .inc();
+                owned
+                    .scheduler
+                    .borrow_mut()
+                    .machine_answered(&machine, &order, outcome, now());
                 owned.wake.notify_one();
             });
         }
@@ -360,7 +418,9 @@
 async fn send_order(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId, order: Order) {
     let link = {
         let mut links = owned.state.links.borrow_mut();
-        let link = links.entry(id.clone()).or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
+        let link = links
+            .entry(id.clone())
+            .or_insert_with(|| Rc::new(Semaphore::new(ORDERS_AT_ONCE)));
         link.clone()
     };
     let Ok(_permit) = link.acquire().await else {
@@ -375,11 +435,21 @@
         }
         _ => Outcome::Withdrawn,
     };
-    node.metrics.orders.with_label_values(&[order.label(), outcome.label()]).inc();
-    if let Outcome::Refused { why: Refusal::Fenced, .. } = outcome {
+    node.metrics
+        .orders
+        .with_label_values(&[order.label(), outcome.label()])
+        .inc();
+    if let Outcome::Refused {
+        why: Refusal::Fenced,
+        ..
+    } = outcome
+    {
         owned.give_up("a worker has seen a higher fencing token");
     }
-    owned.scheduler.borrow_mut().answered(&id, &order, outcome, now());
+    owned
+        .scheduler
+        .borrow_mut()
+        .answered(&id, &order, outcome, now());
     owned.wake.notify_one();
 }
 
@@ -389,7 +459,10 @@
         if owned.state.loaded.get() {
             let asked = now();
             match (node.platform.fleet.machines)().await {
-                Ok(list) => owned.scheduler.borrow_mut().see_machines(list, asked, now()),
+                Ok(list) => owned
+                    .scheduler
+                    .borrow_mut()
+                    .see_machines(list, asked, now()),
                 Err(reason) => log::debug!("machines not listed: {reason}"),
             }
             owned.wake.notify_one();
@@ -414,7 +487,9 @@
                     continue;
                 }
                 let (key, value) = (node.platform.directory.progress)(number, state);
-                let txn = Txn::default().held(node.keys.owner(), fence(&owned)).put(key, value);
+                let txn = Txn::default()
+                    .held(node.keys.owner(), fence(&owned))
+                    .put(key, value);
                 match (node.platform.store.txn)(txn).await {
                     Ok(reply) if reply.committed => {
                         written.insert(number, state);
@@ -453,23 +528,31 @@
 
 /// Runs one transaction, fenced by the owner's key, until its outcome is known.
 async fn flush_once(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush) -> Flushed {
-    let owner = node.keys.owner();
     let state = node.keys.state();
-    let mut txn = Txn::default().held(owner.clone(), fence(owned)).or_read(owner.clone());
+    let holder = node.keys.owner();
+    let mut txn = Txn::default()
+        .held(holder.clone(), fence(owned))
+        .or_read(holder);
     for write in &flush.finals {
         let key = node.keys.job(&write.job);
         let record = JobRecord::Ended {
             how: write.how,
             at: unix_ms(),
         };
-        txn = txn.unchanged(key.clone(), write.revision).put(key.clone(), encode(&record)).or_read(key);
+        txn = txn
+            .unchanged(key.clone(), write.revision)
+            .put(key.clone(), encode(&record))
+            .or_read(key);
     }
     for id in &flush.expired {
         txn = txn.delete(node.keys.job(id));
     }
     if let Some(bytes) = &flush.state {
         let written = owned.state.written.get();
-        txn = txn.unchanged(state.clone(), written).put(state.clone(), bytes.clone()).or_read(state.clone());
+        txn = txn
+            .unchanged(state.clone(), written)
+            .put(state.clone(), bytes.clone())
+            .or_read(state.clone());
     }
     match (node.platform.store.txn)(txn).await {
         Ok(reply) if reply.committed => {
@@ -481,7 +564,10 @@
         Ok(reply) => conflict(node, owned, flush, &reply.found),
         Err(error) => {
             if matches!(error, StoreError::AnswerLost { .. }) {
-                node.metrics.retries.with_label_values(&["store_answer_lost"]).inc();
+                node.metrics
+                    .retries
+                    .with_label_values(&["store_answer_lost"])
+                    .inc();
             }
             log::debug!("state of the cell not stored: {error}");
             Flushed::NotStored
@@ -491,7 +577,9 @@
 
 /// Finds out why a transaction failed; an earlier one whose answer was lost may be the reason.
 fn conflict(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
-    let held = found.iter().any(|item| item.key == node.keys.owner() && item.created == fence(owned));
+    let held = found
+        .iter()
+        .any(|item| item.key == node.keys.owner() && item.created == fence(owned));
     if !held {
         owned.give_up("the owner's key has changed");
         return Flushed::NotStored;
@@ -499,7 +587,10 @@
     if flush.state.is_some() {
         let state = node.keys.state();
         let present = found.iter().find(|item| item.key == state);
-        owned.state.written.set(present.map_or(0, |item| item.modified));
+        owned
+            .state
+            .written
+            .set(present.map_or(0, |item| item.modified));
     }
     let mut changed = Vec::new();
     let mut listed: HashSet<JobId> = HashSet::new();
@@ -518,7 +609,10 @@
         };
         changed.push((id, key));
     }
-    let absent = flush.finals.iter().filter(|write| !listed.contains(&write.job));
+    let absent = flush
+        .finals
+        .iter()
+        .filter(|write| !listed.contains(&write.job));
     changed.extend(absent.map(|write| (write.job.clone(), KeyNow::Absent)));
     Flushed::Changed(changed)
 }
--- a/crates/nutmegcart_control/src/follow.rs
+++ b/crates/nutmegcart_control/src/follow.rs
@@ -78,7 +78,12 @@
                 self.reached = true;
                 if let Some(since) = self.failing.take() {
                     let silent = now().saturating_sub(since).as_millis();
-                    log_event!(LogEvent::DependencyBack, dependency = "store", prefix = self.prefix, silent_ms = silent);
+                    log_event!(
+                        LogEvent::DependencyBack,
+                        dependency = "store",
+                        prefix = self.prefix,
+                        silent_ms = silent
+                    );
                 }
                 if !seen.is_empty() && !self.gap.is_zero() {
                     tokio::time::sleep(self.gap).await;
@@ -93,7 +98,12 @@
                 self.reached = false;
                 if self.failing.is_none() {
                     self.failing = Some(now());
-                    log_event!(LogEvent::DependencyLost, dependency = "store", prefix = self.prefix, reason = error);
+                    log_event!(
+                        LogEvent::DependencyLost,
+                        dependency = "store",
+                        prefix = self.prefix,
+                        reason = error
+                    );
                 }
                 tokio::time::sleep(self.pause).await;
                 self.pause = (self.pause * 2).min(MOST_PAUSE);
@@ -105,7 +115,10 @@
     async fn read(&mut self, store: &KeyStore) -> crate::port::StoreResult<Vec<Seen>> {
         let range = (store.range)(self.prefix.clone()).await?;
         let present: HashSet<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
-        let gone = self.known.keys().filter(|key| !present.contains(key.as_str()));
+        let gone = self
+            .known
+            .keys()
+            .filter(|key| !present.contains(key.as_str()));
         let mut seen: Vec<Seen> = gone.cloned().map(Seen::Gone).collect();
         for each in &seen {
             if let Seen::Gone(key) = each {
@@ -113,7 +126,11 @@
             }
         }
         for item in range.items {
-            if self.known.get(&item.key).is_none_or(|known| *known < item.modified) {
+            if self
+                .known
+                .get(&item.key)
+                .is_none_or(|known| *known < item.modified)
+            {
                 self.known.insert(item.key.clone(), item.modified);
                 seen.push(Seen::Put(item));
             }
@@ -123,13 +140,21 @@
         Ok(seen)
     }
 
-    async fn watch(&mut self, store: &KeyStore, revision: Revision) -> crate::port::StoreResult<Vec<Seen>> {
+    async fn watch(
+        &mut self,
+        store: &KeyStore,
+        revision: Revision,
+    ) -> crate::port::StoreResult<Vec<Seen>> {
         let changes = (store.watch)(self.prefix.clone(), revision, WATCH_WAIT).await?;
         let mut seen = Vec::new();
         for event in changes.events {
             match event {
                 Event::Put(item) => {
-                    if self.known.get(&item.key).is_none_or(|known| *known < item.modified) {
+                    if self
+                        .known
+                        .get(&item.key)
+                        .is_none_or(|known| *known < item.modified)
+                    {
                         self.known.insert(item.key.clone(), item.modified);
                         seen.push(Seen::Put(item));
                     }
--- a/crates/nutmegcart_control/src/http.rs
+++ b/crates/nutmegcart_control/src/http.rs
@@ -3,13 +3,13 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::Display;
 use derive_more::Error;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -24,6 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 /// Result of a call.
@@ -37,7 +38,7 @@
 const RESPONSE_LIMIT: usize = 16 << 20;
 
 /// Why a call has no answer.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, derive_more::Display, Eq, Error, PartialEq)]
 pub enum CallError {
     /// No byte of the request was sent.
     #[display("not sent: {reason}")]
@@ -54,21 +55,37 @@
 }
 
 impl CallError {
-    fn not_sent(error: impl ToString) -> Self {
+    fn not_sent(error: impl Display) -> Self {
         let reason = error.to_string();
         Self::NotSent { reason }
     }
 
-    fn lost(error: impl ToString) -> Self {
+    fn lost(error: impl Display) -> Self {
         let reason = error.to_string();
         Self::Lost { reason }
     }
 }
 
+/// A connection; dropping it resets it.
+///
+/// Bytes that a partition holds up are delivered after it unless their connection is reset. A
+/// call that was given up must not arrive seconds later, when it may contradict newer ones.
+#[derive(Debug)]
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// A client that keeps connections open.
 #[derive(Clone, Debug, Default)]
 pub struct Client {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Link>>>>,
 }
 
 impl Client {
@@ -94,9 +111,9 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>> {
-        while let Some(mut sender) = self.take_idle(address) {
-            match sender.try_send_request(request).await {
-                Ok(answer) => return self.finish(address, sender, answer).await,
+        while let Some(mut link) = self.take_idle(address) {
+            match link.sender.try_send_request(request).await {
+                Ok(answer) => return self.finish(address, link, answer).await,
                 Err(mut error) => match error.take_message() {
                     // The server closed the idle connection before anything was written to it.
                     Some(unsent) => request = unsent,
@@ -104,9 +121,9 @@
                 },
             }
         }
-        let mut sender = connect(address).await?;
-        match sender.try_send_request(request).await {
-            Ok(answer) => self.finish(address, sender, answer).await,
+        let mut link = connect(address).await?;
+        match link.sender.try_send_request(request).await {
+            Ok(answer) => self.finish(address, link, answer).await,
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
@@ -119,12 +136,12 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.get_mut(&address)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        let links = idle.get_mut(&address)?;
+        while let Some(link) = links.pop() {
+            if link.sender.is_ready() {
+                return Some(link);
             }
         }
         None
@@ -133,16 +150,16 @@
     async fn finish(
         &self,
         address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
+        link: Link,
         answer: Response<Incoming>,
     ) -> Result<Response<Bytes>> {
         let (head, body) = answer.into_parts();
         let body = Limited::new(body, RESPONSE_LIMIT).collect().await;
         let body = body.map_err(CallError::lost)?.to_bytes();
         let mut idle = self.idle.borrow_mut();
-        let senders = idle.entry(address).or_default();
-        if senders.len() < MOST_IDLE && !sender.is_closed() {
-            senders.push(sender);
+        let links = idle.entry(address).or_default();
+        if links.len() < MOST_IDLE && !link.sender.is_closed() {
+            links.push(link);
         }
         Ok(Response::from_parts(head, body))
     }
@@ -153,19 +170,23 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> Result<Link> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(stream) => stream.map_err(CallError::not_sent)?,
         Err(_) => return Err(CallError::not_sent("connect timeout")),
     };
     stream.set_nodelay(true).map_err(CallError::not_sent)?;
+    stream.set_zero_linger().map_err(CallError::not_sent)?;
     let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(CallError::not_sent)?;
-    tokio::task::spawn_local(async move {
+    let task = tokio::task::spawn_local(async move {
         // The sender reports what goes wrong with its own request.
         drop(connection.await);
     });
-    Ok(sender)
+    Ok(Link {
+        sender,
+        task: task.abort_handle(),
+    })
 }
 
 /// Builds a request.
@@ -184,7 +205,9 @@
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
-    builder.body(Full::new(body)).expect("path and headers are well-formed")
+    builder
+        .body(Full::new(body))
+        .expect("path and headers are well-formed")
 }
 
 /// Limits of a server.
--- a/crates/nutmegcart_control/src/logger.rs
+++ b/crates/nutmegcart_control/src/logger.rs
@@ -75,7 +75,10 @@
 pub fn flush() {
     if let Some(logger) = LOGGER.get() {
         logger.hand_over();
-        let dropped = logger.waiting.lock().map(|mut waiting| std::mem::take(&mut waiting.dropped));
+        let dropped = logger
+            .waiting
+            .lock()
+            .map(|mut waiting| std::mem::take(&mut waiting.dropped));
         if let Ok(dropped @ 1..) = dropped {
             log_event!(Event::LogDropped, lines = dropped);
         }
@@ -92,7 +95,9 @@
         }
         match self.batches.try_send(std::mem::take(&mut waiting.lines)) {
             Ok(()) => {}
-            Err(TrySendError::Full(lines) | TrySendError::Disconnected(lines)) => waiting.lines = lines,
+            Err(TrySendError::Full(lines) | TrySendError::Disconnected(lines)) => {
+                waiting.lines = lines;
+            }
         }
     }
 }
@@ -130,7 +135,12 @@
 
 fn write_line(lines: &mut String, record: &Record<'_>) {
     // Writing to a string cannot fail.
-    let _ = write!(lines, "{{\"at\":{},\"level\":\"{}\",\"text\":\"", unix_ms(), record.level());
+    let _ = write!(
+        lines,
+        "{{\"at\":{},\"level\":\"{}\",\"text\":\"",
+        unix_ms(),
+        record.level()
+    );
     escape(lines, &record.args().to_string());
     lines.push('"');
     let mut fields = Fields(lines);
@@ -141,7 +151,11 @@
 struct Fields<'a>(&'a mut String);
 
 impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
-    fn visit_pair(&mut self, key: log::kv::Key<'kvs>, value: log::kv::Value<'kvs>) -> Result<(), log::kv::Error> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
         let _ = write!(self.0, ",\"{key}\":\"");
         escape(self.0, &value.to_string());
         self.0.push('"');
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -54,21 +54,51 @@
             added.expect("metric name is unique");
             gauge
         };
-        let options = HistogramOpts::new("nutmegcart_request_seconds", "Time until a caller's request was answered.");
+        let options = HistogramOpts::new(
+            "nutmegcart_request_seconds",
+            "Time until a caller's request was answered.",
+        );
         let latency = Histogram::with_opts(options.buckets(LATENCY_BUCKETS.to_vec()));
         let latency = latency.expect("histogram is valid");
         let added = registry.register(Box::new(latency.clone()));
         added.expect("metric name is unique");
         Self {
-            requests: counter("nutmegcart_job_requests_total", "Callers' requests about jobs.", &["kind", "outcome"]),
-            refusals: counter("nutmegcart_job_refusals_total", "Refused requests about jobs.", &["reason"]),
-            retries: counter("nutmegcart_job_retries_total", "Repeated calls.", &["reason"]),
-            store: counter("nutmegcart_store_calls_total", "Calls to the store.", &["kind", "outcome"]),
-            orders: counter("nutmegcart_orders_total", "Orders to workers.", &["kind", "outcome"]),
+            requests: counter(
+                "nutmegcart_job_requests_total",
+                "Callers' requests about jobs.",
+                &["kind", "outcome"],
+            ),
+            refusals: counter(
+                "nutmegcart_job_refusals_total",
+                "Refused requests about jobs.",
+                &["reason"],
+            ),
+            retries: counter(
+                "nutmegcart_job_retries_total",
+                "Repeated calls.",
+                &["reason"],
+            ),
+            store: counter(
+                "nutmegcart_store_calls_total",
+                "Calls to the store.",
+                &["kind", "outcome"],
+            ),
+            orders: counter(
+                "nutmegcart_orders_total",
+                "Orders to workers.",
+                &["kind", "outcome"],
+            ),
             looks: counter("nutmegcart_looks_total", "Looks at workers.", &["outcome"]),
-            machines: counter("nutmegcart_machine_orders_total", "Orders for machines.", &["outcome"]),
+            machines: counter(
+                "nutmegcart_machine_orders_total",
+                "Orders for machines.",
+                &["outcome"],
+            ),
             jobs: gauge("nutmegcart_jobs", "Jobs of the cell that have not ended."),
-            version: gauge("nutmegcart_config_version", "Version of the configuration in force."),
+            version: gauge(
+                "nutmegcart_config_version",
+                "Version of the configuration in force.",
+            ),
             latency,
             registry,
         }
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -281,7 +281,12 @@
     /// Returns peers to ask for help, the owner first.
     #[must_use]
     pub fn helpers(&self) -> Vec<SocketAddr> {
-        let owner = self.owner.borrow().as_ref().filter(|owner| owner.life != self.life).map(|owner| owner.peer);
+        let owner = self
+            .owner
+            .borrow()
+            .as_ref()
+            .filter(|owner| owner.life != self.life)
+            .map(|owner| owner.peer);
         let members = self.members.borrow();
         let count = members.len().max(1);
         let turn = usize::try_from(self.life).unwrap_or_default() % count;
@@ -298,7 +303,10 @@
     /// Returns whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let reached = self.heard.get().is_some_and(|heard| now() < heard + STORE_SILENCE);
+        let reached = self
+            .heard
+            .get()
+            .is_some_and(|heard| now() < heard + STORE_SILENCE);
         self.configuration.borrow().is_some() && reached && !self.is_stopping()
     }
 
@@ -320,12 +328,18 @@
     pub fn configure(&self, configuration: Configuration) {
         let newer = {
             let present = self.configuration.borrow();
-            present.as_ref().is_none_or(|present| present.version < configuration.version)
+            present
+                .as_ref()
+                .is_none_or(|present| present.version < configuration.version)
         };
         if !newer {
             return;
         }
-        log_event!(Event::PlatformConfig, version = configuration.version, queues = configuration.queues.len());
+        log_event!(
+            Event::PlatformConfig,
+            version = configuration.version,
+            queues = configuration.queues.len()
+        );
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
         if let Some(owned) = self.owned.borrow().as_ref() {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -137,7 +137,12 @@
 /// # Errors
 ///
 /// Fails if it does not answer in time.
-pub async fn ask_at(node: &Rc<Node>, peer: SocketAddr, question: &Question, limit: Duration) -> Result<Answer> {
+pub async fn ask_at(
+    node: &Rc<Node>,
+    peer: SocketAddr,
+    question: &Question,
+    limit: Duration,
+) -> Result<Answer> {
     let silent = |reason: String| PeerError::Silent { reason };
     let body = rmp_serde::to_vec(question).map_err(|error| silent(error.to_string()))?;
     let host = peer.to_string();
@@ -166,7 +171,11 @@
     Ok(())
 }
 
-async fn respond(node: &Rc<Node>, desk: &Desk, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn respond(
+    node: &Rc<Node>,
+    desk: &Desk,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let status = |code: u16| {
         let mut response = Response::new(Full::default());
         *response.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
@@ -175,7 +184,9 @@
     if request.uri().path() != PATH {
         return status(404);
     }
-    let body = Limited::new(request.into_body(), QUESTION_LIMIT).collect().await;
+    let body = Limited::new(request.into_body(), QUESTION_LIMIT)
+        .collect()
+        .await;
     let Ok(body) = body else {
         return status(413);
     };
--- a/crates/nutmegcart_control/src/port.rs
+++ b/crates/nutmegcart_control/src/port.rs
@@ -37,6 +37,17 @@
 /// Result of a call to the store.
 pub type StoreResult<T> = Result<T, StoreError>;
 
+/// A call without an argument.
+pub type Call0<T> = Rc<dyn Fn() -> Local<T>>;
+/// A call with an argument.
+pub type Call1<A, T> = Rc<dyn Fn(A) -> Local<T>>;
+/// A call with two arguments.
+pub type Call2<A, B, T> = Rc<dyn Fn(A, B) -> Local<T>>;
+/// A call with three arguments.
+pub type Call3<A, B, C, T> = Rc<dyn Fn(A, B, C) -> Local<T>>;
+/// Reads an entry of the store.
+pub type Read<T> = Rc<dyn Fn(&KeyValue) -> Result<T, String>>;
+
 /// A change that a watch reports.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -68,19 +79,19 @@
 #[derive(Clone)]
 pub struct KeyStore {
     /// Reads one key.
-    pub get: Rc<dyn Fn(String) -> Local<StoreResult<Option<KeyValue>>>>,
+    pub get: Call1<String, StoreResult<Option<KeyValue>>>,
     /// Reads all keys with a prefix.
-    pub range: Rc<dyn Fn(String) -> Local<StoreResult<Range>>>,
+    pub range: Call1<String, StoreResult<Range>>,
     /// Waits for changes of keys with a prefix after a revision.
-    pub watch: Rc<dyn Fn(String, Revision, Duration) -> Local<StoreResult<Changes>>>,
+    pub watch: Call3<String, Revision, Duration, StoreResult<Changes>>,
     /// Runs a transaction of at most 32 conditions and writes.
-    pub txn: Rc<dyn Fn(Txn) -> Local<StoreResult<TxnReply>>>,
+    pub txn: Call1<Txn, StoreResult<TxnReply>>,
     /// Grants a lease.
-    pub grant: Rc<dyn Fn(Duration) -> Local<StoreResult<LeaseId>>>,
+    pub grant: Call1<Duration, StoreResult<LeaseId>>,
     /// Renews a lease; false if it has ended.
-    pub keep: Rc<dyn Fn(LeaseId) -> Local<StoreResult<bool>>>,
+    pub keep: Call1<LeaseId, StoreResult<bool>>,
     /// Ends a lease.
-    pub end: Rc<dyn Fn(LeaseId) -> Local<StoreResult<()>>>,
+    pub end: Call1<LeaseId, StoreResult<()>>,
 }
 
 /// A life of a worker that a call is meant for.
@@ -105,19 +116,32 @@
     Failed(String),
 }
 
+/// An order for a machine.
+#[derive(Clone, Debug)]
+pub struct Command {
+    /// Holder of the right to give orders for the machine.
+    pub holder: Arc<str>,
+    /// Fencing token of the holder.
+    pub fence: u64,
+    /// Machine.
+    pub machine: Arc<str>,
+    /// What to do.
+    pub order: MachineOrder,
+}
+
 /// Workers, machines and the service that permits workers.
 #[derive(Clone)]
 pub struct Fleet {
     /// Renews a lease, acknowledges ends and asks for a report.
-    pub look: Rc<dyn Fn(Target, Look) -> Local<Result<Report, LookError>>>,
+    pub look: Call2<Target, Look, Result<Report, LookError>>,
     /// Sends an order.
-    pub order: Rc<dyn Fn(Target, Order) -> Local<Outcome>>,
+    pub order: Call2<Target, Order, Outcome>,
     /// Lists all machines.
-    pub machines: Rc<dyn Fn() -> Local<Result<Vec<Machine>, String>>>,
-    /// Gives an order for a machine, with its holder and the fencing token.
-    pub command: Rc<dyn Fn(Arc<str>, u64, Arc<str>, MachineOrder) -> Local<MachineOutcome>>,
+    pub machines: Call0<Result<Vec<Machine>, String>>,
+    /// Gives an order for a machine.
+    pub command: Call1<Command, MachineOutcome>,
     /// Asks which workers may run a step; returns their tickets and how long these hold.
-    pub advise: Rc<dyn Fn(TaskKey, Vec<WorkerId>) -> Local<Result<Permits, String>>>,
+    pub advise: Call2<TaskKey, Vec<WorkerId>, Result<Permits, String>>,
 }
 
 /// Tickets of the workers that may run a step.
@@ -164,21 +188,26 @@
     Wave(WaveRequest),
 }
 
+/// A key with its value.
+pub type Entry = (String, Vec<u8>);
+/// Returns key and value of a wave's progress.
+pub type Progress = Rc<dyn Fn(u64, WaveState) -> Entry>;
+
 /// Where the platform keeps what others write, and how it reads.
 #[derive(Clone)]
 pub struct Directory {
     /// Prefix of operators' records.
     pub operator: Arc<str>,
     /// Reads an operator's record.
-    pub record: Rc<dyn Fn(&KeyValue) -> Result<OperatorRecord, String>>,
+    pub record: Read<OperatorRecord>,
     /// Prefix of the workers' entries.
     pub workers: Arc<str>,
     /// Reads a worker's entry.
-    pub listing: Rc<dyn Fn(&KeyValue) -> Result<Listing, String>>,
+    pub listing: Read<Listing>,
     /// Returns the worker that a key names.
     pub worker: Rc<dyn Fn(&str) -> Option<WorkerId>>,
     /// Returns key and value of a wave's progress.
-    pub progress: Rc<dyn Fn(u64, WaveState) -> (String, Vec<u8>)>,
+    pub progress: Progress,
 }
 
 /// The platform as a whole.
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -34,7 +34,11 @@
             logger::flush();
         }
     });
-    log_event!(Event::EntryStarted, id = node.settings.name, peer = node.settings.peer);
+    log_event!(
+        Event::EntryStarted,
+        id = node.settings.name,
+        peer = node.settings.peer
+    );
 }
 
 async fn serve_peers(node: Rc<Node>, desk: Desk) {
@@ -58,7 +62,9 @@
             };
             match (directory.record)(&item) {
                 Ok(OperatorRecord::Configuration(configuration)) => {
-                    node.metrics.version.set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
+                    node.metrics
+                        .version
+                        .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
                     node.configure(*configuration);
                     node.owner_changed.notify_waiters();
                 }
@@ -76,7 +82,11 @@
 /// Shuts down after SIGTERM: hands the cell over, and ends once no request is in flight.
 pub async fn shut_down(node: &Rc<Node>) {
     let start = now();
-    log_event!(Event::EntryDraining, id = node.settings.name, active = node.active.get());
+    log_event!(
+        Event::EntryDraining,
+        id = node.settings.name,
+        active = node.active.get()
+    );
     node.refusing.set(true);
     duty::hand_over(node).await;
     logger::flush();
@@ -91,7 +101,11 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     tokio::time::sleep(Duration::from_millis(150)).await;
-    log_event!(Event::EntryStopped, id = node.settings.name, active = node.active.get());
+    log_event!(
+        Event::EntryStopped,
+        id = node.settings.name,
+        active = node.active.get()
+    );
     logger::flush();
     tokio::time::sleep(Duration::from_millis(50)).await;
 }
--- /dev/null
+++ b/crates/nutmegcart_control/tests/http.rs
@@ -0,0 +1,64 @@
+//! The client's connections.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use bytes::Bytes;
+use nutmegcart_control::http::CallError;
+use nutmegcart_control::http::Client;
+use nutmegcart_control::http::request;
+use tokio::task::LocalSet;
+
+fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.expect("runtime starts"), future)
+}
+
+/// Guards against a call that was given up and is delivered after a partition: closing the
+/// connection in order would let the kernel deliver what it still holds.
+#[test]
+fn a_call_that_is_given_up_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut seen = Vec::new();
+        stream.read_to_end(&mut seen).map_err(|error| error.kind())
+    });
+    let answer = run(async move {
+        let client = Client::default();
+        let request = request(
+            "POST",
+            "/v1/order",
+            &[("host", "worker")],
+            Bytes::from("order"),
+        );
+        client
+            .call(address, request, Duration::from_millis(200))
+            .await
+    });
+    assert!(matches!(answer, Err(CallError::Lost { .. })), "{answer:?}");
+    let ended = server.join().expect("the server ends");
+    assert_eq!(ended, Err(std::io::ErrorKind::ConnectionReset));
+}
+
+/// Guards against a refused connection that counts as a request that may have been carried out.
+#[test]
+fn a_refused_connection_sends_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    drop(listener);
+    let answer = run(async move {
+        let request = request("GET", "/v1/order", &[("host", "worker")], Bytes::new());
+        Client::default()
+            .call(address, request, Duration::from_millis(500))
+            .await
+    });
+    assert!(
+        matches!(answer, Err(CallError::NotSent { .. })),
+        "{answer:?}"
+    );
+}
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -55,6 +55,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that a transaction of the store takes.
 const STORE: Duration = Duration::from_millis(4);
+/// Time until a new owner has read service discovery.
+const DISCOVERY: Duration = Duration::from_millis(20);
 /// Pause in which events collect before a pass.
 const PASS: Duration = Duration::from_millis(3);
 /// Time between two ticks.
@@ -92,6 +94,8 @@
     Pass(usize),
     LookArrives(usize, WorkerId, Look, Duration),
     LookAnswered(usize, WorkerId, Duration, Option<Report>, bool),
+    QuickLook(usize, WorkerId, Look, Duration),
+    Reported(usize, WorkerId, Duration, Report),
     LookExpires(WorkerId, u64),
     OrderArrives(usize, WorkerId, Order, bool, u64),
     OrderAnswered(usize, WorkerId, Order, Outcome),
@@ -185,6 +189,7 @@
     events: BinaryHeap<Reverse<Scheduled>>,
     numbers: u64,
     parked: BTreeMap<WorkerId, Parked>,
+    maintained: BTreeSet<(u64, std::sync::Arc<str>)>,
     random: StdRng,
     lives: u64,
 }
@@ -213,6 +218,7 @@
             events: BinaryHeap::new(),
             numbers: 0,
             parked: BTreeMap::new(),
+            maintained: BTreeSet::new(),
             random: StdRng::seed_from_u64(seed),
             lives: 0,
         }
@@ -259,13 +265,16 @@
         let id = worker.listing.id.clone();
         worker.started = self.now;
         if let Some(name) = worker.listing.machine.clone() {
-            self.machines.insert(name.clone(), Machine {
-                name,
-                pool: worker.listing.pool.clone(),
-                state: MachineState::Up,
-                worker: Some(id.clone()),
-                capacity: worker.listing.capacity,
-            });
+            self.machines.insert(
+                name.clone(),
+                Machine {
+                    name,
+                    pool: worker.listing.pool.clone(),
+                    state: MachineState::Up,
+                    worker: Some(id.clone()),
+                    capacity: worker.listing.capacity,
+                },
+            );
         }
         self.workers.insert(id.clone(), worker);
         self.announce(&id);
@@ -279,7 +288,9 @@
         for index in 0..self.owners.len() {
             if self.owners[index].up && self.owners[index].store {
                 let now = self.now;
-                self.owners[index].scheduler.see_worker(listing.clone(), now);
+                self.owners[index]
+                    .scheduler
+                    .see_worker(listing.clone(), now);
                 self.watch(index, id);
                 self.wake(index);
             }
@@ -298,7 +309,7 @@
     }
 
     /// Accepts a job.
-    pub fn submit(&mut self, id: &JobId, accepted: Accepted) {
+    pub fn submit(&mut self, id: &JobId, accepted: &Accepted) {
         self.store.revision += 1;
         let revision = self.store.revision;
         let record = JobRecord::Accepted(Box::new(accepted.clone()));
@@ -308,8 +319,11 @@
             if self.owners[index].up && self.owners[index].store {
                 let (unix, now) = (self.unix(), self.now);
                 let owner = &mut self.owners[index];
-                let inherited = u64::try_from(revision).is_ok_and(|revision| revision < owner.fence);
-                owner.scheduler.add_job(id, accepted.clone(), revision, inherited, unix, now);
+                let inherited =
+                    u64::try_from(revision).is_ok_and(|revision| revision < owner.fence);
+                owner
+                    .scheduler
+                    .add_job(id, accepted.clone(), revision, inherited, unix, now);
                 self.wake(index);
             }
         }
@@ -325,12 +339,16 @@
             how: Final::Cancelled,
             at: self.unix(),
         };
-        self.store.jobs.insert(id.clone(), (record, self.store.revision));
+        self.store
+            .jobs
+            .insert(id.clone(), (record, self.store.revision));
         let now = self.now;
         self.oracle.cancel(id, now);
         for index in 0..self.owners.len() {
             if self.owners[index].up && self.owners[index].store {
-                self.owners[index].scheduler.note_ended(id, Final::Cancelled, now);
+                self.owners[index]
+                    .scheduler
+                    .note_ended(id, Final::Cancelled, now);
                 self.wake(index);
             }
         }
@@ -347,6 +365,15 @@
 
     /// Lets a new owner take over; earlier ones go on unless they were stopped.
     pub fn take_over(&mut self) -> usize {
+        self.take_over_cut([])
+    }
+
+    /// Lets a new owner take over that does not reach some workers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an earlier owner stored a state that cannot be read.
+    pub fn take_over_cut(&mut self, cut: impl IntoIterator<Item = WorkerId>) -> usize {
         self.store.revision += 1;
         let fence = self.store.revision;
         self.store.owner = u64::try_from(fence).unwrap_or_default();
@@ -355,7 +382,14 @@
         for (id, (record, revision)) in &self.store.jobs {
             match record {
                 JobRecord::Accepted(accepted) => {
-                    scheduler.add_job(id, (**accepted).clone(), *revision, true, self.unix(), self.now);
+                    scheduler.add_job(
+                        id,
+                        (**accepted).clone(),
+                        *revision,
+                        true,
+                        self.unix(),
+                        self.now,
+                    );
                 }
                 JobRecord::Ended { how, .. } => scheduler.note_ended(id, *how, self.now),
             }
@@ -364,14 +398,17 @@
             let record: CellRecord = decode(state).expect("the stored state decodes");
             scheduler.inherit(&record);
         }
-        let known: Vec<WorkerId> = scheduler.workers().map(|worker| worker.listing.id.clone()).collect();
+        let known: Vec<WorkerId> = scheduler
+            .workers()
+            .map(|worker| worker.listing.id.clone())
+            .collect();
         self.owners.push(Owner {
             scheduler,
             fence: self.store.owner,
             renewed: self.now,
             up: true,
             store: true,
-            cut: BTreeSet::new(),
+            cut: cut.into_iter().collect(),
             looked: BTreeSet::new(),
             pass: false,
             since: self.now,
@@ -380,11 +417,20 @@
         for id in known {
             self.watch(index, &id);
         }
-        let listed: Vec<WorkerId> = self.workers.iter().filter(|(_, worker)| worker.up).map(|(id, _)| id.clone()).collect();
+        let listed: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.up)
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in listed {
-            let (listing, now) = (self.workers[&id].listing.clone(), self.now);
-            self.owners[index].scheduler.see_worker(listing, now);
-            self.watch(index, &id);
+            // Service discovery is read after the cell.
+            self.after(DISCOVERY, move |world| {
+                let (listing, now) = (world.workers[&id].listing.clone(), world.now);
+                world.owners[index].scheduler.see_worker(listing, now);
+                world.watch(index, &id);
+                world.wake(index);
+            });
         }
         self.schedule(TICK, Event::Tick(index));
         self.schedule(LATENCY, Event::Machines(index));
@@ -411,7 +457,10 @@
         if self.reaches(index, id) {
             self.schedule(LATENCY, Event::LookArrives(index, id.clone(), look, now));
         } else {
-            self.schedule(TIMEOUT, Event::LookAnswered(index, id.clone(), now, None, false));
+            self.schedule(
+                TIMEOUT,
+                Event::LookAnswered(index, id.clone(), now, None, false),
+            );
         }
     }
 
@@ -441,8 +490,31 @@
             Event::LookAnswered(index, id, sent, report, fenced) => {
                 self.look_answered(index, &id, sent, report.as_ref(), fenced);
             }
+            Event::QuickLook(index, id, look, sent) => {
+                let (now, fence) = (self.now, self.owners[index].fence);
+                let worker = self.workers.get_mut(&id).filter(|worker| worker.up);
+                if let Some(worker) = worker
+                    && worker.look(fence, &look, now)
+                {
+                    let report = worker.report(now);
+                    self.schedule(LATENCY, Event::Reported(index, id, sent, report));
+                }
+            }
+            Event::Reported(index, id, sent, report) => {
+                let now = self.now;
+                if self.owners[index].up {
+                    self.owners[index]
+                        .scheduler
+                        .reported(&id, sent, &report, now);
+                    self.wake(index);
+                }
+            }
             Event::LookExpires(id, number) => {
-                if self.parked.get(&id).is_some_and(|parked| parked.number == number) {
+                if self
+                    .parked
+                    .get(&id)
+                    .is_some_and(|parked| parked.number == number)
+                {
                     self.answer_parked(&id);
                 }
             }
@@ -452,7 +524,9 @@
             Event::OrderAnswered(index, id, order, outcome) => {
                 if self.owners[index].up {
                     let now = self.now;
-                    self.owners[index].scheduler.answered(&id, &order, outcome, now);
+                    self.owners[index]
+                        .scheduler
+                        .answered(&id, &order, outcome, now);
                     self.wake(index);
                 }
             }
@@ -468,7 +542,9 @@
             Event::MachineReturns(name) => self.machine_returns(&name),
             Event::MachineAnswered(index, name, order, outcome) => {
                 let now = self.now;
-                self.owners[index].scheduler.machine_answered(&name, &order, outcome, now);
+                self.owners[index]
+                    .scheduler
+                    .machine_answered(&name, &order, outcome, now);
                 self.wake(index);
             }
         }
@@ -490,9 +566,16 @@
         }
         let owner = &mut self.owners[index];
         let from = owner.since + Duration::from_secs(3) + LEASE;
-        owner.scheduler.set_ownership(from, owner.renewed + LEASE - Duration::from_millis(600));
+        owner.scheduler.set_ownership(
+            from,
+            (owner.renewed + LEASE).saturating_sub(Duration::from_millis(600)),
+        );
         owner.scheduler.tick(unix, now);
-        let looked: Vec<WorkerId> = owner.scheduler.workers().map(|worker| worker.listing.id.clone()).collect();
+        let looked: Vec<WorkerId> = owner
+            .scheduler
+            .workers()
+            .map(|worker| worker.listing.id.clone())
+            .collect();
         for id in looked {
             self.watch(index, &id);
         }
@@ -510,10 +593,11 @@
         for action in self.owners[index].scheduler.take_actions() {
             self.carry_out(index, action);
         }
-        if self.owners[index].store && !self.store.down {
-            if let Some(flush) = self.owners[index].scheduler.next_flush(now) {
-                self.schedule(STORE, Event::FlushArrives(index, flush));
-            }
+        if self.owners[index].store
+            && !self.store.down
+            && let Some(flush) = self.owners[index].scheduler.next_flush(now)
+        {
+            self.schedule(STORE, Event::FlushArrives(index, flush));
         }
     }
 
@@ -521,20 +605,46 @@
         match action {
             Action::Order { worker, order, .. } => {
                 let late = self.late > 0.0 && self.random.random_bool(self.late);
-                let life = self.workers.get(&worker).map_or(0, |worker| worker.listing.born);
+                let life = self
+                    .workers
+                    .get(&worker)
+                    .map_or(0, |worker| worker.listing.born);
                 if !self.reaches(index, &worker) {
-                    self.schedule(TIMEOUT, Event::OrderAnswered(index, worker, order, Outcome::Unknown));
+                    self.schedule(
+                        TIMEOUT,
+                        Event::OrderAnswered(index, worker, order, Outcome::Unknown),
+                    );
                 } else if late {
                     let delay = Duration::from_millis(self.random.random_range(2_000..12_000));
-                    self.schedule(delay, Event::OrderArrives(index, worker.clone(), order.clone(), false, life));
-                    self.schedule(TIMEOUT, Event::OrderAnswered(index, worker, order, Outcome::Unknown));
+                    self.schedule(
+                        delay,
+                        Event::OrderArrives(index, worker.clone(), order.clone(), false, life),
+                    );
+                    self.schedule(
+                        TIMEOUT,
+                        Event::OrderAnswered(index, worker, order, Outcome::Unknown),
+                    );
                 } else {
-                    self.schedule(LATENCY, Event::OrderArrives(index, worker, order, true, life));
+                    self.schedule(
+                        LATENCY,
+                        Event::OrderArrives(index, worker, order, true, life),
+                    );
                 }
             }
             Action::Machine { machine, order } => {
                 let outcome = self.command(&machine, &order);
-                self.schedule(STORE, Event::MachineAnswered(index, machine, order, outcome));
+                self.schedule(
+                    STORE,
+                    Event::MachineAnswered(index, machine, order, outcome),
+                );
+            }
+            Action::Look { worker } => {
+                let now = self.now;
+                if let Some(look) = self.owners[index].scheduler.quick_look(&worker, now)
+                    && self.reaches(index, &worker)
+                {
+                    self.schedule(LATENCY, Event::QuickLook(index, worker, look, now));
+                }
             }
             Action::Advise { .. } => {}
         }
@@ -556,7 +666,10 @@
                 machine.state = MachineState::Moving;
                 self.settings.move_time
             }
-            MachineOrder::Maintain(_) => {
+            MachineOrder::Maintain(wave) => {
+                if !self.maintained.insert((*wave, name.clone())) {
+                    return MachineOutcome::Done;
+                }
                 machine.state = MachineState::Maintained;
                 self.settings.upkeep_time
             }
@@ -579,7 +692,9 @@
             };
             machine.state = MachineState::Up;
             let pools = self.pools.iter();
-            let spare = pools.clone().any(|(pool, config)| *pool == machine.pool && config.spare);
+            let spare = pools
+                .clone()
+                .any(|(pool, config)| *pool == machine.pool && config.spare);
             machine.worker = (!spare).then(|| id.clone());
             spare
         };
@@ -590,7 +705,8 @@
         let mut listing = worker::listing(&id, &machine.pool, "r1-1", machine.capacity);
         listing.machine = Some(name.clone());
         listing.born = self.unix();
-        self.workers.insert(id.clone(), FakeWorker::new(listing, self.now));
+        self.workers
+            .insert(id.clone(), FakeWorker::new(listing, self.now));
         self.announce(&id);
     }
 
@@ -608,18 +724,27 @@
         let now = self.now;
         let fence = self.owners[index].fence;
         let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up) else {
-            self.schedule(TIMEOUT, Event::LookAnswered(index, id.clone(), sent, None, false));
+            self.schedule(
+                TIMEOUT,
+                Event::LookAnswered(index, id.clone(), sent, None, false),
+            );
             return;
         };
         let before = worker.ended.clone();
         if !worker.look(fence, &look, now) {
-            self.schedule(LATENCY, Event::LookAnswered(index, id.clone(), sent, None, true));
+            self.schedule(
+                LATENCY,
+                Event::LookAnswered(index, id.clone(), sent, None, true),
+            );
             return;
         }
         for end in before.iter().filter(|end| end.number <= look.acked) {
             self.oracle.acknowledge(&end.task, end.how == RunEnd::Done);
         }
-        let (waits, life) = (worker.ended.is_empty() && !look.wait.is_zero(), worker.listing.born);
+        let (waits, life) = (
+            worker.ended.is_empty() && !look.wait.is_zero(),
+            worker.listing.born,
+        );
         let left = Duration::from_millis(worker.lease.saturating_sub(worker.clock(now)));
         self.schedule(left, Event::LeaseEnds(id.clone(), life));
         if self.parked.contains_key(id) {
@@ -627,7 +752,14 @@
         }
         self.numbers += 1;
         let number = self.numbers;
-        self.parked.insert(id.clone(), Parked { owner: index, sent, number });
+        self.parked.insert(
+            id.clone(),
+            Parked {
+                owner: index,
+                sent,
+                number,
+            },
+        );
         if waits {
             self.schedule(look.wait, Event::LookExpires(id.clone(), number));
         } else {
@@ -640,13 +772,31 @@
             return;
         };
         let now = self.now;
-        let report = self.workers.get(id).filter(|worker| worker.up).map(|worker| worker.report(now));
-        let delay = if report.is_some() && self.reaches(parked.owner, id) { LATENCY } else { TIMEOUT };
+        let report = self
+            .workers
+            .get(id)
+            .filter(|worker| worker.up)
+            .map(|worker| worker.report(now));
+        let delay = if report.is_some() && self.reaches(parked.owner, id) {
+            LATENCY
+        } else {
+            TIMEOUT
+        };
         let report = report.filter(|_| self.reaches(parked.owner, id));
-        self.schedule(delay, Event::LookAnswered(parked.owner, id.clone(), parked.sent, report, false));
+        self.schedule(
+            delay,
+            Event::LookAnswered(parked.owner, id.clone(), parked.sent, report, false),
+        );
     }
 
-    fn look_answered(&mut self, index: usize, id: &WorkerId, sent: Duration, report: Option<&Report>, fenced: bool) {
+    fn look_answered(
+        &mut self,
+        index: usize,
+        id: &WorkerId,
+        sent: Duration,
+        report: Option<&Report>,
+        fenced: bool,
+    ) {
         let now = self.now;
         if !self.owners[index].up {
             return;
@@ -655,22 +805,31 @@
             self.owners[index].up = false;
             return;
         }
-        let pause = match report {
-            Some(report) => {
-                self.owners[index].scheduler.reported(id, sent, report, now);
-                if report.ended.is_empty() { Duration::ZERO } else { Duration::from_millis(25) }
-            }
-            None => {
-                self.owners[index].scheduler.look_failed(id, now);
-                Duration::from_millis(200)
+        let pause = if let Some(report) = report {
+            self.owners[index].scheduler.reported(id, sent, report, now);
+            let gap = Duration::from_millis(25);
+            if report.ended.is_empty() {
+                Duration::ZERO
+            } else {
+                gap
             }
+        } else {
+            self.owners[index].scheduler.look_failed(id, now);
+            Duration::from_millis(200)
         };
         self.wake(index);
         let id = id.clone();
         self.after(pause, move |world| world.look(index, &id));
     }
 
-    fn order_arrives(&mut self, index: usize, id: &WorkerId, order: &Order, answered: bool, life: u64) {
+    fn order_arrives(
+        &mut self,
+        index: usize,
+        id: &WorkerId,
+        order: &Order,
+        answered: bool,
+        life: u64,
+    ) {
         let now = self.now;
         let fence = self.owners[index].fence;
         let begun = match order {
@@ -678,21 +837,39 @@
             _ => None,
         };
         // A late order reaches whoever answers under the worker's identifier by then.
-        let reached = self.workers.get(id).is_some_and(|worker| worker.up && (!answered || worker.listing.born == life));
+        let reached = self
+            .workers
+            .get(id)
+            .is_some_and(|worker| worker.up && (!answered || worker.listing.born == life));
         if !reached {
             if answered {
-                self.schedule(TIMEOUT, Event::OrderAnswered(index, id.clone(), order.clone(), Outcome::Unknown));
+                self.schedule(
+                    TIMEOUT,
+                    Event::OrderAnswered(index, id.clone(), order.clone(), Outcome::Unknown),
+                );
             }
             return;
         }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let before: BTreeMap<TaskKey, u32> = worker.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        let before: BTreeMap<TaskKey, u32> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| (task.clone(), run.number))
+            .collect();
         let ends = worker.last;
         let outcome = worker.carry_out(fence, order, begun, now);
-        let (born, left) = (worker.listing.born, worker.lease.saturating_sub(worker.clock(now)));
-        let ended: Vec<_> = worker.ended.iter().filter(|end| end.number > ends).cloned().collect();
+        let (born, left) = (
+            worker.listing.born,
+            worker.lease.saturating_sub(worker.clock(now)),
+        );
+        let ended: Vec<_> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number > ends)
+            .cloned()
+            .collect();
         if let (Order::Start(start), Outcome::Done { .. }) = (order, outcome)
             && before.get(&start.task) != Some(&start.run)
         {
@@ -701,18 +878,33 @@
                 && !run.lasting
             {
                 let takes = run.takes;
-                self.schedule(takes, Event::RunEnds(id.clone(), born, start.task.clone(), start.run));
+                self.schedule(
+                    takes,
+                    Event::RunEnds(id.clone(), born, start.task.clone(), start.run),
+                );
             }
-            self.schedule(Duration::from_millis(left), Event::LeaseEnds(id.clone(), born));
+            self.schedule(
+                Duration::from_millis(left),
+                Event::LeaseEnds(id.clone(), born),
+            );
         }
         for end in &ended {
-            self.oracle.end(id, &end.task, end.run, end.how == RunEnd::Done, end.how == RunEnd::Failed);
+            self.oracle.end(
+                id,
+                &end.task,
+                end.run,
+                end.how == RunEnd::Done,
+                end.how == RunEnd::Failed,
+            );
         }
         if !ended.is_empty() {
             self.answer_parked(id);
         }
         if answered {
-            self.schedule(LATENCY, Event::OrderAnswered(index, id.clone(), order.clone(), outcome));
+            self.schedule(
+                LATENCY,
+                Event::OrderAnswered(index, id.clone(), order.clone(), outcome),
+            );
         }
     }
 
@@ -746,13 +938,21 @@
 
     fn run_ends(&mut self, id: &WorkerId, life: u64, task: &TaskKey, run: u32) {
         let poisoned = self.poison.contains(task);
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up && worker.listing.born == life) else {
+        let Some(worker) = self
+            .workers
+            .get_mut(id)
+            .filter(|worker| worker.up && worker.listing.born == life)
+        else {
             return;
         };
         if worker.runs.get(task).is_none_or(|each| each.number != run) {
             return;
         }
-        let how = if poisoned { RunEnd::Failed } else { RunEnd::Done };
+        let how = if poisoned {
+            RunEnd::Failed
+        } else {
+            RunEnd::Done
+        };
         worker.end(task, how);
         self.oracle.end(id, task, run, !poisoned, poisoned);
         self.answer_parked(id);
@@ -760,12 +960,21 @@
 
     fn lease_ends(&mut self, id: &WorkerId, life: u64) {
         let now = self.now;
-        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up && worker.listing.born == life) else {
+        let Some(worker) = self
+            .workers
+            .get_mut(id)
+            .filter(|worker| worker.up && worker.listing.born == life)
+        else {
             return;
         };
         let last = worker.last;
         worker.lapse(now);
-        let ended: Vec<_> = worker.ended.iter().filter(|end| end.number > last).cloned().collect();
+        let ended: Vec<_> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number > last)
+            .cloned()
+            .collect();
         for end in ended {
             self.oracle.end(id, &end.task, end.run, false, false);
         }
@@ -781,7 +990,11 @@
         for (task, run) in runs {
             self.oracle.end(id, &task, run.number, false, false);
         }
-        self.parked.remove(id);
+        if let Some(parked) = self.parked.remove(id) {
+            let unanswered =
+                Event::LookAnswered(parked.owner, id.clone(), parked.sent, None, false);
+            self.schedule(TIMEOUT, unanswered);
+        }
     }
 
     /// Starts a crashed worker again under its identifier.
@@ -826,7 +1039,9 @@
         let (revision, at) = (self.store.revision, self.unix());
         for write in &flush.finals {
             let record = JobRecord::Ended { how: write.how, at };
-            self.store.jobs.insert(write.job.clone(), (record, revision));
+            self.store
+                .jobs
+                .insert(write.job.clone(), (record, revision));
         }
         for id in &flush.expired {
             self.store.jobs.remove(id);
--- a/crates/nutmegcart_fakes/src/cell/oracle.rs
+++ b/crates/nutmegcart_fakes/src/cell/oracle.rs
@@ -44,18 +44,25 @@
         self.starts += 1;
         let at = now.as_millis();
         if !self.accepted.contains(&task.job) {
-            self.violations.push(format!("{at} ms: {task} was never accepted"));
+            self.violations
+                .push(format!("{at} ms: {task} was never accepted"));
         }
         let cancelled = self.cancelled.get(&task.job);
         if cancelled.is_some_and(|when| now > *when + CANCELLED_START) {
-            self.violations.push(format!("{at} ms: {task} started long after its job was cancelled"));
+            self.violations.push(format!(
+                "{at} ms: {task} started long after its job was cancelled"
+            ));
         }
         if self.noted.contains(task) {
-            self.violations.push(format!("{at} ms: {task} started after its end was acknowledged"));
+            self.violations.push(format!(
+                "{at} ms: {task} started after its end was acknowledged"
+            ));
         }
         let live = self.live.entry(task.clone()).or_default();
         if let Some((other, number)) = live.first() {
-            self.violations.push(format!("{at} ms: {task} run {run} on {worker} while run {number} is alive on {other}"));
+            self.violations.push(format!(
+                "{at} ms: {task} run {run} on {worker} while run {number} is alive on {other}"
+            ));
         }
         live.insert((worker.clone(), run));
     }
--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -147,13 +147,22 @@
     /// Returns what it says of itself.
     #[must_use]
     pub fn report(&self, now: Duration) -> Report {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share between 0 and 99"
+        )]
         let percent = |run: &FakeRun| {
             if self.hung {
                 return 0;
             }
             let age = now.saturating_sub(run.since);
             if run.lasting {
-                return if age > Duration::from_millis(300) { 100 } else { 0 };
+                return if age > Duration::from_millis(300) {
+                    100
+                } else {
+                    0
+                };
             }
             let share = age.as_secs_f64() / run.takes.as_secs_f64().max(0.001);
             (share * 100.0).min(99.0) as u32
@@ -174,7 +183,13 @@
     }
 
     /// Carries an order out; `run` is what a start would begin.
-    pub fn carry_out(&mut self, fence: u64, order: &Order, run: Option<FakeRun>, now: Duration) -> Outcome {
+    pub fn carry_out(
+        &mut self,
+        fence: u64,
+        order: &Order,
+        run: Option<FakeRun>,
+        now: Duration,
+    ) -> Outcome {
         let clock = Some(self.clock(now));
         let refused = |why| Outcome::Refused { clock, why };
         if fence < self.fence {
@@ -186,17 +201,28 @@
                 if self.clock(now) >= start.until {
                     return refused(Refusal::Late);
                 }
-                if self.past.get(&start.task).is_some_and(|past| *past >= start.run) {
+                if self
+                    .past
+                    .get(&start.task)
+                    .is_some_and(|past| *past >= start.run)
+                {
                     return refused(Refusal::OldRun);
                 }
                 self.extend(start.until, now);
-                if self.runs.get(&start.task).is_some_and(|run| run.number == start.run) {
+                if self
+                    .runs
+                    .get(&start.task)
+                    .is_some_and(|run| run.number == start.run)
+                {
                     return Outcome::Done { clock };
                 }
                 let Some(run) = run else {
                     return refused(Refusal::Malformed);
                 };
-                let used = self.runs.values().fold(Size::default(), |sum, each| sum + each.room);
+                let used = self
+                    .runs
+                    .values()
+                    .fold(Size::default(), |sum, each| sum + each.room);
                 if !run.room.fits(self.listing.capacity.minus(used)) {
                     return refused(Refusal::Room);
                 }
--- a/crates/nutmegcart_jobs/src/advice.rs
+++ b/crates/nutmegcart_jobs/src/advice.rs
@@ -58,11 +58,19 @@
     }
 
     /// Notes the answer to a question that was asked at `sent`.
-    pub(crate) fn advised(&mut self, step: &TaskKey, good: &[(WorkerId, Arc<str>)], valid: Duration, sent: Duration) {
+    pub(crate) fn advised(
+        &mut self,
+        step: &TaskKey,
+        good: &[(WorkerId, Arc<str>)],
+        valid: Duration,
+        sent: Duration,
+    ) {
         let known = self.steps.entry(Self::key(step)).or_default();
         known.asked = None;
         for (worker, ticket) in good {
-            known.tickets.insert(worker.clone(), (ticket.clone(), sent + valid));
+            known
+                .tickets
+                .insert(worker.clone(), (ticket.clone(), sent + valid));
         }
     }
 
@@ -81,7 +89,13 @@
 
 impl Scheduler {
     /// Takes in which workers may run a step, as asked at `sent`.
-    pub fn advised(&mut self, step: &TaskKey, tickets: &[(WorkerId, Arc<str>)], valid: Duration, sent: Duration) {
+    pub fn advised(
+        &mut self,
+        step: &TaskKey,
+        tickets: &[(WorkerId, Arc<str>)],
+        valid: Duration,
+        sent: Duration,
+    ) {
         self.tickets.advised(step, tickets, valid, sent);
     }
 }
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -27,7 +27,7 @@
 
 /// Age of an end after which the progress of its unfinished job is stored; a quarter of the time
 /// in which the platform expects ends to be acknowledged.
-const PROGRESS_AGE: Duration = Duration::from_millis(1_000);
+const PROGRESS_AGE: Duration = Duration::from_secs(1);
 /// Final states in one transaction. The store takes 32 entries, conditions included: two for a
 /// final state, two for the state of the cell and one for the owner.
 const MOST_FINALS: usize = 12;
@@ -174,7 +174,11 @@
                 how,
             });
         }
-        let removable = if flush.finals.is_empty() { EXPIRED_BATCH } else { MOST_EXPIRED };
+        let removable = if flush.finals.is_empty() {
+            EXPIRED_BATCH
+        } else {
+            MOST_EXPIRED
+        };
         if self.durable.expired.len() >= EXPIRED_BATCH {
             let count = removable.min(self.durable.expired.len());
             flush.expired = self.durable.expired.drain(..count).collect();
@@ -192,17 +196,24 @@
 
     /// Returns whether a worker waits to be enrolled or ends wait for their progress record.
     fn state_due(&self, now: Duration) -> bool {
-        let joins = self.workers.values().any(|worker| worker.listed && !worker.enrolled && worker.born != 0);
-        joins || self.upkeep.changed || self.workers.values().any(|worker| {
-            let oldest = worker.ends.front();
-            oldest.is_some_and(|end| now >= end.seen + PROGRESS_AGE)
-        })
+        let joins = self
+            .workers
+            .values()
+            .any(|worker| worker.listed && !worker.enrolled && worker.born != 0);
+        joins
+            || self.upkeep.changed
+            || self.workers.values().any(|worker| {
+                let oldest = worker.ends.front();
+                oldest.is_some_and(|end| now >= end.seen + PROGRESS_AGE)
+            })
     }
 
     /// Encodes the workers that may hold tasks and the progress of unfinished jobs.
     fn snapshot(&self, flight: &mut Flight) -> Vec<u8> {
-        let mut record = CellRecord::default();
-        record.maintained = self.upkeep.maintained();
+        let mut record = CellRecord {
+            maintained: self.upkeep.maintained(),
+            ..CellRecord::default()
+        };
         let mut covered = Vec::new();
         for (id, worker) in &self.workers {
             covered.push((id.clone(), worker.born, worker.seen));
@@ -227,7 +238,7 @@
             record.tasks.extend(progress(job));
         }
         flight.covered = Some(covered);
-        flight.touched = self.durable.touched.clone();
+        flight.touched.clone_from(&self.durable.touched);
         encode(&record)
     }
 
@@ -277,18 +288,33 @@
             if let Some(job) = self.jobs.get_mut(id) {
                 let age = now.saturating_sub(job.since);
                 let late = age > job.objective;
-                log_event!(Event::CallerJobEnded, job = id, how = how, age_ms = age.as_millis(), objective_ms = job.objective.as_millis(), late = late);
+                log_event!(
+                    Event::CallerJobEnded,
+                    job = id,
+                    how = how,
+                    age_ms = age.as_millis(),
+                    objective_ms = job.objective.as_millis(),
+                    late = late
+                );
             }
             self.note_ended(id, *how, now);
         }
         for (id, born) in &flight.enrolled {
-            if let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.born == *born) {
+            if let Some(worker) = self
+                .workers
+                .get_mut(id)
+                .filter(|worker| worker.born == *born)
+            {
                 worker.enrolled = true;
             }
         }
         if let Some(covered) = flight.covered {
             for (id, born, seen) in covered {
-                if let Some(worker) = self.workers.get_mut(&id).filter(|worker| worker.born == born) {
+                if let Some(worker) = self
+                    .workers
+                    .get_mut(&id)
+                    .filter(|worker| worker.born == born)
+                {
                     while let Some(end) = worker.ends.front().filter(|end| end.number <= seen) {
                         worker.acked = end.number;
                         worker.ends.pop_front();
@@ -318,7 +344,9 @@
     #[must_use]
     pub fn unacknowledged(&self) -> BTreeMap<WorkerId, usize> {
         let workers = self.workers.iter();
-        workers.map(|(id, worker)| (id.clone(), worker.ends.len())).collect()
+        workers
+            .map(|(id, worker)| (id.clone(), worker.ends.len()))
+            .collect()
     }
 }
 
--- a/crates/nutmegcart_jobs/src/job.rs
+++ b/crates/nutmegcart_jobs/src/job.rs
@@ -155,6 +155,10 @@
 }
 
 /// A step: tasks of one kind.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the properties are independent of each other"
+)]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// Number of tasks.
--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -7,7 +7,6 @@
 
 use nutmegcart_model::PoolName;
 
-use crate::live::LiveJob;
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
@@ -29,10 +28,6 @@
     idle: HashMap<Arc<str>, Duration>,
 }
 
-impl Lending {
-    pub(crate) fn note_arrival(&mut self, _job: &LiveJob, _now: Duration) {}
-}
-
 /// Need and room of a pool.
 #[derive(Clone, Debug, Default)]
 struct Balance {
@@ -56,12 +51,18 @@
             return;
         }
         let mut balances = self.balances(now);
-        let spare = self.pools.iter().find(|(_, config)| config.spare).map(|(name, _)| name.clone());
+        let spare = self
+            .pools
+            .iter()
+            .find(|(_, config)| config.spare)
+            .map(|(name, _)| name.clone());
         let mut moves: Vec<(Arc<str>, PoolName)> = Vec::new();
         loop {
             let short = balances
                 .iter()
-                .filter(|(pool, balance)| Some(*pool) != spare.as_ref() && balance.want > balance.have)
+                .filter(|(pool, balance)| {
+                    Some(*pool) != spare.as_ref() && balance.want > balance.have
+                })
                 .max_by_key(|(_, balance)| balance.want - balance.have)
                 .map(|(pool, _)| pool.clone());
             let Some(short) = short.filter(|_| moves.len() < MOST_MOVES) else {
@@ -85,7 +86,10 @@
                     continue;
                 }
                 while balance.have > balance.want && moves.len() < MOST_MOVES {
-                    let long = balance.idle.iter().position(|(since, _)| now >= *since + IDLE_OFF);
+                    let long = balance
+                        .idle
+                        .iter()
+                        .position(|(since, _)| now >= *since + IDLE_OFF);
                     let Some(index) = long else {
                         break;
                     };
@@ -97,7 +101,7 @@
         }
         for (machine, pool) in moves {
             self.lending.idle.remove(&machine);
-            self.order_machine(&machine, MachineOrder::Move(pool), now);
+            self.order_machine(&machine, &MachineOrder::Move(pool), now);
         }
     }
 
@@ -106,18 +110,32 @@
         for pool in self.pools.keys() {
             balances.insert(pool.clone(), Balance::default());
         }
-        let mut sizes: Vec<u64> = self.machines.known.values().map(|machine| machine.capacity.cpu).collect();
+        let mut sizes: Vec<u64> = self
+            .machines
+            .known
+            .values()
+            .map(|machine| machine.capacity.cpu)
+            .collect();
         sizes.sort_unstable();
         let size = sizes.get(sizes.len() / 2).copied().unwrap_or(1).max(1) as f64 / 1_000.0;
         let mut cores: HashMap<PoolName, f64> = HashMap::new();
-        for job in self.jobs.values().filter(|job| job.ended.is_none() && !job.accepted.job.lasts()) {
+        for job in self
+            .jobs
+            .values()
+            .filter(|job| job.ended.is_none() && !job.accepted.job.lasts())
+        {
             *cores.entry(job.pool.clone()).or_default() += job.work_left() / HORIZON;
         }
         let names: Vec<Arc<str>> = self.machines.known.keys().cloned().collect();
         let mut seen: HashMap<Arc<str>, Duration> = HashMap::new();
         for name in names {
             let machine = &self.machines.known[&name];
-            let target = match self.machines.pending.get(&name).map(|pending| &pending.order) {
+            let target = match self
+                .machines
+                .pending
+                .get(&name)
+                .map(|pending| &pending.order)
+            {
                 Some(MachineOrder::Move(pool)) => pool.clone(),
                 _ => machine.pool.clone(),
             };
@@ -130,7 +148,8 @@
             if lasting > 0 {
                 balance.want += 1;
             }
-            let free = machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
+            let free =
+                machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
             if free && empty && !self.upkeep.wants(&name) {
                 let since = self.lending.idle.get(&name).copied().unwrap_or(now);
                 seen.insert(name.clone(), since);
@@ -140,7 +159,7 @@
         self.lending.idle = seen;
         for (pool, balance) in &mut balances {
             let busy = cores.get(pool).copied().unwrap_or_default() / size;
-            balance.want += KEPT.max(busy.ceil() as usize);
+            balance.want += KEPT.max(whole(busy));
             balance.idle.sort();
         }
         balances
@@ -148,7 +167,12 @@
 }
 
 /// Finds an idle machine for a pool: a switched-off one, else from the pool with the most to spare.
-fn donor(balances: &BTreeMap<PoolName, Balance>, short: &PoolName, spare: Option<&PoolName>, now: Duration) -> Option<(PoolName, Arc<str>)> {
+fn donor(
+    balances: &BTreeMap<PoolName, Balance>,
+    short: &PoolName,
+    spare: Option<&PoolName>,
+    now: Duration,
+) -> Option<(PoolName, Arc<str>)> {
     let off = spare.and_then(|spare| balances.get(spare).map(|balance| (spare, balance)));
     if let Some((pool, balance)) = off
         && let Some((_, machine)) = balance.idle.first()
@@ -156,10 +180,23 @@
         return Some((pool.clone(), machine.clone()));
     }
     let able = balances.iter().filter(|(pool, balance)| {
-        let ripe = balance.idle.first().is_some_and(|(since, _)| now >= *since + IDLE_LEND);
+        let ripe = balance
+            .idle
+            .first()
+            .is_some_and(|(since, _)| now >= *since + IDLE_LEND);
         *pool != short && ripe && balance.have > balance.want
     });
     let (pool, balance) = able.max_by_key(|(_, balance)| balance.have - balance.want)?;
     let (_, machine) = balance.idle.first()?;
     Some((pool.clone(), machine.clone()))
 }
+
+/// Rounds a number of machines up.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "fleets are far smaller than the range"
+)]
+fn whole(machines: f64) -> usize {
+    machines.max(0.0).ceil() as usize
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -27,8 +27,8 @@
 pub mod upkeep;
 pub mod worker;
 
-pub use durable::Flush;
 pub use durable::FinalWrite;
+pub use durable::Flush;
 pub use durable::Flushed;
 pub use durable::KeyNow;
 pub use job::Advice;
--- a/crates/nutmegcart_jobs/src/live.rs
+++ b/crates/nutmegcart_jobs/src/live.rs
@@ -57,7 +57,9 @@
     pub fn pending(&self) -> impl Iterator<Item = u32> + '_ {
         let waits = |task: &Task| !task.done && task.live == 0;
         let numbered = (0_u32..).zip(&self.tasks);
-        numbered.filter(move |(_, task)| waits(task)).map(|(index, _)| index)
+        numbered
+            .filter(move |(_, task)| waits(task))
+            .map(|(index, _)| index)
     }
 }
 
@@ -160,8 +162,7 @@
         let durations: Vec<Duration> = job.steps.iter().map(predict).collect();
         let work = job.work(predict);
         let chain = job.chain(&BTreeSet::new(), predict);
-        let objective =
-            chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target);
+        let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target);
         Self {
             id,
             pool: queue.pool.clone(),
@@ -205,7 +206,11 @@
     /// Returns whether occurrences are still to come.
     #[must_use]
     pub fn has_future(&self) -> bool {
-        let count = self.accepted.job.schedule.map_or(1, |schedule| schedule.count);
+        let count = self
+            .accepted
+            .job
+            .schedule
+            .map_or(1, |schedule| schedule.count);
         self.spawned < count
     }
 
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -145,11 +145,18 @@
         self.machines.known = list.into_iter().map(by_name).collect();
         let mut ended = Vec::new();
         for worker in self.workers.values() {
-            let machine = worker.listing.machine.as_ref().and_then(|name| self.machines.known.get(name));
+            let machine = worker
+                .listing
+                .machine
+                .as_ref()
+                .and_then(|name| self.machines.known.get(name));
             let Some(machine) = machine else {
                 continue;
             };
-            let other = machine.worker.as_ref().is_some_and(|id| *id != worker.listing.id);
+            let other = machine
+                .worker
+                .as_ref()
+                .is_some_and(|id| *id != worker.listing.id);
             let heard = worker.contact.is_some_and(|contact| contact.at >= asked);
             if (other || machine.state != MachineState::Up) && !heard {
                 ended.push(worker.listing.id.clone());
@@ -171,7 +178,10 @@
 
     /// Returns the worker of a machine.
     pub(crate) fn worker_of(&self, machine: &Machine) -> Option<WorkerId> {
-        let listed = machine.worker.clone().filter(|id| self.workers.contains_key(id));
+        let listed = machine
+            .worker
+            .clone()
+            .filter(|id| self.workers.contains_key(id));
         listed.or_else(|| {
             let on_it = |id: &&WorkerId| {
                 let worker = &self.workers[*id];
@@ -182,7 +192,7 @@
     }
 
     /// Gives an order for a machine on which nothing runs that matters.
-    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: MachineOrder, now: Duration) {
+    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder, now: Duration) {
         let Some(machine) = self.machines.known.get(name) else {
             return;
         };
@@ -197,7 +207,7 @@
             done: None,
         };
         self.machines.pending.insert(name.clone(), pending);
-        self.push_machine_order(name, &order);
+        self.push_machine_order(name, order);
     }
 
     fn push_machine_order(&mut self, name: &Arc<str>, order: &MachineOrder) {
@@ -223,14 +233,25 @@
     }
 
     /// Notes what became of an order for a machine.
-    pub fn machine_answered(&mut self, name: &Arc<str>, order: &MachineOrder, outcome: MachineOutcome, now: Duration) {
+    pub fn machine_answered(
+        &mut self,
+        name: &Arc<str>,
+        order: &MachineOrder,
+        outcome: MachineOutcome,
+        now: Duration,
+    ) {
         let Some(pending) = self.machines.pending.get_mut(name) else {
             return;
         };
         if pending.order != *order || pending.done.is_some() {
             return;
         }
-        log_event!(Event::MachineOrdered, machine = name, order = format_args!("{order:?}"), outcome = format_args!("{outcome:?}"));
+        log_event!(
+            Event::MachineOrdered,
+            machine = name,
+            order = format_args!("{order:?}"),
+            outcome = format_args!("{outcome:?}")
+        );
         match outcome {
             MachineOutcome::Done => {
                 pending.done = Some(now);
--- a/crates/nutmegcart_jobs/src/order.rs
+++ b/crates/nutmegcart_jobs/src/order.rs
@@ -67,8 +67,15 @@
     if job.accepted.job.lasts() {
         return standing(Urgency::Lasting, age);
     }
-    let begun = occurrence.steps.iter().any(|step| step.done > 0 || step.tasks.iter().any(|task| task.live > 0));
-    let tolerance = if begun { occurrence.rest.mul_f64(STARTED_TOLERANCE) } else { Duration::ZERO };
+    let begun = occurrence
+        .steps
+        .iter()
+        .any(|step| step.done > 0 || step.tasks.iter().any(|task| task.live > 0));
+    let tolerance = if begun {
+        occurrence.rest.mul_f64(STARTED_TOLERANCE)
+    } else {
+        Duration::ZERO
+    };
     let end = now + occurrence.rest;
     let deadline = occurrence.due + job.objective;
     if end <= deadline + tolerance {
--- a/crates/nutmegcart_jobs/src/pacing.rs
+++ b/crates/nutmegcart_jobs/src/pacing.rs
@@ -53,11 +53,16 @@
             if worker.failing.is_some() {
                 continue;
             }
-            let serving = worker.runs.iter().filter(|(_, run)| run.serving && run.state == RunState::Running);
+            let serving = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.serving && run.state == RunState::Running);
             let mut worst: Option<(u64, u64)> = None;
             for (key, run) in serving {
                 let job = self.jobs.get(&key.job);
-                let target = job.and_then(|job| job.step(key)).map_or(0, |step| step.target);
+                let target = job
+                    .and_then(|job| job.step(key))
+                    .map_or(0, |step| step.target);
                 if target == 0 || run.percent < 100 {
                     continue;
                 }
--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -48,7 +48,8 @@
 
 impl Slot {
     fn new(worker: &Worker) -> Self {
-        let count = |test: &dyn Fn(&Run) -> bool| worker.runs.values().filter(|run| test(run)).count();
+        let count =
+            |test: &dyn Fn(&Run) -> bool| worker.runs.values().filter(|run| test(run)).count();
         Self {
             id: worker.listing.id.clone(),
             free: worker.free(),
@@ -67,17 +68,23 @@
     /// Returns how well a task fits; the largest is best.
     fn score(&self, step: &Step, near: Option<&Rack>) -> f64 {
         let left = self.free.minus(step.room());
-        let share = |left: u64, all: u64| if all == 0 { 0.0 } else { left as f64 / all as f64 };
-        let spare = share(left.cpu, self.capacity.cpu) + share(left.memory, self.capacity.memory);
+        let share = |left: u64, all: u64| {
+            if all == 0 {
+                0.0
+            } else {
+                left as f64 / all as f64
+            }
+        };
+        let unused = share(left.cpu, self.capacity.cpu) + share(left.memory, self.capacity.memory);
         let mut score = if step.filler {
             // Fillers disturb what serves, and get what the others leave.
-            spare - 8.0 * self.serving as f64 - self.fillers as f64
+            unused - 8.0 * self.serving as f64 - self.fillers as f64
         } else if step.lasting {
             // Lasting tasks share few workers, so that the others can be moved and maintained.
-            (self.lasting.min(8) as f64) - spare
+            (self.lasting.min(8) as f64) - unused
         } else {
             // The fullest worker that fits, so that large tasks find room and others fall empty.
-            -spare + if self.lasting > 0 { 0.5 } else { 0.0 }
+            -unused + if self.lasting > 0 { 0.5 } else { 0.0 }
         };
         if step.target > 0 {
             score -= 4.0 * self.fillers as f64;
@@ -120,7 +127,10 @@
         }
         let mut best: Option<(usize, f64)> = None;
         for (index, slot) in self.slots.iter().enumerate() {
-            if (slot.closed && !step.lasting) || !slot.admits(step, wish) || !step.room().fits(slot.free) {
+            if (slot.closed && !step.lasting)
+                || !slot.admits(step, wish)
+                || !step.room().fits(slot.free)
+            {
                 continue;
             }
             let score = slot.score(step, wish.near);
@@ -142,7 +152,10 @@
 
 impl Slot {
     fn admits(&self, step: &Step, wish: &Wish<'_>) -> bool {
-        let labelled = step.label.as_ref().is_none_or(|label| self.labels.contains(label));
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label));
         let sharing = wish.sharing.get(&self.id).copied().unwrap_or_default();
         let spread = step.spread == 0 || sharing < step.spread;
         let avoided = wish.avoid == Some(&self.id);
@@ -164,7 +177,10 @@
             if !job.has_pending() || (job.inherited && self.unsettled(&job.pool)) {
                 continue;
             }
-            let mean = means.get(&job.accepted.queue.key).copied().unwrap_or(job.work);
+            let mean = means
+                .get(&job.accepted.queue.key)
+                .copied()
+                .unwrap_or(job.work);
             for (number, occurrence) in &job.occurrences {
                 let standing = rank(job, occurrence, mean, now);
                 let pool = waiting.entry(job.pool.clone()).or_default();
@@ -191,11 +207,16 @@
             sum.0 += job.work;
             sum.1 += 1.0;
         }
-        sums.into_iter().map(|(queue, (sum, count))| (queue, sum / count)).collect()
+        sums.into_iter()
+            .map(|(queue, (sum, count))| (queue, sum / count))
+            .collect()
     }
 
     fn field(&self, pool: &PoolName, now: Duration) -> Field {
-        let workers = self.workers.values().filter(|worker| worker.listing.pool == *pool);
+        let workers = self
+            .workers
+            .values()
+            .filter(|worker| worker.listing.pool == *pool);
         let usable = workers.filter(|worker| worker.usable(now));
         let mut field = Field {
             slots: usable.map(Slot::new).collect(),
@@ -233,7 +254,12 @@
     }
 
     fn place_step(&mut self, field: &mut Field, key: &TaskKey, pending: &[u32], now: Duration) {
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)).cloned() else {
+        let Some(step) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.step(key))
+            .cloned()
+        else {
             return;
         };
         if !step.room().fits(field.largest) && !step.lasting {
@@ -244,7 +270,11 @@
             self.place_gang(field, key, &step, pending, &mut sharing, now);
             return;
         }
-        let racks = if step.together { self.racks_in_use(key) } else { None };
+        let racks = if step.together {
+            self.racks_in_use(key)
+        } else {
+            None
+        };
         for index in pending {
             let task = TaskKey {
                 index: *index,
@@ -270,26 +300,54 @@
         near: Option<&Rack>,
         now: Duration,
     ) -> Option<usize> {
-        let advice = self.jobs.get(&task.job).and_then(|job| job.accepted.queue.advice);
-        let avoid = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)).and_then(|task| task.avoid.clone());
+        let advice = self
+            .jobs
+            .get(&task.job)
+            .and_then(|job| job.accepted.queue.advice);
+        let avoid = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.task(task))
+            .and_then(|task| task.avoid.clone());
         let permits = |worker: &WorkerId| self.tickets.get(task, worker, now).is_some();
         let wish = Wish {
             avoid: avoid.as_ref(),
             near,
             sharing,
-            tickets: advice.as_ref().map(|_| &permits as &dyn Fn(&WorkerId) -> bool),
+            tickets: advice
+                .as_ref()
+                .map(|_| &permits as &dyn Fn(&WorkerId) -> bool),
         };
         let chosen = field.choose(step, &wish);
-        let relaxed = Wish { avoid: None, ..wish };
+        let relaxed = Wish {
+            avoid: None,
+            ..wish
+        };
         let alone = avoid.is_some() && field.slots.len() <= 1;
-        let chosen = chosen.or_else(|| if alone { field.choose(step, &relaxed) } else { None });
+        let chosen = chosen.or_else(|| {
+            if alone {
+                field.choose(step, &relaxed)
+            } else {
+                None
+            }
+        });
         if let (None, Some(advice)) = (chosen, advice) {
-            let ask = Wish { tickets: None, ..relaxed };
-            let named = field.slots.iter().filter(|slot| slot.admits(step, &ask) && step.room().fits(slot.free));
-            let workers: Vec<WorkerId> = named.take(MOST_NAMED).map(|slot| slot.id.clone()).collect();
+            let ask = Wish {
+                tickets: None,
+                ..relaxed
+            };
+            let named = field
+                .slots
+                .iter()
+                .filter(|slot| slot.admits(step, &ask) && step.room().fits(slot.free));
+            let workers: Vec<WorkerId> =
+                named.take(MOST_NAMED).map(|slot| slot.id.clone()).collect();
             if !workers.is_empty() && self.tickets.ask(task, advice, now) {
                 self.actions.push(Action::Advise {
-                    step: TaskKey { index: 0, ..task.clone() },
+                    step: TaskKey {
+                        index: 0,
+                        ..task.clone()
+                    },
                     workers,
                 });
             }
@@ -306,7 +364,10 @@
             };
             let count = worker.runs.keys().filter(same).count();
             if count > 0 {
-                sharing.insert(worker.listing.id.clone(), u32::try_from(count).unwrap_or(u32::MAX));
+                sharing.insert(
+                    worker.listing.id.clone(),
+                    u32::try_from(count).unwrap_or(u32::MAX),
+                );
             }
         }
         sharing
@@ -321,7 +382,10 @@
                 *racks.entry(rack).or_default() += count;
             }
         }
-        racks.into_iter().max_by_key(|(rack, count)| (*count, rack.clone())).map(|(rack, _)| rack)
+        racks
+            .into_iter()
+            .max_by_key(|(rack, count)| (*count, rack.clone()))
+            .map(|(rack, _)| rack)
     }
 
     /// Starts all members of a gang, or none.
@@ -338,7 +402,11 @@
             return;
         }
         let racks: Vec<Option<Rack>> = if step.together && step.rack.is_none() {
-            let mut racks: Vec<Rack> = field.slots.iter().filter_map(|slot| slot.rack.clone()).collect();
+            let mut racks: Vec<Rack> = field
+                .slots
+                .iter()
+                .filter_map(|slot| slot.rack.clone())
+                .collect();
             racks.sort();
             racks.dedup();
             racks.into_iter().map(Some).chain([None]).collect()
@@ -353,8 +421,12 @@
             let mut shared = sharing.clone();
             let mut chosen = Vec::new();
             for index in pending {
-                let task = TaskKey { index: *index, ..key.clone() };
-                let Some(slot) = self.choose_slot(&trial, &task, step, &shared, rack.as_ref(), now) else {
+                let task = TaskKey {
+                    index: *index,
+                    ..key.clone()
+                };
+                let Some(slot) = self.choose_slot(&trial, &task, step, &shared, rack.as_ref(), now)
+                else {
                     break;
                 };
                 trial.slots[slot].take(step);
@@ -364,7 +436,9 @@
             }
             let one_rack = rack.is_none()
                 || !step.together
-                || chosen.iter().all(|(_, slot)| field.slots[*slot].rack == rack);
+                || chosen
+                    .iter()
+                    .all(|(_, slot)| field.slots[*slot].rack == rack);
             if chosen.len() == pending.len() && one_rack {
                 let run = self.gang_run(key);
                 for (task, slot) in chosen {
@@ -378,12 +452,18 @@
 
     /// Returns the run number of a gang's next start, above all that its members have used.
     fn gang_run(&mut self, key: &TaskKey) -> u32 {
-        let state = self.jobs.get_mut(&key.job).and_then(|job| job.step_state(key));
+        let state = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.step_state(key));
         let highest = state.and_then(|state| state.tasks.iter().map(|task| task.run).max());
         highest.unwrap_or_default() + 1
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one start needs its place, its step and the count of copies")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one start needs its place, its step and the count of copies"
+    )]
     fn start(
         &mut self,
         field: &mut Field,
@@ -456,7 +536,14 @@
     ///
     /// Answers the load pattern of a pool that a burst keeps full: a lasting task that fails then
     /// has to start again within seconds.
-    fn make_room(&mut self, field: &mut Field, task: &TaskKey, step: &Step, sharing: &HashMap<WorkerId, u32>, now: Duration) {
+    fn make_room(
+        &mut self,
+        field: &mut Field,
+        task: &TaskKey,
+        step: &Step,
+        sharing: &HashMap<WorkerId, u32>,
+        now: Duration,
+    ) {
         let wish = Wish {
             avoid: None,
             near: None,
@@ -469,14 +556,22 @@
             let short = runs.filter(|run| !run.lasting);
             short.fold(slot.free, |sum, run| sum + run.room)
         };
-        let fitting = field.slots.iter().enumerate().filter(|(_, slot)| slot.admits(step, &wish) && step.room().fits(room(slot)));
+        let fitting = field
+            .slots
+            .iter()
+            .enumerate()
+            .filter(|(_, slot)| slot.admits(step, &wish) && step.room().fits(room(slot)));
         let best = fitting.max_by_key(|(_, slot)| (slot.closed, slot.free.cpu));
         let Some(index) = best.map(|(index, _)| index) else {
             return;
         };
         field.slots[index].closed = true;
         let id = field.slots[index].id.clone();
-        let waiting = self.jobs.get_mut(&task.job).and_then(|job| job.task(task)).map(|task| task.waiting);
+        let waiting = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|job| job.task(task))
+            .map(|task| task.waiting);
         if waiting.is_none_or(|since| now < since + MAKE_ROOM) {
             return;
         }
@@ -490,13 +585,16 @@
             .map(|(key, run)| (run.since, key.clone(), run.room))
             .collect();
         short.sort_by_key(|(since, _, _)| std::cmp::Reverse(*since));
-        let stopping = worker.runs.values().filter(|run| matches!(run.state, RunState::Stopping { .. }));
+        let stopping = worker
+            .runs
+            .values()
+            .filter(|run| matches!(run.state, RunState::Stopping { .. }));
         let mut free = stopping.fold(worker.free(), |sum, run| sum + run.room);
         for (_, key, size) in short {
             if step.room().fits(free) {
                 break;
             }
-            free = free + size;
+            free += size;
             self.stop(&id, &key, StopReason::Preempted);
         }
     }
@@ -517,7 +615,8 @@
                 }
                 let job = self.jobs.get(&key.job);
                 let duration = job.and_then(|job| job.durations.get(usize::from(key.step)));
-                let left = duration.map(|duration| duration.saturating_sub(now.saturating_sub(run.since)));
+                let left =
+                    duration.map(|duration| duration.saturating_sub(now.saturating_sub(run.since)));
                 let fits = left.is_some_and(|left| left < worker.listing.remaining);
                 if run.lasting || !fits {
                     let sound = !worker.listing.draining;
--- a/crates/nutmegcart_jobs/src/runs.rs
+++ b/crates/nutmegcart_jobs/src/runs.rs
@@ -32,7 +32,7 @@
 /// whether it counts as silent.
 const SILENT_PAUSE: Duration = Duration::from_millis(300);
 /// Time between looks while nothing ends.
-const LOOK_WAIT: Duration = Duration::from_millis(1_000);
+const LOOK_WAIT: Duration = Duration::from_secs(1);
 /// Time between looks at workers on which serving tasks and fillers share the processor.
 const SHARED_WAIT: Duration = Duration::from_millis(400);
 
@@ -167,6 +167,15 @@
 }
 
 impl Scheduler {
+    /// Returns a look that is answered at once.
+    pub fn quick_look(&mut self, id: &WorkerId, now: Duration) -> Option<Look> {
+        let look = self.next_look(id, now)?;
+        Some(Look {
+            wait: Duration::ZERO,
+            ..look
+        })
+    }
+
     /// Returns the next look at a worker.
     ///
     /// A worker that does not answer gets no new lease, so that the time at which its runs have
@@ -175,7 +184,10 @@
         let hold = self.settings.hold;
         let worker = self.workers.get_mut(id)?;
         let fresh = worker.failing.is_none() && worker.fenced;
-        let until = worker.clock(now).filter(|_| fresh).map(|clock| clock + millis(hold));
+        let until = worker
+            .clock(now)
+            .filter(|_| fresh)
+            .map(|clock| clock + millis(hold));
         if let Some(until) = until {
             worker.extend(until);
         }
@@ -221,7 +233,11 @@
             worker.born = report.born;
         }
         if let Some(since) = worker.failing {
-            log_event!(Event::WorkerBack, worker = id, silent_ms = now.saturating_sub(since).as_millis());
+            log_event!(
+                Event::WorkerBack,
+                worker = id,
+                silent_ms = now.saturating_sub(since).as_millis()
+            );
         }
         let first = !worker.fenced;
         worker.heard(report.clock, now);
@@ -233,7 +249,13 @@
         }
         let runs = worker.runs.len();
         if first {
-            log_event!(Event::WorkerFenced, worker = id, running = report.running.len(), ended = report.ended.len(), known = runs);
+            log_event!(
+                Event::WorkerFenced,
+                worker = id,
+                running = report.running.len(),
+                ended = report.ended.len(),
+                known = runs
+            );
         }
         for end in &report.ended {
             self.take_end(id, end, now);
@@ -270,8 +292,15 @@
 
     /// Adopts a run of an earlier owner, or has it stopped.
     fn adopt(&mut self, id: &WorkerId, listed: &ListedRun, now: Duration) {
-        let occupied = self.workers.get(id).is_some_and(|worker| worker.runs.contains_key(&listed.task));
-        let step = self.jobs.get(&listed.task.job).and_then(|job| job.step(&listed.task)).cloned();
+        let occupied = self
+            .workers
+            .get(id)
+            .is_some_and(|worker| worker.runs.contains_key(&listed.task));
+        let step = self
+            .jobs
+            .get(&listed.task.job)
+            .and_then(|job| job.step(&listed.task))
+            .cloned();
         let wanted = step.filter(|step| {
             let job = self.jobs.get_mut(&listed.task.job);
             let open = job.filter(|job| job.ended.is_none());
@@ -279,7 +308,8 @@
             task.is_some_and(|task| !task.done && (task.live == 0 || step.speculative))
         });
         let Some(step) = wanted.filter(|_| !occupied) else {
-            self.strays.insert((id.clone(), listed.task.clone(), listed.run));
+            self.strays
+                .insert((id.clone(), listed.task.clone(), listed.run));
             return;
         };
         let Some(job) = self.jobs.get_mut(&listed.task.job) else {
@@ -307,7 +337,12 @@
             filler: step.filler,
             lasting: step.lasting,
         };
-        log_event!(Event::RunAdopted, task = listed.task, run = listed.run, worker = id);
+        log_event!(
+            Event::RunAdopted,
+            task = listed.task,
+            run = listed.run,
+            worker = id
+        );
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(listed.task.clone(), run);
         }
@@ -328,16 +363,25 @@
             seen: now,
         });
         self.strays.remove(&(id.clone(), end.task.clone(), end.run));
-        let known = worker.runs.get(&end.task).is_some_and(|run| run.number == end.run);
+        let known = worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.number == end.run);
         let started = worker.runs.get(&end.task).map(|run| run.since);
-        let stalled = worker.runs.get(&end.task).is_some_and(|run| run.is_stalled());
+        let stalled = worker.runs.get(&end.task).is_some_and(Run::is_stalled);
         self.durable.note_end(&end.task);
         match end.how {
             RunEnd::Done => self.take_done(id, end, started, now),
             RunEnd::Failed => self.take_failed(id, end, now),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {
                 if !(end.how == RunEnd::Stopped && known) {
-                    log_event!(Event::RunEnded, task = end.task, run = end.run, worker = id, how = format_args!("{:?}", end.how));
+                    log_event!(
+                        Event::RunEnded,
+                        task = end.task,
+                        run = end.run,
+                        worker = id,
+                        how = format_args!("{:?}", end.how)
+                    );
                 }
                 if stalled && let Some(worker) = self.workers.get_mut(id) {
                     worker.note_failure(&end.task.job);
@@ -355,7 +399,11 @@
             job.started = true;
         }
         if known {
-            if let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(&end.task)) {
+            if let Some(run) = self
+                .workers
+                .get_mut(id)
+                .and_then(|worker| worker.runs.get_mut(&end.task))
+            {
                 run.saved.clone_from(&end.saved);
             }
             self.release(id, &end.task, now);
@@ -363,7 +411,13 @@
         self.settle_job(&end.task.job);
     }
 
-    fn take_done(&mut self, id: &WorkerId, end: &ListedEnd, started: Option<Duration>, now: Duration) {
+    fn take_done(
+        &mut self,
+        id: &WorkerId,
+        end: &ListedEnd,
+        started: Option<Duration>,
+        now: Duration,
+    ) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.note_success();
         }
@@ -375,7 +429,10 @@
         if gang {
             let count = step.as_ref().map_or(0, |step| step.count);
             for index in 0..count {
-                let member = TaskKey { index, ..end.task.clone() };
+                let member = TaskKey {
+                    index,
+                    ..end.task.clone()
+                };
                 job.finish(&member);
                 self.durable.note_end(&member);
             }
@@ -386,7 +443,8 @@
         }
         if let (Some(step), Some(started)) = (step, started) {
             let queue = job.accepted.queue.key.clone();
-            self.estimates.learn(&queue, &step, now.saturating_sub(started));
+            self.estimates
+                .learn(&queue, &step, now.saturating_sub(started));
         }
         let copies: Vec<WorkerId> = self
             .workers
@@ -400,7 +458,12 @@
     }
 
     fn take_failed(&mut self, id: &WorkerId, end: &ListedEnd, now: Duration) {
-        log_event!(Event::RunFailed, task = end.task, run = end.run, worker = id);
+        log_event!(
+            Event::RunFailed,
+            task = end.task,
+            run = end.run,
+            worker = id
+        );
         self.blame(id, &end.task, now);
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
@@ -432,7 +495,10 @@
             return;
         }
         let pool = worker.listing.pool.clone();
-        let peers = self.workers.values().filter(|peer| peer.listing.pool == pool);
+        let peers = self
+            .workers
+            .values()
+            .filter(|peer| peer.listing.pool == pool);
         let total = peers.clone().count() as f64;
         let held = peers.filter(|peer| peer.penalty > now).count() as f64;
         let Some(worker) = self.workers.get_mut(id) else {
@@ -441,7 +507,11 @@
         if worker.penalty <= now && held + 1.0 <= (total * MOST_PENALISED).max(1.0) {
             worker.penalty = now + PENALTY * 2_u32.pow(worker.strikes.min(MOST_STRIKES));
             worker.strikes += 1;
-            log_event!(Event::WorkerPenalised, worker = id, failures = worker.streak.len());
+            log_event!(
+                Event::WorkerPenalised,
+                worker = id,
+                failures = worker.streak.len()
+            );
         }
     }
 
@@ -453,7 +523,10 @@
         let mut gone = Vec::new();
         let mut vanished = Vec::new();
         for (key, run) in &worker.runs {
-            let listed = report.running.iter().any(|each| each.task == *key && each.run == run.number);
+            let listed = report
+                .running
+                .iter()
+                .any(|each| each.task == *key && each.run == run.number);
             if listed {
                 continue;
             }
@@ -491,11 +564,14 @@
         };
         match order {
             Order::Start(start) => {
-                let ordered = run(&start.task, start.run).is_some_and(|run| run.state == RunState::Ordered);
+                let ordered =
+                    run(&start.task, start.run).is_some_and(|run| run.state == RunState::Ordered);
                 ordered && worker.listed && !worker.listing.draining && worker.failing.is_none()
             }
             Order::Stop { .. } => true,
-            Order::Pace { task, run: number, .. } => run(task, *number).is_some(),
+            Order::Pace {
+                task, run: number, ..
+            } => run(task, *number).is_some(),
         }
     }
 
@@ -520,7 +596,9 @@
             Order::Stop { task, run } => self.stop_answered(id, task, *run, outcome, now),
             Order::Pace { task, run, .. } => {
                 let runs = self.workers.get_mut(id).map(|worker| &mut worker.runs);
-                let run = runs.and_then(|runs| runs.get_mut(task)).filter(|each| each.number == *run);
+                let run = runs
+                    .and_then(|runs| runs.get_mut(task))
+                    .filter(|each| each.number == *run);
                 if let Some(run) = run.filter(|_| !matches!(outcome, Outcome::Done { .. })) {
                     // The order may not have arrived; full speed is assumed, so it is repeated.
                     run.pace = 100;
@@ -529,12 +607,24 @@
         }
     }
 
-    fn start_answered(&mut self, id: &WorkerId, key: &TaskKey, number: u32, outcome: Outcome, now: Duration) {
+    fn start_answered(
+        &mut self,
+        id: &WorkerId,
+        key: &TaskKey,
+        number: u32,
+        outcome: Outcome,
+        now: Duration,
+    ) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         if outcome == Outcome::Unknown {
-            log_event!(Event::StartUnanswered, task = key, run = number, worker = id);
+            log_event!(
+                Event::StartUnanswered,
+                task = key,
+                run = number,
+                worker = id
+            );
             worker.note_late(key.clone(), number, now);
         }
         let Some(run) = worker.runs.get_mut(key).filter(|run| run.number == number) else {
@@ -557,7 +647,13 @@
                 }
             }
             Outcome::Refused { why, .. } => {
-                log_event!(Event::StartRefused, task = key, run = number, worker = id, why = format_args!("{why:?}"));
+                log_event!(
+                    Event::StartRefused,
+                    task = key,
+                    run = number,
+                    worker = id,
+                    why = format_args!("{why:?}")
+                );
                 match why {
                     Refusal::Room => worker.penalty = worker.penalty.max(now + ROOM_PAUSE),
                     Refusal::Unhealthy => {
@@ -569,13 +665,28 @@
                 }
                 self.release(id, key, now);
             }
-            Outcome::NotSent | Outcome::OtherLife | Outcome::Withdrawn => self.release(id, key, now),
+            Outcome::NotSent | Outcome::OtherLife | Outcome::Withdrawn => {
+                self.release(id, key, now);
+            }
         }
     }
 
-    fn stop_answered(&mut self, id: &WorkerId, key: &TaskKey, number: u32, outcome: Outcome, now: Duration) {
+    fn stop_answered(
+        &mut self,
+        id: &WorkerId,
+        key: &TaskKey,
+        number: u32,
+        outcome: Outcome,
+        now: Duration,
+    ) {
         let confirmed = matches!(outcome, Outcome::Done { .. })
-            || matches!(outcome, Outcome::Refused { why: Refusal::OldRun, .. });
+            || matches!(
+                outcome,
+                Outcome::Refused {
+                    why: Refusal::OldRun,
+                    ..
+                }
+            );
         if confirmed {
             self.strays.remove(&(id.clone(), key.clone(), number));
         }
@@ -599,6 +710,10 @@
                 settled: confirmed.then_some(now),
             };
         }
+        if confirmed && run.confirmed.is_none() {
+            // The run may never have begun, so no end will wake the look that waits there.
+            self.actions.push(Action::Look { worker: id.clone() });
+        }
     }
 
     /// Emits the stops that are due.
@@ -609,17 +724,34 @@
                 continue;
             }
             for (key, run) in &mut worker.runs {
-                if let RunState::Stopping { reason, sent: false, settled } = run.state {
-                    run.state = RunState::Stopping { reason, sent: true, settled };
+                if let RunState::Stopping {
+                    reason,
+                    sent: false,
+                    settled,
+                } = run.state
+                {
+                    run.state = RunState::Stopping {
+                        reason,
+                        sent: true,
+                        settled,
+                    };
                     orders.push((worker.listing.id.clone(), key.clone(), run.number));
                 }
             }
         }
         let reachable = |id: &WorkerId| {
-            self.workers.get(id).is_some_and(|worker| worker.failing.is_none() && worker.fenced)
+            self.workers
+                .get(id)
+                .is_some_and(|worker| worker.failing.is_none() && worker.fenced)
         };
-        let strays: Vec<_> = self.strays.iter().filter(|(id, _, _)| reachable(id)).cloned().collect();
-        self.strays.retain(|(id, _, _)| self.workers.contains_key(id));
+        let strays: Vec<_> = self
+            .strays
+            .iter()
+            .filter(|(id, _, _)| reachable(id))
+            .cloned()
+            .collect();
+        self.strays
+            .retain(|(id, _, _)| self.workers.contains_key(id));
         for stray in strays {
             self.strays.remove(&stray);
             orders.push(stray);
@@ -652,7 +784,9 @@
             };
             for (key, run) in &worker.runs {
                 let paced = run.pace < 100 || run.filler;
-                let idle = contact.at.saturating_sub(run.moved.max(run.confirmed.unwrap_or(now)));
+                let idle = contact
+                    .at
+                    .saturating_sub(run.moved.max(run.confirmed.unwrap_or(now)));
                 if run.state == RunState::Running && !run.lasting && !paced && idle > STALL {
                     stalled.push((worker.listing.id.clone(), key.clone()));
                 }
@@ -678,6 +812,12 @@
 impl Run {
     /// Returns whether the run was stopped for want of progress.
     fn is_stalled(&self) -> bool {
-        matches!(self.state, RunState::Stopping { reason: StopReason::Stalled, .. })
+        matches!(
+            self.state,
+            RunState::Stopping {
+                reason: StopReason::Stalled,
+                ..
+            }
+        )
     }
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -25,9 +25,9 @@
 use crate::job::QueueKey;
 use crate::job::TaskKey;
 use crate::lending::Lending;
+use crate::live::LiveJob;
 use crate::machines::MachineOrder;
 use crate::machines::Machines;
-use crate::live::LiveJob;
 use crate::record::Accepted;
 use crate::record::CellRecord;
 use crate::record::Final;
@@ -79,7 +79,7 @@
             move_time: Duration::from_millis(1_500),
             upkeep_time: Duration::from_secs(2),
             notice: Duration::from_millis(4_500),
-            shown: Duration::from_secs(180),
+            shown: Duration::from_mins(3),
         }
     }
 }
@@ -143,6 +143,11 @@
         /// Order.
         order: Order,
     },
+    /// Looks at a worker at once, beside the look that may be waiting there.
+    Look {
+        /// Worker.
+        worker: WorkerId,
+    },
     /// Asks which workers may run a step.
     Advise {
         /// First task of the step.
@@ -316,7 +321,11 @@
         }
         let age = Duration::from_millis(unix.saturating_sub(accepted.at));
         // The clocks of two instances may differ by seconds; a new job cannot be old.
-        let age = if inherited { age.min(now) } else { Duration::ZERO };
+        let age = if inherited {
+            age.min(now)
+        } else {
+            Duration::ZERO
+        };
         let since = now.saturating_sub(age);
         let mut job = LiveJob::new(id.clone(), accepted, revision, since, &self.estimates);
         job.inherited = inherited;
@@ -325,12 +334,14 @@
         }
         job.spawn(unix, now);
         if inherited {
-            let steps = job.occurrences.values_mut().flat_map(|each| &mut each.steps);
+            let steps = job
+                .occurrences
+                .values_mut()
+                .flat_map(|each| &mut each.steps);
             for task in steps.flat_map(|step| &mut step.tasks) {
                 task.run = INHERITED_GAP;
             }
         }
-        self.lending.note_arrival(&job, now);
         self.jobs.insert(id.clone(), job);
     }
 
@@ -341,7 +352,11 @@
             return;
         };
         if how == Final::Cancelled && job.ended.is_none() {
-            log_event!(Event::CallerJobCancelled, job = id, age_ms = now.saturating_sub(job.since).as_millis());
+            log_event!(
+                Event::CallerJobCancelled,
+                job = id,
+                age_ms = now.saturating_sub(job.since).as_millis()
+            );
         }
         job.ended = Some(how);
         job.stored = true;
@@ -367,21 +382,39 @@
     /// Notes what service discovery says about a worker.
     pub fn see_worker(&mut self, listing: Listing, now: Duration) {
         let id = listing.id.clone();
-        if self.buried.get(&id).is_some_and(|born| listing.born <= *born) {
+        if self
+            .buried
+            .get(&id)
+            .is_some_and(|born| listing.born <= *born)
+        {
             return;
         }
         let Some(worker) = self.workers.get_mut(&id) else {
-            log_event!(Event::WorkerListed, worker = id, pool = listing.pool, born = listing.born);
+            log_event!(
+                Event::WorkerListed,
+                worker = id,
+                pool = listing.pool,
+                born = listing.born
+            );
             self.workers.insert(id, Worker::new(listing));
             return;
         };
         let replaced = listing.born != 0 && worker.born != 0 && listing.born > worker.born;
         let pool_changed = worker.listing.pool != listing.pool;
         if !worker.listed {
-            log_event!(Event::WorkerListed, worker = id, pool = listing.pool, born = listing.born);
+            log_event!(
+                Event::WorkerListed,
+                worker = id,
+                pool = listing.pool,
+                born = listing.born
+            );
         }
         if listing.draining && !worker.listing.draining {
-            log_event!(Event::WorkerLeaving, worker = id, left_ms = listing.remaining.as_millis());
+            log_event!(
+                Event::WorkerLeaving,
+                worker = id,
+                left_ms = listing.remaining.as_millis()
+            );
         }
         let born = listing.born;
         worker.listing = listing;
@@ -428,7 +461,12 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        log_event!(Event::WorkerReplaced, worker = id, runs = worker.runs.len(), born = born);
+        log_event!(
+            Event::WorkerReplaced,
+            worker = id,
+            runs = worker.runs.len(),
+            born = born
+        );
         worker.born = born;
         worker.fenced = false;
         worker.enrolled = false;
@@ -500,14 +538,24 @@
 
     /// Asks for the end of a run.
     pub(crate) fn stop(&mut self, id: &WorkerId, key: &TaskKey, reason: StopReason) {
-        let Some(run) = self.workers.get_mut(id).and_then(|worker| worker.runs.get_mut(key)) else {
+        let Some(run) = self
+            .workers
+            .get_mut(id)
+            .and_then(|worker| worker.runs.get_mut(key))
+        else {
             return;
         };
         if matches!(run.state, RunState::Stopping { .. }) {
             return;
         }
         if reason != StopReason::JobEnded && reason != StopReason::CopyDone {
-            log_event!(Event::RunStopped, task = key, run = run.number, worker = id, reason = format_args!("{reason:?}"));
+            log_event!(
+                Event::RunStopped,
+                task = key,
+                run = run.number,
+                worker = id,
+                reason = format_args!("{reason:?}")
+            );
         }
         run.state = RunState::Stopping {
             reason,
@@ -552,7 +600,11 @@
             return;
         }
         job.ended = Some(Final::Failed);
-        log_event!(Event::CallerJobFailed, job = id, age_ms = now.saturating_sub(job.since).as_millis());
+        log_event!(
+            Event::CallerJobFailed,
+            job = id,
+            age_ms = now.saturating_sub(job.since).as_millis()
+        );
         self.durable.want_final(id);
         self.stop_job(id, now);
     }
@@ -565,7 +617,10 @@
         if !job.stored {
             return;
         }
-        let runs = self.workers.values().any(|worker| worker.runs.keys().any(|key| key.job == *id));
+        let runs = self
+            .workers
+            .values()
+            .any(|worker| worker.runs.keys().any(|key| key.job == *id));
         if !runs {
             self.jobs.remove(id);
         }
@@ -573,13 +628,17 @@
 
     /// Returns whether tasks of an inherited job may still run where this owner cannot look.
     pub(crate) fn unsettled(&self, pool: &PoolName) -> bool {
-        let unsettled = |worker: &Worker| worker.inherited && !worker.fenced && worker.listing.pool == *pool;
+        let unsettled =
+            |worker: &Worker| worker.inherited && !worker.fenced && worker.listing.pool == *pool;
         self.workers.values().any(unsettled)
     }
 
     /// Advances what depends on time alone; call it at least every 100 ms.
     pub fn tick(&mut self, unix: u64, now: Duration) {
-        let scheduled = self.jobs.values_mut().filter(|job| job.accepted.job.schedule.is_some());
+        let scheduled = self
+            .jobs
+            .values_mut()
+            .filter(|job| job.accepted.job.schedule.is_some());
         for job in scheduled {
             job.spawn(unix, now);
         }
@@ -593,9 +652,15 @@
     pub fn log_status(&self, now: Duration) {
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let (waiting, active): (Vec<_>, Vec<_>) = open.partition(|job| !job.started);
-        let blocked = self.jobs.values().filter(|job| job.inherited && self.unsettled(&job.pool));
+        let blocked = self
+            .jobs
+            .values()
+            .filter(|job| job.inherited && self.unsettled(&job.pool));
         let usable = self.workers.values().filter(|worker| worker.usable(now));
-        let silent = self.workers.values().filter(|worker| worker.failing.is_some());
+        let silent = self
+            .workers
+            .values()
+            .filter(|worker| worker.failing.is_some());
         let runs: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
         log_event!(
             Event::CellStatus,
@@ -606,7 +671,11 @@
             workers = self.workers.len(),
             usable = usable.count(),
             silent = silent.count(),
-            unenrolled = self.workers.values().filter(|worker| worker.listed && !worker.enrolled).count(),
+            unenrolled = self
+                .workers
+                .values()
+                .filter(|worker| worker.listed && !worker.enrolled)
+                .count(),
             runs = runs,
         );
     }
--- a/crates/nutmegcart_jobs/src/upkeep.rs
+++ b/crates/nutmegcart_jobs/src/upkeep.rs
@@ -68,7 +68,8 @@
     /// Takes over the progress that an earlier owner stored.
     pub(crate) fn inherit(&mut self, maintained: &[(u64, Vec<Arc<str>>)]) {
         for (wave, machines) in maintained {
-            self.inherited.insert(*wave, machines.iter().cloned().collect());
+            self.inherited
+                .insert(*wave, machines.iter().cloned().collect());
         }
     }
 
@@ -78,7 +79,9 @@
         for (number, wave) in &self.waves {
             all.insert(*number, wave.done.clone());
         }
-        let listed = all.into_iter().map(|(number, done)| (number, done.into_iter().collect()));
+        let listed = all
+            .into_iter()
+            .map(|(number, done)| (number, done.into_iter().collect()));
         listed.collect()
     }
 
@@ -103,9 +106,19 @@
 impl Scheduler {
     /// Takes in a wave; one that is known already keeps its progress.
     pub fn see_wave(&mut self, request: WaveRequest, now: Duration) {
-        let done = self.upkeep.inherited.get(&request.number).cloned().unwrap_or_default();
+        let done = self
+            .upkeep
+            .inherited
+            .get(&request.number)
+            .cloned()
+            .unwrap_or_default();
         let wave = self.upkeep.waves.entry(request.number).or_insert_with(|| {
-            log_event!(Event::WaveSeen, wave = request.number, machines = request.machines.len(), most = request.most);
+            log_event!(
+                Event::WaveSeen,
+                wave = request.number,
+                machines = request.machines.len(),
+                most = request.most
+            );
             Wave {
                 request: request.clone(),
                 seen: now,
@@ -151,7 +164,12 @@
     }
 
     fn advance_wave(&mut self, number: u64, now: Duration) {
-        let Some(wave) = self.upkeep.waves.get(&number).filter(|wave| !wave.completed) else {
+        let Some(wave) = self
+            .upkeep
+            .waves
+            .get(&number)
+            .filter(|wave| !wave.completed)
+        else {
             return;
         };
         let hurry = now >= wave.seen + wave.request.duration.mul_f64(PATIENCE);
@@ -162,32 +180,51 @@
             .iter()
             .filter_map(|name| self.machines.known.get(name).cloned())
             .collect();
-        let down = present.iter().filter(|machine| self.down_for(machine, number)).count();
-        let mut open: Vec<Machine> = present.into_iter().filter(|machine| !wave.done.contains(&machine.name)).collect();
+        let down = present
+            .iter()
+            .filter(|machine| self.down_for(machine, number))
+            .count();
+        let mut open: Vec<Machine> = present
+            .into_iter()
+            .filter(|machine| !wave.done.contains(&machine.name))
+            .collect();
         if open.is_empty() {
             if let Some(wave) = self.upkeep.waves.get_mut(&number) {
                 wave.completed = true;
-                log_event!(Event::WaveFinished, wave = number, ms = now.saturating_sub(wave.seen).as_millis());
+                log_event!(
+                    Event::WaveFinished,
+                    wave = number,
+                    ms = now.saturating_sub(wave.seen).as_millis()
+                );
             }
             return;
         }
-        open.retain(|machine| machine.state == MachineState::Up && !self.machines.pending.contains_key(&machine.name));
+        open.retain(|machine| {
+            machine.state == MachineState::Up && !self.machines.pending.contains_key(&machine.name)
+        });
         let reserved = wave.reserved.clone();
         open.sort_by_cached_key(|machine| {
             let first = !reserved.contains(&machine.name);
             (first, self.load_of(machine), machine.name.clone())
         });
         let mut room = most.saturating_sub(down);
-        let empty: Vec<Arc<str>> = open.iter().filter(|machine| self.is_empty(machine)).map(|machine| machine.name.clone()).collect();
+        let empty: Vec<Arc<str>> = open
+            .iter()
+            .filter(|machine| self.is_empty(machine))
+            .map(|machine| machine.name.clone())
+            .collect();
         for name in empty {
             if room == 0 {
                 break;
             }
-            self.order_machine(&name, MachineOrder::Maintain(number), now);
+            self.order_machine(&name, &MachineOrder::Maintain(number), now);
             room -= 1;
         }
         let ahead = most + AHEAD;
-        let busy: Vec<Machine> = open.into_iter().filter(|machine| !self.machines.pending.contains_key(&machine.name)).collect();
+        let busy: Vec<Machine> = open
+            .into_iter()
+            .filter(|machine| !self.machines.pending.contains_key(&machine.name))
+            .collect();
         for machine in busy.into_iter().take(ahead.saturating_sub(down).min(ahead)) {
             self.empty_machine(&machine, hurry, now);
             if let Some(wave) = self.upkeep.waves.get_mut(&number) {
@@ -200,7 +237,10 @@
     pub(crate) fn is_empty(&self, machine: &Machine) -> bool {
         match self.worker_of(machine).and_then(|id| self.workers.get(&id)) {
             Some(worker) => worker.runs.is_empty() && worker.fenced,
-            None => machine.worker.as_ref().is_none_or(|id| self.buried.contains_key(id)),
+            None => machine
+                .worker
+                .as_ref()
+                .is_none_or(|id| self.buried.contains_key(id)),
         }
     }
 
@@ -261,14 +301,17 @@
             };
             other != *key && self.is_at_work(&other, now)
         });
-        let away = (step.count - 1).saturating_sub(u32::try_from(at_work.count()).unwrap_or(u32::MAX));
+        let away =
+            (step.count - 1).saturating_sub(u32::try_from(at_work.count()).unwrap_or(u32::MAX));
         away < step.away.unwrap_or(1)
     }
 
     /// Returns whether a lasting task was at work by a recent report.
     fn is_at_work(&self, key: &TaskKey, now: Duration) -> bool {
         let mut runs = self.workers.values().filter(|worker| {
-            let fresh = worker.contact.is_some_and(|contact| now <= contact.at + FRESH);
+            let fresh = worker
+                .contact
+                .is_some_and(|contact| now <= contact.at + FRESH);
             fresh && worker.failing.is_none() && !worker.listing.draining
         });
         runs.any(|worker| {
@@ -287,7 +330,12 @@
             .flat_map(|wave| wave.reserved.iter())
             .filter_map(|name| self.machines.known.get(name))
             .filter_map(|machine| self.worker_of(machine))
-            .chain(self.machines.pending.values().filter_map(|pending| pending.worker.clone()))
+            .chain(
+                self.machines
+                    .pending
+                    .values()
+                    .filter_map(|pending| pending.worker.clone()),
+            )
             .collect();
         for (id, worker) in &mut self.workers {
             if worker.reserved && !wanted.contains(id) {
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -65,7 +65,10 @@
             let rest = label.strip_prefix('r').unwrap_or_default();
             rest.contains('-') && rest.starts_with(|c: char| c.is_ascii_digit())
         };
-        labels.iter().find(is_rack).map(|label| Rack::from(&**label))
+        labels
+            .iter()
+            .find(is_rack)
+            .map(|label| Rack::from(&**label))
     }
 }
 
@@ -160,6 +163,10 @@
 }
 
 /// One life of a worker.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "what is known comes from independent sources"
+)]
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// What service discovery says.
--- /dev/null
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -0,0 +1,212 @@
+//! What a change of the owner must not break.
+
+mod support;
+
+use nutmegcart_jobs::WaveRequest;
+use nutmegcart_jobs::WaveState;
+use support::assert_sound;
+use support::completed;
+use support::lasting_runs;
+use support::seconds;
+use support::standing;
+use support::submit;
+use support::tally;
+use support::worker;
+use support::world;
+
+/// Guards against a calm cell that loses or repeats work.
+#[test]
+fn a_calm_cell_completes_every_job() {
+    let mut world = world(1, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    let mut jobs = Vec::new();
+    for number in 0..40 {
+        let mut second = tally(4, 3_000, 400);
+        second.after = vec![0];
+        jobs.push(submit(
+            &mut world,
+            number,
+            vec![tally(6, 3_500, 600), second],
+        ));
+        world.run(seconds(0.1));
+    }
+    world.run(seconds(8.0));
+    assert_sound(&world);
+    assert!(jobs.iter().all(|id| completed(&world, id)));
+}
+
+/// Guards against a successor that takes workers it only knows from the record for missing ones
+/// and evacuates every lasting task at once.
+#[test]
+fn a_successor_leaves_lasting_tasks_where_they_run() {
+    let mut world = world(2, 8);
+    let first = world.take_over();
+    world.run(seconds(1.0));
+    submit(&mut world, 1, vec![standing(5)]);
+    world.run(seconds(3.0));
+    assert_eq!(lasting_runs(&world), 5);
+    let starts = world.oracle.starts;
+    world.owners[first].up = false;
+    world.run(seconds(1.0));
+    world.take_over();
+    world.run(seconds(6.0));
+    assert_sound(&world);
+    assert_eq!(world.oracle.starts, starts, "no lasting task was moved");
+    assert_eq!(lasting_runs(&world), 5);
+}
+
+/// Guards against a successor that orders the whole wave again and then takes the workers that
+/// came back from their maintenance for ended.
+#[test]
+fn a_successor_does_not_bury_workers_that_were_maintained() {
+    let mut world = world(3, 6);
+    let wave = WaveRequest {
+        number: 1,
+        machines: world.machines.keys().cloned().collect(),
+        duration: seconds(60.0),
+        most: 3,
+    };
+    let first = world.take_over();
+    let now = world.now;
+    world.owners[first].scheduler.see_wave(wave.clone(), now);
+    world.run(seconds(25.0));
+    assert_eq!(
+        world.owners[first].scheduler.waves(),
+        vec![(1, WaveState::Completed)]
+    );
+    let moves = world.moves;
+    submit(&mut world, 1, vec![standing(4)]);
+    world.run(seconds(2.0));
+    world.owners[first].up = false;
+    world.run(seconds(0.5));
+    let second = world.take_over();
+    let now = world.now;
+    world.owners[second].scheduler.see_wave(wave, now);
+    world.run(seconds(15.0));
+    assert_sound(&world);
+    assert_eq!(
+        world.owners[second].scheduler.waves(),
+        vec![(1, WaveState::Completed)]
+    );
+    assert!(world.moves <= moves + 6, "no machine was maintained again");
+    assert_eq!(lasting_runs(&world), 4);
+}
+
+/// Guards against an owner that is cut off with some workers, concludes from the silence of the
+/// others that their runs have ended, and starts the tasks again beside its successor.
+#[test]
+fn a_deposed_owner_concludes_nothing_from_silence() {
+    let mut world = world(4, 8);
+    // Without a spare pool every worker stays where it is.
+    world.pools.truncate(1);
+    let first = world.take_over();
+    world.run(seconds(6.0));
+    for number in 0..6 {
+        submit(&mut world, number, vec![tally(8, 6_000, 25_000)]);
+    }
+    world.run(seconds(1.0));
+    for index in 0..4 {
+        world.owners[first].cut.insert(worker(index));
+    }
+    world.owners[first].store = false;
+    world.run(seconds(2.6));
+    world.take_over_cut((4..8).map(worker));
+    world.run(seconds(12.0));
+    assert_sound(&world);
+}
+
+/// Guards against a transaction above the store's 32 entries, which is refused for ever.
+#[test]
+fn a_backlog_of_ended_jobs_is_stored_in_small_transactions() {
+    let mut world = world(5, 8);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    let jobs: Vec<_> = (0..60)
+        .map(|number| submit(&mut world, number, vec![tally(1, 1_000, 200)]))
+        .collect();
+    world.store.down = true;
+    world.run(seconds(2.0));
+    world.store.down = false;
+    let now = world.now;
+    let flush = world.owners[owner]
+        .scheduler
+        .next_flush(now)
+        .expect("ends wait to be stored");
+    let state = if flush.state.is_some() { 2 } else { 0 };
+    let entries = 1 + 2 * flush.finals.len() + flush.expired.len() + state;
+    assert!(entries <= 32, "{entries} entries");
+    world.owners[owner]
+        .scheduler
+        .flushed(&nutmegcart_jobs::Flushed::NotStored, now);
+    world.run(seconds(3.0));
+    assert!(jobs.iter().all(|id| completed(&world, id)));
+}
+
+/// Guards against jobs that a successor starts again although an earlier owner, which still acts,
+/// keeps them alive on a worker that the successor does not reach.
+#[test]
+fn inherited_jobs_wait_for_workers_that_cannot_be_asked() {
+    let mut world = world(6, 4);
+    let first = world.take_over();
+    world.run(seconds(1.0));
+    submit(&mut world, 1, vec![tally(2, 30_000, 30_000)]);
+    world.run(seconds(0.5));
+    let host = world
+        .workers
+        .iter()
+        .find(|(_, worker)| !worker.runs.is_empty())
+        .map(|(id, _)| id.clone());
+    let host = host.expect("a worker runs the tasks");
+    world.owners[first].store = false;
+    world.run(seconds(2.6));
+    world.take_over_cut([host]);
+    world.run(seconds(20.0));
+    assert_sound(&world);
+    assert!(
+        world.oracle.starts > 2,
+        "the tasks start again once they have certainly ended"
+    );
+}
+
+/// Guards against a successor that knows nothing of a maintained wave, orders it again and takes
+/// the workers for ended because the platform answers that all is done.
+#[test]
+fn a_repeated_wave_buries_no_worker() {
+    let mut world = world(7, 6);
+    let wave = WaveRequest {
+        number: 1,
+        machines: world.machines.keys().cloned().collect(),
+        duration: seconds(60.0),
+        most: 3,
+    };
+    let first = world.take_over();
+    let now = world.now;
+    world.owners[first].scheduler.see_wave(wave.clone(), now);
+    world.run(seconds(25.0));
+    submit(&mut world, 1, vec![standing(4)]);
+    world.run(seconds(2.0));
+    world.owners[first].up = false;
+    world.store.state = None;
+    world.run(seconds(0.5));
+    let second = world.take_over();
+    let now = world.now;
+    world.owners[second].scheduler.see_wave(wave, now);
+    let known: Vec<_> = world
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.up)
+        .map(|(id, _)| id.clone())
+        .collect();
+    world.run(seconds(20.0));
+    let kept = known
+        .iter()
+        .filter(|id| world.owners[second].scheduler.worker(id).is_some());
+    assert_eq!(kept.count(), known.len());
+    assert_eq!(
+        world.owners[second].scheduler.waves(),
+        vec![(1, WaveState::Completed)]
+    );
+    assert_eq!(lasting_runs(&world), 4);
+    assert_sound(&world);
+}
--- /dev/null
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -0,0 +1,178 @@
+//! A small cell for tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use nutmegcart_fakes::cell::World;
+use nutmegcart_fakes::cell::worker::FakeWorker;
+use nutmegcart_fakes::cell::worker::listing;
+use nutmegcart_fleet::Size;
+use nutmegcart_jobs::Accepted;
+use nutmegcart_jobs::Final;
+use nutmegcart_jobs::Job;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::PoolConfig;
+use nutmegcart_jobs::Queue;
+use nutmegcart_jobs::QueueKey;
+use nutmegcart_jobs::Step;
+use nutmegcart_jobs::TaskKey;
+use nutmegcart_model::WorkerId;
+
+/// Names each case of a test function.
+#[macro_export]
+macro_rules! cases {
+    ($test:ident: $($(#[$doc:meta])* $name:ident => $argument:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $test($argument); })*
+    };
+}
+
+pub fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+pub fn queue(pool: &str) -> Queue {
+    Queue {
+        key: QueueKey {
+            host: "counts.example".into(),
+            prefix: format!("/{pool}/").into(),
+        },
+        pool: pool.into(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.6,
+        target: 600,
+        advice: None,
+    }
+}
+
+/// A world with one pool of workers of 64 cores, and a spare pool.
+pub fn world(seed: u64, workers: usize) -> World {
+    let mut world = World::new(seed);
+    world.queues = vec![queue("gates")];
+    world.pools = vec![
+        ("gates".into(), PoolConfig { spare: false }),
+        ("shared".into(), PoolConfig { spare: true }),
+    ];
+    for index in 0..workers {
+        let rack = format!("r1-{}", index / 4);
+        let size = Size::new(64_000, 262_144, 0);
+        world.add_worker(FakeWorker::new(
+            listing(&worker_name(index), "gates", &rack, size),
+            world.now,
+        ));
+    }
+    world
+}
+
+pub fn worker_name(index: usize) -> String {
+    format!("i-{index:02}")
+}
+
+pub fn worker(index: usize) -> WorkerId {
+    WorkerId::from(worker_name(index))
+}
+
+pub fn job_id(number: usize) -> JobId {
+    JobId::parse(&format!("{number:016x}")).expect("sixteen digits")
+}
+
+pub fn tally(count: u32, cpu: u64, estimate: u64) -> Step {
+    Step {
+        count,
+        need: Size::new(cpu, 4_000, 0),
+        estimate,
+        ..Step::default()
+    }
+}
+
+pub fn standing(count: u32) -> Step {
+    Step {
+        count,
+        need: Size::new(5_000, 8_000, 0),
+        estimate: 900,
+        lasting: true,
+        spread: 1,
+        away: Some(1),
+        ..Step::default()
+    }
+}
+
+pub fn submit(world: &mut World, number: usize, steps: Vec<Step>) -> JobId {
+    let id = job_id(number);
+    let accepted = Accepted {
+        queue: world.queues[0].clone(),
+        at: world.unix(),
+        job: Job {
+            spec: "spec".into(),
+            steps,
+            schedule: None,
+        },
+    };
+    world.submit(&id, &accepted);
+    id
+}
+
+pub fn completed(world: &World, id: &JobId) -> bool {
+    world.stored(id) == Some(JobState::Ended(Final::Completed))
+}
+
+pub fn task(id: &JobId, step: u16, index: u32) -> TaskKey {
+    TaskKey {
+        job: id.clone(),
+        occurrence: 0,
+        step,
+        index,
+    }
+}
+
+/// Fails with the jobs that the store does not hold as completed.
+pub fn assert_all_completed(world: &World, jobs: &[JobId]) {
+    let open: Vec<String> = jobs
+        .iter()
+        .filter(|id| !completed(world, id))
+        .map(|id| {
+            let owner = world.owners.last().expect("a cell has an owner");
+            let live = owner.scheduler.jobs().find(|job| job.id == *id);
+            let state = live.map(nutmegcart_jobs::LiveJob::state);
+            let runs: Vec<String> = owner
+                .scheduler
+                .workers()
+                .flat_map(|worker| {
+                    worker
+                        .runs
+                        .iter()
+                        .map(move |(task, run)| (worker, task, run))
+                })
+                .filter(|(_, task, _)| task.job == *id)
+                .map(|(worker, task, run)| {
+                    let (id, failing) = (&worker.listing.id, worker.failing);
+                    format!("{task} on {id} (failing {failing:?}): {run:?}")
+                })
+                .collect();
+            format!(
+                "{id}: stored {:?}, shown {state:?}, runs {runs:#?}",
+                world.stored(id)
+            )
+        })
+        .collect();
+    assert!(open.is_empty(), "{}", open.join("\n"));
+}
+
+/// Fails with everything that the oracle found.
+pub fn assert_sound(world: &World) {
+    assert!(
+        world.oracle.violations.is_empty(),
+        "{}",
+        world.oracle.violations.join("\n")
+    );
+}
+
+pub fn lasting_runs(world: &World) -> usize {
+    let runs = world
+        .workers
+        .values()
+        .filter(|worker| worker.up)
+        .flat_map(|worker| worker.runs.values());
+    runs.filter(|run| run.lasting).count()
+}
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -80,6 +80,14 @@
     TaskStateConflict = 454, Warn, "task state written by another duty holder; reading it again";
     TaskStateInvalid = 455, Error, "task state in the store cannot be read";
     WorkersUnreachable = 456, Warn, "the task interface does not answer";
+    RunnerEjected = 500, Warn, "runner ejected by outcomes";
+    RunnerReturned = 501, Info, "ejected runner returned";
+    PeerSuspect = 600, Warn, "peer is silent";
+    PeerReturned = 601, Info, "peer answers again";
+    RosterChanged = 602, Info, "roster of entry instances changed";
+    RosterConflict = 610, Error, "two rosters of the same epoch differ, or the store holds an older one; plain keys stop";
+    LedgerHanded = 611, Info, "records of plain keys handed over";
+    LedgerNotHanded = 612, Warn, "left without a complete handover; plain keys of this instance wait for the barrier";
     CellTaken = 700, Info, "ownership of the cell taken";
     CellLost = 701, Warn, "ownership of the cell lost; nothing more is ordered";
     CellLoaded = 702, Info, "jobs and state of the cell read from the store";
@@ -116,14 +124,6 @@
     LogDropped = 752, Warn, "log lines were dropped because the reader is slow";
     DependencyLost = 753, Warn, "dependency does not answer";
     DependencyBack = 754, Info, "dependency answers again";
-    RunnerEjected = 500, Warn, "runner ejected by outcomes";
-    RunnerReturned = 501, Info, "ejected runner returned";
-    PeerSuspect = 600, Warn, "peer is silent";
-    PeerReturned = 601, Info, "peer answers again";
-    RosterChanged = 602, Info, "roster of entry instances changed";
-    RosterConflict = 610, Error, "two rosters of the same epoch differ, or the store holds an older one; plain keys stop";
-    LedgerHanded = 611, Info, "records of plain keys handed over";
-    LedgerNotHanded = 612, Warn, "left without a complete handover; plain keys of this instance wait for the barrier";
 }
 
 /// Logs a numbered event with key-value fields.
