Lend machines by the work that arrives, not only by what waits

Cause: a burst asks for five times the mean for 4 s, and a machine needs 1.5 s to move. Change: need is the larger of backlog over 1.5 s and the work arriving in the last 0.7 s; entries of workers are watched every 60 ms while machines move.

--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -54,6 +54,8 @@
 const ORDERS_AT_ONCE: usize = 2;
 /// Pause between two watches of the workers' entries; a worker that leaves has two seconds.
 const WORKERS_GAP: Duration = Duration::from_millis(250);
+/// The same pause while machines change their pool, whose new workers are waited for.
+const MOVING_GAP: Duration = Duration::from_millis(60);
 /// Pause between two watches of the cell; jobs that arrive in it are taken in together.
 const CELL_GAP: Duration = Duration::from_millis(8);
 /// Time between two lists of machines while orders for some are under way.
@@ -186,12 +188,13 @@
 async fn follow_workers(node: Rc<Node>, owned: Rc<Owned>) {
     let directory = node.platform.directory.clone();
     let mut follower = Follower::new(&*directory.workers);
-    follower.gap = WORKERS_GAP;
     while !owned.is_over() {
         if !owned.state.loaded.get() {
             tokio::time::sleep(PASS_GAP).await;
             continue;
         }
+        let moving = owned.scheduler.borrow().machines_change();
+        follower.gap = if moving { MOVING_GAP } else { WORKERS_GAP };
         for each in follower.next(&node.platform.store).await {
             match each {
                 Seen::Put(item) => see_listing(&node, &owned, &item),
--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -22,10 +22,47 @@
 /// Moves begun in one pass.
 const MOST_MOVES: usize = 12;
 
+/// Time over which the work that arrives is averaged. It is short against a turn of demand, and
+/// long enough that one large job does not look like one.
+const ARRIVAL_SPAN: f64 = 0.7;
+
 /// What is remembered between passes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lending {
     idle: HashMap<Arc<str>, Duration>,
+    arrivals: HashMap<PoolName, Arrivals>,
+}
+
+/// Work that arrives for a pool, in cores, averaged with exponential weights.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrivals {
+    cores: f64,
+    at: Duration,
+}
+
+impl Arrivals {
+    fn now(self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.cores * (-age / ARRIVAL_SPAN).exp()
+    }
+}
+
+impl Lending {
+    /// Notes the work in core-seconds that a new job brings.
+    pub(crate) fn note_arrival(&mut self, pool: &PoolName, work: f64, now: Duration) {
+        let arrivals = self.arrivals.entry(pool.clone()).or_default();
+        *arrivals = Arrivals {
+            cores: arrivals.now(now) + work / ARRIVAL_SPAN,
+            at: now,
+        };
+    }
+
+    /// Returns the work that arrives for a pool, in cores.
+    fn arriving(&self, pool: &PoolName, now: Duration) -> f64 {
+        self.arrivals
+            .get(pool)
+            .map_or(0.0, |arrivals| arrivals.now(now))
+    }
 }
 
 /// Need and room of a pool.
@@ -158,7 +195,8 @@
         }
         self.lending.idle = seen;
         for (pool, balance) in &mut balances {
-            let busy = cores.get(pool).copied().unwrap_or_default() / size;
+            let backlog = cores.get(pool).copied().unwrap_or_default();
+            let busy = backlog.max(self.lending.arriving(pool, now)) / size;
             balance.want += KEPT.max(whole(busy));
             balance.idle.sort();
         }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -342,6 +342,9 @@
                 task.run = INHERITED_GAP;
             }
         }
+        if !inherited && !job.accepted.job.lasts() {
+            self.lending.note_arrival(&job.pool, job.work, now);
+        }
         self.jobs.insert(id.clone(), job);
     }
 
