--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -63,7 +63,7 @@
 /// Time between two lists of machines otherwise.
 const MACHINES_IDLE: Duration = Duration::from_millis(1_500);
 /// Time kept back from a lease before it ends, for orders that cannot be fenced.
-const LEASE_MARGIN: Duration = Duration::from_millis(600);
+const LEASE_MARGIN: Duration = Duration::from_millis(400);
 /// Pause after a transaction that the store refused.
 const STORE_RETRY: Duration = Duration::from_millis(120);
 
@@ -328,7 +328,9 @@
         }
         let actions = {
             let mut scheduler = owned.scheduler.borrow_mut();
-            let from = owned.state.since.get() + node.settings.handover + node.settings.lease;
+            // An earlier owner whose key was taken away unseen goes on until its lease ends.
+            let last = node.settings.lease.saturating_sub(LEASE_MARGIN);
+            let from = owned.state.since.get() + node.settings.handover + last;
             scheduler.set_ownership(
                 from,
                 (owned.renewed.get() + node.settings.lease).saturating_sub(LEASE_MARGIN),
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -70,9 +70,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            hold: Duration::from_secs(6),
+            hold: Duration::from_secs(5),
             hold_max: Duration::from_secs(10),
-            authority: Duration::from_secs(8),
+            authority: Duration::from_secs(6),
             stop: Duration::from_millis(400),
             gang_wait: Duration::from_secs(3),
             far: 2.0,
