Fetch machines for lasting tasks that wait for a worker of their own

Cause: need counted the hosts of lasting tasks, not those that wait; with one kept machine a lasting task that has to run alone waited for ever beside free spare machines. Change: waiting lasting tasks count as many workers as they need at most. Figures: lasting_tasks_come_back_after_a_silent_loss failed with one kept machine before and passes after. The new test passes before as well, since two kept machines become hosts one by one; it guards the way to them.

--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -163,6 +163,12 @@
         {
             *cores.entry(job.pool.clone()).or_default() += job.work_left() / HORIZON;
         }
+        for job in self.jobs.values().filter(|job| job.ended.is_none()) {
+            let waiting = job.waiting_workers();
+            if waiting > 0 {
+                balances.entry(job.pool.clone()).or_default().want += waiting;
+            }
+        }
         let names: Vec<Arc<str>> = self.machines.known.keys().cloned().collect();
         let mut seen: HashMap<Arc<str>, Duration> = HashMap::new();
         for name in names {
--- a/crates/nutmegcart_jobs/src/live.rs
+++ b/crates/nutmegcart_jobs/src/live.rs
@@ -281,6 +281,21 @@
         self.ended.is_none() && open.any(|step| step.pending().next().is_some())
     }
 
+    /// Returns how many further workers the waiting tasks of lasting steps need at most.
+    #[must_use]
+    pub fn waiting_workers(&self) -> usize {
+        let mut workers = 0;
+        for occurrence in self.occurrences.values() {
+            for (step, state) in self.accepted.job.steps.iter().zip(&occurrence.steps) {
+                if step.lasting && state.open {
+                    let waiting = state.pending().count();
+                    workers = workers.max(waiting.div_ceil(step.spread.max(1) as usize));
+                }
+            }
+        }
+        workers
+    }
+
     /// Returns the predicted work of tasks that have not finished, in core-seconds.
     #[must_use]
     pub fn work_left(&self) -> f64 {
--- a/crates/nutmegcart_jobs/tests/orders.rs
+++ b/crates/nutmegcart_jobs/tests/orders.rs
@@ -211,6 +211,20 @@
     assert_eq!(lasting_runs(&world), 4);
 }
 
+/// Guards against lasting tasks that wait for ever because the pool has too few workers for them
+/// while machines of the spare pool are free.
+#[test]
+fn lasting_tasks_fetch_machines_from_the_spare_pool() {
+    let mut world = world(37, 8);
+    world.take_over();
+    // By then all but the kept machines are in the spare pool.
+    world.run(seconds(12.0));
+    submit(&mut world, 1, vec![standing(7)]);
+    world.run(seconds(6.0));
+    assert_eq!(lasting_runs(&world), 7);
+    assert_sound(&world);
+}
+
 /// Guards against work left on a worker that is shutting down.
 #[test]
 fn a_draining_worker_is_emptied() {
