Pause between looks by what the last one showed

Ruled out: looks at idle workers. Change: 30 ms after a look with new ends, 60 ms after one with ends that are being acknowledged.

--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -46,8 +46,10 @@
 const STATUS: Duration = Duration::from_secs(1);
 /// Pause before a placement pass, in which further events collect.
 const PASS_GAP: Duration = Duration::from_millis(3);
-/// Pause between two looks at a worker after one that showed ends; further ends collect in it.
-const LOOK_GAP: Duration = Duration::from_millis(25);
+/// Pause between two looks at a worker after one that showed new ends; further ends collect in it.
+const LOOK_GAP: Duration = Duration::from_millis(30);
+/// Pause after a look that showed only ends whose acknowledgement is under way.
+const SEEN_GAP: Duration = Duration::from_millis(60);
 /// Pause after a look that failed.
 const LOOK_RETRY: Duration = Duration::from_millis(200);
 /// Orders under way to one worker at once, and so its connections.
@@ -254,15 +256,16 @@
         match result {
             Ok(report) => {
                 node.metrics.looks.with_label_values(&["answered"]).inc();
-                let ends = !report.ended.is_empty();
-                owned
+                let fresh = owned
                     .scheduler
                     .borrow_mut()
                     .reported(&id, sent, &report, now());
                 owned.wake.notify_one();
                 owned.store.notify_one();
-                if ends {
+                if fresh > 0 {
                     tokio::time::sleep(LOOK_GAP).await;
+                } else if !report.ended.is_empty() {
+                    tokio::time::sleep(SEEN_GAP).await;
                 }
             }
             Err(LookError::Fenced) => {
--- a/crates/nutmegcart_jobs/src/runs.rs
+++ b/crates/nutmegcart_jobs/src/runs.rs
@@ -215,20 +215,27 @@
         }
     }
 
-    /// Takes in the answer to a look that was sent at `sent`.
-    pub fn reported(&mut self, id: &WorkerId, sent: Duration, report: &Report, now: Duration) {
+    /// Takes in the answer to a look that was sent at `sent`; returns the number of new ends.
+    pub fn reported(
+        &mut self,
+        id: &WorkerId,
+        sent: Duration,
+        report: &Report,
+        now: Duration,
+    ) -> usize {
         let Some(worker) = self.workers.get_mut(id) else {
-            return;
+            return 0;
         };
         if report.born != 0 && worker.born != 0 && report.born != worker.born {
             if report.born < worker.born {
-                return;
+                return 0;
             }
             self.replace_life(id, report.born, now);
         }
         let Some(worker) = self.workers.get_mut(id) else {
-            return;
+            return 0;
         };
+        let seen = worker.seen;
         if worker.born == 0 {
             worker.born = report.born;
         }
@@ -265,6 +272,8 @@
         }
         self.miss_runs(id, sent, report, now);
         self.advance_acks(id);
+        let new = |end: &&ListedEnd| end.number > seen;
+        report.ended.iter().filter(new).count()
     }
 
     /// Takes in a run that a worker lists as alive.
