Store which machines are about to be ordered, so that a successor may order all others at once

Cause: after every change of its owner a cell could move no machine for 4.3 s. Change: orders for machines are given after the state that lists them is stored; a successor leaves the listed machines alone for the time that two owners' orders must be apart. Two new tests, each seen to fail with its rule taken out.

--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -184,8 +184,10 @@
     pub pools: Vec<(PoolName, PoolConfig)>,
     /// Settings of schedulers.
     pub settings: Settings,
-    /// Order of events: moves, maintenance and starts, for traces.
+    /// Moves and maintenance that were begun.
     pub moves: usize,
+    /// Orders for machines: the machine, the owner and the time.
+    pub commands: Vec<(std::sync::Arc<str>, usize, Duration)>,
     events: BinaryHeap<Reverse<Scheduled>>,
     numbers: u64,
     parked: BTreeMap<WorkerId, Parked>,
@@ -215,6 +217,7 @@
             pools: Vec::new(),
             settings: Settings::default(),
             moves: 0,
+            commands: Vec::new(),
             events: BinaryHeap::new(),
             numbers: 0,
             parked: BTreeMap::new(),
@@ -632,6 +635,7 @@
                 }
             }
             Action::Machine { machine, order } => {
+                self.commands.push((machine.clone(), index, self.now));
                 let outcome = self.command(&machine, &order);
                 self.schedule(
                     STORE,
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_model::Event;
@@ -106,6 +107,7 @@
     enrolled: Vec<(WorkerId, u64)>,
     covered: Option<Vec<(WorkerId, u64, u64)>>,
     touched: HashSet<JobId>,
+    commanded: Vec<Arc<str>>,
 }
 
 impl Durable {
@@ -185,7 +187,7 @@
         }
         if self.state_due(now) {
             self.upkeep.changed = false;
-            flush.state = Some(self.snapshot(&mut flight));
+            flush.state = Some(self.snapshot(&mut flight, now));
         }
         if flush.is_empty() {
             return None;
@@ -202,6 +204,7 @@
             .any(|worker| worker.listed && !worker.enrolled && worker.born != 0);
         joins
             || self.upkeep.changed
+            || self.commands_wait()
             || self.workers.values().any(|worker| {
                 let oldest = worker.ends.front();
                 oldest.is_some_and(|end| now >= end.seen + PROGRESS_AGE)
@@ -209,11 +212,13 @@
     }
 
     /// Encodes the workers that may hold tasks and the progress of unfinished jobs.
-    fn snapshot(&self, flight: &mut Flight) -> Vec<u8> {
+    fn snapshot(&self, flight: &mut Flight, now: Duration) -> Vec<u8> {
         let mut record = CellRecord {
             maintained: self.upkeep.maintained(),
+            commanded: self.commanded(now),
             ..CellRecord::default()
         };
+        flight.commanded.clone_from(&record.commanded);
         let mut covered = Vec::new();
         for (id, worker) in &self.workers {
             covered.push((id.clone(), worker.born, worker.seen));
@@ -299,6 +304,7 @@
             }
             self.note_ended(id, *how, now);
         }
+        self.release_commands(&flight.commanded, now);
         for (id, born) in &flight.enrolled {
             if let Some(worker) = self
                 .workers
--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -138,7 +138,7 @@
         }
         for (machine, pool) in moves {
             self.lending.idle.remove(&machine);
-            self.order_machine(&machine, &MachineOrder::Move(pool), now);
+            self.order_machine(&machine, &MachineOrder::Move(pool));
         }
     }
 
@@ -193,7 +193,8 @@
             }
             let free =
                 machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
-            if free && empty && !self.upkeep.wants(&name) {
+            let held = self.is_held(&name, now);
+            if free && empty && !held && !self.upkeep.wants(&name) {
                 let since = self.lending.idle.get(&name).copied().unwrap_or(now);
                 seen.insert(name.clone(), since);
                 balance.idle.push((since, name));
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -1,11 +1,13 @@
 //! Machines as the platform lists them, and the orders given for them.
 //!
-//! Orders for a machine carry the owner's fencing token, but the platform need not check it. A
-//! new owner therefore waits for a lease time before its first order, and an owner gives none
-//! once its own lease may have ended.
+//! Orders for a machine carry the owner's fencing token, but the platform need not check it. An
+//! owner therefore stores which machines it is about to order before it does, and gives no order
+//! once its own lease may have ended. A new owner leaves those machines alone for a lease time and
+//! may order all others at once.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +20,8 @@
 use crate::scheduler::Action;
 use crate::scheduler::Scheduler;
 
+/// Time for which a machine stays among those that were given an order lately.
+const LATELY: Duration = Duration::from_secs(6);
 /// Time after an order during which the list may still show the state before it.
 const LIST_LAG: Duration = Duration::from_millis(700);
 /// Time after which an order without an answer is given again.
@@ -97,7 +101,9 @@
 pub(crate) struct Pending {
     pub(crate) order: MachineOrder,
     pub(crate) worker: Option<WorkerId>,
-    /// When it was last sent, unless an answer asks for a repetition.
+    /// Whether the store knows that the order is about to be given.
+    pub(crate) stored: bool,
+    /// When it was last sent.
     pub(crate) sent: Option<Duration>,
     /// When it was confirmed.
     pub(crate) done: Option<Duration>,
@@ -108,7 +114,11 @@
 pub(crate) struct Machines {
     pub(crate) known: BTreeMap<Arc<str>, Machine>,
     pub(crate) pending: HashMap<Arc<str>, Pending>,
-    /// Time from which orders may be given.
+    /// Machines that an earlier owner may have given orders.
+    pub(crate) held: HashSet<Arc<str>>,
+    /// Machines that were given an order, with the time of the latest.
+    pub(crate) lately: BTreeMap<Arc<str>, Duration>,
+    /// Time from which orders may be given for held machines.
     pub(crate) from: Duration,
     /// Time until which this owner is certainly the only one.
     pub(crate) until: Duration,
@@ -117,8 +127,8 @@
 }
 
 impl Scheduler {
-    /// Sets the time from which orders for machines may be given, and the time until which this
-    /// owner is certainly the only one.
+    /// Sets the time from which machines that an earlier owner may have ordered may be given
+    /// orders, and the time until which this owner is certainly the only one.
     pub fn set_ownership(&mut self, from: Duration, until: Duration) {
         self.machines.from = from;
         self.machines.until = until;
@@ -126,7 +136,51 @@
 
     /// Returns whether an order for a machine may be given.
     pub(crate) fn may_order_machines(&self, now: Duration) -> bool {
-        now >= self.machines.from && now < self.machines.until && self.machines.listed.is_some()
+        now < self.machines.until && self.machines.listed.is_some()
+    }
+
+    /// Returns whether an earlier owner may just have given a machine an order.
+    pub(crate) fn is_held(&self, name: &str, now: Duration) -> bool {
+        now < self.machines.from && self.machines.held.contains(name)
+    }
+
+    /// Lists the machines that were given an order lately or are about to be.
+    pub(crate) fn commanded(&self, now: Duration) -> Vec<Arc<str>> {
+        let lately = self.machines.lately.iter();
+        let recent = lately.filter(|(_, at)| now < **at + LATELY);
+        let mut names: Vec<Arc<str>> = recent.map(|(name, _)| name.clone()).collect();
+        names.extend(self.machines.pending.keys().cloned());
+        if now < self.machines.from {
+            names.extend(self.machines.held.iter().cloned());
+        }
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// Returns whether an order waits until the store knows of it.
+    pub(crate) fn commands_wait(&self) -> bool {
+        self.machines
+            .pending
+            .values()
+            .any(|pending| !pending.stored)
+    }
+
+    /// Gives the orders of which the store knows since a transaction that listed them.
+    pub(crate) fn release_commands(&mut self, listed: &[Arc<str>], now: Duration) {
+        let mut due = Vec::new();
+        for name in listed {
+            if let Some(pending) = self.machines.pending.get_mut(name)
+                && !pending.stored
+            {
+                pending.stored = true;
+                pending.sent = Some(now);
+                due.push((name.clone(), pending.order.clone()));
+            }
+        }
+        for (name, order) in due {
+            self.push_machine_order(&name, &order, now);
+        }
     }
 
     /// Returns whether any machine changes its state, so that the list should be read often.
@@ -192,7 +246,7 @@
     }
 
     /// Gives an order for a machine on which nothing runs that matters.
-    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder, now: Duration) {
+    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder) {
         let Some(machine) = self.machines.known.get(name) else {
             return;
         };
@@ -203,14 +257,15 @@
         let pending = Pending {
             order: order.clone(),
             worker,
-            sent: Some(now),
+            stored: false,
+            sent: None,
             done: None,
         };
         self.machines.pending.insert(name.clone(), pending);
-        self.push_machine_order(name, order);
     }
 
-    fn push_machine_order(&mut self, name: &Arc<str>, order: &MachineOrder) {
+    fn push_machine_order(&mut self, name: &Arc<str>, order: &MachineOrder, now: Duration) {
+        self.machines.lately.insert(name.clone(), now);
         self.actions.push(Action::Machine {
             machine: name.clone(),
             order: order.clone(),
@@ -222,13 +277,13 @@
         let mut due = Vec::new();
         for (name, pending) in &mut self.machines.pending {
             let waited = pending.sent.is_none_or(|sent| now >= sent + REPEAT);
-            if pending.done.is_none() && waited {
+            if pending.done.is_none() && pending.stored && waited {
                 pending.sent = Some(now);
                 due.push((name.clone(), pending.order.clone()));
             }
         }
         for (name, order) in due {
-            self.push_machine_order(&name, &order);
+            self.push_machine_order(&name, &order, now);
         }
     }
 
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -134,6 +134,9 @@
     /// Machines that have been maintained, by wave.
     #[serde(default)]
     pub maintained: Vec<(u64, Vec<Arc<str>>)>,
+    /// Machines that were given an order lately, or are about to be.
+    #[serde(default)]
+    pub commanded: Vec<Arc<str>>,
 }
 
 /// Encodes a record with its version.
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -299,6 +299,7 @@
         }
         self.durable.inherit(record);
         self.upkeep.inherit(&record.maintained);
+        self.machines.held = record.commanded.iter().cloned().collect();
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
--- a/crates/nutmegcart_jobs/src/upkeep.rs
+++ b/crates/nutmegcart_jobs/src/upkeep.rs
@@ -157,10 +157,13 @@
     }
 
     /// Returns whether a machine counts as down for the wave.
-    fn down_for(&self, machine: &Machine, number: u64) -> bool {
+    ///
+    /// A machine that an earlier owner may just have ordered counts as down, since its order may
+    /// still be carried out.
+    fn down_for(&self, machine: &Machine, number: u64, now: Duration) -> bool {
         let pending = self.machines.pending.get(&machine.name);
         let ours = pending.is_some_and(|pending| pending.order == MachineOrder::Maintain(number));
-        ours || machine.state == MachineState::Maintained
+        ours || machine.state == MachineState::Maintained || self.is_held(&machine.name, now)
     }
 
     fn advance_wave(&mut self, number: u64, now: Duration) {
@@ -182,7 +185,7 @@
             .collect();
         let down = present
             .iter()
-            .filter(|machine| self.down_for(machine, number))
+            .filter(|machine| self.down_for(machine, number, now))
             .count();
         let mut open: Vec<Machine> = present
             .into_iter()
@@ -217,7 +220,7 @@
             if room == 0 {
                 break;
             }
-            self.order_machine(&name, &MachineOrder::Maintain(number), now);
+            self.order_machine(&name, &MachineOrder::Maintain(number));
             room -= 1;
         }
         let ahead = most + AHEAD;
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -2,14 +2,18 @@
 
 mod support;
 
+use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::WaveState;
 use support::assert_sound;
 use support::completed;
+use support::job_id;
 use support::lasting_runs;
+use support::queue;
 use support::seconds;
 use support::standing;
 use support::submit;
+use support::submit_to;
 use support::tally;
 use support::worker;
 use support::world;
@@ -210,3 +214,87 @@
     assert_eq!(lasting_runs(&world), 4);
     assert_sound(&world);
 }
+
+/// Guards against a burst that waits for machines after every change of the owner, and against
+/// two owners that order the same machine within the time that their orders must be apart.
+#[test]
+fn a_successor_orders_machines_that_its_predecessor_left_alone() {
+    let mut world = world(8, 12);
+    let first = world.take_over();
+    world.run(seconds(10.0));
+    assert!(world.moves > 0, "idle machines were switched off");
+    for number in 0..2 {
+        submit(&mut world, number, vec![tally(8, 8_000, 1_500)]);
+    }
+    world.run(seconds(0.1));
+    world.owners[first].up = false;
+    let taken = world.now;
+    let second = world.take_over();
+    for number in 2..42 {
+        submit(&mut world, number, vec![tally(8, 8_000, 1_500)]);
+    }
+    world.run(seconds(9.0));
+    let begun = world
+        .commands
+        .iter()
+        .filter(|(_, owner, _)| *owner == second);
+    let earliest = begun
+        .map(|(_, _, at)| *at)
+        .min()
+        .expect("the successor moves machines");
+    assert!(
+        earliest < taken + seconds(1.0),
+        "first order at {earliest:?}"
+    );
+    for (machine, owner, at) in &world.commands {
+        let others = world
+            .commands
+            .iter()
+            .filter(|(name, other, _)| name == machine && other != owner);
+        for (_, _, other) in others {
+            assert!(
+                at.abs_diff(*other) >= seconds(3.0),
+                "{machine} at {at:?} and {other:?}"
+            );
+        }
+    }
+    assert_sound(&world);
+}
+
+/// Guards against two owners that order the same machine within the time that their orders must be
+/// apart, although it stands idle and another pool asks for it.
+#[test]
+fn a_successor_leaves_machines_alone_that_its_predecessor_ordered() {
+    let mut world = world(9, 12);
+    world.queues.push(queue("boats"));
+    world
+        .pools
+        .push(("boats".into(), PoolConfig { spare: false }));
+    let first = world.take_over();
+    world.run(seconds(10.0));
+    submit(&mut world, 1, vec![tally(60, 8_000, 600)]);
+    world.run(seconds(0.5));
+    assert!(
+        world
+            .commands
+            .iter()
+            .any(|(_, _, at)| *at + seconds(0.5) > world.now)
+    );
+    world.owners[first].up = false;
+    world.take_over();
+    world.cancel(&job_id(1));
+    for number in 2..40 {
+        submit_to(&mut world, 1, number, vec![tally(8, 8_000, 1_500)]);
+    }
+    world.run(seconds(9.0));
+    for (machine, owner, at) in &world.commands {
+        let same = world.commands.iter().filter(|(name, _, _)| name == machine);
+        for (_, _, other) in same.filter(|(_, other, _)| other != owner) {
+            assert!(
+                at.abs_diff(*other) >= seconds(3.0),
+                "{machine} at {at:?} and {other:?}"
+            );
+        }
+    }
+    assert_sound(&world);
+}
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -99,9 +99,14 @@
 }
 
 pub fn submit(world: &mut World, number: usize, steps: Vec<Step>) -> JobId {
+    submit_to(world, 0, number, steps)
+}
+
+/// Hands a job in to one of the world's queues.
+pub fn submit_to(world: &mut World, queue: usize, number: usize, steps: Vec<Step>) -> JobId {
     let id = job_id(number);
     let accepted = Accepted {
-        queue: world.queues[0].clone(),
+        queue: world.queues[queue].clone(),
         at: world.unix(),
         job: Job {
             spec: "spec".into(),
