--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -53,8 +53,6 @@
     pub handover: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
-    /// Entries of one transaction of the store.
-    pub entries: usize,
 }
 
 /// The owner of the cell as the store names it.
