--- a/crates/nutmegcart/src/check.rs
+++ b/crates/nutmegcart/src/check.rs
@@ -46,6 +46,19 @@
         faults.push(error.to_string());
     }
     let mut all = Vec::new();
+    if let Some(path) = &flags.platform {
+        match nutmegcart_site::settings::check(path) {
+            Ok(unknown) => {
+                for field in unknown {
+                    println!(
+                        "{}: {field} is not known and is passed over",
+                        path.display()
+                    );
+                }
+            }
+            Err(reason) => faults.push(format!("{}: {reason}", path.display())),
+        }
+    }
     for file in &flags.files {
         match documents(file) {
             Ok(found) => all.extend(found),
--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -66,6 +66,17 @@
         cmd check {
             /// Files with one record or an array of records.
             repeated files: PathBuf
+            /// Settings file of the platform on which `manage` runs.
+            optional --platform path: PathBuf
+        }
+        /// Tells one job's history from the logs of several instances.
+        ///
+        /// Example: nutmegcart explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
+        cmd explain {
+            /// Identifier of the job.
+            required id: String
+            /// Logs; standard input if none is named.
+            repeated files: PathBuf
         }
         /// Shows a whole deployment in one process and reports what the oracle saw.
         cmd demo {
--- a/crates/nutmegcart/src/main.rs
+++ b/crates/nutmegcart/src/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod client;
 mod demo;
+mod explain;
 mod flags;
 mod manage;
 mod operator;
@@ -24,6 +25,7 @@
         NutmegcartCmd::Manage(flags) => manage::run(&flags),
         NutmegcartCmd::Check(flags) => check::run(&flags),
         NutmegcartCmd::Demo(flags) => demo::run(&flags),
+        NutmegcartCmd::Explain(flags) => explain::run(&flags),
         NutmegcartCmd::Apply(flags) => operator::apply(&flags),
         NutmegcartCmd::Get(flags) => operator::get(&flags),
         NutmegcartCmd::List(flags) => operator::list(&flags),
--- a/crates/nutmegcart_bench/src/main.rs
+++ b/crates/nutmegcart_bench/src/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod configuration;
 mod cost;
+mod jobs;
 mod measure;
 mod operation;
 mod placement;
@@ -15,6 +16,7 @@
 mod waves_baseline;
 mod waves_cost;
 mod waves_planner;
+mod wire;
 
 use std::process::ExitCode;
 
@@ -23,6 +25,8 @@
 mod flags {
     #![allow(missing_docs)]
 
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// Measures nutmegcart's decisions against plain baselines.
         cmd bench {
@@ -40,6 +44,20 @@
                 /// Print one JSON object a line.
                 optional --json
             }
+            /// Jobs of callers under demand that takes turns.
+            cmd jobs {
+                /// Seed of the generated load.
+                optional --seed seed: u64
+                /// Image file (SVG) for queue (red), machines in pools (blue) and machines in use (green).
+                optional --image path: PathBuf
+                /// Print one JSON object a line.
+                optional --json
+            }
+            /// An order over HTTP: the blocking library against the event loop.
+            cmd wire {
+                /// Print one JSON object a line.
+                optional --json
+            }
             /// Capacity: slopes of bytes, messages, allocations and processor time.
             cmd capacity {
                 /// Seed of the generated load.
@@ -64,6 +82,16 @@
         flags::BenchCmd::RequestPath(flags) => (flags.json, request_path(seed(flags.seed))),
         flags::BenchCmd::Fleet(flags) => (flags.json, fleet(seed(flags.seed))),
         flags::BenchCmd::Capacity(flags) => (flags.json, capacity(seed(flags.seed))),
+        flags::BenchCmd::Wire(flags) => (flags.json, wire::measures()),
+        flags::BenchCmd::Jobs(flags) => {
+            match jobs::measures(seed(flags.seed), flags.image.as_deref()) {
+                Ok(measures) => (flags.json, measures),
+                Err(reason) => {
+                    eprintln!("{reason}");
+                    return ExitCode::FAILURE;
+                }
+            }
+        }
     };
     measure::print(&measures, json);
     ExitCode::SUCCESS
--- a/crates/nutmegcart_control/src/logger.rs
+++ b/crates/nutmegcart_control/src/logger.rs
@@ -3,6 +3,7 @@
 //! Lines collect in memory and a thread writes them. If the reader of standard output is slow and
 //! the thread falls behind, lines are dropped and counted.
 
+use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::Write as _;
 use std::sync::Mutex;
@@ -26,6 +27,9 @@
 const BATCH: usize = 16 << 10;
 /// Bytes of lines that may wait in memory; further ones are dropped until the next hand-over.
 const MOST_WAITING: usize = 128 << 10;
+/// Lines of one event a second; a burst writes one line a job and failed run, far below it. More
+/// would cost processor time that callers need.
+const MOST_LINES: u32 = 300;
 /// Batches that may wait for the writing thread.
 const MOST_BATCHES: usize = 8;
 /// Time between two hand-overs of what has collected.
@@ -43,6 +47,31 @@
 struct Waiting {
     lines: String,
     dropped: u64,
+    budgets: HashMap<u16, Budget>,
+}
+
+/// Lines of one event in the present second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Budget {
+    second: u64,
+    lines: u32,
+    left_out: u32,
+}
+
+impl Budget {
+    /// Takes a line; returns how many were left out before it, or nothing if it is left out too.
+    fn take(&mut self, second: u64) -> Option<u32> {
+        if self.second != second {
+            self.second = second;
+            self.lines = 0;
+        }
+        if self.lines >= MOST_LINES {
+            self.left_out += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.left_out))
+    }
 }
 
 /// Starts logging; lines below the level are left out.
@@ -119,9 +148,13 @@
                 waiting.dropped += 1;
                 return;
             }
-            let lines = &mut waiting.lines;
-            write_line(lines, record);
-            lines.len() > BATCH
+            let second = unix_ms() / 1_000;
+            let budget = waiting.budgets.entry(event(record)).or_default();
+            let Some(left_out) = budget.take(second) else {
+                return;
+            };
+            write_line(&mut waiting.lines, record, left_out);
+            waiting.lines.len() > BATCH
         };
         if full || record.level() == Level::Error {
             self.hand_over();
@@ -133,7 +166,14 @@
     }
 }
 
-fn write_line(lines: &mut String, record: &Record<'_>) {
+/// Returns the number of a line's event, or 0.
+fn event(record: &Record<'_>) -> u16 {
+    let value = record.key_values().get(log::kv::Key::from("event"));
+    let number = value.and_then(|value| value.to_string().parse().ok());
+    number.unwrap_or_default()
+}
+
+fn write_line(lines: &mut String, record: &Record<'_>, left_out: u32) {
     // Writing to a string cannot fail.
     let _ = write!(
         lines,
@@ -145,6 +185,9 @@
     lines.push('"');
     let mut fields = Fields(lines);
     let _ = record.key_values().visit(&mut fields);
+    if left_out > 0 {
+        let _ = write!(lines, ",\"left_out\":\"{left_out}\"");
+    }
     lines.push_str("}\n");
 }
 
