Let an owner that may not be the only one start no task a second time

Ruled out: the acknowledgement of ends and burying by lease, which a certain owner alone does. Change: once the own lease may have ended, only tasks that were never started are started. Conclusion: silence, lists and new lives prove nothing once another owner may exist.

--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -233,10 +233,14 @@
         let Some(occurrence) = job.occurrences.get(&number) else {
             return;
         };
+        let certain = now < self.machines.until;
         let mut open = Vec::new();
         for (step, state) in (0_u16..).zip(&occurrence.steps) {
             if state.open {
-                let pending: Vec<u32> = state.pending().collect();
+                // Once another owner may exist, that one may have had the end of a task that was
+                // started before.
+                let fresh = |index: &u32| certain || !state.tasks[*index as usize].started;
+                let pending: Vec<u32> = state.pending().filter(fresh).collect();
                 if !pending.is_empty() {
                     open.push((step, pending));
                 }
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -298,3 +298,28 @@
     }
     assert_sound(&world);
 }
+
+/// Guards against an owner that sees in the list of machines that a worker's life has ended, while
+/// its successor had the end of the task there and moved the machine afterwards.
+#[test]
+fn a_deposed_owner_starts_nothing_again() {
+    let mut world = world(10, 8);
+    let spare = world.pools.pop().expect("a spare pool");
+    let first = world.take_over();
+    world.run(seconds(0.6));
+    for number in 0..4 {
+        submit(&mut world, number, vec![tally(8, 6_000, 1_500)]);
+    }
+    world.run(seconds(0.3));
+    for index in 0..4 {
+        world.owners[first].cut.insert(worker(index));
+    }
+    world.owners[first].store = false;
+    world.run(seconds(1.0));
+    // Only the successor knows of the spare pool, so only it moves machines.
+    world.pools.push(spare);
+    world.take_over_cut((4..8).map(worker));
+    world.run(seconds(8.0));
+    assert!(world.moves > 0, "the successor switched idle machines off");
+    assert_sound(&world);
+}
