--- a/crates/nutmegcart/src/explain.rs
+++ b/crates/nutmegcart/src/explain.rs
@@ -1,6 +1,6 @@
 //! One job's history out of the logs of several instances.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::fs;
 use std::io::Read;
@@ -116,10 +116,7 @@
 }
 
 fn sources(lines: &[&Line]) -> usize {
-    let count: BTreeMap<&str, ()> = lines
-        .iter()
-        .map(|line| (line.source.as_str(), ()))
-        .collect();
+    let count: BTreeSet<&str> = lines.iter().map(|line| line.source.as_str()).collect();
     count.len()
 }
 
--- a/crates/nutmegcart/tests/docs.rs
+++ b/crates/nutmegcart/tests/docs.rs
@@ -28,6 +28,7 @@
 fn test_names() -> BTreeSet<String> {
     let mut sources = Vec::new();
     files(&root().join("crates"), "rs", &mut sources);
+    files(&root().join("platform"), "rs", &mut sources);
     let mut names = BTreeSet::new();
     for source in sources
         .iter()
--- a/crates/nutmegcart/tests/imports.rs
+++ b/crates/nutmegcart/tests/imports.rs
@@ -33,6 +33,8 @@
         &Path::new(env!("CARGO_MANIFEST_DIR")).join(".."),
         &mut files,
     );
+    let adapter = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../platform");
+    sources(&adapter, &mut files);
     let mut faults = Vec::new();
     for file in files {
         let text = fs::read_to_string(&file).expect("source is readable");
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -2,30 +2,22 @@
 //! what happened.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use nutmegcart_jobs::Action;
-use nutmegcart_jobs::Flush;
-use nutmegcart_jobs::Flushed;
-use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
-use nutmegcart_jobs::KeyNow;
 use nutmegcart_jobs::Order;
 use nutmegcart_jobs::Outcome;
 use nutmegcart_jobs::Refusal;
 use nutmegcart_jobs::WaveState;
 use nutmegcart_jobs::record::CellRecord;
 use nutmegcart_jobs::record::decode;
-use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
-use nutmegcart_platform::Revision;
-use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use tokio::sync::Semaphore;
 
@@ -39,6 +31,9 @@
 use crate::port::Command;
 use crate::port::LookError;
 use crate::port::Target;
+use crate::writer::STORE_RETRY;
+use crate::writer::fence;
+use crate::writer::write;
 
 /// Time between two advances of what depends on time alone.
 const TICK: Duration = Duration::from_millis(50);
@@ -66,8 +61,6 @@
 const MACHINES_IDLE: Duration = Duration::from_millis(1_500);
 /// Time kept back from a lease before it ends, for orders that cannot be fenced.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
-/// Pause after a transaction that the store refused.
-const STORE_RETRY: Duration = Duration::from_millis(120);
 
 /// Starts all tasks of an owner; they end with its ownership.
 pub fn start(node: &Rc<Node>, owned: &Rc<Owned>) {
@@ -511,120 +504,6 @@
     }
 }
 
-fn fence(owned: &Owned) -> Revision {
-    Revision::try_from(owned.fence).unwrap_or(Revision::MAX)
-}
-
-/// Stores what the scheduler wants stored, one transaction after the other.
-async fn write(node: Rc<Node>, owned: Rc<Owned>) {
-    while !owned.is_over() {
-        owned.store.notified().await;
-        while owned.state.loaded.get() && !owned.is_over() {
-            let Some(flush) = owned.scheduler.borrow_mut().next_flush(now()) else {
-                break;
-            };
-            let outcome = flush_once(&node, &owned, &flush).await;
-            let failed = outcome == Flushed::NotStored;
-            owned.scheduler.borrow_mut().flushed(&outcome, now());
-            owned.wake.notify_one();
-            if failed {
-                tokio::time::sleep(STORE_RETRY).await;
-            }
-        }
-    }
-}
-
-/// Runs one transaction, fenced by the owner's key, until its outcome is known.
-async fn flush_once(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush) -> Flushed {
-    let state = node.keys.state();
-    let holder = node.keys.owner();
-    let mut txn = Txn::default()
-        .unchanged(holder.clone(), fence(owned))
-        .or_read(holder);
-    for write in &flush.finals {
-        let key = node.keys.job(&write.job);
-        let record = JobRecord::Ended {
-            how: write.how,
-            at: unix_ms(),
-        };
-        txn = txn
-            .unchanged(key.clone(), write.revision)
-            .put(key.clone(), encode(&record))
-            .or_read(key);
-    }
-    for id in &flush.expired {
-        txn = txn.delete(node.keys.job(id));
-    }
-    if let Some(bytes) = &flush.state {
-        let written = owned.state.written.get();
-        txn = txn
-            .unchanged(state.clone(), written)
-            .put(state.clone(), bytes.clone())
-            .or_read(state.clone());
-    }
-    match (node.platform.store.txn)(txn).await {
-        Ok(reply) if reply.committed => {
-            if flush.state.is_some() {
-                owned.state.written.set(reply.revision);
-            }
-            Flushed::Stored
-        }
-        Ok(reply) => conflict(node, owned, flush, &reply.found),
-        Err(error) => {
-            if matches!(error, StoreError::AnswerLost { .. }) {
-                node.metrics
-                    .retries
-                    .with_label_values(&["store_answer_lost"])
-                    .inc();
-            }
-            log::debug!("state of the cell not stored: {error}");
-            Flushed::NotStored
-        }
-    }
-}
-
-/// Finds out why a transaction failed; an earlier one whose answer was lost may be the reason.
-fn conflict(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
-    let held = found
-        .iter()
-        .any(|item| item.key == node.keys.owner() && item.modified == fence(owned));
-    if !held {
-        owned.give_up("the owner's key has changed");
-        return Flushed::NotStored;
-    }
-    if flush.state.is_some() {
-        let state = node.keys.state();
-        let present = found.iter().find(|item| item.key == state);
-        owned
-            .state
-            .written
-            .set(present.map_or(0, |item| item.modified));
-    }
-    let mut changed = Vec::new();
-    let mut listed: HashSet<JobId> = HashSet::new();
-    for item in found {
-        let Some(id) = node.keys.job_of(&item.key) else {
-            continue;
-        };
-        listed.insert(id.clone());
-        let key = match decode::<JobRecord>(&item.value) {
-            Ok(JobRecord::Ended { how, .. }) => KeyNow::Ended(how),
-            Ok(JobRecord::Accepted(_)) => KeyNow::Accepted(item.modified),
-            Err(error) => {
-                log_event!(Event::JobRecordInvalid, job = id, reason = error);
-                continue;
-            }
-        };
-        changed.push((id, key));
-    }
-    let absent = flush
-        .finals
-        .iter()
-        .filter(|write| !listed.contains(&write.job));
-    changed.extend(absent.map(|write| (write.job.clone(), KeyNow::Absent)));
-    Flushed::Changed(changed)
-}
-
 /// Hands the cell over: no more orders, the last state stored, and the key removed.
 pub async fn hand_over(node: &Rc<Node>) {
     let Some(owned) = node.owned.borrow().clone() else {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod port;
 pub mod process;
 pub mod routing;
+mod writer;
 
 pub use node::Node;
 pub use node::Settings;
--- /dev/null
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -0,0 +1,142 @@
+//! Storing what happened in the cell, fenced by the owner's key.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_jobs::Flush;
+use nutmegcart_jobs::Flushed;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::KeyNow;
+use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_model::Event;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+
+use crate::clock::now;
+use crate::clock::unix_ms;
+use crate::node::Node;
+use crate::node::Owned;
+
+/// Pause after a transaction that the store refused.
+pub(crate) const STORE_RETRY: Duration = Duration::from_millis(120);
+
+/// Returns the fencing token as a revision of the store.
+pub(crate) fn fence(owned: &Owned) -> Revision {
+    Revision::try_from(owned.fence).unwrap_or(Revision::MAX)
+}
+
+/// Stores what the scheduler wants stored, one transaction after the other.
+pub(crate) async fn write(node: Rc<Node>, owned: Rc<Owned>) {
+    while !owned.is_over() {
+        owned.store.notified().await;
+        while owned.state.loaded.get() && !owned.is_over() {
+            let Some(flush) = owned.scheduler.borrow_mut().next_flush(now()) else {
+                break;
+            };
+            let outcome = flush_once(&node, &owned, &flush).await;
+            let failed = outcome == Flushed::NotStored;
+            owned.scheduler.borrow_mut().flushed(&outcome, now());
+            owned.wake.notify_one();
+            if failed {
+                tokio::time::sleep(STORE_RETRY).await;
+            }
+        }
+    }
+}
+
+/// Runs one transaction, fenced by the owner's key, until its outcome is known.
+async fn flush_once(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush) -> Flushed {
+    let state = node.keys.state();
+    let holder = node.keys.owner();
+    let mut txn = Txn::default()
+        .unchanged(holder.clone(), fence(owned))
+        .or_read(holder);
+    for write in &flush.finals {
+        let key = node.keys.job(&write.job);
+        let record = JobRecord::Ended {
+            how: write.how,
+            at: unix_ms(),
+        };
+        txn = txn
+            .unchanged(key.clone(), write.revision)
+            .put(key.clone(), encode(&record))
+            .or_read(key);
+    }
+    for id in &flush.expired {
+        txn = txn.delete(node.keys.job(id));
+    }
+    if let Some(bytes) = &flush.state {
+        let written = owned.state.written.get();
+        txn = txn
+            .unchanged(state.clone(), written)
+            .put(state.clone(), bytes.clone())
+            .or_read(state.clone());
+    }
+    match (node.platform.store.txn)(txn).await {
+        Ok(reply) if reply.committed => {
+            if flush.state.is_some() {
+                owned.state.written.set(reply.revision);
+            }
+            Flushed::Stored
+        }
+        Ok(reply) => conflict(node, owned, flush, &reply.found),
+        Err(error) => {
+            if matches!(error, StoreError::AnswerLost { .. }) {
+                node.metrics
+                    .retries
+                    .with_label_values(&["store_answer_lost"])
+                    .inc();
+            }
+            log::debug!("state of the cell not stored: {error}");
+            Flushed::NotStored
+        }
+    }
+}
+
+/// Finds out why a transaction failed; an earlier one whose answer was lost may be the reason.
+fn conflict(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
+    let held = found
+        .iter()
+        .any(|item| item.key == node.keys.owner() && item.modified == fence(owned));
+    if !held {
+        owned.give_up("the owner's key has changed");
+        return Flushed::NotStored;
+    }
+    if flush.state.is_some() {
+        let state = node.keys.state();
+        let present = found.iter().find(|item| item.key == state);
+        owned
+            .state
+            .written
+            .set(present.map_or(0, |item| item.modified));
+    }
+    let mut changed = Vec::new();
+    let mut listed: HashSet<JobId> = HashSet::new();
+    for item in found {
+        let Some(id) = node.keys.job_of(&item.key) else {
+            continue;
+        };
+        listed.insert(id.clone());
+        let key = match decode::<JobRecord>(&item.value) {
+            Ok(JobRecord::Ended { how, .. }) => KeyNow::Ended(how),
+            Ok(JobRecord::Accepted(_)) => KeyNow::Accepted(item.modified),
+            Err(error) => {
+                log_event!(Event::JobRecordInvalid, job = id, reason = error);
+                continue;
+            }
+        };
+        changed.push((id, key));
+    }
+    let absent = flush
+        .finals
+        .iter()
+        .filter(|write| !listed.contains(&write.job));
+    changed.extend(absent.map(|write| (write.job.clone(), KeyNow::Absent)));
+    Flushed::Changed(changed)
+}
--- /dev/null
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -0,0 +1,45 @@
+//! Guards against a page of metrics that drifts from the code.
+
+use nutmegcart_control::metrics::Metrics;
+
+/// Returns the names in a text of metrics.
+fn served() -> Vec<String> {
+    let metrics = Metrics::default();
+    // A vector shows up once it has a value.
+    metrics
+        .requests
+        .with_label_values(&["submit", "accepted"])
+        .inc();
+    metrics
+        .refusals
+        .with_label_values(&["StoreUnavailable"])
+        .inc();
+    metrics.retries.with_label_values(&["lease_renewal"]).inc();
+    metrics.store.with_label_values(&["get", "answered"]).inc();
+    metrics.orders.with_label_values(&["start", "done"]).inc();
+    metrics.looks.with_label_values(&["answered"]).inc();
+    metrics.machines.with_label_values(&["done"]).inc();
+    let text = metrics.text();
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    types
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_string)
+        .collect()
+}
+
+#[test]
+fn the_page_lists_every_metric_and_no_other() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/METRICS.md");
+    let page = std::fs::read_to_string(path).expect("the page exists");
+    let rows = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `nutmegcart_"));
+    let mut listed: Vec<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(|name| format!("nutmegcart_{name}"))
+        .collect();
+    let mut served = served();
+    listed.sort();
+    served.sort();
+    assert_eq!(listed, served);
+}
--- /dev/null
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -0,0 +1,582 @@
+//! What happens at a time: ticks, passes, calls under way and ends of runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use nutmegcart_jobs::Action;
+use nutmegcart_jobs::Flush;
+use nutmegcart_jobs::Flushed;
+use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::KeyNow;
+use nutmegcart_jobs::Look;
+use nutmegcart_jobs::MachineOrder;
+use nutmegcart_jobs::MachineOutcome;
+use nutmegcart_jobs::MachineState;
+use nutmegcart_jobs::Order;
+use nutmegcart_jobs::Outcome;
+use nutmegcart_jobs::Report;
+use nutmegcart_jobs::RunEnd;
+use nutmegcart_jobs::TaskKey;
+use nutmegcart_model::WorkerId;
+use rand::Rng;
+
+use crate::cell::Event;
+use crate::cell::LATENCY;
+use crate::cell::LEASE;
+use crate::cell::LIST;
+use crate::cell::Parked;
+use crate::cell::STORE;
+use crate::cell::TICK;
+use crate::cell::TIMEOUT;
+use crate::cell::World;
+use crate::cell::worker;
+use crate::cell::worker::FakeRun;
+use crate::cell::worker::FakeWorker;
+
+impl World {
+    pub(super) fn handle(&mut self, event: Event) {
+        match event {
+            Event::Script(script) => script(self),
+            Event::Tick(index) => self.tick(index),
+            Event::Pass(index) => self.pass(index),
+            Event::LookArrives(index, id, look, sent) => self.look_arrives(index, &id, look, sent),
+            Event::LookAnswered(index, id, sent, report, fenced) => {
+                self.look_answered(index, &id, sent, report.as_ref(), fenced);
+            }
+            Event::QuickLook(index, id, look, sent) => {
+                let (now, fence) = (self.now, self.owners[index].fence);
+                let worker = self.workers.get_mut(&id).filter(|worker| worker.up);
+                if let Some(worker) = worker
+                    && worker.look(fence, &look, now)
+                {
+                    let report = worker.report(now);
+                    self.schedule(LATENCY, Event::Reported(index, id, sent, report));
+                }
+            }
+            Event::Reported(index, id, sent, report) => {
+                let now = self.now;
+                if self.owners[index].up {
+                    self.owners[index]
+                        .scheduler
+                        .reported(&id, sent, &report, now);
+                    self.wake(index);
+                }
+            }
+            Event::LookExpires(id, number) => {
+                if self
+                    .parked
+                    .get(&id)
+                    .is_some_and(|parked| parked.number == number)
+                {
+                    self.answer_parked(&id);
+                }
+            }
+            Event::OrderArrives(index, id, order, answered, life) => {
+                self.order_arrives(index, &id, &order, answered, life);
+            }
+            Event::OrderAnswered(index, id, order, outcome) => {
+                if self.owners[index].up {
+                    let now = self.now;
+                    self.owners[index]
+                        .scheduler
+                        .answered(&id, &order, outcome, now);
+                    self.wake(index);
+                }
+            }
+            Event::FlushArrives(index, flush) => self.flush_arrives(index, &flush),
+            Event::FlushAnswered(index, outcome) => {
+                let now = self.now;
+                self.owners[index].scheduler.flushed(&outcome, now);
+                self.wake(index);
+            }
+            Event::RunEnds(id, life, task, run) => self.run_ends(&id, life, &task, run),
+            Event::LeaseEnds(id, life) => self.lease_ends(&id, life),
+            Event::Machines(index) => self.list_machines(index),
+            Event::MachineReturns(name) => self.machine_returns(&name),
+            Event::MachineAnswered(index, name, order, outcome) => {
+                let now = self.now;
+                self.owners[index]
+                    .scheduler
+                    .machine_answered(&name, &order, outcome, now);
+                self.wake(index);
+            }
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        if !self.owners[index].up {
+            return;
+        }
+        let (unix, now) = (self.unix(), self.now);
+        let reached = self.owners[index].store && !self.store.down;
+        let holds = self.store.owner == self.owners[index].fence;
+        if reached && holds {
+            self.owners[index].renewed = now;
+        } else if reached {
+            // The owner's key names another instance.
+            self.owners[index].up = false;
+            return;
+        }
+        let owner = &mut self.owners[index];
+        let from = owner.since + Duration::from_secs(3) + LEASE;
+        owner.scheduler.set_ownership(
+            from,
+            (owner.renewed + LEASE).saturating_sub(Duration::from_millis(600)),
+        );
+        owner.scheduler.tick(unix, now);
+        let looked: Vec<WorkerId> = owner
+            .scheduler
+            .workers()
+            .map(|worker| worker.listing.id.clone())
+            .collect();
+        for id in looked {
+            self.watch(index, &id);
+        }
+        self.wake(index);
+        self.schedule(TICK, Event::Tick(index));
+    }
+
+    fn pass(&mut self, index: usize) {
+        self.owners[index].pass = false;
+        if !self.acts(index) {
+            return;
+        }
+        let now = self.now;
+        self.owners[index].scheduler.pass(now);
+        for action in self.owners[index].scheduler.take_actions() {
+            self.carry_out(index, action);
+        }
+        if self.owners[index].store
+            && !self.store.down
+            && let Some(flush) = self.owners[index].scheduler.next_flush(now)
+        {
+            self.schedule(STORE, Event::FlushArrives(index, flush));
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Order { worker, order, .. } => {
+                let late = self.late > 0.0 && self.random.random_bool(self.late);
+                let life = self
+                    .workers
+                    .get(&worker)
+                    .map_or(0, |worker| worker.listing.born);
+                if !self.reaches(index, &worker) {
+                    self.schedule(
+                        TIMEOUT,
+                        Event::OrderAnswered(index, worker, order, Outcome::Unknown),
+                    );
+                } else if late {
+                    let delay = Duration::from_millis(self.random.random_range(2_000..12_000));
+                    self.schedule(
+                        delay,
+                        Event::OrderArrives(index, worker.clone(), order.clone(), false, life),
+                    );
+                    self.schedule(
+                        TIMEOUT,
+                        Event::OrderAnswered(index, worker, order, Outcome::Unknown),
+                    );
+                } else {
+                    self.schedule(
+                        LATENCY,
+                        Event::OrderArrives(index, worker, order, true, life),
+                    );
+                }
+            }
+            Action::Machine { machine, order } => {
+                self.commands.push((machine.clone(), index, self.now));
+                let outcome = self.command(&machine, &order);
+                self.schedule(
+                    STORE,
+                    Event::MachineAnswered(index, machine, order, outcome),
+                );
+            }
+            Action::Look { worker } => {
+                let now = self.now;
+                if let Some(look) = self.owners[index].scheduler.quick_look(&worker, now)
+                    && self.reaches(index, &worker)
+                {
+                    self.schedule(LATENCY, Event::QuickLook(index, worker, look, now));
+                }
+            }
+            Action::Advise { .. } => {}
+        }
+    }
+
+    fn command(&mut self, name: &std::sync::Arc<str>, order: &MachineOrder) -> MachineOutcome {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return MachineOutcome::Invalid;
+        };
+        if machine.state != MachineState::Up {
+            return MachineOutcome::Busy;
+        }
+        let delay = match order {
+            MachineOrder::Move(pool) => {
+                if machine.pool == *pool {
+                    return MachineOutcome::Done;
+                }
+                machine.pool = pool.clone();
+                machine.state = MachineState::Moving;
+                self.settings.move_time
+            }
+            MachineOrder::Maintain(wave) => {
+                if !self.maintained.insert((*wave, name.clone())) {
+                    return MachineOutcome::Done;
+                }
+                machine.state = MachineState::Maintained;
+                self.settings.upkeep_time
+            }
+        };
+        self.moves += 1;
+        if let Some(id) = machine.worker.take() {
+            self.crash(&id);
+            self.unlist(&id);
+        }
+        self.schedule(delay, Event::MachineReturns(name.clone()));
+        MachineOutcome::Done
+    }
+
+    fn machine_returns(&mut self, name: &std::sync::Arc<str>) {
+        self.lives += 1;
+        let id = WorkerId::from(format!("{name}-{}", self.lives));
+        let spare = {
+            let Some(machine) = self.machines.get_mut(name) else {
+                return;
+            };
+            machine.state = MachineState::Up;
+            let pools = self.pools.iter();
+            let spare = pools
+                .clone()
+                .any(|(pool, config)| *pool == machine.pool && config.spare);
+            machine.worker = (!spare).then(|| id.clone());
+            spare
+        };
+        if spare {
+            return;
+        }
+        let machine = &self.machines[name];
+        let mut listing = worker::listing(&id, &machine.pool, "r1-1", machine.capacity);
+        listing.machine = Some(name.clone());
+        listing.born = self.unix();
+        self.workers
+            .insert(id.clone(), FakeWorker::new(listing, self.now));
+        self.announce(&id);
+    }
+
+    fn list_machines(&mut self, index: usize) {
+        if !self.owners[index].up {
+            return;
+        }
+        let (list, now) = (self.machines.values().cloned().collect(), self.now);
+        self.owners[index].scheduler.see_machines(list, now, now);
+        self.wake(index);
+        self.schedule(LIST, Event::Machines(index));
+    }
+
+    fn look_arrives(&mut self, index: usize, id: &WorkerId, look: Look, sent: Duration) {
+        let now = self.now;
+        let fence = self.owners[index].fence;
+        let Some(worker) = self.workers.get_mut(id).filter(|worker| worker.up) else {
+            self.schedule(
+                TIMEOUT,
+                Event::LookAnswered(index, id.clone(), sent, None, false),
+            );
+            return;
+        };
+        let before = worker.ended.clone();
+        if !worker.look(fence, &look, now) {
+            self.schedule(
+                LATENCY,
+                Event::LookAnswered(index, id.clone(), sent, None, true),
+            );
+            return;
+        }
+        for end in before.iter().filter(|end| end.number <= look.acked) {
+            self.oracle.acknowledge(&end.task, end.how == RunEnd::Done);
+        }
+        let (waits, life) = (
+            worker.ended.is_empty() && !look.wait.is_zero(),
+            worker.listing.born,
+        );
+        let left = Duration::from_millis(worker.lease.saturating_sub(worker.clock(now)));
+        self.schedule(left, Event::LeaseEnds(id.clone(), life));
+        if self.parked.contains_key(id) {
+            self.answer_parked(id);
+        }
+        self.numbers += 1;
+        let number = self.numbers;
+        self.parked.insert(
+            id.clone(),
+            Parked {
+                owner: index,
+                sent,
+                number,
+            },
+        );
+        if waits {
+            self.schedule(look.wait, Event::LookExpires(id.clone(), number));
+        } else {
+            self.answer_parked(id);
+        }
+    }
+
+    fn answer_parked(&mut self, id: &WorkerId) {
+        let Some(parked) = self.parked.remove(id) else {
+            return;
+        };
+        let now = self.now;
+        let report = self
+            .workers
+            .get(id)
+            .filter(|worker| worker.up)
+            .map(|worker| worker.report(now));
+        let delay = if report.is_some() && self.reaches(parked.owner, id) {
+            LATENCY
+        } else {
+            TIMEOUT
+        };
+        let report = report.filter(|_| self.reaches(parked.owner, id));
+        self.schedule(
+            delay,
+            Event::LookAnswered(parked.owner, id.clone(), parked.sent, report, false),
+        );
+    }
+
+    fn look_answered(
+        &mut self,
+        index: usize,
+        id: &WorkerId,
+        sent: Duration,
+        report: Option<&Report>,
+        fenced: bool,
+    ) {
+        let now = self.now;
+        if !self.owners[index].up {
+            return;
+        }
+        if fenced {
+            self.owners[index].up = false;
+            return;
+        }
+        let pause = if let Some(report) = report {
+            self.owners[index].scheduler.reported(id, sent, report, now);
+            let gap = Duration::from_millis(25);
+            if report.ended.is_empty() {
+                Duration::ZERO
+            } else {
+                gap
+            }
+        } else {
+            self.owners[index].scheduler.look_failed(id, now);
+            Duration::from_millis(200)
+        };
+        self.wake(index);
+        let id = id.clone();
+        self.after(pause, move |world| world.look(index, &id));
+    }
+
+    fn order_arrives(
+        &mut self,
+        index: usize,
+        id: &WorkerId,
+        order: &Order,
+        answered: bool,
+        life: u64,
+    ) {
+        let now = self.now;
+        let fence = self.owners[index].fence;
+        let begun = match order {
+            Order::Start(start) => self.begin(id, start.run, &start.task),
+            _ => None,
+        };
+        // A late order reaches whoever answers under the worker's identifier by then.
+        let reached = self
+            .workers
+            .get(id)
+            .is_some_and(|worker| worker.up && (!answered || worker.listing.born == life));
+        if !reached {
+            if answered {
+                self.schedule(
+                    TIMEOUT,
+                    Event::OrderAnswered(index, id.clone(), order.clone(), Outcome::Unknown),
+                );
+            }
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let before: BTreeMap<TaskKey, u32> = worker
+            .runs
+            .iter()
+            .map(|(task, run)| (task.clone(), run.number))
+            .collect();
+        let ends = worker.last;
+        let outcome = worker.carry_out(fence, order, begun, now);
+        let (born, left) = (
+            worker.listing.born,
+            worker.lease.saturating_sub(worker.clock(now)),
+        );
+        let ended: Vec<_> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number > ends)
+            .cloned()
+            .collect();
+        if let (Order::Start(start), Outcome::Done { .. }) = (order, outcome)
+            && before.get(&start.task) != Some(&start.run)
+        {
+            self.oracle.start(id, &start.task, start.run, now);
+            if let Some(run) = self.workers[id].runs.get(&start.task)
+                && !run.lasting
+            {
+                let takes = run.takes;
+                self.schedule(
+                    takes,
+                    Event::RunEnds(id.clone(), born, start.task.clone(), start.run),
+                );
+            }
+            self.schedule(
+                Duration::from_millis(left),
+                Event::LeaseEnds(id.clone(), born),
+            );
+        }
+        for end in &ended {
+            self.oracle.end(
+                id,
+                &end.task,
+                end.run,
+                end.how == RunEnd::Done,
+                end.how == RunEnd::Failed,
+            );
+        }
+        if !ended.is_empty() {
+            self.answer_parked(id);
+        }
+        if answered {
+            self.schedule(
+                LATENCY,
+                Event::OrderAnswered(index, id.clone(), order.clone(), outcome),
+            );
+        }
+    }
+
+    /// Returns the run that a start begins, as the job in the store describes it.
+    fn begin(&mut self, id: &WorkerId, number: u32, task: &TaskKey) -> Option<FakeRun> {
+        let worker = self.workers.get(id)?;
+        let (slow, hung) = (worker.slow, worker.hung);
+        let step = self.owners.iter().rev().find_map(|owner| {
+            let job = owner.scheduler.jobs().find(|job| job.id == task.job)?;
+            job.step(task).cloned()
+        })?;
+        let factor = if self.spread > 1.0 {
+            let exponent = self.random.random_range(-1.0..1.0);
+            self.spread.powf(exponent)
+        } else {
+            1.0
+        };
+        let takes = if hung {
+            Duration::from_secs(1_000_000)
+        } else {
+            step.declared().mul_f64(factor) * slow
+        };
+        Some(FakeRun {
+            number,
+            since: self.now,
+            takes,
+            room: step.room(),
+            lasting: step.lasting,
+        })
+    }
+
+    fn run_ends(&mut self, id: &WorkerId, life: u64, task: &TaskKey, run: u32) {
+        let poisoned = self.poison.contains(task);
+        let Some(worker) = self
+            .workers
+            .get_mut(id)
+            .filter(|worker| worker.up && worker.listing.born == life)
+        else {
+            return;
+        };
+        if worker.runs.get(task).is_none_or(|each| each.number != run) {
+            return;
+        }
+        let how = if poisoned {
+            RunEnd::Failed
+        } else {
+            RunEnd::Done
+        };
+        worker.end(task, how);
+        self.oracle.end(id, task, run, !poisoned, poisoned);
+        self.answer_parked(id);
+    }
+
+    fn lease_ends(&mut self, id: &WorkerId, life: u64) {
+        let now = self.now;
+        let Some(worker) = self
+            .workers
+            .get_mut(id)
+            .filter(|worker| worker.up && worker.listing.born == life)
+        else {
+            return;
+        };
+        let last = worker.last;
+        worker.lapse(now);
+        let ended: Vec<_> = worker
+            .ended
+            .iter()
+            .filter(|end| end.number > last)
+            .cloned()
+            .collect();
+        for end in ended {
+            self.oracle.end(id, &end.task, end.run, false, false);
+        }
+    }
+
+    fn flush_arrives(&mut self, index: usize, flush: &Flush) {
+        if self.store.down || !self.owners[index].store {
+            self.schedule(TIMEOUT, Event::FlushAnswered(index, Flushed::NotStored));
+            return;
+        }
+        let outcome = self.commit(self.owners[index].fence, flush);
+        self.schedule(LATENCY, Event::FlushAnswered(index, outcome));
+    }
+
+    fn commit(&mut self, fence: u64, flush: &Flush) -> Flushed {
+        if fence != self.store.owner {
+            return Flushed::NotStored;
+        }
+        let mut changed = Vec::new();
+        for write in &flush.finals {
+            match self.store.jobs.get(&write.job) {
+                Some((JobRecord::Accepted(_), revision)) if *revision == write.revision => {}
+                Some((JobRecord::Accepted(_), revision)) => {
+                    changed.push((write.job.clone(), KeyNow::Accepted(*revision)));
+                }
+                Some((JobRecord::Ended { how, .. }, _)) => {
+                    changed.push((write.job.clone(), KeyNow::Ended(*how)));
+                }
+                None => changed.push((write.job.clone(), KeyNow::Absent)),
+            }
+        }
+        if !changed.is_empty() {
+            return Flushed::Changed(changed);
+        }
+        self.store.revision += 1;
+        let (revision, at) = (self.store.revision, self.unix());
+        for write in &flush.finals {
+            let record = JobRecord::Ended { how: write.how, at };
+            self.store
+                .jobs
+                .insert(write.job.clone(), (record, revision));
+        }
+        for id in &flush.expired {
+            self.store.jobs.remove(id);
+        }
+        if let Some(state) = &flush.state {
+            self.store.state = Some(state.clone());
+        }
+        Flushed::Stored
+    }
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -5,12 +5,14 @@
 //! * [`job`]: jobs, steps and queues as callers and operators describe them;
 //! * [`record`]: what the store keeps;
 //! * [`live`], [`worker`]: jobs and workers as the owner of a cell knows them;
-//! * [`scheduler`]: the [`Scheduler`] of a cell, with its events in [`runs`] and [`durable`];
+//! * [`scheduler`]: the [`Scheduler`] of a cell, with its events in [`runs`], [`orders`] and
+//!   [`durable`], and what it asks for in [`action`];
 //! * [`order`], [`pass`](Scheduler::pass): which work goes first, and where;
 //! * [`machines`], [`upkeep`], [`lending`](Scheduler::pass): machines that change their pool or
 //!   are maintained;
 //! * [`estimate`], [`pacing`]: what is learnt, and how work that shares a worker is kept apart.
 
+pub mod action;
 mod advice;
 pub mod durable;
 pub mod estimate;
@@ -19,14 +21,21 @@
 pub mod live;
 pub mod machines;
 pub mod order;
+pub mod orders;
 pub mod pacing;
 mod pass;
 pub mod record;
 pub mod runs;
 pub mod scheduler;
+mod slot;
 pub mod upkeep;
 pub mod worker;
 
+pub use action::Action;
+pub use action::Order;
+pub use action::PoolConfig;
+pub use action::Settings;
+pub use action::StartOrder;
 pub use durable::FinalWrite;
 pub use durable::Flush;
 pub use durable::Flushed;
@@ -45,6 +54,8 @@
 pub use machines::MachineOrder;
 pub use machines::MachineOutcome;
 pub use machines::MachineState;
+pub use orders::Outcome;
+pub use orders::Refusal;
 pub use record::Accepted;
 pub use record::CellRecord;
 pub use record::Final;
@@ -53,16 +64,9 @@
 pub use runs::ListedEnd;
 pub use runs::ListedRun;
 pub use runs::Look;
-pub use runs::Outcome;
-pub use runs::Refusal;
 pub use runs::Report;
 pub use runs::RunEnd;
-pub use scheduler::Action;
-pub use scheduler::Order;
-pub use scheduler::PoolConfig;
 pub use scheduler::Scheduler;
-pub use scheduler::Settings;
-pub use scheduler::StartOrder;
 pub use upkeep::WaveRequest;
 pub use upkeep::WaveState;
 pub use worker::Listing;
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -17,7 +17,7 @@
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 
-use crate::scheduler::Action;
+use crate::action::Action;
 use crate::scheduler::Scheduler;
 
 /// Time for which a machine stays among those that were given an order lately.
--- a/crates/nutmegcart_jobs/src/pacing.rs
+++ b/crates/nutmegcart_jobs/src/pacing.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use crate::action::Order;
 use crate::job::TaskKey;
-use crate::scheduler::Order;
 use crate::scheduler::Scheduler;
 use crate::worker::RunState;
 
--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -1,7 +1,6 @@
 //! One placement pass: waiting tasks onto the room of their pool's workers.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fleet::Size;
@@ -9,16 +8,19 @@
 use nutmegcart_model::Rack;
 use nutmegcart_model::WorkerId;
 
+use crate::action::Action;
+use crate::action::Order;
+use crate::action::StartOrder;
 use crate::advice::MOST_NAMED;
 use crate::job::JobId;
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::order::Standing;
 use crate::order::rank;
-use crate::scheduler::Action;
-use crate::scheduler::Order;
 use crate::scheduler::Scheduler;
-use crate::scheduler::StartOrder;
+use crate::slot::Field;
+use crate::slot::Slot;
+use crate::slot::Wish;
 use crate::worker::Run;
 use crate::worker::RunState;
 use crate::worker::StopReason;
@@ -27,144 +29,6 @@
 
 /// Time that a lasting task waits for room before others are stopped to make it.
 const MAKE_ROOM: Duration = Duration::from_millis(900);
-/// Tasks that a worker with unexplained failures may run until one of them finishes.
-const PROBES: usize = 1;
-
-/// A worker that can take tasks in this pass.
-#[derive(Clone, Debug)]
-struct Slot {
-    id: WorkerId,
-    free: Size,
-    capacity: Size,
-    rack: Option<Rack>,
-    labels: Vec<Arc<str>>,
-    lasting: usize,
-    serving: usize,
-    fillers: usize,
-    running: usize,
-    suspect: bool,
-    closed: bool,
-}
-
-impl Slot {
-    fn new(worker: &Worker) -> Self {
-        let count =
-            |test: &dyn Fn(&Run) -> bool| worker.runs.values().filter(|run| test(run)).count();
-        Self {
-            id: worker.listing.id.clone(),
-            free: worker.free(),
-            capacity: worker.listing.capacity,
-            rack: worker.rack(),
-            labels: worker.listing.labels.clone(),
-            lasting: count(&|run| run.lasting),
-            serving: count(&|run| run.serving),
-            fillers: count(&|run| run.filler),
-            running: worker.runs.len(),
-            suspect: !worker.streak.is_empty(),
-            closed: false,
-        }
-    }
-
-    /// Returns how well a task fits; the largest is best.
-    fn score(&self, step: &Step, near: Option<&Rack>) -> f64 {
-        let left = self.free.minus(step.room());
-        let share = |left: u64, all: u64| {
-            if all == 0 {
-                0.0
-            } else {
-                left as f64 / all as f64
-            }
-        };
-        let unused = share(left.cpu, self.capacity.cpu) + share(left.memory, self.capacity.memory);
-        let mut score = if step.filler {
-            // Fillers disturb what serves, and get what the others leave.
-            unused - 8.0 * self.serving as f64 - self.fillers as f64
-        } else if step.lasting {
-            // Lasting tasks share few workers, so that the others can be moved and maintained.
-            (self.lasting.min(8) as f64) - unused
-        } else {
-            // The fullest worker that fits, so that large tasks find room and others fall empty.
-            -unused + if self.lasting > 0 { 0.5 } else { 0.0 }
-        };
-        if step.target > 0 {
-            score -= 4.0 * self.fillers as f64;
-        }
-        if near.is_some() && near == self.rack.as_ref() {
-            score += 100.0;
-        }
-        if self.suspect {
-            score -= 20.0;
-        }
-        score
-    }
-
-    fn take(&mut self, step: &Step) {
-        self.free = self.free.minus(step.room());
-        self.running += 1;
-        self.lasting += usize::from(step.lasting);
-        self.serving += usize::from(step.target > 0);
-        self.fillers += usize::from(step.filler);
-    }
-}
-
-/// Workers of one pool during a pass.
-#[derive(Debug, Default)]
-struct Field {
-    slots: Vec<Slot>,
-    largest: Size,
-}
-
-impl Field {
-    fn measure(&mut self) {
-        let open = self.slots.iter().filter(|slot| !slot.closed);
-        self.largest = open.fold(Size::default(), |largest, slot| largest.max(slot.free));
-    }
-
-    /// Finds the best worker for a task.
-    fn choose(&self, step: &Step, wish: &Wish<'_>) -> Option<usize> {
-        if !step.room().fits(self.largest) {
-            return None;
-        }
-        let mut best: Option<(usize, f64)> = None;
-        for (index, slot) in self.slots.iter().enumerate() {
-            if (slot.closed && !step.lasting)
-                || !slot.admits(step, wish)
-                || !step.room().fits(slot.free)
-            {
-                continue;
-            }
-            let score = slot.score(step, wish.near);
-            if best.is_none_or(|(_, top)| score > top) {
-                best = Some((index, score));
-            }
-        }
-        best.map(|(index, _)| index)
-    }
-}
-
-/// What a task asks for beyond its step.
-struct Wish<'a> {
-    avoid: Option<&'a WorkerId>,
-    near: Option<&'a Rack>,
-    sharing: &'a HashMap<WorkerId, u32>,
-    tickets: Option<&'a dyn Fn(&WorkerId) -> bool>,
-}
-
-impl Slot {
-    fn admits(&self, step: &Step, wish: &Wish<'_>) -> bool {
-        let labelled = step
-            .label
-            .as_ref()
-            .is_none_or(|label| self.labels.contains(label));
-        let sharing = wish.sharing.get(&self.id).copied().unwrap_or_default();
-        let spread = step.spread == 0 || sharing < step.spread;
-        let avoided = wish.avoid == Some(&self.id);
-        let probing = !self.suspect || self.running < PROBES;
-        let permitted = wish.tickets.is_none_or(|permits| permits(&self.id));
-        labelled && spread && !avoided && probing && permitted
-    }
-}
-
 impl Scheduler {
     /// Places waiting tasks and emits all orders that are due.
     pub fn pass(&mut self, now: Duration) {
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_model::Event;
@@ -17,6 +16,9 @@
 use nutmegcart_model::log_event;
 use nutmegcart_platform::Revision;
 
+use crate::action::Action;
+use crate::action::PoolConfig;
+use crate::action::Settings;
 use crate::advice::Tickets;
 use crate::durable::Durable;
 use crate::estimate::Estimates;
@@ -26,7 +28,6 @@
 use crate::job::TaskKey;
 use crate::lending::Lending;
 use crate::live::LiveJob;
-use crate::machines::MachineOrder;
 use crate::machines::Machines;
 use crate::record::Accepted;
 use crate::record::CellRecord;
@@ -42,128 +43,6 @@
 /// Run numbers that are left out for tasks that an earlier owner may have started unseen.
 const INHERITED_GAP: u32 = 16;
 
-/// Times and bounds of the scheduler.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Settings {
-    /// Length of the lease under which runs live.
-    pub hold: Duration,
-    /// Longest lease that a worker grants.
-    pub hold_max: Duration,
-    /// Time for which an owner may act after its last successful renewal in the store.
-    pub authority: Duration,
-    /// Time that a stop takes at most.
-    pub stop: Duration,
-    /// Time that members of a gang wait for each other.
-    pub gang_wait: Duration,
-    /// Factor on the duration of tasks away from their data.
-    pub far: f64,
-    /// Time that a worker is away for a move.
-    pub move_time: Duration,
-    /// Time that a worker is away for maintenance.
-    pub upkeep_time: Duration,
-    /// Time after which a lasting task that is not at work counts as away.
-    pub notice: Duration,
-    /// Time for which the state of an ended job is shown at least.
-    pub shown: Duration,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            hold: Duration::from_secs(5),
-            hold_max: Duration::from_secs(10),
-            authority: Duration::from_secs(6),
-            stop: Duration::from_millis(400),
-            gang_wait: Duration::from_secs(3),
-            far: 2.0,
-            move_time: Duration::from_millis(1_500),
-            upkeep_time: Duration::from_secs(2),
-            notice: Duration::from_millis(4_500),
-            shown: Duration::from_mins(3),
-        }
-    }
-}
-
-/// What the configuration says about a pool.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct PoolConfig {
-    /// Whether its machines are switched off and lent to other pools on demand.
-    pub spare: bool,
-}
-
-/// An order to start a task.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StartOrder {
-    /// Task.
-    pub task: TaskKey,
-    /// Number of the run.
-    pub run: u32,
-    /// Description for the task.
-    pub spec: Arc<str>,
-    /// End of the lease on the worker's clock in milliseconds.
-    pub until: u64,
-    /// Checkpoint to continue from.
-    pub checkpoint: Option<Arc<str>>,
-    /// Proof that the worker may run the step.
-    pub ticket: Option<Arc<str>>,
-}
-
-/// What an order tells a worker.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    /// Starts a task.
-    Start(StartOrder),
-    /// Stops a run.
-    Stop {
-        /// Task.
-        task: TaskKey,
-        /// Number of the run.
-        run: u32,
-    },
-    /// Sets the share of its speed that a run is allowed.
-    Pace {
-        /// Task.
-        task: TaskKey,
-        /// Number of the run.
-        run: u32,
-        /// Share in percent.
-        percent: u32,
-    },
-}
-
-/// What the owner's I/O has to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Sends an order to a worker.
-    Order {
-        /// Worker.
-        worker: WorkerId,
-        /// Address.
-        address: Arc<str>,
-        /// Order.
-        order: Order,
-    },
-    /// Looks at a worker at once, beside the look that may be waiting there.
-    Look {
-        /// Worker.
-        worker: WorkerId,
-    },
-    /// Asks which workers may run a step.
-    Advise {
-        /// First task of the step.
-        step: TaskKey,
-        /// Workers in question.
-        workers: Vec<WorkerId>,
-    },
-    /// Gives an order for a machine.
-    Machine {
-        /// Machine.
-        machine: Arc<str>,
-        /// Order.
-        order: MachineOrder,
-    },
-}
-
 /// The scheduler of a cell.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -189,18 +68,6 @@
     pub(crate) actions: Vec<Action>,
 }
 
-impl Order {
-    /// Returns the name of the kind of order, for metrics.
-    #[must_use]
-    pub const fn label(&self) -> &'static str {
-        match self {
-            Self::Start(_) => "start",
-            Self::Stop { .. } => "stop",
-            Self::Pace { .. } => "pace",
-        }
-    }
-}
-
 impl Scheduler {
     /// Creates the scheduler of an owner that has just taken over with a fencing token.
     #[must_use]
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/slot.rs
@@ -0,0 +1,150 @@
+//! The room of a pool's workers during a pass, and the choice among them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use nutmegcart_fleet::Size;
+use nutmegcart_model::Rack;
+use nutmegcart_model::WorkerId;
+
+use crate::job::Step;
+use crate::worker::Run;
+use crate::worker::Worker;
+
+/// Tasks that a worker with unexplained failures may run until one of them finishes.
+const PROBES: usize = 1;
+
+/// A worker that can take tasks in this pass.
+#[derive(Clone, Debug)]
+pub(crate) struct Slot {
+    pub(crate) id: WorkerId,
+    pub(crate) free: Size,
+    pub(crate) capacity: Size,
+    pub(crate) rack: Option<Rack>,
+    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) lasting: usize,
+    pub(crate) serving: usize,
+    pub(crate) fillers: usize,
+    pub(crate) running: usize,
+    pub(crate) suspect: bool,
+    pub(crate) closed: bool,
+}
+
+impl Slot {
+    pub(crate) fn new(worker: &Worker) -> Self {
+        let count =
+            |test: &dyn Fn(&Run) -> bool| worker.runs.values().filter(|run| test(run)).count();
+        Self {
+            id: worker.listing.id.clone(),
+            free: worker.free(),
+            capacity: worker.listing.capacity,
+            rack: worker.rack(),
+            labels: worker.listing.labels.clone(),
+            lasting: count(&|run| run.lasting),
+            serving: count(&|run| run.serving),
+            fillers: count(&|run| run.filler),
+            running: worker.runs.len(),
+            suspect: !worker.streak.is_empty(),
+            closed: false,
+        }
+    }
+
+    /// Returns how well a task fits; the largest is best.
+    pub(crate) fn score(&self, step: &Step, near: Option<&Rack>) -> f64 {
+        let left = self.free.minus(step.room());
+        let share = |left: u64, all: u64| {
+            if all == 0 {
+                0.0
+            } else {
+                left as f64 / all as f64
+            }
+        };
+        let unused = share(left.cpu, self.capacity.cpu) + share(left.memory, self.capacity.memory);
+        let mut score = if step.filler {
+            // Fillers disturb what serves, and get what the others leave.
+            unused - 8.0 * self.serving as f64 - self.fillers as f64
+        } else if step.lasting {
+            // Lasting tasks share few workers, so that the others can be moved and maintained.
+            (self.lasting.min(8) as f64) - unused
+        } else {
+            // The fullest worker that fits, so that large tasks find room and others fall empty.
+            -unused + if self.lasting > 0 { 0.5 } else { 0.0 }
+        };
+        if step.target > 0 {
+            score -= 4.0 * self.fillers as f64;
+        }
+        if near.is_some() && near == self.rack.as_ref() {
+            score += 100.0;
+        }
+        if self.suspect {
+            score -= 20.0;
+        }
+        score
+    }
+
+    pub(crate) fn take(&mut self, step: &Step) {
+        self.free = self.free.minus(step.room());
+        self.running += 1;
+        self.lasting += usize::from(step.lasting);
+        self.serving += usize::from(step.target > 0);
+        self.fillers += usize::from(step.filler);
+    }
+}
+
+/// Workers of one pool during a pass.
+#[derive(Debug, Default)]
+pub(crate) struct Field {
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) largest: Size,
+}
+
+impl Field {
+    pub(crate) fn measure(&mut self) {
+        let open = self.slots.iter().filter(|slot| !slot.closed);
+        self.largest = open.fold(Size::default(), |largest, slot| largest.max(slot.free));
+    }
+
+    /// Finds the best worker for a task.
+    pub(crate) fn choose(&self, step: &Step, wish: &Wish<'_>) -> Option<usize> {
+        if !step.room().fits(self.largest) {
+            return None;
+        }
+        let mut best: Option<(usize, f64)> = None;
+        for (index, slot) in self.slots.iter().enumerate() {
+            if (slot.closed && !step.lasting)
+                || !slot.admits(step, wish)
+                || !step.room().fits(slot.free)
+            {
+                continue;
+            }
+            let score = slot.score(step, wish.near);
+            if best.is_none_or(|(_, top)| score > top) {
+                best = Some((index, score));
+            }
+        }
+        best.map(|(index, _)| index)
+    }
+}
+
+/// What a task asks for beyond its step.
+pub(crate) struct Wish<'a> {
+    pub(crate) avoid: Option<&'a WorkerId>,
+    pub(crate) near: Option<&'a Rack>,
+    pub(crate) sharing: &'a HashMap<WorkerId, u32>,
+    pub(crate) tickets: Option<&'a dyn Fn(&WorkerId) -> bool>,
+}
+
+impl Slot {
+    pub(crate) fn admits(&self, step: &Step, wish: &Wish<'_>) -> bool {
+        let labelled = step
+            .label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label));
+        let sharing = wish.sharing.get(&self.id).copied().unwrap_or_default();
+        let spread = step.spread == 0 || sharing < step.spread;
+        let avoided = wish.avoid == Some(&self.id);
+        let probing = !self.suspect || self.running < PROBES;
+        let permitted = wish.tickets.is_none_or(|permits| permits(&self.id));
+        labelled && spread && !avoided && probing && permitted
+    }
+}
