--- a/crates/nutmegcart_control/src/accept.rs
+++ b/crates/nutmegcart_control/src/accept.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::Accepted;
-use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_platform::StoreError;
@@ -37,7 +36,7 @@
 }
 
 struct Submission {
-    id: JobId,
+    key: String,
     value: Vec<u8>,
     waiters: Vec<oneshot::Sender<Acceptance>>,
 }
@@ -46,27 +45,27 @@
 #[derive(Default)]
 pub struct Acceptor {
     queue: RefCell<VecDeque<Submission>>,
-    present: RefCell<HashMap<JobId, Vec<oneshot::Sender<Acceptance>>>>,
+    present: RefCell<HashMap<String, Vec<oneshot::Sender<Acceptance>>>>,
     flights: Cell<usize>,
 }
 
 impl Acceptor {
-    /// Makes one attempt at storing a job, which ends at the deadline at the latest.
+    /// Makes one attempt at storing a job under its key, which ends at the deadline at the latest.
     pub async fn accept(
         self: &Rc<Self>,
         node: &Rc<Node>,
-        id: JobId,
+        key: String,
         accepted: &Accepted,
         deadline: Duration,
     ) -> Acceptance {
         let (answer, answered) = oneshot::channel();
-        if let Some(waiters) = self.present.borrow_mut().get_mut(&id) {
+        if let Some(waiters) = self.present.borrow_mut().get_mut(&key) {
             // The same job is being stored for an earlier request of its caller.
             waiters.push(answer);
         } else {
-            self.present.borrow_mut().insert(id.clone(), Vec::new());
+            self.present.borrow_mut().insert(key.clone(), Vec::new());
             self.queue.borrow_mut().push_back(Submission {
-                id,
+                key,
                 value: encode(&JobRecord::Accepted(Box::new(accepted.clone()))),
                 waiters: vec![answer],
             });
@@ -106,7 +105,7 @@
         while !batch.is_empty() {
             let mut txn = Txn::default();
             for submission in &batch {
-                let key = node.keys.job(&submission.id);
+                let key = submission.key.clone();
                 txn = txn
                     .absent(key.clone())
                     .put(key.clone(), submission.value.clone())
@@ -122,8 +121,7 @@
                 Ok(reply) => {
                     let mut rest = Vec::new();
                     for submission in batch.drain(..) {
-                        let key = node.keys.job(&submission.id);
-                        if reply.found.iter().any(|found| found.key == key) {
+                        if reply.found.iter().any(|found| found.key == submission.key) {
                             self.answer(submission, Acceptance::Stored);
                         } else {
                             rest.push(submission);
@@ -155,7 +153,7 @@
         let joined = self
             .present
             .borrow_mut()
-            .remove(&submission.id)
+            .remove(&submission.key)
             .unwrap_or_default();
         for waiter in submission.waiters.into_iter().chain(joined) {
             // A caller that has left needs no answer; the job stays accepted.
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -25,6 +25,8 @@
 use crate::accept::Acceptor;
 use crate::clock::now;
 use crate::clock::unix_ms;
+use crate::node::CellView;
+use crate::node::Cells;
 use crate::node::Node;
 use crate::peer;
 use crate::peer::Answer as PeerAnswer;
@@ -44,6 +46,9 @@
 /// seconds, and a second is the least that the header can say.
 const STORE_RETRY: Duration = Duration::from_secs(1);
 
+/// Times that the owner of a cell is asked for its count.
+const COUNT_TRIES: usize = 3;
+
 /// What a caller asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
@@ -127,12 +132,21 @@
         let start = now();
         let deadline = start + limit.saturating_sub(ANSWER_MARGIN);
         let kind = request.kind();
+        let Some(cells) = node.cells() else {
+            return Answer::Refused {
+                code: Code::NoConfiguration,
+                retry: Some(STORE_RETRY),
+            };
+        };
         node.active.set(node.active.get() + 1);
         let answer = match request {
-            Request::Submit(id, job) => self.submit(node, queue, id, *job, deadline).await,
-            Request::Show(id) => show(node, id, deadline).await,
-            Request::Cancel(id) => cancel(node, id, deadline).await,
-            Request::Count => count(node, queue).await,
+            Request::Submit(id, job) => {
+                let view = cells.of_job(&id);
+                self.submit(node, view, queue, id, *job, deadline).await
+            }
+            Request::Show(id) => show(node, cells.of_job(&id), id, deadline).await,
+            Request::Cancel(id) => cancel(node, cells.of_job(&id), id, deadline).await,
+            Request::Count => count(node, &cells, queue).await,
         };
         node.active.set(node.active.get() - 1);
         node.metrics
@@ -154,6 +168,7 @@
     async fn submit(
         &self,
         node: &Rc<Node>,
+        view: &CellView,
         queue: &Arc<Queue>,
         id: JobId,
         job: Job,
@@ -175,7 +190,7 @@
         };
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
-        let acceptance = self.settle(node, &id, &accepted, deadline).await;
+        let acceptance = self.settle(node, view, &id, &accepted, deadline).await;
         let took = now().saturating_sub(start).as_millis();
         match acceptance {
             Acceptance::Stored => {
@@ -223,13 +238,14 @@
     async fn settle(
         &self,
         node: &Rc<Node>,
+        view: &CellView,
         id: &JobId,
         accepted: &Accepted,
         deadline: Duration,
     ) -> Acceptance {
         let mut uncertain = false;
         let mut through_peer = node.trouble.get().is_some();
-        let mut helpers = node.helpers().into_iter().take(MOST_HELPERS);
+        let mut helpers = node.helpers(view.number).into_iter().take(MOST_HELPERS);
         let mut tried = false;
         loop {
             let helper = if through_peer { helpers.next() } else { None };
@@ -243,11 +259,11 @@
             } else {
                 if tried {
                     tokio::time::sleep(REPEAT_PAUSE).await;
-                    helpers = node.helpers().into_iter().take(MOST_HELPERS);
+                    helpers = node.helpers(view.number).into_iter().take(MOST_HELPERS);
                 }
                 tried = true;
                 self.acceptor
-                    .accept(node, id.clone(), accepted, deadline)
+                    .accept(node, view.keys.job(id), accepted, deadline)
                     .await
             };
             through_peer = true;
@@ -279,11 +295,12 @@
         accepted: Accepted,
         limit: Duration,
     ) -> Acceptance {
-        if node.trouble.get().is_some() {
+        let Some(cells) = node.cells().filter(|_| node.trouble.get().is_none()) else {
             return Acceptance::NotStored;
-        }
+        };
+        let key = cells.of_job(&id).keys.job(&id);
         self.acceptor
-            .accept(node, id, &accepted, now() + limit)
+            .accept(node, key, &accepted, now() + limit)
             .await
     }
 }
@@ -308,7 +325,7 @@
 }
 
 /// Shows a job by the owner's memory, or by the store if the owner does not know it.
-async fn show(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
+async fn show(node: &Rc<Node>, view: &CellView, id: JobId, deadline: Duration) -> Answer {
     match peer::ask(node, &Question::State(id.clone())).await {
         Ok(PeerAnswer::State(Some(state))) => return Answer::State(state),
         Ok(_) => {}
@@ -321,7 +338,7 @@
         }
     }
     loop {
-        match (node.platform.store.get)(node.keys.job(&id)).await {
+        match (node.platform.store.get)(view.keys.job(&id)).await {
             Ok(None) => return Answer::Gone,
             Ok(Some(item)) => {
                 return match decode(&item.value) {
@@ -345,9 +362,9 @@
 }
 
 /// Cancels a job in the store, where its owner sees it, through a peer if the store fails here.
-async fn cancel(node: &Rc<Node>, id: JobId, deadline: Duration) -> Answer {
-    let key = node.keys.job(&id);
-    let mut helpers = node.helpers().into_iter();
+async fn cancel(node: &Rc<Node>, view: &CellView, id: JobId, deadline: Duration) -> Answer {
+    let key = view.keys.job(&id);
+    let mut helpers = node.helpers(view.number).into_iter();
     let mut through_peer = node.trouble.get().is_some();
     loop {
         let helper = if through_peer { helpers.next() } else { None };
@@ -360,7 +377,7 @@
                 Ok(_) | Err(_) => {}
             }
         } else {
-            helpers = node.helpers().into_iter();
+            helpers = node.helpers(view.number).into_iter();
             match try_cancel(node, &key, &id).await {
                 Ok(Some(answer)) => return answer,
                 Ok(None) => continue,
@@ -380,8 +397,11 @@
 
 /// Cancels a job for a peer that does not reach the store.
 pub async fn cancel_for_peer(node: &Rc<Node>, id: &JobId, limit: Duration) -> Cancellation {
+    let Some(cells) = node.cells() else {
+        return Cancellation::Unsettled;
+    };
     let deadline = now() + limit;
-    let key = node.keys.job(id);
+    let key = cells.of_job(id).keys.job(id);
     while now() < deadline && node.trouble.get().is_none() {
         match try_cancel(node, &key, id).await {
             Ok(Some(Answer::Cancelled)) => return Cancellation::Done,
@@ -425,16 +445,32 @@
     Ok(Some(Answer::Cancelled))
 }
 
-async fn count(node: &Rc<Node>, queue: &Arc<Queue>) -> Answer {
-    let question = Question::Waiting(queue.key.clone());
-    for _ in 0..3 {
-        if let Ok(PeerAnswer::Waiting(count)) = peer::ask(node, &question).await {
-            return Answer::Waiting(count);
+/// Sums what the owners of all cells count.
+async fn count(node: &Rc<Node>, cells: &Cells, queue: &Arc<Queue>) -> Answer {
+    let ask = |view: &Rc<CellView>| {
+        tokio::task::spawn_local(count_in(node.clone(), view.number, queue.clone()))
+    };
+    let asked: Vec<_> = cells.views.iter().map(ask).collect();
+    let mut sum = 0;
+    for task in asked {
+        let Ok(Some(count)) = task.await else {
+            return Answer::Refused {
+                code: Code::DutyVacant,
+                retry: Some(STORE_RETRY),
+            };
+        };
+        sum += count;
+    }
+    Answer::Waiting(sum)
+}
+
+async fn count_in(node: Rc<Node>, cell: u32, queue: Arc<Queue>) -> Option<u64> {
+    let question = Question::Waiting(cell, queue.key.clone());
+    for _ in 0..COUNT_TRIES {
+        if let Ok(PeerAnswer::Waiting(count)) = peer::ask(&node, &question).await {
+            return Some(count);
         }
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
-    Answer::Refused {
-        code: Code::DutyVacant,
-        retry: Some(STORE_RETRY),
-    }
+    None
 }
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -1,8 +1,7 @@
-//! Ownership of the cell: a key under a lease, whose revision is the fencing token.
+//! Ownership of a cell: a key under a lease, whose revision is the fencing token.
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,10 +15,12 @@
 use nutmegcart_platform::Txn;
 use tokio::sync::Notify;
 
+use crate::candidacy::Candidate;
+use crate::candidacy::delay;
 use crate::clock::now;
 use crate::duty;
-use crate::follow::Follower;
-use crate::follow::Seen;
+use crate::keys;
+use crate::node::CellView;
 use crate::node::Node;
 use crate::node::Owned;
 use crate::node::OwnedState;
@@ -27,151 +28,111 @@
 use crate::peer;
 use crate::peer::Answer;
 use crate::peer::Question;
+use crate::shared;
 
 /// Fraction of the lease after which it is renewed.
-const RENEWALS: u32 = 4;
+pub(crate) const RENEWALS: u32 = 4;
 /// Pause between two attempts at a vacant cell, as a bound on load when the store fails.
-const RETRY: Duration = Duration::from_millis(150);
-/// Length of the lease of an instance's address. A stale address costs a failed connection only.
-const MEMBER_LEASE: Duration = Duration::from_secs(8);
+pub(crate) const RETRY: Duration = Duration::from_millis(150);
 /// Time between two checks whether the store fails here.
 const TROUBLE_CHECK: Duration = Duration::from_millis(100);
-/// Time for which the store has to fail here before the cell is handed to a peer.
+/// Time for which the store has to fail here before a cell is handed to a peer.
 const TROUBLE: Duration = Duration::from_millis(200);
-/// Longest wait for a peer that takes the cell over, which takes two calls to the store.
+/// Longest wait for a peer that takes a cell over, which takes two calls to the store.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Largest delay by which instances spread their attempts at a vacant cell.
-const SPREAD: u64 = 60;
+/// Longest wait between two looks at who owns a cell.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Follows the owner's key, and takes the cell over whenever it is vacant.
+/// Follows the owners, and takes cells over whenever they are vacant.
 pub async fn run(node: Rc<Node>) {
-    tokio::task::spawn_local(follow_owner(node.clone()));
-    tokio::task::spawn_local(announce(node.clone()));
+    tokio::task::spawn_local(shared::follow(node.clone()));
+    tokio::task::spawn_local(shared::announce(node.clone()));
+    shared::establish(&node).await;
+    let cells = node.cells();
+    for view in cells.iter().flat_map(|cells| &cells.views) {
+        tokio::task::spawn_local(contend(node.clone(), view.clone()));
+    }
+}
+
+/// Takes a cell over whenever it is vacant, until the instance shuts down.
+async fn contend(node: Rc<Node>, view: Rc<CellView>) {
     loop {
         if node.is_stopping() {
             return;
         }
-        if let Some((fence, lease, sent)) = node.handed.take() {
-            own(&node, fence, lease, sent).await;
+        if let Some((fence, lease, sent)) = view.handed.take() {
+            own(&node, &view, fence, lease, sent).await;
             continue;
         }
-        let vacant = node.owner_known.get() && node.owner.borrow().is_none();
+        let vacant = node.owners_known.get() && node.owner(view.number).is_none();
         if !vacant || node.configuration.borrow().is_none() {
-            let changed = node.owner_changed.notified();
-            let _ = tokio::time::timeout(Duration::from_millis(500), changed).await;
+            let changed = view.changed.notified();
+            let _ = tokio::time::timeout(LOOK_PERIOD, changed).await;
             continue;
         }
-        // Instances that see the vacancy at the same time would only race each other.
-        tokio::time::sleep(Duration::from_millis(node.life % SPREAD)).await;
-        if node.owner.borrow().is_some() || node.is_stopping() || node.is_handed() {
+        tokio::time::sleep(delay(&candidate(&node), view.number)).await;
+        if node.owner(view.number).is_some() || node.is_stopping() || view.is_handed() {
             continue;
         }
-        match take(&node).await {
-            Ok(Some((fence, lease, sent))) => own(&node, fence, lease, sent).await,
+        match take(&node, &view).await {
+            Ok(Some((fence, lease, sent))) => own(&node, &view, fence, lease, sent).await,
             Ok(None) => tokio::time::sleep(RETRY).await,
             Err(error) => {
-                log::debug!("cell not taken: {error}");
+                log::debug!("cell {} not taken: {error}", view.number);
                 tokio::time::sleep(RETRY).await;
             }
         }
     }
 }
 
-async fn follow_owner(node: Rc<Node>) {
-    let key = node.keys.owner();
-    let mut follower = Follower::new(node.keys.instances());
-    loop {
-        let seen = follower.next(&node.platform.store).await;
-        node.note_store(follower.reached);
-        for each in seen {
-            match each {
-                Seen::Put(item) if item.key == key => see_owner(&node, &item),
-                Seen::Put(item) => see_member(&node, &item),
-                Seen::Gone(gone) if gone == key => lose_owner(&node),
-                Seen::Gone(gone) => {
-                    if let Some(name) = node.keys.member_of(&gone) {
-                        node.members.borrow_mut().remove(name);
-                    }
-                }
-                Seen::Complete => node.owner_known.set(true),
-            }
-        }
-        node.owner_changed.notify_one();
-    }
-}
-
-/// Notes that nobody owns the cell.
-pub fn lose_owner(node: &Rc<Node>) {
-    *node.owner.borrow_mut() = None;
-    if let Some(owned) = node.owned.borrow().as_ref() {
-        owned.give_up("the owner's key is gone");
+/// Returns this instance as a candidate for a cell.
+pub(crate) fn candidate(node: &Node) -> Candidate {
+    let members = node.members.borrow();
+    let cores = node.settings.cores;
+    let largest = members.values().map(|member| member.cores);
+    Candidate {
+        life: node.life,
+        cores,
+        largest: largest.fold(cores, f64::max),
+        owned: node.owned_cells(),
+        instances: members.len(),
     }
 }
 
-fn see_member(node: &Rc<Node>, item: &KeyValue) {
-    let Some(name) = node.keys.member_of(&item.key) else {
+/// Notes that nobody owns a cell.
+pub(crate) fn lose_owner(node: &Rc<Node>, cell: u32) {
+    node.owners.borrow_mut().remove(&cell);
+    let Some(owned) = owned_here(node, cell) else {
         return;
     };
-    match nutmegcart_jobs::record::decode::<SocketAddr>(&item.value) {
-        Ok(address) => {
-            node.members.borrow_mut().insert(name.into(), address);
-        }
-        Err(error) => log_event!(Event::JobRecordInvalid, key = item.key, reason = error),
-    }
-}
-
-/// Keeps the address of this instance in the store, where others find it.
-pub async fn announce(node: Rc<Node>) {
-    let key = node.keys.member(&node.settings.name);
-    let value = nutmegcart_jobs::record::encode(&node.settings.peer);
-    let mut lease = None;
-    while !node.is_stopping() {
-        let result = match lease {
-            None => enter(&node, &key, &value).await.map(Some),
-            Some(held) => {
-                let kept = (node.platform.store.keep)(held).await;
-                kept.map(|alive| alive.then_some(held))
-            }
-        };
-        let pause = match result {
-            Ok(held) => {
-                lease = held;
-                if held.is_some() {
-                    MEMBER_LEASE / RENEWALS
-                } else {
-                    RETRY
-                }
-            }
-            Err(error) => {
-                log::debug!("address not announced: {error}");
-                RETRY * 4
-            }
-        };
-        tokio::time::sleep(pause).await;
-    }
-    if let Some(held) = lease {
-        end_lease(&node, held).await;
+    // The key of an earlier owner may be reported as gone after this instance has taken the cell.
+    if u64::try_from(owned.cell.seen.get()).is_ok_and(|seen| seen >= owned.fence) {
+        owned.give_up("the owner's key is gone");
     }
 }
 
-async fn enter(node: &Rc<Node>, key: &str, value: &[u8]) -> Result<LeaseId, StoreError> {
-    let lease = (node.platform.store.grant)(MEMBER_LEASE).await?;
-    let txn = Txn::default().put_leased(key, value.to_vec(), lease);
-    (node.platform.store.txn)(txn).await?;
-    Ok(lease)
+fn owned_here(node: &Node, cell: u32) -> Option<Rc<Owned>> {
+    let cells = node.cells()?;
+    let view = cells.views.get(usize::try_from(cell).ok()?)?;
+    view.owned.borrow().clone()
 }
 
-/// Notes who owns the cell.
-pub fn see_owner(node: &Rc<Node>, item: &KeyValue) {
+/// Notes who owns a cell.
+pub(crate) fn see_owner(node: &Rc<Node>, cell: u32, item: &KeyValue) {
     let Ok(record) = nutmegcart_jobs::record::decode::<OwnerRecord>(&item.value) else {
         log_event!(Event::JobRecordInvalid, key = item.key);
-        *node.owner.borrow_mut() = None;
+        node.owners.borrow_mut().remove(&cell);
         return;
     };
-    if let Some(owned) = node.owned.borrow().as_ref()
-        && u64::try_from(item.modified).is_ok_and(|written| written > owned.fence)
-    {
-        owned.give_up("another instance owns the cell");
+    if let Some(owned) = owned_here(node, cell) {
+        let written = u64::try_from(item.modified).unwrap_or_default();
+        if written < owned.fence {
+            return;
+        }
+        owned.cell.seen.set(item.modified);
+        if written > owned.fence {
+            owned.give_up("another instance owns the cell");
+        }
     }
     let earlier_life = record.name == node.settings.name && record.life != node.life;
     if earlier_life {
@@ -184,19 +145,23 @@
             }
         });
     }
-    *node.owner.borrow_mut() = Some(record);
+    node.owners.borrow_mut().insert(cell, record);
 }
 
 /// Tries to create the owner's key; returns fencing token, lease and when the lease was asked for.
-async fn take(node: &Rc<Node>) -> Result<Option<(Revision, LeaseId, Duration)>, StoreError> {
+async fn take(
+    node: &Rc<Node>,
+    view: &CellView,
+) -> Result<Option<(Revision, LeaseId, Duration)>, StoreError> {
     let store = &node.platform.store;
     let sent = now();
     let lease = (store.grant)(node.settings.lease).await?;
-    let key = node.keys.owner();
+    let key = view.keys.owner();
     let value = nutmegcart_jobs::record::encode(&record(node, lease));
     let txn = Txn::default()
         .absent(key.clone())
-        .put_leased(key.clone(), value, lease)
+        .put_leased(key.clone(), value.clone(), lease)
+        .put_leased(keys::owner_copy(view.number), value, lease)
         .or_read(key.clone());
     loop {
         match (store.txn)(txn.clone()).await {
@@ -211,7 +176,7 @@
                     return Ok(Some((found.modified, lease, sent)));
                 }
                 if let Some(found) = reply.found.iter().find(|found| found.key == key) {
-                    see_owner(node, found);
+                    see_owner(node, view.number, found);
                 }
                 end_lease(node, lease).await;
                 return Ok(None);
@@ -225,17 +190,29 @@
     }
 }
 
-async fn end_lease(node: &Rc<Node>, lease: LeaseId) {
+pub(crate) async fn end_lease(node: &Rc<Node>, lease: LeaseId) {
     if let Err(error) = (node.platform.store.end)(lease).await {
         log::debug!("lease {lease} not ended, it will run out: {error}");
     }
 }
 
-/// Owns the cell until ownership ends.
-async fn own(node: &Rc<Node>, fence: Revision, lease: LeaseId, sent: Duration) {
-    log_event!(Event::CellTaken, fence = fence, lease = lease);
+/// Owns a cell until ownership ends.
+async fn own(
+    node: &Rc<Node>,
+    view: &Rc<CellView>,
+    fence: Revision,
+    lease: LeaseId,
+    sent: Duration,
+) {
+    log_event!(
+        Event::CellTaken,
+        cell = view.number,
+        fence = fence,
+        lease = lease
+    );
     let scheduler = Scheduler::new(node.settings.jobs, fence, now());
     let owned = Rc::new(Owned {
+        cell: view.clone(),
         scheduler: RefCell::new(scheduler),
         fence: u64::try_from(fence).unwrap_or_default(),
         lease,
@@ -246,17 +223,19 @@
         ended: Notify::new(),
     });
     owned.state.since.set(now());
-    *node.owned.borrow_mut() = Some(owned.clone());
-    *node.owner.borrow_mut() = Some(record(node, lease));
+    *view.owned.borrow_mut() = Some(owned.clone());
+    node.owners
+        .borrow_mut()
+        .insert(view.number, record(node, lease));
     tokio::task::spawn_local(renew(node.clone(), owned.clone()));
     tokio::task::spawn_local(hand_to_peer(node.clone(), owned.clone()));
     duty::start(node, &owned);
     owned.ended.notified().await;
-    *node.owned.borrow_mut() = None;
-    node.owner_changed.notify_one();
+    *view.owned.borrow_mut() = None;
+    view.changed.notify_one();
 }
 
-/// Hands the cell to a peer when the store fails here and the peer reaches it.
+/// Hands a cell to a peer when the store fails here and the peer reaches it.
 ///
 /// Answers a store that turns single instances away: without it, jobs that others accept wait
 /// until the lease has run out.
@@ -270,8 +249,8 @@
         if !lasting || owned.is_over() {
             continue;
         }
-        for helper in node.helpers() {
-            let question = Question::TakeOver(owned.fence);
+        for helper in node.helpers(owned.cell.number) {
+            let question = Question::TakeOver(owned.cell.number, owned.fence);
             let answer = peer::ask_at(&node, helper, &question, TAKE_OVER_TIMEOUT).await;
             if owned.is_over() {
                 return;
@@ -284,9 +263,15 @@
     }
 }
 
-/// Takes the cell over from an owner that asked for it and holds it with the fencing token.
-pub async fn take_from(node: &Rc<Node>, fence: u64) -> bool {
-    if node.trouble.get().is_some() || node.is_stopping() || node.owned.borrow().is_some() {
+/// Takes a cell over from an owner that asked for it and holds it with the fencing token.
+pub async fn take_from(node: &Rc<Node>, cell: u32, fence: u64) -> bool {
+    let Some(view) = node
+        .cells()
+        .and_then(|cells| cells.views.get(cell as usize).cloned())
+    else {
+        return false;
+    };
+    if node.trouble.get().is_some() || node.is_stopping() || view.owned.borrow().is_some() {
         return false;
     }
     let Ok(held) = Revision::try_from(fence) else {
@@ -297,11 +282,12 @@
     let Ok(lease) = (store.grant)(node.settings.lease).await else {
         return false;
     };
-    let key = node.keys.owner();
+    let key = view.keys.owner();
     let value = nutmegcart_jobs::record::encode(&record(node, lease));
     let txn = Txn::default()
         .unchanged(key.clone(), held)
-        .put_leased(key.clone(), value, lease)
+        .put_leased(key.clone(), value.clone(), lease)
+        .put_leased(keys::owner_copy(cell), value, lease)
         .or_read(key.clone());
     let taken = match (store.txn)(txn).await {
         Ok(reply) if reply.committed => Some(reply.revision),
@@ -312,8 +298,8 @@
         end_lease(node, lease).await;
         return false;
     };
-    node.handed.set(Some((revision, lease, sent)));
-    node.owner_changed.notify_one();
+    view.handed.set(Some((revision, lease, sent)));
+    view.changed.notify_one();
     true
 }
 
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -1,7 +1,6 @@
 //! What the owner of the cell does: it reads the cell, looks at workers, sends orders and stores
 //! what happened.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,14 +10,12 @@
 use nutmegcart_jobs::Order;
 use nutmegcart_jobs::Outcome;
 use nutmegcart_jobs::Refusal;
-use nutmegcart_jobs::WaveState;
 use nutmegcart_jobs::record::CellRecord;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
-use nutmegcart_platform::Txn;
 use tokio::sync::Semaphore;
 
 use crate::cell;
@@ -31,12 +28,12 @@
 use crate::port::Command;
 use crate::port::LookError;
 use crate::port::Target;
+use crate::waves;
 use crate::writer::STORE_RETRY;
-use crate::writer::fence;
 use crate::writer::write;
 
 /// Time between two advances of what depends on time alone.
-const TICK: Duration = Duration::from_millis(50);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 /// Time between two lines about the state of the cell.
 const STATUS: Duration = Duration::from_secs(1);
 /// Pause before a placement pass, in which further events collect.
@@ -70,12 +67,12 @@
     tokio::task::spawn_local(passes(node.clone(), owned.clone()));
     tokio::task::spawn_local(ticks(node.clone(), owned.clone()));
     tokio::task::spawn_local(machines(node.clone(), owned.clone()));
-    tokio::task::spawn_local(wave_progress(node.clone(), owned.clone()));
+    tokio::task::spawn_local(waves::run(node.clone(), owned.clone()));
 }
 
 /// Reads the cell, then follows jobs that are handed in or cancelled.
 async fn follow_cell(node: Rc<Node>, owned: Rc<Owned>) {
-    let mut follower = Follower::new(node.keys.prefix.clone());
+    let mut follower = Follower::new(owned.cell.keys.prefix.clone());
     follower.gap = CELL_GAP;
     let mut first = Vec::new();
     while !owned.is_over() {
@@ -85,8 +82,12 @@
         // whether the cell had changed its owner by then.
         for each in &seen {
             match each {
-                Seen::Put(item) if item.key == node.keys.owner() => cell::see_owner(&node, item),
-                Seen::Gone(key) if *key == node.keys.owner() => cell::lose_owner(&node),
+                Seen::Put(item) if item.key == owned.cell.keys.owner() => {
+                    cell::see_owner(&node, owned.cell.number, item)
+                }
+                Seen::Gone(key) if *key == owned.cell.keys.owner() => {
+                    owned.give_up("the owner's key is gone")
+                }
                 _ => {}
             }
         }
@@ -98,7 +99,7 @@
         }
         if owned.state.loaded.get() {
             for each in seen {
-                take_in(&node, &owned, &each, false);
+                take_in(&owned, &each, false);
             }
         } else {
             let complete = seen.contains(&Seen::Complete);
@@ -121,9 +122,9 @@
         }
     }
     for each in seen {
-        take_in(node, owned, each, true);
+        take_in(owned, each, true);
     }
-    let state = node.keys.state();
+    let state = owned.cell.keys.state();
     let record = seen.iter().find_map(|each| match each {
         Seen::Put(item) if item.key == state => Some(item),
         _ => None,
@@ -139,6 +140,7 @@
     let scheduler = owned.scheduler.borrow();
     log_event!(
         Event::CellLoaded,
+        cell = owned.cell.number,
         fence = owned.fence,
         jobs = scheduler.jobs().count(),
         workers = scheduler.workers().count(),
@@ -154,11 +156,11 @@
     }
 }
 
-fn take_in(node: &Rc<Node>, owned: &Rc<Owned>, seen: &Seen, inherited: bool) {
+fn take_in(owned: &Rc<Owned>, seen: &Seen, inherited: bool) {
     let Seen::Put(item) = seen else {
         return;
     };
-    let Some(id) = node.keys.job_of(&item.key) else {
+    let Some(id) = owned.cell.keys.job_of(&item.key) else {
         return;
     };
     let mut scheduler = owned.scheduler.borrow_mut();
@@ -209,6 +211,11 @@
 fn see_listing(node: &Rc<Node>, owned: &Rc<Owned>, item: &KeyValue) {
     match (node.platform.directory.listing)(item) {
         Ok(listing) => {
+            let cells = node.cells();
+            let cell = cells.map(|cells| cells.layout.cell_of_worker(&listing));
+            if cell != Some(owned.cell.number) {
+                return;
+            }
             let id = listing.id.clone();
             owned.scheduler.borrow_mut().see_worker(listing, now());
             watch_worker(node, owned, id);
@@ -350,12 +357,16 @@
         }
         if now() >= status {
             status = now() + STATUS;
-            owned.scheduler.borrow().log_status(now());
+            owned
+                .scheduler
+                .borrow()
+                .log_status(owned.cell.number, now());
         }
         let mut scheduler = owned.scheduler.borrow_mut();
         scheduler.tick(unix_ms(), now());
         node.metrics
             .jobs
+            .with_label_values(&[&owned.cell.number.to_string()])
             .set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
         owned.wake.notify_one();
         owned.store.notify_one();
@@ -454,16 +465,25 @@
     owned.wake.notify_one();
 }
 
+/// Returns whether a machine belongs to the owner's cell.
+fn in_cell(node: &Node, owned: &Owned, machine: &str) -> bool {
+    let cells = node.cells();
+    cells.is_some_and(|cells| cells.layout.cell_of_machine(machine) == owned.cell.number)
+}
+
 /// Reads the list of machines.
 async fn machines(node: Rc<Node>, owned: Rc<Owned>) {
     while !owned.is_over() {
         if owned.state.loaded.get() {
             let asked = now();
             match (node.platform.fleet.machines)().await {
-                Ok(list) => owned
-                    .scheduler
-                    .borrow_mut()
-                    .see_machines(list, asked, now()),
+                Ok(mut list) => {
+                    list.retain(|machine| in_cell(&node, &owned, &machine.name));
+                    owned
+                        .scheduler
+                        .borrow_mut()
+                        .see_machines(list, asked, now());
+                }
                 Err(reason) => log::debug!("machines not listed: {reason}"),
             }
             owned.wake.notify_one();
@@ -473,53 +493,30 @@
     }
 }
 
-/// Hands waves to the scheduler and writes their progress where operators read it.
-async fn wave_progress(node: Rc<Node>, owned: Rc<Owned>) {
-    let mut written: HashMap<u64, WaveState> = HashMap::new();
-    while !owned.is_over() {
-        if owned.state.loaded.get() {
-            let waves = node.waves.borrow().clone();
-            for wave in waves {
-                owned.scheduler.borrow_mut().see_wave(wave, now());
-            }
-            let states = owned.scheduler.borrow().waves();
-            for (number, state) in states {
-                if written.get(&number) == Some(&state) || owned.is_over() {
-                    continue;
-                }
-                let (key, value) = (node.platform.directory.progress)(number, state);
-                let txn = Txn::default()
-                    .unchanged(node.keys.owner(), fence(&owned))
-                    .put(key, value);
-                match (node.platform.store.txn)(txn).await {
-                    Ok(reply) if reply.committed => {
-                        written.insert(number, state);
-                    }
-                    Ok(_) => owned.give_up("the owner's key has changed"),
-                    Err(error) => log::debug!("progress of wave {number} not written: {error}"),
-                }
-            }
-        }
-        tokio::time::sleep(TICK * 2).await;
-    }
-}
-
-/// Hands the cell over: no more orders, the last state stored, and the key removed.
+/// Hands all cells over: no more orders, the last state stored, and the keys removed.
 pub async fn hand_over(node: &Rc<Node>) {
-    let Some(owned) = node.owned.borrow().clone() else {
-        return;
-    };
-    owned.state.leaving.set(true);
-    if !owned.state.loaded.get() {
-        owned.give_up("shutdown");
-        release(node, &owned).await;
+    let cells = node.cells();
+    let views = cells.iter().flat_map(|cells| &cells.views);
+    let owned: Vec<Rc<Owned>> = views
+        .filter_map(|view| view.owned.borrow().clone())
+        .collect();
+    if owned.is_empty() {
         return;
     }
+    for each in &owned {
+        each.state.leaving.set(true);
+    }
     // Orders and a transaction under way settle first, so that a successor finds them settled.
     tokio::time::sleep(STORE_RETRY).await;
-    owned.give_up("shutdown");
-    release(node, &owned).await;
-    log_event!(Event::CellReleased, fence = owned.fence);
+    for each in owned {
+        each.give_up("shutdown");
+        release(node, &each).await;
+        log_event!(
+            Event::CellReleased,
+            cell = each.cell.number,
+            fence = each.fence
+        );
+    }
 }
 
 async fn release(node: &Rc<Node>, owned: &Rc<Owned>) {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -1,23 +1,25 @@
 //! The process of an entry instance on a platform with a store of its own.
 //!
-//! One thread serves callers and, on the instance that owns the cell, gives the orders. Decisions
+//! One thread serves callers and, on an instance that owns a cell, gives its orders. Decisions
 //! about jobs and machines are in `nutmegcart_jobs`; this crate carries them out.
 //!
 //! * [`port`]: what an adapter provides;
 //! * [`node`], [`process`]: shared state, start and shutdown;
 //! * [`caller`], [`accept`]: callers' requests, and how jobs are accepted exactly once;
-//! * [`cell`], [`duty`]: ownership of the cell, and what its owner does;
-//! * [`follow`]: following keys of the store;
-//! * [`peer`]: questions to the owner;
+//! * [`cell`], [`candidacy`], [`duty`]: ownership of cells, and what their owners do;
+//! * [`keys`], [`follow`]: keys of the store, and following them;
+//! * [`peer`]: questions to owners;
 //! * [`http`], [`clock`], [`logger`], [`metrics`]: plumbing.
 
 pub mod accept;
 pub mod caller;
+pub mod candidacy;
 pub mod cell;
 pub mod clock;
 pub mod duty;
 pub mod follow;
 pub mod http;
+pub mod keys;
 pub mod logger;
 pub mod metrics;
 pub mod node;
@@ -25,6 +27,8 @@
 pub mod port;
 pub mod process;
 pub mod routing;
+mod shared;
+mod waves;
 mod writer;
 
 pub use node::Node;
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -32,8 +33,8 @@
     pub machines: IntCounterVec,
     /// Time in seconds until a caller's request was answered.
     pub latency: Histogram,
-    /// Jobs that have not ended, on the owner of the cell.
-    pub jobs: IntGauge,
+    /// Jobs that have not ended, by cell, on its owner.
+    pub jobs: IntGaugeVec,
     /// Version of the configuration in force.
     pub version: IntGauge,
 }
@@ -94,7 +95,13 @@
                 "Orders for machines.",
                 &["outcome"],
             ),
-            jobs: gauge("nutmegcart_jobs", "Jobs of the cell that have not ended."),
+            jobs: {
+                let options = Opts::new("nutmegcart_jobs", "Jobs of a cell that have not ended.");
+                let gauge = IntGaugeVec::new(options, &["cell"]).expect("metric name is valid");
+                let added = registry.register(Box::new(gauge.clone()));
+                added.expect("metric name is unique");
+                gauge
+            },
             version: gauge(
                 "nutmegcart_config_version",
                 "Version of the configuration in force.",
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::Settings as JobSettings;
 use nutmegcart_jobs::WaveRequest;
+use nutmegcart_jobs::layout::Layout;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -27,13 +29,12 @@
 
 use crate::clock::now;
 use crate::http::Client;
+use crate::keys::CellKeys;
 use crate::metrics::Metrics;
 use crate::port::Configuration;
 use crate::port::Platform;
 use crate::routing::Routing;
 
-/// Prefix of every key of this program.
-const PREFIX: &str = "nutmegcart/";
 /// Time without an answer of the store after which an instance no longer reports ready; the
 /// balancer then prefers instances that reach the store.
 const STORE_SILENCE: Duration = Duration::from_millis(2_500);
@@ -45,6 +46,8 @@
     pub name: Arc<str>,
     /// Address for peers.
     pub peer: SocketAddr,
+    /// Processor time that the instance may use, in cores.
+    pub cores: f64,
     /// Times of the scheduler.
     pub jobs: JobSettings,
     /// Length of the lease under which a cell is owned.
@@ -55,7 +58,16 @@
     pub grace: Duration,
 }
 
-/// The owner of the cell as the store names it.
+/// An instance as it announces itself.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Address for peers.
+    pub peer: SocketAddr,
+    /// Processor time that it may use, in cores.
+    pub cores: f64,
+}
+
+/// The owner of a cell as the store names it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct OwnerRecord {
     /// Name of the instance.
@@ -68,71 +80,6 @@
     pub lease: i64,
 }
 
-/// Keys of a cell.
-#[derive(Clone, Debug)]
-pub struct CellKeys {
-    /// Prefix of the cell.
-    pub prefix: String,
-}
-
-impl CellKeys {
-    /// Returns the keys of a cell.
-    ///
-    /// ```
-    /// # use nutmegcart_control::node::CellKeys;
-    /// assert_eq!(CellKeys::new(0).owner(), "nutmegcart/cell/0/instance/owner");
-    /// ```
-    #[must_use]
-    pub fn new(cell: u32) -> Self {
-        Self {
-            prefix: format!("{PREFIX}cell/{cell}/"),
-        }
-    }
-
-    /// Prefix of the keys about entry instances.
-    #[must_use]
-    pub fn instances(&self) -> String {
-        format!("{}instance/", self.prefix)
-    }
-
-    /// Key of the owner.
-    #[must_use]
-    pub fn owner(&self) -> String {
-        format!("{}owner", self.instances())
-    }
-
-    /// Key under which an instance tells its address.
-    #[must_use]
-    pub fn member(&self, name: &str) -> String {
-        format!("{}at/{name}", self.instances())
-    }
-
-    /// Returns the instance that a key names.
-    #[must_use]
-    pub fn member_of<'a>(&self, key: &'a str) -> Option<&'a str> {
-        key.strip_prefix(&self.instances())?.strip_prefix("at/")
-    }
-
-    /// Key of the state that outlives an owner.
-    #[must_use]
-    pub fn state(&self) -> String {
-        format!("{}state", self.prefix)
-    }
-
-    /// Key of a job.
-    #[must_use]
-    pub fn job(&self, id: &JobId) -> String {
-        format!("{}job/{id}", self.prefix)
-    }
-
-    /// Returns the job that a key names.
-    #[must_use]
-    pub fn job_of(&self, key: &str) -> Option<JobId> {
-        let id = key.strip_prefix(&self.prefix)?.strip_prefix("job/")?;
-        JobId::parse(id).ok()
-    }
-}
-
 /// How far ownership has come.
 #[derive(Debug, Default)]
 pub struct OwnedState {
@@ -152,9 +99,76 @@
     pub links: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
 }
 
-/// The scheduler while this instance owns the cell.
+/// A cell as an instance sees it.
+#[derive(Debug)]
+pub struct CellView {
+    /// Number.
+    pub number: u32,
+    /// Keys.
+    pub keys: CellKeys,
+    /// Fencing token, lease and time of the cell if its owner handed it to this instance.
+    pub handed: Cell<Option<(Revision, LeaseId, Duration)>>,
+    /// Scheduler while this instance is the owner.
+    pub owned: RefCell<Option<Rc<Owned>>>,
+    /// Latest revision of the owner's key that shared keys have shown.
+    pub seen: Cell<Revision>,
+    /// Wakes whoever waits for a change of the owner.
+    pub changed: Notify,
+}
+
+impl CellView {
+    /// Creates the view of a cell that this instance does not own.
+    #[must_use]
+    pub fn new(number: u32) -> Self {
+        Self {
+            number,
+            keys: CellKeys::new(number),
+            handed: Cell::new(None),
+            owned: RefCell::new(None),
+            seen: Cell::new(0),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns whether an owner has handed the cell to this instance.
+    #[must_use]
+    pub fn is_handed(&self) -> bool {
+        self.handed.get().is_some()
+    }
+}
+
+/// The division of the fleet, with a view of each cell.
+#[derive(Debug)]
+pub struct Cells {
+    /// Division.
+    pub layout: Layout,
+    /// Views by number.
+    pub views: Vec<Rc<CellView>>,
+}
+
+impl Cells {
+    /// Creates the views of all cells.
+    #[must_use]
+    pub fn new(layout: Layout) -> Self {
+        let views = (0..layout.cells()).map(|number| Rc::new(CellView::new(number)));
+        Self {
+            views: views.collect(),
+            layout,
+        }
+    }
+
+    /// Returns the cell of a job.
+    #[must_use]
+    pub fn of_job(&self, id: &JobId) -> &Rc<CellView> {
+        &self.views[self.layout.cell_of_job(id) as usize]
+    }
+}
+
+/// The scheduler while this instance owns a cell.
 #[derive(Debug)]
 pub struct Owned {
+    /// Cell.
+    pub cell: Rc<CellView>,
     /// Scheduler.
     pub scheduler: RefCell<Scheduler>,
     /// Fencing token.
@@ -177,7 +191,12 @@
     /// Ends ownership.
     pub fn give_up(&self, reason: &str) {
         if !self.state.over.replace(true) {
-            log_event!(Event::CellLost, fence = self.fence, reason = reason);
+            log_event!(
+                Event::CellLost,
+                cell = self.cell.number,
+                fence = self.fence,
+                reason = reason
+            );
             self.wake.notify_waiters();
             self.store.notify_waiters();
             self.ended.notify_one();
@@ -207,28 +226,24 @@
     pub client: Client,
     /// Life of this process.
     pub life: u64,
-    /// Keys of the cell.
-    pub keys: CellKeys,
+    /// Cells, once their layout is known.
+    pub cells: RefCell<Option<Rc<Cells>>>,
     /// Configuration in force.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// Routes of the configuration in force.
     pub routing: RefCell<Rc<Routing>>,
     /// Waves that operators asked for.
     pub waves: RefCell<Vec<WaveRequest>>,
-    /// Owner of the cell.
-    pub owner: RefCell<Option<OwnerRecord>>,
-    /// Whether the owner's key was read at least once.
-    pub owner_known: Cell<bool>,
-    /// Fencing token, lease and time of a cell that its owner handed to this instance.
-    pub handed: Cell<Option<(Revision, LeaseId, Duration)>>,
-    /// Scheduler while this instance is the owner.
-    pub owned: RefCell<Option<Rc<Owned>>>,
-    /// Addresses of the other instances.
-    pub members: RefCell<BTreeMap<Arc<str>, SocketAddr>>,
+    /// Owners of cells.
+    pub owners: RefCell<HashMap<u32, OwnerRecord>>,
+    /// Whether the owners were read at least once.
+    pub owners_known: Cell<bool>,
+    /// Parts of waves that cells have finished, by wave and cell.
+    pub parts: RefCell<BTreeSet<(u64, u32)>>,
+    /// The other instances, this one included once it has announced itself.
+    pub members: RefCell<BTreeMap<Arc<str>, Member>>,
     /// Since when calls to the store fail, if they do.
     pub trouble: Cell<Option<Duration>>,
-    /// Wakes whoever waits for a change of the owner.
-    pub owner_changed: Notify,
     /// When the store last answered.
     pub heard: Cell<Option<Duration>>,
     /// Turns true when the instance shuts down.
@@ -250,17 +265,15 @@
             platform,
             client: Client::default(),
             life,
-            keys: CellKeys::new(0),
+            cells: RefCell::new(None),
             configuration: RefCell::new(None),
             routing: RefCell::new(Rc::default()),
             waves: RefCell::new(Vec::new()),
-            owner: RefCell::new(None),
-            owner_known: Cell::new(false),
-            handed: Cell::new(None),
-            owned: RefCell::new(None),
+            owners: RefCell::default(),
+            owners_known: Cell::new(false),
+            parts: RefCell::default(),
             members: RefCell::default(),
             trouble: Cell::new(None),
-            owner_changed: Notify::new(),
             heard: Cell::new(None),
             stopping: watch::Sender::new(false),
             refusing: Cell::new(false),
@@ -279,13 +292,31 @@
         }
     }
 
-    /// Returns peers to ask for help, the owner first.
+    /// Returns the cells, once their layout is known.
+    #[must_use]
+    pub fn cells(&self) -> Option<Rc<Cells>> {
+        self.cells.borrow().clone()
+    }
+
+    /// Takes in the layout of the cells; later ones change nothing.
+    pub fn see_layout(&self, layout: Layout) {
+        if self.cells.borrow().is_none() {
+            log_event!(Event::LayoutSeen, cells = layout.cells());
+            *self.cells.borrow_mut() = Some(Rc::new(Cells::new(layout)));
+        }
+    }
+
+    /// Returns the owner of a cell, if one is known.
     #[must_use]
-    pub fn helpers(&self) -> Vec<SocketAddr> {
+    pub fn owner(&self, cell: u32) -> Option<OwnerRecord> {
+        self.owners.borrow().get(&cell).cloned()
+    }
+
+    /// Returns peers to ask for help with a cell, its owner first.
+    #[must_use]
+    pub fn helpers(&self, cell: u32) -> Vec<SocketAddr> {
         let owner = self
-            .owner
-            .borrow()
-            .as_ref()
+            .owner(cell)
             .filter(|owner| owner.life != self.life)
             .map(|owner| owner.peer);
         let members = self.members.borrow();
@@ -294,13 +325,21 @@
         let others = members.values().cycle().skip(turn).take(members.len());
         let mut helpers: Vec<SocketAddr> = owner.into_iter().collect();
         for other in others {
-            if !helpers.contains(other) && *other != self.settings.peer {
-                helpers.push(*other);
+            if !helpers.contains(&other.peer) && other.peer != self.settings.peer {
+                helpers.push(other.peer);
             }
         }
         helpers
     }
 
+    /// Returns how many cells this instance owns.
+    #[must_use]
+    pub fn owned_cells(&self) -> usize {
+        let cells = self.cells();
+        let views = cells.iter().flat_map(|cells| &cells.views);
+        views.filter(|view| view.owned.borrow().is_some()).count()
+    }
+
     /// Returns whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -308,15 +347,8 @@
             .heard
             .get()
             .is_some_and(|heard| now() < heard + STORE_SILENCE);
-        self.configuration.borrow().is_some() && reached && !self.is_stopping()
-    }
-
-    /// Returns whether an owner has handed its cell to this instance.
-    #[must_use]
-    pub fn is_handed(&self) -> bool {
-        let handed = self.handed.take();
-        self.handed.set(handed);
-        handed.is_some()
+        let prepared = self.configuration.borrow().is_some() && self.cells.borrow().is_some();
+        prepared && reached && !self.is_stopping()
     }
 
     /// Returns whether the instance is shutting down.
@@ -325,10 +357,10 @@
         self.refusing.get()
     }
 
-    /// Returns the scheduler if this instance owns the cell and knows all its jobs.
+    /// Returns the scheduler of a cell if this instance owns it and knows all its jobs.
     #[must_use]
-    pub fn owned(&self) -> Option<Rc<Owned>> {
-        let owned = self.owned.borrow().clone()?;
+    pub fn owned(&self, cell: &CellView) -> Option<Rc<Owned>> {
+        let owned = cell.owned.borrow().clone()?;
         let active = owned.state.loaded.get() && owned.may_act(self.settings.jobs.authority);
         active.then_some(owned)
     }
@@ -351,10 +383,13 @@
         );
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
-        if let Some(owned) = self.owned.borrow().as_ref() {
-            let mut scheduler = owned.scheduler.borrow_mut();
-            scheduler.configure(&configuration.queues, &configuration.pools);
-            owned.wake.notify_one();
+        let cells = self.cells();
+        for view in cells.iter().flat_map(|cells| &cells.views) {
+            if let Some(owned) = view.owned.borrow().as_ref() {
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.configure(&configuration.queues, &configuration.pools);
+                owned.wake.notify_one();
+            }
         }
         *self.configuration.borrow_mut() = Some(configuration);
     }
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -1,4 +1,4 @@
-//! Questions of entry instances to the owner of the cell.
+//! Questions of entry instances to the owners of cells.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,6 +26,7 @@
 use crate::cell;
 use crate::http;
 use crate::http::CallError;
+use crate::node::CellView;
 use crate::node::Node;
 
 /// Result of a question.
@@ -58,20 +59,20 @@
     },
 }
 
-/// A question to the owner.
+/// A question to an owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
     /// The state of a job.
     State(JobId),
-    /// How many jobs of a queue have started no task.
-    Waiting(QueueKey),
+    /// How many jobs of a queue have started no task in a cell.
+    Waiting(u32, QueueKey),
     /// Stores a job for an instance that does not reach the store, within the milliseconds.
     Submit(JobId, Box<Accepted>, u64),
     /// Cancels a job for such an instance, within the milliseconds.
     Cancel(JobId, u64),
-    /// Takes the cell over from an owner that does not reach the store, which holds it with the
+    /// Takes a cell over from an owner that does not reach the store, which holds it with the
     /// fencing token.
-    TakeOver(u64),
+    TakeOver(u32, u64),
 }
 
 /// The owner's answer.
@@ -105,30 +106,45 @@
 /// Answers a question from memory.
 #[must_use]
 pub fn answer(node: &Node, question: &Question) -> Answer {
-    let Some(owned) = node.owned() else {
+    let owned = cell_of(node, question).and_then(|view| node.owned(&view));
+    let Some(owned) = owned else {
         return Answer::NotOwner;
     };
     let scheduler = owned.scheduler.borrow();
     match question {
         Question::State(id) => Answer::State(scheduler.state(id)),
-        Question::Waiting(queue) => {
+        Question::Waiting(_, queue) => {
             let count = scheduler.waiting(queue);
             Answer::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
-        Question::Submit(..) | Question::Cancel(..) | Question::TakeOver(_) => Answer::NotOwner,
+        Question::Submit(..) | Question::Cancel(..) | Question::TakeOver(..) => Answer::NotOwner,
     }
 }
 
-/// Asks the owner of the cell, which may be this instance.
+/// Returns the cell that a question is about.
+fn cell_of(node: &Node, question: &Question) -> Option<Rc<CellView>> {
+    let cells = node.cells()?;
+    match question {
+        Question::State(id) | Question::Submit(id, ..) | Question::Cancel(id, _) => {
+            Some(cells.of_job(id).clone())
+        }
+        Question::Waiting(cell, _) | Question::TakeOver(cell, _) => {
+            cells.views.get(*cell as usize).cloned()
+        }
+    }
+}
+
+/// Asks the owner of the cell that a question is about, which may be this instance.
 ///
 /// # Errors
 ///
 /// Fails if no owner is known or it does not answer in time.
 pub async fn ask(node: &Rc<Node>, question: &Question) -> Result<Answer> {
-    if node.owned().is_some() {
+    let view = cell_of(node, question).ok_or(PeerError::NoOwner)?;
+    if node.owned(&view).is_some() {
         return Ok(answer(node, question));
     }
-    let owner = node.owner.borrow().clone().ok_or(PeerError::NoOwner)?;
+    let owner = node.owner(view.number).ok_or(PeerError::NoOwner)?;
     if owner.life == node.life {
         return Err(PeerError::NoOwner);
     }
@@ -208,7 +224,7 @@
             let limit = Duration::from_millis(limit);
             Answer::Cancelled(caller::cancel_for_peer(node, &id, limit).await)
         }
-        Question::TakeOver(fence) => Answer::Taken(cell::take_from(node, fence).await),
+        Question::TakeOver(cell, fence) => Answer::Taken(cell::take_from(node, cell, fence).await),
         question => answer(node, &question),
     };
     match rmp_serde::to_vec(&answer) {
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -66,7 +66,10 @@
                         .version
                         .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
                     node.configure(*configuration);
-                    node.owner_changed.notify_one();
+                    let cells = node.cells();
+                    for view in cells.iter().flat_map(|cells| &cells.views) {
+                        view.changed.notify_one();
+                    }
                 }
                 Ok(OperatorRecord::Wave(wave)) => {
                     let mut waves = node.waves.borrow_mut();
--- /dev/null
+++ b/crates/nutmegcart_control/src/waves.rs
@@ -0,0 +1,85 @@
+//! An owner's part of maintenance waves, and their progress as operators read it.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+
+use nutmegcart_jobs::WaveState;
+use nutmegcart_jobs::parts::WaveParts;
+use nutmegcart_platform::Txn;
+
+use crate::clock::now;
+use crate::duty::TICK;
+use crate::keys;
+use crate::node::Node;
+use crate::node::Owned;
+use crate::writer::fence;
+
+/// Hands an owner its parts of the waves and writes their progress.
+pub(crate) async fn run(node: Rc<Node>, owned: Rc<Owned>) {
+    let mut written: HashSet<String> = HashSet::new();
+    while !owned.is_over() {
+        if owned.state.loaded.get() {
+            advance(&node, &owned, &mut written).await;
+        }
+        tokio::time::sleep(TICK * 2).await;
+    }
+}
+
+async fn advance(node: &Rc<Node>, owned: &Rc<Owned>, written: &mut HashSet<String>) {
+    let Some(cells) = node.cells() else {
+        return;
+    };
+    let own = owned.cell.number as usize;
+    let waves = node.waves.borrow().clone();
+    for wave in waves {
+        let number = wave.number;
+        let parts = WaveParts::new(&cells.layout, &wave);
+        let known = node.parts.borrow().clone();
+        let finished =
+            |cell: usize| u32::try_from(cell).is_ok_and(|cell| known.contains(&(number, cell)));
+        let part = parts.of(own, &wave, finished);
+        if part.machines.is_empty() && parts.lead() != own {
+            continue;
+        }
+        owned.scheduler.borrow_mut().see_wave(part, now());
+        let state = owned.scheduler.borrow().wave(number);
+        let done = state == Some(WaveState::Completed);
+        if done && cells.layout.cells() > 1 && !finished(own) {
+            let key = keys::wave_part(number, owned.cell.number);
+            write_once(node, owned, written, (key, Vec::new())).await;
+        }
+        if parts.lead() == own {
+            let complete = done && parts.others_finished(own, finished);
+            let state = if complete {
+                WaveState::Completed
+            } else {
+                WaveState::Running
+            };
+            let entry = (node.platform.directory.progress)(number, state);
+            write_once(node, owned, written, entry).await;
+        }
+    }
+}
+
+/// Writes an entry unless this owner has written it before.
+async fn write_once(
+    node: &Rc<Node>,
+    owned: &Rc<Owned>,
+    written: &mut HashSet<String>,
+    (key, value): (String, Vec<u8>),
+) {
+    let mark = format!("{key} {}", String::from_utf8_lossy(&value));
+    if written.contains(&mark) || owned.is_over() {
+        return;
+    }
+    let txn = Txn::default()
+        .unchanged(owned.cell.keys.owner(), fence(owned))
+        .put(key.clone(), value);
+    match (node.platform.store.txn)(txn).await {
+        Ok(reply) if reply.committed => {
+            written.insert(mark);
+        }
+        Ok(_) => owned.give_up("the owner's key has changed"),
+        Err(error) => log::debug!("{key} not written: {error}"),
+    }
+}
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -52,13 +52,13 @@
 
 /// Runs one transaction, fenced by the owner's key, until its outcome is known.
 async fn flush_once(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush) -> Flushed {
-    let state = node.keys.state();
-    let holder = node.keys.owner();
+    let state = owned.cell.keys.state();
+    let holder = owned.cell.keys.owner();
     let mut txn = Txn::default()
         .unchanged(holder.clone(), fence(owned))
         .or_read(holder);
     for write in &flush.finals {
-        let key = node.keys.job(&write.job);
+        let key = owned.cell.keys.job(&write.job);
         let record = JobRecord::Ended {
             how: write.how,
             at: unix_ms(),
@@ -69,7 +69,7 @@
             .or_read(key);
     }
     for id in &flush.expired {
-        txn = txn.delete(node.keys.job(id));
+        txn = txn.delete(owned.cell.keys.job(id));
     }
     if let Some(bytes) = &flush.state {
         let written = owned.state.written.get();
@@ -85,7 +85,7 @@
             }
             Flushed::Stored
         }
-        Ok(reply) => conflict(node, owned, flush, &reply.found),
+        Ok(reply) => conflict(owned, flush, &reply.found),
         Err(error) => {
             if matches!(error, StoreError::AnswerLost { .. }) {
                 node.metrics
@@ -100,16 +100,16 @@
 }
 
 /// Finds out why a transaction failed; an earlier one whose answer was lost may be the reason.
-fn conflict(node: &Rc<Node>, owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
+fn conflict(owned: &Rc<Owned>, flush: &Flush, found: &[KeyValue]) -> Flushed {
     let held = found
         .iter()
-        .any(|item| item.key == node.keys.owner() && item.modified == fence(owned));
+        .any(|item| item.key == owned.cell.keys.owner() && item.modified == fence(owned));
     if !held {
         owned.give_up("the owner's key has changed");
         return Flushed::NotStored;
     }
     if flush.state.is_some() {
-        let state = node.keys.state();
+        let state = owned.cell.keys.state();
         let present = found.iter().find(|item| item.key == state);
         owned
             .state
@@ -119,7 +119,7 @@
     let mut changed = Vec::new();
     let mut listed: HashSet<JobId> = HashSet::new();
     for item in found {
-        let Some(id) = node.keys.job_of(&item.key) else {
+        let Some(id) = owned.cell.keys.job_of(&item.key) else {
             continue;
         };
         listed.insert(id.clone());
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -12,6 +12,7 @@
 use nutmegcart_control::caller::Answer;
 use nutmegcart_control::caller::Desk;
 use nutmegcart_control::caller::Request;
+use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::port::Changes;
 use nutmegcart_control::port::Directory;
@@ -28,6 +29,7 @@
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::Step;
+use nutmegcart_jobs::layout::Layout;
 use nutmegcart_model::Code;
 use nutmegcart_platform::Change;
 use nutmegcart_platform::Compare;
@@ -155,6 +157,7 @@
     let settings = Settings {
         name: "entry-1".into(),
         peer: "127.0.0.1:1".parse().expect("an address"),
+        cores: 0.25,
         jobs: nutmegcart_jobs::Settings::default(),
         lease: Duration::from_secs(2),
         handover: Duration::from_secs(3),
@@ -165,7 +168,9 @@
         fleet,
         directory,
     };
-    Node::new(settings, platform, Metrics::default(), 7)
+    let node = Node::new(settings, platform, Metrics::default(), 7);
+    node.see_layout(Layout::default());
+    node
 }
 
 fn queue() -> Arc<Queue> {
@@ -213,7 +218,10 @@
             .handle(&node, &queue(), request, Duration::from_millis(600))
             .await
     });
-    let held = scripted.items.borrow().contains_key(&node.keys.job(&id));
+    let held = scripted
+        .items
+        .borrow()
+        .contains_key(&CellKeys::new(0).job(&id));
     (answer, held)
 }
 
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -19,6 +19,7 @@
     metrics.orders.with_label_values(&["start", "done"]).inc();
     metrics.looks.with_label_values(&["answered"]).inc();
     metrics.machines.with_label_values(&["done"]).inc();
+    metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     types
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/layout.rs
@@ -0,0 +1,134 @@
+//! Division of a fleet into cells, each with an owner of its own.
+//!
+//! The layout is made once and never changes, so that a machine, and the jobs that run on it,
+//! never pass from one cell to another. Machines that join later, and jobs, are spread by their
+//! names.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use nutmegcart_model::PoolName;
+use nutmegcart_model::rendezvous::weight;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::job::JobId;
+use crate::worker::Listing;
+
+/// Machines of a cell. An owner spends 0.2 ms of processor time on a task, and a fleet of this
+/// size starts 400 tasks a second, which the smallest instances of 0.12 cores can just give.
+pub const CELL_SIZE: usize = 100;
+
+/// Which cell a machine, a worker or a job belongs to.
+///
+/// ```
+/// # use nutmegcart_jobs::JobId;
+/// # use nutmegcart_jobs::layout::Layout;
+/// let layout = Layout::divide(vec![("m-1".into(), "gates".into())]);
+/// assert_eq!(layout.cells(), 1);
+/// assert_eq!(layout.cell_of_machine("m-2"), 0);
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Layout {
+    cells: u32,
+    machines: BTreeMap<Arc<str>, u32>,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            cells: 1,
+            machines: BTreeMap::new(),
+        }
+    }
+}
+
+impl Layout {
+    /// Divides machines, given with their pools, into cells of about [`CELL_SIZE`].
+    ///
+    /// Every cell gets its part of every pool, and so of every rack: a job runs in one cell and
+    /// may want any rack, and the pools take turns in their demand.
+    #[must_use]
+    pub fn divide(mut machines: Vec<(Arc<str>, PoolName)>) -> Self {
+        let cells = machines.len().div_ceil(CELL_SIZE).max(1);
+        let cells = u32::try_from(cells).unwrap_or(u32::MAX);
+        machines.sort_by(|a, b| (&a.1, &a.0).cmp(&(&b.1, &b.0)));
+        let names = machines.into_iter().map(|(name, _)| name);
+        let turns = (0..cells).cycle();
+        Self {
+            cells,
+            machines: if cells > 1 {
+                names.zip(turns).collect()
+            } else {
+                BTreeMap::new()
+            },
+        }
+    }
+
+    /// Returns the number of cells.
+    #[must_use]
+    pub const fn cells(&self) -> u32 {
+        self.cells
+    }
+
+    /// Returns the cell of a job.
+    #[must_use]
+    pub fn cell_of_job(&self, id: &JobId) -> u32 {
+        self.spread(id)
+    }
+
+    /// Returns the cell of a machine.
+    #[must_use]
+    pub fn cell_of_machine(&self, name: &str) -> u32 {
+        let assigned = self.machines.get(name).copied();
+        assigned.unwrap_or_else(|| self.spread(name))
+    }
+
+    /// Returns the cell of a worker, which is that of its machine.
+    #[must_use]
+    pub fn cell_of_worker(&self, listing: &Listing) -> u32 {
+        match &listing.machine {
+            Some(machine) => self.cell_of_machine(machine),
+            None => self.spread(&listing.id),
+        }
+    }
+
+    fn spread(&self, name: &str) -> u32 {
+        let cells = u64::from(self.cells.max(1));
+        u32::try_from(weight(name.as_bytes(), b"cell") % cells).unwrap_or_default()
+    }
+}
+
+/// Divides what a wave may take out at once among the cells that have machines of it.
+///
+/// `machines` holds the machines of each cell that has not finished its part. Seats go one by one
+/// to the cell with the most machines a seat, so a cell never loses a seat when another one
+/// finishes. Two owners, one of which does not know yet that a third has finished, therefore never
+/// take out more than `most` together.
+///
+/// ```
+/// # use nutmegcart_jobs::layout::shares;
+/// assert_eq!(shares(5, &[10, 10, 5]), [2, 2, 1]);
+/// assert_eq!(shares(1, &[3, 9]), [0, 1]);
+/// assert_eq!(shares(9, &[2, 3]), [2, 3]);
+/// ```
+#[must_use]
+pub fn shares(most: usize, machines: &[usize]) -> Vec<usize> {
+    let mut seats = vec![0; machines.len()];
+    for _ in 0..most {
+        let open = (0..machines.len()).filter(|cell| seats[*cell] < machines[*cell]);
+        let quotient = |cell: &usize| machines[*cell] as f64 / (seats[*cell] + 1) as f64;
+        // The first of equals wins, whatever the others are.
+        let Some(next) = open.reduce(|best, cell| {
+            if quotient(&cell) > quotient(&best) {
+                cell
+            } else {
+                best
+            }
+        }) else {
+            break;
+        };
+        seats[next] += 1;
+    }
+    seats
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`job`]: jobs, steps and queues as callers and operators describe them;
 //! * [`record`]: what the store keeps;
 //! * [`live`], [`worker`]: jobs and workers as the owner of a cell knows them;
+//! * [`layout`], [`parts`]: the division of a fleet, and of waves, into cells;
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its events in [`runs`], [`orders`] and
 //!   [`durable`], and what it asks for in [`action`];
 //! * [`order`], [`pass`](Scheduler::pass): which work goes first, and where;
@@ -17,12 +18,14 @@
 pub mod durable;
 pub mod estimate;
 pub mod job;
+pub mod layout;
 mod lending;
 pub mod live;
 pub mod machines;
 pub mod order;
 pub mod orders;
 pub mod pacing;
+pub mod parts;
 mod pass;
 pub mod record;
 pub mod runs;
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -520,7 +520,7 @@
     }
 
     /// Logs a line about jobs and workers.
-    pub fn log_status(&self, now: Duration) {
+    pub fn log_status(&self, cell: u32, now: Duration) {
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let (waiting, active): (Vec<_>, Vec<_>) = open.partition(|job| !job.started);
         let blocked = self
@@ -535,6 +535,7 @@
         let runs: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
         log_event!(
             Event::CellStatus,
+            cell = cell,
             waiting = waiting.len(),
             active = active.len(),
             blocked = blocked.count(),
--- a/crates/nutmegcart_jobs/src/upkeep.rs
+++ b/crates/nutmegcart_jobs/src/upkeep.rs
@@ -33,7 +33,7 @@
     pub machines: Vec<Arc<str>>,
     /// Time in which all have to be maintained.
     pub duration: Duration,
-    /// Machines that may be down for it at once.
+    /// Machines that may be down for it at once; 0 while other cells have their turn.
     pub most: usize,
 }
 
@@ -130,18 +130,15 @@
         wave.request = request;
     }
 
-    /// Returns the state of every wave.
+    /// Returns the state of a wave, if it is known.
     #[must_use]
-    pub fn waves(&self) -> Vec<(u64, WaveState)> {
-        let state = |wave: &Wave| {
-            if wave.completed {
-                WaveState::Completed
-            } else {
-                WaveState::Running
-            }
-        };
-        let waves = self.upkeep.waves.iter();
-        waves.map(|(number, wave)| (*number, state(wave))).collect()
+    pub fn wave(&self, number: u64) -> Option<WaveState> {
+        let wave = self.upkeep.waves.get(&number)?;
+        Some(if wave.completed {
+            WaveState::Completed
+        } else {
+            WaveState::Running
+        })
     }
 
     /// Advances all waves.
@@ -176,7 +173,7 @@
             return;
         };
         let hurry = now >= wave.seen + wave.request.duration.mul_f64(PATIENCE);
-        let most = wave.request.most.max(1);
+        let most = wave.request.most;
         let present: Vec<Machine> = wave
             .request
             .machines
@@ -223,6 +220,10 @@
             self.order_machine(&name, &MachineOrder::Maintain(number));
             room -= 1;
         }
+        if most == 0 {
+            // It is the turn of another cell; work stays where it is until then.
+            return;
+        }
         let ahead = most + AHEAD;
         let busy: Vec<Machine> = open
             .into_iter()
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -76,8 +76,8 @@
     world.owners[first].scheduler.see_wave(wave.clone(), now);
     world.run(seconds(25.0));
     assert_eq!(
-        world.owners[first].scheduler.waves(),
-        vec![(1, WaveState::Completed)]
+        world.owners[first].scheduler.wave(1),
+        Some(WaveState::Completed)
     );
     let moves = world.moves;
     submit(&mut world, 1, vec![standing(4)]);
@@ -90,8 +90,8 @@
     world.run(seconds(15.0));
     assert_sound(&world);
     assert_eq!(
-        world.owners[second].scheduler.waves(),
-        vec![(1, WaveState::Completed)]
+        world.owners[second].scheduler.wave(1),
+        Some(WaveState::Completed)
     );
     assert!(world.moves <= moves + 6, "no machine was maintained again");
     assert_eq!(lasting_runs(&world), 4);
@@ -208,8 +208,8 @@
         .filter(|id| world.owners[second].scheduler.worker(id).is_some());
     assert_eq!(kept.count(), known.len());
     assert_eq!(
-        world.owners[second].scheduler.waves(),
-        vec![(1, WaveState::Completed)]
+        world.owners[second].scheduler.wave(1),
+        Some(WaveState::Completed)
     );
     assert_eq!(lasting_runs(&world), 4);
     assert_sound(&world);
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -93,6 +93,7 @@
     CellLoaded = 702, Info, "jobs and state of the cell read from the store";
     CellReleased = 703, Info, "ownership of the cell released on shutdown";
     CellStatus = 704, Info, "jobs and workers of the cell";
+    LayoutSeen = 705, Info, "division of the fleet into cells read or made";
     JobAccepted = 710, Info, "caller's job accepted and stored";
     JobRefused = 711, Info, "caller's job refused; it never runs";
     JobUnsettled = 712, Warn, "the store did not settle in time whether the caller's job was accepted";
