Place lasting jobs in the least loaded cell

Spread by their identifiers, five of them came to cell 0, where they held 58 of 88 workers; 131 tallies waited there while cell 2 stood idle.

Ruled out: a lack of machines (all 349 together were never busy at once).

Change: a lasting job goes to the cell whose lasting tasks hold the fewest workers, equal cells in turn by pool. A key of its own tells the cell where the identifier tells another one. Attempts that choose differently demand that neither place holds the job, so one of them takes effect.

--- a/crates/nutmegcart_control/src/accept.rs
+++ b/crates/nutmegcart_control/src/accept.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::Accepted;
+use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_platform::StoreError;
@@ -21,8 +22,9 @@
 
 /// Transactions under way at once; more only wait for each other in the store.
 const MOST_FLIGHTS: usize = 3;
-/// Jobs in one transaction, so that one large batch doesn't delay the next caller.
-const MOST_JOBS: usize = 12;
+/// Entries in one transaction, so that one large batch doesn't delay the next caller. The store
+/// takes 32, and a job needs two to five.
+const MOST_ENTRIES: usize = 24;
 
 /// Whether a job was accepted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -35,9 +37,34 @@
     Unsettled,
 }
 
+/// What the store has to hold of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    /// Keys that must not exist; one that does tells that the job is stored already.
+    pub absent: Vec<String>,
+    /// Keys and values to write.
+    pub puts: Vec<(String, Vec<u8>)>,
+}
+
+impl Placement {
+    /// Places a job under one key.
+    #[must_use]
+    pub fn new(key: String, accepted: &Accepted) -> Self {
+        let value = encode(&JobRecord::Accepted(Box::new(accepted.clone())));
+        Self {
+            absent: vec![key.clone()],
+            puts: vec![(key, value)],
+        }
+    }
+
+    fn entries(&self) -> usize {
+        self.absent.len() + self.puts.len()
+    }
+}
+
 struct Submission {
-    key: String,
-    value: Vec<u8>,
+    id: JobId,
+    placement: Placement,
     waiters: Vec<oneshot::Sender<Acceptance>>,
 }
 
@@ -45,28 +72,28 @@
 #[derive(Default)]
 pub struct Acceptor {
     queue: RefCell<VecDeque<Submission>>,
-    present: RefCell<HashMap<String, Vec<oneshot::Sender<Acceptance>>>>,
+    present: RefCell<HashMap<JobId, Vec<oneshot::Sender<Acceptance>>>>,
     flights: Cell<usize>,
 }
 
 impl Acceptor {
-    /// Makes one attempt at storing a job under its key, which ends at the deadline at the latest.
+    /// Makes one attempt at storing a job, which ends at the deadline at the latest.
     pub async fn accept(
         self: &Rc<Self>,
         node: &Rc<Node>,
-        key: String,
-        accepted: &Accepted,
+        id: JobId,
+        placement: Placement,
         deadline: Duration,
     ) -> Acceptance {
         let (answer, answered) = oneshot::channel();
-        if let Some(waiters) = self.present.borrow_mut().get_mut(&key) {
+        if let Some(waiters) = self.present.borrow_mut().get_mut(&id) {
             // The same job is being stored for an earlier request of its caller.
             waiters.push(answer);
         } else {
-            self.present.borrow_mut().insert(key.clone(), Vec::new());
+            self.present.borrow_mut().insert(id.clone(), Vec::new());
             self.queue.borrow_mut().push_back(Submission {
-                key,
-                value: encode(&JobRecord::Accepted(Box::new(accepted.clone()))),
+                id,
+                placement,
                 waiters: vec![answer],
             });
             self.pump(node);
@@ -82,10 +109,13 @@
         while self.flights.get() < MOST_FLIGHTS && !self.queue.borrow().is_empty() {
             let mut batch = Vec::new();
             let mut queue = self.queue.borrow_mut();
-            while batch.len() < MOST_JOBS {
-                let Some(submission) = queue.pop_front() else {
+            let mut entries = 0;
+            while let Some(submission) = queue.pop_front() {
+                entries += submission.placement.entries();
+                if entries > MOST_ENTRIES {
+                    queue.push_front(submission);
                     break;
-                };
+                }
                 batch.push(submission);
             }
             drop(queue);
@@ -105,11 +135,12 @@
         while !batch.is_empty() {
             let mut txn = Txn::default();
             for submission in &batch {
-                let key = submission.key.clone();
-                txn = txn
-                    .absent(key.clone())
-                    .put(key.clone(), submission.value.clone())
-                    .or_read(key);
+                for key in &submission.placement.absent {
+                    txn = txn.absent(key.clone()).or_read(key.clone());
+                }
+                for (key, value) in &submission.placement.puts {
+                    txn = txn.put(key.clone(), value.clone());
+                }
             }
             match (node.platform.store.txn)(txn).await {
                 Ok(reply) if reply.committed => {
@@ -121,7 +152,8 @@
                 Ok(reply) => {
                     let mut rest = Vec::new();
                     for submission in batch.drain(..) {
-                        if reply.found.iter().any(|found| found.key == submission.key) {
+                        let absent = &submission.placement.absent;
+                        if reply.found.iter().any(|found| absent.contains(&found.key)) {
                             self.answer(submission, Acceptance::Stored);
                         } else {
                             rest.push(submission);
@@ -153,7 +185,7 @@
         let joined = self
             .present
             .borrow_mut()
-            .remove(&submission.key)
+            .remove(&submission.id)
             .unwrap_or_default();
         for waiter in submission.waiters.into_iter().chain(joined) {
             // A caller that has left needs no answer; the job stays accepted.
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -12,6 +12,7 @@
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Queue;
+use nutmegcart_jobs::layout::cell_for_lasting;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::worker::millis;
@@ -23,8 +24,10 @@
 
 use crate::accept::Acceptance;
 use crate::accept::Acceptor;
+use crate::accept::Placement;
 use crate::clock::now;
 use crate::clock::unix_ms;
+use crate::keys;
 use crate::node::CellView;
 use crate::node::Cells;
 use crate::node::Node;
@@ -140,12 +143,9 @@
         };
         node.active.set(node.active.get() + 1);
         let answer = match request {
-            Request::Submit(id, job) => {
-                let view = cells.of_job(&id);
-                self.submit(node, view, queue, id, *job, deadline).await
-            }
-            Request::Show(id) => show(node, cells.of_job(&id), id, deadline).await,
-            Request::Cancel(id) => cancel(node, cells.of_job(&id), id, deadline).await,
+            Request::Submit(id, job) => self.submit(node, &cells, queue, id, *job, deadline).await,
+            Request::Show(id) => show(node, &cells, id, deadline).await,
+            Request::Cancel(id) => cancel(node, &cells, id, deadline).await,
             Request::Count => count(node, &cells, queue).await,
         };
         node.active.set(node.active.get() - 1);
@@ -168,7 +168,7 @@
     async fn submit(
         &self,
         node: &Rc<Node>,
-        view: &CellView,
+        cells: &Cells,
         queue: &Arc<Queue>,
         id: JobId,
         job: Job,
@@ -190,7 +190,7 @@
         };
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
-        let acceptance = self.settle(node, view, &id, &accepted, deadline).await;
+        let acceptance = self.settle(node, cells, &id, &accepted, deadline).await;
         let took = now().saturating_sub(start).as_millis();
         match acceptance {
             Acceptance::Stored => {
@@ -238,14 +238,15 @@
     async fn settle(
         &self,
         node: &Rc<Node>,
-        view: &CellView,
+        cells: &Cells,
         id: &JobId,
         accepted: &Accepted,
         deadline: Duration,
     ) -> Acceptance {
+        let cell = cells.of_job(id).number;
         let mut uncertain = false;
         let mut through_peer = node.trouble.get().is_some();
-        let mut helpers = node.helpers(view.number).into_iter().take(MOST_HELPERS);
+        let mut helpers = node.helpers(cell).into_iter().take(MOST_HELPERS);
         let mut tried = false;
         loop {
             let helper = if through_peer { helpers.next() } else { None };
@@ -259,11 +260,12 @@
             } else {
                 if tried {
                     tokio::time::sleep(REPEAT_PAUSE).await;
-                    helpers = node.helpers(view.number).into_iter().take(MOST_HELPERS);
+                    helpers = node.helpers(cell).into_iter().take(MOST_HELPERS);
                 }
                 tried = true;
+                let placement = place(node, cells, id, accepted).await;
                 self.acceptor
-                    .accept(node, view.keys.job(id), accepted, deadline)
+                    .accept(node, id.clone(), placement, deadline)
                     .await
             };
             through_peer = true;
@@ -298,9 +300,9 @@
         let Some(cells) = node.cells().filter(|_| node.trouble.get().is_none()) else {
             return Acceptance::NotStored;
         };
-        let key = cells.of_job(&id).keys.job(&id);
+        let placement = place(node, &cells, &id, &accepted).await;
         self.acceptor
-            .accept(node, key, &accepted, now() + limit)
+            .accept(node, id, placement, now() + limit)
             .await
     }
 }
@@ -324,47 +326,141 @@
     }
 }
 
-/// Shows a job by the owner's memory, or by the store if the owner does not know it.
-async fn show(node: &Rc<Node>, view: &CellView, id: JobId, deadline: Duration) -> Answer {
-    match peer::ask(node, &Question::State(id.clone())).await {
-        Ok(PeerAnswer::State(Some(state))) => return Answer::State(state),
-        Ok(_) => {}
+/// Places a job in the cell that its identifier tells, or in the least loaded one if it lasts.
+///
+/// Attempts of several instances may choose different cells. Each demands that neither the
+/// identifier's own cell nor an earlier choice holds the job, so one of them takes effect.
+async fn place(node: &Rc<Node>, cells: &Cells, id: &JobId, accepted: &Accepted) -> Placement {
+    let own = cells.of_job(id);
+    let mut placement = Placement::new(own.keys.job(id), accepted);
+    if cells.views.len() == 1 || !accepted.job.lasts() {
+        return placement;
+    }
+    let view = least_loaded(node, cells, accepted).await;
+    placement.absent.push(keys::placed(id));
+    if view.number != own.number {
+        let elsewhere = Placement::new(view.keys.job(id), accepted);
+        placement.absent.extend(elsewhere.absent);
+        placement.puts = elsewhere.puts;
+        let cell = encode(&view.number);
+        placement.puts.push((keys::placed(id), cell));
+    }
+    placement
+}
+
+/// Asks all owners how many workers their lasting tasks hold.
+async fn least_loaded(node: &Rc<Node>, cells: &Cells, accepted: &Accepted) -> Rc<CellView> {
+    let load = |view: &Rc<CellView>| {
+        let (node, question) = (node.clone(), Question::Lasting(view.number));
+        tokio::task::spawn_local(async move { peer::ask(&node, &question).await })
+    };
+    let asked: Vec<_> = cells.views.iter().map(load).collect();
+    let mut loads = Vec::new();
+    for task in asked {
+        loads.push(match task.await {
+            Ok(Ok(PeerAnswer::Lasting(workers))) => Some(workers),
+            _ => None,
+        });
+    }
+    let configuration = node.configuration.borrow().clone();
+    let pools = configuration.iter().flat_map(|each| &each.pools);
+    let mut served: Vec<_> = pools
+        .filter(|(_, config)| !config.spare)
+        .map(|(pool, _)| pool.clone())
+        .collect();
+    served.sort();
+    let rank = served.iter().position(|pool| *pool == accepted.queue.pool);
+    let cell = cell_for_lasting(&loads, rank.unwrap_or_default());
+    cells.views[cell as usize].clone()
+}
+
+/// Returns the cell in which a job was placed although its identifier tells another one.
+async fn placed(
+    node: &Rc<Node>,
+    cells: &Cells,
+    id: &JobId,
+) -> Result<Option<Rc<CellView>>, StoreError> {
+    if cells.views.len() == 1 {
+        return Ok(None);
+    }
+    let Some(item) = (node.platform.store.get)(keys::placed(id)).await? else {
+        return Ok(None);
+    };
+    match decode::<u32>(&item.value) {
+        Ok(cell) => Ok(cells.views.get(cell as usize).cloned()),
         Err(error) => {
-            node.metrics
-                .retries
-                .with_label_values(&["owner_silent"])
-                .inc();
-            log::debug!("owner not asked about {id}: {error}");
+            log_event!(Event::JobRecordInvalid, key = item.key, reason = error);
+            Ok(None)
         }
     }
+}
+
+/// Shows a job by the owner's memory, or by the store if the owner does not know it.
+async fn show(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> Answer {
+    let mut view = cells.of_job(&id).clone();
+    let mut moved = false;
     loop {
-        match (node.platform.store.get)(view.keys.job(&id)).await {
-            Ok(None) => return Answer::Gone,
-            Ok(Some(item)) => {
-                return match decode(&item.value) {
-                    Ok(JobRecord::Ended { how, .. }) => Answer::State(JobState::Ended(how)),
-                    Ok(JobRecord::Accepted(_)) => Answer::State(JobState::Pending),
-                    Err(error) => {
-                        log_event!(Event::JobRecordInvalid, job = id, reason = error);
-                        Answer::refused(Code::JobUnreadable)
-                    }
-                };
+        match peer::ask(node, &Question::State(view.number, id.clone())).await {
+            Ok(PeerAnswer::State(Some(state))) => return Answer::State(state),
+            Ok(_) => {}
+            Err(error) => {
+                node.metrics
+                    .retries
+                    .with_label_values(&["owner_silent"])
+                    .inc();
+                log::debug!("owner not asked about {id}: {error}");
             }
-            Err(_) if now() + REPEAT_PAUSE < deadline => tokio::time::sleep(REPEAT_PAUSE * 2).await,
-            Err(_) => {
-                return Answer::Refused {
-                    code: Code::StoreUnavailable,
-                    retry: Some(STORE_RETRY),
-                };
+        }
+        match look_up(node, &view, &id).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) if moved => return Answer::Gone,
+            Ok(None) => match placed(node, cells, &id).await {
+                Ok(Some(other)) => {
+                    moved = true;
+                    view = other;
+                }
+                Ok(None) => return Answer::Gone,
+                Err(_) if now() + REPEAT_PAUSE < deadline => {}
+                Err(_) => return store_unavailable(),
+            },
+            Err(_) if now() + REPEAT_PAUSE < deadline => {
+                tokio::time::sleep(REPEAT_PAUSE * 2).await;
             }
+            Err(_) => return store_unavailable(),
         }
     }
 }
 
+const fn store_unavailable() -> Answer {
+    Answer::Refused {
+        code: Code::StoreUnavailable,
+        retry: Some(STORE_RETRY),
+    }
+}
+
+/// Returns what the store says about a job of a cell, if it holds the job.
+async fn look_up(
+    node: &Rc<Node>,
+    view: &CellView,
+    id: &JobId,
+) -> Result<Option<Answer>, StoreError> {
+    let Some(item) = (node.platform.store.get)(view.keys.job(id)).await? else {
+        return Ok(None);
+    };
+    Ok(Some(match decode(&item.value) {
+        Ok(JobRecord::Ended { how, .. }) => Answer::State(JobState::Ended(how)),
+        Ok(JobRecord::Accepted(_)) => Answer::State(JobState::Pending),
+        Err(error) => {
+            log_event!(Event::JobRecordInvalid, job = id, reason = error);
+            Answer::refused(Code::JobUnreadable)
+        }
+    }))
+}
+
 /// Cancels a job in the store, where its owner sees it, through a peer if the store fails here.
-async fn cancel(node: &Rc<Node>, view: &CellView, id: JobId, deadline: Duration) -> Answer {
-    let key = view.keys.job(&id);
-    let mut helpers = node.helpers(view.number).into_iter();
+async fn cancel(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> Answer {
+    let cell = cells.of_job(&id).number;
+    let mut helpers = node.helpers(cell).into_iter();
     let mut through_peer = node.trouble.get().is_some();
     loop {
         let helper = if through_peer { helpers.next() } else { None };
@@ -377,8 +473,8 @@
                 Ok(_) | Err(_) => {}
             }
         } else {
-            helpers = node.helpers(view.number).into_iter();
-            match try_cancel(node, &key, &id).await {
+            helpers = node.helpers(cell).into_iter();
+            match try_cancel(node, cells, &id).await {
                 Ok(Some(answer)) => return answer,
                 Ok(None) => continue,
                 Err(_) => through_peer = true,
@@ -401,9 +497,8 @@
         return Cancellation::Unsettled;
     };
     let deadline = now() + limit;
-    let key = cells.of_job(id).keys.job(id);
     while now() < deadline && node.trouble.get().is_none() {
-        match try_cancel(node, &key, id).await {
+        match try_cancel(node, &cells, id).await {
             Ok(Some(Answer::Cancelled)) => return Cancellation::Done,
             Ok(Some(Answer::Gone)) => return Cancellation::Gone,
             Ok(None) => {}
@@ -414,8 +509,20 @@
 }
 
 /// Makes one attempt; nothing if another write came first.
-async fn try_cancel(node: &Rc<Node>, key: &str, id: &JobId) -> Result<Option<Answer>, StoreError> {
-    let Some(item) = (node.platform.store.get)(key.into()).await? else {
+async fn try_cancel(
+    node: &Rc<Node>,
+    cells: &Cells,
+    id: &JobId,
+) -> Result<Option<Answer>, StoreError> {
+    let mut key = cells.of_job(id).keys.job(id);
+    let mut item = (node.platform.store.get)(key.clone()).await?;
+    if item.is_none()
+        && let Some(view) = placed(node, cells, id).await?
+    {
+        key = view.keys.job(id);
+        item = (node.platform.store.get)(key.clone()).await?;
+    }
+    let Some(item) = item else {
         return Ok(Some(Answer::Gone));
     };
     match decode::<JobRecord>(&item.value) {
@@ -431,7 +538,7 @@
         at: unix_ms(),
     };
     let txn = Txn::default()
-        .unchanged(key, item.modified)
+        .unchanged(key.clone(), item.modified)
         .put(key, encode(&ended));
     let reply = (node.platform.store.txn)(txn).await?;
     if !reply.committed {
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -83,10 +83,10 @@
         for each in &seen {
             match each {
                 Seen::Put(item) if item.key == owned.cell.keys.owner() => {
-                    cell::see_owner(&node, owned.cell.number, item)
+                    cell::see_owner(&node, owned.cell.number, item);
                 }
                 Seen::Gone(key) if *key == owned.cell.keys.owner() => {
-                    owned.give_up("the owner's key is gone")
+                    owned.give_up("the owner's key is gone");
                 }
                 _ => {}
             }
--- a/crates/nutmegcart_control/src/keys.rs
+++ b/crates/nutmegcart_control/src/keys.rs
@@ -29,6 +29,12 @@
     format!("{SHARED}wave/{wave}/{cell}")
 }
 
+/// Key that tells the cell of a job that its identifier does not tell.
+#[must_use]
+pub fn placed(id: &JobId) -> String {
+    format!("nutmegcart/placed/{id}")
+}
+
 /// What a key that all instances follow is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Shared<'a> {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -62,8 +62,10 @@
 /// A question to an owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
-    /// The state of a job.
-    State(JobId),
+    /// The state of a job of a cell.
+    State(u32, JobId),
+    /// How many workers lasting tasks hold in a cell.
+    Lasting(u32),
     /// How many jobs of a queue have started no task in a cell.
     Waiting(u32, QueueKey),
     /// Stores a job for an instance that does not reach the store, within the milliseconds.
@@ -82,6 +84,8 @@
     State(Option<JobState>),
     /// The number of jobs.
     Waiting(u64),
+    /// The number of workers.
+    Lasting(u64),
     /// The instance does not own the cell.
     NotOwner,
     /// Whether the job was accepted.
@@ -112,7 +116,11 @@
     };
     let scheduler = owned.scheduler.borrow();
     match question {
-        Question::State(id) => Answer::State(scheduler.state(id)),
+        Question::State(_, id) => Answer::State(scheduler.state(id)),
+        Question::Lasting(_) => {
+            let workers = scheduler.lasting_workers();
+            Answer::Lasting(u64::try_from(workers).unwrap_or(u64::MAX))
+        }
         Question::Waiting(_, queue) => {
             let count = scheduler.waiting(queue);
             Answer::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
@@ -125,12 +133,11 @@
 fn cell_of(node: &Node, question: &Question) -> Option<Rc<CellView>> {
     let cells = node.cells()?;
     match question {
-        Question::State(id) | Question::Submit(id, ..) | Question::Cancel(id, _) => {
-            Some(cells.of_job(id).clone())
-        }
-        Question::Waiting(cell, _) | Question::TakeOver(cell, _) => {
-            cells.views.get(*cell as usize).cloned()
-        }
+        Question::State(cell, _)
+        | Question::Lasting(cell)
+        | Question::Waiting(cell, _)
+        | Question::TakeOver(cell, _) => cells.views.get(*cell as usize).cloned(),
+        Question::Submit(..) | Question::Cancel(..) => None,
     }
 }
 
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::now;
 use crate::clock::unix_ms;
+use crate::keys;
 use crate::node::Node;
 use crate::node::Owned;
 
@@ -70,6 +71,10 @@
     }
     for id in &flush.expired {
         txn = txn.delete(owned.cell.keys.job(id));
+        let own = node.cells().map(|cells| cells.layout.cell_of_job(id));
+        if own != Some(owned.cell.number) {
+            txn = txn.delete(keys::placed(id));
+        }
     }
     if let Some(bytes) = &flush.state {
         let written = owned.state.written.get();
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -32,10 +32,10 @@
 /// Final states in one transaction. The store takes 32 entries, conditions included: two for a
 /// final state, two for the state of the cell and one for the owner.
 const MOST_FINALS: usize = 12;
-/// Expired jobs removed in one transaction beside final states.
-const MOST_EXPIRED: usize = 4;
-/// Jobs added to the largest transaction when only expired ones are removed.
-const EXPIRED_BATCH: usize = 24;
+/// Expired jobs removed in one transaction beside final states; each may have two keys.
+const MOST_EXPIRED: usize = 2;
+/// Expired jobs removed in one transaction without final states.
+const EXPIRED_BATCH: usize = 14;
 
 /// A final state to store.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/nutmegcart_jobs/src/layout.rs
+++ b/crates/nutmegcart_jobs/src/layout.rs
@@ -99,6 +99,27 @@
     }
 }
 
+/// Chooses the cell of a job whose tasks last.
+///
+/// `loads` holds the workers with lasting tasks in each cell, where its owner tells, and `rank`
+/// the place of the job's pool among all pools. Answers the load pattern of a few wide jobs that
+/// last all day and are handed in at the same moment: spread by their names, some cells would
+/// give most of their machines to them. Cells that are equally loaded are taken in turn by pools.
+///
+/// ```
+/// # use nutmegcart_jobs::layout::cell_for_lasting;
+/// assert_eq!(cell_for_lasting(&[Some(0), Some(0), Some(0)], 4), 1);
+/// assert_eq!(cell_for_lasting(&[Some(9), Some(9), Some(2)], 0), 2);
+/// assert_eq!(cell_for_lasting(&[None, Some(9), Some(9)], 0), 1);
+/// ```
+#[must_use]
+pub fn cell_for_lasting(loads: &[Option<u64>], rank: usize) -> u32 {
+    let count = loads.len().max(1);
+    let turn = |cell: usize| (cell + count - rank % count) % count;
+    let best = (0..loads.len()).min_by_key(|cell| (loads[*cell].unwrap_or(u64::MAX), turn(*cell)));
+    u32::try_from(best.unwrap_or_default()).unwrap_or_default()
+}
+
 /// Divides what a wave may take out at once among the cells that have machines of it.
 ///
 /// `machines` holds the machines of each cell that has not finished its part. Seats go one by one
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -250,6 +250,15 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// Returns how many workers lasting tasks hold or wait for.
+    #[must_use]
+    pub fn lasting_workers(&self) -> usize {
+        let holds = |worker: &&Worker| worker.runs.values().any(|run| run.lasting);
+        let open = self.jobs.values().filter(|job| job.ended.is_none());
+        let waiting: usize = open.map(LiveJob::waiting_workers).sum();
+        self.workers.values().filter(holds).count() + waiting
+    }
+
     /// Notes what service discovery says about a worker.
     pub fn see_worker(&mut self, listing: Listing, now: Duration) {
         let id = listing.id.clone();
