Move machines before a burst that the learnt turns let expect

Change: the onsets of bursts tell the period, or, after one round, the order and the gap of the pools' turns. Machines for the mean demand of a pool's last burst are moved one move time ahead.

--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -10,6 +10,7 @@
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
+use crate::turns::Turns;
 
 /// Time in which waiting work should be done; a machine that moves is away for most of it.
 const HORIZON: f64 = 1.5;
@@ -26,11 +27,17 @@
 /// long enough that one large job does not look like one.
 const ARRIVAL_SPAN: f64 = 0.7;
 
+/// Demand in machines below which nothing counts as a burst.
+const LEAST_BURST: f64 = 4.0;
+/// Time from the end of a move until the machine's worker may take tasks.
+const MOVE_MARGIN: Duration = Duration::from_millis(250);
+
 /// What is remembered between passes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Lending {
     idle: HashMap<Arc<str>, Duration>,
     arrivals: HashMap<PoolName, Arrivals>,
+    turns: Turns,
 }
 
 /// Work that arrives for a pool, in cores, averaged with exponential weights.
@@ -203,7 +210,14 @@
         self.lending.idle = seen;
         for (pool, balance) in &mut balances {
             let backlog = cores.get(pool).copied().unwrap_or_default();
-            let busy = backlog.max(self.lending.arriving(pool, now)) / size;
+            let arriving = self.lending.arriving(pool, now);
+            if arriving > 0.0 {
+                let least = LEAST_BURST * size;
+                self.lending.turns.note(pool, arriving, least, now);
+            }
+            let lead = self.settings.move_time + MOVE_MARGIN;
+            let expected = self.lending.turns.expected(pool, lead, now);
+            let busy = backlog.max(arriving).max(expected.unwrap_or_default()) / size;
             balance.want += KEPT.max(whole(busy));
             balance.idle.sort();
         }
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its events in [`runs`], [`orders`] and
 //!   [`durable`], and what it asks for in [`action`];
 //! * [`order`], [`pass`](Scheduler::pass): which work goes first, and where;
-//! * [`machines`], [`upkeep`], [`lending`](Scheduler::pass): machines that change their pool or
+//! * [`machines`], [`upkeep`], [`lending`](Scheduler::pass), [`turns`]: machines that change their pool or
 //!   are maintained;
 //! * [`estimate`], [`pacing`]: what is learnt, and how work that shares a worker is kept apart.
 
@@ -31,6 +31,7 @@
 pub mod runs;
 pub mod scheduler;
 mod slot;
+pub mod turns;
 pub mod upkeep;
 pub mod worker;
 
