Keep lasting jobs of a pool together, and the stored list of ordered machines short

Ruled out: refusals by the machine service (2,016 orders done, 2 unknown, none refused); an overloaded owner (0.5 cores, 0.15 used).

Change: a pool's lasting jobs share a cell unless it has 40 workers more to carry than another; machines count as ordered lately for the time that orders of two owners are apart and 0.5 s, and the state is stored again once it names more. Instances with more processor time go first by 200 ms, attempts spread with the square root of their number, and an instance that has just taken a cell waits for the others before it takes the next. The line about a silent worker says why.

--- a/crates/nutmegcart_control/src/candidacy.rs
+++ b/crates/nutmegcart_control/src/candidacy.rs
@@ -4,15 +4,17 @@
 
 use nutmegcart_model::rendezvous::weight;
 
-/// Largest delay by which the instances of a small fleet spread their attempts.
-const SPREAD_MS: u64 = 60;
-/// Instances for which [`SPREAD_MS`] suffices; more spread over proportionally more time.
-const SMALL_FLEET: u64 = 9;
+/// Delay by which each instance spreads its attempts, times the square root of their number. Some
+/// ten then try within the 10 ms in which the others learn that the cell is taken.
+const SPREAD: Duration = Duration::from_millis(20);
 /// Delay of an instance without processor time, against the largest one.
-const HANDICAP: Duration = Duration::from_millis(120);
+const HANDICAP: Duration = Duration::from_millis(200);
 /// Delay for each cell that an instance owns already.
 const BUSY: Duration = Duration::from_millis(150);
 
+/// Steps into which the spread is divided.
+const STEPS: u64 = 1_000;
+
 /// An instance that could own a cell.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Candidate {
@@ -43,14 +45,14 @@
 /// ```
 #[must_use]
 pub fn delay(candidate: &Candidate, cell: u32) -> Duration {
-    let instances = u64::try_from(candidate.instances).unwrap_or(u64::MAX);
-    let spread = (SPREAD_MS * instances / SMALL_FLEET).max(SPREAD_MS);
-    let turn = weight(&candidate.life.to_be_bytes(), &cell.to_be_bytes()) % spread;
+    let spread = SPREAD.mul_f64((candidate.instances.max(1) as f64).sqrt());
+    let turn = weight(&candidate.life.to_be_bytes(), &cell.to_be_bytes()) % STEPS;
+    let turn = spread.mul_f64(turn as f64 / STEPS as f64);
     let share = if candidate.largest > 0.0 {
         (candidate.cores / candidate.largest).clamp(0.0, 1.0)
     } else {
         1.0
     };
     let owned = u32::try_from(candidate.owned).unwrap_or(u32::MAX);
-    Duration::from_millis(turn) + HANDICAP.mul_f64(1.0 - share) + BUSY.saturating_mul(owned)
+    turn + HANDICAP.mul_f64(1.0 - share) + BUSY.saturating_mul(owned)
 }
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -70,7 +70,12 @@
             let _ = tokio::time::timeout(LOOK_PERIOD, changed).await;
             continue;
         }
-        tokio::time::sleep(delay(&candidate(&node), view.number)).await;
+        let before = candidate(&node);
+        tokio::time::sleep(delay(&before, view.number)).await;
+        if node.owned_cells() > before.owned {
+            // Another cell was taken meanwhile; instances without one go first now.
+            continue;
+        }
         if node.owner(view.number).is_some() || node.is_stopping() || view.is_handed() {
             continue;
         }
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -273,13 +273,16 @@
             }
             Err(LookError::OtherLife) => {
                 node.metrics.looks.with_label_values(&["other_life"]).inc();
-                owned.scheduler.borrow_mut().look_failed(&id, now());
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.look_failed(&id, "another life answers", now());
+                drop(scheduler);
                 tokio::time::sleep(LOOK_RETRY).await;
             }
             Err(LookError::Failed(reason)) => {
                 node.metrics.looks.with_label_values(&["failed"]).inc();
-                log::debug!("look at {id} failed: {reason}");
-                owned.scheduler.borrow_mut().look_failed(&id, now());
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.look_failed(&id, &reason, now());
+                drop(scheduler);
                 owned.wake.notify_one();
                 tokio::time::sleep(LOOK_RETRY).await;
             }
@@ -333,7 +336,7 @@
             let mut scheduler = owned.scheduler.borrow_mut();
             // An earlier owner whose key was taken away unseen goes on until its lease ends.
             let last = node.settings.lease.saturating_sub(LEASE_MARGIN);
-            let from = owned.state.since.get() + node.settings.handover + last;
+            let from = owned.state.since.get() + node.settings.jobs.apart + last;
             scheduler.set_ownership(
                 from,
                 (owned.renewed.get() + node.settings.lease).saturating_sub(LEASE_MARGIN),
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -52,8 +52,6 @@
     pub jobs: JobSettings,
     /// Length of the lease under which a cell is owned.
     pub lease: Duration,
-    /// Time that orders for machines of two owners are apart at least.
-    pub handover: Duration,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
 }
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -160,7 +160,6 @@
         cores: 0.25,
         jobs: nutmegcart_jobs::Settings::default(),
         lease: Duration::from_secs(2),
-        handover: Duration::from_secs(3),
         grace: Duration::from_secs(6),
     };
     let platform = Platform {
--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -368,7 +368,7 @@
                 gap
             }
         } else {
-            self.owners[index].scheduler.look_failed(id, now);
+            self.owners[index].scheduler.look_failed(id, "timeout", now);
             Duration::from_millis(200)
         };
         self.wake(index);
--- a/crates/nutmegcart_jobs/src/action.rs
+++ b/crates/nutmegcart_jobs/src/action.rs
@@ -17,6 +17,8 @@
     pub hold_max: Duration,
     /// Time for which an owner may act after its last successful renewal in the store.
     pub authority: Duration,
+    /// Time that orders of two owners for one machine are apart at least.
+    pub apart: Duration,
     /// Time that a worker is away for a move.
     pub move_time: Duration,
     /// Time that a worker is away for maintenance.
@@ -31,6 +33,7 @@
             hold: Duration::from_secs(5),
             hold_max: Duration::from_secs(10),
             authority: Duration::from_secs(6),
+            apart: Duration::from_secs(3),
             move_time: Duration::from_millis(1_500),
             upkeep_time: Duration::from_secs(2),
             shown: Duration::from_mins(3),
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -205,6 +205,7 @@
         joins
             || self.upkeep.changed
             || self.commands_wait()
+            || self.commands_stale(now)
             || self.workers.values().any(|worker| {
                 let oldest = worker.ends.front();
                 oldest.is_some_and(|end| now >= end.seen + PROGRESS_AGE)
@@ -305,6 +306,10 @@
             self.note_ended(id, *how, now);
         }
         self.release_commands(&flight.commanded, now);
+        if flight.covered.is_some() {
+            self.machines.named.clone_from(&flight.commanded);
+            self.machines.written = now;
+        }
         for (id, born) in &flight.enrolled {
             if let Some(worker) = self
                 .workers
--- a/crates/nutmegcart_jobs/src/layout.rs
+++ b/crates/nutmegcart_jobs/src/layout.rs
@@ -19,6 +19,10 @@
 /// size starts 400 tasks a second, which the smallest instances of 0.12 cores can just give.
 pub const CELL_SIZE: usize = 100;
 
+/// Workers with lasting tasks by which the loads of two cells have to differ before a pool's jobs
+/// leave their cell; a wide job holds about half as many.
+const LASTING_STEP: u64 = 40;
+
 /// Which cell a machine, a worker or a job belongs to.
 ///
 /// ```
@@ -104,19 +108,22 @@
 /// `loads` holds the workers with lasting tasks in each cell, where its owner tells, and `rank`
 /// the place of the job's pool among all pools. Answers the load pattern of a few wide jobs that
 /// last all day and are handed in at the same moment: spread by their names, some cells would
-/// give most of their machines to them. Cells that are equally loaded are taken in turn by pools.
+/// give most of their machines to them. Jobs of one pool share machines, so they go to one cell
+/// unless it has far more to carry than another.
 ///
 /// ```
 /// # use nutmegcart_jobs::layout::cell_for_lasting;
 /// assert_eq!(cell_for_lasting(&[Some(0), Some(0), Some(0)], 4), 1);
-/// assert_eq!(cell_for_lasting(&[Some(9), Some(9), Some(2)], 0), 2);
+/// assert_eq!(cell_for_lasting(&[Some(9), Some(9), Some(2)], 0), 0);
+/// assert_eq!(cell_for_lasting(&[Some(60), Some(45), Some(2)], 0), 2);
 /// assert_eq!(cell_for_lasting(&[None, Some(9), Some(9)], 0), 1);
 /// ```
 #[must_use]
 pub fn cell_for_lasting(loads: &[Option<u64>], rank: usize) -> u32 {
     let count = loads.len().max(1);
     let turn = |cell: usize| (cell + count - rank % count) % count;
-    let best = (0..loads.len()).min_by_key(|cell| (loads[*cell].unwrap_or(u64::MAX), turn(*cell)));
+    let load = |cell: usize| loads[cell].map_or(u64::MAX, |workers| workers / LASTING_STEP);
+    let best = (0..loads.len()).min_by_key(|cell| (load(*cell), turn(*cell)));
     u32::try_from(best.unwrap_or_default()).unwrap_or_default()
 }
 
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -20,8 +20,11 @@
 use crate::action::Action;
 use crate::scheduler::Scheduler;
 
-/// Time for which a machine stays among those that were given an order lately.
-const LATELY: Duration = Duration::from_secs(6);
+/// Time for which a machine stays among those that were given an order lately, beyond the time
+/// that orders of two owners are apart.
+const LATELY_MARGIN: Duration = Duration::from_millis(500);
+/// Age of the stored list of those machines from which it is stored again once it is too long.
+const LIST_AGE: Duration = Duration::from_secs(1);
 /// Time after an order during which the list may still show the state before it.
 const LIST_LAG: Duration = Duration::from_millis(700);
 /// Time after which an order without an answer is given again.
@@ -118,6 +121,9 @@
     pub(crate) held: HashSet<Arc<str>>,
     /// Machines that were given an order, with the time of the latest.
     pub(crate) lately: BTreeMap<Arc<str>, Duration>,
+    /// Machines that the stored state names as ordered, and when it was last written.
+    pub(crate) named: Vec<Arc<str>>,
+    pub(crate) written: Duration,
     /// Time from which orders may be given for held machines.
     pub(crate) from: Duration,
     /// Time until which this owner is certainly the only one.
@@ -147,7 +153,8 @@
     /// Lists the machines that were given an order lately or are about to be.
     pub(crate) fn commanded(&self, now: Duration) -> Vec<Arc<str>> {
         let lately = self.machines.lately.iter();
-        let recent = lately.filter(|(_, at)| now < **at + LATELY);
+        let span = self.settings.apart + LATELY_MARGIN;
+        let recent = lately.filter(|(_, at)| now < **at + span);
         let mut names: Vec<Arc<str>> = recent.map(|(name, _)| name.clone()).collect();
         names.extend(self.machines.pending.keys().cloned());
         if now < self.machines.from {
@@ -158,6 +165,15 @@
         names
     }
 
+    /// Returns whether the store names machines that a successor need not leave alone any more.
+    ///
+    /// Answers an owner that dies long after its latest order: without it, a burst that comes then
+    /// waits for as long as the orders of two owners have to be apart.
+    pub(crate) fn commands_stale(&self, now: Duration) -> bool {
+        let due = now >= self.machines.written + LIST_AGE && !self.machines.named.is_empty();
+        due && self.commanded(now).len() < self.machines.named.len()
+    }
+
     /// Returns whether an order waits until the store knows of it.
     pub(crate) fn commands_wait(&self) -> bool {
         self.machines
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -114,7 +114,12 @@
                 } => worker.heard(clock, now),
                 Outcome::NotSent if worker.failing.is_none() => {
                     worker.failing = Some(now);
-                    log_event!(Event::WorkerSilent, worker = id, runs = worker.runs.len());
+                    log_event!(
+                        Event::WorkerSilent,
+                        worker = id,
+                        runs = worker.runs.len(),
+                        reason = "an order was not sent"
+                    );
                 }
                 Outcome::Unknown => worker.penalty = worker.penalty.max(now + SILENT_PAUSE),
                 _ => {}
--- a/crates/nutmegcart_jobs/src/runs.rs
+++ b/crates/nutmegcart_jobs/src/runs.rs
@@ -140,12 +140,17 @@
     }
 
     /// Notes that a look failed.
-    pub fn look_failed(&mut self, id: &WorkerId, now: Duration) {
+    pub fn look_failed(&mut self, id: &WorkerId, reason: &str, now: Duration) {
         if let Some(worker) = self.workers.get_mut(id)
             && worker.failing.is_none()
         {
             worker.failing = Some(now);
-            log_event!(Event::WorkerSilent, worker = id, runs = worker.runs.len());
+            log_event!(
+                Event::WorkerSilent,
+                worker = id,
+                runs = worker.runs.len(),
+                reason = reason
+            );
         }
     }
 
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -167,6 +167,7 @@
         self.durable.inherit(record);
         self.upkeep.inherit(&record.maintained);
         self.machines.held = record.commanded.iter().cloned().collect();
+        self.machines.named.clone_from(&record.commanded);
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -323,3 +323,27 @@
     assert!(world.moves > 0, "the successor switched idle machines off");
     assert_sound(&world);
 }
+
+/// Guards against a burst that waits because the store still names every machine that an earlier
+/// owner ordered long ago.
+#[test]
+fn a_successor_orders_machines_that_were_left_alone_for_long() {
+    let mut world = world(9, 12);
+    let first = world.take_over();
+    world.run(seconds(20.0));
+    assert!(world.moves > 0, "idle machines were switched off");
+    world.owners[first].up = false;
+    let taken = world.now;
+    let second = world.take_over();
+    for number in 0..40 {
+        submit(&mut world, number, vec![tally(8, 8_000, 1_500)]);
+    }
+    world.run(seconds(2.0));
+    let soon = world
+        .commands
+        .iter()
+        .filter(|(_, owner, at)| *owner == second && *at < taken + seconds(1.0));
+    assert!(soon.count() >= 6, "machines are moved at once");
+    world.run(seconds(9.0));
+    assert_sound(&world);
+}
