Serve jobs through an interface of our own, and test whole processes

Until now jobs came in through the adapter only, nothing drove the bytes that it speaks, and changed bounds took effect only after a restart.

Change: PUT, GET and DELETE of /v1/jobs/<id> and the number of waiting jobs on the address for peers, in JSON or MessagePack, with types generated from a schema; `nutmegcart job`; the demo runs a cell in virtual time while its owner dies and machines are maintained. A stand-in for the platform (store, runners) by its bytes, beside the adapter. Settings of a running process take changed bounds.

--- a/crates/nutmegcart/src/client.rs
+++ b/crates/nutmegcart/src/client.rs
@@ -109,6 +109,23 @@
         )
     }
 
+    /// Calls any path, with a JSON body if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instance does not answer or refuses.
+    pub fn send(&self, method: &str, path: &str, body: Option<&Value>) -> Result<Value> {
+        let body = body.map(Value::to_string).unwrap_or_default();
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("content-type", "application/json")
+            .body(body.into_bytes())
+            .map_err(|error| self.no_answer(&error.into()))?;
+        let answer = self.agent.run(request);
+        self.read(answer.map_err(|error| self.no_answer(&error))?)
+    }
+
     /// Posts to `/admin/v1/<path>`.
     ///
     /// # Errors
--- a/crates/nutmegcart/src/demo/mod.rs
+++ b/crates/nutmegcart/src/demo/mod.rs
@@ -1,6 +1,8 @@
-//! A whole deployment in one process: platform, runners, nine entry instances, callers, a wave.
+//! A whole deployment in one process: platform, runners, nine entry instances, callers, a wave;
+//! and a cell that runs jobs in virtual time.
 
 mod deployment;
+mod jobs;
 mod load;
 mod observer;
 mod report;
@@ -106,13 +108,10 @@
     let requests = load.stop();
     let sampled = observer.stop();
     let spread = first_spread.max(second_spread);
-    Ok(Report::build(
-        &requests,
-        &deployment.oracle,
-        &sampled,
-        wave,
-        spread,
-    ))
+    progress("a cell runs jobs while its owner dies and machines are maintained");
+    let mut report = Report::build(&requests, &deployment.oracle, &sampled, wave, spread);
+    report.cell = jobs::play(seed);
+    Ok(report)
 }
 
 fn change_during_wave(deployment: &Deployment, operator: &Client) -> Result<Duration> {
--- a/crates/nutmegcart/src/demo/report.rs
+++ b/crates/nutmegcart/src/demo/report.rs
@@ -7,6 +7,7 @@
 use nutmegcart_fakes::Oracle;
 use serde::Serialize;
 
+use crate::demo::jobs::JobsReport;
 use crate::demo::load::Request;
 use crate::demo::load::Told;
 use crate::demo::observer::Observed;
@@ -56,6 +57,9 @@
     pub median_ms: f64,
     /// 99th percentile of the time to an answer in milliseconds.
     pub p99_ms: f64,
+    /// What became of jobs in a cell.
+    #[serde(flatten)]
+    pub cell: JobsReport,
 }
 
 impl Report {
@@ -105,6 +109,7 @@
             spread_ms: u64::try_from(spread.as_millis()).unwrap_or(u64::MAX),
             median_ms: quantile(0.5),
             p99_ms: quantile(0.99),
+            cell: JobsReport::default(),
         }
     }
 
@@ -116,8 +121,9 @@
             + self.wrong_not_run
             + self.budget_breaches
             + self.double_pools
-            + self.cut;
-        broken == 0
+            + self.cut
+            + self.cell.job_violations as u64;
+        broken == 0 && self.cell.jobs_completed == self.cell.jobs
     }
 
     /// Prints the report for people, or as one JSON object.
--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -78,6 +78,23 @@
             /// Logs; standard input if none is named.
             repeated files: PathBuf
         }
+        /// Hands a job in, shows or cancels it, or counts the jobs of a queue that wait.
+        ///
+        /// The entry instance is one of `manage`, at its address for peers.
+        ///
+        /// Example: nutmegcart job submit 5c0e7a21d94b36f8 --file tally.json
+        cmd job {
+            /// What to do: submit, show, cancel or waiting.
+            required action: String
+            /// Identifier of the job, 16 hexadecimal digits; host and prefix of the queue for waiting.
+            required subject: String
+            /// File with the job to submit.
+            optional --file path: PathBuf
+            /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
+            optional --entry address: SocketAddr
+            /// Print JSON.
+            optional --json
+        }
         /// Shows a whole deployment in one process and reports what the oracle saw.
         cmd demo {
             /// Seed of the load (default 1).
--- a/crates/nutmegcart/src/main.rs
+++ b/crates/nutmegcart/src/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod explain;
 mod flags;
+mod job;
 mod manage;
 mod operator;
 mod serve;
@@ -25,6 +26,7 @@
         NutmegcartCmd::Manage(flags) => manage::run(&flags),
         NutmegcartCmd::Check(flags) => check::run(&flags),
         NutmegcartCmd::Demo(flags) => demo::run(&flags),
+        NutmegcartCmd::Job(flags) => job::run(&flags),
         NutmegcartCmd::Explain(flags) => explain::run(&flags),
         NutmegcartCmd::Apply(flags) => operator::apply(&flags),
         NutmegcartCmd::Get(flags) => operator::get(&flags),
--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -25,7 +25,7 @@
 const UNKNOWN: u8 = 3;
 
 /// Makes a call and prints the answer as JSON or for people.
-fn run(
+pub fn run(
     entry: Option<SocketAddr>,
     json: bool,
     call: impl FnOnce(&Client) -> Result<Value, CallError>,
@@ -43,7 +43,8 @@
     ExitCode::SUCCESS
 }
 
-fn usage(reason: &str) -> ExitCode {
+/// Reports wrong usage.
+pub fn usage(reason: &str) -> ExitCode {
     eprintln!("{reason}");
     ExitCode::from(USAGE)
 }
--- /dev/null
+++ b/crates/nutmegcart/tests/manage.rs
@@ -0,0 +1,445 @@
+//! A whole process of `nutmegcart manage` on a stand-in for the platform: jobs from submission to
+//! their end, malformed calls, changes of the settings, and shutdown by signal.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Output;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::Duration;
+
+use nutmegcart_stand_in::StandIn;
+use nutmegcart_stand_in::runner::FAILING;
+use nutmegcart_stand_in::runner::LASTING;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+use ureq::http::Request;
+
+/// Host and path prefix of the queue.
+const HOST: &str = "counts.example";
+const PREFIX: &str = "/gates/";
+/// Time between two looks while a test waits.
+const POLL: Duration = Duration::from_millis(10);
+
+static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+
+/// A process with its settings file.
+struct Process {
+    child: Child,
+    file: PathBuf,
+    settings: Value,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A test that passes has waited for its end already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+impl Process {
+    fn start(settings: Value) -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let name = format!("nutmegcart-manage-{}-{number}.json", std::process::id());
+        let file = std::env::temp_dir().join(name);
+        fs::write(&file, settings.to_string()).expect("the settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
+            .args(["manage", "--log", "warn"])
+            .env("NUTMEGCART_SETTINGS", &file)
+            .spawn()
+            .expect("the binary starts");
+        Self {
+            child,
+            file,
+            settings,
+        }
+    }
+
+    fn address(&self, name: &str) -> SocketAddr {
+        let text = self.settings["listen"][name].as_str();
+        text.and_then(|text| text.parse().ok()).expect("an address")
+    }
+
+    fn peer(&self) -> SocketAddr {
+        let port = self.settings["port-range"][0].as_u64().expect("a port");
+        let ip = self.settings["ip"].as_str().expect("an address");
+        format!("{ip}:{port}").parse().expect("an address")
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("an identifier");
+        let id = Pid::from_raw(id).expect("an identifier");
+        kill_process(id, signal).expect("the process runs");
+    }
+
+    fn is_ready(&self) -> bool {
+        call(self.address("ready"), "GET", "/api/ready", "", None).0 == 200
+    }
+
+    fn wait_until_ready(&self) {
+        while !self.is_ready() {
+            sleep(POLL);
+        }
+    }
+
+    /// Sends a request of a caller.
+    fn ask(&self, method: &str, path: &str, body: Option<&Value>) -> (u16, Value) {
+        call(self.address("front"), method, path, HOST, body)
+    }
+
+    fn wait_for_state(&self, id: &str, state: &str) {
+        while self.ask("GET", &format!("{PREFIX}{id}"), None).1["state"] != state {
+            sleep(POLL);
+        }
+    }
+}
+
+/// Makes a call; status 0 means that nobody answered.
+fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    host: &str,
+    body: Option<&Value>,
+) -> (u16, Value) {
+    let text = body.map(Value::to_string).unwrap_or_default();
+    raw(
+        address,
+        method,
+        path,
+        host,
+        "application/json",
+        text.into_bytes(),
+    )
+}
+
+fn raw(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    host: &str,
+    kind: &str,
+    body: Vec<u8>,
+) -> (u16, Value) {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .build()
+        .into();
+    let host = if host.is_empty() {
+        address.to_string()
+    } else {
+        host.to_owned()
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("host", host)
+        .header("content-type", kind)
+        .body(body)
+        .expect("a request");
+    let Ok(mut answer) = agent.run(request) else {
+        return (0, Value::Null);
+    };
+    let text = answer.body_mut().read_to_string().unwrap_or_default();
+    (
+        answer.status().as_u16(),
+        serde_json::from_str(&text).unwrap_or_default(),
+    )
+}
+
+fn job(spec: &str, count: u32) -> Value {
+    let lasting = spec == LASTING;
+    json!({"spec": spec, "steps": [
+        {"count": count, "cpu": 500, "mem-mb": 256, "est-ms": 80, "long-running": lasting}
+    ]})
+}
+
+fn platform() -> StandIn {
+    let platform = StandIn::start();
+    platform.configure(1, "gates", HOST, PREFIX);
+    platform
+}
+
+fn command(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
+        .args(arguments)
+        .output()
+        .expect("the binary runs")
+}
+
+/// Guards against a job that is lost, run twice or told wrongly between its caller and its runner.
+#[test]
+fn jobs_run_from_submission_to_their_end() {
+    let platform = platform();
+    let runner = platform.add_runner("i-1", "gates");
+    let process = Process::start(platform.settings("entry-1"));
+    process.wait_until_ready();
+    let path = |id: &str| format!("{PREFIX}{id}");
+    let (done, failing, lasting) = ("00000000000000a1", "00000000000000a2", "00000000000000a3");
+    for _ in 0..2 {
+        let told = process.ask("POST", &path(done), Some(&job("count", 4)));
+        assert_eq!(told.0, 200, "a repeat is the same job");
+    }
+    process.wait_for_state(done, "completed");
+    assert_eq!(runner.starts().len(), 4, "every task ran once");
+    assert_eq!(
+        process
+            .ask("POST", &path(failing), Some(&job(FAILING, 1)))
+            .0,
+        200
+    );
+    process.wait_for_state(failing, "failed");
+    let runs = runner
+        .starts()
+        .iter()
+        .filter(|(task, _)| &*task.job == failing)
+        .count();
+    assert_eq!(runs, 2, "as often as the queue allows");
+    assert_eq!(
+        process
+            .ask("POST", &path(lasting), Some(&job(LASTING, 2)))
+            .0,
+        200
+    );
+    process.wait_for_state(lasting, "running");
+    assert_eq!(
+        process.ask("GET", PREFIX, None),
+        (200, json!({"waiting": 0}))
+    );
+    assert_eq!(process.ask("DELETE", &path(lasting), None).0, 200);
+    // The owner learns of it from the store and may show the state before for some milliseconds.
+    process.wait_for_state(lasting, "canceled");
+    while runner.running() > 0 {
+        sleep(POLL);
+    }
+    assert_eq!(
+        process.ask("DELETE", &path("00000000000000ff"), None).0,
+        410
+    );
+}
+
+/// Guards against an own interface that differs from the platform's in what a job is, in either
+/// codec.
+#[test]
+fn the_own_interface_serves_the_same_jobs() {
+    let platform = platform();
+    let _runner = platform.add_runner("i-1", "gates");
+    let process = Process::start(platform.settings("entry-1"));
+    process.wait_until_ready();
+    let peer = process.peer();
+    let submission = json!({
+        "schema": 1, "queue": {"host": HOST, "prefix": PREFIX}, "spec": "count",
+        "steps": [{"tasks": 2, "cpu": 500, "memory": 256, "duration_ms": 80}],
+    });
+    let told = call(
+        peer,
+        "PUT",
+        "/v1/jobs/00000000000000b1",
+        "",
+        Some(&submission),
+    );
+    assert_eq!(told, (200, json!({"state": "pending"})));
+    let packed = rmp_serde::to_vec_named(&submission).expect("it encodes");
+    let kind = "application/msgpack";
+    let told = raw(peer, "PUT", "/v1/jobs/00000000000000b2", "", kind, packed);
+    assert_eq!(told.0, 200);
+    for id in ["00000000000000b1", "00000000000000b2"] {
+        process.wait_for_state(id, "completed");
+        let shown = call(peer, "GET", &format!("/v1/jobs/{id}"), "", None);
+        assert_eq!(shown, (200, json!({"state": "completed"})));
+    }
+    let waiting = format!("/v1/waiting?host={HOST}&prefix={PREFIX}");
+    assert_eq!(
+        call(peer, "GET", &waiting, "", None),
+        (200, json!({"waiting": 0}))
+    );
+    let mut older = submission.clone();
+    older["schema"] = json!(2);
+    let refused = call(peer, "PUT", "/v1/jobs/00000000000000b3", "", Some(&older));
+    assert_eq!((refused.0, &refused.1["code"]), (400, &json!("NC1401")));
+    older["schema"] = json!(1);
+    older["queue"]["prefix"] = json!("/none/");
+    let refused = call(peer, "PUT", "/v1/jobs/00000000000000b3", "", Some(&older));
+    assert_eq!(refused.0, 404);
+    assert!(
+        platform
+            .store
+            .keys("nutmegcart/cell/0/job/00000000000000b3")
+            .is_empty()
+    );
+}
+
+/// Guards against commands that do not reach the interface that the page describes.
+#[test]
+fn jobs_are_handled_on_the_command_line() {
+    let platform = platform();
+    let _runner = platform.add_runner("i-1", "gates");
+    let process = Process::start(platform.settings("entry-1"));
+    process.wait_until_ready();
+    let entry = process.peer().to_string();
+    let file = process.file.with_extension("job");
+    let submission = json!({
+        "schema": 1, "queue": {"host": HOST, "prefix": PREFIX}, "spec": LASTING,
+        "steps": [{"tasks": 1, "lasting": true}],
+    });
+    fs::write(&file, submission.to_string()).expect("the job is written");
+    let name = file.to_string_lossy().into_owned();
+    let id = "00000000000000c1";
+    let run = |arguments: &[&str]| {
+        let mut all = vec!["job"];
+        all.extend_from_slice(arguments);
+        all.extend_from_slice(&["--entry", &entry]);
+        let output = command(&all);
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&output.stdout).into_owned(),
+        )
+    };
+    assert_eq!(
+        run(&["submit", id, "--file", &name]),
+        (Some(0), "pending\n".into())
+    );
+    process.wait_for_state(id, "running");
+    assert_eq!(run(&["show", id]), (Some(0), "running\n".into()));
+    assert_eq!(
+        run(&["waiting", &format!("{HOST}{PREFIX}")]),
+        (Some(0), "0\n".into())
+    );
+    assert_eq!(run(&["cancel", id]), (Some(0), "cancelled\n".into()));
+    assert_eq!(run(&["show", "00000000000000c2"]).0, Some(1));
+    fs::remove_file(&file).expect("the job was written");
+}
+
+/// Guards against malformed calls that are taken for jobs, or that end the process.
+#[test]
+fn malformed_calls_are_refused() {
+    let platform = platform();
+    let process = Process::start(platform.settings("entry-1"));
+    process.wait_until_ready();
+    let front = process.address("front");
+    let id = format!("{PREFIX}00000000000000d1");
+    let send = |method: &str, path: &str, host: &str, body: &[u8]| {
+        raw(front, method, path, host, "application/json", body.to_vec()).0
+    };
+    let sound = job("count", 1).to_string();
+    let forward = r#"{"spec":"s","steps":[{"count":1,"after":[0]}]}"#;
+    let negative = r#"{"spec":"s","steps":[{"count":-1}]}"#;
+    let long = json!({"spec": "x".repeat(5_000), "steps": [{"count": 1}]}).to_string();
+    let huge = json!({"spec": "x".repeat(70_000), "steps": [{"count": 1}]}).to_string();
+    let cases: [(&str, &str, &str, &[u8], u16); 13] = [
+        ("POST", &id, HOST, b"", 400),
+        ("POST", &id, HOST, b"{", 400),
+        ("POST", &id, HOST, b"\xff\xfe", 400),
+        ("POST", &id, HOST, br#"{"spec":"s","steps":[]}"#, 400),
+        ("POST", &id, HOST, forward.as_bytes(), 400),
+        ("POST", &id, HOST, negative.as_bytes(), 400),
+        ("POST", &id, HOST, long.as_bytes(), 400),
+        ("POST", &id, HOST, huge.as_bytes(), 413),
+        (
+            "POST",
+            "/gates/not-an-identifier",
+            HOST,
+            sound.as_bytes(),
+            400,
+        ),
+        ("POST", &id, "other.example", sound.as_bytes(), 404),
+        (
+            "POST",
+            "/other/00000000000000d1",
+            HOST,
+            sound.as_bytes(),
+            404,
+        ),
+        ("PATCH", &id, HOST, sound.as_bytes(), 404),
+        ("GET", "/gates/not-an-identifier", HOST, b"", 410),
+    ];
+    for (method, path, host, body, status) in cases {
+        let text = String::from_utf8_lossy(&body[..body.len().min(60)]);
+        assert_eq!(
+            send(method, path, host, body),
+            status,
+            "{method} {path} {host} {text}"
+        );
+    }
+    assert!(platform.store.keys("nutmegcart/cell/0/job/").is_empty());
+    assert!(process.is_ready(), "the process serves on");
+}
+
+/// Guards against a shutdown that cuts requests, keeps the cell until its lease runs out, or takes
+/// new connections for ready.
+#[test]
+fn a_termination_hands_the_cell_over_and_ends_with_zero() {
+    let platform = platform();
+    let runner = platform.add_runner("i-1", "gates");
+    let mut process = Process::start(platform.settings("entry-1"));
+    process.wait_until_ready();
+    let id = "00000000000000e1";
+    let told = process.ask("POST", &format!("{PREFIX}{id}"), Some(&job(LASTING, 1)));
+    assert_eq!(told.0, 200);
+    process.wait_for_state(id, "running");
+    process.signal(Signal::TERM);
+    while process.is_ready() {
+        sleep(POLL);
+    }
+    let owner = "nutmegcart/cell/0/owner";
+    while platform.store.get(owner).is_some() {
+        sleep(POLL);
+    }
+    let status = process.child.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+    let second = Process::start(platform.settings("entry-2"));
+    second.wait_until_ready();
+    second.wait_for_state(id, "running");
+    assert_eq!(
+        runner.starts().len(),
+        1,
+        "the run went on under its new owner"
+    );
+}
+
+/// Replaces a process's settings and tells it by a signal, or not at all.
+fn follows_its_settings(signal: Option<Signal>) {
+    let (first, second) = (platform(), platform());
+    let process = Process::start(first.settings("entry-1"));
+    process.wait_until_ready();
+    fs::write(&process.file, "{").expect("the settings are written");
+    if let Some(signal) = signal {
+        process.signal(signal);
+    }
+    let id = format!("{PREFIX}00000000000000f1");
+    assert_eq!(process.ask("POST", &id, Some(&job("count", 1))).0, 200);
+    let mut settings = process.settings.clone();
+    settings["platform"]["address"] = json!(second.address.to_string());
+    settings["bounds"]["grace-s"] = json!(1);
+    fs::write(&process.file, settings.to_string()).expect("the settings are written");
+    if let Some(signal) = signal {
+        process.signal(signal);
+    }
+    while second.store.keys("nutmegcart/instance/at/").is_empty() {
+        sleep(POLL);
+    }
+    assert!(second.store.calls() > 0);
+}
+
+macro_rules! cases {
+    ($test:ident: $($(#[$doc:meta])* $name:ident => $argument:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { $test($argument); })*
+    };
+}
+
+cases! { follows_its_settings:
+    /// Guards against a process that ignores SIGHUP, or that a malformed file ends.
+    changed_settings_are_taken_after_a_signal => Some(Signal::HUP);
+    /// Guards against a process that takes changed settings only after a signal.
+    changed_settings_are_taken_without_a_signal => None;
+}
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -55,14 +55,14 @@
 /// What a caller asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
-    /// Hands a job in.
-    Submit(JobId, Box<Job>),
+    /// Hands a job in to a queue.
+    Submit(Arc<Queue>, JobId, Box<Job>),
     /// Asks for a job's state.
     Show(JobId),
     /// Cancels a job.
     Cancel(JobId),
-    /// Asks how many jobs of the queue have started no task.
-    Count,
+    /// Asks how many jobs of a queue have started no task.
+    Count(Arc<Queue>),
 }
 
 impl Request {
@@ -71,7 +71,7 @@
             Self::Submit(..) => "submit",
             Self::Show(_) => "show",
             Self::Cancel(_) => "cancel",
-            Self::Count => "count",
+            Self::Count(_) => "count",
         }
     }
 }
@@ -124,14 +124,8 @@
 }
 
 impl Desk {
-    /// Answers a request to a queue, `limit` after now at the latest.
-    pub async fn handle(
-        &self,
-        node: &Rc<Node>,
-        queue: &Arc<Queue>,
-        request: Request,
-        limit: Duration,
-    ) -> Answer {
+    /// Answers a request, `limit` after now at the latest.
+    pub async fn handle(&self, node: &Rc<Node>, request: Request, limit: Duration) -> Answer {
         let start = now();
         let deadline = start + limit.saturating_sub(ANSWER_MARGIN);
         let kind = request.kind();
@@ -143,10 +137,12 @@
         };
         node.active.set(node.active.get() + 1);
         let answer = match request {
-            Request::Submit(id, job) => self.submit(node, &cells, queue, id, *job, deadline).await,
+            Request::Submit(queue, id, job) => {
+                self.submit(node, &cells, &queue, id, *job, deadline).await
+            }
             Request::Show(id) => show(node, &cells, id, deadline).await,
             Request::Cancel(id) => cancel(node, &cells, id, deadline).await,
-            Request::Count => count(node, &cells, queue).await,
+            Request::Count(queue) => count(node, &cells, &queue).await,
         };
         node.active.set(node.active.get() - 1);
         node.metrics
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -215,7 +215,7 @@
         fence = fence,
         lease = lease
     );
-    let scheduler = Scheduler::new(node.settings.jobs, fence, now());
+    let scheduler = Scheduler::new(node.times.get().jobs, fence, now());
     let owned = Rc::new(Owned {
         cell: view.clone(),
         scheduler: RefCell::new(scheduler),
@@ -338,7 +338,7 @@
                 log::debug!("lease not renewed: {error}");
             }
         }
-        if now() >= owned.renewed.get() + node.settings.jobs.authority {
+        if now() >= owned.renewed.get() + node.authority() {
             owned.give_up("the lease could not be renewed");
         }
     }
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -239,7 +239,7 @@
 /// Looks at a worker until the scheduler forgets it.
 async fn looks(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId) {
     while !owned.is_over() {
-        if !owned.may_act(node.settings.jobs.authority) {
+        if !owned.may_act(node.authority()) {
             tokio::time::sleep(LOOK_RETRY).await;
             continue;
         }
@@ -329,14 +329,14 @@
     while !owned.is_over() {
         owned.wake.notified().await;
         tokio::time::sleep(PASS_GAP).await;
-        if !owned.state.loaded.get() || !owned.may_act(node.settings.jobs.authority) {
+        if !owned.state.loaded.get() || !owned.may_act(node.authority()) {
             continue;
         }
         let actions = {
             let mut scheduler = owned.scheduler.borrow_mut();
             // An earlier owner whose key was taken away unseen goes on until its lease ends.
             let last = node.settings.lease.saturating_sub(LEASE_MARGIN);
-            let from = owned.state.since.get() + node.settings.jobs.apart + last;
+            let from = owned.state.since.get() + node.times.get().jobs.apart + last;
             scheduler.set_ownership(
                 from,
                 (owned.renewed.get() + node.settings.lease).saturating_sub(LEASE_MARGIN),
@@ -445,7 +445,7 @@
     // An order that has waited may have lost its reason, or its sender its authority.
     let wanted = owned.scheduler.borrow().wants(&id, &order);
     let outcome = match target {
-        Some(target) if wanted && owned.may_act(node.settings.jobs.authority) => {
+        Some(target) if wanted && owned.may_act(node.authority()) => {
             (node.platform.fleet.order)(target, order.clone()).await
         }
         _ => Outcome::Withdrawn,
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`port`]: what an adapter provides;
 //! * [`node`], [`process`]: shared state, start and shutdown;
 //! * [`caller`], [`accept`]: callers' requests, and how jobs are accepted exactly once;
+//! * [`interface`]: nutmegcart's own interface for jobs;
 //! * [`cell`], [`candidacy`], [`duty`]: ownership of cells, and what their owners do;
 //! * [`keys`], [`follow`]: keys of the store, and following them;
 //! * [`peer`]: questions to owners;
@@ -18,7 +19,9 @@
 pub mod clock;
 pub mod duty;
 pub mod follow;
+mod generated;
 pub mod http;
+pub mod interface;
 pub mod keys;
 pub mod logger;
 pub mod metrics;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -48,10 +48,17 @@
     pub peer: SocketAddr,
     /// Processor time that the instance may use, in cores.
     pub cores: f64,
-    /// Times of the scheduler.
-    pub jobs: JobSettings,
     /// Length of the lease under which a cell is owned.
     pub lease: Duration,
+    /// Times that may change while the process runs.
+    pub times: Times,
+}
+
+/// Times that may change while the process runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Times {
+    /// Times of schedulers.
+    pub jobs: JobSettings,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Duration,
 }
@@ -252,12 +259,15 @@
     pub active: Cell<usize>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Times that a change of the settings replaces.
+    pub times: Cell<Times>,
 }
 
 impl Node {
     /// Creates the state of an instance that knows nothing yet.
     #[must_use]
     pub fn new(settings: Settings, platform: Platform, metrics: Metrics, life: u64) -> Rc<Self> {
+        let times = settings.times;
         Rc::new(Self {
             settings,
             platform,
@@ -277,6 +287,7 @@
             refusing: Cell::new(false),
             active: Cell::new(0),
             metrics,
+            times: Cell::new(times),
         })
     }
 
@@ -359,10 +370,27 @@
     #[must_use]
     pub fn owned(&self, cell: &CellView) -> Option<Rc<Owned>> {
         let owned = cell.owned.borrow().clone()?;
-        let active = owned.state.loaded.get() && owned.may_act(self.settings.jobs.authority);
+        let active = owned.state.loaded.get() && owned.may_act(self.authority());
         active.then_some(owned)
     }
 
+    /// Replaces the times, also those of the cells that this instance owns.
+    pub fn set_times(&self, times: Times) {
+        self.times.set(times);
+        let cells = self.cells();
+        for view in cells.iter().flat_map(|cells| &cells.views) {
+            if let Some(owned) = view.owned.borrow().as_ref() {
+                owned.scheduler.borrow_mut().set_settings(times.jobs);
+            }
+        }
+    }
+
+    /// Returns the time for which an owner may act after it renewed its lease.
+    #[must_use]
+    pub fn authority(&self) -> Duration {
+        self.times.get().jobs.authority
+    }
+
     /// Puts a configuration in force unless a newer one is.
     pub fn configure(&self, configuration: Configuration) {
         let newer = {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -26,6 +26,7 @@
 use crate::cell;
 use crate::http;
 use crate::http::CallError;
+use crate::interface;
 use crate::node::CellView;
 use crate::node::Node;
 
@@ -184,7 +185,7 @@
     rmp_serde::from_slice(response.body()).map_err(|error| silent(error.to_string()))
 }
 
-/// Serves questions of other instances.
+/// Serves questions of other instances, and nutmegcart's own interface for jobs.
 ///
 /// # Errors
 ///
@@ -210,6 +211,9 @@
         *response.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
         response
     };
+    if interface::serves(request.uri().path()) {
+        return interface::respond(node, desk, request).await;
+    }
     if request.uri().path() != PATH {
         return status(404);
     }
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -93,8 +93,8 @@
     node.refusing.set(true);
     duty::hand_over(node).await;
     logger::flush();
-    let end = start + node.settings.grace.saturating_sub(GRACE_MARGIN);
-    let quiet = start + LAST_CONNECTIONS.min(node.settings.grace / 2);
+    let end = start + node.times.get().grace.saturating_sub(GRACE_MARGIN);
+    let quiet = start + LAST_CONNECTIONS.min(node.times.get().grace / 2);
     while now() < quiet {
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
--- a/crates/nutmegcart_control/src/routing.rs
+++ b/crates/nutmegcart_control/src/routing.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::Queue;
+use nutmegcart_jobs::QueueKey;
 
 use crate::port::Configuration;
 
@@ -47,6 +48,14 @@
         Self { hosts }
     }
 
+    /// Returns the queue with exactly this host and prefix.
+    #[must_use]
+    pub fn queue(&self, key: &QueueKey) -> Option<Arc<Queue>> {
+        let routes = self.hosts.get(&key.host)?;
+        let route = routes.iter().find(|route| route.queue.key == *key)?;
+        Some(route.queue.clone())
+    }
+
     /// Finds the route with the longest prefix of the path, and what follows the prefix.
     #[must_use]
     pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(&Route, &'a str)> {
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -14,6 +14,7 @@
 use nutmegcart_control::caller::Request;
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
+use nutmegcart_control::node::Times;
 use nutmegcart_control::port::Changes;
 use nutmegcart_control::port::Directory;
 use nutmegcart_control::port::Fleet;
@@ -158,9 +159,8 @@
         name: "entry-1".into(),
         peer: "127.0.0.1:1".parse().expect("an address"),
         cores: 0.25,
-        jobs: nutmegcart_jobs::Settings::default(),
         lease: Duration::from_secs(2),
-        grace: Duration::from_secs(6),
+        times: Times::default(),
     };
     let platform = Platform {
         store: store(scripted),
@@ -208,13 +208,13 @@
     });
     let node = node(&scripted);
     let id = JobId::parse("00000000000000aa").expect("sixteen digits");
-    let request = Request::Submit(id.clone(), Box::new(job()));
+    let request = Request::Submit(queue(), id.clone(), Box::new(job()));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
     let answer = LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
         Desk::default()
-            .handle(&node, &queue(), request, Duration::from_millis(600))
+            .handle(&node, request, Duration::from_millis(600))
             .await
     });
     let held = scripted
@@ -291,27 +291,21 @@
             let answer = desk
                 .handle(
                     &node,
-                    &queue(),
-                    Request::Submit(id.clone(), Box::new(job())),
+                    Request::Submit(queue(), id.clone(), Box::new(job())),
                     limit,
                 )
                 .await;
             assert_eq!(answer, Answer::Accepted);
         }
         assert_eq!(scripted.items.borrow().len(), 1);
-        let shown = desk
-            .handle(&node, &queue(), Request::Show(id.clone()), limit)
-            .await;
+        let shown = desk.handle(&node, Request::Show(id.clone()), limit).await;
         assert_eq!(shown, Answer::State(JobState::Pending));
-        let cancelled = desk
-            .handle(&node, &queue(), Request::Cancel(id.clone()), limit)
-            .await;
+        let cancelled = desk.handle(&node, Request::Cancel(id.clone()), limit).await;
         assert_eq!(cancelled, Answer::Cancelled);
         let again = desk
             .handle(
                 &node,
-                &queue(),
-                Request::Submit(id.clone(), Box::new(job())),
+                Request::Submit(queue(), id.clone(), Box::new(job())),
                 limit,
             )
             .await;
@@ -321,9 +315,7 @@
             "a repeat after the end is still the same job"
         );
         let other = JobId::parse("00000000000000ac").expect("sixteen digits");
-        let absent = desk
-            .handle(&node, &queue(), Request::Show(other), limit)
-            .await;
+        let absent = desk.handle(&node, Request::Show(other), limit).await;
         assert_eq!(absent, Answer::Gone);
     });
 }
@@ -352,9 +344,9 @@
         .enable_all()
         .build();
     let answer = LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
-        let request = Request::Submit(id, job);
+        let request = Request::Submit(queue(), id, job);
         Desk::default()
-            .handle(&node, &queue(), request, Duration::from_millis(600))
+            .handle(&node, request, Duration::from_millis(600))
             .await
     });
     assert_eq!(answer, Answer::refused(Code::BadRequest));
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Replaces times and bounds; they hold for what is decided from now on.
+    pub const fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Returns the fencing token.
     #[must_use]
     pub const fn fence(&self) -> u64 {
