Start nothing beside a run that no job accounts for

A new owner finds runs of jobs that have ended meanwhile, asks for their stop and counts their room as free at once; a stop takes up to 0.9 s. The stand-in shows it each time.

Ruled out: orders of an earlier owner that arrive late (a worker that has seen the new token refuses them).

Change: a worker whose latest report lists runs that no job accounts for gets no task until they have ended. In the stand-in workers may take whatever they are given and need time to stop, and an overloaded worker is a violation.

Figures: the test fails without the change (two tasks overload the worker) and passes with it.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -407,6 +407,15 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if answered && !worker.stopping.is_zero() && matches!(order, Order::Stop { .. }) {
+            let (takes, clock) = (worker.stopping, Some(worker.clock(now)));
+            let (id, order) = (id.clone(), order.clone());
+            let told = Outcome::Done { clock };
+            let answer = Event::OrderAnswered(index, id.clone(), order.clone(), told);
+            self.schedule(LATENCY, answer);
+            self.schedule(takes, Event::OrderArrives(index, id, order, false, life));
+            return;
+        }
         let before: BTreeMap<TaskKey, u32> = worker
             .runs
             .iter()
@@ -428,6 +437,14 @@
             && before.get(&start.task) != Some(&start.run)
         {
             self.oracle.start(id, &start.task, start.run, now);
+            let worker = &self.workers[id];
+            if !worker.used().fits(worker.listing.capacity) {
+                let at = now.as_millis();
+                let task = &start.task;
+                self.oracle
+                    .violations
+                    .push(format!("{at} ms: {task} overloads {id}"));
+            }
             if let Some(run) = self.workers[id].runs.get(&start.task)
                 && !run.lasting
             {
--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -63,6 +63,10 @@
     pub hung: bool,
     /// Factor on the duration of what it starts.
     pub slow: u32,
+    /// Whether it refuses what does not fit.
+    pub guards: bool,
+    /// Time that a run takes to stop.
+    pub stopping: Duration,
 }
 
 impl FakeWorker {
@@ -82,6 +86,8 @@
             failing: false,
             hung: false,
             slow: 1,
+            guards: true,
+            stopping: Duration::ZERO,
         }
     }
 
@@ -98,6 +104,13 @@
         *self = Self::new(listing, now);
     }
 
+    /// Returns the room that its runs take.
+    #[must_use]
+    pub fn used(&self) -> Size {
+        let rooms = self.runs.values().map(|run| run.room);
+        rooms.fold(Size::default(), |sum, room| sum + room)
+    }
+
     fn extend(&mut self, until: u64, now: Duration) {
         let most = self.clock(now) + millis(LONGEST_LEASE);
         self.lease = self.lease.max(until.min(most));
@@ -219,11 +232,7 @@
                 let Some(run) = run else {
                     return refused(Refusal::Malformed);
                 };
-                let used = self
-                    .runs
-                    .values()
-                    .fold(Size::default(), |sum, each| sum + each.room);
-                if !run.room.fits(self.listing.capacity.minus(used)) {
+                if self.guards && !run.room.fits(self.listing.capacity.minus(self.used())) {
                     return refused(Refusal::Room);
                 }
                 self.runs.insert(start.task.clone(), run);
--- a/crates/nutmegcart_jobs/src/runs.rs
+++ b/crates/nutmegcart_jobs/src/runs.rs
@@ -209,6 +209,13 @@
         for run in &report.running {
             self.take_running(id, run, now);
         }
+        if let Some(worker) = self.workers.get_mut(id) {
+            let strange = |listed: &&ListedRun| {
+                let known = worker.runs.get(&listed.task);
+                known.is_none_or(|run| run.number != listed.run)
+            };
+            worker.strangers = report.running.iter().filter(strange).count();
+        }
         self.miss_runs(id, sent, report, now);
         self.advance_acks(id);
         let new = |end: &&ListedEnd| end.number > seen;
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -357,6 +357,7 @@
         worker.fenced = false;
         worker.enrolled = false;
         worker.inherited = false;
+        worker.strangers = 0;
         worker.contact = None;
         worker.lease = 0;
         worker.seen = 0;
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -191,6 +191,8 @@
     pub runs: HashMap<TaskKey, Run>,
     /// Whether an earlier owner may have started tasks that are not known.
     pub inherited: bool,
+    /// Runs that it lists and no job accounts for; their room is not known.
+    pub strangers: usize,
     /// Starts whose answer was lost, with the time of the order.
     pub late: Vec<(TaskKey, u32, Duration)>,
     /// Highest end that was processed.
@@ -225,6 +227,7 @@
             lease: 0,
             runs: HashMap::new(),
             inherited: false,
+            strangers: 0,
             late: Vec::new(),
             seen: 0,
             acked: 0,
@@ -294,6 +297,7 @@
             && self.enrolled
             && self.failing.is_none()
             && self.contact.is_some()
+            && self.strangers == 0
             && now >= self.penalty
     }
 
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -5,6 +5,7 @@
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::WaveState;
+use support::assert_all_completed;
 use support::assert_sound;
 use support::completed;
 use support::job_id;
@@ -347,3 +348,28 @@
     world.run(seconds(9.0));
     assert_sound(&world);
 }
+
+/// Guards against a successor that counts only the runs of its own jobs, and overloads a worker
+/// that takes whatever it is given: a run of a cancelled job still takes its room.
+#[test]
+fn a_run_that_no_job_accounts_for_keeps_its_room() {
+    let mut world = world(10, 1);
+    world.pools.truncate(1);
+    for worker in world.workers.values_mut() {
+        worker.guards = false;
+        worker.stopping = seconds(0.4);
+    }
+    let first = world.take_over();
+    let full = submit(&mut world, 1, vec![tally(2, 30_000, 6_000)]);
+    world.run(seconds(1.0));
+    assert_eq!(world.oracle.starts, 2);
+    world.owners[first].up = false;
+    world.cancel(&full);
+    world.store.jobs.clear();
+    world.run(seconds(0.2));
+    world.take_over();
+    let next = submit(&mut world, 2, vec![tally(2, 30_000, 500)]);
+    world.run(seconds(20.0));
+    assert_sound(&world);
+    assert_all_completed(&world, &[next]);
+}
