Lend and place machines by the labels that waiting work requires

Moves counted cores only and brought machines of either kind; tasks that run anywhere took the required kind.

Change: a pool may be short of a label; the donor then has to carry it, and a pool keeps the machines whose label its own work requires. Tasks without a label prefer workers whose labels nobody waits for.

Sites with one kind of machine are not affected.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -258,6 +258,7 @@
         let machine = &self.machines[name];
         let mut listing = worker::listing(&id, &machine.pool, "r1-1", machine.capacity);
         listing.machine = Some(name.clone());
+        listing.labels.clone_from(&machine.labels);
         listing.born = self.unix();
         self.workers
             .insert(id.clone(), FakeWorker::new(listing, self.now));
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -272,6 +272,7 @@
                     state: MachineState::Up,
                     worker: Some(id.clone()),
                     capacity: worker.listing.capacity,
+                    labels: worker.listing.labels.clone(),
                 },
             );
         }
--- a/crates/nutmegcart_jobs/src/lending.rs
+++ b/crates/nutmegcart_jobs/src/lending.rs
@@ -1,6 +1,7 @@
 //! Moving machines to the pools that need them, and back to the spare pool.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,6 +82,57 @@
     have: usize,
     /// Idle machines with the time since when they are.
     idle: Vec<(Duration, Arc<str>)>,
+    /// Machines wanted and had, by label that waiting work requires.
+    labelled: BTreeMap<Arc<str>, (usize, usize)>,
+}
+
+impl Balance {
+    /// Returns by how many machines with a label, or of any kind, the pool is short.
+    fn shortage(&self, label: Option<&Arc<str>>) -> usize {
+        match label {
+            None => self.want.saturating_sub(self.have),
+            Some(label) => self
+                .labelled
+                .get(label)
+                .map_or(0, |(want, have)| want.saturating_sub(*have)),
+        }
+    }
+
+    /// Returns the largest shortage, with the label that is missing.
+    fn worst(&self) -> (usize, Option<Arc<str>>) {
+        let labels = self.labelled.keys().cloned().map(Some);
+        let all = labels.chain([None]);
+        let shortages = all.map(|label| (self.shortage(label.as_ref()), label));
+        shortages
+            .max_by_key(|(count, _)| *count)
+            .unwrap_or_default()
+    }
+
+    /// Notes that a machine joins or leaves.
+    fn count(&mut self, labels: &[Arc<str>], joins: bool) {
+        let change = |have: usize| {
+            if joins {
+                have + 1
+            } else {
+                have.saturating_sub(1)
+            }
+        };
+        self.have = change(self.have);
+        for label in labels {
+            if let Some((_, have)) = self.labelled.get_mut(label) {
+                *have = change(*have);
+            }
+        }
+    }
+
+    /// Returns whether the pool can do without a machine.
+    fn spares(&self, labels: &[Arc<str>]) -> bool {
+        let scarce = labels
+            .iter()
+            .filter_map(|label| self.labelled.get(label))
+            .any(|(want, have)| want >= have);
+        self.have > self.want && !scarce
+    }
 }
 
 impl Scheduler {
@@ -101,26 +153,32 @@
             .find(|(_, config)| config.spare)
             .map(|(name, _)| name.clone());
         let mut moves: Vec<(Arc<str>, PoolName)> = Vec::new();
-        loop {
+        let mut unmet: BTreeSet<(PoolName, Option<Arc<str>>)> = BTreeSet::new();
+        while moves.len() < MOST_MOVES {
             let short = balances
                 .iter()
-                .filter(|(pool, balance)| {
-                    Some(*pool) != spare.as_ref() && balance.want > balance.have
+                .filter(|(pool, _)| Some(*pool) != spare.as_ref())
+                .map(|(pool, balance)| (balance.worst(), pool))
+                .filter(|((count, label), pool)| {
+                    *count > 0 && !unmet.contains(&((*pool).clone(), label.clone()))
                 })
-                .max_by_key(|(_, balance)| balance.want - balance.have)
-                .map(|(pool, _)| pool.clone());
-            let Some(short) = short.filter(|_| moves.len() < MOST_MOVES) else {
+                .max_by_key(|((count, _), _)| *count)
+                .map(|((_, label), pool)| (pool.clone(), label));
+            let Some((short, label)) = short else {
                 break;
             };
-            let Some((donor, machine)) = donor(&balances, &short, spare.as_ref(), now) else {
-                break;
+            let wish = (&short, label.as_ref());
+            let Some((donor, machine)) = self.donor(&balances, wish, spare.as_ref(), now) else {
+                unmet.insert((short, label));
+                continue;
             };
+            let labels = self.machines.known[&machine].labels.clone();
             if let Some(balance) = balances.get_mut(&donor) {
-                balance.have -= 1;
+                balance.count(&labels, false);
                 balance.idle.retain(|(_, name)| *name != machine);
             }
             if let Some(balance) = balances.get_mut(&short) {
-                balance.have += 1;
+                balance.count(&labels, true);
             }
             moves.push((machine, short));
         }
@@ -129,16 +187,16 @@
                 if *pool == spare {
                     continue;
                 }
-                while balance.have > balance.want && moves.len() < MOST_MOVES {
-                    let long = balance
-                        .idle
-                        .iter()
-                        .position(|(since, _)| now >= *since + IDLE_OFF);
+                while moves.len() < MOST_MOVES {
+                    let long = balance.idle.iter().position(|(since, name)| {
+                        let labels = &self.machines.known[name].labels;
+                        now >= *since + IDLE_OFF && balance.spares(labels)
+                    });
                     let Some(index) = long else {
                         break;
                     };
                     let (_, machine) = balance.idle.remove(index);
-                    balance.have -= 1;
+                    balance.count(&self.machines.known[&machine].labels, false);
                     moves.push((machine, spare.clone()));
                 }
             }
@@ -149,6 +207,40 @@
         }
     }
 
+    /// Finds an idle machine, with the label if one is given: a switched-off one, else from the
+    /// pool with the most to spare.
+    fn donor(
+        &self,
+        balances: &BTreeMap<PoolName, Balance>,
+        (short, label): (&PoolName, Option<&Arc<str>>),
+        spare: Option<&PoolName>,
+        now: Duration,
+    ) -> Option<(PoolName, Arc<str>)> {
+        let fits = |name: &Arc<str>| {
+            label.is_none_or(|label| self.machines.known[name].labels.contains(label))
+        };
+        let off = spare.and_then(|spare| balances.get(spare).map(|balance| (spare, balance)));
+        if let Some((pool, balance)) = off
+            && let Some((_, machine)) = balance.idle.iter().find(|(_, name)| fits(name))
+        {
+            return Some((pool.clone(), machine.clone()));
+        }
+        let ripe = |balance: &Balance| {
+            let idle = balance.idle.iter().find(|(since, name)| {
+                let labels = &self.machines.known[name].labels;
+                now >= *since + IDLE_LEND && fits(name) && balance.spares(labels)
+            });
+            idle.map(|(_, name)| name.clone())
+        };
+        let able = balances.iter().filter(|(pool, _)| *pool != short);
+        let able = able.filter_map(|(pool, balance)| {
+            let over = balance.have.saturating_sub(balance.want);
+            ripe(balance).map(|machine| (over, pool, machine))
+        });
+        let (_, pool, machine) = able.max_by_key(|(over, ..)| *over)?;
+        Some((pool.clone(), machine))
+    }
+
     fn balances(&mut self, now: Duration) -> BTreeMap<PoolName, Balance> {
         let mut balances: BTreeMap<PoolName, Balance> = BTreeMap::new();
         for pool in self.pools.keys() {
@@ -163,12 +255,19 @@
         sizes.sort_unstable();
         let size = sizes.get(sizes.len() / 2).copied().unwrap_or(1).max(1) as f64 / 1_000.0;
         let mut cores: HashMap<PoolName, f64> = HashMap::new();
+        let mut labelled: HashMap<(PoolName, Arc<str>), f64> = HashMap::new();
         for job in self
             .jobs
             .values()
             .filter(|job| job.ended.is_none() && !job.accepted.job.lasts())
         {
-            *cores.entry(job.pool.clone()).or_default() += job.work_left() / HORIZON;
+            for (label, work) in job.work_by_label() {
+                *cores.entry(job.pool.clone()).or_default() += work / HORIZON;
+                if let Some(label) = label {
+                    let key = (job.pool.clone(), label.clone());
+                    *labelled.entry(key).or_default() += work / HORIZON;
+                }
+            }
         }
         for job in self.jobs.values().filter(|job| job.ended.is_none()) {
             let waiting = job.waiting_workers();
@@ -176,6 +275,10 @@
                 balances.entry(job.pool.clone()).or_default().want += waiting;
             }
         }
+        for ((pool, label), cores) in labelled {
+            let balance = balances.entry(pool).or_default();
+            balance.labelled.insert(label, (whole(cores / size), 0));
+        }
         let names: Vec<Arc<str>> = self.machines.known.keys().cloned().collect();
         let mut seen: HashMap<Arc<str>, Duration> = HashMap::new();
         for name in names {
@@ -193,7 +296,7 @@
             let empty = self.is_empty(machine);
             let balance = balances.entry(target).or_default();
             if machine.state != MachineState::Down {
-                balance.have += 1;
+                balance.count(&machine.labels, true);
             }
             if lasting > 0 {
                 balance.want += 1;
@@ -225,31 +328,6 @@
     }
 }
 
-/// Finds an idle machine for a pool: a switched-off one, else from the pool with the most to spare.
-fn donor(
-    balances: &BTreeMap<PoolName, Balance>,
-    short: &PoolName,
-    spare: Option<&PoolName>,
-    now: Duration,
-) -> Option<(PoolName, Arc<str>)> {
-    let off = spare.and_then(|spare| balances.get(spare).map(|balance| (spare, balance)));
-    if let Some((pool, balance)) = off
-        && let Some((_, machine)) = balance.idle.first()
-    {
-        return Some((pool.clone(), machine.clone()));
-    }
-    let able = balances.iter().filter(|(pool, balance)| {
-        let ripe = balance
-            .idle
-            .first()
-            .is_some_and(|(since, _)| now >= *since + IDLE_LEND);
-        *pool != short && ripe && balance.have > balance.want
-    });
-    let (pool, balance) = able.max_by_key(|(_, balance)| balance.have - balance.want)?;
-    let (_, machine) = balance.idle.first()?;
-    Some((pool.clone(), machine.clone()))
-}
-
 /// Rounds a number of machines up.
 #[expect(
     clippy::cast_possible_truncation,
--- a/crates/nutmegcart_jobs/src/live.rs
+++ b/crates/nutmegcart_jobs/src/live.rs
@@ -299,15 +299,20 @@
     /// Returns the predicted work of tasks that have not finished, in core-seconds.
     #[must_use]
     pub fn work_left(&self) -> f64 {
-        let mut left = 0.0;
-        for occurrence in self.occurrences.values() {
+        self.work_by_label().map(|(_, work)| work).sum()
+    }
+
+    /// Returns that work by the label that a worker needs for it; labels may recur.
+    pub fn work_by_label(&self) -> impl Iterator<Item = (Option<&Arc<str>>, f64)> {
+        self.occurrences.values().flat_map(|occurrence| {
             let steps = self.accepted.job.steps.iter().zip(&self.durations);
-            for ((step, duration), state) in steps.zip(&occurrence.steps) {
+            let states = steps.zip(&occurrence.steps);
+            states.map(|((step, duration), state)| {
                 let count = state.tasks.len() as f64 - f64::from(state.done);
-                left += count * step.need.cpu as f64 / 1_000.0 * duration.as_secs_f64();
-            }
-        }
-        left
+                let work = count * step.need.cpu as f64 / 1_000.0 * duration.as_secs_f64();
+                (step.label.as_ref(), work)
+            })
+        })
     }
 
     /// Returns what callers are shown; an end counts only once it is stored.
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -56,6 +56,8 @@
     pub worker: Option<WorkerId>,
     /// Capacity.
     pub capacity: Size,
+    /// Labels, which stay with it when it moves.
+    pub labels: Vec<Arc<str>>,
 }
 
 /// What an order does to a machine.
--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -1,6 +1,8 @@
 //! One placement pass: waiting tasks onto the room of their pool's workers.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fleet::Size;
@@ -54,6 +56,7 @@
         for (pool, mut candidates) in waiting {
             candidates.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.cmp(&b.1)));
             let mut field = self.field(&pool, now);
+            self.mark_scarce(&mut field, &candidates);
             for (_, job, occurrence) in candidates {
                 self.place_job(&mut field, &job, occurrence, now);
             }
@@ -90,6 +93,22 @@
         field
     }
 
+    /// Marks the workers whose labels the waiting tasks require.
+    fn mark_scarce(&self, field: &mut Field, candidates: &[(Standing, JobId, u32)]) {
+        let mut labels: HashSet<Arc<str>> = HashSet::new();
+        for (_, id, _) in candidates {
+            let job = self.jobs.get(id);
+            let steps = job.iter().flat_map(|job| &job.accepted.job.steps);
+            labels.extend(steps.filter_map(|step| step.label.clone()));
+        }
+        if labels.is_empty() {
+            return;
+        }
+        for slot in &mut field.slots {
+            slot.scarce = slot.labels.iter().any(|label| labels.contains(label));
+        }
+    }
+
     fn place_job(&mut self, field: &mut Field, id: &JobId, number: u32, now: Duration) {
         let Some(job) = self.jobs.get(id) else {
             return;
--- a/crates/nutmegcart_jobs/src/slot.rs
+++ b/crates/nutmegcart_jobs/src/slot.rs
@@ -14,6 +14,10 @@
 /// Tasks that a worker with unexplained failures may run until one of them finishes.
 const PROBES: usize = 1;
 
+/// Disadvantage of a worker whose label waiting tasks require, for tasks that run anywhere; it is
+/// that of half a worker left unused.
+const SCARCE: f64 = 1.0;
+
 /// A worker that can take tasks in this pass.
 #[derive(Clone, Debug)]
 pub(crate) struct Slot {
@@ -27,6 +31,8 @@
     pub(crate) fillers: usize,
     pub(crate) running: usize,
     pub(crate) suspect: bool,
+    /// Whether waiting tasks require one of its labels.
+    pub(crate) scarce: bool,
     pub(crate) closed: bool,
 }
 
@@ -45,6 +51,7 @@
             fillers: count(&|run| run.filler),
             running: worker.runs.len(),
             suspect: !worker.streak.is_empty(),
+            scarce: false,
             closed: false,
         }
     }
@@ -79,6 +86,9 @@
         if self.suspect {
             score -= 20.0;
         }
+        if step.label.is_none() && self.scarce {
+            score -= SCARCE;
+        }
         score
     }
 
