--- a/crates/nutmegcart/src/job.rs
+++ b/crates/nutmegcart/src/job.rs
@@ -5,7 +5,6 @@
 
 use serde_json::Value;
 
-use crate::client::CallError;
 use crate::client::Client;
 use crate::flags::Job;
 use crate::operator;
@@ -33,31 +32,33 @@
     }
 }
 
+/// A call to an entry instance: method, path and body.
+type Call = (&'static str, String, Option<Value>);
+
+/// Returns the call that an action asks for.
+fn call(flags: &Job) -> Result<Call, String> {
+    let path = format!("/v1/jobs/{}", flags.subject);
+    match flags.action.as_str() {
+        "submit" => Ok(("PUT", path, Some(read(flags.file.as_deref())?))),
+        "show" => Ok(("GET", path, None)),
+        "cancel" => Ok(("DELETE", path, None)),
+        "waiting" => Ok((
+            "GET",
+            format!("/v1/waiting?{}", query(&flags.subject)?),
+            None,
+        )),
+        other => Err(format!(
+            "unknown action {other:?}: submit, show, cancel or waiting"
+        )),
+    }
+}
+
 /// Hands a job in, shows or cancels it, or counts waiting ones.
 pub fn run(flags: &Job) -> ExitCode {
-    let path = format!("/v1/jobs/{}", flags.subject);
-    let submission = match flags.action.as_str() {
-        "submit" => match read(flags.file.as_deref()) {
-            Ok(submission) => submission,
-            Err(reason) => return operator::usage(&reason),
-        },
-        _ => Value::Null,
-    };
-    let call: Box<dyn FnOnce(&Client) -> Result<Value, CallError>> = match flags.action.as_str() {
-        "submit" => Box::new(move |client| client.send("PUT", &path, Some(&submission))),
-        "show" => Box::new(move |client| client.send("GET", &path, None)),
-        "cancel" => Box::new(move |client| client.send("DELETE", &path, None)),
-        "waiting" => match query(&flags.subject) {
-            Ok(query) => {
-                Box::new(move |client| client.send("GET", &format!("/v1/waiting?{query}"), None))
-            }
-            Err(reason) => return operator::usage(&reason),
-        },
-        other => {
-            return operator::usage(&format!(
-                "unknown action {other:?}: submit, show, cancel or waiting"
-            ));
-        }
+    let (method, path, body) = match call(flags) {
+        Ok(call) => call,
+        Err(reason) => return operator::usage(&reason),
     };
-    operator::run(flags.entry, flags.json, call, show)
+    let send = |client: &Client| client.send(method, &path, body.as_ref());
+    operator::run(flags.entry, flags.json, send, show)
 }
--- a/crates/nutmegcart_control/src/caller.rs
+++ b/crates/nutmegcart_control/src/caller.rs
@@ -187,7 +187,9 @@
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
         let acceptance = self.settle(node, cells, &id, &accepted, deadline).await;
-        let took = now().saturating_sub(start).as_millis();
+        let took = now().saturating_sub(start);
+        node.metrics.acceptance.observe(took.as_secs_f64());
+        let took = took.as_millis();
         match acceptance {
             Acceptance::Stored => {
                 log_event!(
--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -215,6 +215,7 @@
         fence = fence,
         lease = lease
     );
+    node.metrics.ownership.with_label_values(&["taken"]).inc();
     let scheduler = Scheduler::new(node.times.get().jobs, fence, now());
     let owned = Rc::new(Owned {
         cell: view.clone(),
@@ -237,6 +238,7 @@
     duty::start(node, &owned);
     owned.ended.notified().await;
     *view.owned.borrow_mut() = None;
+    node.metrics.ownership.with_label_values(&["ended"]).inc();
     view.changed.notify_one();
 }
 
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -273,16 +273,12 @@
             }
             Err(LookError::OtherLife) => {
                 node.metrics.looks.with_label_values(&["other_life"]).inc();
-                let mut scheduler = owned.scheduler.borrow_mut();
-                scheduler.look_failed(&id, "another life answers", now());
-                drop(scheduler);
+                look_failed(&owned, &id, "another life answers");
                 tokio::time::sleep(LOOK_RETRY).await;
             }
             Err(LookError::Failed(reason)) => {
                 node.metrics.looks.with_label_values(&["failed"]).inc();
-                let mut scheduler = owned.scheduler.borrow_mut();
-                scheduler.look_failed(&id, &reason, now());
-                drop(scheduler);
+                look_failed(&owned, &id, &reason);
                 owned.wake.notify_one();
                 tokio::time::sleep(LOOK_RETRY).await;
             }
@@ -292,6 +288,11 @@
     owned.state.links.borrow_mut().remove(&id);
 }
 
+fn look_failed(owned: &Owned, id: &WorkerId, reason: &str) {
+    let mut scheduler = owned.scheduler.borrow_mut();
+    scheduler.look_failed(id, reason, now());
+}
+
 /// Looks at a worker once, without waiting for an end.
 async fn quick_look(node: Rc<Node>, owned: Rc<Owned>, id: WorkerId) {
     let sent = now();
@@ -367,9 +368,18 @@
         }
         let mut scheduler = owned.scheduler.borrow_mut();
         scheduler.tick(unix_ms(), now());
+        for wait in scheduler.take_waits() {
+            node.metrics.waits.observe(wait.as_secs_f64());
+        }
+        let waiting = i64::try_from(scheduler.all_waiting()).unwrap_or(i64::MAX);
+        let cell = owned.cell.number.to_string();
+        node.metrics
+            .waiting
+            .with_label_values(&[&cell])
+            .set(waiting);
         node.metrics
             .jobs
-            .with_label_values(&[&owned.cell.number.to_string()])
+            .with_label_values(&[&cell])
             .set(i64::try_from(scheduler.jobs().count()).unwrap_or(i64::MAX));
         owned.wake.notify_one();
         owned.store.notify_one();
@@ -417,7 +427,7 @@
                 let outcome = (node.platform.fleet.command)(command).await;
                 node.metrics
                     .machines
-                    .with_label_values(&[outcome.label()])
+                    .with_label_values(&[order.label(), outcome.label()])
                     .inc();
                 owned
                     .scheduler
@@ -441,6 +451,7 @@
     let Ok(_permit) = link.acquire().await else {
         return;
     };
+    let sent = now();
     let target = target(&owned, &id);
     // An order that has waited may have lost its reason, or its sender its authority.
     let wanted = owned.scheduler.borrow().wants(&id, &order);
@@ -454,6 +465,10 @@
         .orders
         .with_label_values(&[order.label(), outcome.label()])
         .inc();
+    if outcome != Outcome::Withdrawn {
+        let took = now().saturating_sub(sent);
+        node.metrics.order_time.observe(took.as_secs_f64());
+    }
     if let Outcome::Refused {
         why: Refusal::Fenced,
         ..
@@ -514,6 +529,8 @@
     for each in owned {
         each.give_up("shutdown");
         release(node, &each).await;
+        let released = node.metrics.ownership.with_label_values(&["released"]);
+        released.inc();
         log_event!(
             Event::CellReleased,
             cell = each.cell.number,
--- a/crates/nutmegcart_control/src/interface.rs
+++ b/crates/nutmegcart_control/src/interface.rs
@@ -105,7 +105,7 @@
         Ok(request) => desk.handle(node, request, limit).await,
         Err(code) => Answer::refused(code),
     };
-    write(&head.headers, answer)
+    write(&head.headers, &answer)
 }
 
 fn deadline(headers: &HeaderMap) -> Duration {
@@ -222,14 +222,14 @@
     }
 }
 
-fn write(headers: &HeaderMap, answer: Answer) -> Response<Full<Bytes>> {
+fn write(headers: &HeaderMap, answer: &Answer) -> Response<Full<Bytes>> {
     let state = |state| Told {
         state: Some(word(state)),
         ..Told::default()
     };
     match answer {
         Answer::Accepted => reply(headers, 200, &state(JobState::Pending), None),
-        Answer::State(shown) => reply(headers, 200, &state(shown), None),
+        Answer::State(shown) => reply(headers, 200, &state(*shown), None),
         Answer::Cancelled => reply(
             headers,
             200,
@@ -238,13 +238,13 @@
         ),
         Answer::Waiting(count) => {
             let told = Told {
-                waiting: Some(count),
+                waiting: Some(*count),
                 ..Told::default()
             };
             reply(headers, 200, &told, None)
         }
         Answer::Gone => refuse(headers, Code::UnknownJob, None),
-        Answer::Refused { code, retry } => refuse(headers, code, retry),
+        Answer::Refused { code, retry } => refuse(headers, *code, *retry),
     }
 }
 
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::Collector;
 
 /// Upper bounds of the latency buckets in seconds, from an answer out of memory to a deadline.
 const LATENCY_BUCKETS: [f64; 9] = [0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0];
@@ -29,12 +30,24 @@
     pub orders: IntCounterVec,
     /// Looks at workers by outcome.
     pub looks: IntCounterVec,
-    /// Orders for machines by outcome.
+    /// Orders for machines by kind and outcome.
     pub machines: IntCounterVec,
+    /// Changes of the ownership of cells by kind.
+    pub ownership: IntCounterVec,
     /// Time in seconds until a caller's request was answered.
     pub latency: Histogram,
+    /// Time in seconds until a job was stored or refused.
+    pub acceptance: Histogram,
+    /// Time in seconds from a job's acceptance to its first start.
+    pub waits: Histogram,
+    /// Time in seconds until an order to a worker was answered or given up.
+    pub order_time: Histogram,
+    /// Time in seconds until a transaction of an owner was answered or given up.
+    pub store_time: Histogram,
     /// Jobs that have not ended, by cell, on its owner.
     pub jobs: IntGaugeVec,
+    /// Jobs that have started no task, by cell, on its owner.
+    pub waiting: IntGaugeVec,
     /// Version of the configuration in force.
     pub version: IntGauge,
 }
@@ -45,24 +58,27 @@
         let counter = |name: &str, help: &str, labels: &[&str]| {
             let counter = IntCounterVec::new(Opts::new(name, help), labels);
             let counter = counter.expect("metric name is valid");
-            let added = registry.register(Box::new(counter.clone()));
-            added.expect("metric name is unique");
+            register(&registry, &counter);
             counter
         };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric name is valid");
-            let added = registry.register(Box::new(gauge.clone()));
-            added.expect("metric name is unique");
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+            let histogram = Histogram::with_opts(options).expect("histogram is valid");
+            register(&registry, &histogram);
+            histogram
+        };
+        let by_cell = |name: &str, help: &str| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), &["cell"]);
+            let gauge = gauge.expect("metric name is valid");
+            register(&registry, &gauge);
             gauge
         };
-        let options = HistogramOpts::new(
-            "nutmegcart_request_seconds",
-            "Time until a caller's request was answered.",
+        let version = IntGauge::new(
+            "nutmegcart_config_version",
+            "Version of the configuration in force.",
         );
-        let latency = Histogram::with_opts(options.buckets(LATENCY_BUCKETS.to_vec()));
-        let latency = latency.expect("histogram is valid");
-        let added = registry.register(Box::new(latency.clone()));
-        added.expect("metric name is unique");
+        let version = version.expect("metric name is valid");
+        register(&registry, &version);
         Self {
             requests: counter(
                 "nutmegcart_job_requests_total",
@@ -93,25 +109,50 @@
             machines: counter(
                 "nutmegcart_machine_orders_total",
                 "Orders for machines.",
-                &["outcome"],
+                &["kind", "outcome"],
+            ),
+            ownership: counter(
+                "nutmegcart_ownership_changes_total",
+                "Changes of the ownership of cells.",
+                &["change"],
+            ),
+            latency: histogram(
+                "nutmegcart_request_seconds",
+                "Time until a caller's request was answered.",
+            ),
+            acceptance: histogram(
+                "nutmegcart_acceptance_seconds",
+                "Time until a job was stored or refused.",
             ),
-            jobs: {
-                let options = Opts::new("nutmegcart_jobs", "Jobs of a cell that have not ended.");
-                let gauge = IntGaugeVec::new(options, &["cell"]).expect("metric name is valid");
-                let added = registry.register(Box::new(gauge.clone()));
-                added.expect("metric name is unique");
-                gauge
-            },
-            version: gauge(
-                "nutmegcart_config_version",
-                "Version of the configuration in force.",
+            waits: histogram(
+                "nutmegcart_first_start_seconds",
+                "Time from a job's acceptance to its first start.",
             ),
-            latency,
+            order_time: histogram(
+                "nutmegcart_order_seconds",
+                "Time until an order to a worker was answered or given up.",
+            ),
+            store_time: histogram(
+                "nutmegcart_store_transaction_seconds",
+                "Time until a transaction of an owner was answered or given up.",
+            ),
+            jobs: by_cell("nutmegcart_jobs", "Jobs of a cell that have not ended."),
+            waiting: by_cell(
+                "nutmegcart_jobs_waiting",
+                "Jobs of a cell that have started no task.",
+            ),
+            version,
             registry,
         }
     }
 }
 
+/// Adds a metric to the registry; its clone in the struct shares its values.
+fn register<T: Collector + Clone + 'static>(registry: &Registry, metric: &T) {
+    let added = registry.register(Box::new(metric.clone()));
+    added.expect("metric name is unique");
+}
+
 impl Metrics {
     /// Returns all metrics as text.
     #[must_use]
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -40,7 +40,10 @@
             let Some(flush) = owned.scheduler.borrow_mut().next_flush(now()) else {
                 break;
             };
+            let sent = now();
             let outcome = flush_once(&node, &owned, &flush).await;
+            let took = now().saturating_sub(sent);
+            node.metrics.store_time.observe(took.as_secs_f64());
             let failed = outcome == Flushed::NotStored;
             owned.scheduler.borrow_mut().flushed(&outcome, now());
             owned.wake.notify_one();
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -18,7 +18,9 @@
     metrics.store.with_label_values(&["get", "answered"]).inc();
     metrics.orders.with_label_values(&["start", "done"]).inc();
     metrics.looks.with_label_values(&["answered"]).inc();
-    metrics.machines.with_label_values(&["done"]).inc();
+    metrics.machines.with_label_values(&["move", "done"]).inc();
+    metrics.ownership.with_label_values(&["taken"]).inc();
+    metrics.waiting.with_label_values(&["0"]).set(1);
     metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -37,6 +37,10 @@
 }
 
 /// A worker.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fault of its own that a test switches on"
+)]
 #[derive(Clone, Debug)]
 pub struct FakeWorker {
     /// Entry in service discovery.
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -69,6 +69,17 @@
     Maintain(u64),
 }
 
+impl MachineOrder {
+    /// Returns the name of the kind of order, for metrics.
+    #[must_use]
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Move(_) => "move",
+            Self::Maintain(_) => "maintain",
+        }
+    }
+}
+
 /// What became of an order for a machine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MachineOutcome {
--- a/crates/nutmegcart_jobs/src/pass.rs
+++ b/crates/nutmegcart_jobs/src/pass.rs
@@ -377,7 +377,9 @@
             return;
         };
         let spec = job.accepted.job.spec.clone();
-        job.started = true;
+        if !std::mem::replace(&mut job.started, true) {
+            self.waits.push(now.saturating_sub(job.since));
+        }
         let Some(task) = job.task(key) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -66,6 +66,8 @@
     pub(crate) machines: Machines,
     pub(crate) upkeep: Upkeep,
     pub(crate) actions: Vec<Action>,
+    /// Times from acceptance to first start that nobody has taken yet.
+    pub(crate) waits: Vec<Duration>,
 }
 
 impl Scheduler {
@@ -89,6 +91,7 @@
             machines: Machines::default(),
             upkeep: Upkeep::default(),
             actions: Vec::new(),
+            waits: Vec::new(),
         }
     }
 
@@ -118,6 +121,18 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the times that jobs waited for their first start.
+    pub fn take_waits(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.waits)
+    }
+
+    /// Returns how many accepted jobs have started no task.
+    #[must_use]
+    pub fn all_waiting(&self) -> usize {
+        let waits = |job: &&LiveJob| job.ended.is_none() && !job.started;
+        self.jobs.values().filter(waits).count()
+    }
+
     /// Puts a configuration in force.
     pub fn configure(&mut self, queues: &[Queue], pools: &[(PoolName, PoolConfig)]) {
         self.queues = queues
--- a/crates/nutmegcart_jobs/src/turns.rs
+++ b/crates/nutmegcart_jobs/src/turns.rs
@@ -134,7 +134,7 @@
         onsets.sort();
         let gaps: Vec<f64> = onsets
             .windows(2)
-            .map(|pair| (pair[1].0 - pair[0].0).as_secs_f64())
+            .map(|pair| pair[1].0.saturating_sub(pair[0].0).as_secs_f64())
             .collect();
         let mean = gaps.iter().sum::<f64>() / gaps.len() as f64;
         let regular = gaps
