--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -389,7 +389,7 @@
 fn carry_out(node: &Rc<Node>, owned: &Rc<Owned>, action: Action) {
     let (node, owned) = (node.clone(), owned.clone());
     match action {
-        Action::Order { worker, order, .. } => {
+        Action::Order { worker, order } => {
             tokio::task::spawn_local(send_order(node, owned, worker, order));
         }
         Action::Look { worker } => {
--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -156,7 +156,7 @@
 
     fn carry_out(&mut self, index: usize, action: Action) {
         match action {
-            Action::Order { worker, order, .. } => {
+            Action::Order { worker, order } => {
                 let late = self.late > 0.0 && self.random.random_bool(self.late);
                 let life = self
                     .workers
--- a/crates/nutmegcart_jobs/src/action.rs
+++ b/crates/nutmegcart_jobs/src/action.rs
@@ -95,8 +95,6 @@
     Order {
         /// Worker.
         worker: WorkerId,
-        /// Address.
-        address: Arc<str>,
         /// Order.
         order: Order,
     },
--- a/crates/nutmegcart_jobs/src/durable.rs
+++ b/crates/nutmegcart_jobs/src/durable.rs
@@ -4,7 +4,6 @@
 //! successor would learn it from the store: through the final state of its job, or through the
 //! progress record of the cell. Until then the workers themselves remember it.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -350,15 +349,6 @@
             worker.ends.pop_front();
         }
     }
-
-    /// Returns the oldest end that is not acknowledged by worker, for tests and metrics.
-    #[must_use]
-    pub fn unacknowledged(&self) -> BTreeMap<WorkerId, usize> {
-        let workers = self.workers.iter();
-        workers
-            .map(|(id, worker)| (id.clone(), worker.ends.len()))
-            .collect()
-    }
 }
 
 /// Lists what a successor cannot learn from the workers once their ends are acknowledged.
--- a/crates/nutmegcart_jobs/src/live.rs
+++ b/crates/nutmegcart_jobs/src/live.rs
@@ -48,8 +48,6 @@
     pub open: bool,
     /// Finished tasks.
     pub done: u32,
-    /// Gang: number of the run that the members start or started together.
-    pub gang: u32,
 }
 
 impl StepState {
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -297,10 +297,9 @@
 
     /// Emits an order to a worker.
     pub(crate) fn order(&mut self, id: &WorkerId, order: Order) {
-        if let Some(worker) = self.workers.get(id) {
+        if self.workers.contains_key(id) {
             self.actions.push(Action::Order {
                 worker: id.clone(),
-                address: worker.listing.address.clone(),
                 order,
             });
         }
