--- a/crates/nutmegcart/tests/walkthroughs.rs
+++ b/crates/nutmegcart/tests/walkthroughs.rs
@@ -42,7 +42,7 @@
         fs::create_dir_all(&folder).expect("a folder");
         let file = folder.join("settings.json");
         fs::write(&file, settings.to_string()).expect("the settings are written");
-        let log = File::create(folder.join("log")).expect("a log");
+        let log = File::create(folder.join(format!("{name}.log"))).expect("a log");
         let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
             .arg("manage")
             .env("NUTMEGCART_SETTINGS", &file)
@@ -66,7 +66,9 @@
     }
 
     fn log(&self) -> String {
-        self.folder.join("log").to_string_lossy().into_owned()
+        let name = self.settings["node"].as_str().expect("a name");
+        let path = self.folder.join(format!("{name}.log"));
+        path.to_string_lossy().into_owned()
     }
 
     fn call(&self, listen: &str, method: &str, path: &str, body: Option<&Value>) -> (u16, Value) {
