Let a small instance without a cell go before a large one with one

Cause: the doc test of candidacy failed since the handicap of small instances was raised to 200 ms: a large instance with a cell waited 150 ms, a small one without any 152 ms. The tests of this crate's docs were not run after that change.

Change: an owner waits 250 ms for each cell that it has.

--- a/crates/nutmegcart_control/src/candidacy.rs
+++ b/crates/nutmegcart_control/src/candidacy.rs
@@ -9,8 +9,8 @@
 const SPREAD: Duration = Duration::from_millis(20);
 /// Delay of an instance without processor time, against the largest one.
 const HANDICAP: Duration = Duration::from_millis(200);
-/// Delay for each cell that an instance owns already.
-const BUSY: Duration = Duration::from_millis(150);
+/// Delay for each cell that an instance owns already; a small instance without one goes first.
+const BUSY: Duration = Duration::from_millis(250);
 
 /// Steps into which the spread is divided.
 const STEPS: u64 = 1_000;
