--- a/crates/nutmegcart_control/src/candidacy.rs
+++ b/crates/nutmegcart_control/src/candidacy.rs
@@ -4,8 +4,8 @@
 
 use nutmegcart_model::rendezvous::weight;
 
-/// Delay by which each instance spreads its attempts, times the square root of their number. Some
-/// ten then try within the 10 ms in which the others learn that the cell is taken.
+/// Delay by which each instance spreads its attempts, times the square root of their number. Of 40
+/// instances three try within the 10 ms in which the others learn that the cell is taken.
 const SPREAD: Duration = Duration::from_millis(20);
 /// Delay of an instance without processor time, against the largest one.
 const HANDICAP: Duration = Duration::from_millis(200);
