--- a/crates/nutmegcart_control/src/cell.rs
+++ b/crates/nutmegcart_control/src/cell.rs
@@ -48,9 +48,8 @@
     tokio::task::spawn_local(shared::follow(node.clone()));
     tokio::task::spawn_local(shared::announce(node.clone()));
     shared::establish(&node).await;
-    let cells = node.cells();
-    for view in cells.iter().flat_map(|cells| &cells.views) {
-        tokio::task::spawn_local(contend(node.clone(), view.clone()));
+    for view in node.views() {
+        tokio::task::spawn_local(contend(node.clone(), view));
     }
 }
 
@@ -72,7 +71,7 @@
         }
         let before = candidate(&node);
         tokio::time::sleep(delay(&before, view.number)).await;
-        if node.owned_cells() > before.owned {
+        if node.owned_cells().len() > before.owned {
             // Another cell was taken meanwhile; instances without one go first now.
             continue;
         }
@@ -99,7 +98,7 @@
         life: node.life,
         cores,
         largest: largest.fold(cores, f64::max),
-        owned: node.owned_cells(),
+        owned: node.owned_cells().len(),
         instances: members.len(),
     }
 }
--- a/crates/nutmegcart_control/src/duty.rs
+++ b/crates/nutmegcart_control/src/duty.rs
@@ -513,11 +513,7 @@
 
 /// Hands all cells over: no more orders, the last state stored, and the keys removed.
 pub async fn hand_over(node: &Rc<Node>) {
-    let cells = node.cells();
-    let views = cells.iter().flat_map(|cells| &cells.views);
-    let owned: Vec<Rc<Owned>> = views
-        .filter_map(|view| view.owned.borrow().clone())
-        .collect();
+    let owned = node.owned_cells();
     if owned.is_empty() {
         return;
     }
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -307,6 +307,21 @@
         self.cells.borrow().clone()
     }
 
+    /// Returns the views of all cells, none while the layout is not known.
+    #[must_use]
+    pub fn views(&self) -> Vec<Rc<CellView>> {
+        self.cells()
+            .map_or_else(Vec::new, |cells| cells.views.clone())
+    }
+
+    /// Returns the cells that this instance owns.
+    #[must_use]
+    pub fn owned_cells(&self) -> Vec<Rc<Owned>> {
+        let views = self.views();
+        let owned = views.iter().filter_map(|view| view.owned.borrow().clone());
+        owned.collect()
+    }
+
     /// Takes in the layout of the cells; later ones change nothing.
     pub fn see_layout(&self, layout: Layout) {
         if self.cells.borrow().is_none() {
@@ -341,14 +356,6 @@
         helpers
     }
 
-    /// Returns how many cells this instance owns.
-    #[must_use]
-    pub fn owned_cells(&self) -> usize {
-        let cells = self.cells();
-        let views = cells.iter().flat_map(|cells| &cells.views);
-        views.filter(|view| view.owned.borrow().is_some()).count()
-    }
-
     /// Returns whether the balancer should send callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -377,11 +384,8 @@
     /// Replaces the times, also those of the cells that this instance owns.
     pub fn set_times(&self, times: Times) {
         self.times.set(times);
-        let cells = self.cells();
-        for view in cells.iter().flat_map(|cells| &cells.views) {
-            if let Some(owned) = view.owned.borrow().as_ref() {
-                owned.scheduler.borrow_mut().set_settings(times.jobs);
-            }
+        for owned in self.owned_cells() {
+            owned.scheduler.borrow_mut().set_settings(times.jobs);
         }
     }
 
@@ -409,13 +413,10 @@
         );
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
-        let cells = self.cells();
-        for view in cells.iter().flat_map(|cells| &cells.views) {
-            if let Some(owned) = view.owned.borrow().as_ref() {
-                let mut scheduler = owned.scheduler.borrow_mut();
-                scheduler.configure(&configuration.queues, &configuration.pools);
-                owned.wake.notify_one();
-            }
+        for owned in self.owned_cells() {
+            let mut scheduler = owned.scheduler.borrow_mut();
+            scheduler.configure(&configuration.queues, &configuration.pools);
+            owned.wake.notify_one();
         }
         *self.configuration.borrow_mut() = Some(configuration);
     }
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -66,8 +66,7 @@
                         .version
                         .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
                     node.configure(*configuration);
-                    let cells = node.cells();
-                    for view in cells.iter().flat_map(|cells| &cells.views) {
+                    for view in node.views() {
                         view.changed.notify_one();
                     }
                 }
--- a/crates/nutmegcart_control/src/shared.rs
+++ b/crates/nutmegcart_control/src/shared.rs
@@ -46,8 +46,7 @@
                 Seen::Complete => node.owners_known.set(true),
             }
         }
-        let cells = node.cells();
-        for view in cells.iter().flat_map(|cells| &cells.views) {
+        for view in node.views() {
             view.changed.notify_one();
         }
     }
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod layout;
 mod lending;
 pub mod live;
+mod lives;
 pub mod machines;
 pub mod order;
 pub mod orders;
--- a/crates/nutmegcart_jobs/tests/orders.rs
+++ b/crates/nutmegcart_jobs/tests/orders.rs
@@ -7,6 +7,7 @@
 use support::assert_all_completed;
 use support::assert_sound;
 use support::completed;
+use support::host;
 use support::job_id;
 use support::lasting_runs;
 use support::seconds;
@@ -197,12 +198,7 @@
     world.run(seconds(1.0));
     submit(&mut world, 1, vec![standing(4)]);
     world.run(seconds(2.0));
-    let host = world
-        .workers
-        .iter()
-        .find(|(_, worker)| !worker.runs.is_empty())
-        .map(|(id, _)| id.clone());
-    let host = host.expect("a worker runs a task");
+    let host = host(&world);
     world.crash(&host);
     let gone = host.clone();
     world.after(seconds(4.5), move |world| world.unlist(&gone));
@@ -233,12 +229,7 @@
     world.run(seconds(1.0));
     submit(&mut world, 1, vec![standing(3)]);
     world.run(seconds(1.5));
-    let host = world
-        .workers
-        .iter()
-        .find(|(_, worker)| !worker.runs.is_empty())
-        .map(|(id, _)| id.clone());
-    let host = host.expect("a worker runs a task");
+    let host = host(&world);
     if let Some(leaving) = world.workers.get_mut(&host) {
         leaving.listing.draining = true;
         leaving.listing.remaining = seconds(2.0);
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -173,6 +173,13 @@
     );
 }
 
+/// Returns the first worker that runs a task.
+pub fn host(world: &World) -> WorkerId {
+    let hosts = world.workers.iter();
+    let mut busy = hosts.filter(|(_, worker)| !worker.runs.is_empty());
+    busy.next().expect("a worker runs a task").0.clone()
+}
+
 pub fn lasting_runs(world: &World) -> usize {
     let runs = world
         .workers
