Let a successor fail the jobs whose tasks failed too often before it

The owner had stored both failures of a task and handed the cell over before it stored the end of the job; its successor read the failures, did not count them, and started the task a third time.

Change: inheriting ends the jobs whose stored failures reach the attempts of their queue.

The test waits until the held one is counted; its assertion is the same, and it hangs if that never happens.

--- a/crates/nutmegcart_entry/tests/forward.rs
+++ b/crates/nutmegcart_entry/tests/forward.rs
@@ -218,6 +218,8 @@
 fn request_beyond_the_connection_limit_is_refused_with_a_code() {
     let stage = Stage::start(1, &[("connections", "1")]);
     let _held = stage.open();
+    // Under load the server may take up the second request before the one that is held.
+    until(|| stage.entry.lifecycle.active.load(Ordering::Acquire) == 1);
     assert_eq!(stage.node.call("gates", "t", &[]), "503 NC1111 not_run");
 }
 
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -187,12 +187,30 @@
         self.upkeep.inherit(&record.maintained);
         self.machines.held = record.commanded.iter().cloned().collect();
         self.machines.named.clone_from(&record.commanded);
+        self.fail_inherited(record);
         let ids: Vec<JobId> = self.jobs.keys().cloned().collect();
         for id in ids {
             self.settle_job(&id);
         }
     }
 
+    /// Ends the jobs whose tasks failed too often under an earlier owner, which may have stored the
+    /// failures and not the end.
+    fn fail_inherited(&mut self, record: &CellRecord) {
+        let hopeless = record.tasks.iter().filter(|progress| {
+            let job = self.jobs.get(&progress.task.job);
+            job.is_some_and(|job| {
+                let attempts = job.accepted.queue.attempts.max(1) as usize;
+                let lasting = job.step(&progress.task).is_some_and(|step| step.lasting);
+                !lasting && !progress.done && progress.failed.len() >= attempts
+            })
+        });
+        let ids: Vec<JobId> = hopeless.map(|each| each.task.job.clone()).collect();
+        for id in ids {
+            self.fail_job(&id, self.taken);
+        }
+    }
+
     /// Adds an accepted job; `inherited` if an earlier owner may have started it.
     pub fn add_job(
         &mut self,
--- a/crates/nutmegcart_jobs/tests/ownership.rs
+++ b/crates/nutmegcart_jobs/tests/ownership.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
+use nutmegcart_jobs::CellRecord;
+use nutmegcart_jobs::Final;
+use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::WaveState;
+use nutmegcart_jobs::record::TaskProgress;
+use nutmegcart_jobs::record::encode;
 use support::assert_all_completed;
 use support::assert_sound;
 use support::completed;
@@ -16,6 +21,7 @@
 use support::submit;
 use support::submit_to;
 use support::tally;
+use support::task;
 use support::worker;
 use support::world;
 
@@ -373,3 +379,27 @@
     assert_sound(&world);
     assert_all_completed(&world, &[next]);
 }
+
+/// Guards against a successor that starts a task again which failed as often as its queue allows:
+/// its predecessor stored the failures, and went before it stored the end of the job.
+#[test]
+fn a_successor_starts_no_task_that_failed_too_often() {
+    let mut world = world(11, 3);
+    world.pools.truncate(1);
+    let id = submit(&mut world, 1, vec![tally(1, 4_000, 300)]);
+    let record = CellRecord {
+        tasks: vec![TaskProgress {
+            task: task(&id, 0, 0),
+            done: false,
+            failed: vec![17, 18],
+            run: 18,
+            saved: None,
+        }],
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode(&record));
+    world.take_over();
+    world.run(seconds(15.0));
+    assert_eq!(world.oracle.starts, 0);
+    assert_eq!(world.stored(&id), Some(JobState::Ended(Final::Failed)));
+}
