--- a/crates/nutmegcart/src/client.rs
+++ b/crates/nutmegcart/src/client.rs
@@ -3,10 +3,12 @@
 use std::env;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::thread::sleep;
 use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
+use nutmegcart_model::Code;
 use nutmegcart_platform::http::agent_with;
 use serde_json::Value;
 use ureq::Agent;
@@ -16,6 +18,10 @@
 
 /// Limit for a whole call, from connecting to the end of the answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Times that a call whose outcome is unknown is repeated with the same operation identifier.
+const MAX_REPEATS: usize = 10;
+/// Pause before a repeated call.
+const REPEAT_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why a call failed.
 #[derive(Clone, Debug, Display, Error, PartialEq)]
@@ -140,4 +146,27 @@
         let answer = self.agent.post(url).send(body.as_bytes());
         self.read(answer.map_err(|error| self.no_answer(&error))?)
     }
+
+    /// Sends a POST request as [`Client::post`], and repeats it while the instance asks for that.
+    ///
+    /// The body must name an operation, under which a repeated call takes effect once.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::post`] does; the outcome may still be unknown after the last repetition.
+    pub fn post_until_known(&self, path: &str, body: &Value) -> Result<Value> {
+        let asks_for_repeat = |result: &Result<Value>| {
+            matches!(result, Err(CallError::Refused { answer })
+                if answer["code"] == format!("NC{}", Code::ApplyUnknown.number()))
+        };
+        let mut result = self.post(path, body);
+        for _ in 0..MAX_REPEATS {
+            if !asks_for_repeat(&result) {
+                break;
+            }
+            sleep(REPEAT_PAUSE);
+            result = self.post(path, body);
+        }
+        result
+    }
 }
--- a/crates/nutmegcart/src/demo/deployment.rs
+++ b/crates/nutmegcart/src/demo/deployment.rs
@@ -32,7 +32,7 @@
 const ENTRY_COUNT: usize = 9;
 const RUNNERS_PER_RACK: usize = 4;
 /// Time that a runner takes for one request.
-const REQUEST_DURATION: Duration = Duration::from_millis(25);
+const REQUEST_DURATION: Duration = Duration::from_millis(100);
 /// Time that an instance takes to reboot.
 const REBOOT_DURATION: Duration = Duration::from_millis(150);
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
@@ -117,7 +117,7 @@
             "centre" => Some(CENTRES[index % CENTRES.len()].to_owned()),
             "platform" => Some(platform.to_string()),
             "peers" => Some(others.join(",")),
-            "round-ms" => Some("50".into()),
+            "round-ms" => Some("100".into()),
             "grace-ms" => Some("300".into()),
             "threads" => Some("4".into()),
             _ => None,
--- a/crates/nutmegcart/src/demo/load.rs
+++ b/crates/nutmegcart/src/demo/load.rs
@@ -4,23 +4,24 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::thread::JoinHandle;
-use std::thread::sleep;
-use std::thread::spawn;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 use std::time::Instant;
 
-use nutmegcart_platform::http::agent_with;
+use nutmegcart_http::HttpClient;
+use nutmegcart_http::LocalExecutor;
+use nutmegcart_http::request;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::Value;
-use ureq::Agent;
+use tokio::time::sleep;
 
 use crate::demo::deployment::Deployment;
 use crate::demo::deployment::SERVICES;
 
-/// Number of callers, each a thread.
+/// Number of callers, each with one request at a time.
 const CALLER_COUNT: u64 = 144;
 /// Duration of a burst; the services have theirs one after the other.
 const BURST_DURATION: Duration = Duration::from_millis(1500);
@@ -28,11 +29,13 @@
 /// random service.
 const BURST_SHARE: f64 = 0.8;
 /// Mean pause of a caller between two requests in milliseconds.
-const MEAN_PAUSE_MS: u64 = 4;
+const MEAN_PAUSE_MS: u64 = 16;
 /// Maximum number of times that a caller sends a request whose outcome is unknown.
 const MAX_ATTEMPTS: u64 = 8;
 /// Pause before a request is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before another entry instance is probed.
+const PROBE_PAUSE: Duration = Duration::from_millis(5);
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Outcome of a request as reported to its caller.
@@ -69,48 +72,55 @@
 /// Running callers.
 pub struct Load {
     stop: Arc<AtomicBool>,
-    callers: Vec<JoinHandle<Vec<RequestRecord>>>,
+    records: Receiver<Vec<RequestRecord>>,
+    /// Thread on which the callers run.
+    _executor: LocalExecutor,
 }
 
 impl Load {
     /// Starts all callers.
-    pub fn start(deployment: &Deployment, seed: u64) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread of the callers cannot be started.
+    pub fn start(deployment: &Deployment, seed: u64) -> std::io::Result<Self> {
         let stop = Arc::new(AtomicBool::new(false));
-        let addresses = deployment.addresses();
+        let (sender, records) = mpsc::channel();
         let start = Instant::now();
-        let caller = |index: u64| {
-            let stop = stop.clone();
-            let addresses = addresses.clone();
+        let executor = LocalExecutor::start("callers", 1)?;
+        for index in 0..CALLER_COUNT {
+            let (stop, sender) = (stop.clone(), sender.clone());
+            let addresses = deployment.addresses();
             let rng = SmallRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(index));
-            spawn(move || call_until_stopped(&stop, &addresses, rng, start, index))
-        };
-        let callers = (0..CALLER_COUNT).map(caller).collect();
-        Self { stop, callers }
+            executor.spawn(move || async move {
+                let records = call_until_stopped(&stop, &addresses, rng, start, index).await;
+                // The receiver is there until every caller has stopped.
+                let _ = sender.send(records);
+            });
+        }
+        Ok(Self {
+            stop,
+            records,
+            _executor: executor,
+        })
     }
 
     /// Stops all callers after their present request and returns the records of all requests.
     pub fn stop(self) -> Vec<RequestRecord> {
         self.stop.store(true, Ordering::Release);
-        let results = self.callers.into_iter().map(JoinHandle::join);
-        results
-            .flat_map(|result| result.expect("a caller does not panic"))
-            .collect()
+        self.records.into_iter().flatten().collect()
     }
 }
 
 /// Sends requests one after the other until `stop` is set.
-fn call_until_stopped(
+async fn call_until_stopped(
     stop: &AtomicBool,
     addresses: &[SocketAddr],
     mut rng: SmallRng,
     start: Instant,
     caller: u64,
 ) -> Vec<RequestRecord> {
-    let config = Agent::config_builder()
-        .timeout_global(Some(CALL_TIMEOUT))
-        .http_status_as_error(false)
-        .build();
-    let agent = agent_with(config);
+    let client = HttpClient::default();
     let mut requests = Vec::new();
     while !stop.load(Ordering::Acquire) {
         let turn = start.elapsed().as_millis() / BURST_DURATION.as_millis();
@@ -125,14 +135,22 @@
         let sent = Instant::now();
         let mut attempts = 0;
         let (outcome, code) = loop {
-            let entry = pick_ready_entry(&agent, addresses, &mut rng);
-            let answer = send_request(&agent, entry, SERVICES[service], &token, idempotent, caller);
+            let entry = pick_ready_entry(&client, addresses, &mut rng).await;
+            let answer = send_request(
+                &client,
+                entry,
+                SERVICES[service],
+                &token,
+                idempotent,
+                caller,
+            )
+            .await;
             attempts += 1;
             // Any entry instance may get the repeat: it has the same idempotency key, or is idempotent.
             if answer.0 != CallerOutcome::Unknown || attempts == MAX_ATTEMPTS {
                 break answer;
             }
-            sleep(RETRY_PAUSE);
+            sleep(RETRY_PAUSE).await;
         };
         requests.push(RequestRecord {
             token,
@@ -144,47 +162,56 @@
         });
         sleep(Duration::from_millis(
             rng.random_range(0..2 * MEAN_PAUSE_MS),
-        ));
+        ))
+        .await;
     }
     requests
 }
 
 /// Picks a random ready entry instance, as the load balancer of the platform does.
-fn pick_ready_entry(agent: &Agent, addresses: &[SocketAddr], rng: &mut SmallRng) -> SocketAddr {
+async fn pick_ready_entry(
+    client: &HttpClient,
+    addresses: &[SocketAddr],
+    rng: &mut SmallRng,
+) -> SocketAddr {
     loop {
         let address = addresses[rng.random_range(0..addresses.len())];
-        let ready = agent.get(format!("http://{address}/readyz")).call();
+        let probe = request("GET", "/readyz", &[("host", "demo")], "".into());
+        let ready = client.call(address, probe, CALL_TIMEOUT).await;
         if ready.is_ok_and(|answer| answer.status().is_success()) {
             return address;
         }
+        sleep(PROBE_PAUSE).await;
     }
 }
 
 /// Sends a request once; returns its outcome and, if it was not answered, its result code.
-fn send_request(
-    agent: &Agent,
+async fn send_request(
+    client: &HttpClient,
     entry: SocketAddr,
     service: &str,
     token: &str,
     idempotent: bool,
     caller: u64,
 ) -> (CallerOutcome, Option<String>) {
-    let url = format!("http://{entry}/v1/services/{service}/tally");
-    let mut request = agent
-        .post(url)
-        .header("nutmegcart-caller", format!("member-{}", caller % 8))
-        .header("nutmegcart-deadline-ms", "5000");
-    if idempotent {
-        request = request.header("nutmegcart-idempotent", "true");
+    let path = format!("/v1/services/{service}/tally");
+    let member = format!("member-{}", caller % 8);
+    let identity = if idempotent {
+        ("nutmegcart-idempotent", "true")
     } else {
-        request = request.header("idempotency-key", token);
-    }
-    let Ok(mut answer) = request.send(token.as_bytes()) else {
-        return (CallerOutcome::ConnectionLost, None);
+        ("idempotency-key", token)
     };
-    let Ok(body) = answer.body_mut().read_to_string() else {
+    let headers = [
+        ("host", "demo"),
+        ("nutmegcart-caller", member.as_str()),
+        ("nutmegcart-deadline-ms", "5000"),
+        identity,
+    ];
+    let sent = request("POST", &path, &headers, token.to_owned().into());
+    let Ok(answer) = client.call(entry, sent, CALL_TIMEOUT).await else {
         return (CallerOutcome::ConnectionLost, None);
     };
+    let body = String::from_utf8_lossy(answer.body());
     if answer.status().is_success() {
         let matches = body == format!("{token} done");
         return (
--- a/crates/nutmegcart/src/demo/mod.rs
+++ b/crates/nutmegcart/src/demo/mod.rs
@@ -86,7 +86,7 @@
     progress(&format!("applying {} records", documents.len()));
     let body = json!({"operation": format!("demo-{seed}"), "documents": documents});
     operator
-        .post("apply", &body)
+        .post_until_known("apply", &body)
         .map_err(|error| error_text(&error))?;
     let first_propagation = wait_for_generation(&deployment, 1)?;
     wait_for("assigning runners to pools", || {
@@ -94,7 +94,7 @@
     })?;
     let observer = Observer::start(&deployment);
     progress("starting callers that send requests in bursts");
-    let load = Load::start(&deployment, seed);
+    let load = Load::start(&deployment, seed).map_err(|error| error.to_string())?;
     sleep(Duration::from_secs(1));
     progress("starting a wave");
     let start = Instant::now();
@@ -126,9 +126,10 @@
 /// Raises the minimum size of the spare pool and waits until the change is in force.
 fn change_pool_during_wave(deployment: &Deployment, operator: &Client) -> Result<Duration> {
     progress("changing a pool during the wave");
-    let body = json!({"documents": [deployment::pool_record("shared-reporting", true, 10, 2)]});
+    let record = deployment::pool_record("shared-reporting", true, 10, 2);
+    let body = json!({"operation": "demo-change", "since": 1, "documents": [record]});
     operator
-        .post("apply", &body)
+        .post_until_known("apply", &body)
         .map_err(|error| error_text(&error))?;
     wait_for_generation(deployment, 2)
 }
--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -38,7 +38,7 @@
             optional --deadline-ms time: String
             /// Time in ms from failing readiness to refusing requests, 0 to 600000 (default 3000).
             optional --grace-ms time: String
-            /// Threads of the worker pool, 1 to 256 (default 8).
+            /// Threads for calls of operators, 1 to 256 (default 8).
             optional --threads number: String
             /// Time in ms between control rounds, 10 to 60000 (default 500).
             optional --round-ms time: String
--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -101,7 +101,7 @@
     call_and_print(
         flags.entry,
         flags.json,
-        |client| client.post("apply", &body),
+        |client| client.post_until_known("apply", &body),
         |answer| {
             println!("accepted as generation {}", answer["generation"]);
         },
--- a/crates/nutmegcart_bench/src/operation.rs
+++ b/crates/nutmegcart_bench/src/operation.rs
@@ -39,6 +39,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use tokio::task::LocalSet;
 
 use crate::comparison::Comparison;
 use crate::cost::retained_heap_bytes;
@@ -181,9 +182,8 @@
     let shared = Arc::new((witness, dispatcher));
     server::start(move |request| {
         let (witness, dispatcher) = &*shared;
-        let body = server::read_body(request);
         let path = request.uri().path().rsplit('/').next().unwrap_or("");
-        match dispatcher.dispatch(witness, path, &body) {
+        match dispatcher.dispatch(witness, path, request.body()) {
             Ok(body) => server::response(200, body),
             Err(_) => server::response(400, ""),
         }
@@ -200,6 +200,11 @@
 fn witness_costs() -> Vec<Comparison> {
     let address = start_witness();
     let client = PeerClient::new(Duration::from_secs(5));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("the runtime starts");
+    let tasks = LocalSet::new();
     let oracle = Oracle::default();
     let agent = ureq::Agent::new_with_defaults();
     let mut comparisons = Vec::new();
@@ -227,7 +232,8 @@
             let start = Instant::now();
             let (intent, attempt) = submit(&mut owner, operation);
             let sender = sender();
-            let reply = client.call(address, &IntentMessage { sender, intent });
+            let message = IntentMessage { sender, intent };
+            let reply = tasks.block_on(&runtime, client.call(address, &message));
             assert_eq!(reply, Ok(IntentReply::Recorded));
             intent_times.push(start.elapsed().as_nanos() as f64);
             owner
@@ -242,8 +248,9 @@
             let report = owner.finish(&attempt, outcome, Duration::ZERO);
             let sender = self::sender();
             let report = report.expect("the operation has a witness");
-            client
-                .call(address, &OutcomeMessage { sender, report })
+            let message = OutcomeMessage { sender, report };
+            tasks
+                .block_on(&runtime, client.call(address, &message))
                 .expect("the witness answers");
         }
         let name = format!("request with the witness's record, service time {service_ms} ms");
--- a/crates/nutmegcart_bench/src/request_path/throughput.rs
+++ b/crates/nutmegcart_bench/src/request_path/throughput.rs
@@ -19,8 +19,8 @@
 use nutmegcart_model::Incarnation;
 use nutmegcart_platform::FleetApi;
 use nutmegcart_platform::etcd;
-use oxhttp::model::Request;
 use ureq::Agent;
+use ureq::http::Request;
 
 use crate::comparison::Comparison;
 
@@ -91,7 +91,7 @@
     let next = Arc::new(AtomicUsize::new(0));
     server::start(move |request| {
         let address = runners[next.fetch_add(1, Ordering::Relaxed) % runners.len()];
-        let body = server::read_body(request);
+        let body = request.body();
         let forwarded = Request::builder()
             .method(request.method().as_str())
             .uri(format!("http://{address}{}", request.uri().path()))
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -13,14 +13,13 @@
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`peer`]: requests between instances;
 //! * [`routing`]: mapping of requests to queues;
-//! * [`http`], [`clock`], [`logger`], [`metrics`]: infrastructure.
+//! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
 pub mod candidate;
 pub mod clock;
 mod earlier_owners;
 mod generated;
-pub mod http;
 pub mod job_api;
 pub mod job_service;
 pub mod keys;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -29,13 +29,13 @@
 use tokio::sync::watch;
 
 use crate::clock::now;
-use crate::http::HttpClient;
 use crate::keys::CellKeys;
 use crate::metrics::Metrics;
 use crate::owner_history::OwnerHistory;
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
+use nutmegcart_http::HttpClient;
 
 /// Time without an answer of the store after which the instance reports not ready, so that the
 /// load balancer prefers instances that reach the store.
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -23,14 +23,13 @@
 
 use crate::acceptor::Acceptance;
 use crate::earlier_owners;
-use crate::http;
-use crate::http::DeliveryError;
 use crate::job_api;
 use crate::job_service;
 use crate::job_service::JobService;
 use crate::node::CellView;
 use crate::node::Node;
 use crate::ownership;
+use nutmegcart_http::DeliveryError;
 
 /// Result of a request to a peer.
 pub type Result<T> = std::result::Result<T, PeerError>;
@@ -195,7 +194,8 @@
     let no_response = |reason: String| PeerError::NoResponse { reason };
     let body = rmp_serde::to_vec(request).map_err(|error| no_response(error.to_string()))?;
     let host = peer.to_string();
-    let http_request = http::request("POST", REQUEST_PATH, &[("host", &host)], Bytes::from(body));
+    let http_request =
+        nutmegcart_http::request("POST", REQUEST_PATH, &[("host", &host)], Bytes::from(body));
     let response = node.client.call(peer, http_request, limit).await;
     let response = response.map_err(|error| match error {
         DeliveryError::NotSent { reason } => PeerError::Unreachable { reason },
@@ -220,7 +220,13 @@
         let (node, service) = (node.clone(), service.clone());
         async move { respond(&node, &service, request).await }
     };
-    http::serve(listener, http::ServerLimits::default(), stop, handler).await;
+    nutmegcart_http::serve(
+        listener,
+        nutmegcart_http::ServerLimits::default(),
+        stop,
+        handler,
+    )
+    .await;
     Ok(())
 }
 
--- a/crates/nutmegcart_control/tests/earlier_owners.rs
+++ b/crates/nutmegcart_control/tests/earlier_owners.rs
@@ -11,7 +11,6 @@
 use hyper::Response;
 use nutmegcart_control::Node;
 use nutmegcart_control::NodeSettings;
-use nutmegcart_control::http;
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::OwnedCell;
@@ -178,8 +177,8 @@
             *response.status_mut() = hyper::StatusCode::BAD_REQUEST;
             response
         };
-        let limits = http::ServerLimits::default();
-        tokio::task::spawn_local(http::serve(listener, limits, stopped, refuse));
+        let limits = nutmegcart_http::ServerLimits::default();
+        tokio::task::spawn_local(nutmegcart_http::serve(listener, limits, stopped, refuse));
         ask(address, &question(0, ENDED, "entry-1", INCARNATION)).await
     });
     assert!(
--- a/crates/nutmegcart_entry/src/admin.rs
+++ b/crates/nutmegcart_entry/src/admin.rs
@@ -2,7 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use nutmegcart_config::ChangeOutcome;
 use nutmegcart_config::ChangeRequest;
 use nutmegcart_config::Generation;
@@ -22,12 +27,11 @@
 use nutmegcart_model::record::DocumentError;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
+use nutmegcart_platform::store::WriteOp;
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::spawn_blocking;
 use uuid::Uuid;
 
 use crate::config_sync;
@@ -37,6 +41,11 @@
 
 /// Maximum body size of an operator's call.
 const BODY_LIMIT_BYTES: usize = 64 << 20;
+/// Time within which the body of an operator's call must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Attempts to commit a transaction whose answers are lost.
+const MAX_COMMIT_ATTEMPTS: usize = 4;
 
 /// Body of the apply call.
 #[derive(Deserialize)]
@@ -52,20 +61,30 @@
 }
 
 /// Handles `/admin/v1/<path>`.
-pub fn handle(
+pub async fn handle(
     entry: &Arc<EntryInstance>,
-    request: &mut Request<Body>,
+    request: &mut Request<Incoming>,
     path: &str,
-) -> Response<Body> {
+) -> Response<Bytes> {
     let method = request.method().as_str().to_owned();
-    let body = match http::read_body(request, BODY_LIMIT_BYTES) {
+    let body = match http::read_body(request, BODY_LIMIT_BYTES, BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(code) => return http::error_response(code, "", ""),
     };
+    let (entry, path) = (entry.clone(), path.to_owned());
+    // Operators' calls wait for the store.
+    let call = spawn_blocking(move || respond(&entry, &method, &path, &body));
+    call.await.unwrap_or_else(|error| {
+        log_event!(Event::HandlerFailed, reason = error);
+        http::error_response(Code::InternalError, "", "")
+    })
+}
+
+fn respond(entry: &EntryInstance, method: &str, path: &str, body: &[u8]) -> Response<Bytes> {
     let parts: Vec<&str> = path.split('/').collect();
-    match (method.as_str(), &parts[..]) {
-        ("POST", ["apply"]) => apply(entry, &body),
-        ("POST", ["repair"]) => repair(entry, &body),
+    match (method, &parts[..]) {
+        ("POST", ["apply"]) => apply(entry, body),
+        ("POST", ["repair"]) => repair(entry, body),
         ("GET", ["records", filter @ ..]) => records(entry, filter),
         ("GET", ["status"]) => status(entry),
         ("GET", ["waves", name]) => wave_status(entry, name),
@@ -76,7 +95,7 @@
     }
 }
 
-fn fault_response(fault: &DocumentError) -> Response<Body> {
+fn fault_response(fault: &DocumentError) -> Response<Bytes> {
     let body = json!({
         "code": format!("NC{}", fault.code.number()),
         "verdict": fault.code.verdict(),
@@ -97,7 +116,7 @@
     values.into_iter().enumerate().map(read).collect()
 }
 
-fn apply(entry: &EntryInstance, body: &[u8]) -> Response<Body> {
+fn apply(entry: &EntryInstance, body: &[u8]) -> Response<Bytes> {
     let body: ApplyBody = match serde_json::from_slice(body) {
         Ok(body) => body,
         Err(error) => return http::error_response(Code::NotJson, "", &error.to_string()),
@@ -128,7 +147,7 @@
 }
 
 /// Writes the configuration in force on this instance to a store that has lost it.
-fn repair(entry: &EntryInstance, body: &[u8]) -> Response<Body> {
+fn repair(entry: &EntryInstance, body: &[u8]) -> Response<Bytes> {
     let body: RepairBody = match serde_json::from_slice(body) {
         Ok(body) => body,
         Err(error) => return http::error_response(Code::NotJson, "", &error.to_string()),
@@ -146,7 +165,7 @@
     entry: &EntryInstance,
     operation: &str,
     outcome: ChangeOutcome,
-) -> Response<Body> {
+) -> Response<Bytes> {
     match outcome {
         ChangeOutcome::Accepted(generation) => {
             log_event!(
@@ -178,7 +197,7 @@
     }
 }
 
-fn records(entry: &EntryInstance, filter: &[&str]) -> Response<Body> {
+fn records(entry: &EntryInstance, filter: &[&str]) -> Response<Bytes> {
     let loaded = entry.tables.in_force.get();
     let prefix = filter.join("/");
     let matches = |document: &&Document| {
@@ -198,7 +217,7 @@
     http::json_response(200, &json!({"generation": generation, "records": found}))
 }
 
-fn status(entry: &EntryInstance) -> Response<Body> {
+fn status(entry: &EntryInstance) -> Response<Bytes> {
     let loaded = entry.tables.in_force.get();
     let peers: Vec<Value> = entry
         .tables
@@ -297,7 +316,7 @@
     }))
 }
 
-fn wave_status(entry: &EntryInstance, name: &str) -> Response<Body> {
+fn wave_status(entry: &EntryInstance, name: &str) -> Response<Bytes> {
     match read_fleet_state(entry).and_then(|state| wave_progress(entry, &state, name)) {
         Ok(body) => http::json_response(200, &body),
         Err(code) => http::error_response(code, "", name),
@@ -305,7 +324,7 @@
 }
 
 /// Starts or resumes a wave, or pauses it.
-fn set_wave_running(entry: &EntryInstance, name: &str, start: bool) -> Response<Body> {
+fn set_wave_running(entry: &EntryInstance, name: &str, start: bool) -> Response<Bytes> {
     let change = || {
         let state = read_fleet_state(entry)?;
         let view = state.view(&entry.settings.centre, ("", 0), true);
@@ -328,7 +347,7 @@
 }
 
 /// Requests that an instance be taken out of service.
-fn drain(entry: &EntryInstance, id: &str) -> Response<Body> {
+fn drain(entry: &EntryInstance, id: &str) -> Response<Bytes> {
     let operation = Uuid::new_v4().to_string();
     let change = || {
         let state = read_fleet_state(entry)?;
@@ -355,11 +374,35 @@
     }
 }
 
+/// Commits a transaction that compares revisions, so that a repeated copy takes effect once.
 fn commit_txn(entry: &EntryInstance, txn: &Txn) -> Result<(), Code> {
-    match entry.store.txn(txn) {
-        Ok(reply) if reply.committed => Ok(()),
-        Ok(_) => Err(Code::GenerationConflict),
-        Err(StoreError::AnswerLost { .. }) => Err(Code::ApplyUnknown),
-        Err(_) => Err(Code::StoreUnavailable),
+    let mut lost = false;
+    for _ in 0..MAX_COMMIT_ATTEMPTS {
+        match entry.store.txn(txn) {
+            Ok(reply) if reply.committed => return Ok(()),
+            // An earlier copy may have been committed and made this one fail.
+            Ok(_) if lost && holds_writes(entry, txn)? => return Ok(()),
+            Ok(_) => return Err(Code::GenerationConflict),
+            Err(StoreError::AnswerLost { .. }) => lost = true,
+            Err(_) if !lost => return Err(Code::StoreUnavailable),
+            Err(_) => {}
+        }
+    }
+    Err(Code::ApplyUnknown)
+}
+
+/// Returns whether the store holds everything that the transaction writes.
+fn holds_writes(entry: &EntryInstance, txn: &Txn) -> Result<bool, Code> {
+    for write in &txn.writes {
+        let (key, value) = match write {
+            WriteOp::Put(key, value, _) => (key, Some(value)),
+            WriteOp::Delete(key) => (key, None),
+        };
+        let snapshot = entry.store.range(key);
+        let snapshot = snapshot.map_err(|_| Code::ApplyUnknown)?;
+        if snapshot.get(key).map(|stored| &stored.value) != value {
+            return Ok(false);
+        }
     }
+    Ok(true)
 }
--- a/crates/nutmegcart_entry/src/entry_instance.rs
+++ b/crates/nutmegcart_entry/src/entry_instance.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nutmegcart_http::LocalExecutor;
 use nutmegcart_model::Event;
 use nutmegcart_model::Incarnation;
 use nutmegcart_model::log_event;
@@ -23,6 +24,7 @@
 use nutmegcart_request::share::EntrySpec;
 use parking_lot::Condvar;
 use parking_lot::Mutex;
+use tokio::sync::Semaphore;
 
 use crate::buffer_quota::BufferQuota;
 use crate::config_sync;
@@ -37,13 +39,14 @@
 use crate::runner_connections::RunnerConnections;
 use crate::server;
 use crate::tables::Tables;
-use crate::thread_pool::ThreadPool;
 
 /// Result of starting an entry instance.
 pub type Result<T> = std::io::Result<T>;
 
 /// Timeout of a call to a peer, unless the call has one of its own.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Background calls to peers that may be under way, so that a slow peer cannot exhaust memory.
+const MAX_BACKGROUND_CALLS: usize = 1024;
 /// Interval between checks for requests in flight at shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -94,8 +97,10 @@
     pub dispatcher: RequestDispatcher,
     /// Limit on the bytes that requests and answers buffer.
     pub buffer_quota: BufferQuota,
-    /// Threads for background calls.
-    pub thread_pool: ThreadPool,
+    /// Thread that serves requests, with the threads for operators' calls.
+    pub executor: LocalExecutor,
+    /// Permits of the background calls to peers that may be under way.
+    pub background_calls: Arc<Semaphore>,
     /// Origin of [`EntryInstance::now`].
     pub started: Instant,
 }
@@ -131,7 +136,8 @@
         let limited_store =
             RateLimitedStore::new(store, settings.peers.len() + 1, Clock::default());
         let entry = Arc::new(Self {
-            thread_pool: ThreadPool::start(settings.worker_threads),
+            executor: LocalExecutor::start("http", settings.worker_threads)?,
+            background_calls: Arc::new(Semaphore::new(MAX_BACKGROUND_CALLS)),
             dispatcher: RequestDispatcher::new(own, RequestPathSettings::default(), incarnation.0),
             buffer_quota: BufferQuota::new(settings.buffer_limit),
             runner_connections: RunnerConnections::default(),
@@ -151,7 +157,10 @@
         entry.spawn("config", config_sync::run)?;
         entry.spawn("instances", config_sync::poll_instances)?;
         entry.spawn("peering", peering::run)?;
-        entry.spawn("dispatch", request_dispatcher::run)?;
+        let dispatching = entry.clone();
+        entry
+            .executor
+            .spawn(move || request_dispatcher::run(dispatching));
         entry.spawn("duty", duty::run)?;
         entry.spawn("roster", roster::run)?;
         log_event!(
@@ -172,6 +181,21 @@
         Ok(())
     }
 
+    /// Runs a call to a peer in the background; drops it if too many are under way.
+    pub fn spawn_call<F: Future<Output = ()> + 'static>(
+        &self,
+        call: impl FnOnce() -> F + Send + 'static,
+    ) {
+        let Ok(permit) = self.background_calls.clone().try_acquire_owned() else {
+            log_event!(Event::CallDropped, id = self.settings.id);
+            return;
+        };
+        self.executor.spawn(move || async move {
+            call().await;
+            drop(permit);
+        });
+    }
+
     /// Returns the monotonic time since this instance was created.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/nutmegcart_entry/src/entry_settings.rs
+++ b/crates/nutmegcart_entry/src/entry_settings.rs
@@ -63,7 +63,7 @@
     pub default_deadline: Duration,
     /// Time between the failure of readiness and the refusal of requests at shutdown.
     pub shutdown_grace: Duration,
-    /// Number of threads for background calls.
+    /// Maximum number of threads for operators' calls, which wait for the store.
     pub worker_threads: usize,
     /// Interval between rounds of the control loops.
     pub round_interval: Duration,
@@ -116,7 +116,10 @@
         "grace-ms",
         "time from failing readiness to refusing requests, 0 to 600000, default 3000",
     ),
-    ("threads", "threads of the worker pool, 1 to 256, default 8"),
+    (
+        "threads",
+        "threads for calls of operators, 1 to 256, default 8",
+    ),
     (
         "round-ms",
         "time between control rounds, 10 to 60000, default 500",
--- a/crates/nutmegcart_entry/src/forward.rs
+++ b/crates/nutmegcart_entry/src/forward.rs
@@ -1,22 +1,27 @@
 //! Forwards callers' requests to runners.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use nutmegcart_http::BodyError;
+use nutmegcart_http::DeliveryError;
+use nutmegcart_http::HttpConnection;
+use nutmegcart_http::body;
+use nutmegcart_http::keep_until_written;
 use nutmegcart_model::CallerName;
 use nutmegcart_model::Code;
 use nutmegcart_model::ServiceName;
-use nutmegcart_platform::http::is_not_sent;
 use nutmegcart_request::admission::Class;
 use nutmegcart_request::outcome::Outcome;
 use nutmegcart_request::request_path;
 use nutmegcart_request::request_path::Attempt;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use crate::buffer_quota::BufferReservation;
@@ -40,8 +45,6 @@
 pub const DEADLINE_HEADER: &str = "nutmegcart-deadline-ms";
 /// Caller name of requests without one; together they get one caller's share of the queue.
 const ANONYMOUS_CALLER: &str = "anonymous";
-/// Size of the buffer for reading bodies.
-const CHUNK_BYTES: usize = 16 << 10;
 
 /// A caller's request with its whole body.
 pub struct BufferedRequest {
@@ -54,7 +57,7 @@
     /// Value of the header `Content-Type`.
     pub content_type: Option<String>,
     /// Body, at most as long as the body limit.
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Input of the admission, routing and retry decisions.
     pub request: request_path::Request,
 }
@@ -87,24 +90,14 @@
 }
 
 /// Handles `/v1/services/<service>/<path>`.
-pub fn handle(
+pub async fn handle(
     entry: &Arc<EntryInstance>,
-    request: &mut Request<Body>,
+    request: &mut Request<Incoming>,
     rest: &str,
-) -> Response<Body> {
+) -> Response<Bytes> {
     let id = Uuid::new_v4().to_string();
     let mut reservation = entry.buffer_quota.empty_reservation();
-    let result = operation::identifier(request).and_then(|identifier| {
-        let call = read_request(entry, request, rest, &id, &mut reservation);
-        match identifier {
-            Some(identifier) => {
-                let call = call.map_err(operation::refusal_with_identifier)?;
-                operation::run(entry, &identifier, &call, &mut reservation)
-            }
-            None => send_to_runner(entry, &call?, &mut reservation, || Ok(())),
-        }
-    });
-    let response = match result {
+    let response = match forward(entry, request, rest, &id, &mut reservation).await {
         Ok(answer) => {
             entry.metrics.count(Code::Ok);
             http::response(answer.status, &answer.content_type, answer.body)
@@ -115,12 +108,30 @@
         }
     };
     // The buffered bytes stay reserved until they are written, also to a caller that reads slowly.
-    http::keep_until_written(response, reservation)
+    keep_until_written(response, reservation)
 }
 
-fn read_request(
+async fn forward(
+    entry: &Arc<EntryInstance>,
+    request: &mut Request<Incoming>,
+    rest: &str,
+    id: &str,
+    reservation: &mut BufferReservation,
+) -> Result<RunnerAnswer> {
+    let identifier = operation::identifier(request)?;
+    let call = read_request(entry, request, rest, id, reservation).await;
+    match identifier {
+        Some(identifier) => {
+            let call = call.map_err(operation::refusal_with_identifier)?;
+            operation::run(entry, &identifier, &call, reservation).await
+        }
+        None => send_to_runner(entry, &call?, reservation, || Ok(())).await,
+    }
+}
+
+async fn read_request(
     entry: &EntryInstance,
-    request: &mut Request<Body>,
+    request: &mut Request<Incoming>,
     rest: &str,
     id: &str,
     reservation: &mut BufferReservation,
@@ -160,11 +171,11 @@
             cost: 1,
         },
         method,
-        body: read_body(entry, request, reservation)?,
+        body: read_body(entry, request, reservation).await?,
     })
 }
 
-fn check_headers(entry: &EntryInstance, request: &Request<Body>) -> Result<()> {
+fn check_headers<B>(entry: &EntryInstance, request: &Request<B>) -> Result<()> {
     let headers = request.headers().iter();
     let bytes: usize = headers
         .map(|(name, value)| name.as_str().len() + value.len())
@@ -180,34 +191,16 @@
 }
 
 /// Reads the body within the limits on size, time and buffered bytes.
-fn read_body(
+async fn read_body(
     entry: &EntryInstance,
-    request: &mut Request<Body>,
+    request: &mut Request<Incoming>,
     reservation: &mut BufferReservation,
-) -> Result<Vec<u8>> {
-    let end = Instant::now() + entry.settings.body_timeout;
-    let mut body = Vec::new();
-    let mut chunk = [0; CHUNK_BYTES];
-    loop {
-        let count = request
-            .body_mut()
-            .read(&mut chunk)
-            .map_err(|error| http::body_error_code(&error))?;
-        if count == 0 {
-            return Ok(body);
-        }
-        if body.len() + count > entry.settings.body_limit {
-            return Err(Code::BodyTooLarge);
-        }
-        if !reservation.try_grow(count) {
-            return Err(Code::MemoryLimit);
-        }
-        // The timeout of a single read does not stop a caller that sends a byte now and then.
-        if Instant::now() > end {
-            return Err(Code::BodyTooSlow);
-        }
-        body.extend_from_slice(&chunk[..count]);
-    }
+) -> Result<Bytes> {
+    let settings = &entry.settings;
+    let reserve = |bytes| reservation.try_grow(bytes);
+    let (limit, time) = (settings.body_limit, settings.body_timeout);
+    let body = body::read(request.body_mut(), limit, time, reserve).await;
+    body.map(Bytes::from).map_err(http::body_error_code)
 }
 
 /// Sends a request to a runner and returns its answer.
@@ -218,7 +211,7 @@
 /// # Errors
 ///
 /// Unless the verdict of the code is "unknown", it is certain whether the request ran.
-pub fn send_to_runner(
+pub async fn send_to_runner(
     entry: &EntryInstance,
     call: &BufferedRequest,
     reservation: &mut BufferReservation,
@@ -233,7 +226,7 @@
         return Err(Code::UnknownService);
     }
     let metrics = &entry.metrics;
-    let admitted = entry.dispatcher.admit(call.request.clone(), metrics);
+    let admitted = entry.dispatcher.admit(call.request.clone(), metrics).await;
     // The configuration has the pool, but its runners are not known yet.
     let mut attempt = admitted.map_err(|code| match code {
         Code::UnknownService => Code::NoRunner,
@@ -242,16 +235,18 @@
     if let Err(code) = permit() {
         entry
             .dispatcher
-            .finish_attempt(*attempt, Outcome::Cancelled, metrics);
+            .finish_attempt(*attempt, Outcome::Cancelled, metrics)
+            .await;
         return Err(code);
     }
     loop {
         metrics.attempts.inc();
-        let (outcome, code, answer) = match send_attempt(entry, call, &attempt, reservation) {
+        let (outcome, code, answer) = match send_attempt(entry, call, &attempt, reservation).await {
             Ok(answer) => (Outcome::Success, Code::Ok, Some(answer)),
             Err(failure) => (failure.outcome, failure.code, failure.answer),
         };
-        match entry.dispatcher.finish_attempt(*attempt, outcome, metrics) {
+        let finished = entry.dispatcher.finish_attempt(*attempt, outcome, metrics);
+        match finished.await {
             RetryDecision::Answered => return answer.ok_or(code),
             RetryDecision::Retry(next) => attempt = next,
             // The code tells which limit the answer exceeded: body size or buffered bytes.
@@ -261,19 +256,32 @@
     }
 }
 
-fn send_attempt(
+type AttemptResult<T> = std::result::Result<T, AttemptFailure>;
+
+async fn send_attempt(
     entry: &EntryInstance,
     call: &BufferedRequest,
     attempt: &Attempt,
     reservation: &mut BufferReservation,
-) -> std::result::Result<RunnerAnswer, AttemptFailure> {
+) -> AttemptResult<RunnerAnswer> {
     let address = entry.dispatcher.address(&attempt.runner.id);
     let address = address.ok_or(Outcome::NotSent)?;
     let now = entry.dispatcher.now();
     let share = attempt.runner.connections;
     let connection = entry.runner_connections.acquire(address, share, now);
-    let connection = connection.ok_or(Outcome::NotSent)?;
-    let result = exchange_with_runner(entry, call, attempt, &connection, address, reservation);
+    let mut connection = connection.ok_or(Outcome::NotSent)?;
+    let left = attempt.remaining(entry.dispatcher.now());
+    let exchange = exchange_with_runner(entry, call, attempt, &mut connection, address);
+    let result = match timeout(left, exchange).await {
+        Ok(Ok(answer)) => {
+            let deadline = attempt.remaining(entry.dispatcher.now());
+            read_answer(entry, call, answer, deadline, reservation).await
+        }
+        Ok(Err(failure)) => Err(failure),
+        // The connection is not open yet, or the head of the answer has not arrived.
+        Err(_) if connection.open.is_none() => Err(Outcome::ConnectFailed.into()),
+        Err(_) => Err(Outcome::SilentNew.into()),
+    };
     let connection_outcome = match &result {
         Ok(_) => ConnectionOutcome::Complete,
         Err(failure) => match failure.outcome {
@@ -288,37 +296,80 @@
     result
 }
 
-fn exchange_with_runner(
+fn runner_request(
     entry: &EntryInstance,
     call: &BufferedRequest,
     attempt: &Attempt,
-    connection: &PooledConnection,
     address: SocketAddr,
-    reservation: &mut BufferReservation,
-) -> std::result::Result<RunnerAnswer, AttemptFailure> {
+) -> AttemptResult<Request<Full<Bytes>>> {
     let left = attempt.remaining(entry.dispatcher.now());
     let mut request = Request::builder()
         .method(call.method.as_str())
-        .uri(format!("http://{address}{}", call.path))
+        .uri(&call.path)
+        .header("host", address.to_string())
         .header(REQUEST_HEADER, &call.id)
         .header(ATTEMPT_HEADER, attempt.number())
         .header(DEADLINE_HEADER, left.as_millis().to_string());
     if let Some(content_type) = &call.content_type {
         request = request.header("content-type", content_type);
     }
-    let request = request.body(&call.body[..]).map_err(|_| Outcome::NotSent)?;
-    let request = connection
-        .agent
-        .configure_request(request)
-        .timeout_global(Some(left))
-        .timeout_connect(Some(attempt.timeout))
-        .timeout_recv_response(Some(attempt.timeout))
-        .build();
-    let mut answer = connection.agent.run(request).map_err(|error| match error {
-        error if is_not_sent(&error) => Outcome::ConnectFailed,
-        ureq::Error::Timeout(_) if connection.reused => Outcome::SilentReused,
-        ureq::Error::Timeout(_) => Outcome::SilentNew,
-        _ => Outcome::ConnectionLost,
+    let request = request.body(Full::new(call.body.clone()));
+    request.map_err(|_| Outcome::NotSent.into())
+}
+
+/// Sends the request and returns the head of the answer.
+async fn exchange_with_runner(
+    entry: &EntryInstance,
+    call: &BufferedRequest,
+    attempt: &Attempt,
+    connection: &mut PooledConnection,
+    address: SocketAddr,
+) -> AttemptResult<Response<Incoming>> {
+    if let Some(reused) = &mut connection.open {
+        let request = runner_request(entry, call, attempt, address)?;
+        match timeout(attempt.timeout, reused.send(request)).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(DeliveryError::Lost { .. })) => return Err(Outcome::ConnectionLost.into()),
+            // The runner closed the idle connection, and no byte of this request was sent.
+            Ok(Err(DeliveryError::NotSent { .. })) => connection.open = None,
+            Err(_) => return Err(Outcome::SilentReused.into()),
+        }
+    }
+    let opened = HttpConnection::open(address, attempt.timeout).await;
+    let opened = opened.map_err(|_| Outcome::ConnectFailed)?;
+    let opened = connection.open.insert(opened);
+    let request = runner_request(entry, call, attempt, address)?;
+    match timeout(attempt.timeout, opened.send(request)).await {
+        Ok(Ok(answer)) => Ok(answer),
+        Ok(Err(DeliveryError::Lost { .. })) => Err(Outcome::ConnectionLost.into()),
+        Ok(Err(DeliveryError::NotSent { .. })) => Err(Outcome::ConnectFailed.into()),
+        Err(_) => Err(Outcome::SilentNew.into()),
+    }
+}
+
+/// Reads the answer within the time left and the limits on its size, and checks its identifier.
+async fn read_answer(
+    entry: &EntryInstance,
+    call: &BufferedRequest,
+    mut answer: Response<Incoming>,
+    left: Duration,
+    reservation: &mut BufferReservation,
+) -> AttemptResult<RunnerAnswer> {
+    let limit = entry.settings.body_limit;
+    let reserve = |bytes| reservation.try_grow(bytes);
+    let body = body::read(answer.body_mut(), limit, left, reserve).await;
+    let body = body.map_err(|error| {
+        // The answer began, so the connection works.
+        let (outcome, code) = match error {
+            BodyError::Timeout => (Outcome::Truncated, Code::AnswerTimeout),
+            BodyError::Incomplete => (Outcome::Truncated, Code::AnswerTruncated),
+            BodyError::TooLarge => (Outcome::TooLarge, Outcome::TooLarge.code()),
+            BodyError::NoSpace => (Outcome::TooLarge, Code::AnswerDiscarded),
+        };
+        AttemptFailure {
+            code,
+            ..outcome.into()
+        }
     })?;
     let text = |name: &str| {
         let value = answer
@@ -327,22 +378,16 @@
             .and_then(|value| value.to_str().ok());
         value.unwrap_or("").to_owned()
     };
-    let (echo, refused, content_type) = (
-        text(REQUEST_HEADER),
-        text(REFUSED_HEADER),
-        text("content-type"),
-    );
     let status = answer.status().as_u16();
-    let body = read_answer(entry, &mut answer, reservation)?;
-    if echo != call.id {
+    if text(REQUEST_HEADER) != call.id {
         return Err(Outcome::Mismatched.into());
     }
-    if status == 503 && refused == "before-start" {
+    if status == 503 && text(REFUSED_HEADER) == "before-start" {
         return Err(Outcome::RefusedBeforeStart.into());
     }
     let answer = RunnerAnswer {
         status,
-        content_type,
+        content_type: text("content-type"),
         body,
     };
     if status >= 500 {
@@ -353,44 +398,3 @@
     }
     Ok(answer)
 }
-
-fn read_answer(
-    entry: &EntryInstance,
-    answer: &mut Response<ureq::Body>,
-    reservation: &mut BufferReservation,
-) -> std::result::Result<Vec<u8>, AttemptFailure> {
-    let limit = entry.settings.body_limit;
-    // One byte more than the limit, so that the end of a body of exactly this size is reached.
-    let config = answer.body_mut().with_config().limit(limit as u64 + 1);
-    let mut reader = config.reader();
-    let mut body = Vec::new();
-    let mut chunk = [0; CHUNK_BYTES];
-    loop {
-        let count = reader.read(&mut chunk).map_err(|error| {
-            let late = error.kind() == std::io::ErrorKind::TimedOut;
-            // The answer began, so the connection works and the runner was too slow.
-            let code = if late {
-                Code::AnswerTimeout
-            } else {
-                Code::AnswerTruncated
-            };
-            AttemptFailure {
-                code,
-                ..Outcome::Truncated.into()
-            }
-        })?;
-        if count == 0 {
-            return Ok(body);
-        }
-        if body.len() + count > limit {
-            return Err(Outcome::TooLarge.into());
-        }
-        if !reservation.try_grow(count) {
-            return Err(AttemptFailure {
-                code: Code::AnswerDiscarded,
-                ..Outcome::TooLarge.into()
-            });
-        }
-        body.extend_from_slice(&chunk[..count]);
-    }
-}
--- a/crates/nutmegcart_entry/src/lib.rs
+++ b/crates/nutmegcart_entry/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod server;
 pub mod tables;
 pub mod task_controller;
-pub mod thread_pool;
 pub mod tickets;
 
 pub use entry_instance::EntryInstance;
--- a/crates/nutmegcart_entry/src/operation.rs
+++ b/crates/nutmegcart_entry/src/operation.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 use std::time::SystemTime;
 
+use hyper::Request;
 use nutmegcart_model::CallerName;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
@@ -46,10 +47,9 @@
 use nutmegcart_request::ledger::OperationOutcome;
 use nutmegcart_request::request_path;
 use nutmegcart_request::roster::CLOCK_DRIFT_MARGIN;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use parking_lot::Condvar;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 use crate::buffer_quota::BufferReservation;
 use crate::entry_instance::EntryInstance;
@@ -73,7 +73,7 @@
 pub struct Operations {
     coordinator: Mutex<Coordinator>,
     /// Notified when an operation that this instance owns ends.
-    ended: Condvar,
+    ended: Notify,
     peers: Mutex<PeerTable>,
     /// Address at which each incarnation of a peer last answered.
     addresses: Mutex<BTreeMap<Incarnation, SocketAddr>>,
@@ -87,7 +87,7 @@
     pub fn new(me: Member) -> Self {
         Self {
             coordinator: Mutex::new(Coordinator::new(me, LedgerLimits::default())),
-            ended: Condvar::new(),
+            ended: Notify::new(),
             peers: Mutex::default(),
             addresses: Mutex::default(),
             clocks: Mutex::default(),
@@ -217,7 +217,7 @@
 /// # Errors
 ///
 /// Fails if both headers are present, or if the value of one is not text.
-pub fn identifier(request: &Request<Body>) -> Result<Option<OperationHeader>> {
+pub fn identifier<B>(request: &Request<B>) -> Result<Option<OperationHeader>> {
     let given = |name| request.headers().contains_key(name);
     let text = |name| http::header(request, name).map(str::to_owned);
     match (given(OPERATION_HEADER), given(IDEMPOTENCY_KEY_HEADER)) {
@@ -235,7 +235,7 @@
 }
 
 /// Returns the code of a refusal that was decided without asking the operation's owner.
-pub fn refusal_before_lookup(request: &Request<Body>, code: Code) -> Code {
+pub fn refusal_before_lookup<B>(request: &Request<B>, code: Code) -> Code {
     match identifier(request) {
         Ok(None) => code,
         _ => refusal_with_identifier(code),
@@ -269,16 +269,16 @@
 /// # Errors
 ///
 /// Returns the code for the caller.
-pub fn run(
+pub async fn run(
     entry: &Arc<EntryInstance>,
     identifier: &OperationHeader,
     call: &BufferedRequest,
     reservation: &mut BufferReservation,
 ) -> Result<RunnerAnswer> {
-    execute(entry, identifier, call, reservation, false)
+    execute(entry, identifier, call, reservation, false).await
 }
 
-fn execute(
+async fn execute(
     entry: &Arc<EntryInstance>,
     identifier: &OperationHeader,
     call: &BufferedRequest,
@@ -303,7 +303,7 @@
         deadline: Instant::now() + left,
         forwarded,
     };
-    run.submit()
+    run.submit().await
 }
 
 /// A request with the operation that it belongs to.
@@ -319,52 +319,52 @@
 }
 
 impl OperationRun<'_> {
-    fn submit(&mut self) -> Result<RunnerAnswer> {
+    async fn submit(&mut self) -> Result<RunnerAnswer> {
         let operations = &self.entry.operations;
-        let mut coordinator = operations.coordinator.lock();
         let step = loop {
+            let ended = operations.ended.notified();
+            tokio::pin!(ended);
+            // An end between the submission and the wait must wake this task.
+            ended.as_mut().enable();
             let now = self.entry.now();
-            let request_fingerprint = self.fingerprint;
-            let step =
-                coordinator.submit(&self.operation, request_fingerprint, self.forwarded, now);
+            let step = operations.with_coordinator(|c| {
+                c.submit(&self.operation, self.fingerprint, self.forwarded, now)
+            });
             let running = NextStep::Reply(Code::OperationRunning.into());
             // A retry of a running operation waits for its end, up to the retry's own deadline.
-            let is_expired = Instant::now() >= self.deadline;
-            if step != running || is_expired {
+            if step != running || timeout_at(self.deadline.into(), ended).await.is_err() {
                 break step;
             }
-            operations.ended.wait_until(&mut coordinator, self.deadline);
         };
-        drop(coordinator);
         match step {
-            NextStep::Forward(owner) => self.forward(owner),
+            NextStep::Forward(owner) => self.forward(owner).await,
             NextStep::AskWitness(intent, attempt) => {
                 let to = intent.to;
                 let sender = self.entry.identity.clone();
-                let answer = self.call_peer(to, &IntentMessage { sender, intent });
+                let answer = self.call_peer(to, &IntentMessage { sender, intent }).await;
                 let now = self.entry.now();
                 let step =
                     operations.with_coordinator(|c| c.on_witness_reply(attempt, answer, now));
                 match step {
-                    NextStep::Send(attempt) => self.dispatch(&attempt),
+                    NextStep::Send(attempt) => self.dispatch(&attempt).await,
                     NextStep::Reply(resolution) => self.reply_without_dispatch(resolution),
                     _ => Err(Code::NotAttempted),
                 }
             }
-            NextStep::Send(attempt) => self.dispatch(&attempt),
-            NextStep::Seal(witness) => self.seal(witness),
+            NextStep::Send(attempt) => self.dispatch(&attempt).await,
+            NextStep::Seal(witness) => self.seal(witness).await,
             NextStep::Reply(resolution) => resolution_result(resolution),
         }
     }
 
     /// Calls a peer; returns `None` if it is not reachable or does not answer in time.
-    fn call_peer<M: Message>(&self, to: Incarnation, message: &M) -> Option<M::Answer> {
+    async fn call_peer<M: Message>(&self, to: Incarnation, message: &M) -> Option<M::Answer> {
         let address = self.entry.operations.peer_address(to, self.entry.now())?;
-        let answer = self.entry.peer_client.call(address, message);
+        let answer = self.entry.peer_client.call(address, message).await;
         answer.ok()
     }
 
-    fn dispatch(&mut self, attempt: &OperationAttempt) -> Result<RunnerAnswer> {
+    async fn dispatch(&mut self, attempt: &OperationAttempt) -> Result<RunnerAnswer> {
         let entry = self.entry;
         let operations = &entry.operations;
         let mut started = false;
@@ -387,7 +387,7 @@
                 ..self.call.request.clone()
             },
         };
-        let result = forward::send_to_runner(entry, &call, self.reservation, permit);
+        let result = forward::send_to_runner(entry, &call, self.reservation, permit).await;
         let now = entry.now();
         let (result, report) = match result {
             Ok(answer) => {
@@ -410,7 +410,7 @@
                 (resolution_result(resolution), report)
             }
         };
-        operations.ended.notify_all();
+        operations.ended.notify_waiters();
         if let Some(report) = report {
             self.send_outcome(report);
         }
@@ -419,7 +419,7 @@
 
     /// Replies to a request whose attempt was not dispatched, and wakes waiting retries.
     fn reply_without_dispatch(&self, resolution: Resolution) -> Result<RunnerAnswer> {
-        self.entry.operations.ended.notify_all();
+        self.entry.operations.ended.notify_waiters();
         resolution_result(resolution)
     }
 
@@ -428,21 +428,20 @@
     /// If the message is lost, the witness reports the operation as "unknown".
     fn send_outcome(&self, report: OutcomeReport) {
         let entry = self.entry.clone();
-        self.entry.thread_pool.submit(move || {
+        self.entry.spawn_call(move || async move {
             let Some(address) = entry.operations.peer_address(report.to, entry.now()) else {
                 return;
             };
             let sender = entry.identity.clone();
-            let _ = entry
-                .peer_client
-                .call(address, &OutcomeMessage { sender, report });
+            let message = OutcomeMessage { sender, report };
+            let _ = entry.peer_client.call(address, &message).await;
         });
     }
 
-    fn forward(&self, owner: Incarnation) -> Result<RunnerAnswer> {
+    async fn forward(&self, owner: Incarnation) -> Result<RunnerAnswer> {
         let operations = &self.entry.operations;
         let Some(address) = operations.peer_address(owner, self.entry.now()) else {
-            return self.owner_lost();
+            return self.owner_lost().await;
         };
         let left = self.deadline.saturating_duration_since(Instant::now());
         let request = &self.call.request;
@@ -460,7 +459,7 @@
             method: self.call.method.clone(),
             path: self.call.path.clone(),
             headers,
-            body: self.call.body.clone().into(),
+            body: self.call.body.to_vec().into(),
             remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
         let timeout = left + OWNER_ANSWER_MARGIN;
@@ -468,13 +467,14 @@
             .entry
             .peer_client
             .call_with_timeout(address, &message, timeout)
+            .await
         {
             Ok(resolution) => resolution_result(resolution),
-            Err(_) => self.owner_lost(),
+            Err(_) => self.owner_lost().await,
         }
     }
 
-    fn owner_lost(&self) -> Result<RunnerAnswer> {
+    async fn owner_lost(&self) -> Result<RunnerAnswer> {
         let RequestedOperation::Ticketed(operation) = &self.operation else {
             return Err(Code::OwnerUnreachable);
         };
@@ -483,13 +483,13 @@
         match operations
             .with_coordinator(|c| c.on_owner_unreachable(operation, self.fingerprint, now))
         {
-            NextStep::Seal(witness) => self.seal(witness),
+            NextStep::Seal(witness) => self.seal(witness).await,
             NextStep::Reply(resolution) => resolution_result(resolution),
             _ => Err(Code::OwnerUnreachable),
         }
     }
 
-    fn seal(&self, witness: Incarnation) -> Result<RunnerAnswer> {
+    async fn seal(&self, witness: Incarnation) -> Result<RunnerAnswer> {
         let message = SealMessage {
             sender: self.entry.identity.clone(),
             roster: self.entry.operations.roster_version(),
@@ -497,7 +497,7 @@
             id: self.operation.id(),
             fingerprint: self.fingerprint,
         };
-        let sealed = self.call_peer(witness, &message).flatten();
+        let sealed = self.call_peer(witness, &message).await.flatten();
         resolution_result(sealed.unwrap_or(Code::OwnerUnreachable.into()))
     }
 }
@@ -525,7 +525,7 @@
 }
 
 /// Handles a request that a peer forwarded to this instance as the owner of its operation.
-fn on_forward(entry: &Arc<EntryInstance>, message: ForwardMessage) -> Resolution {
+pub async fn on_forward(entry: &Arc<EntryInstance>, message: ForwardMessage) -> Resolution {
     if message.to != entry.identity.incarnation {
         return Code::OwnerUnreachable.into();
     }
@@ -555,14 +555,14 @@
         id: message.request_id,
         method: message.method,
         path: message.path,
-        body: message.body.0.to_vec(),
+        body: message.body.0.to_vec().into(),
     };
     let mut reservation = entry.buffer_quota.empty_reservation();
     if !reservation.try_grow(call.body.len()) {
         // An earlier attempt may have run.
         return Code::NotAttempted.into();
     }
-    match execute(entry, &message.operation, &call, &mut reservation, true) {
+    match execute(entry, &message.operation, &call, &mut reservation, true).await {
         Ok(answer) => Resolution::Answer(Arc::new(stored_answer(&answer))),
         Err(code) => code.into(),
     }
@@ -575,12 +575,11 @@
     }
 }
 
-/// Adds the handlers of the operation messages.
+/// Adds the handlers of the operation messages, except of [`ForwardMessage`], which waits.
 pub fn register(
     dispatcher: MessageDispatcher<Arc<EntryInstance>>,
 ) -> MessageDispatcher<Arc<EntryInstance>> {
     dispatcher
-        .on(on_forward)
         .on(|entry: &Arc<EntryInstance>, message: IntentMessage| {
             let now = entry.now();
             let operations = &entry.operations;
--- a/crates/nutmegcart_entry/src/peering.rs
+++ b/crates/nutmegcart_entry/src/peering.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use nutmegcart_config::Generation;
 use nutmegcart_config::active_config::OfferOutcome;
 use nutmegcart_model::Code;
@@ -16,12 +20,12 @@
 use nutmegcart_model::log_event;
 use nutmegcart_peer::ConfigChangesRequest;
 use nutmegcart_peer::DispatchError;
+use nutmegcart_peer::ForwardMessage;
 use nutmegcart_peer::Heartbeat;
+use nutmegcart_peer::Message;
 use nutmegcart_peer::MessageDispatcher;
+use nutmegcart_peer::message;
 use nutmegcart_request::load::LoadReport;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
 
 use crate::config_sync;
 use crate::entry_instance::EntryInstance;
@@ -35,15 +39,17 @@
 const SUSPECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a peer's message.
 const MESSAGE_LIMIT_BYTES: usize = 64 << 20;
+/// Time within which a peer's message must arrive.
+const MESSAGE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Sends heartbeats until the instance stops.
 pub fn run(entry: &Arc<EntryInstance>) {
     while !entry.is_stopped() {
         for &address in &entry.settings.peers {
             let entry_for_call = entry.clone();
-            entry
-                .thread_pool
-                .submit(move || exchange_heartbeats(&entry_for_call, address));
+            entry.spawn_call(move || async move {
+                exchange_heartbeats(&entry_for_call, address).await;
+            });
         }
         mark_suspects(entry);
         config_sync::update_established(entry);
@@ -85,13 +91,13 @@
     load
 }
 
-fn exchange_heartbeats(entry: &EntryInstance, address: SocketAddr) {
+async fn exchange_heartbeats(entry: &EntryInstance, address: SocketAddr) {
     let centre = {
         let peers = entry.tables.peers.lock();
         peers.get(&address).map(|peer| peer.identity.centre.clone())
     };
     let message = heartbeat(entry, centre.as_ref());
-    if let Ok(mut answer) = entry.peer_client.call(address, &message) {
+    if let Ok(mut answer) = entry.peer_client.call(address, &message).await {
         entry
             .operations
             .record_address(answer.sender.incarnation, address);
@@ -99,7 +105,7 @@
             entry.operations.offer(&roster, entry.now());
         }
         record_heartbeat(entry, &answer);
-        pull_configuration(entry, address, &answer);
+        pull_configuration(entry, address, &answer).await;
     }
 }
 
@@ -127,7 +133,7 @@
     }
 }
 
-fn pull_configuration(entry: &EntryInstance, address: SocketAddr, heartbeat: &Heartbeat) {
+async fn pull_configuration(entry: &EntryInstance, address: SocketAddr, heartbeat: &Heartbeat) {
     let from = entry.tables.in_force.get().configuration.generation();
     if heartbeat.generation <= from {
         return;
@@ -136,14 +142,14 @@
         sender: entry.identity.clone(),
         from,
     };
-    let Ok(changes) = entry.peer_client.call(address, &request) else {
+    let Ok(changes) = entry.peer_client.call(address, &request).await else {
         return;
     };
     let in_force = &entry.tables.in_force;
     if in_force.offer_delta(&changes, &heartbeat.sender.id) == OfferOutcome::Gap {
         let from = Generation(0);
         let full_request = ConfigChangesRequest { from, ..request };
-        if let Ok(changes) = entry.peer_client.call(address, &full_request) {
+        if let Ok(changes) = entry.peer_client.call(address, &full_request).await {
             in_force.offer_delta(&changes, &heartbeat.sender.id);
         }
     }
@@ -159,16 +165,21 @@
 }
 
 /// Handles `/peer/v1/<message>`.
-pub fn handle(
+pub async fn handle(
     entry: &Arc<EntryInstance>,
-    request: &mut Request<Body>,
+    request: &mut Request<Incoming>,
     path: &str,
-) -> Response<Body> {
-    let body = match http::read_body(request, MESSAGE_LIMIT_BYTES) {
+) -> Response<Bytes> {
+    let body = match http::read_body(request, MESSAGE_LIMIT_BYTES, MESSAGE_TIMEOUT).await {
         Ok(body) => body,
         Err(code) => return http::error_response(code, "", ""),
     };
-    match dispatcher().dispatch(entry, path, &body) {
+    let answer = if path == ForwardMessage::PATH {
+        on_forward(entry, &body).await
+    } else {
+        dispatcher().dispatch(entry, path, &body)
+    };
+    match answer {
         Ok(body) => http::response(200, "application/msgpack", body),
         Err(DispatchError::UnknownPath { path }) => http::error_response(Code::NotFound, "", &path),
         Err(DispatchError::Malformed { reason }) => {
@@ -177,7 +188,16 @@
     }
 }
 
-/// Returns the handlers of all messages.
+async fn on_forward(entry: &Arc<EntryInstance>, body: &[u8]) -> Result<Vec<u8>, DispatchError> {
+    let decoded = message::decode(body).map_err(|error| DispatchError::Malformed {
+        reason: error.to_string(),
+    })?;
+    Ok(message::encode(
+        &operation::on_forward(entry, decoded).await,
+    ))
+}
+
+/// Returns the handlers of all messages that are answered at once.
 fn dispatcher() -> &'static MessageDispatcher<Arc<EntryInstance>> {
     static DISPATCHER: OnceLock<MessageDispatcher<Arc<EntryInstance>>> = OnceLock::new();
     DISPATCHER.get_or_init(|| {
--- a/crates/nutmegcart_entry/src/request_dispatcher.rs
+++ b/crates/nutmegcart_entry/src/request_dispatcher.rs
@@ -1,6 +1,6 @@
 //! Admission, routing and retries of callers' requests, decided under one lock.
 //!
-//! A thread that handles a request blocks while its request is queued.
+//! The task that handles a request waits while its request is queued.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -8,12 +8,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
-use crossbeam::channel;
-use crossbeam::channel::Sender;
 use nutmegcart_config::Generation;
 use nutmegcart_fleet::PoolMap;
 use nutmegcart_fleet::map;
@@ -40,6 +37,9 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::entry_instance::EntryInstance;
 use crate::metrics::Metrics;
@@ -48,7 +48,7 @@
 /// Interval at which expired requests are dropped and ejected runners may return to use.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Result sent to the thread that waits for a queued request.
+/// Result sent to the task that waits for a queued request.
 type QueueResult = Result<Box<Attempt>, RefusedRequest>;
 
 /// Serialises access to the admission, routing and retry decisions of an entry instance.
@@ -59,7 +59,7 @@
 
 struct State {
     path: RequestPath,
-    waiting: HashMap<u64, Sender<QueueResult>>,
+    waiting: HashMap<u64, oneshot::Sender<QueueResult>>,
     addresses: HashMap<InstanceId, SocketAddr>,
     inputs: RunnerInputs,
     rng: SmallRng,
@@ -114,21 +114,26 @@
         self.state.lock().addresses.get(runner).copied()
     }
 
-    /// Assigns an identifier to a request and admits it; blocks while it is queued.
+    /// Assigns an identifier to a request and admits it; waits while it is queued.
     ///
     /// # Errors
     ///
     /// Returns the code for the caller if the request is refused, or dropped from the queue.
-    pub fn admit(&self, mut request: Request, metrics: &Metrics) -> Result<Box<Attempt>, Code> {
+    pub async fn admit(
+        &self,
+        mut request: Request,
+        metrics: &Metrics,
+    ) -> Result<Box<Attempt>, Code> {
         let deadline = request.deadline;
         self.decide_and_wait(deadline, metrics, |path, id, now, random| {
             request.id = id;
             path.submit(request, now, random)
         })
+        .await
     }
 
-    /// Records the outcome of an attempt; blocks until a retry, if there is one, may be sent.
-    pub fn finish_attempt(
+    /// Records the outcome of an attempt; waits until a retry, if there is one, may be sent.
+    pub async fn finish_attempt(
         &self,
         attempt: Attempt,
         outcome: Outcome,
@@ -167,35 +172,35 @@
             }
             AttemptEnd::Retry(at, reason, retry) => {
                 metrics.retries.with_label_values(&[reason.label()]).inc();
-                self.wait_and_retry(at, *retry, deadline, metrics)
+                self.wait_and_retry(at, *retry, deadline, metrics).await
             }
         }
     }
 
-    fn wait_and_retry(
+    async fn wait_and_retry(
         &self,
         at: Duration,
         retry: PendingRetry,
         deadline: Duration,
         metrics: &Metrics,
     ) -> RetryDecision {
-        sleep(at.saturating_sub(self.now()));
+        sleep(at.saturating_sub(self.now())).await;
         let decided = self.decide_and_wait(deadline, metrics, |path, _, now, random| {
             path.retry(retry, now, random)
         });
-        match decided {
+        match decided.await {
             Ok(attempt) => RetryDecision::Retry(attempt),
             Err(code) => RetryDecision::Failed(code),
         }
     }
 
-    fn decide_and_wait(
+    async fn decide_and_wait(
         &self,
         deadline: Duration,
         metrics: &Metrics,
         ask: impl FnOnce(&mut RequestPath, u64, Duration, u64) -> Decision,
     ) -> Result<Box<Attempt>, Code> {
-        let (wake, receiver) = channel::bounded(1);
+        let (wake, mut result) = oneshot::channel();
         let decision = {
             let mut state = self.state.lock();
             let state = &mut *state;
@@ -214,15 +219,16 @@
             Decision::Refused(refused) => Err(refused),
             Decision::Queued(_) => {
                 let left = deadline.saturating_sub(self.now());
-                receiver
-                    .recv_timeout(left + TICK_INTERVAL)
-                    .or_else(|_| {
+                let received = match timeout(left + TICK_INTERVAL, &mut result).await {
+                    Ok(received) => received,
+                    Err(_) => {
                         // This drops every queued request that is past its deadline, so the second
                         // wait returns at once.
                         self.tick();
-                        receiver.recv()
-                    })
-                    .map_err(|_| Code::DeadlinePassed)?
+                        result.await
+                    }
+                };
+                received.map_err(|_| Code::DeadlinePassed)?
             }
         };
         decided.map_err(|refused| {
@@ -262,7 +268,7 @@
 }
 
 impl State {
-    /// Sends attempts and refusals to the threads that wait for them.
+    /// Sends attempts and refusals to the tasks that wait for them.
     fn wake_waiting(&mut self, now: Duration) {
         loop {
             let random = self.rng.random();
@@ -270,7 +276,7 @@
                 break;
             };
             let id = attempt.request().id;
-            // The thread blocks until it receives a result, so the channel is open and empty.
+            // The task waits until it receives a result, so the channel is open.
             if let Some(wake) = self.waiting.remove(&id) {
                 let _ = wake.send(Ok(Box::new(attempt)));
             }
@@ -284,11 +290,11 @@
 }
 
 /// Updates the runners from the tables and drops expired requests until the instance stops.
-pub fn run(entry: &Arc<EntryInstance>) {
+pub async fn run(entry: Arc<EntryInstance>) {
     while !entry.is_stopped() {
-        refresh_runners(entry);
+        refresh_runners(&entry);
         entry.dispatcher.tick();
-        sleep(TICK_INTERVAL);
+        sleep(TICK_INTERVAL).await;
     }
 }
 
--- a/crates/nutmegcart_entry/src/roster.rs
+++ b/crates/nutmegcart_entry/src/roster.rs
@@ -228,7 +228,11 @@
             to,
             records,
         };
-        if !entry.peer_client.call(address, &message).ok()? {
+        let client = entry.peer_client.clone();
+        let confirmed = entry
+            .executor
+            .run(move || async move { client.call(address, &message).await })?;
+        if !confirmed.ok()? {
             return None;
         }
         log_event!(Event::LedgerHandedOver, to = to, records = count);
--- a/crates/nutmegcart_entry/src/runner_connections.rs
+++ b/crates/nutmegcart_entry/src/runner_connections.rs
@@ -1,42 +1,33 @@
 //! Connection pool for requests to runners.
 //!
-//! The HTTP client offers no control over which of its idle connections it uses. Each agent is
-//! therefore limited to one connection, and [`Connections`] decides which agent is used or dropped.
+//! [`Connections`] decides which connection is used or closed; [`RunnerConnections`] holds them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use nutmegcart_platform::http::agent_with;
+use nutmegcart_http::HttpConnection;
 use nutmegcart_request::connection::ConnectionChoice;
 use nutmegcart_request::connection::ConnectionId;
 use nutmegcart_request::connection::Connections;
 use parking_lot::Mutex;
-use ureq::Agent;
-
-/// Idle time after which the HTTP client closes a connection.
-///
-/// It is longer than the idle time of [`Connections`], which closes connections first.
-const CLIENT_IDLE_TIMEOUT: Duration = Duration::from_mins(5);
 
 /// The open connections to all runners, by address.
 #[derive(Default)]
 pub struct RunnerConnections {
-    runners: Mutex<HashMap<SocketAddr, RunnerAgents>>,
+    runners: Mutex<HashMap<SocketAddr, RunnerPool>>,
 }
 
 #[derive(Default)]
-struct RunnerAgents {
+struct RunnerPool {
     connections: Connections,
-    agents: HashMap<ConnectionId, Agent>,
+    idle: HashMap<ConnectionId, HttpConnection>,
 }
 
 /// A connection that is checked out for one request.
 pub struct PooledConnection {
-    /// HTTP client that owns the connection.
-    pub agent: Agent,
-    /// Whether an earlier request used the connection.
-    pub reused: bool,
+    /// The open connection, or none if it must be opened first.
+    pub open: Option<HttpConnection>,
     address: SocketAddr,
     id: ConnectionId,
 }
@@ -66,50 +57,42 @@
         let runner = runners.entry(address).or_default();
         let choice = runner.connections.acquire(share as usize, now, &mut closed);
         for id in closed {
-            dropped.extend(runner.agents.remove(&id));
+            dropped.extend(runner.idle.remove(&id));
         }
-        let (id, reused) = match choice {
-            ConnectionChoice::Reuse(id) => (id, true),
-            ConnectionChoice::Open(id) => (id, false),
-            ConnectionChoice::Full => return None,
+        let (ConnectionChoice::Reuse(id) | ConnectionChoice::Open(id)) = choice else {
+            return None;
         };
-        let agent = runner.agents.entry(id).or_insert_with(new_agent).clone();
-        // Dropping an agent closes its connection, which is I/O and must not happen under the lock.
+        let open = runner.idle.remove(&id);
+        // Dropping a connection closes it, which is I/O and must not happen under the lock.
         drop(runners);
         drop(dropped);
-        Some(PooledConnection {
-            agent,
-            reused,
-            address,
-            id,
-        })
+        Some(PooledConnection { open, address, id })
     }
 
     /// Returns a connection to the pool, or closes it if the outcome rules out its reuse.
     pub fn release(&self, connection: PooledConnection, outcome: ConnectionOutcome, now: Duration) {
-        let PooledConnection {
-            agent, address, id, ..
-        } = connection;
+        let PooledConnection { open, address, id } = connection;
+        let mut open = open;
         let mut closed = Vec::new();
         let mut dropped = Vec::new();
         let mut runners = self.runners.lock();
         if let Some(runner) = runners.get_mut(&address) {
             match outcome {
-                ConnectionOutcome::Complete if runner.connections.release(id, now) => {}
-                ConnectionOutcome::Complete => closed.push(id),
+                ConnectionOutcome::Complete if runner.connections.release(id, now) => {
+                    runner.idle.extend(open.take().map(|open| (id, open)));
+                }
+                ConnectionOutcome::Complete => {}
                 ConnectionOutcome::Broken => {
                     runner.connections.remove(id);
-                    closed.push(id);
                 }
                 ConnectionOutcome::Silent => {
                     runner.connections.remove_unresponsive(id, &mut closed);
-                    closed.push(id);
                 }
             }
-            dropped.extend(closed.iter().filter_map(|id| runner.agents.remove(id)));
+            dropped.extend(closed.iter().filter_map(|id| runner.idle.remove(id)));
         }
         drop(runners);
-        drop((agent, dropped));
+        drop((open, dropped));
     }
 
     /// Closes the idle connections to runners whose address is not known any more.
@@ -124,15 +107,3 @@
         });
     }
 }
-
-fn new_agent() -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .proxy(None)
-        .max_idle_connections(1)
-        .max_idle_connections_per_host(1)
-        .max_idle_age(CLIENT_IDLE_TIMEOUT)
-        .build();
-    agent_with(config)
-}
--- a/crates/nutmegcart_entry/src/tickets.rs
+++ b/crates/nutmegcart_entry/src/tickets.rs
@@ -1,17 +1,17 @@
 //! Issues tickets, which identify operations that run at most once.
 
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
 use nutmegcart_model::Code;
 use nutmegcart_model::Incarnation;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
 use serde_json::json;
 
 use crate::entry_instance::EntryInstance;
 use crate::http;
 
 /// Handles `POST /v1/tickets`.
-pub fn issue(entry: &EntryInstance, request: &Request<Body>) -> Response<Body> {
+pub fn issue<B>(entry: &EntryInstance, request: &Request<B>) -> Response<Bytes> {
     if request.method().as_str() != "POST" {
         return http::error_response(Code::NotFound, "", "tickets are issued by POST");
     }
--- a/crates/nutmegcart_fakes/src/platform.rs
+++ b/crates/nutmegcart_fakes/src/platform.rs
@@ -18,9 +18,6 @@
 use nutmegcart_platform::MemoryStore;
 use nutmegcart_platform::Role;
 use nutmegcart_platform::fleet_api::OperationBody;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
 use parking_lot::Mutex;
 
 use crate::faulty_store::FaultyStore;
@@ -28,6 +25,8 @@
 use crate::runner::Behaviour;
 use crate::runner::FakeRunner;
 use crate::server;
+use crate::server::Request;
+use crate::server::Response;
 use crate::store_api;
 
 /// Writes that the platform's store accepts per second.
@@ -212,11 +211,11 @@
 /// Interval at which a hanging request checks whether the fault is switched off.
 const HANG_CHECK_PERIOD: Duration = Duration::from_millis(5);
 
-fn handle(request: &mut Request<Body>, store: &FaultyStore, state: &Shared) -> Response<Body> {
+fn handle(request: &Request, store: &FaultyStore, state: &Shared) -> Response {
     let path = request.uri().path().to_owned();
-    let body = server::read_body(request);
+    let body = request.body();
     if let Some(call) = path.strip_prefix("/v3/") {
-        return store_api::handle(call, &body, store);
+        return store_api::handle(call, body, store);
     }
     while state.lock().faults.list_hangs {
         sleep(HANG_CHECK_PERIOD);
@@ -231,14 +230,14 @@
     let ["", "v1", "instances", id, verb] = parts[..] else {
         return server::response(404, "no such path");
     };
-    let Ok(body) = serde_json::from_slice::<OperationBody>(&body) else {
+    let Ok(body) = serde_json::from_slice::<OperationBody>(body) else {
         return server::response(400, "no operation identifier");
     };
     execute_operation(state, id, verb, &body.operation)
 }
 
 /// Handles a list request; the query `since=<version>` requests only later changes.
-fn list(state: &Shared, query: Option<&str>) -> Response<Body> {
+fn list(state: &Shared, query: Option<&str>) -> Response {
     let since = query.and_then(|query| query.strip_prefix("since="));
     let since = since.and_then(|version| version.parse().ok()).unwrap_or(0);
     let mut state = state.lock();
@@ -248,7 +247,7 @@
 }
 
 /// Executes drain, reboot or restore; a repeated operation identifier has no further effect.
-fn execute_operation(shared: &Shared, id: &str, verb: &str, operation: &str) -> Response<Body> {
+fn execute_operation(shared: &Shared, id: &str, verb: &str, operation: &str) -> Response {
     let mut state = shared.lock();
     let repeated = state.operations.contains(&format!("{verb} {operation}"));
     let reboot_time = state.reboot_time;
--- a/crates/nutmegcart_fakes/src/runner.rs
+++ b/crates/nutmegcart_fakes/src/runner.rs
@@ -1,20 +1,26 @@
 //! A backend server with a limited number of slots and scripted faults.
 
 use std::io;
-use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::sleep;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use nutmegcart_http::HandlerError;
 use nutmegcart_model::InstanceId;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
 use parking_lot::Mutex;
+use tokio::time::sleep;
 
 use crate::oracle::Oracle;
 use crate::server;
+use crate::server::Request;
+use crate::server::Response;
+
+/// Result of handling a request; the connection is closed after an error.
+type Result<T> = std::result::Result<T, HandlerError>;
 
 /// Number of requests that a runner processes at once; it refuses further ones.
 pub const SLOTS: usize = 8;
@@ -68,8 +74,10 @@
         }));
         let handler_state = state.clone();
         let handler_oracle = oracle.clone();
-        let address =
-            server::start(move |request| handle(request, &handler_state, &handler_oracle));
+        let address = server::start_async(move |request| {
+            let (state, oracle) = (handler_state.clone(), handler_oracle.clone());
+            async move { handle(request, &state, &oracle).await }
+        });
         Self {
             id: id.into(),
             address,
@@ -108,24 +116,24 @@
     }
 }
 
-fn handle(request: &mut Request<Body>, state: &Mutex<State>, oracle: &Oracle) -> Response<Body> {
-    let token = String::from_utf8_lossy(&server::read_body(request)).into_owned();
-    let request_id = server::header(request, "nutmegcart-request")
-        .unwrap_or("")
-        .to_owned();
+/// Returns the error that closes the connection.
+fn disconnected<T>() -> Result<T> {
+    Err(Box::new(io::Error::from(io::ErrorKind::ConnectionAborted)))
+}
+
+async fn handle(request: Request, state: &Mutex<State>, oracle: &Oracle) -> Result<Response> {
+    let token = String::from_utf8_lossy(request.body()).into_owned();
+    let request_id = server::header(&request, "nutmegcart-request").unwrap_or("");
     let (behaviour, time) = {
         let mut state = state.lock();
         let full = state.in_flight >= SLOTS;
         match state.behaviour {
-            Behaviour::ClosesConnections => {
-                drop(state);
-                server::disconnect()
-            }
+            Behaviour::ClosesConnections => return disconnected(),
             Behaviour::ReturnsErrors => {
-                return with_request_id(server::response(500, "failed"), &request_id);
+                return Ok(with_request_id(server::response(500, "failed"), request_id));
             }
             behaviour if full || behaviour == Behaviour::Draining => {
-                return refuse(&request_id);
+                return Ok(refuse(request_id));
             }
             behaviour => {
                 state.in_flight += 1;
@@ -135,48 +143,48 @@
         }
     };
     oracle.record_start(&token);
-    sleep(time);
+    if !time.is_zero() {
+        sleep(time).await;
+    }
     oracle.record_finish(&token);
     state.lock().in_flight -= 1;
-    respond(behaviour, &token, &request_id)
+    respond(behaviour, &token, request_id)
 }
 
-fn respond(behaviour: Behaviour, token: &str, request_id: &str) -> Response<Body> {
+fn respond(behaviour: Behaviour, token: &str, request_id: &str) -> Result<Response> {
     let text = format!("{token} done");
     match behaviour {
-        Behaviour::DropsResponses => server::disconnect(),
+        Behaviour::DropsResponses => disconnected(),
         Behaviour::TruncatesResponses => {
             // The body is sent in chunks; the connection closes before the last one.
-            let half = text.as_bytes()[..text.len() / 2].to_vec();
-            let truncated = io::Cursor::new(half).chain(FailingBody);
-            let mut response = server::response(200, "");
-            *response.body_mut() = Body::from_read(truncated);
-            with_request_id(response, request_id)
+            let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+            let (sender, receiver) = tokio::sync::mpsc::channel(1);
+            tokio::task::spawn_local(async move {
+                // The connection may be gone already.
+                let _ = sender.send(Ok(Frame::data(half))).await;
+                let aborted = io::Error::from(io::ErrorKind::ConnectionAborted);
+                let _ = sender.send(Err(aborted)).await;
+            });
+            let body = StreamBody::new(server::ReceiverStream(receiver)).boxed_unsync();
+            let response = server::response(200, "").map(|_| body);
+            Ok(with_request_id(response, request_id))
         }
-        Behaviour::MismatchesResponses => {
-            with_request_id(server::response(200, text), "another-request")
-        }
-        _ => with_request_id(server::response(200, text), request_id),
-    }
-}
-
-/// A body whose read fails, so that the server closes the connection.
-struct FailingBody;
-
-impl Read for FailingBody {
-    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
-        Err(io::ErrorKind::ConnectionAborted.into())
+        Behaviour::MismatchesResponses => Ok(with_request_id(
+            server::response(200, text),
+            "another-request",
+        )),
+        _ => Ok(with_request_id(server::response(200, text), request_id)),
     }
 }
 
-fn refuse(request_id: &str) -> Response<Body> {
+fn refuse(request_id: &str) -> Response {
     let mut response = with_request_id(server::response(503, "refused"), request_id);
     let value = "before-start".parse().expect("header value is valid");
     response.headers_mut().insert("nutmegcart-refused", value);
     response
 }
 
-fn with_request_id(mut response: Response<Body>, request_id: &str) -> Response<Body> {
+fn with_request_id(mut response: Response, request_id: &str) -> Response {
     if let Ok(value) = request_id.parse() {
         response.headers_mut().insert("nutmegcart-request", value);
     }
--- a/crates/nutmegcart_fakes/src/store_api.rs
+++ b/crates/nutmegcart_fakes/src/store_api.rs
@@ -15,13 +15,12 @@
 use nutmegcart_platform::store::Snapshot;
 use nutmegcart_platform::store::StoreCall;
 use nutmegcart_platform::store::StoreReply;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::faulty_store::FaultyStore;
 use crate::server;
+use crate::server::Response;
 use crate::watch_stream;
 
 /// An error response: HTTP status, gRPC status and message.
@@ -51,7 +50,7 @@
 }
 
 /// Handles a request, given its path below `/v3/`.
-pub fn handle(path: &str, body: &[u8], store: &FaultyStore) -> Response<Body> {
+pub fn handle(path: &str, body: &[u8], store: &FaultyStore) -> Response {
     let response = match serde_json::from_slice::<Value>(body) {
         Ok(body) if path == "watch" => {
             return watch_stream::start(&body["create_request"], store)
@@ -66,12 +65,12 @@
     }
 }
 
-fn error_response(ApiError(status, code, reason): &ApiError) -> Response<Body> {
+fn error_response(ApiError(status, code, reason): &ApiError) -> Response {
     let response = json!({"error": reason, "code": code, "message": reason});
     json(*status, &response)
 }
 
-fn json(status: u16, body: &Value) -> Response<Body> {
+fn json(status: u16, body: &Value) -> Response {
     let mut response = server::response(status, body.to_string());
     let content_type = "application/json".parse().expect("header value is valid");
     response.headers_mut().insert("content-type", content_type);
--- a/crates/nutmegcart_fakes/src/task_workers.rs
+++ b/crates/nutmegcart_fakes/src/task_workers.rs
@@ -19,13 +19,12 @@
 use nutmegcart_platform::task_api::WorkerCommand;
 use nutmegcart_platform::task_api::WorkerList;
 use nutmegcart_platform::task_api::WorkerReport;
-use oxhttp::model::Body;
-use oxhttp::model::Request;
-use oxhttp::model::Response;
 use parking_lot::Mutex;
 
 use crate::oracle::Oracle;
 use crate::server;
+use crate::server::Request;
+use crate::server::Response;
 
 /// Time for which a forgotten attempt is still refused, and longest lease of an attempt.
 const TOMBSTONE_RETENTION: Duration = Duration::from_mins(1);
@@ -283,9 +282,9 @@
     attempt.split_once('#').map_or(attempt, |(task, _)| task)
 }
 
-fn handle(request: &mut Request<Body>, state: &Mutex<State>, oracle: &Oracle) -> Response<Body> {
+fn handle(request: &Request, state: &Mutex<State>, oracle: &Oracle) -> Response {
     let path = request.uri().path().to_owned();
-    let body = server::read_body(request);
+    let body = request.body();
     let parts: Vec<&str> = path.split('/').skip(1).collect();
     let mut state = state.lock();
     let now = state.clock();
@@ -316,7 +315,7 @@
                 drop(state);
                 server::disconnect();
             }
-            let Ok(list) = serde_json::from_slice::<CommandList>(&body) else {
+            let Ok(list) = serde_json::from_slice::<CommandList>(body) else {
                 return server::response(400, "malformed commands");
             };
             worker.expire_leases(now);
@@ -336,6 +335,6 @@
     }
 }
 
-fn json(body: &impl serde::Serialize) -> Response<Body> {
+fn json(body: &impl serde::Serialize) -> Response {
     server::response(200, serde_json::to_vec(body).expect("body is serialisable"))
 }
--- a/crates/nutmegcart_fakes/src/watch_stream.rs
+++ b/crates/nutmegcart_fakes/src/watch_stream.rs
@@ -1,31 +1,37 @@
 //! The streaming response to a watch: one JSON object per line while the connection is open.
 
-use std::io::Read;
+use std::io;
 use std::time::Duration;
 use std::time::Instant;
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::memory::WriteEvent;
 use nutmegcart_platform::store::StoreCall;
 use nutmegcart_platform::store::StoreReply;
-use oxhttp::model::Body;
-use oxhttp::model::Response;
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::channel;
 
 use crate::faulty_store::FaultyStore;
+use crate::server::ReceiverStream;
+use crate::server::Response;
 use crate::store_api;
 use crate::store_api::ApiError;
 
-/// Longest duration of a watch; its thread cannot detect that the client has disconnected.
+/// Longest duration of a watch.
 const MAX_WATCH_DURATION: Duration = Duration::from_mins(1);
-/// Number of spaces after each line, which JSON allows before the next object.
-///
-/// The server library sends a streamed body only when its buffer of 16 KB is full.
-const PADDING_BYTES: usize = 20 << 10;
+/// Interval at which a watch checks whether its client has disconnected.
+const CLIENT_CHECK_PERIOD: Duration = Duration::from_secs(1);
+/// Lines that wait for a client that reads slowly.
+const MAX_QUEUED_LINES: usize = 16;
 
 /// Opens a watch and returns its streaming response.
-pub fn start(create: &Value, store: &FaultyStore) -> Result<Response<Body>, ApiError> {
+pub fn start(create: &Value, store: &FaultyStore) -> Result<Response, ApiError> {
     let (prefix, _) = store_api::key_or_prefix(create)?;
     // A watch is counted, and limited by the read rate, once when it is opened.
     let StoreReply::Range(snapshot) =
@@ -40,68 +46,78 @@
     let created = json!({"result": {
         "header": store_api::header(snapshot.revision), "created": true,
     }});
-    let stream = WatchStream {
+    let watch = Watch {
         store: store.clone(),
         prefix,
         from,
-        end: Some(Instant::now() + MAX_WATCH_DURATION),
-        line: padded_line(&created),
-        read: 0,
+        end: Instant::now() + MAX_WATCH_DURATION,
     };
-    Ok(Response::new(Body::from_read(stream)))
+    let (lines, received) = channel(MAX_QUEUED_LINES);
+    // The handler runs on a thread for calls that block, as the watch does.
+    tokio::task::spawn_blocking(move || watch.send_lines(&created, &lines));
+    let body = StreamBody::new(ReceiverStream(received)).boxed_unsync();
+    Ok(Response::new(body))
 }
 
-fn padded_line(value: &Value) -> Vec<u8> {
-    format!("{value}\n{:PADDING_BYTES$}", "").into_bytes()
+type LineSender = Sender<io::Result<Frame<Bytes>>>;
+
+fn frame(value: &Value) -> io::Result<Frame<Bytes>> {
+    Ok(Frame::data(Bytes::from(format!("{value}\n"))))
 }
 
-struct WatchStream {
+struct Watch {
     store: FaultyStore,
     prefix: String,
     from: i64,
-    /// Time at which the watch ends, or `None` after its last line.
-    end: Option<Instant>,
-    line: Vec<u8>,
-    read: usize,
+    end: Instant,
 }
 
-impl Read for WatchStream {
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        if self.read == self.line.len() {
-            (self.line, self.read) = (self.next_line()?, 0);
+impl Watch {
+    /// Sends the lines of the watch until it ends or its client has disconnected.
+    fn send_lines(mut self, created: &Value, lines: &LineSender) {
+        let mut line = Ok(Some((created.clone(), false)));
+        loop {
+            let last = match line {
+                Ok(Some((value, last))) => lines.blocking_send(frame(&value)).is_err() || last,
+                Ok(None) => lines.is_closed() || Instant::now() >= self.end,
+                Err(error) => {
+                    // The client is told by the end of the connection.
+                    let _ = lines.blocking_send(Err(error));
+                    true
+                }
+            };
+            if last {
+                return;
+            }
+            line = self.next_line();
         }
-        let count = (&self.line[self.read..]).read(buffer)?;
-        self.read += count;
-        Ok(count)
     }
-}
 
-impl WatchStream {
-    fn next_line(&mut self) -> std::io::Result<Vec<u8>> {
-        let Some(end) = self.end else {
-            return Ok(Vec::new());
-        };
-        let remaining = end.saturating_duration_since(Instant::now());
-        match self.store.wait(&self.prefix, self.from, remaining) {
+    /// Waits for the next line; returns whether it is the last one, or nothing without a line.
+    fn next_line(&mut self) -> io::Result<Option<(Value, bool)>> {
+        let remaining = self.end.saturating_duration_since(Instant::now());
+        let wait = remaining.min(CLIENT_CHECK_PERIOD);
+        match self.store.wait(&self.prefix, self.from, wait) {
             Ok(true) => {}
-            Ok(false) => return Ok(Vec::new()),
+            Ok(false) => return Ok(None),
             Err(StoreError::Compacted { oldest }) => {
-                self.end = None;
-                return Ok(padded_line(&json!({"result": {
+                let cancelled = json!({"result": {
                     "header": store_api::header(oldest),
                     "canceled": true,
                     "compact_revision": oldest.to_string(),
-                }})));
+                }});
+                return Ok(Some((cancelled, true)));
             }
-            Err(error) => return Err(std::io::Error::other(error)),
+            Err(error) => return Err(io::Error::other(error)),
         }
         let events = self.store.memory.events(&self.prefix, self.from);
-        let (events, revision) = events.map_err(std::io::Error::other)?;
+        let (events, revision) = events.map_err(io::Error::other)?;
         self.from = revision + 1;
         let events: Vec<Value> = events.iter().map(encode_event).collect();
-        Ok(padded_line(&json!({"result": {
+        let line = json!({"result": {
             "header": store_api::header(revision), "events": events,
-        }})))
+        }});
+        Ok(Some((line, false)))
     }
 }
 
--- a/crates/nutmegcart_control/tests/http.rs
+++ b/crates/nutmegcart_http/tests/http.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use nutmegcart_control::http::DeliveryError;
-use nutmegcart_control::http::HttpClient;
-use nutmegcart_control::http::request;
+use nutmegcart_http::DeliveryError;
+use nutmegcart_http::HttpClient;
+use nutmegcart_http::request;
 use tokio::task::LocalSet;
 
 fn run<T>(future: impl Future<Output = T>) -> T {
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -101,6 +101,7 @@
     TakeoverBarrier = 1310, Unknown, 503, "the ledger of the operation's key was lost; wait for the barrier to end or use a ticket";
     RunnerFailed = 1311, Unknown, 502, "the runner answered an earlier attempt with a server error and no further attempt was made";
     AnswerDiscarded = 1312, Unknown, 503, "the answer was discarded because the limit of buffered bytes is reached";
+    InternalError = 1313, Unknown, 500, "this entry instance failed unexpectedly; the request may have run";
     OperationForgotten = 1380, Unknown, 410, "the record of the operation was forgotten; use a new ticket";
     NotAttempted = 1381, Unknown, 503, "this attempt sent nothing; an earlier attempt may have run";
     RosterDisagreement = 1382, Unknown, 503, "the entry instances do not agree on the owner yet; this attempt sent nothing";
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -45,6 +45,8 @@
     EntryDraining = 101, Info, "entry instance is draining";
     EntryStopped = 102, Info, "entry instance stopped with no request in flight";
     MemoryStoreUsed = 103, Warn, "the store is in memory; its contents are lost when this process ends";
+    HandlerFailed = 104, Error, "handler of a request failed unexpectedly; the instance goes on";
+    CallDropped = 105, Warn, "background call dropped because too many are under way";
     StoreUnreachable = 200, Warn, "the platform's store does not answer";
     StoreReachable = 201, Info, "the platform's store answers again";
     ListUnreachable = 202, Warn, "the instance list does not answer";
--- a/crates/nutmegcart_peer/src/peer_client.rs
+++ b/crates/nutmegcart_peer/src/peer_client.rs
@@ -5,9 +5,10 @@
 
 use derive_more::Display;
 use derive_more::Error;
-use nutmegcart_platform::http::agent_with;
-use nutmegcart_platform::http::is_not_sent;
-use ureq::Agent;
+use nutmegcart_http::ClientLimits;
+use nutmegcart_http::DeliveryError;
+use nutmegcart_http::HttpClient;
+use nutmegcart_http::request;
 
 use crate::message;
 use crate::message::Message;
@@ -15,11 +16,13 @@
 /// Result of a call to a peer.
 pub type Result<T> = std::result::Result<T, PeerCallError>;
 
-/// Maximum size of an answer.
-const ANSWER_LIMIT_BYTES: u64 = 64 << 20;
-
-/// Maximum number of idle connections that are kept open to each peer.
-const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Limits of the connections to peers.
+const LIMITS: ClientLimits = ClientLimits {
+    connect: Duration::from_millis(500),
+    // Requests to the same owner are forwarded in parallel, each on its own connection.
+    idle_connections: 64,
+    response_bytes: 64 << 20,
+};
 
 /// Failure of a call to a peer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -43,21 +46,22 @@
 }
 
 /// Client for messages to peers; each call waits for the answer up to a timeout.
+///
+/// Clones share the connections. Calls are made inside a [`tokio::task::LocalSet`], for example on
+/// a [`nutmegcart_http::LocalExecutor`].
+#[derive(Clone, Debug)]
 pub struct PeerClient {
-    agent: Agent,
+    client: HttpClient,
+    timeout: Duration,
 }
 
 impl PeerClient {
     /// Creates a client; `timeout` applies to [`PeerClient::call`].
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
-        let config = Agent::config_builder()
-            .timeout_global(Some(timeout))
-            .http_status_as_error(false)
-            // Requests to the same owner are forwarded in parallel, each on its own thread.
-            .max_idle_connections_per_host(MAX_IDLE_CONNECTIONS);
         Self {
-            agent: agent_with(config.build()),
+            client: HttpClient::new(LIMITS),
+            timeout,
         }
     }
 
@@ -67,8 +71,8 @@
     ///
     /// Fails if no complete answer arrives in time; the error distinguishes whether the peer may
     /// have acted on the message.
-    pub fn call<M: Message>(&self, address: SocketAddr, request: &M) -> Result<M::Answer> {
-        self.exchange(address, request, None)
+    pub async fn call<M: Message>(&self, address: SocketAddr, request: &M) -> Result<M::Answer> {
+        self.call_with_timeout(address, request, self.timeout).await
     }
 
     /// Sends a message and waits for its answer, with a timeout for this call.
@@ -76,46 +80,25 @@
     /// # Errors
     ///
     /// Fails as [`PeerClient::call`] does.
-    pub fn call_with_timeout<M: Message>(
+    pub async fn call_with_timeout<M: Message>(
         &self,
         address: SocketAddr,
-        request: &M,
+        message: &M,
         timeout: Duration,
-    ) -> Result<M::Answer> {
-        self.exchange(address, request, Some(timeout))
-    }
-
-    fn exchange<M: Message>(
-        &self,
-        address: SocketAddr,
-        request: &M,
-        timeout: Option<Duration>,
     ) -> Result<M::Answer> {
         let no_answer = |reason: String| PeerCallError::NoAnswer { address, reason };
-        let url = format!("http://{address}/peer/v1/{}", M::PATH);
-        let body = message::encode(request);
-        let mut call = self.agent.post(&url);
-        if let Some(timeout) = timeout {
-            call = call.config().timeout_global(Some(timeout)).build();
-        }
-        let answer = call.send(&body[..]);
-        let mut answer = answer.map_err(|error| {
-            let reason = error.to_string();
-            if is_not_sent(&error) {
-                PeerCallError::NotSent { address, reason }
-            } else {
-                PeerCallError::NoAnswer { address, reason }
-            }
+        let path = format!("/peer/v1/{}", M::PATH);
+        let host = address.to_string();
+        let body = message::encode(message).into();
+        let request = request("POST", &path, &[("host", &host)], body);
+        let answer = self.client.call(address, request, timeout).await;
+        let answer = answer.map_err(|error| match error {
+            DeliveryError::NotSent { reason } => PeerCallError::NotSent { address, reason },
+            DeliveryError::Lost { reason } => no_answer(reason),
         })?;
         if !answer.status().is_success() {
             return Err(no_answer(format!("status {}", answer.status())));
         }
-        let body = answer
-            .body_mut()
-            .with_config()
-            .limit(ANSWER_LIMIT_BYTES)
-            .read_to_vec();
-        let body = body.map_err(|error| no_answer(error.to_string()))?;
-        message::decode(&body).map_err(|error| no_answer(error.to_string()))
+        message::decode(answer.body()).map_err(|error| no_answer(error.to_string()))
     }
 }
--- a/crates/nutmegcart_peer/tests/messages.rs
+++ b/crates/nutmegcart_peer/tests/messages.rs
@@ -6,6 +6,7 @@
 use std::thread::spawn;
 use std::time::Duration;
 
+use nutmegcart_http::LocalExecutor;
 use nutmegcart_model::Code;
 use nutmegcart_model::Incarnation;
 use nutmegcart_peer::DispatchError;
@@ -116,14 +117,20 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let client = PeerClient::new(Duration::from_secs(30));
+    let executor = LocalExecutor::start("calls", 1).unwrap();
+    let call = || {
+        let client = client.clone();
+        let answer = executor.run(move || async move { client.call(address, &seal()).await });
+        answer.unwrap()
+    };
     let closing = spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         let mut first = [0];
         stream.read_exact(&mut first).unwrap();
     });
-    let error = client.call(address, &seal()).unwrap_err();
+    let error = call().unwrap_err();
     assert!(matches!(error, PeerCallError::NoAnswer { .. }), "{error}");
     closing.join().unwrap();
-    let error = client.call(address, &seal()).unwrap_err();
+    let error = call().unwrap_err();
     assert!(matches!(error, PeerCallError::NotSent { .. }), "{error}");
 }
