Renew the leases of an earlier duty holder, and bound the start of an idempotent task

Tasks of configured jobs stopped 20 s after a change of the duty holder and ran again: the successor took the stored horizon for the lease that the worker has, and renewed nothing. It now keeps what it has granted itself apart (Task::granted_until, not stored). Five of the six tests of placement_successor failed before and pass now.

--- a/crates/nutmegcart_fleet/src/calls.rs
+++ b/crates/nutmegcart_fleet/src/calls.rs
@@ -19,6 +19,9 @@
     /// Appends the due calls of tasks whose start or end is not confirmed.
     pub fn emit_calls(&mut self, actions: &mut Vec<SchedulerAction>) {
         for (job_index, (name, job)) in self.jobs.iter_mut().enumerate() {
+            let start_lease = self
+                .settings
+                .start_lease(self.round_jobs[job_index].idempotent);
             for (&index, task) in &mut job.tasks {
                 let interval = match task.phase {
                     TaskPhase::Starting => self.settings.start_retry,
@@ -47,7 +50,8 @@
                         attempt,
                         size: self.round_jobs[job_index].size,
                         boot: task.boot,
-                        until: task.lease_end,
+                        // An earlier holder's horizon must not extend a repeated start.
+                        until: task.phase_start + start_lease,
                         from: task.checkpoint.map(id),
                     },
                     TaskPhase::Checkpointing => SchedulerAction::Checkpoint {
@@ -82,7 +86,7 @@
             let idempotent = job.spec.as_ref().is_some_and(|spec| spec.idempotent);
             for (&index, task) in &mut job.tasks {
                 let renewable = matches!(task.phase, TaskPhase::Running | TaskPhase::Checkpointing);
-                if !renewable || now + renewal_margin < task.lease_end {
+                if !renewable || now + renewal_margin < task.granted_until {
                     continue;
                 }
                 let slot = task.worker.as_ref().and_then(|id| scheduler.slots.get(id));
@@ -95,11 +99,13 @@
                 } else {
                     full_length.min(horizon)
                 };
-                if lease_end <= task.lease_end || scheduler.workers[slot].is_silent(now, &settings)
-                {
+                let silent = scheduler.workers[slot].is_silent(now, &settings);
+                if lease_end <= task.granted_until || silent {
                     continue;
                 }
-                task.lease_end = lease_end;
+                task.granted_until = lease_end;
+                // An earlier holder may have granted a later end.
+                task.lease_end = task.lease_end.max(lease_end);
                 let attempt = AttemptId {
                     job: name.clone(),
                     index,
--- a/crates/nutmegcart_fleet/src/scheduling_round.rs
+++ b/crates/nutmegcart_fleet/src/scheduling_round.rs
@@ -395,7 +395,9 @@
         task.worker = Some(tracked.worker.id.clone());
         task.boot = tracked.boot;
         task.granted_cpu = size.cpu;
-        task.lease_end = self.now + self.settings.lease;
+        let idempotent = self.round_jobs[job].idempotent;
+        task.lease_end = self.now + self.settings.start_lease(idempotent);
+        task.granted_until = task.lease_end;
         enter_phase(task, TaskPhase::Starting, self.now);
         state.first_unattempted = state.first_unattempted.max(index + 1);
         state.last_start = self.now;
--- a/crates/nutmegcart_fleet/src/task.rs
+++ b/crates/nutmegcart_fleet/src/task.rs
@@ -144,6 +144,11 @@
     /// Latest end of the lease that may have been granted to the worker.
     #[serde(rename = "until", default, with = "millis")]
     pub lease_end: Duration,
+    /// End of the lease that this duty holder has granted; zero if only an earlier holder has.
+    ///
+    /// Not stored: a successor renews the lease at once, whatever the earlier holder granted.
+    #[serde(skip)]
+    pub granted_until: Duration,
     /// Processor reserved at the start, in thousandths of a core; unchanged by throttling.
     #[serde(rename = "granted", default)]
     pub granted_cpu: u64,
--- a/crates/nutmegcart_fleet/src/task_scheduler.rs
+++ b/crates/nutmegcart_fleet/src/task_scheduler.rs
@@ -58,6 +58,23 @@
     pub move_cooldown: Duration,
 }
 
+impl SchedulerSettings {
+    /// Returns the length of the lease with which a task starts, after which its worker refuses the
+    /// start.
+    ///
+    /// An idempotent task is given up as soon as its worker is silent. Its start must not be carried
+    /// out after that, when another attempt may already have finished.
+    #[must_use]
+    pub fn start_lease(&self, idempotent: bool) -> Duration {
+        if idempotent {
+            self.lease
+                .min(self.silence_limit.saturating_sub(self.clock_error))
+        } else {
+            self.lease
+        }
+    }
+}
+
 impl Default for SchedulerSettings {
     fn default() -> Self {
         Self {
