Pass waiting jobs from a cell that cannot start them soon to one with room

A job's cell was a hash for good. An owner whose predicted wait in a pool exceeds two seconds asks the other owners for theirs, and passes jobs that have waited for one second and of which nothing can have been started, those that would start last first, while the difference is two seconds or more. One transaction, fenced by the owner's key, moves the record and notes its place; while its outcome is open nothing of the job starts. Every submission now requires that no such note exists. All 630 interleavings of pass, lost answer, take-over, repeated submission and cancellation keep the job in one cell (crates/nutmegcart_control/tests/passing.rs).

--- a/crates/nutmegcart/src/demo/jobs.rs
+++ b/crates/nutmegcart/src/demo/jobs.rs
@@ -89,6 +89,7 @@
         ..Step::default()
     };
     let accepted = AcceptedJob {
+        waited_ms: 0,
         queue: cell.queues[queue_index].clone(),
         at: cell.unix_ms(),
         job: Job {
--- a/crates/nutmegcart_bench/src/jobs.rs
+++ b/crates/nutmegcart_bench/src/jobs.rs
@@ -242,6 +242,7 @@
         {
             let id = JobId::parse(&format!("{next:016x}")).expect("sixteen digits");
             let accepted = AcceptedJob {
+                waited_ms: 0,
                 queue: world.queues[arrival.queue].clone(),
                 at: world.unix_ms(),
                 job: arrival.job.clone(),
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -189,6 +189,7 @@
             return CallerResponse::refused(Code::BadRequest);
         }
         let accepted = AcceptedJob {
+            waited_ms: 0,
             queue: (**queue).clone(),
             at: unix_ms(),
             job,
@@ -345,11 +346,15 @@
 ) -> JobInsert {
     let own = cells.of_job(id);
     let mut insert = JobInsert::new(own.keys.job(id), accepted);
-    if cells.views.len() == 1 || !accepted.job.is_long_running() {
+    if cells.views.len() == 1 {
         return insert;
     }
-    let view = least_loaded(node, cells, accepted).await;
+    // A job that has passed to another cell must not be stored again by a late repeat.
     insert.absent.push(keys::job_location(id));
+    if !accepted.job.is_long_running() {
+        return insert;
+    }
+    let view = least_loaded(node, cells, accepted).await;
     if view.number != own.number {
         let elsewhere = JobInsert::new(view.keys.job(id), accepted);
         insert.absent.extend(elsewhere.absent);
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`job_api`]: nutmegcart's own HTTP interface for jobs;
 //! * [`ownership`], [`candidate`], [`owner`]: ownership of cells, and the tasks of an owner;
 //! * [`owner_history`]: earlier owners, and until when they can have granted leases;
+//! * [`passing`]: waiting jobs that pass to another cell;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`peer`]: requests between instances;
 //! * [`routing`]: mapping of requests to queues;
@@ -29,6 +30,7 @@
 pub mod owner;
 pub mod owner_history;
 pub mod ownership;
+pub mod passing;
 pub mod peer;
 pub mod port;
 pub mod prefix_watcher;
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -56,6 +56,8 @@
     pub longest_wait: GaugeVec,
     /// Workers that block inherited jobs, by cell; set by the cell's owner.
     pub blocking_workers: IntGaugeVec,
+    /// Jobs passed to another cell, by the number of that cell.
+    pub passed_jobs: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -155,6 +157,11 @@
                 "nutmegcart_blocking_workers",
                 "Workers on which inherited jobs may still run, and which have not answered.",
             ),
+            passed_jobs: counter(
+                "nutmegcart_jobs_passed_total",
+                "Waiting jobs passed to another cell, by that cell.",
+                &["cell"],
+            ),
             config_version,
             registry,
         }
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::node::OwnedCell;
 use crate::ownership;
+use crate::passing;
 use crate::port::MachineOrderRequest;
 use crate::port::PollError;
 use crate::port::Target;
@@ -70,6 +71,7 @@
     tokio::task::spawn_local(run_ticks(node.clone(), owned.clone()));
     tokio::task::spawn_local(watch_machines(node.clone(), owned.clone()));
     tokio::task::spawn_local(waves::run(node.clone(), owned.clone()));
+    tokio::task::spawn_local(passing::run(node.clone(), owned.clone()));
 }
 
 /// Reads all keys of the cell, then watches for submitted and cancelled jobs.
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -18,10 +18,12 @@
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::QueueKey;
+use nutmegcart_jobs::passing::PoolLoad;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::acceptor::Acceptance;
+use crate::clock::now;
 use crate::earlier_owners;
 use crate::job_api;
 use crate::job_service;
@@ -81,13 +83,15 @@
     /// Asks the receiver to acquire a cell from the sender, which does not reach the store and
     /// holds the cell with the fencing token.
     TakeOver(u32, u64),
+    /// Asks the owner of the cell for the work and capacity of its pools.
+    Load(u32),
     /// Asks whether the ownership of a cell with the fencing token has ended, by the name and the
     /// incarnation of the owner.
     HasEnded(u32, u64, Arc<str>, u64),
 }
 
 /// The response to a [`PeerRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerResponse {
     /// The state of the job, if the owner knows it.
     State(Option<JobState>),
@@ -106,6 +110,8 @@
     Taken(bool),
     /// Whether the ownership has certainly ended.
     HasEnded(bool),
+    /// The work and capacity of the cell by pool.
+    Load(Vec<PoolLoad>),
 }
 
 /// Result of an attempt to cancel a job.
@@ -140,6 +146,7 @@
             let count = scheduler.waiting_in(queue);
             PeerResponse::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
+        PeerRequest::Load(_) => PeerResponse::Load(scheduler.pool_loads(now())),
         PeerRequest::Submit(..)
         | PeerRequest::Cancel(..)
         | PeerRequest::TakeOver(..)
@@ -154,6 +161,7 @@
         PeerRequest::State(cell, _)
         | PeerRequest::LongRunning(cell)
         | PeerRequest::Waiting(cell, _)
+        | PeerRequest::Load(cell)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
         PeerRequest::Submit(..) | PeerRequest::Cancel(..) => None,
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -36,6 +36,7 @@
         .set(1);
     metrics.longest_wait.with_label_values(&["0"]).set(1.0);
     metrics.blocking_workers.with_label_values(&["0"]).set(1);
+    metrics.passed_jobs.with_label_values(&["0"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod machines;
 pub mod maintenance;
 pub mod orders;
+pub mod passing;
 mod placement;
 pub mod rank;
 mod rebalancing;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -154,6 +154,8 @@
     pub inherited: bool,
     /// Whether any task was ever started.
     pub started: bool,
+    /// Whether a transaction may pass it to another cell, so that nothing may be started here.
+    pub passing: bool,
 }
 
 impl LiveJob {
@@ -189,6 +191,7 @@
             stored: false,
             inherited: false,
             started: false,
+            passing: false,
             accepted,
         }
     }
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -48,7 +48,7 @@
         let means = self.mean_work();
         let mut waiting: BTreeMap<PoolName, Vec<(Rank, JobId, u32)>> = BTreeMap::new();
         for job in self.jobs.values() {
-            if !job.has_pending() || self.is_blocked(job) {
+            if !job.has_pending() || job.passing || self.is_blocked(job) {
                 continue;
             }
             let mean = means
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -91,6 +91,17 @@
     pub at: u64,
     /// Description from the caller.
     pub job: Job,
+    /// Time that it waited in another cell before it passed to this one, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub waited_ms: u64,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(millis: &u64) -> bool {
+    *millis == 0
 }
 
 /// A worker that may run tasks of the cell.
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -246,7 +246,7 @@
         let age = if inherited {
             age.min(now)
         } else {
-            Duration::ZERO
+            Duration::from_millis(accepted.waited_ms)
         };
         let since = now.saturating_sub(age);
         let mut job = LiveJob::new(id.clone(), accepted, revision, since, &self.estimates);
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -112,6 +112,7 @@
 ) -> JobId {
     let id = job_id(number);
     let accepted = AcceptedJob {
+        waited_ms: 0,
         queue: world.queues[queue].clone(),
         at: world.unix_ms(),
         job: Job {
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -105,6 +105,7 @@
     CallerJobCancelled = 715, Info, "caller's job was cancelled";
     JobRecordLost = 716, Error, "the store no longer holds an accepted job";
     JobRecordInvalid = 717, Error, "a record of the cell in the store cannot be read";
+    JobPassed = 718, Info, "waiting job passed to a cell that can start it sooner";
     RunAdopted = 720, Info, "run of an earlier owner adopted";
     RunFailed = 721, Info, "run failed";
     RunEnded = 722, Info, "run ended without finishing; its task starts again";
