Write log lines whole to a standard output that does not block

Where standard output is a pipe that does not block, a write takes a part of a batch and the next one fails; the writer dropped that error and went on with the next batch. The writer now waits until the pipe takes more, counts the lines that an error costs, and at the end of the process waits up to 300 ms for the last batch.

--- a/crates/nutmegcart_control/src/logger.rs
+++ b/crates/nutmegcart_control/src/logger.rs
@@ -5,10 +5,14 @@
 
 use std::collections::HashMap;
 use std::fmt::Write as _;
-use std::io::Write as _;
+use std::os::fd::AsFd;
 use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use crossbeam::channel::Sender;
 use crossbeam::channel::TrySendError;
@@ -20,6 +24,9 @@
 use log::Record;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::io::Errno;
 
 use crate::clock::unix_ms;
 
@@ -32,6 +39,10 @@
 const MAX_LINES_PER_SECOND: u32 = 300;
 /// Capacity of the channel to the writer thread.
 const MAX_QUEUED_BATCHES: usize = 8;
+/// Time that the last lines get to be written at the end of the process.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval between checks whether the last lines are written.
+const SHUTDOWN_POLL: Duration = Duration::from_millis(5);
 /// Interval at which the buffer should be flushed.
 pub const FLUSH_PERIOD: Duration = Duration::from_millis(250);
 
@@ -41,6 +52,10 @@
     level: LevelFilter,
     buffer: Mutex<Buffer>,
     batches: Sender<String>,
+    /// Batches that were sent to the writer thread and are not written yet.
+    unwritten: AtomicUsize,
+    /// Lines that the writer thread could not write.
+    lost: AtomicU64,
 }
 
 #[derive(Default)]
@@ -82,14 +97,21 @@
         level,
         buffer: Mutex::default(),
         batches,
+        unwritten: AtomicUsize::new(0),
+        lost: AtomicU64::new(0),
     };
     if LOGGER.set(logger).is_err() {
         return;
     }
     std::thread::spawn(move || {
         for batch in received {
-            // An error of standard output cannot be reported anywhere.
-            drop(std::io::stdout().write_all(batch.as_bytes()));
+            let written = write_lines(rustix::stdio::stdout(), &batch);
+            if let (Err(lost), Some(logger)) = (written, LOGGER.get()) {
+                logger.lost.fetch_add(lost, Ordering::AcqRel);
+            }
+            if let Some(logger) = LOGGER.get() {
+                logger.unwritten.fetch_sub(1, Ordering::AcqRel);
+            }
         }
     });
     if let Some(logger) = LOGGER.get()
@@ -103,16 +125,57 @@
 pub fn flush() {
     if let Some(logger) = LOGGER.get() {
         logger.send_batch();
-        let dropped = logger
-            .buffer
-            .lock()
-            .map(|mut buffer| std::mem::take(&mut buffer.dropped));
-        if let Ok(dropped @ 1..) = dropped {
+        let dropped = logger.take_dropped();
+        if dropped > 0 {
             log_event!(Event::LogDropped, lines = dropped);
         }
     }
 }
 
+/// Sends the last lines to the writer thread and waits until it has written them, at most for
+/// [`SHUTDOWN_TIMEOUT`]; returns whether it has.
+pub fn shut_down() -> bool {
+    let Some(logger) = LOGGER.get() else {
+        return true;
+    };
+    let end = Instant::now() + SHUTDOWN_TIMEOUT;
+    loop {
+        flush();
+        if logger.unwritten.load(Ordering::Acquire) == 0 && logger.is_empty() {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        std::thread::sleep(SHUTDOWN_POLL);
+    }
+}
+
+/// Writes all lines, also if the descriptor does not block and takes them in parts.
+///
+/// # Errors
+///
+/// Returns the number of lines that are not completely written.
+fn write_lines(output: impl AsFd, lines: &str) -> Result<(), u64> {
+    let mut rest = lines.as_bytes();
+    while !rest.is_empty() {
+        match rustix::io::write(&output, rest) {
+            Ok(count) => rest = &rest[count..],
+            Err(Errno::INTR) => {}
+            Err(Errno::AGAIN) => {
+                let mut ready = [PollFd::new(&output, PollFlags::OUT)];
+                // A failed wait is followed by another write, which reports the error.
+                let _ = rustix::event::poll(&mut ready, None);
+            }
+            Err(_) => {
+                let lost = rest.iter().filter(|byte| **byte == b'\n').count();
+                return Err(u64::try_from(lost).unwrap_or(u64::MAX));
+            }
+        }
+    }
+    Ok(())
+}
+
 impl Logger {
     fn send_batch(&self) {
         let Ok(mut buffer) = self.buffer.lock() else {
@@ -121,13 +184,35 @@
         if buffer.lines.is_empty() {
             return;
         }
+        // Counted first, so that a batch is never written before it counts.
+        self.unwritten.fetch_add(1, Ordering::AcqRel);
         match self.batches.try_send(std::mem::take(&mut buffer.lines)) {
             Ok(()) => {}
             Err(TrySendError::Full(lines) | TrySendError::Disconnected(lines)) => {
+                self.unwritten.fetch_sub(1, Ordering::AcqRel);
                 buffer.lines = lines;
             }
         }
     }
+
+    /// Takes the number of lines that were dropped; 0 while the buffer has no room for a line that
+    /// tells it.
+    fn take_dropped(&self) -> u64 {
+        let Ok(mut buffer) = self.buffer.lock() else {
+            return 0;
+        };
+        if buffer.lines.len() > MAX_BUFFERED_BYTES {
+            return 0;
+        }
+        std::mem::take(&mut buffer.dropped) + self.lost.swap(0, Ordering::AcqRel)
+    }
+
+    /// Returns whether no line waits in the buffer.
+    fn is_empty(&self) -> bool {
+        self.buffer
+            .lock()
+            .is_ok_and(|buffer| buffer.lines.is_empty() && buffer.dropped == 0)
+    }
 }
 
 impl Log for Logger {
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -109,6 +109,6 @@
         id = node.settings.name,
         active = node.active_requests.get()
     );
-    logger::flush();
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    // Lines that a slow reader has not taken by now are lost with the process.
+    let _ = logger::shut_down();
 }
