Let the stopped owner's key stay until its successor has read it, in the test

stopped_owner_is_not_confirmed hung when its second process started after the first one's lease had ended: nobody was then known to ask, and event 706 never came.

--- a/crates/nutmegcart/tests/manage.rs
+++ b/crates/nutmegcart/tests/manage.rs
@@ -507,6 +507,8 @@
 
 /// Number of the event that an earlier owner was asked whether it has ended.
 const EARLIER_OWNER_ASKED: u16 = 706;
+/// Number of the event that the division into cells has been read, with the owners of the cells.
+const LAYOUT_LOADED: u16 = 705;
 /// Number of the event that the owner has read its cell.
 const CELL_LOADED: u16 = 702;
 
@@ -550,18 +552,16 @@
 fn stopped_owner_is_not_confirmed() {
     let platform = platform();
     let _runner = platform.add_runner("i-1", "gates");
-    let with_long_lease = |name| {
-        let mut settings = platform.settings(name);
-        // The key of the first process outlives the start of the second one.
-        settings["platform"]["ttl-min-ms"] = json!(6_000);
-        settings
-    };
-    let first = Process::start(with_long_lease("entry-1"));
+    let first = Process::start(platform.settings("entry-1"));
     first.wait_until_ready();
     first.wait_for_event(CELL_LOADED);
-    // With a peer, the owner could hand its cell over before it is stopped.
+    // With a peer, the owner could hand its cell over before it is stopped. Its key stays until the
+    // second process has read it, however long that takes to start.
+    platform.store.set_holds_leases(true);
     first.signal(Signal::STOP);
-    let second = Process::start(with_long_lease("entry-2"));
+    let second = Process::start(platform.settings("entry-2"));
+    second.wait_for_event(LAYOUT_LOADED);
+    platform.store.set_holds_leases(false);
     let asked = second.wait_for_event(EARLIER_OWNER_ASKED);
     assert_eq!(asked["id"], "entry-1");
     assert_eq!(asked["confirmed"], "false");
