--- a/crates/nutmegcart_control/src/logger.rs
+++ b/crates/nutmegcart_control/src/logger.rs
@@ -168,7 +168,7 @@
                 let _ = rustix::event::poll(&mut ready, None);
             }
             Err(_) => {
-                let lost = rest.iter().filter(|byte| **byte == b'\n').count();
+                let lost = rest.split(|byte| *byte == b'\n').count() - 1;
                 return Err(u64::try_from(lost).unwrap_or(u64::MAX));
             }
         }
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -157,17 +157,24 @@
                 "nutmegcart_blocking_workers",
                 "Workers on which inherited jobs may still run, and which have not answered.",
             ),
-            passed_jobs: counter(
-                "nutmegcart_jobs_passed_total",
-                "Waiting jobs passed to another cell, by that cell.",
-                &["cell"],
-            ),
+            passed_jobs: passed_jobs(&registry),
             config_version,
             registry,
         }
     }
 }
 
+/// Creates and registers the counter of jobs that passed to another cell.
+fn passed_jobs(registry: &Registry) -> IntCounterVec {
+    let options = Opts::new(
+        "nutmegcart_jobs_passed_total",
+        "Waiting jobs passed to another cell, by that cell.",
+    );
+    let counter = IntCounterVec::new(options, &["cell"]).expect("metric name is valid");
+    register(registry, &counter);
+    counter
+}
+
 /// Creates and registers a gauge with labels.
 fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let gauge = IntGaugeVec::new(Opts::new(name, help), labels).expect("metric name is valid");
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod slot;
 pub mod throttling;
 mod tickets;
+mod vacating;
 pub mod waiting;
 pub mod wave_partition;
 pub mod worker;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -123,6 +123,10 @@
 
 /// An accepted job, as its owner tracks it.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the conditions are independent of each other"
+)]
 pub struct LiveJob {
     /// Identifier, chosen by the caller.
     pub id: JobId,
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -338,7 +338,7 @@
         })
     }
 
-    /// Releases workers that are reserved and that neither a wave nor a pending order needs.
+    /// Releases workers that are reserved and that neither a wave, a pending order nor a move needs.
     pub(crate) fn release_reserved(&mut self) {
         let wanted: BTreeSet<WorkerId> = self
             .maintenance
@@ -346,6 +346,7 @@
             .values()
             .filter(|wave| !wave.completed)
             .flat_map(|wave| wave.reserved.iter())
+            .chain(self.rebalancer.vacations.machines())
             .filter_map(|name| self.machines.known.get(name))
             .filter_map(|machine| self.worker_of(machine))
             .chain(
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -11,6 +11,7 @@
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
+use crate::vacating::Vacations;
 
 /// Time in seconds in which waiting work should be done; a moving machine is unavailable for most
 /// of it.
@@ -40,6 +41,7 @@
     idle_since: BTreeMap<Arc<str>, Duration>,
     arrivals: BTreeMap<PoolName, Arrivals>,
     forecast: BurstForecast,
+    pub(crate) vacations: Vacations,
 }
 
 /// Exponentially weighted average of the work that arrives for a pool, in cores.
@@ -76,14 +78,14 @@
 
 /// Machines that a pool wants and holds.
 #[derive(Clone, Debug, Default)]
-struct Balance {
+pub(crate) struct Balance {
     /// Number of machines wanted.
     wanted: usize,
     /// Number of machines in the pool, including those that are moving to it.
     held: usize,
     /// Number of workers that waiting long-running tasks need, for which no machine is moving to the
     /// pool yet.
-    urgent: usize,
+    pub(crate) urgent: usize,
     /// Idle machines, with the time since when they have been idle.
     idle: Vec<(Duration, Arc<str>)>,
     /// Number of machines wanted and held, by label that waiting work requires.
@@ -113,7 +115,7 @@
     }
 
     /// Returns whether long-running tasks wait for a machine that is not on its way.
-    fn is_urgent(&self) -> bool {
+    pub(crate) fn is_urgent(&self) -> bool {
         self.urgent > 0 && self.shortage(None) > 0
     }
 
@@ -193,6 +195,7 @@
             }
             moves.push((machine, receiver));
         }
+        moves.extend(self.vacate(&balances, spare.as_ref(), MAX_MOVES - moves.len(), now));
         if let Some(spare) = spare {
             for (pool, balance) in &mut balances {
                 if *pool == spare {
--- a/crates/nutmegcart_jobs/tests/starvation.rs
+++ b/crates/nutmegcart_jobs/tests/starvation.rs
@@ -333,3 +333,59 @@
     assert_eq!(live_runs(&world, &lasting), 3);
     assert_no_violations(&world);
 }
+
+/// Creates a cell with long-running tasks on all three workers of one pool, while jobs of `steps`
+/// keep all workers of another pool busy, and loses one of the three. Returns the cell and the job.
+fn cell_with_a_lost_machine_beside_a_burst(steps: &[Step]) -> (CellSimulation, JobId) {
+    let mut world = world(82, 3);
+    world.queues.push(queue("boats"));
+    world
+        .pools
+        .insert(1, ("boats".into(), PoolConfig { spare: false }));
+    let size = Resources::new(64_000, 262_144, 0);
+    for index in 0..6 {
+        let id = format!("boat-{index}");
+        let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
+        world.add_worker(worker);
+    }
+    world.take_over();
+    // Before any machine is idle long enough to move.
+    let lasting = submit(&mut world, 1, vec![long_running(3, 40_000, 1)]);
+    for number in 0..60 {
+        submit_to(&mut world, 1, 10 + number, steps.to_vec());
+    }
+    world.run(seconds(2.0));
+    assert_eq!(live_runs(&world, &lasting), 3);
+    let lost = host(&world, &task(&lasting, 0, 0)).expect("the task runs");
+    world.remove_for_good(&lost, None);
+    (world, lasting)
+}
+
+/// Guards against a long-running task that waits as long as another pool's burst keeps all machines
+/// of the cell busy, so that none is ever idle.
+#[test]
+fn long_running_task_gets_a_busy_machine_of_another_pool() {
+    let (mut world, lasting) =
+        cell_with_a_lost_machine_beside_a_burst(&[batch_step(60, 8_000, 900)]);
+    run_until(&mut world, 10.0, |world| live_runs(world, &lasting) == 3);
+    assert_eq!(live_runs(&world, &lasting), 3);
+    assert_no_violations(&world);
+}
+
+/// Guards against machines that stay reserved for a task that no longer waits.
+#[test]
+fn vacated_machine_is_used_again_when_it_is_not_needed() {
+    let (mut world, lasting) =
+        cell_with_a_lost_machine_beside_a_burst(&[batch_step(16, 8_000, 40_000)]);
+    let reserved = |world: &CellSimulation| {
+        let owner = world.owners.last().expect("a cell has an owner");
+        let workers = owner.scheduler.workers();
+        workers.filter(|worker| worker.reserved).count()
+    };
+    run_until(&mut world, 10.0, |world| reserved(world) > 0);
+    assert!(reserved(&world) > 0, "no machine is vacated");
+    world.cancel(&lasting);
+    world.run(seconds(1.0));
+    assert_eq!(reserved(&world), 0);
+    assert_no_violations(&world);
+}
