--- a/crates/nutmegcart/tests/cli.rs
+++ b/crates/nutmegcart/tests/cli.rs
@@ -7,12 +7,15 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::thread::spawn;
 use std::time::Duration;
 
 use nutmegcart_fakes::FakeRunner;
 use nutmegcart_fakes::Oracle;
+use nutmegcart_fakes::server;
 use nutmegcart_fakes::server::free_address;
 
 fn command(arguments: &[&str]) -> Command {
@@ -172,3 +175,36 @@
     assert!(log.contains("lost when this process ends"), "{log}");
     assert!(log.contains("event=102"), "{log}");
 }
+
+/// Guards against a command that leaves an operator with an unknown outcome, although it was told
+/// to repeat the call with the same operation identifier.
+#[test]
+fn apply_repeats_a_call_with_an_unknown_outcome_under_its_operation() {
+    let operations: Arc<Mutex<Vec<String>>> = Arc::default();
+    let seen = operations.clone();
+    let address = server::start(move |request| {
+        if request.uri().path() != "/admin/v1/apply" {
+            return server::response(200, r#"{"generation": 4}"#);
+        }
+        let body: serde_json::Value = serde_json::from_slice(request.body()).expect("JSON");
+        let operation = body["operation"].as_str().unwrap_or_default().to_owned();
+        let mut seen = seen.lock().expect("no handler panicked");
+        seen.push(operation);
+        if seen.len() < 3 {
+            server::response(503, r#"{"code": "NC2103", "verdict": "unknown"}"#)
+        } else {
+            server::response(200, r#"{"generation": 5}"#)
+        }
+    });
+    let address = address.to_string();
+    let applied = run(&["apply", "--delete", "pool/gates", "--entry", &address]);
+    assert_eq!(applied.status.code(), Some(0), "{}", transcript(&applied));
+    let operations = operations.lock().expect("no handler panicked");
+    assert_eq!(operations.len(), 3);
+    assert!(
+        operations
+            .iter()
+            .all(|operation| *operation == operations[0])
+    );
+    assert!(!operations[0].is_empty());
+}
--- a/crates/nutmegcart_entry/tests/forward.rs
+++ b/crates/nutmegcart_entry/tests/forward.rs
@@ -239,3 +239,86 @@
     assert_eq!(answer, "504 NC1103 not_run");
     assert_eq!(fixture.oracle.runs("late").started, 0);
 }
+
+/// Sends bytes on a connection of their own and returns what the instance answers until it closes
+/// the connection.
+fn send_bytes(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("connected");
+    stream.write_all(bytes).expect("sent");
+    stream
+        .shutdown(std::net::Shutdown::Write)
+        .expect("the end is sent");
+    let mut answer = Vec::new();
+    // A reset ends the answer too.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Guards against malformed bytes, messages and headers that end the thread which serves all
+/// requests.
+#[test]
+fn malformed_input_leaves_the_instance_serving() {
+    let fixture = Fixture::start(1, &[]);
+    let address = fixture.entry.settings.listen;
+    let message = |path: &str| {
+        format!("POST /peer/v1/{path} HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n")
+            .into_bytes()
+            .into_iter()
+            .chain(*b"\xc1\xc1\xc1\xc1")
+            .collect::<Vec<u8>>()
+    };
+    for path in [
+        "heartbeat",
+        "forward",
+        "intent",
+        "seal",
+        "handover",
+        "config-since",
+    ] {
+        let answer = send_bytes(address, &message(path));
+        assert!(answer.starts_with("HTTP/1.1 400"), "{path}: {answer}");
+    }
+    let broken: [&[u8]; 5] = [
+        b"\x00\xff\xfe\r\n\r\n",
+        b"POST /v1/services/gates/x HTTP/1.1\r\nhost: a\r\ncontent-length: nine\r\n\r\n",
+        b"POST /v1/services/gates/x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        b"POST /admin/v1/apply HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{]",
+        b"GET /admin/v1/records/\xff HTTP/1.1\r\nhost: a\r\n\r\n",
+    ];
+    for bytes in broken {
+        let answer = send_bytes(address, bytes);
+        assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    }
+    assert_eq!(fixture.node.call("gates", "after", &[]), "200 after done");
+}
+
+/// Guards against an attempt that stays open, with its slot, when its caller leaves before the
+/// answer.
+#[test]
+fn request_of_a_caller_that_leaves_runs_to_its_end() {
+    let fixture = Fixture::start(1, &[]);
+    fixture.runners[0].set_service_time(Duration::from_millis(200));
+    let mut stream = TcpStream::connect(fixture.entry.settings.listen).expect("connected");
+    stream
+        .write_all(
+            b"POST /v1/services/gates/x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nleft",
+        )
+        .expect("sent");
+    wait_until(|| fixture.oracle.runs("left").started == 1);
+    drop(stream);
+    wait_until(|| fixture.oracle.runs("left").finished == 1);
+    wait_until(|| {
+        fixture
+            .entry
+            .lifecycle
+            .active_requests
+            .load(Ordering::Acquire)
+            == 0
+    });
+    assert_eq!(
+        fixture.metric("nutmegcart_attempts_total"),
+        2,
+        "with the first request"
+    );
+    assert_eq!(fixture.node.call("gates", "after", &[]), "200 after done");
+}
--- a/crates/nutmegcart_entry/tests/waves.rs
+++ b/crates/nutmegcart_entry/tests/waves.rs
@@ -36,3 +36,26 @@
     assert_eq!(post("waves/monthly/pause")["code"], "NC3011");
     assert_eq!(status()["done"], 0, "the drain uses the budget up");
 }
+
+/// Guards against a change of a wave that is reported as unknown, or as a conflict, because the
+/// store's answer was lost after the change was made.
+#[test]
+fn wave_call_whose_answer_is_lost_is_settled() {
+    let site = Site::start(&["suva"], 2, Duration::from_millis(1));
+    let records = [
+        pool("gates", 2),
+        budget("gates", 0),
+        wave("monthly", &["gates"]),
+    ];
+    site.apply(0, &records);
+    site.apply(0, &[budget("gates", 1)]);
+    let node = &site.nodes[0];
+    wait_until(|| node.get("/admin/v1/status")["pools"]["gates"] == 2);
+    for (action, state) in [("start", "running"), ("pause", "paused")] {
+        // The control loops of the instance may use one of the lost answers up.
+        site.platform.set_faults(|faults| faults.lost_responses = 2);
+        let answer = node.post(&format!("/admin/v1/waves/monthly/{action}"), &Value::Null);
+        site.platform.set_faults(|faults| faults.lost_responses = 0);
+        assert_eq!(answer["state"], state, "{action}: {answer}");
+    }
+}
