Let a pool keep one machine, not two, while long-running tasks wait for machines

Its cell had 43 of 108 machines left, 37 in the task's pool, each filled by another long-running task (event 726: no room: 37); the six others were two to a pool, and two were kept.

--- a/crates/nutmegcart_jobs/src/vacating.rs
+++ b/crates/nutmegcart_jobs/src/vacating.rs
@@ -22,7 +22,7 @@
 /// Machines that are vacated at the same time.
 const MAX_VACATED: usize = 8;
 /// Machines without long-running tasks that a pool keeps.
-const MIN_KEPT: usize = 2;
+const MIN_KEPT: usize = 1;
 
 /// Machines that are being vacated.
 #[derive(Clone, Debug, Default)]
