Pass jobs only to cells that can start them about at once, machines of the spare pool counted

A cell whose own wait exceeds one second now gets none. Idle machines that a cell had switched off did not count, so a cell of twelve machines got two jobs a second; machines of the spare pool count now. nothing_passes_to_a_busy_cell fails without the limit (trial).

--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: a cell loses most workers of a pool for good, or gets far more work than others.
 //! Its jobs would wait for many seconds beside idle workers of other cells. Between cells that are
-//! equally loaded, as in a burst that fills them all, nothing passes.
+//! equally loaded, as in a burst that fills them all, nothing passes, and a cell that is busy itself
+//! gets nothing.
 //!
 //! A job passes at most once and only while none of its tasks can have been started, so it never
 //! runs in two cells and never returns.
@@ -15,6 +16,7 @@
 
 use crate::job::JobId;
 use crate::live_job::LiveJob;
+use crate::machines::MachineState;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
@@ -26,6 +28,9 @@
 /// Difference between the waits of two cells below which no job passes. Moving a machine to
 /// another pool takes about as long.
 const MIN_GAIN: Duration = Duration::from_secs(2);
+/// Wait of a cell above which it gets no jobs. Beyond it, late jobs of one cell would only delay
+/// those of another that can still be on time.
+const MAX_TARGET_WAIT: Duration = Duration::from_secs(1);
 /// Jobs that pass in one round, each with a transaction of its own.
 pub const MAX_PASSED: usize = 16;
 
@@ -36,7 +41,8 @@
     pub pool: PoolName,
     /// Predicted work of jobs that have not ended, in milliseconds of one core.
     pub work_ms: u64,
-    /// Processor of usable workers that long-running tasks leave, in thousandths of a core.
+    /// Processor of usable workers that long-running tasks leave, and of machines of the spare pool
+    /// that can join them, in thousandths of a core.
     pub cpu: u64,
 }
 
@@ -112,7 +118,9 @@
     #[must_use]
     pub fn pool_loads(&self, now: Duration) -> Vec<PoolLoad> {
         let mut loads: Vec<PoolLoad> = Vec::new();
-        for pool in self.pools.keys() {
+        let spare_cpu = self.spare_cpu();
+        let serving = self.pools.iter().filter(|(_, config)| !config.spare);
+        for (pool, _) in serving {
             let jobs = self.jobs.values();
             let jobs = jobs.filter(|job| job.pool == *pool && is_batch(job));
             let workers = self.workers.values();
@@ -121,7 +129,7 @@
             let load = PoolLoad {
                 pool: pool.clone(),
                 work_ms: jobs.map(work_ms).sum(),
-                cpu: workers.map(batch_cpu).sum(),
+                cpu: workers.map(batch_cpu).sum::<u64>() + spare_cpu,
             };
             if load.work_ms > 0 || load.cpu > 0 {
                 loads.push(load);
@@ -130,6 +138,18 @@
         loads
     }
 
+    /// Returns the processor of the machines of the spare pool that no order concerns.
+    fn spare_cpu(&self) -> u64 {
+        let is_spare = |pool: &PoolName| self.pools.get(pool).is_some_and(|config| config.spare);
+        let machines = self.machines.known.values();
+        let available = machines.filter(|machine| {
+            is_spare(&machine.pool)
+                && machine.state == MachineState::Up
+                && !self.machines.pending.contains_key(&machine.name)
+        });
+        available.map(|machine| machine.capacity.cpu).sum()
+    }
+
     /// Returns whether no task of the job can have been started by any owner.
     fn may_pass(&self, job: &LiveJob, now: Duration) -> bool {
         is_batch(job)
@@ -195,8 +215,10 @@
         candidates.sort_by(|a, b| b.0.compare(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
         let mut passes = Vec::new();
         for (_, job) in candidates.into_iter().take(MAX_PASSED) {
-            let reachable = targets.iter_mut().filter(|(_, load)| load.wait().is_some());
-            let Some((cell, target)) = reachable.min_by_key(|(cell, load)| (load.wait(), *cell))
+            let with_room = targets
+                .iter_mut()
+                .filter(|(_, load)| load.wait().is_some_and(|wait| wait <= MAX_TARGET_WAIT));
+            let Some((cell, target)) = with_room.min_by_key(|(cell, load)| (load.wait(), *cell))
             else {
                 break;
             };
--- a/crates/nutmegcart_jobs/tests/passing.rs
+++ b/crates/nutmegcart_jobs/tests/passing.rs
@@ -153,6 +153,21 @@
     cells.assert_completed(&jobs);
 }
 
+/// Guards against late jobs of an overloaded cell that delay jobs of one which is busy itself and can
+/// still end them on time.
+#[test]
+fn nothing_passes_to_a_busy_cell() {
+    let mut cells = Cells::start(2, &[1, 6]);
+    let mut jobs = submit_jobs(&mut cells, 0, 0..40);
+    jobs.extend(submit_jobs(&mut cells, 1, 100..180));
+    cells.run(seconds(1.5));
+    cells.pass_from(0, false);
+    assert_eq!(cells.passed, 0);
+    cells.run_with_passes(seconds(30.0));
+    assert!(cells.passed > 0, "nothing passed when there was room");
+    cells.assert_completed(&jobs);
+}
+
 /// Guards against a second run of a job whose task has been started where it was.
 #[test]
 fn started_job_does_not_pass() {
