Sort the imports of the HTTP layer with the other crates

The imports that named the module of the control crate stayed in the group of this crate when the layer became a crate of its own. No behaviour changes.

--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_http::HttpClient;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobSettings;
 use nutmegcart_jobs::Scheduler;
@@ -35,7 +36,6 @@
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
-use nutmegcart_http::HttpClient;
 
 /// Time without an answer of the store after which the instance reports not ready, so that the
 /// load balancer prefers instances that reach the store.
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -14,6 +14,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use nutmegcart_http::DeliveryError;
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
@@ -31,7 +32,6 @@
 use crate::node::CellView;
 use crate::node::Node;
 use crate::ownership;
-use nutmegcart_http::DeliveryError;
 
 /// Result of a request to a peer.
 pub type Result<T> = std::result::Result<T, PeerError>;
