--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -37,7 +37,7 @@
 /// Work and capacity of a cell in one pool, without long-running tasks.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PoolLoad {
-    /// Pool.
+    /// Pool whose jobs and workers are counted.
     pub pool: PoolName,
     /// Predicted work of jobs that have not ended, in milliseconds of one core.
     pub work_ms: u64,
@@ -78,7 +78,7 @@
 /// A job that is to pass to another cell.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobPass {
-    /// Job.
+    /// Identifier of the job, under which the other cell stores it too.
     pub job: JobId,
     /// Number of the cell that it passes to.
     pub cell: u32,
@@ -88,7 +88,7 @@
     pub accepted: AcceptedJob,
 }
 
-/// Why a transaction that passes a job was not committed.
+/// Outcome of a transaction that passes a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PassOutcome {
     /// The store holds the job in the other cell.
--- a/crates/nutmegcart_jobs/tests/starvation.rs
+++ b/crates/nutmegcart_jobs/tests/starvation.rs
@@ -287,22 +287,29 @@
     assert_no_violations(&world);
 }
 
-/// Guards against a long-running task that waits for a machine as long as the burst of another pool
-/// lasts, because all free machines go to the pool with the larger shortage.
-#[test]
-fn long_running_task_gets_a_machine_during_the_burst_of_another_pool() {
-    let mut world = world(81, 3);
+/// Creates a cell with three workers in one pool and `boats` workers in another, and its owner.
+fn cell_with_boats(seed: u64, boats: usize) -> CellSimulation {
+    let mut world = world(seed, 3);
     world.queues.push(queue("boats"));
     world
         .pools
         .insert(1, ("boats".into(), PoolConfig { spare: false }));
     let size = Resources::new(64_000, 262_144, 0);
-    for index in 0..2 {
+    for index in 0..boats {
         let id = format!("boat-{index}");
         let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
         world.add_worker(worker);
     }
     world.take_over();
+    world
+}
+
+/// Guards against a long-running task that waits for a machine as long as the burst of another pool
+/// lasts, because all free machines go to the pool with the larger shortage.
+#[test]
+fn long_running_task_gets_a_machine_during_the_burst_of_another_pool() {
+    let mut world = cell_with_boats(81, 2);
+    let size = Resources::new(64_000, 262_144, 0);
     let lasting = submit(&mut world, 1, vec![long_running(3, 5_000, 1)]);
     world.run(seconds(1.0));
     assert_eq!(live_runs(&world, &lasting), 3);
@@ -337,18 +344,7 @@
 /// Creates a cell with long-running tasks on all three workers of one pool, while jobs of `steps`
 /// keep all workers of another pool busy, and loses one of the three. Returns the cell and the job.
 fn cell_with_a_lost_machine_beside_a_burst(steps: &[Step]) -> (CellSimulation, JobId) {
-    let mut world = world(82, 3);
-    world.queues.push(queue("boats"));
-    world
-        .pools
-        .insert(1, ("boats".into(), PoolConfig { spare: false }));
-    let size = Resources::new(64_000, 262_144, 0);
-    for index in 0..6 {
-        let id = format!("boat-{index}");
-        let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
-        world.add_worker(worker);
-    }
-    world.take_over();
+    let mut world = cell_with_boats(82, 6);
     // Before any machine is idle long enough to move.
     let lasting = submit(&mut world, 1, vec![long_running(3, 40_000, 1)]);
     for number in 0..60 {
