Let jobs that have begun pass to another cell with their progress, while nothing of them runs

Tasks of jobs that had begun waited in a cell without room, and only jobs of which nothing had been started could pass.

--- a/crates/nutmegcart_bench/src/jobs.rs
+++ b/crates/nutmegcart_bench/src/jobs.rs
@@ -243,6 +243,7 @@
             let id = JobId::parse(&format!("{next:016x}")).expect("sixteen digits");
             let accepted = AcceptedJob {
                 waited_ms: 0,
+                progress: Vec::new(),
                 queue: world.queues[arrival.queue].clone(),
                 at: world.unix_ms(),
                 job: arrival.job.clone(),
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -190,6 +190,7 @@
         }
         let accepted = AcceptedJob {
             waited_ms: 0,
+            progress: Vec::new(),
             queue: (**queue).clone(),
             at: unix_ms(),
             job,
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -17,6 +17,7 @@
 use crate::record::AcceptedJob;
 use crate::record::FinalState;
 use crate::record::JobState;
+use crate::record::TaskProgress;
 
 /// State of one task.
 #[derive(Clone, Debug, Default)]
@@ -222,6 +223,21 @@
         }
     }
 
+    /// Restores the progress of a task that another owner has recorded; its next run is numbered
+    /// above `run_gap` more.
+    pub fn restore(&mut self, progress: &TaskProgress, run_gap: u32) {
+        if progress.done {
+            self.finish(&progress.task);
+        }
+        if let Some(task) = self.task(&progress.task) {
+            task.failed_runs.clone_from(&progress.failed);
+            task.last_run = task.last_run.max(progress.run + run_gap);
+            task.checkpoint.clone_from(&progress.checkpoint);
+            task.started = true;
+            self.started = true;
+        }
+    }
+
     /// Returns whether further occurrences will become due.
     #[must_use]
     pub fn has_future(&self) -> bool {
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -5,8 +5,8 @@
 //! equally loaded, as in a burst that fills them all, nothing passes, and a cell that is busy itself
 //! gets nothing.
 //!
-//! A job passes at most once and only while none of its tasks can have been started, so it never
-//! runs in two cells and never returns.
+//! A job passes at most once and only while nothing of it can be running, with the progress that it
+//! has made, so it never runs in two cells and never returns.
 
 use std::time::Duration;
 
@@ -15,11 +15,13 @@
 use serde::Serialize;
 
 use crate::job::JobId;
+use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::machines::MachineState;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
+use crate::record::TaskProgress;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -113,6 +115,33 @@
     worker.listing.capacity.cpu.saturating_sub(used)
 }
 
+/// Returns the progress of all tasks that may have been started.
+fn progress_of(job: &LiveJob) -> Vec<TaskProgress> {
+    let mut progress = Vec::new();
+    for (number, occurrence) in &job.occurrences {
+        for (step, state) in (0_u16..).zip(&occurrence.steps) {
+            let tasks = (0_u32..).zip(&state.tasks);
+            progress.extend(
+                tasks
+                    .filter(|(_, task)| task.last_run > 0)
+                    .map(|(index, task)| TaskProgress {
+                        task: TaskKey {
+                            job: job.id.clone(),
+                            occurrence: *number,
+                            step,
+                            index,
+                        },
+                        done: task.done,
+                        failed: task.failed_runs.clone(),
+                        run: task.last_run,
+                        checkpoint: task.checkpoint.clone(),
+                    }),
+            );
+        }
+    }
+    progress
+}
+
 impl Scheduler {
     /// Returns the load of every pool that has work or workers.
     #[must_use]
@@ -150,14 +179,20 @@
         available.map(|machine| machine.capacity.cpu).sum()
     }
 
-    /// Returns whether no task of the job can have been started by any owner.
+    /// Returns whether the job waits, and nothing of it can be running under any owner.
     fn may_pass(&self, job: &LiveJob, now: Duration) -> bool {
+        let mut tasks = job
+            .occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps)
+            .flat_map(|step| &step.tasks);
         is_batch(job)
-            && !job.started
             && !job.passing
             && job.accepted.job.schedule.is_none()
             && job.accepted.waited_ms == 0
             && now >= job.accepted_at + MIN_WAIT
+            && job.has_pending()
+            && tasks.all(|task| task.live_runs == 0)
             && !self.is_blocked(job)
     }
 
@@ -240,6 +275,7 @@
                 revision: job.revision,
                 accepted: AcceptedJob {
                     waited_ms: u64::try_from(waited).unwrap_or(u64::MAX),
+                    progress: progress_of(job),
                     ..job.accepted.clone()
                 },
             });
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -94,6 +94,9 @@
     /// Time that it waited in another cell before it passed to this one, in milliseconds.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub waited_ms: u64,
+    /// Progress that it had made in another cell before it passed to this one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<TaskProgress>,
 }
 
 #[expect(
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -184,16 +184,7 @@
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
             };
-            if progress.done {
-                job.finish(&progress.task);
-            }
-            if let Some(task) = job.task(&progress.task) {
-                task.failed_runs.clone_from(&progress.failed);
-                task.last_run = task.last_run.max(progress.run + INHERITED_RUN_GAP);
-                task.checkpoint.clone_from(&progress.checkpoint);
-                task.started = true;
-                job.started = true;
-            }
+            job.restore(progress, INHERITED_RUN_GAP);
         }
         self.flush_queue.inherit(record);
         self.maintenance.inherit(&record.maintained);
@@ -264,6 +255,10 @@
                 task.last_run = INHERITED_RUN_GAP;
             }
         }
+        // What the job had done in another cell before it passed to this one.
+        for progress in std::mem::take(&mut job.accepted.progress) {
+            job.restore(&progress, if inherited { INHERITED_RUN_GAP } else { 0 });
+        }
         if !inherited && !job.accepted.job.is_long_running() {
             self.rebalancer.record_arrival(&job.pool, job.work, now);
         }
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -113,6 +113,7 @@
     let id = job_id(number);
     let accepted = AcceptedJob {
         waited_ms: 0,
+        progress: Vec::new(),
         queue: world.queues[queue].clone(),
         at: world.unix_ms(),
         job: Job {
