--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -100,6 +100,8 @@
     pub loaded: Cell<bool>,
     /// Whether the owner is shutting down and sends no more orders.
     pub shutting_down: Cell<bool>,
+    /// Time at which the latest changes of the cell's keys were read.
+    pub viewed_at: Cell<Duration>,
     /// Time at which ownership began.
     pub since: Cell<Duration>,
     /// Revision of the stored scheduler state; 0 if none is stored.
