Name the setting's field for operators' calls after what it limits

worker_threads was the size of a pool for background calls, which are tasks now; call_threads bounds the threads on which calls of operators wait for the store. The setting keeps its name, threads.

--- a/crates/nutmegcart_entry/src/entry_instance.rs
+++ b/crates/nutmegcart_entry/src/entry_instance.rs
@@ -117,7 +117,7 @@
         store: Store,
         fleet: FleetApi,
     ) -> Result<Arc<Self>> {
-        let executor = LocalExecutor::start("http", settings.worker_threads)?;
+        let executor = LocalExecutor::start("http", settings.call_threads)?;
         Self::start_on(executor, settings, incarnation, store, fleet)
     }
 
--- a/crates/nutmegcart_entry/src/entry_settings.rs
+++ b/crates/nutmegcart_entry/src/entry_settings.rs
@@ -64,7 +64,7 @@
     /// Time between the failure of readiness and the refusal of requests at shutdown.
     pub shutdown_grace: Duration,
     /// Maximum number of threads for operators' calls, which wait for the store.
-    pub worker_threads: usize,
+    pub call_threads: usize,
     /// Interval between rounds of the control loops.
     pub round_interval: Duration,
     /// Length of the duty lease.
@@ -201,7 +201,7 @@
     /// ```
     /// # use nutmegcart_entry::EntrySettings;
     /// let settings = EntrySettings::read(|name| (name == "threads").then(|| "4".into())).unwrap();
-    /// assert_eq!(settings.worker_threads, 4);
+    /// assert_eq!(settings.call_threads, 4);
     /// let refused = EntrySettings::read(|name| (name == "threads").then(|| "0".into()));
     /// assert_eq!(refused.unwrap_err().accepted, "1 to 256");
     /// ```
@@ -228,7 +228,7 @@
             body_timeout: reader.millis("body-ms", 10_000, 10, 600_000)?,
             default_deadline: reader.millis("deadline-ms", 10_000, 10, 3_600_000)?,
             shutdown_grace: reader.millis("grace-ms", 3_000, 0, 600_000)?,
-            worker_threads: reader.number("threads", 8, 1, 256)?,
+            call_threads: reader.number("threads", 8, 1, 256)?,
             round_interval: reader.millis("round-ms", 500, 10, 60_000)?,
             duty_lease: reader.millis("lease-ms", 10_000, 1_000, 60_000)?,
         };
