Answer callers that end their side of the connection after the request

Traced: the test ends its side after the request, and the event loop drops a connection whose other side has ended while its handler waits, which the blocking server did not do. So callers that work like that had lost their answers since the event loop came. Entry instances allow it now; the control process keeps dropping requests of clients that have left. caller_that_ends_its_side_of_the_connection_is_answered fails without the change and passes with it.

--- a/crates/nutmegcart_entry/src/server.rs
+++ b/crates/nutmegcart_entry/src/server.rs
@@ -55,6 +55,7 @@
         connections: Arc::new(Semaphore::new(
             entry.settings.max_connections + REFUSAL_CONNECTIONS,
         )),
+        half_close: true,
     };
     let entry_for_server = entry.clone();
     entry.executor.spawn(move || async move {
--- a/crates/nutmegcart_entry/tests/forward.rs
+++ b/crates/nutmegcart_entry/tests/forward.rs
@@ -322,3 +322,15 @@
     );
     assert_eq!(fixture.node.call("gates", "after", &[]), "200 after done");
 }
+
+/// Guards against a caller without an answer that ends its side of the connection after its request,
+/// as tools in scripts do.
+#[test]
+fn caller_that_ends_its_side_of_the_connection_is_answered() {
+    let fixture = Fixture::start(1, &[]);
+    fixture.runners[0].set_service_time(Duration::from_millis(200));
+    let request = b"POST /v1/services/gates/x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nhalf";
+    let answer = send_bytes(fixture.entry.settings.listen, request);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("half done"), "{answer}");
+}
--- a/crates/nutmegcart_http/src/server.rs
+++ b/crates/nutmegcart_http/src/server.rs
@@ -35,6 +35,9 @@
     pub idle_timeout: Duration,
     /// One permit for each connection that may be open; further ones wait to be accepted.
     pub connections: Arc<Semaphore>,
+    /// Whether a client may end its side of the connection before it has read the response. If not,
+    /// the handler of its request is dropped.
+    pub half_close: bool,
 }
 
 impl Default for ServerLimits {
@@ -43,6 +46,7 @@
             head_bytes: 16 << 10,
             idle_timeout: Duration::from_secs(15),
             connections: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+            half_close: false,
         }
     }
 }
@@ -122,6 +126,7 @@
 {
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new());
+    builder.half_close(limits.half_close);
     builder.header_read_timeout(limits.idle_timeout);
     builder.max_buf_size(limits.head_bytes.max(MIN_HEAD_BYTES));
     let stopped = *stop.borrow();
