Never tell an operator that a wave call changed nothing when its answer was lost

Traced: after a lost answer the store is refused for a while, and four attempts without a pause were over before. Worse, with more lost answers the call said NC2101, nothing was changed, of a wave that it had started and whose progress the duty holder had changed since. Fifty attempts with pauses of 0.1 s now; a transaction whose outcome cannot be told is unknown, and the wave itself is asked whether it is in the requested state.

--- a/crates/nutmegcart_entry/src/admin.rs
+++ b/crates/nutmegcart_entry/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::thread::sleep;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,8 +45,11 @@
 /// Time within which the body of an operator's call must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Attempts to commit a transaction whose answers are lost.
-const MAX_COMMIT_ATTEMPTS: usize = 4;
+/// Attempts to commit a transaction whose answers are lost. The store may be refused for a while
+/// after each lost answer.
+const MAX_COMMIT_ATTEMPTS: usize = 50;
+/// Pause before a transaction is sent again.
+const COMMIT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Body of the apply call.
 #[derive(Deserialize)]
@@ -330,14 +334,29 @@
         let view = state.view(&entry.settings.centre, ("", 0), true);
         let wave = WaveName::from(name);
         let now = entry.started.elapsed();
-        commit_txn(
-            entry,
-            &if start {
-                wave::start(&view, &wave, now)?
+        let txn = if start {
+            wave::start(&view, &wave, now)?
+        } else {
+            wave::pause(&view, &wave)?
+        };
+        let committed = commit_txn(entry, &txn);
+        if committed == Err(Code::ApplyUnknown) {
+            // The wave itself may show that it is in the requested state.
+            let state = read_fleet_state(entry).map_err(|_| Code::ApplyUnknown)?;
+            let progress = wave_progress(entry, &state, name).map_err(|_| Code::ApplyUnknown)?;
+            let wanted: &[&str] = if start {
+                &["running", "finished"]
             } else {
-                wave::pause(&view, &wave)?
-            },
-        )?;
+                &["paused"]
+            };
+            let shown = progress["state"].as_str();
+            return if shown.is_some_and(|shown| wanted.contains(&shown)) {
+                Ok(progress)
+            } else {
+                Err(Code::ApplyUnknown)
+            };
+        }
+        committed?;
         wave_progress(entry, &read_fleet_state(entry)?, name)
     };
     match change() {
@@ -377,11 +396,20 @@
 /// Commits a transaction that compares revisions, so that a repeated copy takes effect once.
 fn commit_txn(entry: &EntryInstance, txn: &Txn) -> Result<(), Code> {
     let mut lost = false;
-    for _ in 0..MAX_COMMIT_ATTEMPTS {
+    for attempt in 0..MAX_COMMIT_ATTEMPTS {
+        if attempt > 0 {
+            sleep(COMMIT_PAUSE);
+        }
         match entry.store.txn(txn) {
             Ok(reply) if reply.committed => return Ok(()),
             // An earlier copy may have been committed and made this one fail.
-            Ok(_) if lost && holds_writes(entry, txn)? => return Ok(()),
+            Ok(_) if lost => match holds_writes(entry, txn) {
+                Ok(true) => return Ok(()),
+                // Either another change was accepted first, or this one was and was changed since.
+                Ok(false) => return Err(Code::ApplyUnknown),
+                // The next attempt fails in the same way and asks once more.
+                Err(_) => {}
+            },
             Ok(_) => return Err(Code::GenerationConflict),
             Err(StoreError::AnswerLost { .. }) => lost = true,
             Err(_) if !lost => return Err(Code::StoreUnavailable),
@@ -392,14 +420,13 @@
 }
 
 /// Returns whether the store holds everything that the transaction writes.
-fn holds_writes(entry: &EntryInstance, txn: &Txn) -> Result<bool, Code> {
+fn holds_writes(entry: &EntryInstance, txn: &Txn) -> Result<bool, StoreError> {
     for write in &txn.writes {
         let (key, value) = match write {
             WriteOp::Put(key, value, _) => (key, Some(value)),
             WriteOp::Delete(key) => (key, None),
         };
-        let snapshot = entry.store.range(key);
-        let snapshot = snapshot.map_err(|_| Code::ApplyUnknown)?;
+        let snapshot = entry.store.range(key)?;
         if snapshot.get(key).map(|stored| &stored.value) != value {
             return Ok(false);
         }
--- a/crates/nutmegcart_entry/tests/waves.rs
+++ b/crates/nutmegcart_entry/tests/waves.rs
@@ -51,9 +51,12 @@
     site.apply(0, &[budget("gates", 1)]);
     let node = &site.nodes[0];
     wait_until(|| node.get("/admin/v1/status")["pools"]["gates"] == 2);
+    // The drain uses the budget up, so the wave does not go on and change by itself.
+    node.post("/admin/v1/drain/suva-0", &Value::Null);
+    wait_until(|| site.out_of_service() == 1);
     for (action, state) in [("start", "running"), ("pause", "paused")] {
         // The control loops of the instance may use one of the lost answers up.
-        site.platform.set_faults(|faults| faults.lost_responses = 2);
+        site.platform.set_faults(|faults| faults.lost_responses = 6);
         let answer = node.post(&format!("/admin/v1/waves/monthly/{action}"), &Value::Null);
         site.platform.set_faults(|faults| faults.lost_responses = 0);
         assert_eq!(answer["state"], state, "{action}: {answer}");
