Build the progress of a job's tasks in one place

The record of a cell and a job that passes built the same list by two loops. LiveJob::progress takes the tasks that are kept; both callers name theirs, unchanged.

--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -374,30 +374,8 @@
 
 /// Returns the task progress that workers no longer report once their ends are acknowledged.
 fn progress(job: &LiveJob) -> Vec<TaskProgress> {
-    let mut progress = Vec::new();
     if job.ended.is_some() && job.stored {
-        return progress;
+        return Vec::new();
     }
-    for (number, occurrence) in &job.occurrences {
-        for (step, state) in (0_u16..).zip(&occurrence.steps) {
-            for (index, task) in (0_u32..).zip(&state.tasks) {
-                if !task.done && task.failed_runs.is_empty() && task.checkpoint.is_none() {
-                    continue;
-                }
-                progress.push(TaskProgress {
-                    task: TaskKey {
-                        job: job.id.clone(),
-                        occurrence: *number,
-                        step,
-                        index,
-                    },
-                    done: task.done,
-                    failed: task.failed_runs.clone(),
-                    run: task.last_run,
-                    checkpoint: task.checkpoint.clone(),
-                });
-            }
-        }
-    }
-    progress
+    job.progress(|task| task.done || !task.failed_runs.is_empty() || task.checkpoint.is_some())
 }
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -223,6 +223,32 @@
         }
     }
 
+    /// Returns the progress of the tasks for which `keep` is true.
+    #[must_use]
+    pub fn progress(&self, keep: impl Fn(&LiveTask) -> bool) -> Vec<TaskProgress> {
+        let mut progress = Vec::new();
+        for (number, occurrence) in &self.occurrences {
+            for (step, state) in (0_u16..).zip(&occurrence.steps) {
+                let tasks = (0_u32..).zip(&state.tasks);
+                for (index, task) in tasks.filter(|(_, task)| keep(task)) {
+                    progress.push(TaskProgress {
+                        task: TaskKey {
+                            job: self.id.clone(),
+                            occurrence: *number,
+                            step,
+                            index,
+                        },
+                        done: task.done,
+                        failed: task.failed_runs.clone(),
+                        run: task.last_run,
+                        checkpoint: task.checkpoint.clone(),
+                    });
+                }
+            }
+        }
+        progress
+    }
+
     /// Restores the progress of a task that another owner has recorded; its next run is numbered
     /// above `run_gap` more.
     pub fn restore(&mut self, progress: &TaskProgress, run_gap: u32) {
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -15,13 +15,11 @@
 use serde::Serialize;
 
 use crate::job::JobId;
-use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::machines::MachineState;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
-use crate::record::TaskProgress;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -115,33 +113,6 @@
     worker.listing.capacity.cpu.saturating_sub(used)
 }
 
-/// Returns the progress of all tasks that may have been started.
-fn progress_of(job: &LiveJob) -> Vec<TaskProgress> {
-    let mut progress = Vec::new();
-    for (number, occurrence) in &job.occurrences {
-        for (step, state) in (0_u16..).zip(&occurrence.steps) {
-            let tasks = (0_u32..).zip(&state.tasks);
-            progress.extend(
-                tasks
-                    .filter(|(_, task)| task.last_run > 0)
-                    .map(|(index, task)| TaskProgress {
-                        task: TaskKey {
-                            job: job.id.clone(),
-                            occurrence: *number,
-                            step,
-                            index,
-                        },
-                        done: task.done,
-                        failed: task.failed_runs.clone(),
-                        run: task.last_run,
-                        checkpoint: task.checkpoint.clone(),
-                    }),
-            );
-        }
-    }
-    progress
-}
-
 impl Scheduler {
     /// Returns the load of every pool that has work or workers.
     #[must_use]
@@ -275,7 +246,8 @@
                 revision: job.revision,
                 accepted: AcceptedJob {
                     waited_ms: u64::try_from(waited).unwrap_or(u64::MAX),
-                    progress: progress_of(job),
+                    // All tasks that may have been started.
+                    progress: job.progress(|task| task.last_run > 0),
                     ..job.accepted.clone()
                 },
             });
