Write log lines in pieces that a pipe takes at once

Callers' support saw log lines that end in the middle, and the rest of the batch missing, without an event 752.

Cause: the logger wrote a batch of up to 16 KiB in one call. A pipe takes a write as a whole only up to PIPE_BUF (4 KiB), so larger writes were never safe.

Change: each write holds whole lines and at most 4 KiB.

Evidence: a test reads the log through a datagram socket, which keeps the bounds of writes; before the change it saw a write of more than 4 KiB.

--- a/crates/nutmegcart_control/src/logger.rs
+++ b/crates/nutmegcart_control/src/logger.rs
@@ -39,6 +39,9 @@
 const MAX_LINES_PER_SECOND: u32 = 300;
 /// Capacity of the channel to the writer thread.
 const MAX_QUEUED_BATCHES: usize = 8;
+/// Maximum size of one write, which a pipe takes as a whole (`PIPE_BUF` of Linux). Readers may cut
+/// off what a larger write has beyond the size of their buffer.
+const MAX_WRITE_BYTES: usize = 4 << 10;
 /// Time that the last lines get to be written at the end of the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between checks whether the last lines are written.
@@ -159,7 +162,7 @@
 fn write_lines(output: impl AsFd, lines: &str) -> Result<(), u64> {
     let mut rest = lines.as_bytes();
     while !rest.is_empty() {
-        match rustix::io::write(&output, rest) {
+        match rustix::io::write(&output, next_write(rest)) {
             Ok(count) => rest = &rest[count..],
             Err(Errno::INTR) => {}
             Err(Errno::AGAIN) => {
@@ -176,6 +179,15 @@
     Ok(())
 }
 
+/// Returns as many whole lines as fit into one write, or the beginning of a line that is longer.
+fn next_write(lines: &[u8]) -> &[u8] {
+    let Some(fitting) = lines.get(..MAX_WRITE_BYTES) else {
+        return lines;
+    };
+    let last = fitting.iter().rposition(|byte| *byte == b'\n');
+    last.map_or(fitting, |last| &fitting[..=last])
+}
+
 impl Logger {
     fn send_batch(&self) {
         let Ok(mut buffer) = self.buffer.lock() else {
--- a/crates/nutmegcart_control/tests/logger.rs
+++ b/crates/nutmegcart_control/tests/logger.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::os::fd::AsRawFd;
 use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
 use std::process::Command;
 use std::process::Stdio;
 
@@ -128,3 +129,45 @@
     assert_eq!(seen + dropped, SLOW_LINES);
     assert!(last, "the last line is missing");
 }
+
+/// Largest write that a pipe takes as a whole.
+const PIPE_BUF: usize = 4_096;
+
+/// Guards against lines that end in the middle because a reader takes one write at a time, and only
+/// as much of it as its buffer holds. A datagram keeps the bounds of a write.
+#[test]
+fn every_write_holds_whole_lines_and_at_most_what_a_pipe_takes_at_once() {
+    let (read, write) = UnixDatagram::pair().expect("a pair of sockets");
+    let mut child = Command::new(std::env::current_exe().expect("the test has a path"))
+        .args([
+            "--exact",
+            "child_process_logs_to_a_slow_reader",
+            "--nocapture",
+        ])
+        .env(SLOW_CHILD, "1")
+        .stdout(Stdio::from(OwnedFd::from(write)))
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the child starts");
+    let mut buffer = vec![0; 1 << 20];
+    let mut seen = 0;
+    let mut last = false;
+    while !last {
+        let size = read.recv(&mut buffer).expect("a datagram");
+        let text = std::str::from_utf8(&buffer[..size]).expect("whole characters");
+        // The test runner of the child prints to the same socket.
+        if !text.starts_with("{\"at\":") {
+            continue;
+        }
+        assert!(size <= PIPE_BUF, "a write of {size} bytes");
+        assert!(text.ends_with('\n'), "{text}");
+        for line in text.lines() {
+            let value: serde_json::Value =
+                serde_json::from_str(line).unwrap_or_else(|error| panic!("{error}: {line}"));
+            seen += 1;
+            last |= value["text"] == "last line";
+        }
+    }
+    assert!(seen > 1, "{seen} lines");
+    assert!(child.wait().expect("the child ends").success());
+}
