Tell until when earlier owners of a cell can have acted, and whether all are known

A successor waits for a silent worker from the time at which the last earlier owner can have granted a lease.

Change: event 707 with `acting_ms` (after the take-over) and `unseen`. The bound is a struct now; the tests of the history check the same times, and one of them the new flag.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -14,6 +14,7 @@
 use crate::node::Node;
 use crate::node::OwnedCell;
 use crate::node::OwnerRecord;
+use crate::owner_history::ActingEnd;
 use crate::owner_history::SeenOwner;
 use crate::peer;
 use crate::peer::PeerRequest;
@@ -29,6 +30,7 @@
 pub(crate) async fn confirm_ends(node: Rc<Node>, owned: Rc<OwnedCell>) {
     let (cell, fence) = (owned.view.number, owned.fence);
     let taken_at = owned.state.since.get();
+    let mut bound = None;
     while !owned.has_ended() && now() < taken_at + node.owner_validity() {
         for earlier in open_owners(&node, &owned) {
             if confirm_end(&node, cell, &earlier).await {
@@ -41,7 +43,13 @@
             .borrow()
             .acting_end(cell, fence, validity, taken_at);
         if let Some(end) = end {
-            owned.scheduler.borrow_mut().set_earlier_owners_end(end);
+            if bound.replace(end) != Some(end) {
+                log_bound(&owned, end);
+            }
+            owned
+                .scheduler
+                .borrow_mut()
+                .set_earlier_owners_end(end.until);
             if open_owners(&node, &owned).is_empty() {
                 break;
             }
@@ -77,6 +85,18 @@
     );
 }
 
+fn log_bound(owned: &OwnedCell, end: ActingEnd) {
+    let taken_at = owned.state.since.get();
+    log_event!(
+        Event::EarlierOwnersBounded,
+        cell = owned.view.number,
+        fence = owned.fence,
+        acting_ms = end.until.saturating_sub(taken_at).as_millis(),
+        unseen = end.unseen,
+        waited_ms = now().saturating_sub(taken_at).as_millis()
+    );
+}
+
 /// Asks an earlier owner once, and returns whether it has certainly ended.
 async fn confirm_end(node: &Rc<Node>, cell: u32, owner: &SeenOwner) -> bool {
     let Some(record) = &owner.record else {
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// The time until which earlier owners of a cell can have granted leases.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ActingEnd {
+    /// The time.
+    pub until: Duration,
+    /// Whether it is that of owners which this instance may not have seen, so that no confirmation
+    /// moves it forward.
+    pub unseen: bool,
+}
+
 /// Owners of all cells, in the order in which the watch of the shared keys reported them.
 ///
 /// The watch reports every change after a complete read of the keys. An owner that it did not
@@ -140,15 +150,21 @@
         fence: u64,
         owner_validity: Duration,
         taken_at: Duration,
-    ) -> Option<Duration> {
+    ) -> Option<ActingEnd> {
         let owners = self.cells.get(&cell)?;
         if !owners.iter().any(|owner| owner.fence == fence) {
             return None;
         }
         let unseen = self.complete_since?.min(taken_at) + owner_validity;
         let earlier = owners.iter().filter(|owner| owner.fence < fence);
-        earlier
+        let seen = earlier
             .map(|owner| owner.acts_until(owner_validity))
-            .try_fold(unseen, |end, until| until.map(|until| end.max(until)))
+            .try_fold(Duration::ZERO, |end, until| {
+                until.map(|until| end.max(until))
+            })?;
+        Some(ActingEnd {
+            until: seen.max(unseen),
+            unseen: unseen > seen,
+        })
     }
 }
--- a/crates/nutmegcart_control/tests/owner_history.rs
+++ b/crates/nutmegcart_control/tests/owner_history.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use nutmegcart_control::node::OwnerRecord;
+use nutmegcart_control::owner_history::ActingEnd;
 use nutmegcart_control::owner_history::OwnerHistory;
 
 /// Time for which an owner may act after a renewal of its lease.
@@ -32,7 +33,8 @@
 }
 
 fn end(history: &OwnerHistory, fence: u64) -> Option<Duration> {
-    history.acting_end(CELL, fence, VALIDITY, Duration::MAX)
+    let end = history.acting_end(CELL, fence, VALIDITY, Duration::MAX);
+    end.map(|end| end.until)
 }
 
 fn open(history: &OwnerHistory, fence: u64, now: Duration) -> Vec<u64> {
@@ -152,5 +154,9 @@
     history.record_owner(CELL, 20, Some(record(2)), at(200));
     history.record_read(at(203));
     let end = history.acting_end(CELL, 20, VALIDITY, at(200));
-    assert_eq!(end, Some(at(200) + VALIDITY));
+    let unseen = ActingEnd {
+        until: at(200) + VALIDITY,
+        unseen: true,
+    };
+    assert_eq!(end, Some(unseen));
 }
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -97,6 +97,7 @@
     CellStatus = 704, Info, "jobs and workers of the cell";
     LayoutLoaded = 705, Info, "division of the fleet into cells read or created";
     EarlierOwnerAsked = 706, Info, "earlier owner of the cell asked whether it has ended";
+    EarlierOwnersBounded = 707, Info, "earlier owners of the cell grant no leases after a known time";
     JobAccepted = 710, Info, "caller's job accepted and stored";
     JobRefused = 711, Info, "caller's job refused; it never runs";
     JobAcceptanceUnknown = 712, Warn, "the store did not confirm in time whether the caller's job was accepted";
