--- a/crates/nutmegcart/tests/manage.rs
+++ b/crates/nutmegcart/tests/manage.rs
@@ -530,6 +530,30 @@
     assert_eq!(asked["confirmed"], "true");
 }
 
+/// Number of the event that tells until when earlier owners can have acted.
+const EARLIER_OWNERS_BOUNDED: u16 = 707;
+
+/// Guards against a wait for earlier owners that nobody knows of after a restart, although the only
+/// earlier owner has confirmed its end.
+#[test]
+fn restarted_fleet_knows_all_earlier_owners() {
+    let platform = platform();
+    let _runner = platform.add_runner("i-1", "gates");
+    let settings = platform.settings("entry-1");
+    let mut first = Process::start(settings.clone());
+    first.wait_until_ready();
+    // The first process has stored that no owner before it can act.
+    first.wait_for_event(EARLIER_OWNERS_BOUNDED);
+    first.signal(Signal::KILL);
+    first.child.wait().expect("the process ends");
+    while !platform.store.keys("nutmegcart/cell/0/owner").is_empty() {
+        sleep(POLL_INTERVAL);
+    }
+    let second = Process::start(settings);
+    let bounded = second.wait_for_event(EARLIER_OWNERS_BOUNDED);
+    assert_eq!(bounded["unseen"], "false", "{bounded}");
+}
+
 /// Guards against a successor that waits for the time for which the earlier owner could act,
 /// although that has shut down and says so.
 #[test]
