Store a log of each cell's latest owners, so that a successor knows whom to ask

Cause: a successor waits for a silent worker from the time at which the last earlier owner can have granted a lease, and knew earlier owners only from its watch of the shared keys. After a start of its process, or after a complete read because the store had forgotten its history, it cannot tell whether it has seen all of them. It then counted on an owner that nobody has seen, acting until 6 s after the take-over, whatever the known owners confirmed.

Change: an owner's transaction also writes a log with the owner before it, and requires that the log has not changed since it was read. Once all others have ended, the owner removes them from the log. A missing log (older version) counts as before.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -7,15 +7,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::Txn;
 
 use crate::clock::now;
+use crate::keys;
 use crate::node::Node;
 use crate::node::OwnedCell;
 use crate::node::OwnerRecord;
 use crate::owner_history::ActingEnd;
 use crate::owner_history::SeenOwner;
+use crate::owner_log::LoggedOwner;
+use crate::owner_log::OwnerLog;
+use crate::ownership::owner_record;
 use crate::peer;
 use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
@@ -25,6 +32,9 @@
 /// Timeout of one question; the answer comes from memory.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Delay after a failed write of the log.
+const LOG_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Asks the earlier owners of a cell until all have ended, or none can act any more in any case,
 /// and passes the time at which the last one had ended to the scheduler.
 pub(crate) async fn confirm_ends(node: Rc<Node>, owned: Rc<OwnedCell>) {
@@ -59,11 +69,62 @@
     if owned.has_ended() {
         return;
     }
+    log_unconfirmed(&node, &owned);
+    settle_log(&node, &owned).await;
+}
+
+/// Logs the earlier owners that could act after the take-over and did not confirm their end.
+fn log_unconfirmed(node: &Node, owned: &OwnedCell) {
+    let taken_at = owned.state.since.get();
     let history = node.owner_history.borrow();
-    let asked = history.possibly_acting(cell, fence, node.owner_validity(), taken_at);
+    let validity = node.owner_validity();
+    let asked = history.possibly_acting(owned.view.number, owned.fence, validity, taken_at);
     let unconfirmed = asked.iter().filter(|each| each.confirmed_at.is_none());
     for earlier in unconfirmed {
-        log_answer(&owned, earlier, false);
+        log_answer(owned, earlier, false);
+    }
+}
+
+/// Removes the owners that can no longer act from the stored log, so that successors do not ask them,
+/// once no other owner than those in the log can act.
+async fn settle_log(node: &Rc<Node>, owned: &Rc<OwnedCell>) {
+    let validity = node.owner_validity();
+    if !owned.log.complete {
+        let settled_at = owned.state.since.get() + validity;
+        tokio::time::sleep(settled_at.saturating_sub(now())).await;
+    }
+    let cell = owned.view.number;
+    let revision = Revision::try_from(owned.fence).unwrap_or_default();
+    let owner_key = owned.view.keys.owner();
+    let log_key = keys::owner_log(cell);
+    while !owned.has_ended() {
+        let open = open_owners(node, owned);
+        let still_open = |logged: &LoggedOwner| open.iter().any(|each| each.fence == logged.fence);
+        let mut earlier = owned.log.earlier.clone();
+        earlier.retain(still_open);
+        if owned.log.complete && earlier == owned.log.earlier {
+            return;
+        }
+        earlier.push(LoggedOwner {
+            fence: owned.fence,
+            record: owner_record(node, owned.lease),
+            lease_ended: false,
+        });
+        let log = OwnerLog {
+            earlier,
+            writer: None,
+            complete: true,
+        };
+        let txn = Txn::default()
+            .unchanged(owner_key.clone(), revision)
+            .unchanged(log_key.clone(), revision)
+            .put(log_key.clone(), encode(&log));
+        match (node.platform.store.txn)(txn).await {
+            Ok(_) => return,
+            // An attempt whose answer was lost may have been made; the next one then changes nothing.
+            Err(error) => log::debug!("log of the owners of cell {cell} not stored: {error}"),
+        }
+        tokio::time::sleep(LOG_RETRY_DELAY).await;
     }
 }
 
--- a/crates/nutmegcart_control/src/keys.rs
+++ b/crates/nutmegcart_control/src/keys.rs
@@ -24,6 +24,12 @@
     format!("{SHARED_PREFIX}owner/{cell}")
 }
 
+/// Key of the log of a cell's latest owners.
+#[must_use]
+pub fn owner_log(cell: u32) -> String {
+    format!("nutmegcart/owners/{cell}")
+}
+
 /// Key that exists once a cell has finished its part of a wave.
 #[must_use]
 pub fn wave_part(wave: u64, cell: u32) -> String {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -9,7 +9,7 @@
 //! * [`job_service`], [`acceptor`]: callers' requests, and storing each accepted job exactly once;
 //! * [`job_api`]: nutmegcart's own HTTP interface for jobs;
 //! * [`ownership`], [`candidate`], [`owner`]: ownership of cells, and the tasks of an owner;
-//! * [`owner_history`]: earlier owners, and until when they can have granted leases;
+//! * [`owner_history`], [`owner_log`]: earlier owners, and until when they can have granted leases;
 //! * [`passing`]: waiting jobs that pass to another cell;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`peer`]: requests between instances;
@@ -29,6 +29,7 @@
 pub mod node;
 pub mod owner;
 pub mod owner_history;
+pub mod owner_log;
 pub mod ownership;
 pub mod passing;
 pub mod peer;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -33,6 +33,7 @@
 use crate::keys::CellKeys;
 use crate::metrics::Metrics;
 use crate::owner_history::OwnerHistory;
+use crate::owner_log::OwnerLog;
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
@@ -112,6 +113,19 @@
     pub order_slots: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
 }
 
+/// An owner's key that was written.
+#[derive(Clone, Debug)]
+pub struct Acquired {
+    /// Revision at which it was written, the fencing token.
+    pub fence: Revision,
+    /// Lease that it is attached to.
+    pub lease: LeaseId,
+    /// Time at which the lease was requested.
+    pub sent: Duration,
+    /// Log of the earlier owners that was written with it.
+    pub log: OwnerLog,
+}
+
 /// State of a cell on an instance that may or may not own it.
 #[derive(Debug)]
 pub struct CellView {
@@ -119,9 +133,9 @@
     pub number: u32,
     /// Names of the cell's keys in the store.
     pub keys: CellKeys,
-    /// Fencing token, lease and request time of the lease, if the owner has handed the cell to this
-    /// instance and its tasks have not started yet.
-    pub handoff: Cell<Option<(Revision, LeaseId, Duration)>>,
+    /// The ownership, if the owner has handed the cell to this instance and its tasks have not started
+    /// yet.
+    pub handoff: RefCell<Option<Acquired>>,
     /// Ownership, while this instance is the owner.
     pub owned: RefCell<Option<Rc<OwnedCell>>>,
     /// Latest revision of the owner's key that a watch has reported.
@@ -139,7 +153,7 @@
         Self {
             number,
             keys: CellKeys::new(number),
-            handoff: Cell::new(None),
+            handoff: RefCell::new(None),
             owned: RefCell::new(None),
             owner_revision: Cell::new(0),
             owner_changed: Notify::new(),
@@ -150,7 +164,7 @@
     /// Returns whether an owner has handed the cell to this instance.
     #[must_use]
     pub fn has_handoff(&self) -> bool {
-        self.handoff.get().is_some()
+        self.handoff.borrow().is_some()
     }
 }
 
@@ -194,6 +208,8 @@
     pub lease: LeaseId,
     /// Time at which the latest successful renewal of the lease was sent.
     pub renewed_at: Cell<Duration>,
+    /// Log of the earlier owners that was written with the owner's key.
+    pub log: OwnerLog,
     /// Progress of ownership.
     pub state: OwnershipState,
     /// Notified when a placement pass is needed.
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::node::OwnerRecord;
+use crate::owner_log::OwnerLog;
 
 /// Owners kept for each cell. An owner that is dropped counts as one that was never seen.
 const MAX_OWNERS: usize = 16;
@@ -52,6 +53,8 @@
     /// When the latest complete read was answered, or an owner was dropped.
     complete_since: Option<Duration>,
     cells: HashMap<u32, Vec<SeenOwner>>,
+    /// Fencing tokens by cell of owners before which all owners are known from the stored log.
+    logged: HashMap<u32, u64>,
 }
 
 impl OwnerHistory {
@@ -84,12 +87,49 @@
             lease_end: None,
             confirmed_at: None,
         });
-        if owners.len() > MAX_OWNERS {
-            owners.remove(0);
+        self.drop_oldest(cell, now);
+    }
+
+    fn drop_oldest(&mut self, cell: u32, now: Duration) {
+        let owners = self.cells.entry(cell).or_default();
+        let dropped = owners.len().saturating_sub(MAX_OWNERS);
+        if dropped > 0 {
+            owners.drain(..dropped);
             self.complete_since = self.complete_since.map(|since| since.max(now));
+            self.logged.remove(&cell);
         }
     }
 
+    /// Records the stored log of the owners before the one with the fencing token, which got its key
+    /// by `taken_at`.
+    pub fn record_log(&mut self, cell: u32, fence: u64, log: &OwnerLog, taken_at: Duration) {
+        let owners = self.cells.entry(cell).or_default();
+        for logged in &log.earlier {
+            let known = owners.iter().position(|owner| owner.fence == logged.fence);
+            let at = known.unwrap_or_else(|| {
+                owners.push(SeenOwner {
+                    fence: logged.fence,
+                    record: None,
+                    replaced_at: Some(taken_at),
+                    lease_end: None,
+                    confirmed_at: None,
+                });
+                owners.len() - 1
+            });
+            owners[at]
+                .record
+                .get_or_insert_with(|| logged.record.clone());
+            if logged.lease_ended {
+                owners[at].lease_end.get_or_insert(taken_at);
+            }
+        }
+        owners.sort_by_key(|owner| owner.fence);
+        if log.complete {
+            self.logged.insert(cell, fence);
+        }
+        self.drop_oldest(cell, taken_at);
+    }
+
     /// Records that a cell's owner key is gone, which happens only when its lease ends.
     pub fn record_vacancy(&mut self, cell: u32, now: Duration) {
         let last = self
@@ -140,9 +180,9 @@
     /// Returns the time until which any owner before the one with the fencing token can have
     /// granted leases, if that is known.
     ///
-    /// It is unknown until the watch has reported this owner's own key, because the watch reports
-    /// all earlier owners before it. Owners that it did not report had lost their keys by `taken_at`,
-    /// when this one got its own.
+    /// Without a complete log, it is unknown until the watch has reported this owner's own key, because
+    /// the watch reports all earlier owners before it. Owners that it did not report had lost their
+    /// keys by `taken_at`, when this one got its own.
     #[must_use]
     pub fn acting_end(
         &self,
@@ -152,10 +192,13 @@
         taken_at: Duration,
     ) -> Option<ActingEnd> {
         let owners = self.cells.get(&cell)?;
-        if !owners.iter().any(|owner| owner.fence == fence) {
+        let unseen = if self.logged.get(&cell) == Some(&fence) {
+            Duration::ZERO
+        } else if owners.iter().any(|owner| owner.fence == fence) {
+            self.complete_since?.min(taken_at) + owner_validity
+        } else {
             return None;
-        }
-        let unseen = self.complete_since?.min(taken_at) + owner_validity;
+        };
         let earlier = owners.iter().filter(|owner| owner.fence < fence);
         let seen = earlier
             .map(|owner| owner.acts_until(owner_validity))
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -21,12 +21,15 @@
 use crate::clock::now;
 use crate::earlier_owners;
 use crate::keys;
+use crate::node::Acquired;
 use crate::node::CellView;
 use crate::node::Node;
 use crate::node::OwnedCell;
 use crate::node::OwnerRecord;
 use crate::node::OwnershipState;
 use crate::owner;
+use crate::owner_log;
+use crate::owner_log::Acquisition;
 use crate::peer;
 use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
@@ -61,8 +64,9 @@
         if node.is_draining() {
             return;
         }
-        if let Some((fence, lease, sent)) = view.handoff.take() {
-            run_owner(&node, &view, fence, lease, sent).await;
+        let handed_over = view.handoff.take();
+        if let Some(acquired) = handed_over {
+            run_owner(&node, &view, acquired).await;
             continue;
         }
         let vacant = node.owners_known.get() && node.owner(view.number).is_none();
@@ -81,7 +85,7 @@
             continue;
         }
         match try_acquire(&node, &view).await {
-            Ok(Some((fence, lease, sent))) => run_owner(&node, &view, fence, lease, sent).await,
+            Ok(Some(acquired)) => run_owner(&node, &view, acquired).await,
             Ok(None) => tokio::time::sleep(RETRY_DELAY).await,
             Err(error) => {
                 log::debug!("cell {} not acquired: {error}", view.number);
@@ -155,25 +159,36 @@
     node.owners.borrow_mut().insert(cell, record);
 }
 
-/// Tries to create the owner's key. Returns the fencing token, the lease and the time at which the
-/// lease was requested, or `None` if another instance owns the cell.
-async fn try_acquire(
-    node: &Rc<Node>,
-    view: &CellView,
-) -> Result<Option<(Revision, LeaseId, Duration)>, StoreError> {
+/// Tries to create the owner's key. Returns `None` if another instance owns the cell.
+async fn try_acquire(node: &Rc<Node>, view: &CellView) -> Result<Option<Acquired>, StoreError> {
     let store = &node.platform.store;
     let sent = now();
-    let lease = (store.grant_lease)(node.settings.lease).await?;
+    let (stored, lease) = tokio::join!(
+        owner_log::read(store, view.number),
+        (store.grant_lease)(node.settings.lease),
+    );
+    let lease = lease?;
+    let stored = match stored {
+        Ok(stored) => stored,
+        Err(error) => {
+            revoke_lease(node, lease).await;
+            return Err(error);
+        }
+    };
+    let log = stored.succeed(Acquisition::Vacant);
+    let acquired = |fence| Acquired {
+        fence,
+        lease,
+        sent,
+        log: log.clone(),
+    };
     let key = view.keys.owner();
-    let value = nutmegcart_jobs::record::encode(&owner_record(node, lease));
-    let txn = Txn::default()
-        .absent(key.clone())
-        .put_leased(key.clone(), value.clone(), lease)
-        .put_leased(keys::owner_copy(view.number), value, lease)
-        .or_read(key.clone());
+    let txn = Txn::default().absent(key.clone()).or_read(key.clone());
+    let txn = write_owner(node, view, txn, lease);
+    let txn = stored.extend(txn, view.number, &log, owner_record(node, lease));
     loop {
         match (store.txn)(txn.clone()).await {
-            Ok(reply) if reply.committed => return Ok(Some((reply.revision, lease, sent))),
+            Ok(reply) if reply.committed => return Ok(Some(acquired(reply.revision))),
             Ok(reply) => {
                 // An earlier attempt whose answer was lost may have created the key.
                 let own = reply
@@ -181,7 +196,7 @@
                     .iter()
                     .find(|found| found.key == key && found.lease == lease);
                 if let Some(found) = own {
-                    return Ok(Some((found.modified, lease, sent)));
+                    return Ok(Some(acquired(found.modified)));
                 }
                 if let Some(found) = reply.found.iter().find(|found| found.key == key) {
                     update_owner(node, view.number, found);
@@ -205,13 +220,13 @@
 }
 
 /// Runs the tasks of a cell's owner until ownership ends.
-async fn run_owner(
-    node: &Rc<Node>,
-    view: &Rc<CellView>,
-    fence: Revision,
-    lease: LeaseId,
-    sent: Duration,
-) {
+async fn run_owner(node: &Rc<Node>, view: &Rc<CellView>, acquired: Acquired) {
+    let Acquired {
+        fence,
+        lease,
+        sent,
+        log,
+    } = acquired;
     log_event!(
         Event::CellTaken,
         cell = view.number,
@@ -229,12 +244,17 @@
         fence: u64::try_from(fence).unwrap_or_default(),
         lease,
         renewed_at: Cell::new(sent),
+        log,
         state: OwnershipState::default(),
         pass_wanted: Notify::new(),
         write_wanted: Notify::new(),
         ended: Notify::new(),
     });
-    owned.state.since.set(now());
+    let taken_at = now();
+    owned.state.since.set(taken_at);
+    node.owner_history
+        .borrow_mut()
+        .record_log(view.number, owned.fence, &owned.log, taken_at);
     *view.owned.borrow_mut() = Some(owned.clone());
     node.owners
         .borrow_mut()
@@ -297,31 +317,49 @@
     };
     let store = &node.platform.store;
     let sent = now();
-    let Ok(lease) = (store.grant_lease)(node.settings.lease).await else {
+    let (stored, lease) = tokio::join!(
+        owner_log::read(store, cell),
+        (store.grant_lease)(node.settings.lease),
+    );
+    let Ok(lease) = lease else {
         return false;
     };
+    let Ok(stored) = stored else {
+        revoke_lease(node, lease).await;
+        return false;
+    };
+    let log = stored.succeed(Acquisition::HandedOver);
     let key = view.keys.owner();
-    let value = nutmegcart_jobs::record::encode(&owner_record(node, lease));
-    let txn = Txn::default()
-        .unchanged(key.clone(), held)
-        .put_leased(key.clone(), value.clone(), lease)
-        .put_leased(keys::owner_copy(cell), value, lease)
-        .or_read(key.clone());
+    let txn = Txn::default().unchanged(key.clone(), held).or_read(key);
+    let txn = write_owner(node, &view, txn, lease);
+    let txn = stored.extend(txn, cell, &log, owner_record(node, lease));
     let taken = match (store.txn)(txn).await {
         Ok(reply) if reply.committed => Some(reply.revision),
         // If only the answer was lost, the watch of the owner's key shows the result.
         Ok(_) | Err(_) => None,
     };
-    let Some(revision) = taken else {
+    let Some(fence) = taken else {
         revoke_lease(node, lease).await;
         return false;
     };
-    view.handoff.set(Some((revision, lease, sent)));
+    *view.handoff.borrow_mut() = Some(Acquired {
+        fence,
+        lease,
+        sent,
+        log,
+    });
     view.owner_changed.notify_one();
     true
 }
 
-fn owner_record(node: &Node, lease: LeaseId) -> OwnerRecord {
+/// Adds the writes of the owner's key and its copy to a transaction.
+fn write_owner(node: &Node, view: &CellView, txn: Txn, lease: LeaseId) -> Txn {
+    let value = nutmegcart_jobs::record::encode(&owner_record(node, lease));
+    txn.put_leased(view.keys.owner(), value.clone(), lease)
+        .put_leased(keys::owner_copy(view.number), value, lease)
+}
+
+pub(crate) fn owner_record(node: &Node, lease: LeaseId) -> OwnerRecord {
     OwnerRecord {
         name: node.settings.name.clone(),
         incarnation: node.incarnation,
--- a/crates/nutmegcart_control/tests/earlier_owners.rs
+++ b/crates/nutmegcart_control/tests/earlier_owners.rs
@@ -16,6 +16,7 @@
 use nutmegcart_control::node::OwnedCell;
 use nutmegcart_control::node::OwnershipState;
 use nutmegcart_control::node::ReloadableSettings;
+use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::peer;
 use nutmegcart_control::peer::PeerRequest;
 use nutmegcart_control::peer::PeerResponse;
@@ -91,6 +92,7 @@
         fence,
         lease: 1,
         renewed_at: Cell::new(Duration::ZERO),
+        log: OwnerLog::default(),
         state: OwnershipState::default(),
         pass_wanted: Notify::new(),
         write_wanted: Notify::new(),
--- /dev/null
+++ b/crates/nutmegcart_control/tests/owner_log.rs
@@ -0,0 +1,262 @@
+//! The stored log of a cell's owners, and what a successor concludes from it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_control::keys;
+use nutmegcart_control::keys::CellKeys;
+use nutmegcart_control::node::OwnerRecord;
+use nutmegcart_control::owner_history::OwnerHistory;
+use nutmegcart_control::owner_log;
+use nutmegcart_control::owner_log::Acquisition;
+use nutmegcart_control::owner_log::LoggedOwner;
+use nutmegcart_control::owner_log::OwnerLog;
+use nutmegcart_control::owner_log::StoredLog;
+use nutmegcart_control::port::KeyStore;
+use nutmegcart_platform::MemoryStore;
+use nutmegcart_platform::Store;
+use nutmegcart_platform::Txn;
+
+/// Time for which an owner may act after a renewal of its lease.
+const VALIDITY: Duration = Duration::from_secs(6);
+/// Cell of all owners in these tests.
+const CELL: u32 = 2;
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn record(incarnation: u64) -> OwnerRecord {
+    OwnerRecord {
+        name: "entry-1".into(),
+        incarnation,
+        peer: "127.0.0.1:1".parse().expect("an address"),
+        lease: 5,
+    }
+}
+
+fn logged(fence: u64, lease_ended: bool) -> LoggedOwner {
+    LoggedOwner {
+        fence,
+        record: record(fence),
+        lease_ended,
+    }
+}
+
+fn log(earlier: Vec<LoggedOwner>) -> OwnerLog {
+    OwnerLog {
+        earlier,
+        writer: None,
+        complete: true,
+    }
+}
+
+/// Returns the history of an instance that has just started, whose watch has read only its own key.
+fn history(fence: u64, log: &OwnerLog) -> OwnerHistory {
+    let mut history = OwnerHistory::default();
+    history.record_read(at(200));
+    history.record_log(CELL, fence, log, at(200));
+    history.record_owner(CELL, fence, Some(record(fence)), at(200));
+    history
+}
+
+/// Returns until when earlier owners may have acted, in seconds, and whether some may be unseen.
+fn end(history: &OwnerHistory, fence: u64) -> Option<(u64, bool)> {
+    let end = history.acting_end(CELL, fence, VALIDITY, at(200))?;
+    Some((end.until.as_secs(), end.unseen))
+}
+
+/// Guards against a wait for owners that nobody has seen, although all earlier ones have confirmed
+/// their end.
+#[test]
+fn confirmations_of_all_logged_owners_end_the_wait() {
+    let mut history = history(30, &log(vec![logged(10, true), logged(20, true)]));
+    assert_eq!(end(&history, 30), Some((206, false)));
+    history.record_confirmation(CELL, 20, at(201));
+    assert_eq!(end(&history, 30), Some((206, false)));
+    history.record_confirmation(CELL, 10, at(202));
+    assert_eq!(end(&history, 30), Some((202, false)));
+}
+
+/// Guards against a logged owner that is taken for ended without an answer.
+#[test]
+fn silent_logged_owner_acts_for_its_validity() {
+    let history = history(30, &log(vec![logged(20, true)]));
+    let open = |now| history.possibly_acting(CELL, 30, VALIDITY, now).len();
+    assert_eq!(end(&history, 30), Some((206, false)));
+    assert_eq!(open(at(205)), 1);
+    assert_eq!(open(at(206)), 0);
+}
+
+/// Guards against an owner that handed its cell over, whose lease lives on and is renewed.
+#[test]
+fn logged_owner_with_a_live_lease_has_no_known_end() {
+    let mut history = history(30, &log(vec![logged(20, false)]));
+    assert_eq!(end(&history, 30), None);
+    history.record_lease_end(CELL, 20, at(201));
+    assert_eq!(end(&history, 30), Some((207, false)));
+}
+
+/// Guards against a log that stands for more than it knows.
+#[test]
+fn incomplete_log_counts_on_unseen_owners() {
+    let incomplete = OwnerLog {
+        complete: false,
+        ..log(vec![logged(20, true)])
+    };
+    let mut history = history(30, &incomplete);
+    history.record_confirmation(CELL, 20, at(200));
+    assert_eq!(end(&history, 30), Some((206, true)));
+}
+
+/// Guards against the log of one ownership that stands for a later one.
+#[test]
+fn log_of_an_earlier_ownership_does_not_count() {
+    let mut history = history(30, &log(Vec::new()));
+    history.record_read(at(300));
+    history.record_owner(CELL, 50, Some(record(50)), at(301));
+    let end = history.acting_end(CELL, 50, VALIDITY, at(301));
+    assert!(end.is_none_or(|end| end.until >= at(306)), "{end:?}");
+}
+
+/// Guards against an owner in the log whose end was seen, and that counts as acting again.
+#[test]
+fn log_keeps_what_the_watch_has_shown() {
+    let mut history = OwnerHistory::default();
+    history.record_read(at(100));
+    history.record_owner(CELL, 20, Some(record(20)), at(101));
+    history.record_vacancy(CELL, at(150));
+    history.record_log(CELL, 30, &log(vec![logged(20, true)]), at(200));
+    assert_eq!(end(&history, 30), Some((156, false)));
+}
+
+/// Guards against a log that loses an owner between two that write it.
+#[test]
+fn successor_adds_the_writer_and_its_own_predecessors() {
+    let stored = StoredLog {
+        log: OwnerLog {
+            writer: Some(record(20)),
+            ..log(vec![logged(10, true)])
+        },
+        revision: 20,
+        unused: false,
+    };
+    let vacant = stored.succeed(Acquisition::Vacant);
+    assert_eq!(vacant, log(vec![logged(10, true), logged(20, true)]));
+    let handed = stored.succeed(Acquisition::HandedOver);
+    assert_eq!(handed, log(vec![logged(10, true), logged(20, false)]));
+}
+
+/// Guards against a log that grows without bound, and against one that forgets an owner and still
+/// counts as complete.
+#[test]
+fn log_from_which_an_owner_was_dropped_is_not_complete() {
+    let mut stored = StoredLog {
+        unused: true,
+        ..StoredLog::default()
+    };
+    for fence in 1..=40 {
+        let next = stored.succeed(Acquisition::Vacant);
+        assert!(next.earlier.len() <= 16);
+        assert_eq!(next.complete, fence <= 17, "{fence}");
+        stored = StoredLog {
+            log: OwnerLog {
+                writer: Some(record(u64::try_from(fence).expect("positive"))),
+                ..next
+            },
+            revision: fence,
+            unused: false,
+        };
+    }
+}
+
+/// Returns an interface to the store that only reads single keys.
+fn reader(store: &Store) -> KeyStore {
+    let store = store.clone();
+    KeyStore {
+        get: Rc::new(move |key: String| {
+            let found = store
+                .range(&key)
+                .map(|snapshot| snapshot.get(&key).cloned());
+            Box::pin(std::future::ready(found))
+        }),
+        range: Rc::new(|_| Box::pin(std::future::pending())),
+        watch: Rc::new(|_, _, _| Box::pin(std::future::pending())),
+        txn: Rc::new(|_| Box::pin(std::future::pending())),
+        grant_lease: Rc::new(|_| Box::pin(std::future::pending())),
+        renew_lease: Rc::new(|_| Box::pin(std::future::pending())),
+        revoke_lease: Rc::new(|_| Box::pin(std::future::pending())),
+    }
+}
+
+fn read(store: &Store) -> StoredLog {
+    let runtime = tokio::runtime::Builder::new_current_thread().build();
+    let runtime = runtime.expect("the runtime starts");
+    let stored = runtime.block_on(owner_log::read(&reader(store), CELL));
+    stored.expect("answered")
+}
+
+/// Writes the owner's key with the log that was read before, if the conditions hold.
+fn acquire(store: &Store, stored: &StoredLog, incarnation: u64) -> Option<u64> {
+    let key = CellKeys::new(CELL).owner();
+    let log = stored.succeed(Acquisition::Vacant);
+    let txn = Txn::default().absent(key.clone()).put(key, Vec::new());
+    let txn = stored.extend(txn, CELL, &log, record(incarnation));
+    let reply = store.txn(&txn).expect("answered");
+    let revision = u64::try_from(reply.revision).expect("positive");
+    reply.committed.then_some(revision)
+}
+
+fn vacate(store: &Store) {
+    let txn = Txn::default().delete(CellKeys::new(CELL).owner());
+    assert!(store.txn(&txn).expect("answered").committed);
+}
+
+/// Guards against a successor that has read the log before another owner came and went, and would
+/// not know of it.
+#[test]
+fn owner_that_came_and_went_after_the_read_is_not_missed() {
+    let store = MemoryStore::default().store();
+    let stale = read(&store);
+    let fence = acquire(&store, &stale, 1).expect("the cell has no owner");
+    vacate(&store);
+    assert_eq!(acquire(&store, &stale, 2), None);
+    let current = read(&store);
+    assert!(acquire(&store, &current, 2).is_some());
+    let fences: Vec<u64> = read(&store)
+        .log
+        .earlier
+        .iter()
+        .map(|each| each.fence)
+        .collect();
+    assert_eq!(fences, [fence]);
+}
+
+/// Guards against a cell of an older version, which writes no log, that counts as one without an
+/// earlier owner.
+#[test]
+fn cell_with_a_state_and_no_log_has_unknown_owners() {
+    let store = MemoryStore::default().store();
+    let unused = read(&store);
+    let state = Txn::default().put(CellKeys::new(CELL).state(), Vec::new());
+    assert!(store.txn(&state).expect("answered").committed);
+    assert_eq!(acquire(&store, &unused, 1), None);
+    let used = read(&store);
+    assert!(acquire(&store, &used, 1).is_some());
+    assert!(!read(&store).log.complete);
+}
+
+/// Guards against an owner that cannot take the cell because the log cannot be decoded, and against
+/// such a log that counts as one without owners.
+#[test]
+fn unreadable_log_is_replaced_and_not_complete() {
+    let store = MemoryStore::default().store();
+    let key = keys::owner_log(CELL);
+    let broken = Txn::default().put(key.clone(), b"x".to_vec());
+    assert!(store.txn(&broken).expect("answered").committed);
+    let stored = read(&store);
+    assert!(acquire(&store, &stored, 1).is_some());
+    let replaced = read(&store).log;
+    assert!(!replaced.complete);
+    assert_eq!(replaced.writer, Some(record(1)));
+}
