Give each cell that loses its owner to an instance of its own

Cause: the owners of several cells lose the store at the same moment. Each hands its cell to the first peer of its list, and an instance that is taking one cell over did not count it, so it took another one.

Change: a cell counts as held from the moment at which its transaction is sent. The code of handoffs has a file of its own.

--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`node`], [`process`]: shared state, start and shutdown;
 //! * [`job_service`], [`acceptor`]: callers' requests, and storing each accepted job exactly once;
 //! * [`job_api`]: nutmegcart's own HTTP interface for jobs;
-//! * [`ownership`], [`candidate`], [`owner`]: ownership of cells, and the tasks of an owner;
+//! * [`ownership`], [`candidate`], [`handoff`], [`owner`]: ownership of cells, and the tasks of an
+//!   owner;
 //! * [`owner_history`], [`owner_log`]: earlier owners, and until when they can have granted leases;
 //! * [`passing`]: waiting jobs that pass to another cell;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
@@ -21,6 +22,7 @@
 pub mod clock;
 mod earlier_owners;
 mod generated;
+pub mod handoff;
 pub mod job_api;
 pub mod job_service;
 pub mod keys;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -136,6 +136,8 @@
     /// The ownership, if the owner has handed the cell to this instance and its tasks have not started
     /// yet.
     pub handoff: RefCell<Option<Acquired>>,
+    /// Number of transactions under way that make this instance the owner.
+    pub acquisitions: Cell<usize>,
     /// Ownership, while this instance is the owner.
     pub owned: RefCell<Option<Rc<OwnedCell>>>,
     /// Latest revision of the owner's key that a watch has reported.
@@ -154,6 +156,7 @@
             number,
             keys: CellKeys::new(number),
             handoff: RefCell::new(None),
+            acquisitions: Cell::new(0),
             owned: RefCell::new(None),
             owner_revision: Cell::new(0),
             owner_changed: Notify::new(),
@@ -161,6 +164,13 @@
         }
     }
 
+    /// Counts an acquisition as under way until the result is dropped.
+    #[must_use]
+    pub fn begin_acquisition(&self) -> AcquisitionGuard<'_> {
+        self.acquisitions.update(|count| count + 1);
+        AcquisitionGuard(&self.acquisitions)
+    }
+
     /// Returns whether an owner has handed the cell to this instance.
     #[must_use]
     pub fn has_handoff(&self) -> bool {
@@ -168,6 +178,16 @@
     }
 }
 
+/// Ends the count of an acquisition when dropped, also if the acquisition is cancelled.
+#[derive(Debug)]
+pub struct AcquisitionGuard<'a>(&'a Cell<usize>);
+
+impl Drop for AcquisitionGuard<'_> {
+    fn drop(&mut self) {
+        self.0.update(|count| count.saturating_sub(1));
+    }
+}
+
 /// The layout of the fleet and the state of each cell.
 #[derive(Debug)]
 pub struct Cells {
@@ -364,6 +384,16 @@
             .map_or_else(Vec::new, |cells| cells.views.clone())
     }
 
+    /// Returns the number of cells that this instance owns or is about to own.
+    #[must_use]
+    pub fn held_cells(&self) -> usize {
+        let views = self.views();
+        let held = views.iter().filter(|view| {
+            view.acquisitions.get() > 0 || view.has_handoff() || view.owned.borrow().is_some()
+        });
+        held.count()
+    }
+
     /// Returns the cells that this instance owns.
     #[must_use]
     pub fn owned_cells(&self) -> Vec<Rc<OwnedCell>> {
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -11,15 +11,16 @@
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
 use nutmegcart_platform::LeaseId;
-use nutmegcart_platform::Revision;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use tokio::sync::Notify;
 
 use crate::candidate::Candidate;
 use crate::candidate::acquisition_delay;
+use crate::candidate::may_acquire;
 use crate::clock::now;
 use crate::earlier_owners;
+use crate::handoff;
 use crate::keys;
 use crate::node::Acquired;
 use crate::node::CellView;
@@ -30,21 +31,12 @@
 use crate::owner;
 use crate::owner_log;
 use crate::owner_log::Acquisition;
-use crate::peer;
-use crate::peer::PeerRequest;
-use crate::peer::PeerResponse;
 use crate::shared_keys;
 
 /// Renewals sent within the duration of one lease.
 pub(crate) const RENEWALS_PER_LEASE: u32 = 4;
 /// Delay between two attempts to acquire a cell; it bounds the load on a failing store.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Interval at which an owner checks whether the store fails for this instance.
-const STORE_CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Time for which the store must have failed for an owner before it hands its cell to a peer.
-const HANDOFF_AFTER: Duration = Duration::from_millis(200);
-/// Timeout of a handoff request; the peer makes two calls to the store.
-const HANDOFF_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for a change of the owner before the owner is checked again.
 const OWNER_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -77,14 +69,16 @@
         }
         let before = candidate(&node);
         tokio::time::sleep(acquisition_delay(&before, view.number)).await;
-        if node.owned_cells().len() > before.owned {
-            // This instance acquired another cell meanwhile, so instances without a cell go first.
+        if !may_acquire(&before, &candidate(&node)) {
             continue;
         }
         if node.owner(view.number).is_some() || node.is_draining() || view.has_handoff() {
             continue;
         }
-        match try_acquire(&node, &view).await {
+        let acquiring = view.begin_acquisition();
+        let acquired = try_acquire(&node, &view).await;
+        drop(acquiring);
+        match acquired {
             Ok(Some(acquired)) => run_owner(&node, &view, acquired).await,
             Ok(None) => tokio::time::sleep(RETRY_DELAY).await,
             Err(error) => {
@@ -104,7 +98,7 @@
         incarnation: node.incarnation,
         cores,
         largest: largest.fold(cores, f64::max),
-        owned: node.owned_cells().len(),
+        owned: node.held_cells(),
         instances: members.len(),
     }
 }
@@ -260,7 +254,7 @@
         .borrow_mut()
         .insert(view.number, owner_record(node, lease));
     tokio::task::spawn_local(renew(node.clone(), owned.clone()));
-    tokio::task::spawn_local(hand_off_to_peer(node.clone(), owned.clone()));
+    tokio::task::spawn_local(handoff::hand_off_to_peer(node.clone(), owned.clone()));
     tokio::task::spawn_local(earlier_owners::confirm_ends(node.clone(), owned.clone()));
     owner::start(node, &owned);
     owned.ended.notified().await;
@@ -272,88 +266,8 @@
     view.owner_changed.notify_one();
 }
 
-/// Hands a cell to a peer that reaches the store while the store fails for this instance.
-///
-/// The store may reject single instances. Without the handoff, jobs that other instances accept
-/// would wait until the lease of this one expires.
-async fn hand_off_to_peer(node: Rc<Node>, owned: Rc<OwnedCell>) {
-    while !owned.has_ended() {
-        tokio::time::sleep(STORE_CHECK_PERIOD).await;
-        let failing = node
-            .failing_since
-            .get()
-            .is_some_and(|since| now() >= since + HANDOFF_AFTER);
-        if !failing || owned.has_ended() {
-            continue;
-        }
-        for helper in node.helpers(owned.view.number) {
-            let request = PeerRequest::TakeOver(owned.view.number, owned.fence);
-            let answer = peer::send(&node, helper, &request, HANDOFF_TIMEOUT).await;
-            if owned.has_ended() {
-                return;
-            }
-            if answer == Ok(PeerResponse::Taken(true)) {
-                owned.end_ownership("handed to a peer that reaches the store");
-                return;
-            }
-        }
-    }
-}
-
-/// Acquires a cell from an owner that asked for the handoff. The owner holds the cell with the
-/// given fencing token.
-pub async fn accept_handoff(node: &Rc<Node>, cell: u32, fence: u64) -> bool {
-    let Some(view) = node
-        .cells()
-        .and_then(|cells| cells.views.get(cell as usize).cloned())
-    else {
-        return false;
-    };
-    if node.failing_since.get().is_some() || node.is_draining() || view.owned.borrow().is_some() {
-        return false;
-    }
-    let Ok(held) = Revision::try_from(fence) else {
-        return false;
-    };
-    let store = &node.platform.store;
-    let sent = now();
-    let (stored, lease) = tokio::join!(
-        owner_log::read(store, cell),
-        (store.grant_lease)(node.settings.lease),
-    );
-    let Ok(lease) = lease else {
-        return false;
-    };
-    let Ok(stored) = stored else {
-        revoke_lease(node, lease).await;
-        return false;
-    };
-    let log = stored.succeed(Acquisition::HandedOver);
-    let key = view.keys.owner();
-    let txn = Txn::default().unchanged(key.clone(), held).or_read(key);
-    let txn = write_owner(node, &view, txn, lease);
-    let txn = stored.extend(txn, cell, &log, owner_record(node, lease));
-    let taken = match (store.txn)(txn).await {
-        Ok(reply) if reply.committed => Some(reply.revision),
-        // If only the answer was lost, the watch of the owner's key shows the result.
-        Ok(_) | Err(_) => None,
-    };
-    let Some(fence) = taken else {
-        revoke_lease(node, lease).await;
-        return false;
-    };
-    *view.handoff.borrow_mut() = Some(Acquired {
-        fence,
-        lease,
-        sent,
-        log,
-    });
-    view.owner_changed.notify_one();
-    true
-}
-
 /// Adds the writes of the owner's key and its copy to a transaction.
-fn write_owner(node: &Node, view: &CellView, txn: Txn, lease: LeaseId) -> Txn {
+pub(crate) fn write_owner(node: &Node, view: &CellView, txn: Txn, lease: LeaseId) -> Txn {
     let value = nutmegcart_jobs::record::encode(&owner_record(node, lease));
     txn.put_leased(view.keys.owner(), value.clone(), lease)
         .put_leased(keys::owner_copy(view.number), value, lease)
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -26,12 +26,12 @@
 use crate::acceptor::Acceptance;
 use crate::clock::now;
 use crate::earlier_owners;
+use crate::handoff;
 use crate::job_api;
 use crate::job_service;
 use crate::job_service::JobService;
 use crate::node::CellView;
 use crate::node::Node;
-use crate::ownership;
 
 /// Result of a request to a peer.
 pub type Result<T> = std::result::Result<T, PeerError>;
@@ -273,7 +273,7 @@
             PeerResponse::Cancelled(job_service::cancel_for_peer(node, &id, limit).await)
         }
         PeerRequest::TakeOver(cell, fence) => {
-            PeerResponse::Taken(ownership::accept_handoff(node, cell, fence).await)
+            PeerResponse::Taken(handoff::accept_handoff(node, cell, fence).await)
         }
         PeerRequest::HasEnded(cell, fence, name, incarnation) => {
             let ended = earlier_owners::answer(node, cell, fence, &name, incarnation);
--- a/crates/nutmegcart_control/tests/earlier_owners.rs
+++ b/crates/nutmegcart_control/tests/earlier_owners.rs
@@ -20,15 +20,13 @@
 use nutmegcart_control::peer;
 use nutmegcart_control::peer::PeerRequest;
 use nutmegcart_control::peer::PeerResponse;
-use nutmegcart_control::port::Directory;
-use nutmegcart_control::port::FleetClient;
-use nutmegcart_control::port::KeyStore;
-use nutmegcart_control::port::Platform;
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::layout::CellLayout;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
+mod support;
+
 /// Incarnation of the instance that is asked.
 const INCARNATION: u64 = 7;
 /// Fencing token of its ownership that has ended.
@@ -38,36 +36,6 @@
 /// Timeout of a question; no test waits for it.
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Returns a platform that never answers.
-fn platform() -> Platform {
-    Platform {
-        store: KeyStore {
-            get: Rc::new(|_| Box::pin(std::future::pending())),
-            range: Rc::new(|_| Box::pin(std::future::pending())),
-            watch: Rc::new(|_, _, _| Box::pin(std::future::pending())),
-            txn: Rc::new(|_| Box::pin(std::future::pending())),
-            grant_lease: Rc::new(|_| Box::pin(std::future::pending())),
-            renew_lease: Rc::new(|_| Box::pin(std::future::pending())),
-            revoke_lease: Rc::new(|_| Box::pin(std::future::pending())),
-        },
-        fleet: FleetClient {
-            poll: Rc::new(|_, _| Box::pin(std::future::pending())),
-            send_order: Rc::new(|_, _| Box::pin(std::future::pending())),
-            list_machines: Rc::new(|| Box::pin(std::future::pending())),
-            send_machine_order: Rc::new(|_| Box::pin(std::future::pending())),
-            request_tickets: Rc::new(|_, _| Box::pin(std::future::pending())),
-        },
-        directory: Directory {
-            operator_prefix: "operator/".into(),
-            parse_record: Rc::new(|_| Err(String::new())),
-            worker_prefix: "workers/".into(),
-            parse_listing: Rc::new(|_| Err(String::new())),
-            worker_of: Rc::new(|_| None),
-            wave_progress: Rc::new(|_, _| (String::new(), Vec::new())),
-        },
-    }
-}
-
 fn node(name: &str, peer: SocketAddr, incarnation: u64) -> Rc<Node> {
     let settings = NodeSettings {
         name: name.into(),
@@ -76,7 +44,12 @@
         lease: Duration::from_secs(2),
         reloadable: ReloadableSettings::default(),
     };
-    let node = Node::new(settings, platform(), Metrics::default(), incarnation);
+    let node = Node::new(
+        settings,
+        support::silent_platform(),
+        Metrics::default(),
+        incarnation,
+    );
     node.set_layout(CellLayout::default());
     node
 }
