Answer no caller by a configuration that was read too long ago

Cause, from the code: an instance that was paused, or is short of processor time, may take a request before it has read what the store has sent it meanwhile. Owners already start nothing in that state, but callers were answered, and told "no such queue" of one that the instance had not read yet. The native interface also told that before it had any configuration.

Change: while the store answers, an instance that has not read operators' records within 2.5 s refuses callers' requests with NC1115, to be repeated, and reports not ready. While the store fails, the configuration that it has stays in force. Owners use the same rule, in a file of its own, and count from the read itself, so a forgotten history no longer makes a view look young. Event 755 tells when requests are refused and served again.

--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -24,6 +24,7 @@
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::Schedule;
 use nutmegcart_jobs::Step;
@@ -31,6 +32,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::clock::now;
 use crate::generated::submission_v1::StepRequest;
 use crate::generated::submission_v1::Submission;
 use crate::job_service::CallerRequest;
@@ -104,6 +106,9 @@
     let limit = deadline(&head.headers);
     let answer = match parse_request(node, &head, body).await {
         Ok(request) => service.handle(node, request, limit).await,
+        Err(code @ (Code::NoConfiguration | Code::ConfigurationLate)) => {
+            CallerResponse::unavailable(code)
+        }
         Err(code) => CallerResponse::refused(code),
     };
     encode_response(&head.headers, &answer)
@@ -127,8 +132,7 @@
             return Err(Code::NotFound);
         }
         let key = queue_key(head.uri.query().unwrap_or_default())?;
-        let queue = node.routing.borrow().queue(&key);
-        return queue.map(CallerRequest::Count).ok_or(Code::UnknownQueue);
+        return find_queue(node, &key).map(CallerRequest::Count);
     }
     let id = head.uri.path().strip_prefix(JOBS_PATH).unwrap_or_default();
     let id = JobId::parse(id).map_err(|_| Code::BadRequest)?;
@@ -148,10 +152,8 @@
                 host: submission.queue.host.as_str().into(),
                 prefix: submission.queue.prefix.as_str().into(),
             };
-            let queue = node.routing.borrow().queue(&key);
-            let queue = queue.ok_or(Code::UnknownQueue)?;
             Ok(CallerRequest::Submit(
-                queue,
+                find_queue(node, &key)?,
                 id,
                 Box::new(job_from(&submission)),
             ))
@@ -160,6 +162,12 @@
     }
 }
 
+fn find_queue(node: &Node, key: &QueueKey) -> Result<Arc<Queue>> {
+    node.current_configuration(now())?;
+    let queue = node.routing.borrow().queue(key);
+    queue.ok_or(Code::UnknownQueue)
+}
+
 /// Parses the queue from a query string with `host` and `prefix`.
 fn queue_key(query: &str) -> Result<QueueKey> {
     let mut key = QueueKey::default();
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Creates a refusal by an instance that cannot serve requests at the moment.
+    #[must_use]
+    pub const fn unavailable(code: Code) -> Self {
+        Self::Refused {
+            code,
+            retry_after: Some(RETRY_AFTER),
+        }
+    }
+
     const fn label(&self) -> &'static str {
         match self {
             Self::Accepted => "accepted",
@@ -139,10 +148,7 @@
         let deadline = start + limit.saturating_sub(RESPONSE_MARGIN);
         let kind = request.kind();
         let Some(cells) = node.cells() else {
-            return CallerResponse::Refused {
-                code: Code::NoConfiguration,
-                retry_after: Some(RETRY_AFTER),
-            };
+            return CallerResponse::unavailable(Code::NoConfiguration);
         };
         node.active_requests.set(node.active_requests.get() + 1);
         let answer = match request {
@@ -220,10 +226,7 @@
                     reason = "store",
                     took_ms = took
                 );
-                CallerResponse::Refused {
-                    code: Code::StoreUnavailable,
-                    retry_after: Some(RETRY_AFTER),
-                }
+                CallerResponse::unavailable(Code::StoreUnavailable)
             }
             Acceptance::Unknown => {
                 log_event!(
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`owner_history`], [`owner_log`]: earlier owners, and until when they can have granted leases;
 //! * [`passing`]: waiting jobs that pass to another cell;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
+//! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
@@ -41,6 +42,7 @@
 pub mod routing;
 mod shared_keys;
 mod status;
+pub mod view_age;
 mod waves;
 mod writer;
 
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -18,6 +18,7 @@
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -37,6 +38,10 @@
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
+use crate::view_age::is_view_current;
+
+/// Result of a question that may be refused; the error is the code of the refusal.
+pub type Result<T> = std::result::Result<T, Code>;
 
 /// Time without an answer of the store after which the instance reports not ready, so that the
 /// load balancer prefers instances that reach the store.
@@ -297,6 +302,12 @@
     pub cells: RefCell<Option<Rc<Cells>>>,
     /// Configuration in force, once one is known.
     pub configuration: RefCell<Option<Rc<PlatformConfig>>>,
+    /// Time at which operators' records were last read; `None` before the first time.
+    pub records_read: Cell<Option<Duration>>,
+    /// Whether the latest call for operators' records failed.
+    pub records_fail: Cell<bool>,
+    /// Whether requests are refused because the configuration is read late.
+    config_late: Cell<bool>,
     /// Routes of the configuration in force.
     pub routing: RefCell<Rc<Routing>>,
     /// Waves requested by operators.
@@ -344,6 +355,9 @@
             incarnation,
             cells: RefCell::new(None),
             configuration: RefCell::new(None),
+            records_read: Cell::new(None),
+            records_fail: Cell::new(false),
+            config_late: Cell::new(false),
             routing: RefCell::new(Rc::default()),
             waves: RefCell::new(Vec::new()),
             owners: RefCell::default(),
@@ -444,7 +458,7 @@
             .last_answer
             .get()
             .is_some_and(|answered| now() < answered + READY_STORE_TIMEOUT);
-        let prepared = self.configuration.borrow().is_some() && self.cells.borrow().is_some();
+        let prepared = self.current_configuration(now()).is_ok() && self.cells.borrow().is_some();
         prepared && reached && !self.is_draining()
     }
 
@@ -476,6 +490,29 @@
         self.reloadable.get().jobs.owner_validity
     }
 
+    /// Returns the configuration by which requests are answered at `at`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is none yet, or if the instance reads operators' records late although the store
+    /// answers: it was paused, or is short of processor time.
+    pub fn current_configuration(&self, at: Duration) -> Result<Rc<PlatformConfig>> {
+        let configuration = self.configuration.borrow().clone();
+        let configuration = configuration.ok_or(Code::NoConfiguration)?;
+        let late = self.records_read.get().is_some_and(|read| {
+            let current = is_view_current(read, self.records_fail.get(), at);
+            if self.config_late.replace(!current) == current {
+                let age = at.saturating_sub(read).as_millis();
+                log_event!(Event::ConfigViewAge, late = !current, age_ms = age);
+            }
+            !current
+        });
+        if late {
+            return Err(Code::ConfigurationLate);
+        }
+        Ok(configuration)
+    }
+
     /// Puts a configuration into force unless the current one is as new or newer.
     pub fn configure(&self, configuration: PlatformConfig) {
         let newer = {
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -30,6 +30,7 @@
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
 use crate::status;
+use crate::view_age::is_view_current;
 use crate::waves;
 use crate::writer;
 use crate::writer::STORE_RETRY_DELAY;
@@ -62,10 +63,6 @@
 /// take effect after the lease has expired.
 const LEASE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Age of an owner's view of its cell above which it starts nothing. A watch without changes is
-/// answered after 1.2 s.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(2_500);
-
 /// Starts all tasks of an owner. They end when ownership ends.
 pub fn start(node: &Rc<Node>, owned: &Rc<OwnedCell>) {
     tokio::task::spawn_local(watch_cell(node.clone(), owned.clone()));
@@ -86,8 +83,8 @@
     while !owned.has_ended() {
         let changes = watcher.next(&node.platform.store).await;
         node.record_store_call(watcher.reachable);
-        if watcher.reachable {
-            owned.state.viewed_at.set(now());
+        if let Some(read) = watcher.last_success {
+            owned.state.viewed_at.set(read);
         }
         // The owner's key and the jobs share one prefix, so their changes arrive in order of
         // revision: a change of the owner is seen before any job that was written after it.
@@ -354,24 +351,6 @@
     })
 }
 
-/// Returns whether an owner that read its cell's changes at `viewed_at` may start tasks at `at`.
-///
-/// An owner that is short of processor time reads changes late, and would start tasks of jobs that
-/// were cancelled seconds ago. While the store fails, the validity of the ownership decides.
-///
-/// ```
-/// # use std::time::Duration;
-/// # use nutmegcart_control::owner::is_view_current;
-/// let second = Duration::from_secs(1);
-/// assert!(is_view_current(second, false, second * 3));
-/// assert!(!is_view_current(second, false, second * 5));
-/// assert!(is_view_current(second, true, second * 5));
-/// ```
-#[must_use]
-pub fn is_view_current(viewed_at: Duration, store_fails: bool, at: Duration) -> bool {
-    store_fails || at <= viewed_at + MAX_VIEW_AGE
-}
-
 /// Runs a placement pass after each event, and executes the resulting actions.
 async fn run_passes(node: Rc<Node>, owned: Rc<OwnedCell>) {
     while !owned.has_ended() {
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -87,6 +87,7 @@
     MemoryLimit = 1112, NotRun, 503, "the limit of buffered bytes is reached";
     NoConfiguration = 1113, NotRun, 503, "this entry instance has no configuration yet";
     UnknownQueue = 1114, NotRun, 404, "no queue has the host and prefix";
+    ConfigurationLate = 1115, NotRun, 503, "this entry instance has not read the latest changes of the configuration in time";
     OperationCancelled = 1180, NotRun, 409, "the operation was cancelled before it was sent";
     RefusedByRunner = 1201, RefusedByBackend, 503, "the runner refused the request before starting it";
     AnswerTimeout = 1301, Unknown, 504, "no whole answer arrived before the deadline";
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -131,6 +131,7 @@
     LogDropped = 752, Warn, "log lines were dropped because the reader is slow";
     DependencyLost = 753, Warn, "dependency does not answer";
     DependencyRecovered = 754, Info, "dependency answers again";
+    ConfigViewAge = 755, Warn, "requests are refused while the configuration is read late, or are served again";
 }
 
 /// Logs a numbered event with key-value fields.
