Wait for no earlier owner that a complete log of the cell no longer names

A successor asked the owners in the stored log and, besides, all owners that its watch had ever shown without the end of their lease. An owner that handed its cell over is of that kind for good, because its key is overwritten and not removed. Once its machine was gone, each later successor counted on it for 6 s after the take-over, so a silent worker held its pool back for 11.4 s, although the owner between had confirmed its end and removed it from the log.

Change: a complete log replaces what the watch has shown of earlier owners, and owners before it that the watch reports later are left out.

Evidence: owner_that_the_log_has_dropped_is_not_awaited and late_report_of_a_dropped_owner_is_not_awaited failed before (no end known), and pass now.

--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -71,6 +71,9 @@
         record: Option<OwnerRecord>,
         now: Duration,
     ) {
+        if self.logged.get(&cell).is_some_and(|logged| fence < *logged) {
+            return;
+        }
         let owners = self.cells.entry(cell).or_default();
         if owners.iter().any(|owner| owner.fence >= fence) {
             return;
@@ -125,6 +128,10 @@
         }
         owners.sort_by_key(|owner| owner.fence);
         if log.complete {
+            // The watch may have shown owners that the log no longer names. They have ended, and
+            // their processes may be gone, so that they cannot confirm it.
+            let named = |owner: &SeenOwner| log.earlier.iter().any(|l| l.fence == owner.fence);
+            owners.retain(|owner| owner.fence >= fence || named(owner));
             self.logged.insert(cell, fence);
         }
         self.drop_oldest(cell, taken_at);
--- a/crates/nutmegcart_control/tests/owner_log.rs
+++ b/crates/nutmegcart_control/tests/owner_log.rs
@@ -130,6 +130,38 @@
     assert_eq!(end(&history, 30), Some((156, false)));
 }
 
+/// Guards against a wait for an owner that the watch has shown and the log no longer names, since it has
+/// ended.
+#[test]
+fn owner_that_the_log_has_dropped_is_not_awaited() {
+    let mut history = OwnerHistory::default();
+    history.record_read(at(100));
+    history.record_owner(CELL, 10, Some(record(10)), at(101));
+    // The first owner handed its cell over, so the watch never shows the end of its lease.
+    history.record_owner(CELL, 20, Some(record(20)), at(110));
+    history.record_vacancy(CELL, at(199));
+    history.record_log(CELL, 30, &log(vec![logged(20, true)]), at(200));
+    history.record_owner(CELL, 30, Some(record(30)), at(200));
+    history.record_confirmation(CELL, 20, at(200));
+    assert_eq!(end(&history, 30), Some((200, false)));
+    assert!(
+        history
+            .possibly_acting(CELL, 30, VALIDITY, at(200))
+            .is_empty()
+    );
+}
+
+/// Guards against the same wait if the watch shows the owner after the log was written.
+#[test]
+fn late_report_of_a_dropped_owner_is_not_awaited() {
+    let mut history = OwnerHistory::default();
+    history.record_read(at(100));
+    history.record_log(CELL, 30, &log(Vec::new()), at(200));
+    history.record_owner(CELL, 10, Some(record(10)), at(201));
+    history.record_owner(CELL, 30, Some(record(30)), at(201));
+    assert_eq!(end(&history, 30), Some((0, false)));
+}
+
 /// Guards against a log that loses an owner between two that write it.
 #[test]
 fn successor_adds_the_writer_and_its_own_predecessors() {
