Take no late report of a vacancy for the end of a logged owner's lease

A new owner adds the owners of the stored log to what its watch has shown. The watch may be behind, and then reports that the key of an owner long before is gone. That counted as the end of the lease of the latest owner in the log. One that had handed the cell over has a lease that lives on: its lease was not revoked any more, and a silent worker could be released while that owner still renewed its runs, so a task could start twice. Before the log the watch alone reported owners, in order.

Change: until the watch has reported the instance's own key, a vacancy changes nothing. The log tells which leases had ended.

--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -55,6 +55,8 @@
     cells: HashMap<u32, Vec<SeenOwner>>,
     /// Fencing tokens by cell of owners before which all owners are known from the stored log.
     logged: HashMap<u32, u64>,
+    /// Fencing tokens by cell of this instance's latest ownerships.
+    taken: HashMap<u32, u64>,
 }
 
 impl OwnerHistory {
@@ -106,6 +108,7 @@
     /// Records the stored log of the owners before the one with the fencing token, which got its key
     /// by `taken_at`.
     pub fn record_log(&mut self, cell: u32, fence: u64, log: &OwnerLog, taken_at: Duration) {
+        self.taken.insert(cell, fence);
         let owners = self.cells.entry(cell).or_default();
         for logged in &log.earlier {
             let known = owners.iter().position(|owner| owner.fence == logged.fence);
@@ -138,12 +141,18 @@
     }
 
     /// Records that a cell's owner key is gone, which happens only when its lease ends.
+    ///
+    /// Until the watch has reported this instance's own key, the one that is gone belongs to an
+    /// owner before it, and the latest one in the log may have a lease that lives on.
     pub fn record_vacancy(&mut self, cell: u32, now: Duration) {
+        let taken = self.taken.get(&cell).copied().unwrap_or_default();
         let last = self
             .cells
             .get_mut(&cell)
             .and_then(|owners| owners.last_mut());
-        if let Some(last) = last {
+        if let Some(last) = last
+            && last.fence >= taken
+        {
             last.lease_end.get_or_insert(now);
         }
     }
--- a/crates/nutmegcart_control/tests/owner_log.rs
+++ b/crates/nutmegcart_control/tests/owner_log.rs
@@ -162,6 +162,26 @@
     assert_eq!(end(&history, 30), Some((0, false)));
 }
 
+/// Guards against a late report that the key of an earlier owner is gone, which counts as the end of an
+/// owner whose lease lives on.
+#[test]
+fn late_vacancy_does_not_end_a_logged_owner_with_a_live_lease() {
+    let mut history = OwnerHistory::default();
+    history.record_read(at(100));
+    history.record_owner(CELL, 10, Some(record(10)), at(101));
+    let log = log(vec![logged(10, true), logged(20, false)]);
+    history.record_log(CELL, 30, &log, at(200));
+    history.record_vacancy(CELL, at(201));
+    assert_eq!(end(&history, 30), None);
+    history.record_owner(CELL, 20, Some(record(20)), at(201));
+    history.record_owner(CELL, 30, Some(record(30)), at(201));
+    assert_eq!(end(&history, 30), None);
+    history.record_vacancy(CELL, at(300));
+    let open = history.possibly_acting(CELL, 40, VALIDITY, at(306));
+    let fences: Vec<u64> = open.iter().map(|owner| owner.fence).collect();
+    assert_eq!(fences, [20]);
+}
+
 /// Guards against a log that loses an owner between two that write it.
 #[test]
 fn successor_adds_the_writer_and_its_own_predecessors() {
