Store a complete log of owners only with all owners that may still act

An owner rewrites the stored log once earlier owners have ended. It kept those of the log that its own history showed as open and called the result complete. The history keeps 16 owners of a cell, so with 16 in the log and its own key the oldest was dropped, and left the log as if it had ended. An owner of a version without the log, which only the watch had shown, was left out as well, even if its lease lived on. A successor would not count on either, and could start a task that such an owner still renews.

Change: the decision is a function of the history. An owner that the history does not know stays in the log, an open owner that only the watch has shown is added, and the log is not complete if the record of one cannot be read.

Evidence: stored_log_keeps_an_owner_that_the_history_has_dropped and stored_log_adds_owners_that_only_the_watch_has_shown failed with the decision as it was, moved into the function, and pass now.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -21,7 +21,6 @@
 use crate::owner_history::ActingEnd;
 use crate::owner_history::SeenOwner;
 use crate::owner_log::LoggedOwner;
-use crate::owner_log::OwnerLog;
 use crate::ownership::owner_record;
 use crate::peer;
 use crate::peer::PeerRequest;
@@ -98,23 +97,18 @@
     let owner_key = owned.view.keys.owner();
     let log_key = keys::owner_log(cell);
     while !owned.has_ended() {
-        let open = open_owners(node, owned);
-        let still_open = |logged: &LoggedOwner| open.iter().any(|each| each.fence == logged.fence);
-        let mut earlier = owned.log.earlier.clone();
-        earlier.retain(still_open);
-        if owned.log.complete && earlier == owned.log.earlier {
+        let mut log =
+            node.owner_history
+                .borrow()
+                .settle(&owned.log, (cell, owned.fence), validity, now());
+        if log == owned.log {
             return;
         }
-        earlier.push(LoggedOwner {
+        log.earlier.push(LoggedOwner {
             fence: owned.fence,
             record: owner_record(node, owned.lease),
             lease_ended: false,
         });
-        let log = OwnerLog {
-            earlier,
-            writer: None,
-            complete: true,
-        };
         let txn = Txn::default()
             .unchanged(owner_key.clone(), revision)
             .unchanged(log_key.clone(), revision)
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::node::OwnerRecord;
+use crate::owner_log::LoggedOwner;
 use crate::owner_log::OwnerLog;
 
 /// Owners kept for each cell. An owner that is dropped counts as one that was never seen.
@@ -193,6 +194,45 @@
         acting.cloned().collect()
     }
 
+    /// Returns the log of the earlier owners that may act at `now` or later, for the owner with the
+    /// fencing token that wrote `log` with its key. If `log` is not complete, `now` must be so late
+    /// that owners which this instance has not seen can no longer act.
+    #[must_use]
+    pub fn settle(
+        &self,
+        log: &OwnerLog,
+        (cell, fence): (u32, u64),
+        owner_validity: Duration,
+        now: Duration,
+    ) -> OwnerLog {
+        let open = self.possibly_acting(cell, fence, owner_validity, now);
+        let is_named = |fence: u64| log.earlier.iter().any(|logged| logged.fence == fence);
+        let owners = self.cells.get(&cell).into_iter().flatten();
+        let known: Vec<u64> = owners.map(|owner| owner.fence).collect();
+        let is_open = |logged: &LoggedOwner| {
+            // The history may have dropped an owner, whose end it then does not know.
+            !known.contains(&logged.fence) || open.iter().any(|each| each.fence == logged.fence)
+        };
+        let mut earlier = log.earlier.clone();
+        earlier.retain(is_open);
+        // Owners of a version that writes no log are known from the watch only.
+        let mut complete = true;
+        for owner in open.iter().filter(|owner| !is_named(owner.fence)) {
+            complete &= owner.record.is_some();
+            earlier.extend(owner.record.clone().map(|record| LoggedOwner {
+                fence: owner.fence,
+                record,
+                lease_ended: owner.lease_end.is_some(),
+            }));
+        }
+        earlier.sort_by_key(|logged| logged.fence);
+        OwnerLog {
+            earlier,
+            writer: None,
+            complete,
+        }
+    }
+
     /// Returns the time until which any owner before the one with the fencing token can have
     /// granted leases, if that is known.
     ///
--- a/crates/nutmegcart_control/tests/owner_log.rs
+++ b/crates/nutmegcart_control/tests/owner_log.rs
@@ -182,6 +182,55 @@
     assert_eq!(fences, [20]);
 }
 
+/// Returns the fencing tokens in the log that the owner stores at the given second.
+fn settled(history: &OwnerHistory, log: &OwnerLog, second: u64) -> (Vec<u64>, bool) {
+    let settled = history.settle(log, (CELL, 30), VALIDITY, at(second));
+    let fences = settled.earlier.iter().map(|logged| logged.fence);
+    (fences.collect(), settled.complete)
+}
+
+/// Guards against a stored log that grows with owners that have ended.
+#[test]
+fn ended_owners_leave_the_stored_log() {
+    let log = log(vec![logged(10, true), logged(20, true)]);
+    let mut history = history(30, &log);
+    history.record_confirmation(CELL, 20, at(201));
+    assert_eq!(settled(&history, &log, 202), (vec![10], true));
+    assert_eq!(settled(&history, &log, 206), (vec![], true));
+}
+
+/// Guards against a stored log that stands for all owners and lacks one that the instance had no room
+/// for in its memory.
+#[test]
+fn stored_log_keeps_an_owner_that_the_history_has_dropped() {
+    let fences: Vec<u64> = (1..=16).collect();
+    let log = log(fences.iter().map(|fence| logged(*fence, true)).collect());
+    let mut history = OwnerHistory::default();
+    history.record_read(at(199));
+    history.record_owner(CELL, 30, Some(record(30)), at(200));
+    history.record_log(CELL, 30, &log, at(200));
+    assert_eq!(settled(&history, &log, 201), (fences, true));
+}
+
+/// Guards against a stored log that stands for all owners and lacks one of a version that writes no log,
+/// whose lease may live on.
+#[test]
+fn stored_log_adds_owners_that_only_the_watch_has_shown() {
+    let unknown = OwnerLog {
+        complete: false,
+        ..log(Vec::new())
+    };
+    let mut history = OwnerHistory::default();
+    history.record_read(at(100));
+    history.record_owner(CELL, 20, Some(record(20)), at(110));
+    history.record_log(CELL, 30, &unknown, at(200));
+    history.record_owner(CELL, 30, Some(record(30)), at(200));
+    assert_eq!(settled(&history, &unknown, 206), (vec![20], true));
+    let mut unreadable = OwnerHistory::default();
+    unreadable.record_owner(CELL, 20, None, at(110));
+    assert_eq!(settled(&unreadable, &unknown, 206), (vec![], false));
+}
+
 /// Guards against a log that loses an owner between two that write it.
 #[test]
 fn successor_adds_the_writer_and_its_own_predecessors() {
