Confirm the end of an ownership that never begins

The answer of the store to the transaction that writes an owner's key may be lost, and a request for a handoff is cancelled once the owner has waited for 0.4 s. The key is then written, the log names the instance as an owner, and nobody runs as one. Asked by the next owner, the instance did not know of that ownership and answered that it may still begin, for as long as its process lived.

Change: an instance counts the acquisitions under way. If none is, it knows all ownerships that it has or will have for keys written so far, and confirms that any other one has ended.

The case unknown_ownership_is_not_confirmed asserted the opposite. Its reason, an ownership that begins when the answer arrives, is checked where it holds, in ownership_that_is_being_acquired_is_not_confirmed and ownership_that_was_handed_over_is_not_confirmed.

Evidence: these two and ownership_that_never_begins_is_confirmed failed before (not confirmed), and pass now.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -192,19 +192,33 @@
     answer == Ok(PeerResponse::HasEnded(true))
 }
 
-/// Returns whether this process owned a cell with the fencing token and has certainly ended that
-/// ownership, so that it grants no more leases under it.
+/// Returns whether this process grants no more leases as the owner of a cell with the fencing token,
+/// because that ownership has ended or never begins.
+///
+/// An ownership begins only with the result of an acquisition. If the answer of the store was lost,
+/// or the request for a handoff was cancelled, the key was written and nobody runs as its owner.
 fn has_ended(node: &Node, cell: u32, fence: u64) -> bool {
     let views = node.views();
     let view = usize::try_from(cell).ok().and_then(|cell| views.get(cell));
-    view.is_some_and(|view| view.ended_fences.borrow().contains(&fence))
+    view.is_some_and(|view| {
+        let owned = view.owned.borrow();
+        let handoff = view.handoff.borrow();
+        let is_owner = owned
+            .as_ref()
+            .is_some_and(|owned| owned.fence == fence && !owned.has_ended());
+        let is_receiver = handoff
+            .as_ref()
+            .is_some_and(|acquired| u64::try_from(acquired.fence) == Ok(fence));
+        let is_past = view.ended_fences.borrow().contains(&fence);
+        is_past || !(is_owner || is_receiver || view.acquisitions.get() > 0)
+    })
 }
 
 /// Answers whether the ownership of a cell by an incarnation of the named instance has ended.
 ///
 /// Another incarnation than this process has ended, since the two share their name and address.
-/// An ownership that this process does not remember may begin late, when the answer of the store
-/// arrives late, so it counts as not ended.
+/// While an acquisition of the cell is under way, an ownership that this process does not know may
+/// begin when the answer of the store arrives, so it counts as not ended.
 pub(crate) fn answer(node: &Node, cell: u32, fence: u64, name: &str, incarnation: u64) -> bool {
     let own_name = *name == *node.settings.name;
     own_name && (incarnation != node.incarnation || has_ended(node, cell, fence))
