Run the owner of a cell whose handoff request was cancelled

The owner that hands its cell over waits 0.4 s for the peer, and closing its connection cancels the request there. While the store is slow, the transaction has been sent by then and takes effect: the key names the peer, and the peer runs nothing and does not end the lease. The cell had no owner until the lease of 1.7 s ended, and its log names an owner that never was.

Change: the acquisition runs in a task of its own that the request waits for. It counts as under way until the store has answered.

Evidence: cell_of_a_cancelled_handoff_is_owned failed before (the key is written, no instance holds the ownership), and passes now. In failed_handoff_no_longer_counts the count ends with the answer of the store.

--- a/crates/nutmegcart_control/src/handoff.rs
+++ b/crates/nutmegcart_control/src/handoff.rs
@@ -62,6 +62,10 @@
 
 /// Acquires a cell from an owner that asked for the handoff. The owner holds the cell with the
 /// given fencing token.
+///
+/// # Panics
+///
+/// Panics outside a [`tokio::task::LocalSet`].
 pub async fn accept_handoff(node: &Rc<Node>, cell: u32, fence: u64) -> bool {
     let Some(view) = node
         .cells()
@@ -78,15 +82,23 @@
     if !accepts_handoff(&candidate(node), node.views().len()) {
         return false;
     }
+    // The owner may stop waiting, which cancels the request, when the key has been written already.
     let acquiring = view.begin_acquisition();
-    let acquired = acquire_from(node, &view, held).await;
-    drop(acquiring);
-    let taken = acquired.is_some();
-    if taken {
-        *view.handoff.borrow_mut() = acquired;
-        view.owner_changed.notify_one();
-    }
-    taken
+    let node = node.clone();
+    let acquisition = tokio::task::spawn_local(async move {
+        let acquired = acquire_from(&node, &view, held).await;
+        drop(acquiring);
+        let taken = acquired.is_some();
+        if taken {
+            *view.handoff.borrow_mut() = acquired;
+            view.owner_changed.notify_one();
+        }
+        taken
+    });
+    acquisition.await.unwrap_or_else(|error| {
+        log::error!("handoff of cell {cell} failed: {error}");
+        false
+    })
 }
 
 /// Replaces the key of an owner that holds the cell with the given fencing token.
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -166,9 +166,9 @@
 
     /// Counts an acquisition as under way until the result is dropped.
     #[must_use]
-    pub fn begin_acquisition(&self) -> AcquisitionGuard<'_> {
+    pub fn begin_acquisition(self: &Rc<Self>) -> AcquisitionGuard {
         self.acquisitions.update(|count| count + 1);
-        AcquisitionGuard(&self.acquisitions)
+        AcquisitionGuard(self.clone())
     }
 
     /// Returns whether an owner has handed the cell to this instance.
@@ -180,11 +180,11 @@
 
 /// Ends the count of an acquisition when dropped, also if the acquisition is cancelled.
 #[derive(Debug)]
-pub struct AcquisitionGuard<'a>(&'a Cell<usize>);
+pub struct AcquisitionGuard(Rc<CellView>);
 
-impl Drop for AcquisitionGuard<'_> {
+impl Drop for AcquisitionGuard {
     fn drop(&mut self) {
-        self.0.update(|count| count.saturating_sub(1));
+        self.0.acquisitions.update(|count| count.saturating_sub(1));
     }
 }
 
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -9,11 +9,17 @@
 use nutmegcart_control::candidate::accepts_handoff;
 use nutmegcart_control::candidate::may_acquire;
 use nutmegcart_control::handoff::accept_handoff;
+use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
 use nutmegcart_control::node::ReloadableSettings;
+use nutmegcart_control::port::KeyStore;
+use nutmegcart_control::port::Platform;
 use nutmegcart_jobs::layout::CELL_SIZE;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_platform::MemoryStore;
+use nutmegcart_platform::Store;
+use nutmegcart_platform::Txn;
 use tokio::task::LocalSet;
 
 mod support;
@@ -21,6 +27,10 @@
 /// Returns an instance of a fleet with two cells and as many instances as given, whose store does not
 /// answer.
 fn node(instances: u16) -> Rc<Node> {
+    node_on(support::silent_platform(), instances)
+}
+
+fn node_on(platform: Platform, instances: u16) -> Rc<Node> {
     let settings = NodeSettings {
         name: "entry-1".into(),
         peer: "127.0.0.1:1".parse().expect("an address"),
@@ -28,7 +38,7 @@
         lease: Duration::from_secs(2),
         reloadable: ReloadableSettings::default(),
     };
-    let node = Node::new(settings, support::silent_platform(), Metrics::default(), 7);
+    let node = Node::new(settings, platform, Metrics::default(), 7);
     let machines = (0..2 * CELL_SIZE).map(|number| (format!("m-{number}").into(), "gates".into()));
     node.set_layout(CellLayout::divide(machines.collect()));
     for number in 1..=instances {
@@ -104,3 +114,82 @@
     assert!(may_acquire(&current, &current));
     assert!(accepts_handoff(&before, 2));
 }
+
+/// Time until the store answers a transaction.
+const TXN_TIME: Duration = Duration::from_millis(40);
+
+/// Returns a platform with the store, whose answers to transactions take time.
+fn platform(store: &Store) -> Platform {
+    macro_rules! call {
+        ($call:expr) => {{
+            let store = store.clone();
+            Rc::new(move |argument| Box::pin(std::future::ready($call(&store, argument))) as _)
+        }};
+    }
+    let silent = support::silent_platform();
+    let slow = store.clone();
+    Platform {
+        store: KeyStore {
+            get: call!(|store: &Store, key: String| {
+                let found = store.range(&key);
+                found.map(|snapshot| snapshot.get(&key).cloned())
+            }),
+            grant_lease: call!(Store::grant_lease),
+            revoke_lease: call!(Store::revoke_lease),
+            txn: Rc::new(move |txn| {
+                let reply = slow.txn(&txn);
+                Box::pin(async move {
+                    tokio::time::sleep(TXN_TIME).await;
+                    reply
+                })
+            }),
+            ..silent.store
+        },
+        ..silent
+    }
+}
+
+/// Writes the key of an owner of cell 0, and returns its fencing token.
+fn write_owner(store: &Store) -> u64 {
+    let txn = Txn::default().put(CellKeys::new(0).owner(), Vec::new());
+    let reply = store.txn(&txn).expect("answered");
+    u64::try_from(reply.revision).expect("positive")
+}
+
+/// Hands cell 0 to the instance, cancels the request while the transaction is under way, and waits
+/// until it has been answered.
+fn cancelled_handoff(node: &Rc<Node>, fence: u64) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let request = async {
+        let answer = tokio::time::timeout(TXN_TIME / 4, accept_handoff(node, 0, fence)).await;
+        assert!(answer.is_err(), "{answer:?}");
+        tokio::time::sleep(TXN_TIME * 3).await;
+    };
+    LocalSet::new().block_on(&runtime.expect("the runtime starts"), request);
+}
+
+/// Guards against a cell that no instance owns, because the owner that handed it over stopped waiting
+/// before the answer of the store arrived.
+#[test]
+fn cell_of_a_cancelled_handoff_is_owned() {
+    let store = MemoryStore::default().store();
+    let node = node_on(platform(&store), 3);
+    cancelled_handoff(&node, write_owner(&store));
+    let key = CellKeys::new(0).owner();
+    let written = store.range(&key).expect("answered").entries[0].modified;
+    let acquired = node.views()[0].handoff.take();
+    assert_eq!(acquired.map(|acquired| acquired.fence), Some(written));
+}
+
+/// Guards against an acquisition that counts for ever after a cancelled request for a handoff failed.
+#[test]
+fn failed_handoff_no_longer_counts() {
+    let store = MemoryStore::default().store();
+    let node = node_on(platform(&store), 3);
+    let fence = write_owner(&store);
+    write_owner(&store);
+    cancelled_handoff(&node, fence);
+    assert_eq!(node.held_cells(), 0);
+}
