Settle a handoff of a cell whose answer of the store was lost

An instance that acquires a vacant cell sends its transaction again after a lost answer, and recognises its own key by the lease. One that takes a cell over from another owner gave up instead, and revoked the lease. If the transaction had taken effect, the cell lost its owner; the comment said that the watch shows the result, but nobody runs as the owner then.

Change: both use the same loop.

Evidence: cell_whose_handoff_had_its_answer_lost_is_owned failed before (the handoff was declined), and passes now.

--- a/crates/nutmegcart_control/src/handoff.rs
+++ b/crates/nutmegcart_control/src/handoff.rs
@@ -18,6 +18,7 @@
 use crate::owner_log;
 use crate::owner_log::Acquisition;
 use crate::ownership::candidate;
+use crate::ownership::commit_acquisition;
 use crate::ownership::owner_record;
 use crate::ownership::revoke_lease;
 use crate::ownership::write_owner;
@@ -120,15 +121,11 @@
     let txn = Txn::default().unchanged(key.clone(), held).or_read(key);
     let txn = write_owner(node, view, txn, lease);
     let txn = stored.extend(txn, cell, &log, owner_record(node, lease));
-    let taken = match (store.txn)(txn).await {
-        Ok(reply) if reply.committed => Some(reply.revision),
-        // If only the answer was lost, the watch of the owner's key shows the result.
-        Ok(_) | Err(_) => None,
-    };
-    let Some(fence) = taken else {
-        revoke_lease(node, lease).await;
-        return None;
-    };
+    let committed = commit_acquisition(node, view, &txn, (lease, sent)).await;
+    let fence = committed.unwrap_or_else(|error| {
+        log::debug!("handed-over cell {cell} not acquired: {error}");
+        None
+    })?;
     Some(Acquired {
         fence,
         lease,
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -11,6 +11,7 @@
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
 use nutmegcart_platform::LeaseId;
+use nutmegcart_platform::Revision;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use tokio::sync::Notify;
@@ -170,29 +171,40 @@
         }
     };
     let log = stored.succeed(Acquisition::Vacant);
-    let acquired = |fence| Acquired {
+    let key = view.keys.owner();
+    let txn = Txn::default().absent(key.clone()).or_read(key);
+    let txn = write_owner(node, view, txn, lease);
+    let txn = stored.extend(txn, view.number, &log, owner_record(node, lease));
+    let fence = commit_acquisition(node, view, &txn, (lease, sent)).await?;
+    Ok(fence.map(|fence| Acquired {
         fence,
         lease,
         sent,
-        log: log.clone(),
-    };
+        log,
+    }))
+}
+
+/// Runs the transaction that writes the owner's key under a lease that was requested at `sent`, and
+/// returns the fencing token. Returns `None`, after ending the lease, if the conditions do not hold.
+///
+/// The transaction must read the owner's key if they do not.
+pub(crate) async fn commit_acquisition(
+    node: &Rc<Node>,
+    view: &CellView,
+    txn: &Txn,
+    (lease, sent): (LeaseId, Duration),
+) -> Result<Option<Revision>, StoreError> {
     let key = view.keys.owner();
-    let txn = Txn::default().absent(key.clone()).or_read(key.clone());
-    let txn = write_owner(node, view, txn, lease);
-    let txn = stored.extend(txn, view.number, &log, owner_record(node, lease));
     loop {
-        match (store.txn)(txn.clone()).await {
-            Ok(reply) if reply.committed => return Ok(Some(acquired(reply.revision))),
+        match (node.platform.store.txn)(txn.clone()).await {
+            Ok(reply) if reply.committed => return Ok(Some(reply.revision)),
             Ok(reply) => {
-                // An earlier attempt whose answer was lost may have created the key.
-                let own = reply
-                    .found
-                    .iter()
-                    .find(|found| found.key == key && found.lease == lease);
-                if let Some(found) = own {
-                    return Ok(Some(acquired(found.modified)));
+                let found = reply.found.iter().find(|found| found.key == key);
+                // An earlier attempt whose answer was lost may have written the key.
+                if let Some(own) = found.filter(|found| found.lease == lease) {
+                    return Ok(Some(own.modified));
                 }
-                if let Some(found) = reply.found.iter().find(|found| found.key == key) {
+                if let Some(found) = found {
                     update_owner(node, view.number, found);
                 }
                 revoke_lease(node, lease).await;
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -1,5 +1,6 @@
 //! Which instances take a cell over from an owner that does not reach the store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use nutmegcart_jobs::layout::CellLayout;
 use nutmegcart_platform::MemoryStore;
 use nutmegcart_platform::Store;
+use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use tokio::task::LocalSet;
 
@@ -118,8 +120,9 @@
 /// Time until the store answers a transaction.
 const TXN_TIME: Duration = Duration::from_millis(40);
 
-/// Returns a platform with the store, whose answers to transactions take time.
-fn platform(store: &Store) -> Platform {
+/// Returns a platform with the store, whose answers to transactions take time. The given number of
+/// answers is lost.
+fn platform(store: &Store, lost: usize) -> Platform {
     macro_rules! call {
         ($call:expr) => {{
             let store = store.clone();
@@ -128,6 +131,7 @@
     }
     let silent = support::silent_platform();
     let slow = store.clone();
+    let left = Cell::new(lost);
     Platform {
         store: KeyStore {
             get: call!(|store: &Store, key: String| {
@@ -137,7 +141,12 @@
             grant_lease: call!(Store::grant_lease),
             revoke_lease: call!(Store::revoke_lease),
             txn: Rc::new(move |txn| {
-                let reply = slow.txn(&txn);
+                let mut reply = slow.txn(&txn);
+                if left.get() > 0 {
+                    left.update(|left| left - 1);
+                    let reason = "lost".into();
+                    reply = Err(StoreError::AnswerLost { reason });
+                }
                 Box::pin(async move {
                     tokio::time::sleep(TXN_TIME).await;
                     reply
@@ -175,7 +184,7 @@
 #[test]
 fn cell_of_a_cancelled_handoff_is_owned() {
     let store = MemoryStore::default().store();
-    let node = node_on(platform(&store), 3);
+    let node = node_on(platform(&store, 0), 3);
     cancelled_handoff(&node, write_owner(&store));
     let key = CellKeys::new(0).owner();
     let written = store.range(&key).expect("answered").entries[0].modified;
@@ -187,9 +196,27 @@
 #[test]
 fn failed_handoff_no_longer_counts() {
     let store = MemoryStore::default().store();
-    let node = node_on(platform(&store), 3);
+    let node = node_on(platform(&store, 0), 3);
     let fence = write_owner(&store);
     write_owner(&store);
     cancelled_handoff(&node, fence);
     assert_eq!(node.held_cells(), 0);
 }
+
+/// Guards against a cell that no instance owns, because the answer of the store to the handoff was lost.
+#[test]
+fn cell_whose_handoff_had_its_answer_lost_is_owned() {
+    let store = MemoryStore::default().store();
+    let node = node_on(platform(&store, 1), 3);
+    let fence = write_owner(&store);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("the runtime starts");
+    let taken = LocalSet::new().block_on(&runtime, accept_handoff(&node, 0, fence));
+    assert!(taken);
+    let key = CellKeys::new(0).owner();
+    let written = store.range(&key).expect("answered").entries[0].modified;
+    let acquired = node.views()[0].handoff.take();
+    assert_eq!(acquired.map(|acquired| acquired.fence), Some(written));
+}
