Release a cell whose acquisition ends after the shutdown has begun

On SIGTERM an instance releases the cells that it owns.

Change: an instance that shuts down ends the lease of what it acquires, declines the handoff, and does not start as an owner.

Evidence: instance_that_shuts_down_does_not_become_the_owner and instance_that_shuts_down_releases_a_handed_over_cell failed before (the cell was owned, the handoff taken), and pass now.

--- a/crates/nutmegcart_control/src/handoff.rs
+++ b/crates/nutmegcart_control/src/handoff.rs
@@ -89,6 +89,12 @@
     let acquisition = tokio::task::spawn_local(async move {
         let acquired = acquire_from(&node, &view, held).await;
         drop(acquiring);
+        if let Some(acquired) = &acquired
+            && node.is_draining()
+        {
+            revoke_lease(&node, acquired.lease).await;
+            return false;
+        }
         let taken = acquired.is_some();
         if taken {
             *view.handoff.borrow_mut() = acquired;
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -54,10 +54,13 @@
 /// Acquires a cell whenever it has no owner, until the instance shuts down.
 async fn acquire_when_vacant(node: Rc<Node>, view: Rc<CellView>) {
     loop {
+        let handed_over = view.handoff.take();
         if node.is_draining() {
+            if let Some(acquired) = handed_over {
+                revoke_lease(&node, acquired.lease).await;
+            }
             return;
         }
-        let handed_over = view.handoff.take();
         if let Some(acquired) = handed_over {
             run_owner(&node, &view, acquired).await;
             continue;
@@ -80,6 +83,8 @@
         let acquired = try_acquire(&node, &view).await;
         drop(acquiring);
         match acquired {
+            // The shutdown may have begun, and has released the other cells.
+            Ok(Some(acquired)) if node.is_draining() => revoke_lease(&node, acquired.lease).await,
             Ok(Some(acquired)) => run_owner(&node, &view, acquired).await,
             Ok(None) => tokio::time::sleep(RETRY_DELAY).await,
             Err(error) => {
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -14,8 +14,12 @@
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
 use nutmegcart_control::node::ReloadableSettings;
+use nutmegcart_control::ownership;
+use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::KeyStore;
 use nutmegcart_control::port::Platform;
+use nutmegcart_control::port::PlatformConfig;
+use nutmegcart_control::port::RangeReply;
 use nutmegcart_jobs::layout::CELL_SIZE;
 use nutmegcart_jobs::layout::CellLayout;
 use nutmegcart_platform::MemoryStore;
@@ -138,6 +142,13 @@
                 let found = store.range(&key);
                 found.map(|snapshot| snapshot.get(&key).cloned())
             }),
+            range: call!(|store: &Store, prefix: String| {
+                let found = store.range(&prefix);
+                found.map(|snapshot| RangeReply {
+                    items: snapshot.entries,
+                    revision: snapshot.revision,
+                })
+            }),
             grant_lease: call!(Store::grant_lease),
             revoke_lease: call!(Store::revoke_lease),
             txn: Rc::new(move |txn| {
@@ -220,3 +231,72 @@
     let acquired = node.views()[0].handoff.take();
     assert_eq!(acquired.map(|acquired| acquired.fence), Some(written));
 }
+
+/// Waits until the owner's key of cell 0 is newer than the given one, and starts the shutdown while the
+/// answer of the store is under way.
+async fn drain_after_write(node: &Rc<Node>, store: &Store, before: u64) {
+    let owner = CellKeys::new(0).owner();
+    let is_written = || {
+        let found = store.range(&owner).expect("answered");
+        let written = found.get(&owner).map_or(0, |item| item.modified);
+        u64::try_from(written).is_ok_and(|written| written > before)
+    };
+    while !is_written() {
+        tokio::time::sleep(TXN_TIME / 8).await;
+    }
+    node.draining.set(true);
+    tokio::time::sleep(TXN_TIME * 4).await;
+}
+
+fn is_released(node: &Node, store: &Store) -> bool {
+    let found = store.range(&CellKeys::new(0).owner()).expect("answered");
+    node.held_cells() == 0 && found.entries.is_empty()
+}
+
+/// Guards against a cell that was handed to an instance which shuts down, and has no owner until the
+/// lease ends.
+#[test]
+fn instance_that_shuts_down_releases_a_handed_over_cell() {
+    let store = MemoryStore::default().store();
+    let node = node_on(platform(&store, 0), 3);
+    let fence = write_owner(&store);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let both = async {
+        tokio::join!(
+            accept_handoff(&node, 0, fence),
+            drain_after_write(&node, &store, fence)
+        )
+    };
+    let (taken, ()) = LocalSet::new().block_on(&runtime.expect("the runtime starts"), both);
+    assert!(!taken);
+    assert!(is_released(&node, &store));
+}
+
+/// Guards against an instance that becomes the owner of a cell after it has released all others.
+#[test]
+fn instance_that_shuts_down_does_not_become_the_owner() {
+    let store = MemoryStore::default().store();
+    let node = node_on(platform(&store, 0), 3);
+    node.configure(PlatformConfig {
+        version: 1,
+        queues: Vec::new(),
+        timeouts_ms: Vec::new(),
+        pools: Vec::new(),
+        limits: CallerLimits {
+            head_bytes: 1 << 10,
+            body_bytes: 1 << 10,
+            idle_timeout: Duration::from_secs(1),
+        },
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let both = async {
+        tokio::task::spawn_local(ownership::run(node.clone()));
+        drain_after_write(&node, &store, 0).await;
+    };
+    LocalSet::new().block_on(&runtime.expect("the runtime starts"), both);
+    assert!(is_released(&node, &store));
+}
