--- a/crates/nutmegcart_control/src/handoff.rs
+++ b/crates/nutmegcart_control/src/handoff.rs
@@ -18,6 +18,7 @@
 use crate::owner_log;
 use crate::owner_log::Acquisition;
 use crate::ownership::candidate;
+use crate::ownership::commit_acquisition;
 use crate::ownership::owner_record;
 use crate::ownership::revoke_lease;
 use crate::ownership::write_owner;
@@ -62,6 +63,10 @@
 
 /// Acquires a cell from an owner that asked for the handoff. The owner holds the cell with the
 /// given fencing token.
+///
+/// # Panics
+///
+/// Panics outside a [`tokio::task::LocalSet`].
 pub async fn accept_handoff(node: &Rc<Node>, cell: u32, fence: u64) -> bool {
     let Some(view) = node
         .cells()
@@ -78,15 +83,29 @@
     if !accepts_handoff(&candidate(node), node.views().len()) {
         return false;
     }
+    // The owner may stop waiting, which cancels the request, when the key has been written already.
     let acquiring = view.begin_acquisition();
-    let acquired = acquire_from(node, &view, held).await;
-    drop(acquiring);
-    let taken = acquired.is_some();
-    if taken {
-        *view.handoff.borrow_mut() = acquired;
-        view.owner_changed.notify_one();
-    }
-    taken
+    let node = node.clone();
+    let acquisition = tokio::task::spawn_local(async move {
+        let acquired = acquire_from(&node, &view, held).await;
+        drop(acquiring);
+        if let Some(acquired) = &acquired
+            && node.is_draining()
+        {
+            revoke_lease(&node, acquired.lease).await;
+            return false;
+        }
+        let taken = acquired.is_some();
+        if taken {
+            *view.handoff.borrow_mut() = acquired;
+            view.owner_changed.notify_one();
+        }
+        taken
+    });
+    acquisition.await.unwrap_or_else(|error| {
+        log::error!("handoff of cell {cell} failed: {error}");
+        false
+    })
 }
 
 /// Replaces the key of an owner that holds the cell with the given fencing token.
@@ -108,15 +127,11 @@
     let txn = Txn::default().unchanged(key.clone(), held).or_read(key);
     let txn = write_owner(node, view, txn, lease);
     let txn = stored.extend(txn, cell, &log, owner_record(node, lease));
-    let taken = match (store.txn)(txn).await {
-        Ok(reply) if reply.committed => Some(reply.revision),
-        // If only the answer was lost, the watch of the owner's key shows the result.
-        Ok(_) | Err(_) => None,
-    };
-    let Some(fence) = taken else {
-        revoke_lease(node, lease).await;
-        return None;
-    };
+    let committed = commit_acquisition(node, view, &txn, (lease, sent)).await;
+    let fence = committed.unwrap_or_else(|error| {
+        log::debug!("handed-over cell {cell} not acquired: {error}");
+        None
+    })?;
     Some(Acquired {
         fence,
         lease,
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::node::OwnerRecord;
+use crate::owner_log::LoggedOwner;
 use crate::owner_log::OwnerLog;
 
 /// Owners kept for each cell. An owner that is dropped counts as one that was never seen.
@@ -55,6 +56,8 @@
     cells: HashMap<u32, Vec<SeenOwner>>,
     /// Fencing tokens by cell of owners before which all owners are known from the stored log.
     logged: HashMap<u32, u64>,
+    /// Fencing tokens by cell of this instance's latest ownerships.
+    taken: HashMap<u32, u64>,
 }
 
 impl OwnerHistory {
@@ -71,6 +74,9 @@
         record: Option<OwnerRecord>,
         now: Duration,
     ) {
+        if self.logged.get(&cell).is_some_and(|logged| fence < *logged) {
+            return;
+        }
         let owners = self.cells.entry(cell).or_default();
         if owners.iter().any(|owner| owner.fence >= fence) {
             return;
@@ -103,6 +109,7 @@
     /// Records the stored log of the owners before the one with the fencing token, which got its key
     /// by `taken_at`.
     pub fn record_log(&mut self, cell: u32, fence: u64, log: &OwnerLog, taken_at: Duration) {
+        self.taken.insert(cell, fence);
         let owners = self.cells.entry(cell).or_default();
         for logged in &log.earlier {
             let known = owners.iter().position(|owner| owner.fence == logged.fence);
@@ -125,18 +132,28 @@
         }
         owners.sort_by_key(|owner| owner.fence);
         if log.complete {
+            // The watch may have shown owners that the log no longer names. They have ended, and
+            // their processes may be gone, so that they cannot confirm it.
+            let named = |owner: &SeenOwner| log.earlier.iter().any(|l| l.fence == owner.fence);
+            owners.retain(|owner| owner.fence >= fence || named(owner));
             self.logged.insert(cell, fence);
         }
         self.drop_oldest(cell, taken_at);
     }
 
     /// Records that a cell's owner key is gone, which happens only when its lease ends.
+    ///
+    /// Until the watch has reported this instance's own key, the one that is gone belongs to an
+    /// owner before it, and the latest one in the log may have a lease that lives on.
     pub fn record_vacancy(&mut self, cell: u32, now: Duration) {
+        let taken = self.taken.get(&cell).copied().unwrap_or_default();
         let last = self
             .cells
             .get_mut(&cell)
             .and_then(|owners| owners.last_mut());
-        if let Some(last) = last {
+        if let Some(last) = last
+            && last.fence >= taken
+        {
             last.lease_end.get_or_insert(now);
         }
     }
@@ -177,6 +194,45 @@
         acting.cloned().collect()
     }
 
+    /// Returns the log of the earlier owners that may act at `now` or later, for the owner with the
+    /// fencing token that wrote `log` with its key. If `log` is not complete, `now` must be so late
+    /// that owners which this instance has not seen can no longer act.
+    #[must_use]
+    pub fn settle(
+        &self,
+        log: &OwnerLog,
+        (cell, fence): (u32, u64),
+        owner_validity: Duration,
+        now: Duration,
+    ) -> OwnerLog {
+        let open = self.possibly_acting(cell, fence, owner_validity, now);
+        let is_named = |fence: u64| log.earlier.iter().any(|logged| logged.fence == fence);
+        let owners = self.cells.get(&cell).into_iter().flatten();
+        let known: Vec<u64> = owners.map(|owner| owner.fence).collect();
+        let is_open = |logged: &LoggedOwner| {
+            // The history may have dropped an owner, whose end it then does not know.
+            !known.contains(&logged.fence) || open.iter().any(|each| each.fence == logged.fence)
+        };
+        let mut earlier = log.earlier.clone();
+        earlier.retain(is_open);
+        // Owners of a version that writes no log are known from the watch only.
+        let mut complete = true;
+        for owner in open.iter().filter(|owner| !is_named(owner.fence)) {
+            complete &= owner.record.is_some();
+            earlier.extend(owner.record.clone().map(|record| LoggedOwner {
+                fence: owner.fence,
+                record,
+                lease_ended: owner.lease_end.is_some(),
+            }));
+        }
+        earlier.sort_by_key(|logged| logged.fence);
+        OwnerLog {
+            earlier,
+            writer: None,
+            complete,
+        }
+    }
+
     /// Returns the time until which any owner before the one with the fencing token can have
     /// granted leases, if that is known.
     ///
