Give each test process loopback addresses of its own

free_address took the second byte of its addresses from the lowest byte of the process identifier, modulo 200. Of 30 test programs at a time, some had the same byte. Their instances then listened on the same address: the later one logged "Address already in use" for peers, callers and readiness, stayed an owner that nobody could reach, and its test talked to the instance of the other program.

A process now claims a range of 253 addresses with a listener that it holds until it ends, and takes the next free range if another process has it.

--- a/crates/nutmegcart_fakes/src/server.rs
+++ b/crates/nutmegcart_fakes/src/server.rs
@@ -8,8 +8,6 @@
 use std::panic::resume_unwind;
 use std::pin::Pin;
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -24,6 +22,7 @@
 use nutmegcart_http::LocalExecutor;
 use nutmegcart_http::ServerLimits;
 use nutmegcart_http::serve_fallible;
+use parking_lot::Mutex;
 use tokio::sync::watch;
 
 /// A request with its complete body.
@@ -36,8 +35,13 @@
 /// Threads for the handlers and streams of all servers of the process that block.
 const BLOCKING_THREADS: usize = 256;
 
-/// Number of loopback addresses that this process has used.
-static ADDRESS_COUNT: AtomicU32 = AtomicU32::new(0);
+/// Number of ranges of loopback addresses that processes may claim.
+const RANGE_COUNT: u32 = 200 * 256;
+/// Port on which the claim of a range listens, outside the range for outgoing connections.
+const CLAIM_PORT: u16 = 7_059;
+
+/// Ranges of loopback addresses that this process has claimed.
+static RANGES: Mutex<Vec<AddressRange>> = Mutex::new(Vec::new());
 /// Thread of all servers of this process.
 static EXECUTOR: OnceLock<LocalExecutor> = OnceLock::new();
 
@@ -55,21 +59,59 @@
     }
 }
 
+/// Loopback addresses 127.b.c.2 to 127.b.c.254, which no other process is given meanwhile.
+struct AddressRange {
+    /// Listener on 127.b.c.1; the kernel closes it when the process ends, however it ends.
+    _claim: TcpListener,
+    network: Ipv4Addr,
+    last: u8,
+}
+
+impl AddressRange {
+    /// Claims the first range that is free, beginning with the one of this number.
+    fn claim(first: u32) -> Option<Self> {
+        (0..RANGE_COUNT).find_map(|offset| {
+            let [_, _, high, low] = ((first + offset) % RANGE_COUNT).to_be_bytes();
+            let network = Ipv4Addr::new(127, 1 + high, low, 1);
+            let claim = TcpListener::bind((network, CLAIM_PORT)).ok()?;
+            Some(Self {
+                _claim: claim,
+                network,
+                last: 1,
+            })
+        })
+    }
+
+    fn next(&mut self) -> Option<Ipv4Addr> {
+        let [first, second, third, _] = self.network.octets();
+        self.last = self.last.checked_add(1).filter(|last| *last < 255)?;
+        Some(Ipv4Addr::new(first, second, third, self.last))
+    }
+}
+
+fn next_address() -> Option<Ipv4Addr> {
+    let mut ranges = RANGES.lock();
+    if let Some(address) = ranges.last_mut().and_then(AddressRange::next) {
+        return Some(address);
+    }
+    let mut range = AddressRange::claim(std::process::id() % RANGE_COUNT)?;
+    let address = range.next();
+    ranges.push(range);
+    address
+}
+
 /// Returns a loopback address with a port that was free when it was checked.
 ///
-/// Each call returns a different IP address of the loopback range. Outgoing connections use
-/// 127.0.0.1 as their source, so none of them can occupy the port before it is bound.
+/// Each call returns a different IP address of the loopback range, which no other running process
+/// is given. Outgoing connections use 127.0.0.1 as their source, so none of them can occupy the
+/// port before it is bound.
 ///
 /// # Panics
 ///
-/// Panics if the machine has no free port.
+/// Panics if the machine has no free address or port.
 #[must_use]
 pub fn free_address() -> SocketAddr {
-    let number = ADDRESS_COUNT.fetch_add(1, Ordering::Relaxed);
-    let [_, _, high, low] = number.to_be_bytes();
-    let process = std::process::id().to_be_bytes()[3] % 200;
-    // The second byte differs between most test processes that run concurrently.
-    let address = Ipv4Addr::new(127, 1 + process, high, low.max(1));
+    let address = next_address().expect("a range of loopback addresses is free");
     TcpListener::bind((address, 0))
         .and_then(|listener| listener.local_addr())
         .expect("a loopback port is free")
