Acquire a cell again whose earlier owner is reported late

In a run of 30 copies of the test program manage, one instance lost its cell to the end of its lease 1.8 s after it had taken it, and never took it again: its store held no owner's key for five minutes, while the instance was ready, accepted jobs and ran none of them.

The watch of the shared keys had reported the deletion of the owner's key. The answer to an earlier read of the cell arrived after it and showed the key once more, so the instance took itself for the owner. No watch reports that deletion again. A late answer to the transaction that acquires the cell, and one that refuses it, do the same.

An owner whose key is known to be gone is no longer recorded as the present one, and an ownership that begins with a key that is gone ends at once.

--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Returns whether the owner with the fencing token is known to have lost its key.
+    #[must_use]
+    pub fn has_lease_ended(&self, cell: u32, fence: u64) -> bool {
+        let owners = self.cells.get(&cell).into_iter().flatten();
+        let mut ended = owners.filter(|owner| owner.lease_end.is_some());
+        ended.any(|owner| owner.fence == fence)
+    }
+
     /// Records that an owner's process has confirmed its end.
     pub fn record_confirmation(&mut self, cell: u32, fence: u64, now: Duration) {
         if let Some(owner) = self.owner(cell, fence) {
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -128,8 +128,13 @@
         node.owners.borrow_mut().remove(&cell);
         return;
     };
+    let written = u64::try_from(item.modified).unwrap_or_default();
+    // A read or an answer that arrives late may show a key whose deletion has been reported, and
+    // which no watch will report again.
+    if node.owner_history.borrow().has_lease_ended(cell, written) {
+        return;
+    }
     if let Some(owned) = owned_cell(node, cell) {
-        let written = u64::try_from(item.modified).unwrap_or_default();
         if written < owned.fence {
             return;
         }
@@ -250,9 +255,16 @@
         .borrow_mut()
         .record_log(view.number, owned.fence, &owned.log, taken_at);
     *view.owned.borrow_mut() = Some(owned.clone());
-    node.owners
-        .borrow_mut()
-        .insert(view.number, owner_record(node, lease));
+    let gone = {
+        let history = node.owner_history.borrow();
+        history.has_lease_ended(view.number, owned.fence)
+    };
+    if gone {
+        owned.end_ownership("the owner's key is gone");
+    } else {
+        let mut owners = node.owners.borrow_mut();
+        owners.insert(view.number, owner_record(node, lease));
+    }
     tokio::task::spawn_local(renew(node.clone(), owned.clone()));
     tokio::task::spawn_local(handoff::hand_off_to_peer(node.clone(), owned.clone()));
     tokio::task::spawn_local(earlier_owners::confirm_ends(node.clone(), owned.clone()));
