Soak manage processes in seeded faults and check promises from outside

The soak starts the real binary as separate processes on the stand-in of the platform, draws pauses, kills, shutdowns, reloads, and faults of store and workers from a seed, lets callers hand in, repeat, cancel and ask for jobs, and checks the history of callers and workers while it runs. Each round of faults ends in a calm stretch in which every accepted job has to settle at every instance.

--- /dev/null
+++ b/crates/nutmegcart_soak/src/schedule.rs
@@ -0,0 +1,231 @@
+//! The faults of a seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use nutmegcart_stand_in::gate::Conduct;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Length of a round of faults in milliseconds; each is followed by a calm stretch.
+const ROUND_MS: u64 = 8_000;
+/// Fewest and most faults of a round, in which a series counts as one.
+const FAULTS_PER_ROUND: (u32, u32) = (2, 5);
+/// Longest time from the start of a round to the start of a fault, in milliseconds.
+const LATEST_START_MS: u64 = 5_000;
+/// Time between the faults of a series, in milliseconds.
+const SERIES_GAP_MS: u64 = 700;
+/// Number of workers.
+pub const WORKERS: usize = 3;
+
+/// What a fault does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// SIGSTOP for an instance, and SIGCONT at the end.
+    Pause(usize),
+    /// SIGKILL for an instance, which is started again at the end.
+    Kill(usize),
+    /// SIGTERM for an instance, which is started again at the end.
+    Terminate(usize),
+    /// SIGHUP for an instance.
+    Reload(usize),
+    /// Conduct of the store for every n-th call of one instance.
+    Store(usize, Conduct, u32),
+    /// Conduct of the store for every n-th call of each instance.
+    WholeStore(Conduct, u32),
+    /// The store forgets its history.
+    Forget,
+    /// Conduct of a worker for every n-th call.
+    Worker(usize, Conduct, u32),
+    /// A worker crashes; at the end it starts again under its identifier and address.
+    Crash(usize),
+    /// As a crash, but the entry of the worker is missing until it starts again.
+    Leave(usize),
+}
+
+/// A fault and its time in milliseconds from the start of its round.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Start of the fault.
+    pub from_ms: u64,
+    /// End of the fault.
+    pub until_ms: u64,
+    /// What the fault does.
+    pub kind: Kind,
+}
+
+impl Fault {
+    /// Returns whether an operator causes it and callers must not notice.
+    #[must_use]
+    pub fn is_planned(&self) -> bool {
+        matches!(self.kind, Kind::Terminate(_) | Kind::Reload(_))
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            from_ms,
+            until_ms,
+            kind,
+        } = self;
+        write!(f, "{from_ms:>6} to {until_ms:>6} ms  {kind}")
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Kind::Pause(instance) => write!(f, "instance {instance} paused"),
+            Kind::Kill(instance) => write!(f, "instance {instance} killed and restarted"),
+            Kind::Terminate(instance) => write!(f, "instance {instance} shut down and restarted"),
+            Kind::Reload(instance) => write!(f, "instance {instance} reloads its settings"),
+            Kind::Store(instance, conduct, every) => {
+                write!(
+                    f,
+                    "store to instance {instance}: {conduct:?}, 1 call of {every}"
+                )
+            }
+            Kind::WholeStore(conduct, every) => write!(f, "store: {conduct:?}, 1 call of {every}"),
+            Kind::Forget => write!(f, "store forgets its history"),
+            Kind::Worker(worker, conduct, every) => {
+                write!(f, "worker {worker}: {conduct:?}, 1 call of {every}")
+            }
+            Kind::Crash(worker) => write!(f, "worker {worker} crashes and restarts"),
+            Kind::Leave(worker) => write!(f, "worker {worker} leaves and returns"),
+        }
+    }
+}
+
+/// The faults of a seed, in rounds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Schedule {
+    /// Seed from which the faults were drawn.
+    pub seed: u64,
+    /// Number of instances.
+    pub instances: usize,
+    /// Faults of each round, ordered by their start.
+    pub rounds: Vec<Vec<Fault>>,
+}
+
+impl Schedule {
+    /// Draws the faults of a seed.
+    ///
+    /// ```
+    /// use nutmegcart_soak::schedule::Schedule;
+    ///
+    /// let schedule = Schedule::draw(7, 3, 16);
+    /// assert_eq!(schedule.rounds.len(), 2);
+    /// assert_eq!(schedule, Schedule::draw(7, 3, 16));
+    /// ```
+    #[must_use]
+    pub fn draw(seed: u64, instances: usize, seconds: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let rounds = (seconds * 1_000).div_ceil(ROUND_MS);
+        let rounds = (0..rounds).map(|_| draw_round(&mut rng, instances));
+        Self {
+            seed,
+            instances,
+            rounds: rounds.collect(),
+        }
+    }
+}
+
+fn draw_round(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(FAULTS_PER_ROUND.0..=FAULTS_PER_ROUND.1) {
+        let from_ms = rng.random_range(0..LATEST_START_MS);
+        let kind = draw_kind(rng, instances);
+        let fault = |from_ms: u64, length: u64, kind| Fault {
+            from_ms,
+            until_ms: (from_ms + length).min(ROUND_MS),
+            kind,
+        };
+        let length = draw_length(rng, kind);
+        faults.push(fault(from_ms, length, kind));
+        // A series hits the instances in turn; without a gap it hits all of them at once.
+        if rng.random_ratio(1, 4) {
+            let gap = if rng.random() { SERIES_GAP_MS } else { 0 };
+            for (number, step) in (1..instances).zip(1..) {
+                let from_ms = (from_ms + step * gap).min(LATEST_START_MS);
+                let kind = next_target(kind, number, instances);
+                faults.push(fault(from_ms, length, kind));
+            }
+        }
+    }
+    faults.sort_by_key(|fault| (fault.from_ms, fault.until_ms));
+    faults
+}
+
+/// Returns the fault for the instance or worker that comes `number` places later.
+fn next_target(kind: Kind, number: usize, instances: usize) -> Kind {
+    let instance = |each: usize| (each + number) % instances;
+    let worker = |each: usize| (each + number) % WORKERS;
+    match kind {
+        Kind::Pause(each) => Kind::Pause(instance(each)),
+        Kind::Kill(each) => Kind::Kill(instance(each)),
+        Kind::Terminate(each) => Kind::Terminate(instance(each)),
+        Kind::Reload(each) => Kind::Reload(instance(each)),
+        Kind::Store(each, conduct, every) => Kind::Store(instance(each), conduct, every),
+        Kind::Worker(each, conduct, every) => Kind::Worker(worker(each), conduct, every),
+        Kind::Crash(each) => Kind::Crash(worker(each)),
+        Kind::Leave(each) => Kind::Leave(worker(each)),
+        Kind::WholeStore(..) | Kind::Forget => kind,
+    }
+}
+
+fn draw_kind(rng: &mut StdRng, instances: usize) -> Kind {
+    let instance = rng.random_range(0..instances);
+    let worker = rng.random_range(0..WORKERS);
+    match rng.random_range(0..16) {
+        0..3 => Kind::Pause(instance),
+        3..5 => Kind::Kill(instance),
+        5..7 => Kind::Terminate(instance),
+        7 => Kind::Reload(instance),
+        8..10 => {
+            let (conduct, every) = draw_conduct(rng);
+            Kind::Store(instance, conduct, every)
+        }
+        10 => {
+            let (conduct, every) = draw_conduct(rng);
+            Kind::WholeStore(conduct, every)
+        }
+        11 => Kind::Forget,
+        12..14 => {
+            let (conduct, every) = draw_conduct(rng);
+            Kind::Worker(worker, conduct, every)
+        }
+        14 => Kind::Crash(worker),
+        _ => Kind::Leave(worker),
+    }
+}
+
+fn draw_conduct(rng: &mut StdRng) -> (Conduct, u32) {
+    let every = rng.random_range(1..=3);
+    let delay = Duration::from_millis(rng.random_range(50..900));
+    let late = Duration::from_millis(rng.random_range(500..4_000));
+    let conduct = match rng.random_range(0..6) {
+        0 => Conduct::Refuse,
+        1 => Conduct::Close,
+        2 => Conduct::Ignore,
+        3 => Conduct::Delay(delay),
+        4 => Conduct::LoseAnswer,
+        _ => Conduct::Postpone(late),
+    };
+    (conduct, every)
+}
+
+/// Returns the length of a fault in milliseconds. Pauses are shorter or longer than the lease of an
+/// owner.
+fn draw_length(rng: &mut StdRng, kind: Kind) -> u64 {
+    match kind {
+        Kind::Pause(_) => rng.random_range(300..6_000),
+        Kind::Kill(_) => rng.random_range(50..2_500),
+        Kind::Terminate(_) => rng.random_range(2_500..5_000),
+        Kind::Reload(_) | Kind::Forget => 1,
+        Kind::Store(..) | Kind::WholeStore(..) => rng.random_range(300..5_000),
+        Kind::Worker(..) => rng.random_range(300..7_000),
+        Kind::Crash(_) | Kind::Leave(_) => rng.random_range(100..5_000),
+    }
+}
--- /dev/null
+++ b/crates/nutmegcart_soak/src/soak.rs
@@ -0,0 +1,435 @@
+//! One run of a schedule.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::Duration;
+
+use nutmegcart_stand_in::StandIn;
+use nutmegcart_stand_in::gate::Conduct;
+use nutmegcart_stand_in::runner::Runner;
+use rustix::process::Signal;
+use serde::Serialize;
+
+use crate::callers::Callers;
+use crate::callers::Client;
+use crate::callers::HOST;
+use crate::callers::Mode;
+use crate::callers::PREFIX;
+use crate::checker::Broken;
+use crate::checker::Checker;
+use crate::history::Fact;
+use crate::history::History;
+use crate::history::Nature;
+use crate::instance::Instance;
+use crate::schedule::Fault;
+use crate::schedule::Kind;
+use crate::schedule::Schedule;
+use crate::schedule::WORKERS;
+
+/// Result of a run; the error is a message about the soak itself.
+pub type Result<T> = std::result::Result<T, String>;
+
+/// Service of the workers.
+const SERVICE: &str = "gates";
+/// Number of callers.
+const CALLERS: u64 = 4;
+/// Interval at which facts are collected and faults begin and end.
+const TICK: Duration = Duration::from_millis(10);
+/// Time for which callers stay busy after a round of faults.
+const CALM_TIME: Duration = Duration::from_secs(4);
+/// Time from the last fault until each long-running task has a run.
+const RESTART_BOUND: Duration = Duration::from_secs(12);
+/// Time from the last fault until every job has settled, when time bounds are checked.
+const SETTLE_BOUND: Duration = Duration::from_secs(40);
+/// The same when they are not; it only keeps a run from lasting for ever.
+const SETTLE_LIMIT: Duration = Duration::from_mins(5);
+/// Interval at which the states of all jobs are read while they settle.
+const SETTLE_PERIOD: Duration = Duration::from_millis(250);
+
+/// How schedules are played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Binary under test.
+    pub binary: PathBuf,
+    /// Whether promises with a time bound are checked.
+    pub timed: bool,
+    /// Folder for settings and logs; those of a run without broken promises are removed.
+    pub folder: PathBuf,
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Number of instances.
+    pub instances: usize,
+    /// Number of faults.
+    pub faults: usize,
+    /// Duration of the run in seconds.
+    pub seconds: f64,
+    /// Number of accepted jobs.
+    pub accepted: usize,
+    /// Number of cancelled jobs.
+    pub cancelled: usize,
+    /// Number of runs that have started.
+    pub starts: usize,
+    /// Number of calls of callers.
+    pub calls: usize,
+    /// Broken promises.
+    pub broken: Vec<Broken>,
+    /// Folder with the logs, if a promise was broken.
+    pub logs: Option<PathBuf>,
+    /// Faults with their start and end in milliseconds since the start of the run.
+    #[serde(skip)]
+    pub timeline: Vec<(u64, u64, Fault)>,
+}
+
+struct Soak {
+    platform: StandIn,
+    workers: Vec<Runner>,
+    instances: Vec<Instance>,
+    history: History,
+    checker: Checker,
+    /// Faults in force, in the order of their starts.
+    active: Vec<Fault>,
+    timeline: Vec<(u64, u64, Fault)>,
+    /// Conduct that was set at the gate of each instance and each worker.
+    conducts: Vec<(Conduct, u32)>,
+    timed: bool,
+    client: Client,
+}
+
+/// Plays a schedule.
+///
+/// # Errors
+///
+/// Fails if files cannot be written or processes cannot be started or signalled.
+pub fn play(schedule: &Schedule, options: &Options) -> Result<Report> {
+    let name = format!("seed-{}-{}", schedule.seed, std::process::id());
+    let folder = options.folder.join(name);
+    let text = |error: std::io::Error| format!("{}: {error}", folder.display());
+    fs::create_dir_all(&folder).map_err(text)?;
+    let platform = StandIn::start();
+    platform.configure(1, SERVICE, HOST, PREFIX);
+    let workers = (0..WORKERS).map(|number| platform.add_runner(&format!("i-{number}"), SERVICE));
+    let workers = workers.collect();
+    let instances = (0..schedule.instances)
+        .map(|number| Instance::new(&platform, number, &options.binary, &folder));
+    let instances = instances.collect::<Result<Vec<Instance>>>()?;
+    let mut soak = Soak {
+        conducts: vec![(Conduct::Answer, 1); instances.len() + WORKERS],
+        platform,
+        workers,
+        instances,
+        history: History::default(),
+        checker: Checker::new(options.timed),
+        active: Vec::new(),
+        timeline: Vec::new(),
+        timed: options.timed,
+        client: Client::default(),
+    };
+    let played = soak.run(schedule);
+    let report = soak.report(schedule, &folder);
+    drop(soak);
+    played?;
+    if report.broken.is_empty() {
+        fs::remove_dir_all(&folder).map_err(text)?;
+    }
+    Ok(report)
+}
+
+impl Soak {
+    fn run(&mut self, schedule: &Schedule) -> Result<()> {
+        for instance in &mut self.instances {
+            instance.start()?;
+        }
+        self.wait_until_ready()?;
+        let addresses: Vec<_> = self.instances.iter().map(|each| each.callers).collect();
+        let callers = Callers::start(CALLERS, schedule.seed, &addresses, &self.history);
+        let played = self.play_rounds(schedule, &callers);
+        callers.stop();
+        self.collect()?;
+        played
+    }
+
+    fn play_rounds(&mut self, schedule: &Schedule, callers: &Callers) -> Result<()> {
+        for round in &schedule.rounds {
+            callers.set_mode(Mode::Busy);
+            self.play_round(round)?;
+            let over = self.history.now();
+            self.wait_until_ready()?;
+            let calm = self.history.now() + CALM_TIME;
+            while self.history.now() < calm {
+                self.tick()?;
+            }
+            self.settle(callers, over)?;
+        }
+        Ok(())
+    }
+
+    fn play_round(&mut self, faults: &[Fault]) -> Result<()> {
+        let start = self.history.now();
+        let mut waiting = faults.to_vec();
+        while !waiting.is_empty() || !self.active.is_empty() {
+            let now = self.history.now().saturating_sub(start);
+            let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+            while let Some(fault) = self.active.iter().position(|each| each.until_ms <= now) {
+                let fault = self.active.remove(fault);
+                self.end(fault)?;
+            }
+            while waiting.first().is_some_and(|fault| fault.from_ms <= now) {
+                let fault = waiting.remove(0);
+                self.active.push(fault);
+                self.begin(fault)?;
+            }
+            self.tick()?;
+        }
+        Ok(())
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.history.now().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn begin(&mut self, fault: Fault) -> Result<()> {
+        self.history.add(Fact::Began(fault));
+        let now = self.now_ms();
+        self.timeline.push((now, now, fault));
+        match fault.kind {
+            Kind::Pause(instance) => self.instances[instance].signal(Signal::STOP)?,
+            Kind::Kill(instance) => self.instances[instance].kill()?,
+            Kind::Terminate(instance) => {
+                self.instances[instance].ending = true;
+                self.instances[instance].signal(Signal::TERM)?;
+            }
+            Kind::Reload(instance) => self.instances[instance].signal(Signal::HUP)?,
+            Kind::Forget => self.platform.store.forget_history(),
+            Kind::Crash(worker) => self.workers[worker].crash(),
+            Kind::Leave(worker) => {
+                self.workers[worker].crash();
+                self.workers[worker].withdraw(&self.platform.store);
+            }
+            Kind::Store(..) | Kind::WholeStore(..) | Kind::Worker(..) => {}
+        }
+        self.set_conducts();
+        Ok(())
+    }
+
+    fn end(&mut self, fault: Fault) -> Result<()> {
+        match fault.kind {
+            Kind::Pause(instance) if !self.is_active(Kind::Pause(instance)) => {
+                self.instances[instance].signal(Signal::CONT)?;
+            }
+            Kind::Kill(instance) => self.instances[instance].start()?,
+            Kind::Terminate(instance) => {
+                // The platform kills a process that has not ended in time.
+                if self.instances[instance].ending {
+                    self.instances[instance].kill()?;
+                }
+                self.instances[instance].start()?;
+            }
+            Kind::Crash(worker) | Kind::Leave(worker) => {
+                let again = [Kind::Crash(worker), Kind::Leave(worker)];
+                if !again.into_iter().any(|kind| self.is_active(kind)) {
+                    self.workers[worker].restart();
+                    self.workers[worker].announce(&self.platform.store);
+                    self.conducts[self.instances.len() + worker] = (Conduct::Answer, 1);
+                }
+            }
+            _ => {}
+        }
+        self.set_conducts();
+        let now = self.now_ms();
+        let same = |each: &&mut (u64, u64, Fault)| each.2 == fault;
+        if let Some(bar) = self.timeline.iter_mut().rfind(same) {
+            bar.1 = now;
+        }
+        self.history.add(Fact::Over(fault));
+        Ok(())
+    }
+
+    fn is_active(&self, kind: Kind) -> bool {
+        self.active.iter().any(|fault| fault.kind == kind)
+    }
+
+    /// Sets each gate to the conduct of the latest fault in force.
+    fn set_conducts(&mut self) {
+        let mut conducts = vec![(Conduct::Answer, 1); self.conducts.len()];
+        let (stores, workers) = conducts.split_at_mut(self.instances.len());
+        for fault in &self.active {
+            match fault.kind {
+                Kind::Store(instance, conduct, every) => stores[instance] = (conduct, every),
+                Kind::WholeStore(conduct, every) => stores.fill((conduct, every)),
+                Kind::Worker(worker, conduct, every) => workers[worker] = (conduct, every),
+                _ => {}
+            }
+        }
+        for fault in &self.active {
+            if let Kind::Crash(worker) | Kind::Leave(worker) = fault.kind {
+                workers[worker] = (Conduct::Close, 1);
+            }
+        }
+        let stores = self.instances.iter().map(|instance| &instance.gate);
+        let gates = stores.chain(self.workers.iter().map(|worker| &worker.gate));
+        for ((gate, present), wanted) in gates.zip(&mut self.conducts).zip(conducts) {
+            if *present != wanted {
+                gate.set(wanted.0, wanted.1);
+                *present = wanted;
+            }
+        }
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        sleep(TICK);
+        self.collect()
+    }
+
+    /// Collects the facts so far and checks them.
+    fn collect(&mut self) -> Result<()> {
+        for (number, instance) in self.instances.iter_mut().enumerate() {
+            if let Some(status) = instance.take_exit()? {
+                let expected = instance.ending && status.success();
+                self.history.add(Fact::Exited {
+                    instance: number,
+                    how: status.to_string().into(),
+                    expected,
+                });
+                if !instance.ending {
+                    instance.start()?;
+                }
+            }
+        }
+        let now = self.history.now();
+        for (worker, runner) in self.workers.iter().enumerate() {
+            for (time, what) in runner.take_occurrences() {
+                self.history.add_at(time, Fact::Worker { worker, what });
+            }
+        }
+        for entry in self.history.take_until(now) {
+            self.checker.observe(&entry);
+        }
+        Ok(())
+    }
+
+    fn wait_until_ready(&mut self) -> Result<()> {
+        let end = self.history.now() + SETTLE_LIMIT;
+        let ready = |instance: &Instance, client: &Client| {
+            let answer = client.call(instance.ready, "GET", "/api/ready", "");
+            answer.is_some_and(|(status, _)| status == 200)
+        };
+        while !self.instances.iter().all(|each| ready(each, &self.client)) {
+            self.tick()?;
+            if self.history.now() > end {
+                return Err("the instances do not become ready".into());
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets callers finish, and waits until all accepted jobs have settled at all instances.
+    fn settle(&mut self, callers: &Callers, over: Duration) -> Result<()> {
+        callers.set_mode(Mode::Finish);
+        let bound = if self.timed {
+            SETTLE_BOUND
+        } else {
+            SETTLE_LIMIT
+        };
+        loop {
+            self.collect()?;
+            if self.timed {
+                self.check_restarts(over);
+            }
+            let left = if callers.are_finished() {
+                self.unsettled()
+            } else {
+                BTreeMap::from([("calls".to_owned(), "without a definite answer".to_owned())])
+            };
+            let now = self.history.now();
+            if left.is_empty() {
+                self.history.add(Fact::Settled);
+                return Ok(());
+            }
+            if now > over + bound {
+                let since = now.saturating_sub(over);
+                for (job, state) in left {
+                    let detail = format!("{job}: {state}, {since:?} after the last fault");
+                    self.checker
+                        .report(now, "every accepted job settles", detail);
+                }
+                return Ok(());
+            }
+            let next = now + SETTLE_PERIOD;
+            while self.history.now() < next {
+                self.tick()?;
+            }
+        }
+    }
+
+    /// Checks that long-running tasks have runs once their bound is over.
+    fn check_restarts(&mut self, over: Duration) {
+        let now = self.history.now();
+        let mut missing = Vec::new();
+        for (job, view) in &self.checker.jobs {
+            let since = view.accepted.map(|accepted| accepted.max(over));
+            let due = since.is_some_and(|since| now > since + RESTART_BOUND);
+            let lasting = view.nature == Nature::LongRunning && !view.cancelling;
+            let alive = self.checker.count_alive(job);
+            if due && lasting && alive < view.tasks as usize {
+                missing.push(format!("job {job}: {alive} of {} tasks run", view.tasks));
+            }
+        }
+        let promise = "a long-running task has a run within 12 s after the last fault";
+        for detail in missing {
+            let known = self.checker.broken.iter();
+            if !known.into_iter().any(|each| each.detail == detail) {
+                self.checker.report(now, promise, detail);
+            }
+        }
+    }
+
+    /// Returns the jobs that have not settled at some instance, with their states.
+    fn unsettled(&self) -> BTreeMap<String, String> {
+        let jobs = self.checker.jobs.iter();
+        let jobs = jobs.filter(|(_, view)| view.accepted.is_some());
+        let mut left = BTreeMap::new();
+        for (job, _) in jobs {
+            for (number, instance) in self.instances.iter().enumerate() {
+                let path = format!("{PREFIX}{job}");
+                let answer = self.client.call(instance.callers, "GET", &path, "");
+                let (status, body) = answer.unwrap_or_default();
+                let state = body["state"].as_str().unwrap_or_default();
+                if !self.checker.has_settled(job, state) {
+                    let alive = self.checker.count_alive(job);
+                    let seen = format!("instance {number} answers {status} {state}, {alive} run");
+                    left.insert(format!("job {job}"), seen);
+                    break;
+                }
+            }
+        }
+        left
+    }
+
+    fn report(&self, schedule: &Schedule, folder: &std::path::Path) -> Report {
+        let jobs = &self.checker.jobs;
+        let broken = self.checker.broken.clone();
+        Report {
+            seed: schedule.seed,
+            instances: schedule.instances,
+            faults: schedule.rounds.iter().map(Vec::len).sum(),
+            seconds: self.history.now().as_secs_f64(),
+            accepted: jobs.values().filter(|view| view.accepted.is_some()).count(),
+            cancelled: jobs
+                .values()
+                .filter(|view| view.cancelled.is_some())
+                .count(),
+            starts: self.checker.starts,
+            calls: self.checker.calls,
+            logs: (!broken.is_empty()).then(|| folder.to_owned()),
+            broken,
+            timeline: self.timeline.clone(),
+        }
+    }
+}
