--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -199,7 +199,8 @@
     pub store: CellStore,
     /// Checks every start of a run against the invariants.
     pub checker: InvariantChecker,
-    /// Share of the worker orders that get no response and take effect 2 to 12 s later.
+    /// Share of the worker orders that get no response, and that the worker carries out 2 to 12 s
+    /// later.
     pub delayed_share: f64,
     /// Tasks whose runs always fail.
     pub failing_tasks: BTreeSet<TaskKey>,
