End the runs of a virtual worker whenever its lease ends

The virtual cell scheduled the end of a worker's lease after polls and accepted starts only. A start that the worker refused for want of room, and a poll that is answered at once, extend the lease too. The end that was scheduled before then found the lease still valid, and if the worker was cut off, nothing ended its runs any more. The owner counted them as ended, correctly, and started the tasks elsewhere.

Every call that may extend the lease schedules its new end.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -47,6 +47,7 @@
                     && worker.accept_poll(fence, &request, now)
                 {
                     let response = worker.poll_response(now);
+                    self.schedule_lease_end(&id);
                     self.schedule(
                         LATENCY,
                         Event::ImmediatePollAnswered(index, id, sent, response),
@@ -245,13 +246,8 @@
             self.checker
                 .record_acknowledged(&end.task, end.how == RunEnd::Done);
         }
-        let (waits, incarnation) = (
-            worker.ended.is_empty() && !request.max_wait.is_zero(),
-            worker.listing.incarnation,
-        );
-        let remaining =
-            Duration::from_millis(worker.lease_end.saturating_sub(worker.clock_ms(now)));
-        self.schedule(remaining, Event::LeaseExpires(id.clone(), incarnation));
+        let waits = worker.ended.is_empty() && !request.max_wait.is_zero();
+        self.schedule_lease_end(id);
         if self.waiting_polls.contains_key(id) {
             self.answer_waiting_poll(id);
         }
@@ -389,7 +385,6 @@
             .collect();
         let last_end = worker.last_end;
         let outcome = worker.execute_order(fence, order, new_run, now);
-        let remaining = worker.lease_end.saturating_sub(worker.clock_ms(now));
         let ended: Vec<_> = worker
             .ended
             .iter()
@@ -417,10 +412,10 @@
                     Event::RunEnds(id.clone(), incarnation, start.task.clone(), start.run),
                 );
             }
-            self.schedule(
-                Duration::from_millis(remaining),
-                Event::LeaseExpires(id.clone(), incarnation),
-            );
+        }
+        if matches!(order, WorkerOrder::Start(_)) {
+            // Refused starts extend the lease as well.
+            self.schedule_lease_end(id);
         }
         for end in &ended {
             self.checker.record_end(
@@ -488,6 +483,17 @@
         self.answer_waiting_poll(id);
     }
 
+    /// Schedules the end of the runs on a worker for the present end of its lease.
+    fn schedule_lease_end(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let clock = worker.clock_ms(self.now);
+        let remaining = Duration::from_millis(worker.lease_end.saturating_sub(clock));
+        let expires = Event::LeaseExpires(id.clone(), worker.listing.incarnation);
+        self.schedule(remaining, expires);
+    }
+
     fn lease_expires(&mut self, id: &WorkerId, incarnation: u64) {
         let now = self.now;
         let Some(worker) = self
