Tell once when a job stalls and when it resumes

A long-running job whose workers were taken away was told by event 726 each second, on one of many instances, among the lines of other waits; a batch job without a start was not told at all.

--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -54,6 +54,8 @@
     pub waiting_tasks: IntGaugeVec,
     /// Longest wait of a long-running task in seconds, by cell; set by the cell's owner.
     pub longest_wait: GaugeVec,
+    /// Jobs that have waited too long for a start, by cell and kind; set by the cell's owner.
+    pub stalled_jobs: IntGaugeVec,
     /// Workers that block inherited jobs, by cell; set by the cell's owner.
     pub blocking_workers: IntGaugeVec,
     /// Jobs passed to another cell, by the number of that cell.
@@ -153,6 +155,7 @@
                 &["cell", "reason"],
             ),
             longest_wait: longest_wait(&registry),
+            stalled_jobs: stalled_jobs(&registry),
             blocking_workers: by_cell(
                 "nutmegcart_blocking_workers",
                 "Workers on which inherited jobs may still run, and which have not answered.",
@@ -175,6 +178,12 @@
     counter
 }
 
+/// Creates and registers the gauge of stalled jobs.
+fn stalled_jobs(registry: &Registry) -> IntGaugeVec {
+    let help = "Jobs of a cell that have waited too long for a start.";
+    gauge(registry, "nutmegcart_jobs_stalled", help, &["cell", "kind"])
+}
+
 /// Creates and registers a gauge with labels.
 fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
     let gauge = IntGaugeVec::new(Opts::new(name, help), labels).expect("metric name is valid");
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -18,6 +18,7 @@
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::stalled::StallLog;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -109,6 +110,8 @@
     pub record_revision: Cell<Revision>,
     /// Workers that are being polled.
     pub polled_workers: RefCell<HashSet<WorkerId>>,
+    /// Stalled jobs that the log has told about.
+    pub stall_log: RefCell<StallLog>,
     /// Semaphores that limit concurrent orders, by worker.
     pub order_slots: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
 }
--- a/crates/nutmegcart_control/src/status.rs
+++ b/crates/nutmegcart_control/src/status.rs
@@ -1,6 +1,11 @@
 //! Log lines and gauges about the state of a cell, and why its long-running tasks wait.
 
 use nutmegcart_jobs::WaitReason;
+use nutmegcart_jobs::stalled::StalledJob;
+use nutmegcart_jobs::stalled::StalledKind;
+use nutmegcart_jobs::worker::millis;
+use nutmegcart_model::Event;
+use nutmegcart_model::log_event;
 
 use crate::clock::now;
 use crate::node::Node;
@@ -28,6 +33,39 @@
     let blocking = i64::try_from(scheduler.blocking_workers()).unwrap_or(i64::MAX);
     let gauge = &node.metrics.blocking_workers;
     gauge.with_label_values(&[&label]).set(blocking);
+    report_stalled(node, owned, &scheduler.stalled_jobs(now));
+}
+
+/// Logs which jobs have stalled or resumed since the latest call, and updates their gauge.
+fn report_stalled(node: &Node, owned: &OwnedCell, stalled: &[StalledJob]) {
+    let (cell, now) = (owned.view.number, now());
+    let changes = owned.state.stall_log.borrow_mut().update(stalled);
+    for each in changes.stalled {
+        log_event!(
+            Event::JobStalled,
+            cell = cell,
+            job = each.job,
+            pool = each.pool,
+            kind = each.kind,
+            age_ms = millis(now.saturating_sub(each.since)),
+            jobs = stalled.len(),
+        );
+    }
+    for (job, since) in changes.resumed {
+        log_event!(
+            Event::JobResumed,
+            cell = cell,
+            job = job,
+            age_ms = millis(now.saturating_sub(since)),
+            jobs = stalled.len(),
+        );
+    }
+    for kind in StalledKind::ALL {
+        let count = stalled.iter().filter(|each| each.kind == kind).count();
+        let labels = [&*cell.to_string(), &*kind.to_string()];
+        let gauge = node.metrics.stalled_jobs.with_label_values(&labels);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
 }
 
 /// Removes the gauges of waits of a cell that this process no longer owns.
@@ -38,6 +76,10 @@
         let gauge = &node.metrics.waiting_tasks;
         let _ = gauge.remove_label_values(&[&label, reason]);
     }
+    for kind in StalledKind::ALL {
+        let labels = [&*label, &*kind.to_string()];
+        let _ = node.metrics.stalled_jobs.remove_label_values(&labels);
+    }
     let _ = node.metrics.longest_wait.remove_label_values(&[&label]);
     let _ = node.metrics.blocking_workers.remove_label_values(&[&label]);
 }
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -35,6 +35,10 @@
         .with_label_values(&["0", "blocked"])
         .set(1);
     metrics.longest_wait.with_label_values(&["0"]).set(1.0);
+    metrics
+        .stalled_jobs
+        .with_label_values(&["0", "batch"])
+        .set(1);
     metrics.blocking_workers.with_label_values(&["0"]).set(1);
     metrics.passed_jobs.with_label_values(&["0"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -8,7 +8,8 @@
 //! * [`layout`], [`wave_partition`]: division of a fleet, and of waves, into cells;
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its event handlers in [`reports`], [`orders`]
 //!   and [`flush`], and the requests that it emits in [`action`];
-//! * [`waiting`]: why waiting long-running tasks are not started;
+//! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
+//!   waited for too long;
 //! * [`rank`], [`placement`](Scheduler::run_pass): priority of waiting work and choice of workers;
 //! * [`machines`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
 //!   machines that move between pools or are maintained;
@@ -33,6 +34,7 @@
 pub mod reports;
 pub mod scheduler;
 mod slot;
+pub mod stalled;
 pub mod throttling;
 mod tickets;
 mod vacating;
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -78,6 +78,24 @@
         "rejected",
         "startable",
     ];
+
+    /// Returns the worker that blocks the task, or the causes with their numbers of workers.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::WaitReason;
+    /// # use nutmegcart_jobs::waiting::Unusable;
+    /// let reason = WaitReason::NoneUsable([(Unusable::Draining, 2)].into());
+    /// assert_eq!(reason.details(), "draining: 2");
+    /// ```
+    #[must_use]
+    pub fn details(&self) -> String {
+        match self {
+            Self::Blocked { worker, .. } => worker.to_string(),
+            Self::NoneUsable(counts) => format_counts(counts),
+            Self::NoneAdmits(counts) => format_counts(counts),
+            Self::Ownership | Self::Gang | Self::Startable => String::new(),
+        }
+    }
 }
 
 /// A waiting long-running task.
@@ -150,7 +168,7 @@
     }
 
     /// Returns the waiting long-running tasks of a job, with the times since when they wait.
-    fn waiting_tasks(&self, job: &LiveJob) -> Vec<(Duration, TaskKey)> {
+    pub(crate) fn waiting_tasks(&self, job: &LiveJob) -> Vec<(Duration, TaskKey)> {
         let mut waiting = Vec::new();
         for (number, occurrence) in &job.occurrences {
             let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
@@ -286,11 +304,6 @@
                 );
                 continue;
             }
-            let causes = match &first.reason {
-                WaitReason::NoneUsable(counts) => format_counts(counts),
-                WaitReason::NoneAdmits(counts) => format_counts(counts),
-                _ => String::new(),
-            };
             log_event!(
                 Event::TaskWaiting,
                 cell = cell,
@@ -299,7 +312,7 @@
                 tasks = pool.total,
                 age_ms = millis(age),
                 reason = first.reason,
-                causes = causes,
+                causes = first.reason.details(),
             );
         }
     }
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -114,6 +114,8 @@
     StartRefused = 724, Info, "worker refused a start";
     StartUnanswered = 725, Warn, "start was not answered; the run is stopped before its task starts again";
     TaskWaiting = 726, Warn, "long-running task waits for a start; the one of its pool that has waited longest";
+    JobStalled = 727, Warn, "job has waited too long for a start";
+    JobResumed = 728, Info, "job that had stalled no longer waits";
     WorkerListed = 730, Info, "worker listed by service discovery";
     WorkerUnlisted = 731, Warn, "worker no longer listed";
     WorkerLeaving = 732, Info, "worker is shutting down; it gets no new tasks";
