Show the cells and their stalled jobs in the status

On a manage deployment `nutmegcart status` failed with an empty message, since only serve answers the admin API, and nothing listed waiting work.

The command falls back to that path where there is no admin API, and prints a table of the cells, the reason of the longest wait, and the stalled jobs.

--- /dev/null
+++ b/crates/nutmegcart/src/cell_table.rs
@@ -0,0 +1,82 @@
+//! Prints the status of the cells of a `manage` deployment.
+
+use serde_json::Value;
+
+use crate::table;
+
+/// Titles of the columns.
+const TITLES: [&str; 9] = [
+    "CELL",
+    "OWNER",
+    "AGE",
+    "WAITING JOBS",
+    "WAITING TASKS",
+    "LONGEST WAIT",
+    "TASK",
+    "REASON",
+    "STALLED",
+];
+
+/// Formats a string without its quotes, and a missing value as a dash.
+fn text(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Formats milliseconds as seconds.
+fn seconds(value: &Value) -> String {
+    let seconds = |ms: f64| format!("{:.1} s", ms / 1_000.0);
+    value.as_f64().map_or_else(|| "-".to_owned(), seconds)
+}
+
+fn row(report: &Value) -> Vec<String> {
+    let status = &report["status"];
+    let mut row = vec![text(&report["cell"]), text(&report["owner"])];
+    if status.is_null() {
+        row.push("unknown".to_owned());
+        row.extend(["-"; 6].map(str::to_owned));
+        return row;
+    }
+    let longest = &status["longest"];
+    let details = longest["details"].as_str().unwrap_or_default();
+    let reason = match text(&longest["reason"]) {
+        reason if details.is_empty() => reason,
+        reason => format!("{reason} ({details})"),
+    };
+    row.extend([
+        seconds(&status["age_ms"]),
+        text(&status["waiting_jobs"]),
+        text(&status["waiting_tasks"]),
+        seconds(&longest["waited_ms"]),
+        text(&longest["task"]),
+        reason,
+        text(&status["stalled"]),
+    ]);
+    row
+}
+
+/// Prints a table of the cells, then why a cell is unknown and which jobs are stalled.
+pub fn print(answer: &Value) {
+    println!("{}: ready {}", text(&answer["instance"]), answer["ready"]);
+    let cells = answer["cells"].as_array().cloned().unwrap_or_default();
+    table::print(&TITLES, &cells.iter().map(row).collect::<Vec<_>>());
+    for report in &cells {
+        if let Some(reason) = report["unknown"].as_str() {
+            println!("cell {} is unknown: {reason}", report["cell"]);
+        }
+        let stalled = report["status"]["stalled_jobs"].as_array();
+        for job in stalled.into_iter().flatten() {
+            println!(
+                "stalled in cell {}: {} job {} of {} for {}",
+                report["cell"],
+                text(&job["kind"]),
+                text(&job["job"]),
+                text(&job["pool"]),
+                seconds(&job["waited_ms"]),
+            );
+        }
+    }
+}
--- a/crates/nutmegcart/src/client.rs
+++ b/crates/nutmegcart/src/client.rs
@@ -118,6 +118,21 @@
         )
     }
 
+    /// Sends a GET request as [`Client::get`]; returns `None` if the instance has no such path.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Client::get`] does.
+    pub fn get_if_found(&self, path: &str) -> Result<Option<Value>> {
+        let url = format!("http://{}/admin/v1/{path}", self.address);
+        let answer = self.agent.get(url).call();
+        let answer = answer.map_err(|error| self.no_answer(&error))?;
+        if answer.status() == 404 {
+            return Ok(None);
+        }
+        self.read(answer).map(Some)
+    }
+
     /// Sends a request to any path, with a JSON body if one is given.
     ///
     /// # Errors
--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -145,7 +145,11 @@
             /// Print JSON.
             optional --json
         }
-        /// Shows the state of an entry instance and its peers.
+        /// Shows the state of an entry instance and its peers, or of the cells and their stalled jobs.
+        ///
+        /// For the cells, --entry is the peer address of an instance that runs `manage`.
+        ///
+        /// Example: nutmegcart status --entry 10.1.0.9:7060
         cmd status {
             /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
             optional --entry address: SocketAddr
--- a/crates/nutmegcart/src/main.rs
+++ b/crates/nutmegcart/src/main.rs
@@ -3,6 +3,7 @@
 //! `nutmegcart serve` and `nutmegcart manage` run an entry instance, the operator commands call one,
 //! and `nutmegcart demo` runs a whole deployment in one process.
 
+mod cell_table;
 mod check;
 mod client;
 mod demo;
--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use uuid::Uuid;
 
+use crate::cell_table;
 use crate::check;
 use crate::client::CallError;
 use crate::client::Client;
@@ -157,13 +158,21 @@
     )
 }
 
-/// Prints the state of an entry instance and a table of its peers.
+/// Prints the state of an entry instance and a table of its peers or, if it runs `manage`, a table of
+/// the cells.
 pub fn status(flags: &Status) -> ExitCode {
     call_and_print(
         flags.entry,
         flags.json,
-        |client| client.get("status"),
+        |client| match client.get_if_found("status")? {
+            Some(answer) => Ok(answer),
+            None => client.send("GET", "/v1/status", None),
+        },
         |answer| {
+            if answer["cells"].is_array() {
+                cell_table::print(answer);
+                return;
+            }
             println!(
                 "{} in {}: generation {}, ready {}, {} instances listed",
                 plain_text(&answer["id"]),
--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -31,6 +31,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::cell_status;
 use crate::generated::submission_v1::StepRequest;
 use crate::generated::submission_v1::Submission;
 use crate::job_service::CallerRequest;
@@ -45,6 +46,8 @@
 pub const JOBS_PATH: &str = "/v1/jobs/";
 /// Path for the number of waiting jobs.
 pub const WAITING_PATH: &str = "/v1/waiting";
+/// Path for the status of all cells.
+pub const STATUS_PATH: &str = "/v1/status";
 /// Header with the time in milliseconds for which the caller waits.
 pub const DEADLINE_HEADER: &str = "nutmegcart-deadline-ms";
 /// Media type of MessagePack.
@@ -53,6 +56,8 @@
 pub const SCHEMA_VERSION: u32 = 1;
 /// Deadline of requests without the header.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+/// Delay after which an operator should ask again while the cells are not known yet.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout for reading a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a request's body; a job with the longest description and the most steps is far
@@ -87,7 +92,7 @@
 /// ```
 #[must_use]
 pub fn is_job_path(path: &str) -> bool {
-    path.starts_with(JOBS_PATH) || path == WAITING_PATH
+    path.starts_with(JOBS_PATH) || path == WAITING_PATH || path == STATUS_PATH
 }
 
 /// Handles an HTTP request for a path for which [`is_job_path`] holds.
@@ -101,6 +106,9 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (head, body) = request.into_parts();
+    if head.uri.path() == STATUS_PATH {
+        return respond_status(node, &head).await;
+    }
     let limit = deadline(&head.headers);
     let answer = match parse_request(node, &head, body).await {
         Ok(request) => service.handle(node, request, limit).await,
@@ -109,6 +117,20 @@
     encode_response(&head.headers, &answer)
 }
 
+/// Answers a request for the status of all cells.
+async fn respond_status(node: &Rc<Node>, head: &Parts) -> Response<Full<Bytes>> {
+    if head.method != Method::GET {
+        return error_response(&head.headers, Code::NotFound, None);
+    }
+    match node.cells() {
+        Some(cells) => {
+            let status = cell_status::of_fleet(node, &cells).await;
+            response(&head.headers, 200, &status, None)
+        }
+        None => error_response(&head.headers, Code::NoConfiguration, Some(RETRY_AFTER)),
+    }
+}
+
 fn deadline(headers: &HeaderMap) -> Duration {
     let given = headers
         .get(DEADLINE_HEADER)
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -14,11 +14,13 @@
 //! * [`passing`]: waiting jobs that pass to another cell;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`peer`]: requests between instances;
+//! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
 pub mod candidate;
+pub mod cell_status;
 pub mod clock;
 mod earlier_owners;
 mod generated;
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -24,6 +24,8 @@
 use serde::Serialize;
 
 use crate::acceptor::Acceptance;
+use crate::cell_status;
+use crate::cell_status::CellStatus;
 use crate::clock::now;
 use crate::earlier_owners;
 use crate::handoff;
@@ -85,6 +87,8 @@
     TakeOver(u32, u64),
     /// Asks the owner of the cell for the work and capacity of its pools.
     Load(u32),
+    /// Asks the owner of the cell for its status.
+    Status(u32),
     /// Asks whether the ownership of a cell with the fencing token has ended, by the name and the
     /// incarnation of the owner.
     HasEnded(u32, u64, Arc<str>, u64),
@@ -110,6 +114,8 @@
     Taken(bool),
     /// Whether the ownership has certainly ended.
     HasEnded(bool),
+    /// The status of the cell.
+    Status(CellStatus),
     /// The work and capacity of the cell by pool.
     Load(Vec<PoolLoad>),
 }
@@ -135,6 +141,9 @@
     let Some(owned) = owned else {
         return PeerResponse::NotOwner;
     };
+    if let PeerRequest::Status(_) = request {
+        return PeerResponse::Status(cell_status::of_owned(&owned));
+    }
     let scheduler = owned.scheduler.borrow();
     match request {
         PeerRequest::State(_, id) => PeerResponse::State(scheduler.job_state(id)),
@@ -147,7 +156,8 @@
             PeerResponse::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
         PeerRequest::Load(_) => PeerResponse::Load(scheduler.pool_loads(now())),
-        PeerRequest::Submit(..)
+        PeerRequest::Status(..)
+        | PeerRequest::Submit(..)
         | PeerRequest::Cancel(..)
         | PeerRequest::TakeOver(..)
         | PeerRequest::HasEnded(..) => PeerResponse::NotOwner,
@@ -162,6 +172,7 @@
         | PeerRequest::LongRunning(cell)
         | PeerRequest::Waiting(cell, _)
         | PeerRequest::Load(cell)
+        | PeerRequest::Status(cell)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
         PeerRequest::Submit(..) | PeerRequest::Cancel(..) => None,
