--- a/crates/nutmegcart/tests/manage.rs
+++ b/crates/nutmegcart/tests/manage.rs
@@ -9,6 +9,7 @@
 use std::process::Output;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::thread::panicking;
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
 const HOST: &str = "counts.example";
 const PREFIX: &str = "/gates/";
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time after which buffered log lines have been written.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(400);
 
 /// Number of settings files written so far, for unique names.
 static SETTINGS_FILES: AtomicUsize = AtomicUsize::new(0);
@@ -39,6 +42,11 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        if panicking() {
+            sleep(LOG_FLUSH_TIME);
+            let log = fs::read_to_string(self.file.with_extension("log"));
+            eprintln!("{}", log.unwrap_or_default());
+        }
         // Fails if the process has exited already.
         let _ = self.child.kill();
         let _ = self.child.wait();
