--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -15,11 +15,13 @@
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
+//! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
 pub mod candidate;
+pub mod cell_status;
 pub mod clock;
 mod earlier_owners;
 mod generated;
