Count failed runs of two owners with the same number separately

Cause: a successor numbers the runs of inherited jobs from 17 unless the store holds a higher number, and the store holds none for a run that was under way. If the worker of that run and its owner fell silent together, the next owner gave its own run the same number, and the ends of both counted as one failed attempt, so the task started once more than its queue allows. Change: failed runs are identified by worker and run number (failed_runs). The stored form stays a list of numbers, so earlier versions read it; an end that is not yet acknowledged while the version of the owner changes to an earlier one counts twice there. The test failing_job_ends_beside_a_long_running_one prints what the runner saw when it fails.

--- a/crates/nutmegcart/tests/manage.rs
+++ b/crates/nutmegcart/tests/manage.rs
@@ -295,7 +295,12 @@
     process.wait_for_state(long_running, "running");
     let starts = runner.starts();
     let runs = |id: &str| starts.iter().filter(|(task, _)| &*task.job == id).count();
-    assert_eq!((runs(failing), runs(long_running)), (2, 1));
+    let occurrences = runner.take_occurrences();
+    assert_eq!(
+        (runs(failing), runs(long_running)),
+        (2, 1),
+        "{occurrences:#?}"
+    );
 }
 
 /// Guards against long-running tasks that wait for ever after a job has failed on the only runner.
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/failed_runs.rs
@@ -0,0 +1,67 @@
+//! Failed runs of a task.
+//!
+//! Load pattern: a worker with a failed run falls silent together with the owner of its cell. The
+//! successor does not know the run, so its own first run has the same number. Once the worker is
+//! back, both runs have failed, and count as two attempts. A report that the worker repeats to a
+//! successor counts once.
+
+use nutmegcart_model::WorkerId;
+use nutmegcart_model::rendezvous;
+
+/// Bit that distinguishes identities from the plain run numbers that earlier versions stored.
+const IDENTITY: u32 = 1 << 31;
+
+/// Distinct failed runs of a task.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FailedRuns(Vec<u32>);
+
+impl FailedRuns {
+    /// Restores the runs from their stored form.
+    #[must_use]
+    pub const fn restore(stored: Vec<u32>) -> Self {
+        Self(stored)
+    }
+
+    /// Returns the stored form of the runs.
+    #[must_use]
+    pub fn stored(&self) -> Vec<u32> {
+        self.0.clone()
+    }
+
+    /// Adds a run, unless it is known.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::failed_runs::FailedRuns;
+    /// let mut failed = FailedRuns::default();
+    /// failed.record(&"i-1".into(), 17);
+    /// failed.record(&"i-2".into(), 17);
+    /// failed.record(&"i-1".into(), 17);
+    /// assert_eq!(failed.count(), 2);
+    /// ```
+    pub fn record(&mut self, worker: &WorkerId, run: u32) {
+        let identity = identity(worker, run);
+        if !self.0.contains(&identity) && !self.0.contains(&run) {
+            self.0.push(identity);
+        }
+    }
+
+    /// Returns whether no run has failed.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns the number of runs.
+    #[must_use]
+    pub const fn count(&self) -> usize {
+        self.0.len()
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the lower half of the hash"
+)]
+fn identity(worker: &WorkerId, run: u32) -> u32 {
+    rendezvous::weight(worker.as_bytes(), &run.to_le_bytes()) as u32 | IDENTITY
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod action;
 pub mod burst_forecast;
 pub mod estimate;
+pub mod failed_runs;
 pub mod flush;
 mod incarnations;
 pub mod job;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -10,6 +10,7 @@
 use nutmegcart_platform::Revision;
 
 use crate::estimate::Estimates;
+use crate::failed_runs::FailedRuns;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::Step;
@@ -24,8 +25,8 @@
 pub struct LiveTask {
     /// Whether a run of the task has finished.
     pub done: bool,
-    /// Numbers of the failed runs.
-    pub failed_runs: Vec<u32>,
+    /// Failed runs.
+    pub failed_runs: FailedRuns,
     /// Highest run number used.
     pub last_run: u32,
     /// Number of runs that may be live.
@@ -239,7 +240,7 @@
                             index,
                         },
                         done: task.done,
-                        failed: task.failed_runs.clone(),
+                        failed: task.failed_runs.stored(),
                         run: task.last_run,
                         checkpoint: task.checkpoint.clone(),
                     });
@@ -256,7 +257,7 @@
             self.finish(&progress.task);
         }
         if let Some(task) = self.task(&progress.task) {
-            task.failed_runs.clone_from(&progress.failed);
+            task.failed_runs = FailedRuns::restore(progress.failed.clone());
             task.last_run = task.last_run.max(progress.run + run_gap);
             task.checkpoint.clone_from(&progress.checkpoint);
             task.started = true;
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -131,7 +131,7 @@
     pub task: TaskKey,
     /// Whether it has finished.
     pub done: bool,
-    /// Numbers of the failed runs.
+    /// Failed runs, in the form of [`crate::failed_runs::FailedRuns::stored`].
     pub failed: Vec<u32>,
     /// Highest run number used.
     pub run: u32,
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -452,11 +452,9 @@
         let Some(task) = job.task(&end.task) else {
             return;
         };
-        if !task.failed_runs.contains(&end.run) {
-            task.failed_runs.push(end.run);
-        }
+        task.failed_runs.record(id, end.run);
         task.avoid = Some(id.clone());
-        if !long_running && !task.done && task.failed_runs.len() >= attempts {
+        if !long_running && !task.done && task.failed_runs.count() >= attempts {
             self.fail_job(&end.task.job, now);
         }
     }
