Move the release of cells to a file of its own

The code is unchanged except for its place; release_cells is no longer public, because only the shutdown of the process uses it.

--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod port;
 pub mod prefix_watcher;
 pub mod process;
+mod release;
 pub mod routing;
 mod shared_keys;
 mod status;
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -10,12 +10,12 @@
 use crate::job_service::JobService;
 use crate::logger;
 use crate::node::Node;
-use crate::owner;
 use crate::ownership;
 use crate::peer;
 use crate::port::OperatorRecord;
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
+use crate::release;
 
 /// Time after SIGTERM for which new connections may still arrive. The load balancer removes an
 /// instance after two failed probes, one second apart.
@@ -93,7 +93,7 @@
         active = node.active_requests.get()
     );
     node.draining.set(true);
-    owner::release_cells(node).await;
+    release::release_cells(node).await;
     logger::flush();
     let end = start + node.reloadable.get().grace.saturating_sub(EXIT_MARGIN);
     let drained_at = start + NEW_CONNECTION_PERIOD.min(node.reloadable.get().grace / 2);
