Measure the age of a view from the earliest time of the store's answer

Cause: a watcher took the time at which it handled an answer for the time of its view. In a process that was paused, or short of processor time, an answer may have waited for seconds, and the instance then answered callers by a configuration that had been replaced meanwhile, until the next watch was answered. A failed call kept the configuration in force for as long as it was the latest one, also if the process was paused after it or had only noticed its timeout late. And an owner started tasks by a configuration that it had read late. Change: a view dates from the sending of the call, or from the end of the wait of a watch without changes; a failure counts for 2.5 s like a read. The watch after changes waits 0.3 s and the one after a failure not at all, so that these earliest times stay younger than the limit in calm times and in outages. Placement passes need a current configuration too. The tests in view_age.rs keep their assertions on the new type ViewTimes.

--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -113,7 +113,7 @@
         waited_ms: waited(job.since),
     };
     CellStatus {
-        age_ms: waited(owned.state.viewed_at.get()),
+        age_ms: waited(owned.state.view.get().read_at.unwrap_or_default()),
         waiting_jobs: count(scheduler.waiting_total()),
         waiting_tasks: count(pools.iter().map(|pool| pool.total).sum()),
         longest: longest.map(|(pool, task)| LongestWait {
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -39,7 +39,7 @@
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
-use crate::view_age::is_view_current;
+use crate::view_age::ViewTimes;
 
 /// Result of a question that may be refused; the error is the code of the refusal.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -107,8 +107,8 @@
     pub loaded: Cell<bool>,
     /// Whether the owner is shutting down and sends no more orders.
     pub shutting_down: Cell<bool>,
-    /// Time at which the latest changes of the cell's keys were read.
-    pub viewed_at: Cell<Duration>,
+    /// When the cell's keys were last read.
+    pub view: Cell<ViewTimes>,
     /// Time at which ownership began.
     pub since: Cell<Duration>,
     /// Revision of the stored scheduler state; 0 if none is stored.
@@ -305,10 +305,8 @@
     pub cells: RefCell<Option<Rc<Cells>>>,
     /// Configuration in force, once one is known.
     pub configuration: RefCell<Option<Rc<PlatformConfig>>>,
-    /// Time at which operators' records were last read; `None` before the first time.
-    pub records_read: Cell<Option<Duration>>,
-    /// Whether the latest call for operators' records failed.
-    pub records_fail: Cell<bool>,
+    /// When operators' records were last read.
+    pub records_view: Cell<ViewTimes>,
     /// Whether requests are refused because the configuration is read late.
     config_late: Cell<bool>,
     /// Routes of the configuration in force.
@@ -358,8 +356,7 @@
             incarnation,
             cells: RefCell::new(None),
             configuration: RefCell::new(None),
-            records_read: Cell::new(None),
-            records_fail: Cell::new(false),
+            records_view: Cell::default(),
             config_late: Cell::new(false),
             routing: RefCell::new(Rc::default()),
             waves: RefCell::new(Vec::new()),
@@ -502,8 +499,9 @@
     pub fn current_configuration(&self, at: Duration) -> Result<Rc<PlatformConfig>> {
         let configuration = self.configuration.borrow().clone();
         let configuration = configuration.ok_or(Code::NoConfiguration)?;
-        let late = self.records_read.get().is_some_and(|read| {
-            let current = is_view_current(read, self.records_fail.get(), at);
+        let view = self.records_view.get();
+        let late = view.read_at.is_some_and(|read| {
+            let current = view.is_current(at);
             if self.config_late.replace(!current) == current {
                 let age = at.saturating_sub(read).as_millis();
                 log_event!(Event::ConfigViewAge, late = !current, age_ms = age);
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -30,7 +30,6 @@
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
 use crate::status;
-use crate::view_age::is_view_current;
 use crate::waves;
 use crate::writer;
 
@@ -82,9 +81,7 @@
     while !owned.has_ended() {
         let changes = watcher.next(&node.platform.store).await;
         node.record_store_call(watcher.reachable);
-        if let Some(read) = watcher.last_success {
-            owned.state.viewed_at.set(read);
-        }
+        owned.state.view.set(watcher.view);
         // The owner's key and the jobs share one prefix, so their changes arrive in order of
         // revision: a change of the owner is seen before any job that was written after it.
         for each in &changes {
@@ -359,8 +356,10 @@
         if !owned.state.loaded.get() || !owned.may_act_at(node.owner_validity(), at) {
             continue;
         }
-        let store_fails = node.failing_since.get().is_some();
-        if !is_view_current(owned.state.viewed_at.get(), store_fails, at) {
+        // Tasks run in the pool that the configuration names.
+        let late =
+            !owned.state.view.get().is_current(at) || node.current_configuration(at).is_err();
+        if late {
             node.metrics.retries.with_label_values(&["view_late"]).inc();
             continue;
         }
--- a/crates/nutmegcart_control/src/prefix_watcher.rs
+++ b/crates/nutmegcart_control/src/prefix_watcher.rs
@@ -13,10 +13,14 @@
 use crate::clock::now;
 use crate::port::KeyStore;
 use crate::port::WatchEvent;
+use crate::view_age::ViewTimes;
 
 /// Longest wait of one watch. A dead connection is detected when a watch exceeds this time, so it
 /// bounds the delay of a change. A configuration must take effect within two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait of the watch after one that reported changes. The time at which those were read is
+/// only known to be after the watch was sent.
+const FOLLOW_UP_WAIT: Duration = Duration::from_millis(300);
 /// Delay after the first failed call; it doubles with each further failure.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Upper bound of the delay. Time limits that apply after an outage count from the return of the
@@ -44,8 +48,10 @@
     failing_since: Option<Duration>,
     /// Delay after a watch that reported changes, so that the next call covers further ones.
     pub batch_delay: Duration,
-    /// Time of the latest successful call.
-    pub last_success: Option<Duration>,
+    /// Longest wait of the next watch.
+    watch_wait: Duration,
+    /// When the store answered and failed.
+    pub view: ViewTimes,
     /// Whether the latest call succeeded.
     pub reachable: bool,
 }
@@ -61,21 +67,33 @@
             retry_delay: FIRST_RETRY_DELAY,
             failing_since: None,
             batch_delay: Duration::ZERO,
-            last_success: None,
+            watch_wait: WATCH_WAIT,
+            view: ViewTimes::default(),
             reachable: false,
         }
     }
 
     /// Makes the next call and returns its changes. A failed call returns none, after a delay.
     pub async fn next(&mut self, store: &KeyStore) -> Vec<KeyChange> {
+        let sent = now();
+        let waited = self.revision.map_or(Duration::ZERO, |_| self.watch_wait);
         let result = match self.revision {
             None => self.read(store).await,
             Some(revision) => self.watch(store, revision).await,
         };
+        // The process may have been paused since the store answered, so the times are the earliest
+        // ones possible. A watch without changes is answered at the end of its wait.
+        let waited_until = now().min(sent + waited);
         match result {
             Ok(changes) => {
                 self.retry_delay = FIRST_RETRY_DELAY;
-                self.last_success = Some(now());
+                let unchanged = changes.is_empty();
+                self.view.read_at = Some(if unchanged { waited_until } else { sent });
+                self.watch_wait = if unchanged {
+                    WATCH_WAIT
+                } else {
+                    FOLLOW_UP_WAIT
+                };
                 self.reachable = true;
                 if let Some(since) = self.failing_since.take() {
                     let silent = now().saturating_sub(since).as_millis();
@@ -97,6 +115,9 @@
             }
             Err(error) => {
                 self.reachable = false;
+                let lost = matches!(error, StoreError::AnswerLost { .. });
+                self.view.failed_at = Some(if lost { waited_until } else { sent });
+                self.watch_wait = Duration::ZERO;
                 if self.failing_since.is_none() {
                     self.failing_since = Some(now());
                     log_event!(
@@ -146,7 +167,7 @@
         store: &KeyStore,
         revision: Revision,
     ) -> crate::port::StoreResult<Vec<KeyChange>> {
-        let reply = (store.watch)(self.prefix.clone(), revision, WATCH_WAIT).await?;
+        let reply = (store.watch)(self.prefix.clone(), revision, self.watch_wait).await?;
         let mut changes = Vec::new();
         for event in reply.events {
             match event {
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -78,8 +78,7 @@
                 Err(reason) => log_event!(Event::ConfigInvalid, key = item.key, reason = reason),
             }
         }
-        node.records_read.set(watcher.last_success);
-        node.records_fail.set(!watcher.reachable);
+        node.records_view.set(watcher.view);
     }
 }
 
--- a/crates/nutmegcart_control/src/view_age.rs
+++ b/crates/nutmegcart_control/src/view_age.rs
@@ -9,19 +9,38 @@
 /// 1.2 s, and one that is not answered fails 0.9 s later.
 const MAX_VIEW_AGE: Duration = Duration::from_millis(2_500);
 
-/// Returns whether a view of the store that was read at `viewed_at` may be used at `at`.
+/// Times of an instance's latest calls for a part of the store.
 ///
-/// While the store fails, nobody has a later view, and other limits decide.
-///
-/// ```
-/// # use std::time::Duration;
-/// # use nutmegcart_control::view_age::is_view_current;
-/// let second = Duration::from_secs(1);
-/// assert!(is_view_current(second, false, second * 3));
-/// assert!(!is_view_current(second, false, second * 5));
-/// assert!(is_view_current(second, true, second * 5));
-/// ```
-#[must_use]
-pub fn is_view_current(viewed_at: Duration, store_fails: bool, at: Duration) -> bool {
-    store_fails || at <= viewed_at + MAX_VIEW_AGE
+/// A call that was answered while the process was paused is processed later, so both are the earliest
+/// times that are possible.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ViewTimes {
+    /// When the latest successful call was answered.
+    pub read_at: Option<Duration>,
+    /// When the latest failed call failed.
+    pub failed_at: Option<Duration>,
+}
+
+impl ViewTimes {
+    /// Returns whether the view may be used at `at`.
+    ///
+    /// While the store fails, nobody has a later view, and other limits decide. A failure counts no
+    /// longer than a read: the store may answer again while the process is paused.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use nutmegcart_control::view_age::ViewTimes;
+    /// let second = Duration::from_secs(1);
+    /// let mut view = ViewTimes { read_at: Some(second), ..ViewTimes::default() };
+    /// assert!(view.is_current(second * 3));
+    /// assert!(!view.is_current(second * 5));
+    /// view.failed_at = Some(second * 4);
+    /// assert!(view.is_current(second * 5));
+    /// assert!(!view.is_current(second * 7));
+    /// ```
+    #[must_use]
+    pub fn is_current(&self, at: Duration) -> bool {
+        let latest = self.read_at.max(self.failed_at);
+        latest.is_some_and(|latest| at <= latest + MAX_VIEW_AGE)
+    }
 }
--- a/crates/nutmegcart_control/tests/view_age.rs
+++ b/crates/nutmegcart_control/tests/view_age.rs
@@ -17,14 +17,22 @@
 use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::PlatformConfig;
-use nutmegcart_control::view_age::is_view_current;
+use nutmegcart_control::view_age::ViewTimes;
 use nutmegcart_jobs::layout::CellLayout;
 use nutmegcart_model::Code;
 
 mod support;
 
+/// Returns the times of a view that was read, and of a call that failed.
+const fn view(read: Duration, failed_at: Option<Duration>) -> ViewTimes {
+    ViewTimes {
+        read_at: Some(read),
+        failed_at,
+    }
+}
+
 /// Returns an instance with a configuration that it has read at the given time.
-fn node(read: Option<Duration>) -> Rc<Node> {
+fn node(read: Duration) -> Rc<Node> {
     let settings = NodeSettings {
         name: "entry-1".into(),
         peer: "127.0.0.1:1".parse().expect("an address"),
@@ -45,7 +53,7 @@
             idle_timeout: Duration::from_mins(1),
         },
     });
-    node.records_read.set(read);
+    node.records_view.set(view(read, None));
     node
 }
 
@@ -73,12 +81,12 @@
     let read = Duration::from_secs(100);
     for millis in [0, 1_200, 2_500] {
         let at = read + Duration::from_millis(millis);
-        assert!(is_view_current(read, false, at), "{millis} ms");
+        assert!(view(read, None).is_current(at), "{millis} ms");
     }
     // Cancellations must take effect within three seconds on the strictest deployment.
     for millis in [2_501, 3_000, 5_000] {
         let at = read + Duration::from_millis(millis);
-        assert!(!is_view_current(read, false, at), "{millis} ms");
+        assert!(!view(read, None).is_current(at), "{millis} ms");
     }
 }
 
@@ -87,7 +95,23 @@
 #[test]
 fn outage_of_the_store_does_not_make_a_view_late() {
     let read = Duration::from_secs(100);
-    assert!(is_view_current(read, true, read + Duration::from_secs(5)));
+    let at = read + Duration::from_secs(5);
+    assert!(view(read, Some(at)).is_current(at));
+    let later = at + Duration::from_millis(2_200);
+    assert!(
+        view(read, Some(at)).is_current(later),
+        "the next failed call is under way"
+    );
+}
+
+/// Guards against an outage that counts as lasting after the process was paused in it, so that its view
+/// of what has changed since counts as current.
+#[test]
+fn failure_before_a_pause_does_not_keep_a_view_current() {
+    let failed = Duration::from_secs(100);
+    let view = view(failed.saturating_sub(Duration::from_secs(1)), Some(failed));
+    assert!(view.is_current(failed + Duration::from_millis(2_500)));
+    assert!(!view.is_current(failed + Duration::from_millis(2_501)));
 }
 
 /// Guards against answers by a configuration that was replaced while the instance was paused, or
@@ -95,11 +119,12 @@
 #[test]
 fn instance_that_reads_the_configuration_late_refuses_requests() {
     let read = Duration::from_secs(100);
-    let node = node(Some(read));
+    let node = node(read);
     let answer = |millis| node.current_configuration(read + Duration::from_millis(millis));
     assert!(answer(2_500).is_ok());
     assert_eq!(answer(2_501), Err(Code::ConfigurationLate));
-    node.records_read.set(Some(read + Duration::from_secs(5)));
+    node.records_view
+        .set(view(read + Duration::from_secs(5), None));
     assert!(answer(5_000).is_ok());
 }
 
@@ -107,28 +132,28 @@
 #[test]
 fn outage_of_the_store_does_not_make_a_configuration_late() {
     let read = Duration::from_secs(100);
-    let node = node(Some(read));
-    node.records_fail.set(true);
+    let node = node(read);
     let at = read + Duration::from_mins(1);
+    node.records_view.set(view(read, Some(at)));
     assert!(node.current_configuration(at).is_ok());
 }
 
 /// Guards against "no such queue" from an instance that may not have read the queue yet.
 #[test]
 fn caller_of_a_late_instance_is_told_to_retry() {
-    let late = node(Some(now().saturating_sub(Duration::from_secs(3))));
+    let late = node(now().saturating_sub(Duration::from_secs(3)));
     assert_eq!(ask(&late), (503, Some("1".into())));
-    let current = node(Some(now()));
+    let current = node(now());
     assert_eq!(ask(&current), (404, None));
 }
 
 /// Guards against new callers at an instance that would refuse them.
 #[test]
 fn late_instance_is_not_ready() {
-    let node = node(Some(now()));
+    let node = node(now());
     node.record_store_call(true);
     assert!(node.is_ready());
-    node.records_read
-        .set(Some(now().saturating_sub(Duration::from_secs(3))));
+    let read = now().saturating_sub(Duration::from_secs(3));
+    node.records_view.set(view(read, None));
     assert!(!node.is_ready());
 }
