Wait 0.1 s instead of 0.3 s in the watch after changes

A view with changes that the store reported at the end of a wait of 1.2 s reached the age of 1.5 s before the next one; with a slow processor the limit of 2.5 s was near. It now reaches 1.3 s.

--- a/crates/nutmegcart_control/src/prefix_watcher.rs
+++ b/crates/nutmegcart_control/src/prefix_watcher.rs
@@ -20,7 +20,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
 /// Longest wait of the watch after one that reported changes. The time at which those were read is
 /// only known to be after the watch was sent.
-const FOLLOW_UP_WAIT: Duration = Duration::from_millis(300);
+const FOLLOW_UP_WAIT: Duration = Duration::from_millis(100);
 /// Delay after the first failed call; it doubles with each further failure.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Upper bound of the delay. Time limits that apply after an outage count from the return of the
--- a/crates/nutmegcart_control/tests/prefix_watcher.rs
+++ b/crates/nutmegcart_control/tests/prefix_watcher.rs
@@ -122,7 +122,7 @@
 /// late.
 #[test]
 fn late_answer_does_not_make_a_view_later() {
-    assert_eq!(waits_of(&[Answer::Unchanged]), [300]);
+    assert_eq!(waits_of(&[Answer::Unchanged]), [100]);
 }
 
 /// Guards against a view that counts as later than the store's answer with changes, and against one of
@@ -130,7 +130,7 @@
 #[test]
 fn watch_after_changes_waits_less() {
     let answers = [Answer::Unchanged, Answer::Changed, Answer::Unchanged];
-    assert_eq!(waits_of(&answers), [300, 1_200, 300]);
+    assert_eq!(waits_of(&answers), [100, 1_200, 100]);
 }
 
 /// Guards against a failure that counts as later than it was, and against an outage whose end is
@@ -138,5 +138,5 @@
 #[test]
 fn watch_after_a_failure_does_not_wait() {
     let answers = [Answer::Lost, Answer::Refused, Answer::Unchanged];
-    assert_eq!(waits_of(&answers), [300, 0, 0]);
+    assert_eq!(waits_of(&answers), [100, 0, 0]);
 }
