Store the end of an ownership that never begins

Cause: an instance whose acquisition or handoff was answered while it shut down only revoked the lease. It stayed in the log of the cell's owners, so a successor had to ask its process, which may be gone, and then waited 6 s for it. Change: it gives up the key and leaves the log in one transaction, as an owner does that shuts down (release::abandon). Tests: instance_that_shuts_down_releases_a_handed_over_cell and instance_that_shuts_down_does_not_become_the_owner assert in addition that the stored log names no owner, and failed before with the instance as its writer.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -11,7 +11,6 @@
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::Revision;
-use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 
 use crate::clock::now;
@@ -22,19 +21,17 @@
 use crate::owner_history::ActingEnd;
 use crate::owner_history::SeenOwner;
 use crate::owner_log::LoggedOwner;
+use crate::owner_log::OwnerLog;
 use crate::ownership::owner_record;
 use crate::peer;
 use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
-use crate::port::StoreResult;
 
 /// Interval at which earlier owners are asked again.
 const QUESTION_PERIOD: Duration = Duration::from_millis(250);
 /// Timeout of one question; the answer comes from memory.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// Delay between two attempts to store the end of an ownership.
-const END_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay after a failed write of the log.
 const LOG_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -126,31 +123,14 @@
     }
 }
 
-/// Gives up the key of an ownership that has ended, and stores with it that this owner acts no more,
-/// so that a successor need not ask a process which may be gone by then.
-///
-/// Calls that are still under way carry lease ends which were set before the ownership ended, as in
-/// [`answer`].
-pub(crate) async fn store_end(node: &Rc<Node>, owned: &Rc<OwnedCell>) -> StoreResult<()> {
+/// Returns the log of an ownership that ends, without the owners that can no longer act.
+pub(crate) fn final_log(node: &Node, owned: &OwnedCell) -> OwnerLog {
     let validity = node.owner_validity();
-    let (cell, fence) = (owned.view.number, owned.fence);
-    let mut log = node
-        .owner_history
-        .borrow()
-        .settle(&owned.log, (cell, fence), validity, now());
+    let cell = (owned.view.number, owned.fence);
+    let history = node.owner_history.borrow();
+    let mut log = history.settle(&owned.log, cell, validity, now());
     log.complete &= owned.log.complete || now() >= owned.state.since.get() + validity;
-    let txn = log.release(cell, Revision::try_from(fence).unwrap_or_default());
-    loop {
-        match (node.platform.store.txn)(txn.clone()).await {
-            Err(StoreError::AnswerLost { reason }) => {
-                log::debug!("end of ownership {fence} of cell {cell} not confirmed: {reason}");
-            }
-            // If the conditions do not hold, an attempt whose answer was lost was made, or the lease
-            // has ended.
-            other => return other.map(drop),
-        }
-        tokio::time::sleep(END_RETRY_DELAY).await;
-    }
+    log
 }
 
 /// Returns the earlier owners that could still act and have not confirmed their end.
--- a/crates/nutmegcart_control/src/handoff.rs
+++ b/crates/nutmegcart_control/src/handoff.rs
@@ -25,6 +25,7 @@
 use crate::peer;
 use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
+use crate::release;
 
 /// Interval at which an owner checks whether the store fails for this instance.
 const STORE_CHECK_PERIOD: Duration = Duration::from_millis(100);
@@ -92,7 +93,7 @@
         if let Some(acquired) = &acquired
             && node.is_draining()
         {
-            revoke_lease(&node, acquired.lease).await;
+            release::abandon(&node, cell, acquired).await;
             return false;
         }
         let taken = acquired.is_some();
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -32,6 +32,7 @@
 use crate::owner;
 use crate::owner_log;
 use crate::owner_log::Acquisition;
+use crate::release;
 use crate::shared_keys;
 
 /// Renewals sent within the duration of one lease.
@@ -57,7 +58,7 @@
         let handed_over = view.handoff.take();
         if node.is_draining() {
             if let Some(acquired) = handed_over {
-                revoke_lease(&node, acquired.lease).await;
+                release::abandon(&node, view.number, &acquired).await;
             }
             return;
         }
@@ -84,7 +85,9 @@
         drop(acquiring);
         match acquired {
             // The shutdown may have begun, and has released the other cells.
-            Ok(Some(acquired)) if node.is_draining() => revoke_lease(&node, acquired.lease).await,
+            Ok(Some(acquired)) if node.is_draining() => {
+                release::abandon(&node, view.number, &acquired).await;
+            }
             Ok(Some(acquired)) => run_owner(&node, &view, acquired).await,
             Ok(None) => tokio::time::sleep(RETRY_DELAY).await,
             Err(error) => {
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -10,10 +10,12 @@
 use nutmegcart_control::candidate::accepts_handoff;
 use nutmegcart_control::candidate::may_acquire;
 use nutmegcart_control::handoff::accept_handoff;
+use nutmegcart_control::keys;
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
 use nutmegcart_control::node::ReloadableSettings;
+use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::ownership;
 use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::KeyStore;
@@ -22,6 +24,7 @@
 use nutmegcart_control::port::RangeReply;
 use nutmegcart_jobs::layout::CELL_SIZE;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::record::decode;
 use nutmegcart_platform::MemoryStore;
 use nutmegcart_platform::Store;
 use nutmegcart_platform::StoreError;
@@ -253,6 +256,16 @@
     node.held_cells() == 0 && found.entries.is_empty()
 }
 
+/// Panics if the stored log of cell 0 names an owner, whose process a successor would have to ask.
+fn assert_not_logged(store: &Store) {
+    let key = keys::owner_log(0);
+    let found = store.range(&key).expect("answered");
+    let item = found.get(&key).expect("the log is stored");
+    let log: OwnerLog = decode(&item.value).expect("valid");
+    assert_eq!(log.writer, None);
+    assert_eq!(log.earlier, []);
+}
+
 /// Guards against a cell that was handed to an instance which shuts down, and has no owner until the
 /// lease ends.
 #[test]
@@ -272,6 +285,7 @@
     let (taken, ()) = LocalSet::new().block_on(&runtime.expect("the runtime starts"), both);
     assert!(!taken);
     assert!(is_released(&node, &store));
+    assert_not_logged(&store);
 }
 
 /// Guards against an instance that becomes the owner of a cell after it has released all others.
@@ -299,4 +313,5 @@
     };
     LocalSet::new().block_on(&runtime.expect("the runtime starts"), both);
     assert!(is_released(&node, &store));
+    assert_not_logged(&store);
 }
