--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -1,5 +1,5 @@
-//! Tasks of the owner of a cell: reading the cell, polling workers, running placement passes,
-//! sending orders and releasing the cell.
+//! Tasks of the owner of a cell: reading the cell, polling workers, running placement passes and
+//! sending orders.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,10 +30,8 @@
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
 use crate::status;
-use crate::view_age::is_view_current;
 use crate::waves;
 use crate::writer;
-use crate::writer::STORE_RETRY_DELAY;
 
 /// Interval at which the scheduler's clock is advanced.
 pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(50);
@@ -83,9 +81,7 @@
     while !owned.has_ended() {
         let changes = watcher.next(&node.platform.store).await;
         node.record_store_call(watcher.reachable);
-        if let Some(read) = watcher.last_success {
-            owned.state.viewed_at.set(read);
-        }
+        owned.state.view.set(watcher.view);
         // The owner's key and the jobs share one prefix, so their changes arrive in order of
         // revision: a change of the owner is seen before any job that was written after it.
         for each in &changes {
@@ -360,8 +356,10 @@
         if !owned.state.loaded.get() || !owned.may_act_at(node.owner_validity(), at) {
             continue;
         }
-        let store_fails = node.failing_since.get().is_some();
-        if !is_view_current(owned.state.viewed_at.get(), store_fails, at) {
+        // Tasks run in the pool that the configuration names.
+        let late =
+            !owned.state.view.get().is_current(at) || node.current_configuration(at).is_err();
+        if late {
             node.metrics.retries.with_label_values(&["view_late"]).inc();
             continue;
         }
@@ -551,38 +549,3 @@
         .await;
     }
 }
-
-/// Releases all cells at shutdown: stops sending orders, lets the last state be stored and revokes
-/// the leases, which deletes the owner's keys.
-pub async fn release_cells(node: &Rc<Node>) {
-    let owned = node.owned_cells();
-    if owned.is_empty() {
-        return;
-    }
-    for each in &owned {
-        each.state.shutting_down.set(true);
-    }
-    // Orders and a transaction in progress complete first, so that the next owner finds their
-    // results.
-    tokio::time::sleep(STORE_RETRY_DELAY).await;
-    for each in owned {
-        each.end_ownership("shutdown");
-        release(node, &each).await;
-        let released = node
-            .metrics
-            .ownership_changes
-            .with_label_values(&["released"]);
-        released.inc();
-        log_event!(
-            Event::CellReleased,
-            cell = each.view.number,
-            fence = each.fence
-        );
-    }
-}
-
-async fn release(node: &Rc<Node>, owned: &Rc<OwnedCell>) {
-    if let Err(error) = (node.platform.store.revoke_lease)(owned.lease).await {
-        log::info!("lease {} not revoked, it will expire: {error}", owned.lease);
-    }
-}
