Wait for workers of every pool that a moved queue has had

A successor waits for silent workers of the job's pool only, and took the queue's pool at acceptance and in the latest configuration for the only ones.

The owner now remembers that a job's pool has changed, stores its queue in the state of the cell before a task of such a job is started, and a successor waits for all silent workers of the cell with inherited jobs of these queues.

--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -538,6 +538,7 @@
             let mut scheduler = owned.scheduler.borrow_mut();
             scheduler.configure(&configuration.queues, &configuration.pools);
             owned.pass_wanted.notify_one();
+            owned.write_wanted.notify_one();
         }
         *self.configuration.borrow_mut() = Some(configuration);
     }
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -4,6 +4,7 @@
 //! acknowledged only after a successor could read it from the store, either in the final state of
 //! its job or in the progress record of the cell.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
@@ -16,6 +17,7 @@
 use nutmegcart_platform::Revision;
 
 use crate::job::JobId;
+use crate::job::QueueKey;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::record::CellRecord;
@@ -120,6 +122,8 @@
     jobs_with_ends: HashSet<JobId>,
     /// Machines for which orders may be sent once the cell state is stored.
     ordered_machines: Vec<Arc<str>>,
+    /// Moved queues that the cell state names.
+    moved_queues: BTreeSet<QueueKey>,
 }
 
 impl FlushQueue {
@@ -210,8 +214,8 @@
     }
 
     /// Returns whether the cell state has to be stored: a worker waits to be enrolled or need not be
-    /// any more, an end has reached [`MAX_END_AGE`], or maintenance progress or ordered machines have
-    /// changed.
+    /// any more, an end has reached [`MAX_END_AGE`], or maintenance progress, ordered machines or moved
+    /// queues have changed.
     fn cell_state_due(&self, now: Duration) -> bool {
         let mut workers = self.workers.values();
         workers.any(|worker| worker.may_enrol() && !worker.enrolled)
@@ -219,6 +223,7 @@
             || self.maintenance.unsaved
             || self.has_unstored_orders()
             || self.stored_orders_stale(now)
+            || self.moved_queues() != self.stored_moves
             || self.workers.values().any(|worker| {
                 let oldest = worker.pending_ends.front();
                 oldest.is_some_and(|end| now >= end.seen_at + MAX_END_AGE)
@@ -232,6 +237,8 @@
             ordered_machines: self.recently_ordered(now),
             ..CellRecord::default()
         };
+        in_flight.moved_queues = self.moved_queues();
+        record.moved_queues = in_flight.moved_queues.iter().cloned().collect();
         in_flight
             .ordered_machines
             .clone_from(&record.ordered_machines);
@@ -325,6 +332,7 @@
         if in_flight.covered_ends.is_some() {
             self.machines.stored.clone_from(&in_flight.ordered_machines);
             self.machines.stored_at = now;
+            self.stored_moves.clone_from(&in_flight.moved_queues);
         }
         for (id, incarnation) in &in_flight.enrolled {
             if let Some(worker) = self
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -204,11 +204,10 @@
     ///
     /// Tasks of a job whose queue was moved to another pool may run in any pool that it had.
     pub(crate) fn unreached_workers(&self, job: &LiveJob) -> impl Iterator<Item = &Worker> {
-        let moved = job.pool != job.accepted.queue.pool;
         let candidates = self
             .workers
             .values()
-            .filter(move |worker| moved || worker.listing.pool == job.pool);
+            .filter(move |worker| job.moved || worker.listing.pool == job.pool);
         candidates.filter(|worker| worker.is_unreached())
     }
 
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod live_job;
 pub mod machines;
 pub mod maintenance;
+mod moved_queues;
 pub mod orders;
 pub mod passing;
 mod placement;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -139,6 +139,8 @@
     pub accepted_at: Duration,
     /// Pool whose workers run its tasks.
     pub pool: PoolName,
+    /// Whether it may have tasks in another pool, to which its queue belonged.
+    pub moved: bool,
     /// Predicted duration of one task, by step.
     pub durations: Vec<Duration>,
     /// Predicted work of one occurrence in core-seconds.
@@ -184,6 +186,7 @@
         Self {
             id,
             pool: queue.pool.clone(),
+            moved: false,
             revision,
             accepted_at,
             durations,
@@ -201,6 +204,12 @@
         }
     }
 
+    /// Sets the pool to which its queue belongs.
+    pub(crate) fn set_pool(&mut self, pool: &PoolName) {
+        self.moved |= self.pool != *pool;
+        self.pool = pool.clone();
+    }
+
     /// Adds the occurrences that are due at `unix`, in milliseconds since 1970.
     pub fn spawn(&mut self, unix: u64, now: Duration) {
         let Some(schedule) = self.accepted.job.schedule else {
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -48,7 +48,8 @@
         let means = self.mean_work();
         let mut waiting: BTreeMap<PoolName, Vec<(Rank, JobId, u32)>> = BTreeMap::new();
         for job in self.jobs.values() {
-            if !job.has_pending() || job.passing || self.is_blocked(job) {
+            let held = job.passing || self.is_blocked(job) || self.has_unstored_move(job);
+            if held || !job.has_pending() {
                 continue;
             }
             let mean = means
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -12,6 +12,7 @@
 
 use crate::job::Job;
 use crate::job::Queue;
+use crate::job::QueueKey;
 use crate::job::TaskKey;
 
 /// Result of decoding a record.
@@ -154,6 +155,9 @@
     #[serde(default)]
     #[serde(rename = "commanded")]
     pub ordered_machines: Vec<Arc<str>>,
+    /// Queues whose open jobs may have tasks in pools other than that of their configuration.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub moved_queues: Vec<QueueKey>,
 }
 
 /// Encodes a record with [`SCHEMA`].
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -55,6 +55,8 @@
     pub(crate) earlier_end: Option<Duration>,
     pub(crate) queues: HashMap<QueueKey, Queue>,
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
+    /// Moved queues that the stored cell state names.
+    pub(crate) stored_moves: BTreeSet<QueueKey>,
     pub(crate) jobs: BTreeMap<JobId, LiveJob>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Latest incarnations that have certainly ended, whose entries may still be listed.
@@ -83,6 +85,7 @@
             earlier_end: None,
             queues: HashMap::new(),
             pools: BTreeMap::new(),
+            stored_moves: BTreeSet::new(),
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             ended_incarnations: HashMap::new(),
@@ -153,7 +156,7 @@
         self.pools = pools.iter().cloned().collect();
         for job in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
-                job.pool = queue.pool.clone();
+                job.set_pool(&queue.pool);
             }
         }
     }
@@ -180,6 +183,7 @@
             worker.inherited = true;
             self.workers.insert(enrolled.worker.clone(), worker);
         }
+        self.inherit_moved_queues(&record.moved_queues);
         for progress in &record.tasks {
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
@@ -243,8 +247,9 @@
         let mut job = LiveJob::new(id.clone(), accepted, revision, since, &self.estimates);
         job.inherited = inherited;
         if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
-            job.pool = queue.pool.clone();
+            job.set_pool(&queue.pool);
         }
+        job.moved |= inherited && self.stored_moves.contains(&job.accepted.queue.key);
         job.spawn(unix, now);
         if inherited {
             let steps = job
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -53,6 +53,9 @@
     /// It was started before, and this owner is no longer certainly the only one.
     #[display("ownership")]
     Ownership,
+    /// Its queue was moved to another pool, and the stored cell state does not tell so yet.
+    #[display("unstored")]
+    UnstoredMove,
     /// No worker of its pool is usable.
     #[display("unusable")]
     NoneUsable(Counts<Unusable>),
@@ -70,9 +73,10 @@
 
 impl WaitReason {
     /// Texts of all reasons, which are the values of a metric's label.
-    pub const LABELS: [&str; 6] = [
+    pub const LABELS: [&str; 7] = [
         "blocked",
         "ownership",
+        "unstored",
         "unusable",
         "gang",
         "rejected",
@@ -93,7 +97,7 @@
             Self::Blocked { worker, .. } => worker.to_string(),
             Self::NoneUsable(counts) => format_counts(counts),
             Self::NoneAdmits(counts) => format_counts(counts),
-            Self::Ownership | Self::Gang | Self::Startable => String::new(),
+            Self::Ownership | Self::UnstoredMove | Self::Gang | Self::Startable => String::new(),
         }
     }
 }
@@ -210,6 +214,9 @@
         if self.is_blocked(job) {
             return self.blocked(job);
         }
+        if self.has_unstored_move(job) {
+            return Some(WaitReason::UnstoredMove);
+        }
         if !task.may_start(self.is_exclusive(now)) {
             return Some(WaitReason::Ownership);
         }
