Ask the owners of all cells for a job while the store fails

An instance that does not reach the store refused a request for the state of a job that is not in the cell of its identifier (NC2102 until the deadline), although the owner of the job's cell knew it: only the store tells where such a job is, which concerns every job that has passed and most long-running ones of a fleet with several cells. A caller that moves to a data centre without the store was therefore not shown its jobs; it was never told that they do not exist.

--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -418,10 +418,12 @@
 }
 
 /// Returns the state of a job from the owner's memory, or from the store if the owner does not
-/// answer or does not know the job.
+/// answer or does not know the job. While the store fails for this instance, the owners of the other
+/// cells are asked too, since only the store tells where the job is.
 async fn show(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> CallerResponse {
     let mut view = cells.of_job(&id).clone();
     let mut moved = false;
+    let mut asked_others = false;
     loop {
         match peer::ask_owner(node, &PeerRequest::State(view.number, id.clone())).await {
             Ok(PeerResponse::State(Some(state))) => return CallerResponse::State(state),
@@ -434,6 +436,7 @@
                 log::debug!("owner did not return the state of job {id}: {error}");
             }
         }
+        let mut store_error = None;
         match read_from_store(node, &view, &id).await {
             Ok(Some(answer)) => return answer,
             Ok(None) if moved => return CallerResponse::NotFound,
@@ -443,15 +446,40 @@
                     view = other;
                 }
                 Ok(None) => return CallerResponse::NotFound,
-                Err(_) if now() + RETRY_DELAY < deadline => {}
-                Err(_) => return store_unavailable(),
+                Err(error) => store_error = Some(error),
             },
-            Err(_) if now() + RETRY_DELAY < deadline => {
-                tokio::time::sleep(RETRY_DELAY * 2).await;
-            }
-            Err(_) => return store_unavailable(),
+            Err(error) => store_error = Some(error),
+        }
+        let Some(error) = store_error else {
+            continue;
+        };
+        log::debug!("cannot read from the store where job {id} is: {error}");
+        if !std::mem::replace(&mut asked_others, true)
+            && let Some(state) = state_in_any_cell(node, cells, &id).await
+        {
+            return CallerResponse::State(state);
+        }
+        if now() + RETRY_DELAY >= deadline {
+            return store_unavailable();
+        }
+        tokio::time::sleep(RETRY_DELAY * 2).await;
+    }
+}
+
+/// Returns the state of a job if the owner of any cell knows it.
+async fn state_in_any_cell(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Option<JobState> {
+    let ask = |view: &Rc<CellView>| {
+        let (node, request) = (node.clone(), PeerRequest::State(view.number, id.clone()));
+        tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
+    };
+    let replies: Vec<_> = cells.views.iter().map(ask).collect();
+    let mut known = None;
+    for task in replies {
+        if let Ok(Ok(PeerResponse::State(Some(state)))) = task.await {
+            known = Some(state);
         }
     }
+    known
 }
 
 const fn store_unavailable() -> CallerResponse {
