Refuse requests about a job whose cell cannot be told

A note of a job's cell that cannot be decoded, or that names a cell beyond the layout, counted as no note: the caller was told that there is no such job (410), by a request for its state and by a cancellation, although the job is stored and may run.

--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -396,25 +396,36 @@
     cells.views[cell as usize].clone()
 }
 
-/// Returns the cell that holds a job, if it is not the one that the identifier determines.
-async fn relocated_cell(
-    node: &Rc<Node>,
-    cells: &Cells,
-    id: &JobId,
-) -> Result<Option<Rc<CellView>>, StoreError> {
+/// Where the store holds a job that the cell of its identifier does not hold.
+enum Location {
+    /// Nowhere: there is no such job.
+    Missing,
+    /// In another cell.
+    Relocated(Rc<CellView>),
+    /// In a cell that this instance cannot tell.
+    Unreadable,
+}
+
+/// Returns the location of a job that is not in the cell that its identifier determines.
+async fn location(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Result<Location, StoreError> {
     if cells.views.len() == 1 {
-        return Ok(None);
+        return Ok(Location::Missing);
     }
     let Some(item) = (node.platform.store.get)(keys::job_location(id)).await? else {
-        return Ok(None);
+        return Ok(Location::Missing);
     };
-    match decode::<u32>(&item.value) {
-        Ok(cell) => Ok(cells.views.get(cell as usize).cloned()),
-        Err(error) => {
-            log_event!(Event::JobRecordInvalid, key = item.key, reason = error);
-            Ok(None)
+    let cell = decode::<u32>(&item.value).map_err(|error| error.to_string());
+    let view = cell.and_then(|cell| {
+        let view = cells.views.get(cell as usize).cloned();
+        view.ok_or_else(|| format!("there is no cell {cell}"))
+    });
+    Ok(match view {
+        Ok(view) => Location::Relocated(view),
+        Err(reason) => {
+            log_event!(Event::JobRecordInvalid, key = item.key, reason = reason);
+            Location::Unreadable
         }
-    }
+    })
 }
 
 /// Returns the state of a job from the owner's memory, or from the store if the owner does not
@@ -440,12 +451,13 @@
         match read_from_store(node, &view, &id).await {
             Ok(Some(answer)) => return answer,
             Ok(None) if moved => return CallerResponse::NotFound,
-            Ok(None) => match relocated_cell(node, cells, &id).await {
-                Ok(Some(other)) => {
+            Ok(None) => match location(node, cells, &id).await {
+                Ok(Location::Relocated(other)) => {
                     moved = true;
                     view = other;
                 }
-                Ok(None) => return CallerResponse::NotFound,
+                Ok(Location::Missing) => return CallerResponse::NotFound,
+                Ok(Location::Unreadable) => return CallerResponse::refused(Code::JobUnreadable),
                 Err(error) => store_error = Some(error),
             },
             Err(error) => store_error = Some(error),
@@ -572,11 +584,17 @@
 ) -> Result<Option<CallerResponse>, StoreError> {
     let mut key = cells.of_job(id).keys.job(id);
     let mut item = (node.platform.store.get)(key.clone()).await?;
-    if item.is_none()
-        && let Some(view) = relocated_cell(node, cells, id).await?
-    {
-        key = view.keys.job(id);
-        item = (node.platform.store.get)(key.clone()).await?;
+    if item.is_none() {
+        match location(node, cells, id).await? {
+            Location::Missing => {}
+            Location::Relocated(view) => {
+                key = view.keys.job(id);
+                item = (node.platform.store.get)(key.clone()).await?;
+            }
+            Location::Unreadable => {
+                return Ok(Some(CallerResponse::refused(Code::JobUnreadable)));
+            }
+        }
     }
     let Some(item) = item else {
         return Ok(Some(CallerResponse::NotFound));
--- a/crates/nutmegcart_control/tests/moved_callers.rs
+++ b/crates/nutmegcart_control/tests/moved_callers.rs
@@ -14,6 +14,7 @@
 use nutmegcart_control::job_service::CallerRequest;
 use nutmegcart_control::job_service::CallerResponse;
 use nutmegcart_control::job_service::JobService;
+use nutmegcart_control::keys;
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::OwnedCell;
@@ -298,6 +299,18 @@
     assert_eq!(second.show(), CallerResponse::State(JobState::Pending));
 }
 
+/// Guards against a job that is told as missing because the note of its cell cannot be read.
+#[test]
+fn job_with_an_unreadable_note_of_its_cell_is_not_missing() {
+    let (store, _, second) = submitted();
+    pass(&store, cells(&second));
+    let note = Txn::default().put(keys::job_location(&id()), b"x".to_vec());
+    store.txn(&note).expect("the store answers");
+    let unreadable = CallerResponse::refused(Code::JobUnreadable);
+    assert_eq!(second.show(), unreadable);
+    assert_eq!(second.ask(CallerRequest::Cancel(id())), unreadable);
+}
+
 /// Guards against a second job when a submission is repeated through an instance with another
 /// configuration, or after the job has passed to another cell.
 fn repeated_submission_is_the_same_job((passed, long_running): (bool, bool)) {
