Count the wait of a long-running task from the end of the step before

A long-running task that depends on another step was told as stalled (event 727, metric, status) as soon as that step had finished, with the time since the job's acceptance as its wait. wait_begins_when_the_step_before_has_finished failed with a stall "since: 101s" (the acceptance) in a job whose first step takes 20 s, and passes now that the wait begins with the latest end in the steps that it depends on.

--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -36,7 +36,7 @@
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which the latest run failed or stalled.
     pub avoid: Option<WorkerId>,
-    /// Since when the task has been waiting for a run.
+    /// When its latest run ended, or when its occurrence became due.
     pub waiting_since: Duration,
 }
 
@@ -72,6 +72,12 @@
             .filter(move |(_, task)| waits(task))
             .map(|(index, _)| index)
     }
+
+    /// Returns when the latest run of its tasks ended under this owner, or when it became due.
+    #[must_use]
+    pub fn latest_end(&self) -> Option<Duration> {
+        self.tasks.iter().map(|task| task.waiting_since).max()
+    }
 }
 
 /// One execution of all steps of a job.
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -17,6 +17,7 @@
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
+use crate::live_job::LiveStep;
 use crate::live_job::LiveTask;
 use crate::placement::waited_to_return;
 use crate::scheduler::Scheduler;
@@ -180,8 +181,12 @@
                 if !step.long_running || !state.ready {
                     continue;
                 }
+                let before = step.after.iter();
+                let before = before.filter_map(|on| occurrence.steps.get(usize::from(*on)));
+                let ready_since = before.filter_map(LiveStep::latest_end).max();
                 waiting.extend(state.pending().map(|task| {
                     let since = state.tasks[task as usize].waiting_since;
+                    let since = ready_since.map_or(since, |ready| since.max(ready));
                     let key = TaskKey {
                         job: job.id.clone(),
                         occurrence: *number,
--- a/crates/nutmegcart_jobs/tests/stalled.rs
+++ b/crates/nutmegcart_jobs/tests/stalled.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_fakes::cell::worker::FakeWorker;
+use nutmegcart_fakes::cell::worker::listing;
+use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::stalled::BATCH_LIMIT;
 use nutmegcart_jobs::stalled::LONG_RUNNING_LIMIT;
@@ -19,6 +22,7 @@
 use support::long_running_step;
 use support::seconds;
 use support::submit;
+use support::worker;
 use support::world;
 
 fn stalled(world: &CellSimulation) -> Vec<StalledJob> {
@@ -70,6 +74,71 @@
     assert_eq!(found[0].kind, StalledKind::LongRunning);
 }
 
+/// Takes the first workers away as a platform that shrinks a pool does: it lists them as leaving, and
+/// switches them off when the notice has passed.
+fn withdraw(world: &mut CellSimulation, count: usize, notice: Duration) {
+    for id in (0..count).map(worker) {
+        let leaving = world.workers.get_mut(&id).expect("the worker exists");
+        leaving.listing.draining = true;
+        leaving.listing.remaining = notice;
+        world.list_worker(&id);
+        world.after(notice, move |world| world.remove_for_good(&id, None));
+    }
+}
+
+/// Guards against work that waits unnoticed after all its workers, or some, have left at short
+/// notice, and against a line while it still runs.
+fn work_without_its_workers_stalls((step, left, kind): (Step, usize, StalledKind)) {
+    let limit = match kind {
+        StalledKind::Batch => BATCH_LIMIT,
+        StalledKind::LongRunning => LONG_RUNNING_LIMIT,
+    };
+    let mut world = started_world(43, 3);
+    submit(&mut world, 1, vec![step]);
+    world.run(BATCH_LIMIT + seconds(5.0));
+    assert_eq!(stalled(&world), [], "a running job is not stalled");
+    let notice = seconds(2.0);
+    withdraw(&mut world, left, notice);
+    world.run(notice + limit.saturating_sub(seconds(0.5)).saturating_sub(notice));
+    assert_eq!(stalled(&world), []);
+    // The runs end within the time of a lease after the notice.
+    world.run(notice + seconds(7.0));
+    let found = stalled(&world);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!((&found[0].job, found[0].kind), (&job_id(1), kind));
+    let size = Resources::new(64_000, 262_144, 0);
+    for index in 3..6 {
+        let name = support::worker_name(index);
+        let other = listing(&name, "gates", "r1-9", size);
+        world.add_worker(FakeWorker::new(other, world.now));
+    }
+    world.run(seconds(3.0));
+    assert_eq!(stalled(&world), []);
+}
+
+cases! { work_without_its_workers_stalls:
+    long_running_job_whose_workers_all_left_stalls =>
+        (long_running_step(3), 3, StalledKind::LongRunning);
+    long_running_job_that_lost_some_workers_stalls =>
+        (long_running_step(3), 2, StalledKind::LongRunning);
+}
+
+/// Guards against a long-running task that is told as stalled as soon as the step before it has
+/// finished.
+#[test]
+fn wait_begins_when_the_step_before_has_finished() {
+    let mut world = started_world(44, 1);
+    let mut second = long_running_step(2);
+    second.after = vec![0];
+    submit(&mut world, 1, vec![batch_step(1, 4_000, 20_000), second]);
+    for _ in 0..60 {
+        world.run(seconds(0.5));
+        assert_eq!(stalled(&world), []);
+    }
+    world.run(LONG_RUNNING_LIMIT);
+    assert_eq!(stalled(&world).len(), 1, "one of two tasks has no worker");
+}
+
 fn stalled_jobs(count: usize) -> Vec<StalledJob> {
     let job = |number| StalledJob {
         job: job_id(number),
