Tell of batch jobs that have begun and of which nothing runs

A job with finished or running tasks whose pool then lost its workers was not told as stalled: only jobs of which no task had started were. begun_batch_job_whose_workers_left_stalls (three workers leave with a notice of 2 s while 60 tasks of a job take turns) failed with no stalled job after 69 s without a run.

A batch job counts as stalled when tasks of it wait, none runs, and its latest run ended 60 s ago, or its owner took over 60 s ago if that is later.

--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -42,7 +42,7 @@
     pub job: String,
     /// Its pool.
     pub pool: String,
-    /// Whether a long-running task waits, or the first start of another job.
+    /// Whether a long-running task waits, or all that is left of another job.
     pub kind: String,
     /// Time for which it has waited, in milliseconds.
     pub waited_ms: u64,
--- a/crates/nutmegcart_jobs/src/stalled.rs
+++ b/crates/nutmegcart_jobs/src/stalled.rs
@@ -9,11 +9,12 @@
 
 use crate::job::JobId;
 use crate::live_job::LiveJob;
+use crate::live_job::LiveStep;
 use crate::scheduler::Scheduler;
 
 /// Wait of a long-running task above which its job counts as stalled.
 pub const LONG_RUNNING_LIMIT: Duration = Duration::from_secs(10);
-/// Wait for the first start above which any other job counts as stalled.
+/// Time without a run after which any other job with waiting tasks counts as stalled.
 pub const BATCH_LIMIT: Duration = Duration::from_mins(1);
 /// Stalled jobs of a cell that the log tells about at a time.
 pub const MAX_TOLD: usize = 50;
@@ -21,7 +22,7 @@
 /// What kind of work waits.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StalledKind {
-    /// A job of which no task has started.
+    /// A job of which no task runs while some wait.
     #[display("batch")]
     Batch,
     /// A long-running task, whether or not others of its job run.
@@ -92,9 +93,17 @@
         if let Some(since) = long_running {
             return Some((StalledKind::LongRunning, since));
         }
-        let first = job.occurrences.values().map(|each| each.due).min();
-        let since = first.filter(|_| !job.started)?;
-        Some((StalledKind::Batch, since))
+        if !job.started {
+            let due = job.occurrences.values().map(|each| each.due);
+            return Some((StalledKind::Batch, due.min()?));
+        }
+        let steps = job.occurrences.values().flat_map(|each| &each.steps);
+        let mut tasks = steps.clone().flat_map(|step| &step.tasks);
+        if !job.has_pending() || tasks.any(|task| task.live_runs > 0) {
+            return None;
+        }
+        let since = steps.filter_map(LiveStep::latest_end).max()?;
+        Some((StalledKind::Batch, since.max(self.taken_over_at)))
     }
 }
 
--- a/crates/nutmegcart_jobs/tests/stalled.rs
+++ b/crates/nutmegcart_jobs/tests/stalled.rs
@@ -121,6 +121,8 @@
         (long_running_step(3), 3, StalledKind::LongRunning);
     long_running_job_that_lost_some_workers_stalls =>
         (long_running_step(3), 2, StalledKind::LongRunning);
+    begun_batch_job_whose_workers_left_stalls =>
+        (batch_step(60, 50_000, 4_000), 3, StalledKind::Batch);
 }
 
 /// Guards against a long-running task that is told as stalled as soon as the step before it has
