--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -396,32 +396,45 @@
     cells.views[cell as usize].clone()
 }
 
-/// Returns the cell that holds a job, if it is not the one that the identifier determines.
-async fn relocated_cell(
-    node: &Rc<Node>,
-    cells: &Cells,
-    id: &JobId,
-) -> Result<Option<Rc<CellView>>, StoreError> {
+/// Where the store holds a job that the cell of its identifier does not hold.
+enum Location {
+    /// Nowhere: there is no such job.
+    Missing,
+    /// In another cell.
+    Relocated(Rc<CellView>),
+    /// In a cell that this instance cannot tell.
+    Unreadable,
+}
+
+/// Returns the location of a job that is not in the cell that its identifier determines.
+async fn location(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Result<Location, StoreError> {
     if cells.views.len() == 1 {
-        return Ok(None);
+        return Ok(Location::Missing);
     }
     let Some(item) = (node.platform.store.get)(keys::job_location(id)).await? else {
-        return Ok(None);
+        return Ok(Location::Missing);
     };
-    match decode::<u32>(&item.value) {
-        Ok(cell) => Ok(cells.views.get(cell as usize).cloned()),
-        Err(error) => {
-            log_event!(Event::JobRecordInvalid, key = item.key, reason = error);
-            Ok(None)
+    let cell = decode::<u32>(&item.value).map_err(|error| error.to_string());
+    let view = cell.and_then(|cell| {
+        let view = cells.views.get(cell as usize).cloned();
+        view.ok_or_else(|| format!("there is no cell {cell}"))
+    });
+    Ok(match view {
+        Ok(view) => Location::Relocated(view),
+        Err(reason) => {
+            log_event!(Event::JobRecordInvalid, key = item.key, reason = reason);
+            Location::Unreadable
         }
-    }
+    })
 }
 
 /// Returns the state of a job from the owner's memory, or from the store if the owner does not
-/// answer or does not know the job.
+/// answer or does not know the job. While the store fails for this instance, the owners of the other
+/// cells are asked too, since only the store tells where the job is.
 async fn show(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> CallerResponse {
     let mut view = cells.of_job(&id).clone();
     let mut moved = false;
+    let mut asked_others = false;
     loop {
         match peer::ask_owner(node, &PeerRequest::State(view.number, id.clone())).await {
             Ok(PeerResponse::State(Some(state))) => return CallerResponse::State(state),
@@ -434,26 +447,53 @@
                 log::debug!("owner did not return the state of job {id}: {error}");
             }
         }
+        let mut store_error = None;
         match read_from_store(node, &view, &id).await {
             Ok(Some(answer)) => return answer,
             Ok(None) if moved => return CallerResponse::NotFound,
-            Ok(None) => match relocated_cell(node, cells, &id).await {
-                Ok(Some(other)) => {
+            Ok(None) => match location(node, cells, &id).await {
+                Ok(Location::Relocated(other)) => {
                     moved = true;
                     view = other;
                 }
-                Ok(None) => return CallerResponse::NotFound,
-                Err(_) if now() + RETRY_DELAY < deadline => {}
-                Err(_) => return store_unavailable(),
+                Ok(Location::Missing) => return CallerResponse::NotFound,
+                Ok(Location::Unreadable) => return CallerResponse::refused(Code::JobUnreadable),
+                Err(error) => store_error = Some(error),
             },
-            Err(_) if now() + RETRY_DELAY < deadline => {
-                tokio::time::sleep(RETRY_DELAY * 2).await;
-            }
-            Err(_) => return store_unavailable(),
+            Err(error) => store_error = Some(error),
+        }
+        let Some(error) = store_error else {
+            continue;
+        };
+        log::debug!("cannot read from the store where job {id} is: {error}");
+        if !std::mem::replace(&mut asked_others, true)
+            && let Some(state) = state_in_any_cell(node, cells, &id).await
+        {
+            return CallerResponse::State(state);
+        }
+        if now() + RETRY_DELAY >= deadline {
+            return store_unavailable();
         }
+        tokio::time::sleep(RETRY_DELAY * 2).await;
     }
 }
 
+/// Returns the state of a job if the owner of any cell knows it.
+async fn state_in_any_cell(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Option<JobState> {
+    let ask = |view: &Rc<CellView>| {
+        let (node, request) = (node.clone(), PeerRequest::State(view.number, id.clone()));
+        tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
+    };
+    let replies: Vec<_> = cells.views.iter().map(ask).collect();
+    let mut known = None;
+    for task in replies {
+        if let Ok(Ok(PeerResponse::State(Some(state)))) = task.await {
+            known = Some(state);
+        }
+    }
+    known
+}
+
 const fn store_unavailable() -> CallerResponse {
     CallerResponse::Refused {
         code: Code::StoreUnavailable,
@@ -544,11 +584,17 @@
 ) -> Result<Option<CallerResponse>, StoreError> {
     let mut key = cells.of_job(id).keys.job(id);
     let mut item = (node.platform.store.get)(key.clone()).await?;
-    if item.is_none()
-        && let Some(view) = relocated_cell(node, cells, id).await?
-    {
-        key = view.keys.job(id);
-        item = (node.platform.store.get)(key.clone()).await?;
+    if item.is_none() {
+        match location(node, cells, id).await? {
+            Location::Missing => {}
+            Location::Relocated(view) => {
+                key = view.keys.job(id);
+                item = (node.platform.store.get)(key.clone()).await?;
+            }
+            Location::Unreadable => {
+                return Ok(Some(CallerResponse::refused(Code::JobUnreadable)));
+            }
+        }
     }
     let Some(item) = item else {
         return Ok(Some(CallerResponse::NotFound));
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -37,7 +37,7 @@
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which the latest run failed or stalled.
     pub avoid: Option<WorkerId>,
-    /// Since when the task has been waiting for a run.
+    /// When its latest run ended, or when its occurrence became due.
     pub waiting_since: Duration,
 }
 
@@ -73,6 +73,12 @@
             .filter(move |(_, task)| waits(task))
             .map(|(index, _)| index)
     }
+
+    /// Returns when the latest run of its tasks ended under this owner, or when it became due.
+    #[must_use]
+    pub fn latest_end(&self) -> Option<Duration> {
+        self.tasks.iter().map(|task| task.waiting_since).max()
+    }
 }
 
 /// One execution of all steps of a job.
@@ -140,6 +146,8 @@
     pub accepted_at: Duration,
     /// Pool whose workers run its tasks.
     pub pool: PoolName,
+    /// Whether it may have tasks in another pool, to which its queue belonged.
+    pub moved: bool,
     /// Predicted duration of one task, by step.
     pub durations: Vec<Duration>,
     /// Predicted work of one occurrence in core-seconds.
@@ -185,6 +193,7 @@
         Self {
             id,
             pool: queue.pool.clone(),
+            moved: false,
             revision,
             accepted_at,
             durations,
@@ -202,6 +211,12 @@
         }
     }
 
+    /// Sets the pool to which its queue belongs.
+    pub(crate) fn set_pool(&mut self, pool: &PoolName) {
+        self.moved |= self.pool != *pool;
+        self.pool = pool.clone();
+    }
+
     /// Adds the occurrences that are due at `unix`, in milliseconds since 1970.
     pub fn spawn(&mut self, unix: u64, now: Duration) {
         let Some(schedule) = self.accepted.job.schedule else {
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -17,6 +17,7 @@
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
+use crate::live_job::LiveStep;
 use crate::live_job::LiveTask;
 use crate::placement::waited_to_return;
 use crate::scheduler::Scheduler;
@@ -53,6 +54,9 @@
     /// It was started before, and this owner is no longer certainly the only one.
     #[display("ownership")]
     Ownership,
+    /// Its queue was moved to another pool, and the stored cell state does not tell so yet.
+    #[display("unstored")]
+    UnstoredMove,
     /// No worker of its pool is usable.
     #[display("unusable")]
     NoneUsable(Counts<Unusable>),
@@ -70,9 +74,10 @@
 
 impl WaitReason {
     /// Texts of all reasons, which are the values of a metric's label.
-    pub const LABELS: [&str; 6] = [
+    pub const LABELS: [&str; 7] = [
         "blocked",
         "ownership",
+        "unstored",
         "unusable",
         "gang",
         "rejected",
@@ -93,7 +98,7 @@
             Self::Blocked { worker, .. } => worker.to_string(),
             Self::NoneUsable(counts) => format_counts(counts),
             Self::NoneAdmits(counts) => format_counts(counts),
-            Self::Ownership | Self::Gang | Self::Startable => String::new(),
+            Self::Ownership | Self::UnstoredMove | Self::Gang | Self::Startable => String::new(),
         }
     }
 }
@@ -176,8 +181,12 @@
                 if !step.long_running || !state.ready {
                     continue;
                 }
+                let before = step.after.iter();
+                let before = before.filter_map(|on| occurrence.steps.get(usize::from(*on)));
+                let ready_since = before.filter_map(LiveStep::latest_end).max();
                 waiting.extend(state.pending().map(|task| {
                     let since = state.tasks[task as usize].waiting_since;
+                    let since = ready_since.map_or(since, |ready| since.max(ready));
                     let key = TaskKey {
                         job: job.id.clone(),
                         occurrence: *number,
@@ -210,6 +219,9 @@
         if self.is_blocked(job) {
             return self.blocked(job);
         }
+        if self.has_unstored_move(job) {
+            return Some(WaitReason::UnstoredMove);
+        }
         if !task.may_start(self.is_exclusive(now)) {
             return Some(WaitReason::Ownership);
         }
