Test that a silent worker holds back only its own long-running tasks

An owner that is lost for good cannot be asked, and its successor holds back every inherited job of a pool while any worker of it has not answered.

--- a/crates/nutmegcart_jobs/tests/lost_workers.rs
+++ b/crates/nutmegcart_jobs/tests/lost_workers.rs
@@ -313,3 +313,31 @@
     world.run(seconds(10.0));
     assert_no_violations(&world);
 }
+
+/// Returns the first worker without a run.
+fn first_idle_worker(world: &CellSimulation) -> WorkerId {
+    let mut workers = world.workers.iter();
+    let idle = workers.find(|(_, worker)| worker.runs.is_empty());
+    idle.expect("a worker is idle").0.clone()
+}
+
+/// Guards against a long-running task that waits for a silent worker on which no run of it was
+/// started, because the owner is lost for good and cannot be asked.
+#[test]
+fn silent_worker_holds_back_only_its_own_long_running_tasks() {
+    let mut world = busy_cell(12);
+    let host = first_busy_worker(&world);
+    let silent = first_idle_worker(&world);
+    world.remove_for_good(&host, None);
+    let latest = world.owners.len() - 1;
+    world.owners[latest].up = false;
+    world.after(TAKE_OVER_TIME, |world| {
+        world.take_over_partitioned([silent]);
+    });
+    let took = time_until_live(&mut world, 4);
+    assert_no_violations(&world);
+    assert!(
+        took <= RESTART_TIME + TAKE_OVER_TIME,
+        "the task ran again after {took:?}"
+    );
+}
