Store the workers of long-running tasks before they are started

Knowledge of where tasks were started ended with the owner, so a successor held back every inherited job of a pool while any worker of it was silent, 11.4 s if the owner was lost for good. Placement now reserves a worker for a long-running task of a step that is not a gang, the next transaction stores all reservations, and the task starts once the state that names its worker is stored. A successor waits only for silent workers to which the stored state assigns the task, and passes on what it has not reached. It does not trust a state without assignments, or one that the owner before it did not write: such workers block every task of their pool as before. The assignments follow the record in the stored value, because the decoder of older versions refuses a longer record and would then know no worker at all.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -10,8 +10,8 @@
 use nutmegcart_jobs::OrderOutcome;
 use nutmegcart_jobs::Refusal;
 use nutmegcart_jobs::WorkerOrder;
-use nutmegcart_jobs::record::CellRecord;
 use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::decode_cell;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -139,8 +139,12 @@
     });
     if let Some(item) = record {
         owned.state.record_revision.set(item.modified);
-        match decode::<CellRecord>(&item.value) {
-            Ok(record) => owned.scheduler.borrow_mut().inherit(&record),
+        match decode_cell(&item.value) {
+            Ok(mut record) => {
+                let latest = owned.log.earlier.last();
+                record.check_writer(latest.map(|owner| owner.fence));
+                owned.scheduler.borrow_mut().inherit(&record);
+            }
             Err(error) => log_event!(Event::JobRecordInvalid, key = state, reason = error),
         }
     }
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -19,7 +19,6 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::AcceptedJob;
-use nutmegcart_jobs::CellRecord;
 use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::Flush;
 use nutmegcart_jobs::FlushOutcome;
@@ -39,7 +38,7 @@
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::TaskKey;
 use nutmegcart_jobs::WorkerOrder;
-use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::decode_cell;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
 use nutmegcart_platform::Revision;
@@ -445,7 +444,8 @@
             }
         }
         if let Some(state) = &self.store.state {
-            let record: CellRecord = decode(state).expect("the stored state decodes");
+            let mut record = decode_cell(state).expect("the stored state decodes");
+            record.check_writer(self.owners.last().map(|owner| owner.fence));
             scheduler.inherit(&record);
         }
         let known: Vec<WorkerId> = scheduler
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -15,14 +15,16 @@
 use nutmegcart_model::log_event;
 use nutmegcart_platform::Revision;
 
+use crate::assignments::Assigned;
 use crate::job::JobId;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
+use crate::record::Assignment;
 use crate::record::CellRecord;
 use crate::record::EnrolledWorker;
 use crate::record::FinalState;
 use crate::record::TaskProgress;
-use crate::record::encode;
+use crate::record::encode_cell;
 use crate::scheduler::Scheduler;
 
 /// Age of an end after which the progress of its unfinished job is stored. While a worker reports
@@ -118,6 +120,8 @@
     /// Worker, incarnation and highest covered end, if the transaction stores the cell state.
     covered_ends: Option<Vec<(WorkerId, u64, u64)>>,
     jobs_with_ends: HashSet<JobId>,
+    /// Long-running tasks that the cell state lists, with their workers.
+    assigned: Assigned,
     /// Machines for which orders may be sent once the cell state is stored.
     ordered_machines: Vec<Arc<str>>,
 }
@@ -201,6 +205,7 @@
             self.maintenance.unsaved = false;
             self.flush_queue.outdated = false;
             flush.state = Some(self.encode_cell_state(&mut in_flight, now));
+            self.assignments.begin_store(&in_flight.assigned);
         }
         if flush.is_empty() {
             return None;
@@ -210,12 +215,13 @@
     }
 
     /// Returns whether the cell state has to be stored: a worker waits to be enrolled or need not be
-    /// any more, an end has reached [`MAX_END_AGE`], or maintenance progress or ordered machines have
-    /// changed.
+    /// any more, a long-running task waits for its assignment, an end has reached [`MAX_END_AGE`], or
+    /// maintenance progress or ordered machines have changed.
     fn cell_state_due(&self, now: Duration) -> bool {
         let mut workers = self.workers.values();
         workers.any(|worker| worker.may_enrol() && !worker.enrolled)
             || self.flush_queue.outdated
+            || self.assignments.is_due()
             || self.maintenance.unsaved
             || self.has_unstored_orders()
             || self.stored_orders_stale(now)
@@ -228,6 +234,7 @@
     /// Encodes the state of the cell, and records in `in_flight` what it covers.
     fn encode_cell_state(&self, in_flight: &mut InFlight, now: Duration) -> Vec<u8> {
         let mut record = CellRecord {
+            fence: self.fence,
             maintained: self.maintenance.maintained(),
             ordered_machines: self.recently_ordered(now),
             ..CellRecord::default()
@@ -249,6 +256,14 @@
                     address: worker.listing.address.clone(),
                     machine: worker.listing.machine.clone(),
                 });
+                if let Some(tasks) = self.tasks_assigned_to(id, worker, now) {
+                    let pairs = tasks.iter().map(|task| (id.clone(), task.clone()));
+                    in_flight.assigned.extend(pairs);
+                    record.assignments.push(Assignment {
+                        worker: id.clone(),
+                        tasks: tasks.into_iter().collect(),
+                    });
+                }
             }
         }
         let with_ends = self.flush_queue.jobs_with_ends.iter();
@@ -261,7 +276,7 @@
         in_flight
             .jobs_with_ends
             .clone_from(&self.flush_queue.jobs_with_ends);
-        encode(&record)
+        encode_cell(&record)
     }
 
     /// Processes the outcome of the transaction that [`Scheduler::next_flush`] returned.
@@ -325,6 +340,7 @@
         if in_flight.covered_ends.is_some() {
             self.machines.stored.clone_from(&in_flight.ordered_machines);
             self.machines.stored_at = now;
+            self.assignments.finish_store(in_flight.assigned);
         }
         for (id, incarnation) in &in_flight.enrolled {
             if let Some(worker) = self
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -133,6 +133,7 @@
         worker.enrolled = false;
         worker.inherited = false;
         worker.unknown_runs = 0;
+        worker.unknown_tasks.clear();
         worker.clock_reading = None;
         worker.lease_end = 0;
         worker.last_end = 0;
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`layout`], [`wave_partition`]: division of a fleet, and of waves, into cells;
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its event handlers in [`reports`], [`orders`]
 //!   and [`flush`], and the requests that it emits in [`action`];
+//! * `assignments`: long-running tasks whose workers are stored before they are started;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
 //! * [`rank`], [`placement`](Scheduler::run_pass): priority of waiting work and choice of workers;
@@ -16,6 +17,7 @@
 //! * [`estimate`], [`throttling`]: predicted task durations, and speed limits of best-effort tasks.
 
 pub mod action;
+mod assignments;
 pub mod burst_forecast;
 pub mod estimate;
 pub mod flush;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -343,14 +343,23 @@
         self.ended.is_none() && open.any(|step| step.pending().next().is_some())
     }
 
-    /// Returns the largest number of workers that the waiting tasks of one long-running step need.
-    #[must_use]
-    pub fn missing_workers(&self) -> usize {
+    /// Returns the largest number of workers that the waiting tasks of one long-running step need,
+    /// without those for which `has_worker` is true.
+    pub(crate) fn missing_workers(&self, has_worker: impl Fn(&TaskKey) -> bool) -> usize {
         let mut workers = 0;
-        for occurrence in self.occurrences.values() {
-            for (step, state) in self.accepted.job.steps.iter().zip(&occurrence.steps) {
+        for (number, occurrence) in &self.occurrences {
+            let steps = self.accepted.job.steps.iter().zip(&occurrence.steps);
+            for (index, (step, state)) in (0_u16..).zip(steps) {
                 if step.long_running && state.ready {
-                    let waiting = state.pending().count();
+                    let lacks_worker = |task: &u32| {
+                        !has_worker(&TaskKey {
+                            job: self.id.clone(),
+                            occurrence: *number,
+                            step: index,
+                            index: *task,
+                        })
+                    };
+                    let waiting = state.pending().filter(lacks_worker).count();
                     workers = workers.max(waiting.div_ceil(step.per_worker.max(1) as usize));
                 }
             }
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -254,7 +254,10 @@
     /// Returns whether a machine certainly has no live runs.
     pub(crate) fn is_empty(&self, machine: &Machine) -> bool {
         match self.worker_of(machine).and_then(|id| self.workers.get(&id)) {
-            Some(worker) => worker.runs.is_empty() && worker.fenced,
+            Some(worker) => {
+                let reserved = self.reserved_tasks(&worker.listing.id);
+                worker.runs.is_empty() && worker.fenced && reserved == 0
+            }
             None => machine
                 .worker
                 .as_ref()
@@ -262,12 +265,14 @@
         }
     }
 
-    /// Returns the numbers of long-running and of all runs on a machine.
+    /// Returns the numbers of long-running and of all runs on a machine, including those about to be
+    /// started.
     pub(crate) fn load_of(&self, machine: &Machine) -> (usize, usize) {
         let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
         worker.map_or((0, 0), |worker| {
             let long_running = worker.runs.values().filter(|run| run.long_running).count();
-            (long_running, worker.runs.len())
+            let reserved = self.reserved_tasks(&worker.listing.id);
+            (long_running + reserved, worker.runs.len() + reserved)
         })
     }
 
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -14,6 +14,7 @@
 use crate::action::Action;
 use crate::action::StartOrder;
 use crate::action::WorkerOrder;
+use crate::assignments::is_assigned;
 use crate::job::JobId;
 use crate::job::Step;
 use crate::job::TaskKey;
@@ -45,10 +46,11 @@
         self.evacuate(now);
         self.advance_waves(now);
         self.rebalance(now);
+        self.drop_obsolete_reservations();
         let means = self.mean_work();
         let mut waiting: BTreeMap<PoolName, Vec<(Rank, JobId, u32)>> = BTreeMap::new();
         for job in self.jobs.values() {
-            if !job.has_pending() || job.passing || self.is_blocked(job) {
+            if !job.has_pending() || job.passing || self.is_wholly_blocked(job) {
                 continue;
             }
             let mean = means
@@ -65,6 +67,7 @@
             candidates.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.cmp(&b.1)));
             let mut slots = self.slots_of_pool(&pool, now);
             self.mark_scarce(&mut slots, &candidates);
+            self.start_reserved(&mut slots, &pool, now);
             for (_, job, occurrence) in candidates {
                 self.place_job(&mut slots, &job, occurrence, now);
             }
@@ -125,10 +128,16 @@
             return;
         };
         let exclusive = self.is_exclusive(now);
+        let blocked = self.is_blocked(job);
         let mut ready = Vec::new();
-        for (step, state) in (0_u16..).zip(&occurrence.steps) {
-            if state.ready {
-                let startable = |index: &u32| state.tasks[*index as usize].may_start(exclusive);
+        let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
+        for (step, (definition, state)) in (0_u16..).zip(steps) {
+            let assigned = is_assigned(definition);
+            if state.ready && (assigned || !blocked) {
+                let startable = |index: &u32| {
+                    state.tasks[*index as usize].may_start(exclusive)
+                        && (!assigned || self.may_assign(job, number, step, *index))
+                };
                 let pending: Vec<u32> = state.pending().filter(startable).collect();
                 if !pending.is_empty() {
                     ready.push((step, pending));
@@ -175,7 +184,9 @@
             };
             let preferred_rack = step.rack.as_ref().or(main_rack.as_ref());
             match self.choose_slot(slots, &task, &step, &counts, preferred_rack, now) {
-                Some(slot) => self.start(slots, slot, &task, &step, None, &mut counts, now),
+                Some(slot) => {
+                    self.start_or_reserve(slots, slot, &task, &step, &mut counts, now);
+                }
                 None if step.long_running => self.make_room(slots, &task, &step, &counts, now),
                 // Later tasks find no worker either, unless this one avoids one.
                 None if step.per_worker == 0
@@ -254,7 +265,7 @@
     /// so long for another one that it may return there.
     ///
     /// All others may stay full or at their limit for ever in a calm time.
-    fn avoided_worker(
+    pub(crate) fn avoided_worker(
         &mut self,
         task: &TaskKey,
         step: &Step,
@@ -267,7 +278,8 @@
         (state.avoid.clone(), waited_to_return(state, step, now))
     }
 
-    /// Counts the runs of a step on each worker, including those being stopped.
+    /// Counts the runs of a step on each worker, including those being stopped and those about to be
+    /// started.
     pub(crate) fn runs_per_worker(&self, key: &TaskKey) -> HashMap<WorkerId, u32> {
         let mut counts = HashMap::new();
         for worker in self.workers.values() {
@@ -282,6 +294,9 @@
                 );
             }
         }
+        for worker in self.reservations_of(key) {
+            *counts.entry(worker.clone()).or_default() += 1;
+        }
         counts
     }
 
@@ -379,7 +394,7 @@
         clippy::too_many_arguments,
         reason = "a start needs the slot, the step and the counts of runs"
     )]
-    fn start(
+    pub(crate) fn start(
         &mut self,
         slots: &mut Slots,
         slot: usize,
@@ -510,7 +525,8 @@
             .runs
             .values()
             .filter(|run| matches!(run.state, RunState::Stopping { .. }));
-        let mut free = stopping.fold(worker.free(), |sum, run| sum + run.allocation);
+        let unreserved = worker.free().saturating_sub(self.reserved_capacity(&id));
+        let mut free = stopping.fold(unreserved, |sum, run| sum + run.allocation);
         for (_, key, size) in preemptible {
             if step.allocation().fits(free) {
                 break;
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -291,7 +291,7 @@
             }
         }
         for job in self.jobs.values().filter(|job| job.ended.is_none()) {
-            let missing = job.missing_workers();
+            let missing = self.missing_workers(job);
             if missing > 0 {
                 let balance = balances.entry(job.pool.clone()).or_default();
                 balance.wanted += missing;
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -1,11 +1,14 @@
 //! Records in the store: accepted jobs, final states and the state of a cell.
 
+use std::collections::BTreeSet;
+use std::io::Cursor;
 use std::sync::Arc;
 
 use derive_more::Display;
 use derive_more::Error;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
+use rmp_serde::decode::ReadReader;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -154,6 +157,44 @@
     #[serde(default)]
     #[serde(rename = "commanded")]
     pub ordered_machines: Vec<Arc<str>>,
+    /// Fencing token of the owner that wrote the record; 0 if it was of a version without
+    /// assignments.
+    #[serde(skip)]
+    pub fence: u64,
+    /// Long-running tasks of which runs may live on the workers. What may run on a worker without an
+    /// entry is not known.
+    #[serde(skip)]
+    pub assignments: Vec<Assignment>,
+}
+
+/// Long-running tasks of which runs may live on a worker.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// Identifier of the worker.
+    pub worker: WorkerId,
+    /// Tasks, without those of gangs.
+    pub tasks: Vec<TaskKey>,
+}
+
+impl CellRecord {
+    /// Drops the assignments unless the latest owner wrote the record, whose fencing token is
+    /// `latest`.
+    ///
+    /// An owner of a version without assignments starts tasks before it has written a record.
+    pub fn check_writer(&mut self, latest: Option<u64>) {
+        if latest != Some(self.fence) {
+            self.assignments.clear();
+        }
+    }
+
+    /// Returns the long-running tasks of which runs may live on a worker; `None` if that is not
+    /// known.
+    #[must_use]
+    pub fn assigned_to(&self, worker: &WorkerId) -> Option<BTreeSet<TaskKey>> {
+        let mut assignments = self.assignments.iter();
+        let of_worker = assignments.find(|each| each.worker == *worker);
+        of_worker.map(|each| each.tasks.iter().cloned().collect())
+    }
 }
 
 /// Encodes a record with [`SCHEMA`].
@@ -173,16 +214,55 @@
     rmp_serde::to_vec(&(SCHEMA, record)).expect("records encode to memory")
 }
 
+/// Encodes the state of a cell.
+///
+/// The assignments follow the record, where programs of versions without them do not read.
+///
+/// ```
+/// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
+/// let assignments = vec![Assignment { worker: "i-01".into(), tasks: Vec::new() }];
+/// let record = CellRecord { assignments, fence: 7, ..CellRecord::default() };
+/// let bytes = encode_cell(&record);
+/// assert_eq!(decode_cell(&bytes).unwrap(), record);
+/// assert_eq!(decode::<CellRecord>(&bytes).unwrap(), CellRecord::default());
+/// ```
+#[must_use]
+pub fn encode_cell(record: &CellRecord) -> Vec<u8> {
+    let mut bytes = encode(record);
+    bytes.extend(encode(&(record.fence, &record.assignments)));
+    bytes
+}
+
+/// Decodes the state of a cell, with the assignments if there are any.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or a newer program wrote them.
+pub fn decode_cell(bytes: &[u8]) -> Result<CellRecord> {
+    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
+    let mut record: CellRecord = decode_next(&mut decoder)?;
+    if decoder.position() < bytes.len() as u64 {
+        (record.fence, record.assignments) = decode_next(&mut decoder)?;
+    }
+    Ok(record)
+}
+
 /// Decodes a record and checks its version.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    decode_next(&mut rmp_serde::Deserializer::new(Cursor::new(bytes)))
+}
+
+fn decode_next<T: DeserializeOwned>(
+    decoder: &mut rmp_serde::Deserializer<ReadReader<Cursor<&[u8]>>>,
+) -> Result<T> {
     let malformed = |error: rmp_serde::decode::Error| RecordError::Malformed {
         reason: error.to_string(),
     };
-    let (found, record): (u32, T) = rmp_serde::from_slice(bytes).map_err(malformed)?;
+    let (found, record): (u32, T) = Deserialize::deserialize(decoder).map_err(malformed)?;
     if found > SCHEMA {
         return Err(RecordError::Newer { found });
     }
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -233,7 +233,9 @@
                 let known = worker.runs.get(&reported.task);
                 known.is_none_or(|run| run.number != reported.run)
             };
-            worker.unknown_runs = report.running.iter().filter(unknown).count();
+            let unknown = report.running.iter().filter(unknown);
+            worker.unknown_tasks = unknown.map(|reported| reported.task.clone()).collect();
+            worker.unknown_runs = worker.unknown_tasks.len();
         }
         self.settle_unreported_runs(id, sent, report, now);
         self.acknowledge_ends(id);
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::action::Action;
 use crate::action::JobSettings;
 use crate::action::PoolConfig;
+use crate::assignments::Assignments;
 use crate::estimate::Estimates;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
@@ -63,6 +64,7 @@
     pub(crate) orphan_runs: BTreeSet<(WorkerId, TaskKey, u32)>,
     pub(crate) estimates: Estimates,
     pub(crate) flush_queue: FlushQueue,
+    pub(crate) assignments: Assignments,
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
     pub(crate) machines: Machines,
@@ -89,6 +91,7 @@
             orphan_runs: BTreeSet::new(),
             estimates: Estimates::default(),
             flush_queue: FlushQueue::default(),
+            assignments: Assignments::default(),
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
             machines: Machines::default(),
@@ -178,6 +181,7 @@
             worker.unlisted_at = self.taken_over_at;
             worker.enrolled = true;
             worker.inherited = true;
+            worker.assigned = record.assigned_to(&enrolled.worker);
             self.workers.insert(enrolled.worker.clone(), worker);
         }
         for progress in &record.tasks {
@@ -187,6 +191,8 @@
             job.restore(progress, INHERITED_RUN_GAP);
         }
         self.flush_queue.inherit(record);
+        // A successor trusts only the assignments that its predecessor has written.
+        self.flush_queue.outdated = true;
         self.maintenance.inherit(&record.maintained);
         self.machines.inherited = record.ordered_machines.iter().cloned().collect();
         self.machines.stored.clone_from(&record.ordered_machines);
@@ -303,9 +309,12 @@
     /// Returns the number of workers that long-running tasks occupy or wait for.
     #[must_use]
     pub fn long_running_workers(&self) -> usize {
-        let holds = |worker: &&Worker| worker.runs.values().any(|run| run.long_running);
+        let holds = |worker: &&Worker| {
+            worker.runs.values().any(|run| run.long_running)
+                || self.reserved_tasks(&worker.listing.id) > 0
+        };
         let open = self.jobs.values().filter(|job| job.ended.is_none());
-        let waiting: usize = open.map(LiveJob::missing_workers).sum();
+        let waiting: usize = open.map(|job| self.missing_workers(job)).sum();
         self.workers.values().filter(holds).count() + waiting
     }
 
@@ -425,7 +434,7 @@
     pub fn log_status(&self, cell: u32, now: Duration) {
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let (waiting, active): (Vec<_>, Vec<_>) = open.partition(|job| !job.started);
-        let blocked = self.jobs.values().filter(|job| self.is_blocked(job));
+        let blocked = self.jobs.values().filter(|job| self.has_blocked_tasks(job));
         let usable = self.workers.values().filter(|worker| worker.usable(now));
         let silent = self
             .workers
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -14,6 +14,7 @@
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 
+use crate::assignments::is_assigned;
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
@@ -47,12 +48,15 @@
         since: Duration,
         /// When the worker's runs count as ended at the latest, if this owner remains the only one.
         until: Duration,
-        /// Number of workers of the pool that block it.
+        /// Number of workers that block it.
         workers: usize,
     },
     /// It was started before, and this owner is no longer certainly the only one.
     #[display("ownership")]
     Ownership,
+    /// The stored cell state does not name the worker that is reserved for it yet.
+    #[display("unstored")]
+    Unstored(WorkerId),
     /// No worker of its pool is usable.
     #[display("unusable")]
     NoneUsable(Counts<Unusable>),
@@ -70,16 +74,17 @@
 
 impl WaitReason {
     /// Texts of all reasons, which are the values of a metric's label.
-    pub const LABELS: [&str; 6] = [
+    pub const LABELS: [&str; 7] = [
         "blocked",
         "ownership",
+        "unstored",
         "unusable",
         "gang",
         "rejected",
         "startable",
     ];
 
-    /// Returns the worker that blocks the task, or the causes with their numbers of workers.
+    /// Returns the worker that blocks the task or is reserved for it, or the causes with their numbers of workers.
     ///
     /// ```
     /// # use nutmegcart_jobs::WaitReason;
@@ -90,7 +95,7 @@
     #[must_use]
     pub fn details(&self) -> String {
         match self {
-            Self::Blocked { worker, .. } => worker.to_string(),
+            Self::Blocked { worker, .. } | Self::Unstored(worker) => worker.to_string(),
             Self::NoneUsable(counts) => format_counts(counts),
             Self::NoneAdmits(counts) => format_counts(counts),
             Self::Ownership | Self::Gang | Self::Startable => String::new(),
@@ -122,11 +127,29 @@
 
 impl Scheduler {
     /// Returns whether an earlier owner may have started tasks of the job on a worker that has not
-    /// answered this owner, so that none of its tasks may be started.
+    /// answered this owner, so that none of its tasks may be started without a stored assignment.
     pub(crate) fn is_blocked(&self, job: &LiveJob) -> bool {
         job.inherited && self.unreached_workers(job).next().is_some()
     }
 
+    /// Returns whether the job is blocked and none of its steps is assigned.
+    pub(crate) fn is_wholly_blocked(&self, job: &LiveJob) -> bool {
+        let mut steps = job.accepted.job.steps.iter();
+        !steps.any(is_assigned) && self.is_blocked(job)
+    }
+
+    /// Returns whether any task of the job may not be started because of a worker that has not
+    /// answered this owner.
+    pub(crate) fn has_blocked_tasks(&self, job: &LiveJob) -> bool {
+        let mut steps = job.accepted.job.steps.iter();
+        if !steps.all(is_assigned) {
+            return self.is_blocked(job);
+        }
+        let waiting = self.waiting_tasks(job);
+        let mut waiting = waiting.iter();
+        waiting.any(|(_, task)| self.blockers(job, task).next().is_some())
+    }
+
     /// Returns the number of workers that have not answered this owner, and on which an earlier
     /// owner may have started tasks.
     #[must_use]
@@ -147,7 +170,8 @@
         }
         let pools = pools.into_iter().map(|(pool, mut tasks)| {
             tasks.sort();
-            let slots = self.slots_of_pool(&pool, now);
+            let mut slots = self.slots_of_pool(&pool, now);
+            self.set_reservations_aside(&mut slots);
             let total = tasks.len();
             let tasks = tasks.into_iter().take(MAX_REASONS);
             let explained = tasks.filter_map(|(since, task)| {
@@ -207,12 +231,15 @@
             .get(usize::from(key.step))?;
         let task = state.tasks.get(usize::try_from(key.index).ok()?)?;
         let step = job.step(key)?;
-        if self.is_blocked(job) {
-            return self.blocked(job);
+        if let Some(blocked) = self.blocked(job, key) {
+            return Some(blocked);
         }
         if !task.may_start(self.is_exclusive(now)) {
             return Some(WaitReason::Ownership);
         }
+        if let Some(worker) = self.assignments.reserved(key) {
+            return Some(WaitReason::Unstored(worker.clone()));
+        }
         if slots.items.is_empty() {
             let workers = self.workers.values();
             let of_pool = workers.filter(|worker| worker.listing.pool == *pool);
@@ -225,17 +252,17 @@
         Some(self.rejections(slots, key, step, task, now))
     }
 
-    fn blocked(&self, job: &LiveJob) -> Option<WaitReason> {
+    fn blocked(&self, job: &LiveJob, task: &TaskKey) -> Option<WaitReason> {
         let end = |worker: &Worker| {
             let known = worker.runs_end();
             known.unwrap_or_else(|| self.inherited_runs_end())
         };
-        let last = self.unreached_workers(job).max_by_key(|each| end(each))?;
+        let last = self.blockers(job, task).max_by_key(|each| end(each))?;
         Some(WaitReason::Blocked {
             worker: last.listing.id.clone(),
             since: self.taken_over_at,
             until: end(last),
-            workers: self.unreached_workers(job).count(),
+            workers: self.blockers(job, task).count(),
         })
     }
 
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -1,6 +1,7 @@
 //! State that the owner of a cell keeps of its workers: capacity, runs and lease ends.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -242,8 +243,13 @@
     pub runs: BTreeMap<TaskKey, Run>,
     /// Whether an earlier owner may have started tasks here that this owner does not know.
     pub inherited: bool,
+    /// Long-running tasks that an earlier owner may have started here; `None` if it did not store
+    /// which. It counts until the worker is reached.
+    pub assigned: Option<BTreeSet<TaskKey>>,
     /// Number of reported runs that belong to no job of this owner, so their allocation is unknown.
     pub unknown_runs: usize,
+    /// Tasks of these runs.
+    pub unknown_tasks: Vec<TaskKey>,
     /// Starts whose response was lost, with the time at which that was noticed.
     pub unanswered: Vec<(TaskKey, u32, Duration)>,
     /// Highest sequence number of an end that was processed.
@@ -281,7 +287,9 @@
             lease_end: 0,
             runs: BTreeMap::new(),
             inherited: false,
+            assigned: None,
             unknown_runs: 0,
+            unknown_tasks: Vec::new(),
             unanswered: Vec::new(),
             last_end: 0,
             acked_end: 0,
