Confirm a view whose age is unknown by a watch without a wait

Cause: with views that date from the earliest time of the answer, a process that had been paused stayed late for a further 1.2 s after it went on, until its next watch ended, and refused requests meanwhile. Change: a watch does not wait if the view may be older than 0.1 s; in a process that is always late, every second watch waits all the same.

--- a/crates/nutmegcart_control/src/prefix_watcher.rs
+++ b/crates/nutmegcart_control/src/prefix_watcher.rs
@@ -18,9 +18,8 @@
 /// Longest wait of one watch. A dead connection is detected when a watch exceeds this time, so it
 /// bounds the delay of a change. A configuration must take effect within two seconds.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
-/// Longest wait of the watch after one that reported changes. The time at which those were read is
-/// only known to be after the watch was sent.
-const FOLLOW_UP_WAIT: Duration = Duration::from_millis(100);
+/// Possible age of a view above which the next watch does not wait, to confirm the view.
+const UNCONFIRMED_AGE: Duration = Duration::from_millis(100);
 /// Delay after the first failed call; it doubles with each further failure.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Upper bound of the delay. Time limits that apply after an outage count from the return of the
@@ -56,6 +55,17 @@
     pub reachable: bool,
 }
 
+/// Returns the longest wait of the watch after a call that waited for the given time at most, and
+/// that left a view of the given age.
+///
+/// A view may be old because the process was paused, or because changes were reported at the end of a
+/// wait. One watch without a wait confirms it; in a process that is always late, a second one would only
+/// add to the load.
+fn next_wait(waited: Duration, age: Duration) -> Duration {
+    let confirms = age > UNCONFIRMED_AGE && (!waited.is_zero() || age > WATCH_WAIT);
+    if confirms { Duration::ZERO } else { WATCH_WAIT }
+}
+
 impl PrefixWatcher {
     /// Creates a watcher that first reads all keys.
     #[must_use]
@@ -87,13 +97,13 @@
         match result {
             Ok(changes) => {
                 self.retry_delay = FIRST_RETRY_DELAY;
-                let unchanged = changes.is_empty();
-                self.view.read_at = Some(if unchanged { waited_until } else { sent });
-                self.watch_wait = if unchanged {
-                    WATCH_WAIT
+                let read_at = if changes.is_empty() {
+                    waited_until
                 } else {
-                    FOLLOW_UP_WAIT
+                    sent
                 };
+                self.view.read_at = Some(read_at);
+                self.watch_wait = next_wait(waited, now().saturating_sub(read_at));
                 self.reachable = true;
                 if let Some(since) = self.failing_since.take() {
                     let silent = now().saturating_sub(since).as_millis();
