--- a/crates/nutmegcart_jobs/tests/attempts.rs
+++ b/crates/nutmegcart_jobs/tests/attempts.rs
@@ -8,6 +8,7 @@
 use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::failed_runs::FailedRuns;
 use support::assert_no_violations;
 use support::batch_step;
 use support::queue;
@@ -135,3 +136,18 @@
     world.run(seconds(30.0));
     assert_attempts(&world, &id, "two owners");
 }
+
+/// Guards against a failed run that counts twice because an earlier version has stored its number, or
+/// because its worker reports it again to a successor.
+#[test]
+fn stored_runs_are_known() {
+    let mut failed = FailedRuns::restore(vec![17]);
+    failed.record(&worker(0), 17);
+    assert_eq!(failed.count(), 1);
+    failed.record(&worker(0), 18);
+    let mut restored = FailedRuns::restore(failed.stored());
+    restored.record(&worker(0), 18);
+    assert_eq!(restored.count(), 2);
+    restored.record(&worker(1), 18);
+    assert_eq!(restored.count(), 3);
+}
