Pass over stored jobs that no caller could have handed in

Such a record could be stored through a peer, whose request to store a job was not checked: malformed_job_is_refused_and_not_stored failed with Stored.

--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -312,6 +312,10 @@
         let Some(cells) = node.cells().filter(|_| node.failing_since.get().is_none()) else {
             return Acceptance::NotStored;
         };
+        if let Err(error) = accepted.job.check() {
+            log_event!(Event::JobRefused, job = id, reason = error);
+            return Acceptance::NotStored;
+        }
         let insert = plan_insert(node, &cells, &id, &accepted).await;
         self.acceptor.accept(node, id, insert, now() + limit).await
     }
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -9,6 +9,7 @@
 
 use nutmegcart_control::Node;
 use nutmegcart_control::NodeSettings;
+use nutmegcart_control::acceptor::Acceptance;
 use nutmegcart_control::job_service::CallerRequest;
 use nutmegcart_control::job_service::CallerResponse;
 use nutmegcart_control::job_service::JobService;
@@ -22,6 +23,7 @@
 use nutmegcart_control::port::PollError;
 use nutmegcart_control::port::RangeReply;
 use nutmegcart_control::port::WatchReply;
+use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
@@ -328,7 +330,7 @@
     });
 }
 
-/// Guards against storing a malformed job.
+/// Guards against storing a malformed job, also on behalf of a peer.
 #[test]
 fn malformed_job_is_refused_and_not_stored() {
     let scripted = Rc::new(ScriptedStore {
@@ -351,12 +353,22 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let answer = LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
-        let request = CallerRequest::Submit(queue(), id, job);
-        JobService::default()
-            .handle(&node, request, Duration::from_millis(600))
-            .await
+    let limit = Duration::from_millis(600);
+    let accepted = AcceptedJob {
+        queue: (*queue()).clone(),
+        at: 1,
+        job: (*job).clone(),
+        waited_ms: 0,
+        progress: Vec::new(),
+    };
+    let (answer, for_peer) = LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
+        let service = JobService::default();
+        let request = CallerRequest::Submit(queue(), id.clone(), job);
+        let answer = service.handle(&node, request, limit).await;
+        let for_peer = service.store_for_peer(&node, id, accepted, limit).await;
+        (answer, for_peer)
     });
     assert_eq!(answer, CallerResponse::refused(Code::BadRequest));
+    assert_eq!(for_peer, Acceptance::NotStored);
     assert!(scripted.items.borrow().is_empty());
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Adds an accepted job; `inherited` is true if an earlier owner may have started it.
+    /// Adds an accepted job, unless it is malformed; `inherited` is true if an earlier owner may have started it.
     pub fn add_job(
         &mut self,
         id: &JobId,
@@ -235,6 +235,11 @@
             job.revision = job.revision.max(revision);
             return;
         }
+        // The record may be of another writer, and every successor would fail on it too.
+        if let Err(error) = accepted.job.check() {
+            log_event!(Event::JobRecordInvalid, job = id, reason = error);
+            return;
+        }
         let age = Duration::from_millis(unix.saturating_sub(accepted.at));
         // The clocks of two instances may differ by seconds, so the age of a new job is not taken
         // from its time of acceptance.
