Split the requests about stored jobs from the acceptance of jobs

job_service had grown to 660 lines with two concepts: accepting jobs, and finding stored ones to show or cancel them. The second is in job_lookup now (264 lines, job_service 426); nothing else changes but the visibility of two constants. After it all tests of nutmegcart_control and nutmegcart_jobs pass (cargo test -p nutmegcart_control -p nutmegcart_jobs), and so does clippy for them and the binary.

--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -6,33 +6,28 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::AcceptedJob;
-use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
-use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
-use nutmegcart_platform::StoreError;
-use nutmegcart_platform::Txn;
 
 use crate::acceptor::Acceptance;
 use crate::acceptor::Acceptor;
 use crate::acceptor::JobInsert;
 use crate::clock::now;
 use crate::clock::unix_ms;
+use crate::job_lookup;
 use crate::keys;
 use crate::node::CellView;
 use crate::node::Cells;
 use crate::node::Node;
 use crate::peer;
-use crate::peer::Cancellation;
 use crate::peer::PeerError;
 use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
@@ -40,12 +35,12 @@
 /// Margin before the caller's deadline, so that the response arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
 /// Delay before a failed call to the store or to a peer is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Number of peers tried in turn to store a job. If any peer reaches the store, a few tries find
 /// one.
 const MAX_HELPERS: usize = 4;
 /// Timeout of a request to a peer that calls the store on behalf of this instance.
-const HELPER_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const HELPER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after which a caller should retry while the store is unavailable. Outages last seconds,
 /// and one second is the smallest value of the `Retry-After` header.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -155,8 +150,8 @@
             CallerRequest::Submit(queue, id, job) => {
                 self.submit(node, &cells, &queue, id, *job, deadline).await
             }
-            CallerRequest::Show(id) => show(node, &cells, id, deadline).await,
-            CallerRequest::Cancel(id) => cancel(node, &cells, id, deadline).await,
+            CallerRequest::Show(id) => job_lookup::show(node, &cells, id, deadline).await,
+            CallerRequest::Cancel(id) => job_lookup::cancel(node, &cells, id, deadline).await,
             CallerRequest::Count(queue) => count(node, &cells, &queue).await,
         };
         node.active_requests.set(node.active_requests.get() - 1);
@@ -400,236 +395,6 @@
     cells.views[cell as usize].clone()
 }
 
-/// Where the store holds a job that the cell of its identifier does not hold.
-enum Location {
-    /// Nowhere: there is no such job.
-    Missing,
-    /// In another cell.
-    Relocated(Rc<CellView>),
-    /// In a cell that this instance cannot tell.
-    Unreadable,
-}
-
-/// Returns the location of a job that is not in the cell that its identifier determines.
-async fn location(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Result<Location, StoreError> {
-    if cells.views.len() == 1 {
-        return Ok(Location::Missing);
-    }
-    let Some(item) = (node.platform.store.get)(keys::job_location(id)).await? else {
-        return Ok(Location::Missing);
-    };
-    let cell = decode::<u32>(&item.value).map_err(|error| error.to_string());
-    let view = cell.and_then(|cell| {
-        let view = cells.views.get(cell as usize).cloned();
-        view.ok_or_else(|| format!("there is no cell {cell}"))
-    });
-    Ok(match view {
-        Ok(view) => Location::Relocated(view),
-        Err(reason) => {
-            log_event!(Event::JobRecordInvalid, key = item.key, reason = reason);
-            Location::Unreadable
-        }
-    })
-}
-
-/// Returns the state of a job from the owner's memory, or from the store if the owner does not
-/// answer or does not know the job. While the store fails for this instance, the owners of the other
-/// cells are asked too, since only the store tells where the job is.
-async fn show(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> CallerResponse {
-    let mut view = cells.of_job(&id).clone();
-    let mut moved = false;
-    let mut asked_others = false;
-    loop {
-        match peer::ask_owner(node, &PeerRequest::State(view.number, id.clone())).await {
-            Ok(PeerResponse::State(Some(state))) => return CallerResponse::State(state),
-            Ok(_) => {}
-            Err(error) => {
-                node.metrics
-                    .retries
-                    .with_label_values(&["owner_silent"])
-                    .inc();
-                log::debug!("owner did not return the state of job {id}: {error}");
-            }
-        }
-        let mut store_error = None;
-        match read_from_store(node, &view, &id).await {
-            Ok(Some(answer)) => return answer,
-            Ok(None) if moved => return CallerResponse::NotFound,
-            Ok(None) => match location(node, cells, &id).await {
-                Ok(Location::Relocated(other)) => {
-                    moved = true;
-                    view = other;
-                }
-                Ok(Location::Missing) => return CallerResponse::NotFound,
-                Ok(Location::Unreadable) => return CallerResponse::refused(Code::JobUnreadable),
-                Err(error) => store_error = Some(error),
-            },
-            Err(error) => store_error = Some(error),
-        }
-        let Some(error) = store_error else {
-            continue;
-        };
-        log::debug!("cannot read from the store where job {id} is: {error}");
-        if !std::mem::replace(&mut asked_others, true)
-            && let Some(state) = state_in_any_cell(node, cells, &id).await
-        {
-            return CallerResponse::State(state);
-        }
-        if now() + RETRY_DELAY >= deadline {
-            return store_unavailable();
-        }
-        tokio::time::sleep(RETRY_DELAY * 2).await;
-    }
-}
-
-/// Returns the state of a job if the owner of any cell knows it.
-async fn state_in_any_cell(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Option<JobState> {
-    let ask = |view: &Rc<CellView>| {
-        let (node, request) = (node.clone(), PeerRequest::State(view.number, id.clone()));
-        tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
-    };
-    let replies: Vec<_> = cells.views.iter().map(ask).collect();
-    let mut known = None;
-    for task in replies {
-        if let Ok(Ok(PeerResponse::State(Some(state)))) = task.await {
-            known = Some(state);
-        }
-    }
-    known
-}
-
-const fn store_unavailable() -> CallerResponse {
-    CallerResponse::Refused {
-        code: Code::StoreUnavailable,
-        retry_after: Some(RETRY_AFTER),
-    }
-}
-
-/// Returns the stored state of a job in a cell, or `None` if the cell does not hold the job.
-async fn read_from_store(
-    node: &Rc<Node>,
-    view: &CellView,
-    id: &JobId,
-) -> Result<Option<CallerResponse>, StoreError> {
-    let Some(item) = (node.platform.store.get)(view.keys.job(id)).await? else {
-        return Ok(None);
-    };
-    Ok(Some(match decode(&item.value) {
-        Ok(JobRecord::Ended { how, .. }) => CallerResponse::State(JobState::Ended(how)),
-        Ok(JobRecord::Accepted(_)) => CallerResponse::State(JobState::Pending),
-        Err(error) => {
-            log_event!(Event::JobRecordInvalid, job = id, reason = error);
-            CallerResponse::refused(Code::JobUnreadable)
-        }
-    }))
-}
-
-/// Cancels a job by a write to the store, which its owner watches. While the store fails for this
-/// instance, a peer makes the write.
-async fn cancel(node: &Rc<Node>, cells: &Cells, id: JobId, deadline: Duration) -> CallerResponse {
-    let cell = cells.of_job(&id).number;
-    let mut helpers = node.helpers(cell).into_iter();
-    let mut through_peer = node.failing_since.get().is_some();
-    loop {
-        let helper = if through_peer { helpers.next() } else { None };
-        if let Some(helper) = helper {
-            let limit = deadline.saturating_sub(now()).min(HELPER_TIMEOUT);
-            let request = PeerRequest::Cancel(id.clone(), millis(limit));
-            match peer::send(node, helper, &request, limit).await {
-                Ok(PeerResponse::Cancelled(Cancellation::Cancelled)) => {
-                    return CallerResponse::Cancelled;
-                }
-                Ok(PeerResponse::Cancelled(Cancellation::NotFound)) => {
-                    return CallerResponse::NotFound;
-                }
-                Ok(_) | Err(_) => {}
-            }
-        } else {
-            helpers = node.helpers(cell).into_iter();
-            match try_cancel(node, cells, &id).await {
-                Ok(Some(answer)) => return answer,
-                Ok(None) => continue,
-                Err(_) => through_peer = true,
-            }
-        }
-        if now() + RETRY_DELAY >= deadline {
-            return CallerResponse::refused(Code::AnswerTimeout);
-        }
-        node.metrics
-            .retries
-            .with_label_values(&["store_cancel"])
-            .inc();
-        tokio::time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Cancels a job on behalf of a peer that does not reach the store.
-pub async fn cancel_for_peer(node: &Rc<Node>, id: &JobId, limit: Duration) -> Cancellation {
-    let Some(cells) = node.cells() else {
-        return Cancellation::Unknown;
-    };
-    let deadline = now() + limit;
-    while now() < deadline && node.failing_since.get().is_none() {
-        match try_cancel(node, &cells, id).await {
-            Ok(Some(CallerResponse::Cancelled)) => return Cancellation::Cancelled,
-            Ok(Some(CallerResponse::NotFound)) => return Cancellation::NotFound,
-            Ok(None) => {}
-            Ok(Some(_)) | Err(_) => break,
-        }
-    }
-    Cancellation::Unknown
-}
-
-/// Makes one attempt to cancel a job; returns `None` if the record changed in the meantime.
-async fn try_cancel(
-    node: &Rc<Node>,
-    cells: &Cells,
-    id: &JobId,
-) -> Result<Option<CallerResponse>, StoreError> {
-    let mut key = cells.of_job(id).keys.job(id);
-    let mut item = (node.platform.store.get)(key.clone()).await?;
-    if item.is_none() {
-        match location(node, cells, id).await? {
-            Location::Missing => {}
-            Location::Relocated(view) => {
-                key = view.keys.job(id);
-                item = (node.platform.store.get)(key.clone()).await?;
-            }
-            Location::Unreadable => {
-                return Ok(Some(CallerResponse::refused(Code::JobUnreadable)));
-            }
-        }
-    }
-    let Some(item) = item else {
-        return Ok(Some(CallerResponse::NotFound));
-    };
-    match decode::<JobRecord>(&item.value) {
-        Ok(JobRecord::Ended { .. }) => return Ok(Some(CallerResponse::Cancelled)),
-        Ok(JobRecord::Accepted(_)) => {}
-        Err(error) => {
-            log_event!(Event::JobRecordInvalid, job = id, reason = error);
-            return Ok(Some(CallerResponse::refused(Code::JobUnreadable)));
-        }
-    }
-    let ended = JobRecord::Ended {
-        how: FinalState::Cancelled,
-        at: unix_ms(),
-    };
-    let txn = Txn::default()
-        .unchanged(key.clone(), item.modified)
-        .put(key, encode(&ended));
-    let reply = (node.platform.store.txn)(txn).await?;
-    if !reply.committed {
-        return Ok(None);
-    }
-    log_event!(
-        Event::CallerJobCancelled,
-        job = id,
-        revision = reply.revision
-    );
-    Ok(Some(CallerResponse::Cancelled))
-}
-
 /// Sums the counts of waiting jobs over the owners of all cells.
 async fn count(node: &Rc<Node>, cells: &Cells, queue: &Arc<Queue>) -> CallerResponse {
     let ask = |view: &Rc<CellView>| {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`port`]: interfaces that an adapter to a platform implements;
 //! * [`node`], [`process`]: shared state, start and shutdown;
 //! * [`job_service`], [`acceptor`]: callers' requests, and storing each accepted job exactly once;
+//! * `job_lookup`: finding a stored job, to show or cancel it;
 //! * [`job_api`]: nutmegcart's own HTTP interface for jobs;
 //! * [`ownership`], [`candidate`], [`handoff`], [`owner`]: ownership of cells, and the tasks of an
 //!   owner;
@@ -27,6 +28,7 @@
 mod generated;
 pub mod handoff;
 pub mod job_api;
+mod job_lookup;
 pub mod job_service;
 pub mod keys;
 pub mod logger;
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -30,7 +30,7 @@
 use crate::earlier_owners;
 use crate::handoff;
 use crate::job_api;
-use crate::job_service;
+use crate::job_lookup;
 use crate::job_service::JobService;
 use crate::node::CellView;
 use crate::node::Node;
@@ -281,7 +281,7 @@
         }
         PeerRequest::Cancel(id, limit) => {
             let limit = Duration::from_millis(limit);
-            PeerResponse::Cancelled(job_service::cancel_for_peer(node, &id, limit).await)
+            PeerResponse::Cancelled(job_lookup::cancel_for_peer(node, &id, limit).await)
         }
         PeerRequest::TakeOver(cell, fence) => {
             PeerResponse::Taken(handoff::accept_handoff(node, cell, fence).await)
