Tell runs of one number apart when the soak's checker sees an acknowledgement

Successors that inherit a task without stored progress give its next run the same number (17), so two runs of a task may share it. The checker looked for the end of an acknowledged run by its number and found the end of the earlier run, which had been lost in a crash of its worker.

`later_run_with_the_same_number` failed before with ["no start after an end that is acknowledged"]; `end_acknowledged_after_a_new_start` keeps the promise.

--- a/crates/nutmegcart_soak/src/checker.rs
+++ b/crates/nutmegcart_soak/src/checker.rs
@@ -70,8 +70,8 @@
     alive: Vec<(usize, u32)>,
     /// Time of the latest start.
     started: Duration,
-    /// Times at which runs ended as done.
-    done: Vec<(u32, Duration)>,
+    /// Whether a run ended as done.
+    done: bool,
     /// Whether such an end was acknowledged while its lease held.
     settled: bool,
     /// Number of failed runs that were acknowledged.
@@ -273,7 +273,7 @@
     fn count_done(&self, job: &str) -> usize {
         let tasks = self.tasks.iter();
         tasks
-            .filter(|(task, view)| &*task.job == job && !view.done.is_empty())
+            .filter(|(task, view)| &*task.job == job && view.done)
             .count()
     }
 
@@ -321,15 +321,21 @@
                 let view = self.tasks.entry(task.clone()).or_default();
                 view.alive.retain(|alive| *alive != (worker, *run));
                 if is_done(*how) {
-                    view.done.push((*run, at));
+                    view.done = true;
                 }
             }
             Occurrence::Acknowledged {
                 task,
                 run,
                 how,
+                after,
                 lapsed,
-            } => self.acknowledged(at, task, *run, *how, *lapsed),
+            } if is_done(*how) && !lapsed => self.acknowledged(at, task, *run, *after),
+            Occurrence::Acknowledged { task, how, .. } => {
+                if *how == RunEnd::Failed {
+                    self.tasks.entry(task.clone()).or_default().failed += 1;
+                }
+            }
             Occurrence::Crashed => {
                 for view in self.tasks.values_mut() {
                     view.alive.retain(|alive| alive.0 != worker);
@@ -374,19 +380,18 @@
         }
     }
 
-    fn acknowledged(&mut self, at: Duration, task: &TaskKey, run: u32, how: RunEnd, lapsed: bool) {
+    /// Takes note of the acknowledgement of an end as done. A successor may give a run the number of
+    /// an earlier one, so the time of the end tells which one it is.
+    fn acknowledged(&mut self, at: Duration, task: &TaskKey, run: u32, after: Duration) {
         let view = self.tasks.entry(task.clone()).or_default();
-        if how == RunEnd::Failed {
-            view.failed += 1;
-        }
-        if !is_done(how) || lapsed {
-            return;
-        }
         view.settled = true;
-        let done = view.done.iter().find(|done| done.0 == run);
-        let repeated = done.is_some_and(|done| view.started > done.1);
-        if repeated {
-            let detail = format!("task {task}: started again before run {run} was acknowledged");
+        let ended = at.saturating_sub(after);
+        if view.started > ended {
+            let started = view.started;
+            let detail = format!(
+                "task {task}: started again at {started:?}; run {run}, which ended at {ended:?}, \
+                 was acknowledged later"
+            );
             self.report(at, "no start after an end that is acknowledged", detail);
         }
     }
--- a/crates/nutmegcart_soak/tests/checker.rs
+++ b/crates/nutmegcart_soak/tests/checker.rs
@@ -34,11 +34,17 @@
 }
 
 fn acknowledge(number: usize, run: u32, how: RunEnd, lapsed: bool) -> Fact {
+    acknowledge_after(1, number, run, how, lapsed)
+}
+
+fn acknowledge_after(after_s: u64, number: usize, run: u32, how: RunEnd, lapsed: bool) -> Fact {
     let task = task();
+    let after = Duration::from_secs(after_s);
     let what = Occurrence::Acknowledged {
         task,
         run,
         how,
+        after,
         lapsed,
     };
     worker(number, what)
@@ -125,9 +131,15 @@
     /// Guards against an end that is acknowledged after the task has started again.
     end_acknowledged_after_a_new_start => (
         vec![submitted(Some(200)), start(0, 1), end(0, 1, DONE), start(1, 2),
-            acknowledge(0, 1, DONE, false)],
+            acknowledge_after(2, 0, 1, DONE, false)],
         &["no start after an end that is acknowledged"]
     );
+    /// Guards against an objection to the end of a run that has the number of one that lapsed.
+    later_run_with_the_same_number => (
+        vec![submitted(Some(200)), start(0, 17), end(0, 17, DONE), start(1, 17), end(1, 17, DONE),
+            acknowledge(1, 17, DONE, false)],
+        &[]
+    );
     /// Guards against an objection to a new start when the lease lapsed before the acknowledgement.
     lapsed_end_may_start_again => (
         vec![submitted(Some(200)), start(0, 1), end(0, 1, DONE), acknowledge(0, 1, DONE, true),
