Soak several cells, configurations in series and connections that callers reset

The soak had one cell, one configuration and callers that always read their answers. A run may now have up to three cells, whose layout is stored as that of a large fleet before the instances start; version 2 of the schedule adds configurations in series and calls that callers reset within the request, while they wait or within the answer. New promises: an answer that has begun is complete, and every instance uses the newest configuration in the calm stretch.

A soak that is killed still leaves its instances behind.

--- a/crates/nutmegcart_soak/src/callers.rs
+++ b/crates/nutmegcart_soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
@@ -23,6 +24,8 @@
 use crate::history::Fact;
 use crate::history::History;
 use crate::history::Nature;
+use crate::reset;
+use crate::reset::Cut;
 
 /// Host of the queue.
 pub const HOST: &str = "counts.example";
@@ -99,20 +102,40 @@
         path: &str,
         body: &str,
     ) -> Option<(u16, Value)> {
+        self.send(address, method, path, body).ok()
+    }
+
+    fn send(&self, address: SocketAddr, method: &str, path: &str, body: &str) -> Answer {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("host", HOST)
             .header("content-type", "application/json")
-            .body(body.to_owned())
-            .ok()?;
-        let mut answer = self.0.run(request).ok()?;
-        let text = answer.body_mut().read_to_string().ok()?;
+            .body(body.to_owned());
+        let request = request.map_err(|_| Loss::Whole)?;
+        let mut answer = self.0.run(request).map_err(|_| Loss::Whole)?;
+        let text = answer.body_mut().read_to_string();
+        let text = text.map_err(|error| match error {
+            ureq::Error::Timeout(_) => Loss::Whole,
+            _ => Loss::Rest,
+        })?;
         let status = answer.status().as_u16();
-        Some((status, serde_json::from_str(&text).unwrap_or_default()))
+        Ok((status, serde_json::from_str(&text).unwrap_or_default()))
     }
 }
 
+/// What is missing of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// Nothing arrived, or the rest did not arrive in time.
+    Whole,
+    /// The connection ended within the answer.
+    Rest,
+}
+
+/// Status and body of an answer.
+type Answer = Result<(u16, Value), Loss>;
+
 /// Running callers.
 pub struct Callers {
     mode: Arc<AtomicU8>,
@@ -122,9 +145,16 @@
 }
 
 impl Callers {
-    /// Starts callers that use all of the addresses.
+    /// Starts callers that use all of the addresses. They reset half of their connections to an
+    /// address while its flag in `resets` is set.
     #[must_use]
-    pub fn start(count: u64, seed: u64, addresses: &[SocketAddr], history: &History) -> Self {
+    pub fn start(
+        count: u64,
+        seed: u64,
+        addresses: &[SocketAddr],
+        resets: &Arc<[AtomicBool]>,
+        history: &History,
+    ) -> Self {
         let mode = Arc::new(AtomicU8::new(Mode::Busy as u8));
         let mut callers = Self {
             mode: mode.clone(),
@@ -137,6 +167,7 @@
                 rng: StdRng::seed_from_u64(seed.wrapping_mul(count).wrapping_add(number)),
                 client: Client::default(),
                 addresses: addresses.to_vec(),
+                resets: resets.clone(),
                 history: history.clone(),
                 jobs: Vec::new(),
             };
@@ -178,6 +209,7 @@
     rng: StdRng,
     client: Client,
     addresses: Vec<SocketAddr>,
+    resets: Arc<[AtomicBool]>,
     history: History,
     jobs: Vec<JobPlan>,
 }
@@ -280,14 +312,23 @@
         let body = if method == "POST" { &*job.body } else { "" };
         let sent = Instant::now();
         let path = format!("{PREFIX}{}", job.id);
-        let answer = self
-            .client
-            .call(self.addresses[instance], method, &path, body);
-        if answer.is_none() {
+        let address = self.addresses[instance];
+        if self.resets[instance].load(Ordering::SeqCst) && self.rng.random() {
+            let cut = Cut::draw(&mut self.rng);
+            // The request may have been carried out; the address may refuse connections.
+            let _ = reset::send(address, HOST, (method, &path, body), cut);
+            return None;
+        }
+        let answer = self.client.send(address, method, &path, body);
+        if let Err(loss) = answer {
             let waited = sent.elapsed();
-            self.history.add(Fact::Dropped { instance, waited });
+            self.history.add(Fact::Dropped {
+                instance,
+                waited,
+                partial: loss == Loss::Rest,
+            });
         }
-        answer
+        answer.ok()
     }
 
     fn submit(&mut self, index: usize) {
--- a/crates/nutmegcart_soak/src/checker.rs
+++ b/crates/nutmegcart_soak/src/checker.rs
@@ -189,7 +189,11 @@
                 self.calls += 1;
                 self.shown(at, job, *answer, state, *sent);
             }
-            Fact::Dropped { instance, waited } => self.dropped(at, *instance, *waited),
+            Fact::Dropped {
+                instance,
+                waited,
+                partial,
+            } => self.dropped(at, *instance, *waited, *partial),
             Fact::Worker { worker, what } => self.occurred(at, *worker, what),
             Fact::Exited {
                 instance,
@@ -304,11 +308,14 @@
         }
     }
 
-    fn dropped(&mut self, at: Duration, instance: usize, waited: Duration) {
+    fn dropped(&mut self, at: Duration, instance: usize, waited: Duration, partial: bool) {
         self.calls += 1;
         let since = at.saturating_sub(waited);
         let steady = self.unplanned.calm(since, at) >= waited;
-        if self.timed && steady && waited > LOSS_SLACK {
+        if steady && partial {
+            let detail = format!("instance {instance}: the answer ended early after {waited:?}");
+            self.report(at, "an answer that has begun is complete", detail);
+        } else if self.timed && steady && waited > LOSS_SLACK {
             let detail = format!("instance {instance}: no answer after {waited:?}");
             self.report(at, "a request is answered without unplanned faults", detail);
         }
--- a/crates/nutmegcart_soak/src/history.rs
+++ b/crates/nutmegcart_soak/src/history.rs
@@ -72,6 +72,8 @@
         instance: usize,
         /// Time from the request to the end.
         waited: Duration,
+        /// Whether a part of the answer had arrived.
+        partial: bool,
     },
     /// Something happened at a worker.
     Worker {
--- a/crates/nutmegcart_soak/src/main.rs
+++ b/crates/nutmegcart_soak/src/main.rs
@@ -7,6 +7,9 @@
 use nutmegcart_soak::instance::build_binary;
 use nutmegcart_soak::plot;
 use nutmegcart_soak::schedule::Schedule;
+use nutmegcart_soak::schedule::Size;
+use nutmegcart_soak::schedule::VERSION;
+use nutmegcart_soak::schedule::WORKERS;
 use nutmegcart_soak::soak;
 use nutmegcart_soak::soak::Options;
 use nutmegcart_soak::soak::Report;
@@ -30,6 +33,10 @@
                 optional --instances number: usize
                 /// Time of faults of each seed in seconds (default 16).
                 optional --seconds number: u64
+                /// Number of cells, 1 to 3 (default 1).
+                optional --cells number: u32
+                /// Version of the schedule, 1 or 2 (default 2).
+                optional --schedule version: u32
                 /// Binary to test (default: built from this workspace).
                 optional --binary path: PathBuf
                 /// Folder for the pictures of the seeds that break promises.
@@ -45,6 +52,10 @@
                 optional --instances number: usize
                 /// Time of faults in seconds (default 16).
                 optional --seconds number: u64
+                /// Number of cells, 1 to 3 (default 1).
+                optional --cells number: u32
+                /// Version of the schedule, 1 or 2 (default 2).
+                optional --schedule version: u32
                 /// Binary to test (default: built from this workspace).
                 optional --binary path: PathBuf
                 /// Folder for the picture of the seed.
@@ -63,29 +74,27 @@
 
 /// Seeds when `--seeds` is not given.
 const DEFAULT_SEEDS: std::ops::Range<u64> = 0..5;
-/// Instances when `--instances` is not given.
-const DEFAULT_INSTANCES: usize = 3;
 /// Most instances of a run.
 const MAX_INSTANCES: usize = 40;
-/// Time of faults in seconds when `--seconds` is not given.
-const DEFAULT_SECONDS: u64 = 16;
 /// Exit code for invalid flags.
 const EXIT_USAGE: u8 = 2;
 
 /// What to play.
 struct Plan {
     seeds: std::ops::Range<u64>,
-    instances: usize,
-    seconds: u64,
+    size: Size,
     binary: Option<PathBuf>,
     plot: Option<PathBuf>,
     json: bool,
     /// Whether the faults are printed, and pictures are also drawn of seeds that pass.
     verbose: bool,
+    /// Whether the faults are only printed.
+    dry: bool,
 }
 
 fn main() -> ExitCode {
     let flags = flags::Soak::from_env_or_exit();
+    let default = Size::default();
     let plan = match flags.subcommand {
         flags::SoakCmd::Run(flags) => {
             let seeds = flags
@@ -98,35 +107,44 @@
             };
             Plan {
                 seeds,
-                instances: flags.instances.unwrap_or(DEFAULT_INSTANCES),
-                seconds: flags.seconds.unwrap_or(DEFAULT_SECONDS),
+                size: Size {
+                    version: flags.schedule.unwrap_or(default.version),
+                    instances: flags.instances.unwrap_or(default.instances),
+                    cells: flags.cells.unwrap_or(default.cells),
+                    seconds: flags.seconds.unwrap_or(default.seconds),
+                },
                 binary: flags.binary,
                 plot: flags.plot,
                 json: flags.json,
                 verbose: false,
+                dry: false,
             }
         }
-        flags::SoakCmd::Replay(flags) => {
-            let plan = Plan {
-                seeds: flags.seed..flags.seed.saturating_add(1),
-                instances: flags.instances.unwrap_or(DEFAULT_INSTANCES),
-                seconds: flags.seconds.unwrap_or(DEFAULT_SECONDS),
-                binary: flags.binary,
-                plot: flags.plot,
-                json: flags.json,
-                verbose: true,
-            };
-            if flags.dry {
-                print_schedule(&Schedule::draw(flags.seed, plan.instances, plan.seconds));
-                return ExitCode::SUCCESS;
-            }
-            plan
-        }
+        flags::SoakCmd::Replay(flags) => Plan {
+            seeds: flags.seed..flags.seed.saturating_add(1),
+            size: Size {
+                version: flags.schedule.unwrap_or(default.version),
+                instances: flags.instances.unwrap_or(default.instances),
+                cells: flags.cells.unwrap_or(default.cells),
+                seconds: flags.seconds.unwrap_or(default.seconds),
+            },
+            binary: flags.binary,
+            plot: flags.plot,
+            json: flags.json,
+            verbose: true,
+            dry: flags.dry,
+        },
     };
-    if !(1..=MAX_INSTANCES).contains(&plan.instances) {
-        eprintln!("--instances: expected 1 to {MAX_INSTANCES}");
+    if let Err(reason) = check_size(&plan.size) {
+        eprintln!("{reason}");
         return ExitCode::from(EXIT_USAGE);
     }
+    if plan.dry {
+        for seed in plan.seeds {
+            print_schedule(&Schedule::draw(seed, plan.size));
+        }
+        return ExitCode::SUCCESS;
+    }
     match play(&plan) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
@@ -137,6 +155,19 @@
     }
 }
 
+fn check_size(size: &Size) -> Result<()> {
+    if !(1..=MAX_INSTANCES).contains(&size.instances) {
+        return Err(format!("--instances: expected 1 to {MAX_INSTANCES}"));
+    }
+    if !(1..=WORKERS).contains(&(size.cells as usize)) {
+        return Err(format!("--cells: expected 1 to {WORKERS}"));
+    }
+    if !(1..=VERSION).contains(&size.version) {
+        return Err(format!("--schedule: expected 1 to {VERSION}"));
+    }
+    Ok(())
+}
+
 fn parse_seeds(text: &str) -> Option<std::ops::Range<u64>> {
     let (first, end): (u64, u64) = if let Some((first, end)) = text.split_once("..") {
         (first.parse().ok()?, end.parse().ok()?)
@@ -167,7 +198,7 @@
     let mut reports = Vec::new();
     let terminal = std::io::stderr().is_terminal();
     for seed in plan.seeds.clone() {
-        let schedule = Schedule::draw(seed, plan.instances, plan.seconds);
+        let schedule = Schedule::draw(seed, plan.size);
         if plan.verbose {
             print_schedule(&schedule);
         }
--- a/crates/nutmegcart_soak/src/plot.rs
+++ b/crates/nutmegcart_soak/src/plot.rs
@@ -41,7 +41,12 @@
     let seconds = |millis: u64| millis as f64 / 1_000.0;
     for (number, (from, until, fault)) in report.timeline.iter().enumerate() {
         let colour = match fault.kind {
-            Kind::Pause(_) | Kind::Kill(_) | Kind::Terminate(_) | Kind::Reload(_) => BLUE,
+            Kind::Pause(_)
+            | Kind::Kill(_)
+            | Kind::Terminate(_)
+            | Kind::Reload(_)
+            | Kind::Configure
+            | Kind::Reset(_) => BLUE,
             Kind::Store(..) | Kind::WholeStore(..) | Kind::Forget => RGBColor(230, 140, 0),
             Kind::Worker(..) | Kind::Crash(_) | Kind::Leave(_) => GREEN,
         };
--- a/crates/nutmegcart_soak/src/schedule.rs
+++ b/crates/nutmegcart_soak/src/schedule.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::Serialize;
 
 /// Length of a round of faults in milliseconds; each is followed by a calm stretch.
 const ROUND_MS: u64 = 8_000;
@@ -18,6 +19,37 @@
 const SERIES_GAP_MS: u64 = 700;
 /// Number of workers.
 pub const WORKERS: usize = 3;
+/// Latest version of schedules. Version 1 has no [`Kind::Configure`] and no [`Kind::Reset`].
+pub const VERSION: u32 = 2;
+/// Added to a seed for the faults that a later version adds, so that the earlier ones stay.
+const ADDED_STREAM: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Most configurations of one series, and the longest gap between them in milliseconds.
+const MAX_CONFIGURATIONS: u64 = 4;
+const MAX_CONFIGURATION_GAP_MS: u64 = 900;
+
+/// Size of a run; together with the seed it determines the faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Size {
+    /// Version of the schedule, 1 to [`VERSION`].
+    pub version: u32,
+    /// Number of instances.
+    pub instances: usize,
+    /// Number of cells, at most [`WORKERS`]; each has a worker.
+    pub cells: u32,
+    /// Time of faults in seconds.
+    pub seconds: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            version: VERSION,
+            instances: 3,
+            cells: 1,
+            seconds: 16,
+        }
+    }
+}
 
 /// What a fault does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +74,10 @@
     Crash(usize),
     /// As a crash, but the entry of the worker is missing until it starts again.
     Leave(usize),
+    /// The operator writes the next configuration.
+    Configure,
+    /// Callers reset half of their connections to an instance, at any point of a call.
+    Reset(usize),
 }
 
 /// A fault and its time in milliseconds from the start of its round.
@@ -56,10 +92,13 @@
 }
 
 impl Fault {
-    /// Returns whether an operator causes it and callers must not notice.
+    /// Returns whether an operator or other callers cause it, and a caller must not notice.
     #[must_use]
     pub fn is_planned(&self) -> bool {
-        matches!(self.kind, Kind::Terminate(_) | Kind::Reload(_))
+        matches!(
+            self.kind,
+            Kind::Terminate(_) | Kind::Reload(_) | Kind::Configure | Kind::Reset(_)
+        )
     }
 }
 
@@ -94,6 +133,8 @@
             }
             Kind::Crash(worker) => write!(f, "worker {worker} crashes and restarts"),
             Kind::Leave(worker) => write!(f, "worker {worker} leaves and returns"),
+            Kind::Configure => write!(f, "operator writes a configuration"),
+            Kind::Reset(instance) => write!(f, "callers of instance {instance} reset connections"),
         }
     }
 }
@@ -103,8 +144,8 @@
 pub struct Schedule {
     /// Seed from which the faults were drawn.
     pub seed: u64,
-    /// Number of instances.
-    pub instances: usize,
+    /// Size of the run.
+    pub size: Size,
     /// Faults of each round, ordered by their start.
     pub rounds: Vec<Vec<Fault>>,
 }
@@ -114,24 +155,62 @@
     ///
     /// ```
     /// use nutmegcart_soak::schedule::Schedule;
+    /// use nutmegcart_soak::schedule::Size;
     ///
-    /// let schedule = Schedule::draw(7, 3, 16);
+    /// let schedule = Schedule::draw(7, Size::default());
     /// assert_eq!(schedule.rounds.len(), 2);
-    /// assert_eq!(schedule, Schedule::draw(7, 3, 16));
+    /// assert_eq!(schedule, Schedule::draw(7, Size::default()));
     /// ```
     #[must_use]
-    pub fn draw(seed: u64, instances: usize, seconds: u64) -> Self {
+    pub fn draw(seed: u64, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let rounds = (seconds * 1_000).div_ceil(ROUND_MS);
-        let rounds = (0..rounds).map(|_| draw_round(&mut rng, instances));
+        let mut added = StdRng::seed_from_u64(seed ^ ADDED_STREAM);
+        let rounds = (size.seconds * 1_000).div_ceil(ROUND_MS);
+        let rounds = (0..rounds).map(|_| {
+            let mut faults = draw_round(&mut rng, size.instances);
+            if size.version > 1 {
+                faults.extend(draw_added(&mut added, size.instances));
+                faults.sort_by_key(|fault| (fault.from_ms, fault.until_ms));
+            }
+            faults
+        });
         Self {
             seed,
-            instances,
+            size,
             rounds: rounds.collect(),
         }
     }
 }
 
+/// Draws the faults that version 2 adds to a round.
+fn draw_added(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if rng.random_ratio(2, 3) {
+        let first = rng.random_range(0..LATEST_START_MS);
+        let gap = rng.random_range(0..MAX_CONFIGURATION_GAP_MS);
+        for step in 0..rng.random_range(1..=MAX_CONFIGURATIONS) {
+            let from_ms = (first + step * gap).min(LATEST_START_MS);
+            faults.push(Fault {
+                from_ms,
+                until_ms: from_ms + 1,
+                kind: Kind::Configure,
+            });
+        }
+    }
+    if rng.random_ratio(1, 2) {
+        let from_ms = rng.random_range(0..LATEST_START_MS);
+        let length = rng.random_range(300..4_000);
+        let first = rng.random_range(0..instances);
+        let count = if rng.random_ratio(1, 3) { instances } else { 1 };
+        faults.extend((0..count).map(|number| Fault {
+            from_ms,
+            until_ms: (from_ms + length).min(ROUND_MS),
+            kind: Kind::Reset((first + number) % instances),
+        }));
+    }
+    faults
+}
+
 fn draw_round(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
     for _ in 0..rng.random_range(FAULTS_PER_ROUND.0..=FAULTS_PER_ROUND.1) {
@@ -171,7 +250,8 @@
         Kind::Worker(each, conduct, every) => Kind::Worker(worker(each), conduct, every),
         Kind::Crash(each) => Kind::Crash(worker(each)),
         Kind::Leave(each) => Kind::Leave(worker(each)),
-        Kind::WholeStore(..) | Kind::Forget => kind,
+        Kind::Reset(each) => Kind::Reset(instance(each)),
+        Kind::WholeStore(..) | Kind::Forget | Kind::Configure => kind,
     }
 }
 
@@ -223,9 +303,10 @@
         Kind::Pause(_) => rng.random_range(300..6_000),
         Kind::Kill(_) => rng.random_range(50..2_500),
         Kind::Terminate(_) => rng.random_range(2_500..5_000),
-        Kind::Reload(_) | Kind::Forget => 1,
+        Kind::Reload(_) | Kind::Forget | Kind::Configure => 1,
         Kind::Store(..) | Kind::WholeStore(..) => rng.random_range(300..5_000),
         Kind::Worker(..) => rng.random_range(300..7_000),
         Kind::Crash(_) | Kind::Leave(_) => rng.random_range(100..5_000),
+        Kind::Reset(_) => rng.random_range(300..4_000),
     }
 }
--- a/crates/nutmegcart_soak/src/soak.rs
+++ b/crates/nutmegcart_soak/src/soak.rs
@@ -3,9 +3,17 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Duration;
 
+use nutmegcart_control::keys;
+use nutmegcart_jobs::layout::CELL_SIZE;
+use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::record::encode;
 use nutmegcart_stand_in::StandIn;
 use nutmegcart_stand_in::gate::Conduct;
 use nutmegcart_stand_in::runner::Runner;
@@ -26,6 +34,7 @@
 use crate::schedule::Fault;
 use crate::schedule::Kind;
 use crate::schedule::Schedule;
+use crate::schedule::Size;
 use crate::schedule::WORKERS;
 
 /// Result of a run; the error is a message about the soak itself.
@@ -35,6 +44,11 @@
 const SERVICE: &str = "gates";
 /// Number of callers.
 const CALLERS: u64 = 4;
+/// Job that no caller hands in, and the status of answers about it.
+const UNKNOWN_JOB: &str = "0000000000000000";
+const UNKNOWN_JOB_STATUS: u16 = 410;
+/// Status of answers to a path without a route.
+const UNKNOWN_ROUTE_STATUS: u16 = 404;
 /// Interval at which facts are collected and faults begin and end.
 const TICK: Duration = Duration::from_millis(10);
 /// Time for which callers stay busy after a round of faults.
@@ -64,8 +78,8 @@
 pub struct Report {
     /// Seed of the schedule.
     pub seed: u64,
-    /// Number of instances.
-    pub instances: usize,
+    /// Size of the run.
+    pub size: Size,
     /// Number of faults.
     pub faults: usize,
     /// Duration of the run in seconds.
@@ -87,6 +101,9 @@
     pub timeline: Vec<(u64, u64, Fault)>,
 }
 
+/// Number of runs that this process has begun; two of one seed must not share a folder.
+static PLAYED: AtomicU32 = AtomicU32::new(0);
+
 struct Soak {
     platform: StandIn,
     workers: Vec<Runner>,
@@ -100,6 +117,10 @@
     conducts: Vec<(Conduct, u32)>,
     timed: bool,
     client: Client,
+    /// Whether callers reset connections to each instance.
+    resets: Arc<[AtomicBool]>,
+    /// Version of the newest configuration.
+    configured: u64,
 }
 
 /// Plays a schedule.
@@ -108,19 +129,21 @@
 ///
 /// Fails if files cannot be written or processes cannot be started or signalled.
 pub fn play(schedule: &Schedule, options: &Options) -> Result<Report> {
-    let name = format!("seed-{}-{}", schedule.seed, std::process::id());
+    let number = PLAYED.fetch_add(1, Ordering::SeqCst);
+    let name = format!("seed-{}-{}-{number}", schedule.seed, std::process::id());
     let folder = options.folder.join(name);
     let text = |error: std::io::Error| format!("{}: {error}", folder.display());
     fs::create_dir_all(&folder).map_err(text)?;
     let platform = StandIn::start();
-    platform.configure(1, SERVICE, HOST, PREFIX);
-    let workers = (0..WORKERS).map(|number| platform.add_runner(&format!("i-{number}"), SERVICE));
-    let workers = workers.collect();
-    let instances = (0..schedule.instances)
+    configure(&platform, 1);
+    let workers = start_workers(&platform, schedule.size.cells);
+    let instances = (0..schedule.size.instances)
         .map(|number| Instance::new(&platform, number, &options.binary, &folder));
     let instances = instances.collect::<Result<Vec<Instance>>>()?;
     let mut soak = Soak {
         conducts: vec![(Conduct::Answer, 1); instances.len() + WORKERS],
+        resets: instances.iter().map(|_| AtomicBool::default()).collect(),
+        configured: 1,
         platform,
         workers,
         instances,
@@ -141,6 +164,34 @@
     Ok(report)
 }
 
+/// Writes a configuration with one route that all versions have and one of its own.
+fn configure(platform: &StandIn, version: u64) {
+    platform.configure_routes(version, SERVICE, HOST, &[PREFIX, &own_prefix(version)]);
+}
+
+fn own_prefix(version: u64) -> String {
+    format!("/version-{version}/")
+}
+
+/// Starts workers, evenly spread over the cells. The layout of several cells is stored as that of a
+/// fleet of full cells, which had other machines when it was made.
+fn start_workers(platform: &StandIn, cells: u32) -> Vec<Runner> {
+    let machines = (0..cells as usize * CELL_SIZE)
+        .map(|number| (format!("m-{number}").into(), SERVICE.into()));
+    let layout = CellLayout::divide(machines.collect());
+    if cells > 1 {
+        platform.store.put_bytes(&keys::layout(), encode(&layout));
+    }
+    let mut numbers = 0..;
+    let workers = (0..cells).cycle().take(WORKERS).filter_map(|cell| {
+        let mut names = numbers.by_ref().map(|number: u32| format!("i-{number}"));
+        names.find(|name| layout.cell_of_machine(name) == cell)
+    });
+    let names: Vec<String> = workers.collect();
+    let runners = names.iter().map(|name| platform.add_runner(name, SERVICE));
+    runners.collect()
+}
+
 impl Soak {
     fn run(&mut self, schedule: &Schedule) -> Result<()> {
         for instance in &mut self.instances {
@@ -148,7 +199,13 @@
         }
         self.wait_until_ready()?;
         let addresses: Vec<_> = self.instances.iter().map(|each| each.callers).collect();
-        let callers = Callers::start(CALLERS, schedule.seed, &addresses, &self.history);
+        let callers = Callers::start(
+            CALLERS,
+            schedule.seed,
+            &addresses,
+            &self.resets,
+            &self.history,
+        );
         let played = self.play_rounds(schedule, &callers);
         callers.stop();
         self.collect()?;
@@ -165,6 +222,9 @@
             while self.history.now() < calm {
                 self.tick()?;
             }
+            if self.timed {
+                self.check_configurations();
+            }
             self.settle(callers, over)?;
         }
         Ok(())
@@ -207,6 +267,11 @@
             }
             Kind::Reload(instance) => self.instances[instance].signal(Signal::HUP)?,
             Kind::Forget => self.platform.store.forget_history(),
+            Kind::Configure => {
+                self.configured += 1;
+                configure(&self.platform, self.configured);
+            }
+            Kind::Reset(instance) => self.resets[instance].store(true, Ordering::SeqCst),
             Kind::Crash(worker) => self.workers[worker].crash(),
             Kind::Leave(worker) => {
                 self.workers[worker].crash();
@@ -239,6 +304,9 @@
                     self.conducts[self.instances.len() + worker] = (Conduct::Answer, 1);
                 }
             }
+            Kind::Reset(instance) if !self.is_active(Kind::Reset(instance)) => {
+                self.resets[instance].store(false, Ordering::SeqCst);
+            }
             _ => {}
         }
         self.set_conducts();
@@ -390,11 +458,42 @@
         }
     }
 
-    /// Returns the jobs that have not settled at some instance, with their states.
+    /// Returns what each instance answers that does not use the newest configuration, or uses the
+    /// one before.
+    fn outdated(&self) -> BTreeMap<String, String> {
+        let mut outdated = BTreeMap::new();
+        let status = |instance: &Instance, version| {
+            let path = format!("{}{UNKNOWN_JOB}", own_prefix(version));
+            let answer = self.client.call(instance.callers, "GET", &path, "");
+            answer.map_or(0, |(status, _)| status)
+        };
+        for (number, instance) in self.instances.iter().enumerate() {
+            let newest = status(instance, self.configured);
+            let former = status(instance, self.configured - 1);
+            if (newest, former) != (UNKNOWN_JOB_STATUS, UNKNOWN_ROUTE_STATUS) {
+                let seen = format!("{newest} for version {}, {former} before", self.configured);
+                outdated.insert(format!("configuration of instance {number}"), seen);
+            }
+        }
+        outdated
+    }
+
+    /// Checks that each instance uses the newest configuration after a calm stretch.
+    fn check_configurations(&mut self) {
+        let now = self.history.now();
+        for (instance, seen) in self.outdated() {
+            let promise = "the newest configuration is in use 4 s after the last fault";
+            self.checker
+                .report(now, promise, format!("{instance}: {seen}"));
+        }
+    }
+
+    /// Returns the jobs that have not settled at some instance, with their states, and instances
+    /// with a configuration that is not the newest.
     fn unsettled(&self) -> BTreeMap<String, String> {
         let jobs = self.checker.jobs.iter();
         let jobs = jobs.filter(|(_, view)| view.accepted.is_some());
-        let mut left = BTreeMap::new();
+        let mut left = self.outdated();
         for (job, _) in jobs {
             for (number, instance) in self.instances.iter().enumerate() {
                 let path = format!("{PREFIX}{job}");
@@ -417,7 +516,7 @@
         let broken = self.checker.broken.clone();
         Report {
             seed: schedule.seed,
-            instances: schedule.instances,
+            size: schedule.size,
             faults: schedule.rounds.iter().map(Vec::len).sum(),
             seconds: self.history.now().as_secs_f64(),
             accepted: jobs.values().filter(|view| view.accepted.is_some()).count(),
--- a/crates/nutmegcart_soak/tests/checker.rs
+++ b/crates/nutmegcart_soak/tests/checker.rs
@@ -69,11 +69,23 @@
     }
 }
 
-fn pause() -> Fault {
+fn fault(kind: Kind) -> Fault {
     Fault {
         from_ms: 0,
         until_ms: 1,
-        kind: Kind::Pause(0),
+        kind,
+    }
+}
+
+fn pause() -> Fault {
+    fault(Kind::Pause(0))
+}
+
+fn dropped(waited_ms: u64, partial: bool) -> Fact {
+    Fact::Dropped {
+        instance: 0,
+        waited: Duration::from_millis(waited_ms),
+        partial,
     }
 }
 
@@ -191,6 +203,32 @@
         vec![submitted(Some(200)), start(0, 1), shown(200, "completed", 3)],
         &["a completed job has done all its tasks"]
     );
+    /// Guards against an answer that a shutdown cuts and that goes unnoticed.
+    answer_is_cut_in_a_shutdown => (
+        vec![Fact::Began(fault(Kind::Terminate(0))), dropped(10, true)],
+        &["an answer that has begun is complete"]
+    );
+    /// Guards against an objection to an answer that ends when its process is killed.
+    answer_is_cut_by_a_kill => (
+        vec![Fact::Began(fault(Kind::Kill(0))), dropped(10, true)],
+        &[]
+    );
+    /// Guards against a request that a shutdown leaves without an answer.
+    request_is_dropped_in_a_shutdown => (
+        vec![Fact::Began(fault(Kind::Terminate(0))), dropped(300, false)],
+        &["a request is answered without unplanned faults"]
+    );
+    /// Guards against an objection to a connection that closes as a request is sent.
+    connection_closes_before_a_request => (
+        vec![Fact::Began(fault(Kind::Terminate(0))), dropped(1, false)],
+        &[]
+    );
+    /// Guards against a request that other callers' resets or a configuration leave unanswered.
+    request_is_dropped_beside_resets => (
+        vec![Fact::Began(fault(Kind::Reset(0))), Fact::Began(fault(Kind::Configure)),
+            dropped(300, false)],
+        &["a request is answered without unplanned faults"]
+    );
     /// Guards against a process that ends by itself.
     process_exits => (
         vec![Fact::Exited { instance: 0, how: "exit status: 101".into(), expected: false }],
--- a/crates/nutmegcart_soak/tests/soak.rs
+++ b/crates/nutmegcart_soak/tests/soak.rs
@@ -2,21 +2,17 @@
 
 use nutmegcart_soak::instance::build_binary;
 use nutmegcart_soak::schedule::Schedule;
+use nutmegcart_soak::schedule::Size;
 use nutmegcart_soak::soak::Options;
 use nutmegcart_soak::soak::play;
 
-/// Number of instances.
-const INSTANCES: usize = 3;
-/// Time of faults in seconds: two rounds.
-const SECONDS: u64 = 16;
-
-fn keeps_its_promises(seed: u64) {
+fn keeps_its_promises((seed, size): (u64, Size)) {
     let options = Options {
         binary: build_binary().expect("the binary is built"),
         timed: false,
         folder: std::env::temp_dir().join("nutmegcart-soak-test"),
     };
-    let schedule = Schedule::draw(seed, INSTANCES, SECONDS);
+    let schedule = Schedule::draw(seed, size);
     let report = play(&schedule, &options).expect("the soak runs");
     assert!(report.broken.is_empty(), "{report:#?}");
     assert!(report.accepted > 0 && report.starts > 0, "{report:#?}");
@@ -28,7 +24,19 @@
     };
 }
 
+fn size(version: u32, cells: u32, seconds: u64) -> Size {
+    Size {
+        version,
+        instances: 3,
+        cells,
+        seconds,
+    }
+}
+
 cases! { keeps_its_promises:
     /// Guards against promises that are broken under pauses, kills and faults of the store.
-    seed_0_keeps_the_promises => 0;
+    seed_0_keeps_the_promises => (0, size(1, 1, 16));
+    /// Guards against promises that are broken under configurations in series and resets of
+    /// connections, with three cells.
+    three_cells_keep_the_promises => (4, size(2, 3, 8));
 }
