Soak partitions between workers and successive owners

All owners reached every worker, so a stale owner was refused by its first poll of a worker that had seen its successor. Version 3 of the schedule adds rounds in which one instance loses the store for 5 s, while each worker is reached either by the owner that it knows or only by later ones; the runner of the stand-in closes the other calls by their fencing token. Versions 1 and 2 of a seed stay as they were.

--- a/crates/nutmegcart_soak/src/main.rs
+++ b/crates/nutmegcart_soak/src/main.rs
@@ -35,7 +35,7 @@
                 optional --seconds number: u64
                 /// Number of cells, 1 to 3 (default 1).
                 optional --cells number: u32
-                /// Version of the schedule, 1 or 2 (default 2).
+                /// Version of the schedule, 1 to 3 (default 3).
                 optional --schedule version: u32
                 /// Binary to test (default: built from this workspace).
                 optional --binary path: PathBuf
@@ -54,7 +54,7 @@
                 optional --seconds number: u64
                 /// Number of cells, 1 to 3 (default 1).
                 optional --cells number: u32
-                /// Version of the schedule, 1 or 2 (default 2).
+                /// Version of the schedule, 1 to 3 (default 3).
                 optional --schedule version: u32
                 /// Binary to test (default: built from this workspace).
                 optional --binary path: PathBuf
--- a/crates/nutmegcart_soak/src/plot.rs
+++ b/crates/nutmegcart_soak/src/plot.rs
@@ -48,7 +48,7 @@
             | Kind::Configure
             | Kind::Reset(_) => BLUE,
             Kind::Store(..) | Kind::WholeStore(..) | Kind::Forget => RGBColor(230, 140, 0),
-            Kind::Worker(..) | Kind::Crash(_) | Kind::Leave(_) => GREEN,
+            Kind::Worker(..) | Kind::Crash(_) | Kind::Leave(_) | Kind::Partition(..) => GREEN,
         };
         let (low, high) = (number as f64 + 0.1, number as f64 + 0.9);
         let corners = [(seconds(*from), low), (seconds(*until) + 0.05, high)];
--- a/crates/nutmegcart_soak/src/schedule.rs
+++ b/crates/nutmegcart_soak/src/schedule.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmegcart_stand_in::gate::Conduct;
+use nutmegcart_stand_in::runner::Side;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -19,10 +20,16 @@
 const SERIES_GAP_MS: u64 = 700;
 /// Number of workers.
 pub const WORKERS: usize = 3;
-/// Latest version of schedules. Version 1 has no [`Kind::Configure`] and no [`Kind::Reset`].
-pub const VERSION: u32 = 2;
-/// Added to a seed for the faults that a later version adds, so that the earlier ones stay.
+/// Latest version of schedules. Version 2 adds [`Kind::Configure`] and [`Kind::Reset`], version 3
+/// [`Kind::Partition`].
+pub const VERSION: u32 = 3;
+/// Combined with a seed for the faults that a later version adds, so that the earlier ones stay.
 const ADDED_STREAM: u64 = 0x9e37_79b9_7f4a_7c15;
+const PARTITION_STREAM: u64 = 0xd1b5_4a32_d192_ed03;
+/// Latest start of a partition, its shortest length, and that of the fault of the store in it.
+const LATEST_PARTITION_MS: u64 = 1_500;
+const MIN_PARTITION_MS: u64 = 6_000;
+const STORE_LOSS_MS: u64 = 5_000;
 /// Most configurations of one series, and the longest gap between them in milliseconds.
 const MAX_CONFIGURATIONS: u64 = 4;
 const MAX_CONFIGURATION_GAP_MS: u64 = 900;
@@ -74,6 +81,8 @@
     Crash(usize),
     /// As a crash, but the entry of the worker is missing until it starts again.
     Leave(usize),
+    /// A partition of the network, with a worker on one of its sides.
+    Partition(usize, Side),
     /// The operator writes the next configuration.
     Configure,
     /// Callers reset half of their connections to an instance, at any point of a call.
@@ -133,6 +142,12 @@
             }
             Kind::Crash(worker) => write!(f, "worker {worker} crashes and restarts"),
             Kind::Leave(worker) => write!(f, "worker {worker} leaves and returns"),
+            Kind::Partition(worker, Side::Present) => {
+                write!(f, "worker {worker} is reached by the present owner only")
+            }
+            Kind::Partition(worker, Side::Later) => {
+                write!(f, "worker {worker} is reached by later owners only")
+            }
             Kind::Configure => write!(f, "operator writes a configuration"),
             Kind::Reset(instance) => write!(f, "callers of instance {instance} reset connections"),
         }
@@ -165,11 +180,17 @@
     pub fn draw(seed: u64, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut added = StdRng::seed_from_u64(seed ^ ADDED_STREAM);
+        let mut partitions = StdRng::seed_from_u64(seed ^ PARTITION_STREAM);
         let rounds = (size.seconds * 1_000).div_ceil(ROUND_MS);
         let rounds = (0..rounds).map(|_| {
             let mut faults = draw_round(&mut rng, size.instances);
             if size.version > 1 {
                 faults.extend(draw_added(&mut added, size.instances));
+            }
+            if size.version > 2 {
+                faults.extend(draw_partition(&mut partitions, size.instances));
+            }
+            if size.version > 1 {
                 faults.sort_by_key(|fault| (fault.from_ms, fault.until_ms));
             }
             faults
@@ -182,6 +203,37 @@
     }
 }
 
+/// Draws the faults that version 3 adds to a round: an instance loses the store, and if
+/// it owns a cell, it reaches other workers than its successor.
+fn draw_partition(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
+    if rng.random() {
+        return Vec::new();
+    }
+    let from_ms = rng.random_range(0..LATEST_PARTITION_MS);
+    let until_ms = rng.random_range(from_ms + MIN_PARTITION_MS..=ROUND_MS);
+    let instance = rng.random_range(0..instances);
+    let alone = rng.random_range(0..WORKERS);
+    let (one, others) = if rng.random() {
+        (Side::Present, Side::Later)
+    } else {
+        (Side::Later, Side::Present)
+    };
+    let side = |worker| if worker == alone { one } else { others };
+    let mut faults: Vec<Fault> = (0..WORKERS)
+        .map(|worker| Fault {
+            from_ms,
+            until_ms,
+            kind: Kind::Partition(worker, side(worker)),
+        })
+        .collect();
+    faults.push(Fault {
+        from_ms,
+        until_ms: from_ms + STORE_LOSS_MS,
+        kind: Kind::Store(instance, Conduct::Close, 1),
+    });
+    faults
+}
+
 /// Draws the faults that version 2 adds to a round.
 fn draw_added(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
     let mut faults = Vec::new();
@@ -251,6 +303,7 @@
         Kind::Crash(each) => Kind::Crash(worker(each)),
         Kind::Leave(each) => Kind::Leave(worker(each)),
         Kind::Reset(each) => Kind::Reset(instance(each)),
+        Kind::Partition(each, side) => Kind::Partition(worker(each), side),
         Kind::WholeStore(..) | Kind::Forget | Kind::Configure => kind,
     }
 }
@@ -305,7 +358,7 @@
         Kind::Terminate(_) => rng.random_range(2_500..5_000),
         Kind::Reload(_) | Kind::Forget | Kind::Configure => 1,
         Kind::Store(..) | Kind::WholeStore(..) => rng.random_range(300..5_000),
-        Kind::Worker(..) => rng.random_range(300..7_000),
+        Kind::Worker(..) | Kind::Partition(..) => rng.random_range(300..7_000),
         Kind::Crash(_) | Kind::Leave(_) => rng.random_range(100..5_000),
         Kind::Reset(_) => rng.random_range(300..4_000),
     }
--- a/crates/nutmegcart_soak/src/soak.rs
+++ b/crates/nutmegcart_soak/src/soak.rs
@@ -271,6 +271,7 @@
                 self.configured += 1;
                 configure(&self.platform, self.configured);
             }
+            Kind::Partition(worker, side) => self.workers[worker].partition(Some(side)),
             Kind::Reset(instance) => self.resets[instance].store(true, Ordering::SeqCst),
             Kind::Crash(worker) => self.workers[worker].crash(),
             Kind::Leave(worker) => {
@@ -304,6 +305,7 @@
                     self.conducts[self.instances.len() + worker] = (Conduct::Answer, 1);
                 }
             }
+            Kind::Partition(worker, _) => self.workers[worker].partition(None),
             Kind::Reset(instance) if !self.is_active(Kind::Reset(instance)) => {
                 self.resets[instance].store(false, Ordering::SeqCst);
             }
