Keep callers' requests and responses in a file that the lookup of jobs may import

Cause: job_service.rs and job_lookup.rs imported each other after their split. Change: the types and the limits that both need moved to caller_request.rs, without a change of behaviour; a test no longer uses a key of the users' platform.

--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -32,12 +32,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::caller_request::CallerRequest;
+use crate::caller_request::CallerResponse;
 use crate::cell_status;
 use crate::clock::now;
 use crate::generated::submission_v1::StepRequest;
 use crate::generated::submission_v1::Submission;
-use crate::job_service::CallerRequest;
-use crate::job_service::CallerResponse;
 use crate::job_service::JobService;
 use crate::node::Node;
 
--- a/crates/nutmegcart_control/src/job_lookup.rs
+++ b/crates/nutmegcart_control/src/job_lookup.rs
@@ -16,11 +16,11 @@
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 
+use crate::caller_request::CallerResponse;
+use crate::caller_request::HELPER_TIMEOUT;
+use crate::caller_request::RETRY_DELAY;
 use crate::clock::now;
 use crate::clock::unix_ms;
-use crate::job_service::CallerResponse;
-use crate::job_service::HELPER_TIMEOUT;
-use crate::job_service::RETRY_DELAY;
 use crate::keys;
 use crate::node::CellView;
 use crate::node::Cells;
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -8,7 +8,6 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
 use nutmegcart_jobs::record::encode;
@@ -20,6 +19,11 @@
 use crate::acceptor::Acceptance;
 use crate::acceptor::Acceptor;
 use crate::acceptor::JobInsert;
+use crate::caller_request::CallerRequest;
+use crate::caller_request::CallerResponse;
+use crate::caller_request::HELPER_TIMEOUT;
+use crate::caller_request::RETRY_AFTER;
+use crate::caller_request::RETRY_DELAY;
 use crate::clock::now;
 use crate::clock::unix_ms;
 use crate::job_lookup;
@@ -34,97 +38,13 @@
 
 /// Margin before the caller's deadline, so that the response arrives in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(60);
-/// Delay before a failed call to the store or to a peer is repeated.
-pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Number of peers tried in turn to store a job. If any peer reaches the store, a few tries find
 /// one.
 const MAX_HELPERS: usize = 4;
-/// Timeout of a request to a peer that calls the store on behalf of this instance.
-pub(crate) const HELPER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Delay after which a caller should retry while the store is unavailable. Outages last seconds,
-/// and one second is the smallest value of the `Retry-After` header.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Attempts to get the count from the owner of a cell.
 const COUNT_ATTEMPTS: usize = 3;
 
-/// A caller's request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CallerRequest {
-    /// Submits a job to a queue.
-    Submit(Arc<Queue>, JobId, Box<Job>),
-    /// Returns the state of a job.
-    Show(JobId),
-    /// Cancels a job.
-    Cancel(JobId),
-    /// Counts the jobs of a queue that have not started any task.
-    Count(Arc<Queue>),
-}
-
-impl CallerRequest {
-    const fn kind(&self) -> &'static str {
-        match self {
-            Self::Submit(..) => "submit",
-            Self::Show(_) => "show",
-            Self::Cancel(_) => "cancel",
-            Self::Count(_) => "count",
-        }
-    }
-}
-
-/// The response to a caller's request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CallerResponse {
-    /// The job is accepted and stored.
-    Accepted,
-    /// The state of the job.
-    State(JobState),
-    /// The job is cancelled, or had already ended.
-    Cancelled,
-    /// The number of jobs that have not started any task.
-    Waiting(u64),
-    /// No such job exists.
-    NotFound,
-    /// The request was refused, or its outcome is unknown.
-    Refused {
-        /// Reason; its verdict says whether the outcome is unknown.
-        code: Code,
-        /// Delay after which the caller should retry, if a retry may succeed.
-        retry_after: Option<Duration>,
-    },
-}
-
-impl CallerResponse {
-    /// Creates a refusal without a retry delay.
-    #[must_use]
-    pub const fn refused(code: Code) -> Self {
-        Self::Refused {
-            code,
-            retry_after: None,
-        }
-    }
-
-    /// Creates a refusal by an instance that cannot serve requests at the moment.
-    #[must_use]
-    pub const fn unavailable(code: Code) -> Self {
-        Self::Refused {
-            code,
-            retry_after: Some(RETRY_AFTER),
-        }
-    }
-
-    const fn label(&self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::State(_) => "shown",
-            Self::Cancelled => "cancelled",
-            Self::Waiting(_) => "counted",
-            Self::NotFound => "gone",
-            Self::Refused { code, .. } => code.label(),
-        }
-    }
-}
-
 /// Handles callers' requests. Clones share the queue of jobs to store.
 #[derive(Clone, Default)]
 pub struct JobService {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! * [`port`]: interfaces that an adapter to a platform implements;
 //! * [`node`], [`process`]: shared state, start and shutdown;
-//! * [`job_service`], [`acceptor`]: callers' requests, and storing each accepted job exactly once;
+//! * [`caller_request`], [`job_service`], [`acceptor`]: callers' requests, and storing each
+//!   accepted job exactly once;
 //! * `job_lookup`: finding a stored job, to show or cancel it;
 //! * [`job_api`]: nutmegcart's own HTTP interface for jobs;
 //! * [`ownership`], [`candidate`], [`handoff`], [`owner`]: ownership of cells, and the tasks of an
@@ -21,6 +22,7 @@
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
+pub mod caller_request;
 pub mod candidate;
 pub mod cell_status;
 pub mod clock;
--- a/crates/nutmegcart_control/tests/moved_callers.rs
+++ b/crates/nutmegcart_control/tests/moved_callers.rs
@@ -10,9 +10,9 @@
 
 use nutmegcart_control::Node;
 use nutmegcart_control::NodeSettings;
+use nutmegcart_control::caller_request::CallerRequest;
+use nutmegcart_control::caller_request::CallerResponse;
 use nutmegcart_control::clock::now;
-use nutmegcart_control::job_service::CallerRequest;
-use nutmegcart_control::job_service::CallerResponse;
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::keys;
 use nutmegcart_control::keys::CellKeys;
--- a/crates/nutmegcart_control/tests/prefix_watcher.rs
+++ b/crates/nutmegcart_control/tests/prefix_watcher.rs
@@ -41,7 +41,7 @@
         }),
         Answer::Changed => Ok(WatchReply {
             events: vec![WatchEvent::Put(KeyValue {
-                key: "op/config".into(),
+                key: "records/config".into(),
                 value: Vec::new(),
                 created: revision + 1,
                 modified: revision + 1,
