Serve jobs of all sizes about evenly in an overload that lasts

Small jobs yield more value for each core-second, so while a pool could not run all that arrived they took all capacity, and capacity was spread over many started jobs that then ended late. Started jobs now go first by their slack, a job must be able to end in time with a margin to be started as such, a size class of which fewer were started in time than of others gets an advantage until it has caught up, and late jobs follow the same order instead of their age.

--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod record;
 pub mod reports;
 pub mod scheduler;
+pub mod size_shares;
 mod slot;
 pub mod stalled;
 pub mod throttling;
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -215,7 +215,7 @@
                 && self.may_pass(job, now)
                 && let Some(occurrence) = job.occurrences.values().next()
             {
-                candidates.push((rank(job, occurrence, job.work, now), job));
+                candidates.push((rank(job, occurrence, job.work, 1.0, now), job));
             }
         }
         candidates.sort_by(|a, b| b.0.compare(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -56,7 +56,8 @@
                 .copied()
                 .unwrap_or(job.work);
             for (number, occurrence) in &job.occurrences {
-                let rank = rank(job, occurrence, mean, now);
+                let share = self.size_shares.relative(&job.accepted.queue.key, job.work);
+                let rank = rank(job, occurrence, mean, share, now);
                 let pool = waiting.entry(job.pool.clone()).or_default();
                 pool.push((rank, job.id.clone(), *number));
             }
@@ -407,6 +408,9 @@
         let spec = job.accepted.job.spec.clone();
         if !std::mem::replace(&mut job.started, true) {
             self.start_delays.push(now.saturating_sub(job.accepted_at));
+            if !job.inherited && !job.accepted.job.is_long_running() {
+                self.size_shares.record_start(job, now);
+            }
         }
         let Some(task) = job.task(key) else {
             return;
--- a/crates/nutmegcart_jobs/src/rank.rs
+++ b/crates/nutmegcart_jobs/src/rank.rs
@@ -11,6 +11,14 @@
 /// Share of the predicted remaining time by which a started job may miss its deadline before it
 /// counts as late, since the prediction may be too long.
 const STARTED_TOLERANCE: f64 = 0.5;
+/// Share of the predicted time by which a job that has not started must be able to end before its
+/// deadline to count as in time, since its tasks rarely all start at once.
+const START_MARGIN: f64 = 0.4;
+/// Factor of the key of a started job. Capacity that is spread over many jobs in an overload lets all
+/// of them end late.
+const STARTED_ADVANTAGE: f64 = 0.1;
+/// Exponent of the relative share of a job's size class that has been started.
+const SHARE_EXPONENT: i32 = 4;
 /// Part of a job's value that does not depend on its work; a job of mean size has value 1.
 const FIXED_VALUE: f64 = 0.3;
 /// Upper bound on a job's value; a job of mean size has value 1.
@@ -49,14 +57,18 @@
     }
 }
 
-/// Ranks an occurrence of a job; `mean` is the mean work of its queue's jobs in core-seconds.
+/// Ranks an occurrence of a job; `mean` is the mean work of its queue's jobs in core-seconds, and
+/// `share` the relative share of its size class that has been started lately, from 0 to 1.
 ///
 /// During a burst a queue may request more than its pool can run. Work that can still meet its
 /// objective goes first, ordered by value per core-second and by the slack until its deadline,
 /// because serving in order of arrival would spend the capacity on jobs that are late by the time
-/// they end. Late work follows by age, so that it ends soon after the burst.
+/// they end. A started job goes before those that have not started, by its slack alone, since what
+/// it has used is lost if it ends late. A size class of which fewer have been started than of others
+/// gets an advantage; it ends as soon as they start, so it never takes all capacity. Late work
+/// follows in the same order as long as its value depends on when it ends, then the rest by age.
 #[must_use]
-pub fn rank(job: &LiveJob, occurrence: &Occurrence, mean: f64, now: Duration) -> Rank {
+pub fn rank(job: &LiveJob, occurrence: &Occurrence, mean: f64, share: f64, now: Duration) -> Rank {
     let priority = job.accepted.queue.priority;
     let due = occurrence.due.as_secs_f64();
     let rank_as = |urgency, key| Rank {
@@ -77,13 +89,20 @@
         Duration::ZERO
     };
     let end = now + occurrence.remaining;
-    let deadline = occurrence.due + job.objective;
-    if end <= deadline + tolerance {
-        let slack = (deadline + tolerance).saturating_sub(end).as_secs_f64();
-        return rank_as(Urgency::OnTime, cost(job.work, mean) * (1.0 + slack));
-    }
-    if end <= occurrence.due + job.objective * OVERDUE_FACTOR {
-        return rank_as(Urgency::Late, due);
+    let (margin, weight) = if started {
+        (Duration::ZERO, STARTED_ADVANTAGE)
+    } else {
+        let margin = occurrence.remaining.mul_f64(START_MARGIN);
+        let weight = cost(job.work, mean) * share.powi(SHARE_EXPONENT);
+        (margin, weight)
+    };
+    let in_time = occurrence.due + job.objective + tolerance;
+    let late = occurrence.due + job.objective * OVERDUE_FACTOR;
+    for (urgency, deadline) in [(Urgency::OnTime, in_time), (Urgency::Late, late)] {
+        if end + margin <= deadline {
+            let slack = deadline.saturating_sub(end).as_secs_f64();
+            return rank_as(urgency, weight * (1.0 + slack));
+        }
     }
     rank_as(Urgency::Overdue, due)
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -33,6 +33,7 @@
 use crate::record::CellRecord;
 use crate::record::FinalState;
 use crate::record::JobState;
+use crate::size_shares::SizeShares;
 use crate::tickets::Tickets;
 use crate::worker::RunState;
 use crate::worker::StopReason;
@@ -65,6 +66,7 @@
     pub(crate) flush_queue: FlushQueue,
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
+    pub(crate) size_shares: SizeShares,
     pub(crate) machines: Machines,
     pub(crate) maintenance: Maintenance,
     pub(crate) actions: Vec<Action>,
@@ -91,6 +93,7 @@
             flush_queue: FlushQueue::default(),
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
+            size_shares: SizeShares::default(),
             machines: Machines::default(),
             maintenance: Maintenance::default(),
             actions: Vec::new(),
@@ -261,6 +264,8 @@
         }
         if !inherited && !job.accepted.job.is_long_running() {
             self.rebalancer.record_arrival(&job.pool, job.work, now);
+            let queue = &job.accepted.queue.key;
+            self.size_shares.record_arrival(queue, job.work, now);
         }
         self.jobs.insert(id.clone(), job);
     }
