--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -42,7 +42,7 @@
     pub job: String,
     /// Its pool.
     pub pool: String,
-    /// Whether a long-running task waits, or the first start of another job.
+    /// Whether a long-running task waits, or all that is left of another job.
     pub kind: String,
     /// Time for which it has waited, in milliseconds.
     pub waited_ms: u64,
@@ -113,7 +113,7 @@
         waited_ms: waited(job.since),
     };
     CellStatus {
-        age_ms: waited(owned.state.viewed_at.get()),
+        age_ms: waited(owned.state.view.get().read_at.unwrap_or_default()),
         waiting_jobs: count(scheduler.waiting_total()),
         waiting_tasks: count(pools.iter().map(|pool| pool.total).sum()),
         longest: longest.map(|(pool, task)| LongestWait {
--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -21,6 +21,7 @@
 use crate::owner_history::ActingEnd;
 use crate::owner_history::SeenOwner;
 use crate::owner_log::LoggedOwner;
+use crate::owner_log::OwnerLog;
 use crate::ownership::owner_record;
 use crate::peer;
 use crate::peer::PeerRequest;
@@ -122,6 +123,16 @@
     }
 }
 
+/// Returns the log of an ownership that ends, without the owners that can no longer act.
+pub(crate) fn final_log(node: &Node, owned: &OwnedCell) -> OwnerLog {
+    let validity = node.owner_validity();
+    let cell = (owned.view.number, owned.fence);
+    let history = node.owner_history.borrow();
+    let mut log = history.settle(&owned.log, cell, validity, now());
+    log.complete &= owned.log.complete || now() >= owned.state.since.get() + validity;
+    log
+}
+
 /// Returns the earlier owners that could still act and have not confirmed their end.
 fn open_owners(node: &Node, owned: &OwnedCell) -> Vec<SeenOwner> {
     let history = node.owner_history.borrow();
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -10,6 +10,7 @@
 use nutmegcart_platform::Revision;
 
 use crate::estimate::Estimates;
+use crate::failed_runs::FailedRuns;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::Step;
@@ -24,8 +25,8 @@
 pub struct LiveTask {
     /// Whether a run of the task has finished.
     pub done: bool,
-    /// Numbers of the failed runs.
-    pub failed_runs: Vec<u32>,
+    /// Failed runs.
+    pub failed_runs: FailedRuns,
     /// Highest run number used.
     pub last_run: u32,
     /// Number of runs that may be live.
@@ -36,7 +37,7 @@
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which the latest run failed or stalled.
     pub avoid: Option<WorkerId>,
-    /// Since when the task has been waiting for a run.
+    /// When its latest run ended, or when its occurrence became due.
     pub waiting_since: Duration,
 }
 
@@ -72,6 +73,12 @@
             .filter(move |(_, task)| waits(task))
             .map(|(index, _)| index)
     }
+
+    /// Returns when the latest run of its tasks ended under this owner, or when it became due.
+    #[must_use]
+    pub fn latest_end(&self) -> Option<Duration> {
+        self.tasks.iter().map(|task| task.waiting_since).max()
+    }
 }
 
 /// One execution of all steps of a job.
@@ -139,6 +146,8 @@
     pub accepted_at: Duration,
     /// Pool whose workers run its tasks.
     pub pool: PoolName,
+    /// Whether it may have tasks in another pool, to which its queue belonged.
+    pub moved: bool,
     /// Predicted duration of one task, by step.
     pub durations: Vec<Duration>,
     /// Predicted work of one occurrence in core-seconds.
@@ -184,6 +193,7 @@
         Self {
             id,
             pool: queue.pool.clone(),
+            moved: false,
             revision,
             accepted_at,
             durations,
@@ -201,6 +211,12 @@
         }
     }
 
+    /// Sets the pool to which its queue belongs.
+    pub(crate) fn set_pool(&mut self, pool: &PoolName) {
+        self.moved |= self.pool != *pool;
+        self.pool = pool.clone();
+    }
+
     /// Adds the occurrences that are due at `unix`, in milliseconds since 1970.
     pub fn spawn(&mut self, unix: u64, now: Duration) {
         let Some(schedule) = self.accepted.job.schedule else {
@@ -239,7 +255,7 @@
                             index,
                         },
                         done: task.done,
-                        failed: task.failed_runs.clone(),
+                        failed: task.failed_runs.stored(),
                         run: task.last_run,
                         checkpoint: task.checkpoint.clone(),
                     });
@@ -256,7 +272,7 @@
             self.finish(&progress.task);
         }
         if let Some(task) = self.task(&progress.task) {
-            task.failed_runs.clone_from(&progress.failed);
+            task.failed_runs = FailedRuns::restore(progress.failed.clone());
             task.last_run = task.last_run.max(progress.run + run_gap);
             task.checkpoint.clone_from(&progress.checkpoint);
             task.started = true;
@@ -343,14 +359,23 @@
         self.ended.is_none() && open.any(|step| step.pending().next().is_some())
     }
 
-    /// Returns the largest number of workers that the waiting tasks of one long-running step need.
-    #[must_use]
-    pub fn missing_workers(&self) -> usize {
+    /// Returns the largest number of workers that the waiting tasks of one long-running step need,
+    /// without those for which `has_worker` is true.
+    pub(crate) fn missing_workers(&self, has_worker: impl Fn(&TaskKey) -> bool) -> usize {
         let mut workers = 0;
-        for occurrence in self.occurrences.values() {
-            for (step, state) in self.accepted.job.steps.iter().zip(&occurrence.steps) {
+        for (number, occurrence) in &self.occurrences {
+            let steps = self.accepted.job.steps.iter().zip(&occurrence.steps);
+            for (index, (step, state)) in (0_u16..).zip(steps) {
                 if step.long_running && state.ready {
-                    let waiting = state.pending().count();
+                    let lacks_worker = |task: &u32| {
+                        !has_worker(&TaskKey {
+                            job: self.id.clone(),
+                            occurrence: *number,
+                            step: index,
+                            index: *task,
+                        })
+                    };
+                    let waiting = state.pending().filter(lacks_worker).count();
                     workers = workers.max(waiting.div_ceil(step.per_worker.max(1) as usize));
                 }
             }
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -233,7 +233,9 @@
                 let known = worker.runs.get(&reported.task);
                 known.is_none_or(|run| run.number != reported.run)
             };
-            worker.unknown_runs = report.running.iter().filter(unknown).count();
+            let unknown = report.running.iter().filter(unknown);
+            worker.unknown_tasks = unknown.map(|reported| reported.task.clone()).collect();
+            worker.unknown_runs = worker.unknown_tasks.len();
         }
         self.settle_unreported_runs(id, sent, report, now);
         self.acknowledge_ends(id);
@@ -452,11 +454,9 @@
         let Some(task) = job.task(&end.task) else {
             return;
         };
-        if !task.failed_runs.contains(&end.run) {
-            task.failed_runs.push(end.run);
-        }
+        task.failed_runs.record(id, end.run);
         task.avoid = Some(id.clone());
-        if !long_running && !task.done && task.failed_runs.len() >= attempts {
+        if !long_running && !task.done && task.failed_runs.count() >= attempts {
             self.fail_job(&end.task.job, now);
         }
     }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -19,6 +19,7 @@
 use crate::action::Action;
 use crate::action::JobSettings;
 use crate::action::PoolConfig;
+use crate::assignments::Assignments;
 use crate::estimate::Estimates;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
@@ -56,6 +57,8 @@
     pub(crate) earlier_end: Option<Duration>,
     pub(crate) queues: HashMap<QueueKey, Queue>,
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
+    /// Moved queues that the stored cell state names.
+    pub(crate) stored_moves: BTreeSet<QueueKey>,
     pub(crate) jobs: BTreeMap<JobId, LiveJob>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Latest incarnations that have certainly ended, whose entries may still be listed.
@@ -64,6 +67,7 @@
     pub(crate) orphan_runs: BTreeSet<(WorkerId, TaskKey, u32)>,
     pub(crate) estimates: Estimates,
     pub(crate) flush_queue: FlushQueue,
+    pub(crate) assignments: Assignments,
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
     pub(crate) size_shares: SizeShares,
@@ -85,12 +89,14 @@
             earlier_end: None,
             queues: HashMap::new(),
             pools: BTreeMap::new(),
+            stored_moves: BTreeSet::new(),
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             ended_incarnations: HashMap::new(),
             orphan_runs: BTreeSet::new(),
             estimates: Estimates::default(),
             flush_queue: FlushQueue::default(),
+            assignments: Assignments::default(),
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
             size_shares: SizeShares::default(),
@@ -156,7 +162,7 @@
         self.pools = pools.iter().cloned().collect();
         for job in self.jobs.values_mut() {
             if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
-                job.pool = queue.pool.clone();
+                job.set_pool(&queue.pool);
             }
         }
     }
@@ -181,8 +187,10 @@
             worker.unlisted_at = self.taken_over_at;
             worker.enrolled = true;
             worker.inherited = true;
+            worker.assigned = record.assigned_to(&enrolled.worker);
             self.workers.insert(enrolled.worker.clone(), worker);
         }
+        self.inherit_moved_queues(&record.moved_queues);
         for progress in &record.tasks {
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
@@ -190,6 +198,8 @@
             job.restore(progress, INHERITED_RUN_GAP);
         }
         self.flush_queue.inherit(record);
+        // A successor trusts only the assignments that its predecessor has written.
+        self.flush_queue.outdated = true;
         self.maintenance.inherit(&record.maintained);
         self.machines.inherited = record.ordered_machines.iter().cloned().collect();
         self.machines.stored.clone_from(&record.ordered_machines);
@@ -220,7 +230,7 @@
         }
     }
 
-    /// Adds an accepted job; `inherited` is true if an earlier owner may have started it.
+    /// Adds an accepted job, unless it is malformed; `inherited` is true if an earlier owner may have started it.
     pub fn add_job(
         &mut self,
         id: &JobId,
@@ -234,6 +244,11 @@
             job.revision = job.revision.max(revision);
             return;
         }
+        // The record may be of another writer, and every successor would fail on it too.
+        if let Err(error) = accepted.job.check() {
+            log_event!(Event::JobRecordInvalid, job = id, reason = error);
+            return;
+        }
         let age = Duration::from_millis(unix.saturating_sub(accepted.at));
         // The clocks of two instances may differ by seconds, so the age of a new job is not taken
         // from its time of acceptance.
@@ -246,8 +261,9 @@
         let mut job = LiveJob::new(id.clone(), accepted, revision, since, &self.estimates);
         job.inherited = inherited;
         if let Some(queue) = self.queues.get(&job.accepted.queue.key) {
-            job.pool = queue.pool.clone();
+            job.set_pool(&queue.pool);
         }
+        job.moved |= inherited && self.stored_moves.contains(&job.accepted.queue.key);
         job.spawn(unix, now);
         if inherited {
             let steps = job
@@ -308,9 +324,12 @@
     /// Returns the number of workers that long-running tasks occupy or wait for.
     #[must_use]
     pub fn long_running_workers(&self) -> usize {
-        let holds = |worker: &&Worker| worker.runs.values().any(|run| run.long_running);
+        let holds = |worker: &&Worker| {
+            worker.runs.values().any(|run| run.long_running)
+                || self.reserved_tasks(&worker.listing.id) > 0
+        };
         let open = self.jobs.values().filter(|job| job.ended.is_none());
-        let waiting: usize = open.map(LiveJob::missing_workers).sum();
+        let waiting: usize = open.map(|job| self.missing_workers(job)).sum();
         self.workers.values().filter(holds).count() + waiting
     }
 
@@ -430,7 +449,7 @@
     pub fn log_status(&self, cell: u32, now: Duration) {
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let (waiting, active): (Vec<_>, Vec<_>) = open.partition(|job| !job.started);
-        let blocked = self.jobs.values().filter(|job| self.is_blocked(job));
+        let blocked = self.jobs.values().filter(|job| self.has_blocked_tasks(job));
         let usable = self.workers.values().filter(|worker| worker.usable(now));
         let silent = self
             .workers
