Store moved queues where earlier versions do not read

Cause: a cell state with a moved queue had one field more than earlier versions decode. An owner of such a version refused the whole record ('array had incorrect length, expected 4'), so it knew no worker, waited for none and could start inherited tasks a second time, while versions take turns. Change: the list follows the record, after the assignments, where earlier versions do not read. An older owner then waits for the workers of the job's present pool, as it did before. Test: records_are_readable_without_moved_queues failed before with the error above. It replaces record_without_moved_queues_keeps_its_form, which asserted the older form only for records without a moved queue, and keeps its assertions.

--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -159,7 +159,7 @@
     #[serde(rename = "commanded")]
     pub ordered_machines: Vec<Arc<str>>,
     /// Queues whose open jobs may have tasks in pools other than that of their configuration.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(skip)]
     pub moved_queues: Vec<QueueKey>,
     /// Fencing token of the owner that wrote the record; 0 if it was of a version without
     /// assignments.
@@ -220,7 +220,8 @@
 
 /// Encodes the state of a cell.
 ///
-/// The assignments follow the record, where programs of versions without them do not read.
+/// The assignments and the moved queues follow the record, where programs of versions without them
+/// do not read: they refuse a longer record, and would know no worker.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
@@ -233,11 +234,12 @@
 #[must_use]
 pub fn encode_cell(record: &CellRecord) -> Vec<u8> {
     let mut bytes = encode(record);
-    bytes.extend(encode(&(record.fence, &record.assignments)));
+    let added = (record.fence, &record.assignments, &record.moved_queues);
+    bytes.extend(encode(&added));
     bytes
 }
 
-/// Decodes the state of a cell, with the assignments if there are any.
+/// Decodes the state of a cell, with the assignments and the moved queues if it contains them.
 ///
 /// # Errors
 ///
@@ -246,7 +248,8 @@
     let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
     let mut record: CellRecord = decode_next(&mut decoder)?;
     if decoder.position() < bytes.len() as u64 {
-        (record.fence, record.assignments) = decode_next(&mut decoder)?;
+        let added = decode_next(&mut decoder)?;
+        (record.fence, record.assignments, record.moved_queues) = added;
     }
     Ok(record)
 }
--- a/crates/nutmegcart_jobs/tests/moved_queues.rs
+++ b/crates/nutmegcart_jobs/tests/moved_queues.rs
@@ -13,7 +13,9 @@
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::WaitReason;
 use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::decode_cell;
 use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::record::encode_cell;
 use support::assert_no_violations;
 use support::batch_step;
 use support::long_running_step;
@@ -167,7 +169,7 @@
 
 fn stored_queues(world: &CellSimulation) -> usize {
     let state = world.store.state.as_ref().expect("the state is stored");
-    let record: CellRecord = decode(state).expect("a record");
+    let record = decode_cell(state).expect("a record");
     record.moved_queues.len()
 }
 
@@ -197,22 +199,30 @@
     assert_no_violations(&world);
 }
 
-/// Guards against records that versions before the list of moved queues cannot read although no
-/// queue was moved.
+/// Guards against records that versions before the list of moved queues cannot read. An owner of such
+/// a version would know no worker, and start inherited tasks again at once.
 #[test]
-fn record_without_moved_queues_keeps_its_form() {
-    let record = CellRecord::default();
+fn records_are_readable_without_moved_queues() {
+    let record = CellRecord {
+        ordered_machines: vec!["r1-0".into()],
+        ..CellRecord::default()
+    };
     let fields = (
-        &record.workers,
-        &record.tasks,
-        &record.maintained,
-        &record.ordered_machines,
+        record.workers.clone(),
+        record.tasks.clone(),
+        record.maintained.clone(),
+        record.ordered_machines.clone(),
     );
     assert_eq!(encode(&record), encode(&fields));
-    assert_eq!(decode::<CellRecord>(&encode(&fields)), Ok(record.clone()));
+    assert_eq!(decode_cell(&encode(&fields)), Ok(record.clone()));
     let moved = CellRecord {
         moved_queues: vec![queue(FIRST).key],
-        ..record
+        ..record.clone()
     };
-    assert_eq!(decode::<CellRecord>(&encode(&moved)), Ok(moved));
+    for record in [record, moved] {
+        let bytes = encode_cell(&record);
+        let read = decode(&bytes);
+        assert_eq!(read.as_ref(), Ok(&fields));
+        assert_eq!(decode_cell(&bytes), Ok(record));
+    }
 }
