Tell successors which owner has released a cell

Cause: an owner that shuts down leaves the log of owners, and a successor trusts stored assignments of long-running tasks only if the latest owner in the log wrote them. So after every shutdown it trusted none, and a silent worker held back each inherited task of its pool as before assignments were stored. The virtual cell did not show it, because it tells the successor the fencing token of a released owner. Change: the end of an ownership stores the owner's fencing token after the log, where earlier versions do not read. An owner that never began leaves the one that it found, so the successor still knows the last owner that acted, also if that one was removed from the log and an earlier one was not. Tests: released_owner_is_the_latest_one failed before (Some(0) instead of Some(1)). released_owner_is_not_in_the_log_of_its_successor now compares the released owner as well, and released_log_is_readable_without_the_owner asserts the form for earlier versions.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -129,6 +129,7 @@
     let cell = (owned.view.number, owned.fence);
     let history = node.owner_history.borrow();
     let mut log = history.settle(&owned.log, cell, validity, now());
+    log.released = Some(owned.fence);
     log.complete &= owned.log.complete || now() >= owned.state.since.get() + validity;
     log
 }
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -137,8 +137,7 @@
         owned.state.record_revision.set(item.modified);
         match decode_cell(&item.value) {
             Ok(mut record) => {
-                let latest = owned.log.earlier.last();
-                record.check_writer(latest.map(|owner| owner.fence));
+                record.check_writer(owned.log.latest());
                 owned.scheduler.borrow_mut().inherit(&record);
             }
             Err(error) => log_event!(Event::JobRecordInvalid, key = state, reason = error),
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -238,6 +238,7 @@
             earlier,
             writer: None,
             complete,
+            released: log.released,
         }
     }
 
--- a/crates/nutmegcart_control/src/owner_log.rs
+++ b/crates/nutmegcart_control/src/owner_log.rs
@@ -5,7 +5,7 @@
 //! predecessor to a log, in the transaction that writes its key. Its successors know from the log
 //! all owners that may still act, and ask them.
 
-use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::decode_extended;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
@@ -43,9 +43,19 @@
     pub writer: Option<OwnerRecord>,
     /// Whether no other owner can act.
     pub complete: bool,
+    /// Fencing token of an owner that acted after all others and has released the cell.
+    #[serde(skip)]
+    pub released: Option<u64>,
 }
 
 impl OwnerLog {
+    /// Returns the fencing token of the latest earlier owner that may have acted, if it is known.
+    #[must_use]
+    pub fn latest(&self) -> Option<u64> {
+        let last = self.earlier.last();
+        self.released.or(last.map(|owner| owner.fence))
+    }
+
     /// Returns the transaction by which an owner that grants no more leases gives up its key, and
     /// stores the log without itself. It changes nothing once the key is gone.
     ///
@@ -57,11 +67,15 @@
             writer: None,
             ..self.clone()
         };
+        let mut bytes = encode(&released);
+        if let Some(fence) = self.released {
+            bytes.extend(encode(&fence));
+        }
         Txn::default()
             .unchanged(owner.clone(), fence)
             .delete(owner)
             .delete(keys::owner_copy(cell))
-            .put(keys::owner_log(cell), encode(&released))
+            .put(keys::owner_log(cell), bytes)
     }
 }
 
@@ -117,6 +131,7 @@
             earlier,
             writer: None,
             complete: dropped == 0 && (self.log.complete || self.unused),
+            released: self.log.released.filter(|_| self.log.writer.is_none()),
         }
     }
 
@@ -152,10 +167,14 @@
             ..StoredLog::default()
         });
     };
-    let log = decode(&item.value).unwrap_or_else(|error| {
-        log_event!(Event::JobRecordInvalid, key = key, reason = error);
-        OwnerLog::default()
-    });
+    let decoded = decode_extended::<OwnerLog, u64>(&item.value);
+    let log = match decoded {
+        Ok((log, released)) => OwnerLog { released, ..log },
+        Err(error) => {
+            log_event!(Event::JobRecordInvalid, key = key, reason = error);
+            OwnerLog::default()
+        }
+    };
     Ok(StoredLog {
         log,
         revision: item.modified,
--- a/crates/nutmegcart_control/tests/owner_log.rs
+++ b/crates/nutmegcart_control/tests/owner_log.rs
@@ -13,6 +13,7 @@
 use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::owner_log::StoredLog;
 use nutmegcart_control::port::KeyStore;
+use nutmegcart_jobs::record::decode;
 use nutmegcart_platform::MemoryStore;
 use nutmegcart_platform::Store;
 use nutmegcart_platform::Txn;
@@ -48,6 +49,7 @@
         earlier,
         writer: None,
         complete: true,
+        released: None,
     }
 }
 
@@ -365,7 +367,11 @@
 /// Writes the end of an ownership.
 fn release(store: &Store, fence: u64, left: &[LoggedOwner]) -> bool {
     let fence = i64::try_from(fence).expect("a small number");
-    let txn = log(left.to_vec()).release(CELL, fence);
+    let log = OwnerLog {
+        released: u64::try_from(fence).ok(),
+        ..log(left.to_vec())
+    };
+    let txn = log.release(CELL, fence);
     store.txn(&txn).expect("answered").committed
 }
 
@@ -376,7 +382,48 @@
     let fence = acquire(&store, &read(&store), 1).expect("the cell has no owner");
     assert!(release(&store, fence, &[logged(3, true)]));
     let next = read(&store).succeed(Acquisition::Vacant);
-    assert_eq!(next, log(vec![logged(3, true)]));
+    let left = OwnerLog {
+        released: Some(fence),
+        ..log(vec![logged(3, true)])
+    };
+    assert_eq!(next, left);
+}
+
+/// Guards against a successor that does not know who wrote the state of the cell after a shutdown, and
+/// takes an owner for it that acted before, or that never acted.
+#[test]
+fn released_owner_is_the_latest_one() {
+    let store = MemoryStore::default().store();
+    let first = acquire(&store, &read(&store), 1).expect("the cell has no owner");
+    assert!(release(&store, first, &[logged(0, true)]));
+    let stored = read(&store);
+    let abandoned = stored.succeed(Acquisition::Vacant);
+    assert_eq!(abandoned.latest(), Some(first));
+    // An owner that never acts leaves the log as it found it.
+    let second = acquire(&store, &stored, 2).expect("the cell has no owner");
+    let second = i64::try_from(second).expect("a small number");
+    let reply = store.txn(&abandoned.release(CELL, second));
+    assert!(reply.expect("answered").committed);
+    let stored = read(&store);
+    assert_eq!(stored.succeed(Acquisition::Vacant).latest(), Some(first));
+    // One that is lost is in the log.
+    let third = acquire(&store, &stored, 3).expect("the cell has no owner");
+    vacate(&store);
+    let next = read(&store).succeed(Acquisition::Vacant);
+    assert_eq!(next.latest(), Some(third));
+}
+
+/// Guards against a log that an earlier version, which does not know of the released owner, cannot
+/// read.
+#[test]
+fn released_log_is_readable_without_the_owner() {
+    let store = MemoryStore::default().store();
+    let fence = acquire(&store, &read(&store), 1).expect("the cell has no owner");
+    assert!(release(&store, fence, &[logged(3, true)]));
+    let key = keys::owner_log(CELL);
+    let bytes = store.range(&key).expect("answered").get(&key).cloned();
+    let bytes = bytes.expect("the log is stored").value;
+    assert_eq!(decode(&bytes), Ok(log(vec![logged(3, true)])));
 }
 
 /// Guards against the end of an ownership that reaches the store late or twice, and removes the key
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -245,15 +245,38 @@
 ///
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode_cell(bytes: &[u8]) -> Result<CellRecord> {
-    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
-    let mut record: CellRecord = decode_next(&mut decoder)?;
-    if decoder.position() < bytes.len() as u64 {
-        let added = decode_next(&mut decoder)?;
+    let (mut record, added): (CellRecord, _) = decode_extended(bytes)?;
+    if let Some(added) = added {
         (record.fence, record.assignments, record.moved_queues) = added;
     }
     Ok(record)
 }
 
+/// Decodes a record, and the one that follows it if there is one. Programs of versions without the
+/// second read only the first.
+///
+/// ```
+/// # use nutmegcart_jobs::record::{decode, decode_extended, encode};
+/// let mut bytes = encode(&1);
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, None));
+/// bytes.extend(encode(&2));
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, Some(2)));
+/// assert_eq!(decode::<u64>(&bytes).unwrap(), 1);
+/// ```
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or a newer program wrote them.
+pub fn decode_extended<T: DeserializeOwned, U: DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, Option<U>)> {
+    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
+    let record = decode_next(&mut decoder)?;
+    let extended = decoder.position() < bytes.len() as u64;
+    let added = extended.then(|| decode_next(&mut decoder)).transpose()?;
+    Ok((record, added))
+}
+
 /// Decodes a record and checks its version.
 ///
 /// # Errors
