Don't store the state of a cell again for a worker that it does not contain

Cause: a reservation counted as waiting to be stored until the stored state named it. If its worker was removed before, no state ever named it, and the owner wrote the state again after each write without a pause, until a placement pass dropped the reservation. Passes wait while a view is late, in which case the writes also take processor time from the watches that end it. Change: only a reservation on a worker that the state would contain is due (Worker::is_stored, which the encoding uses as well). Test: reservation_on_a_removed_worker_is_not_stored_for_ever failed before with 10 writes instead of one. All tests of nutmegcart_jobs pass.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -48,10 +48,10 @@
         self.stored.contains(&(worker.clone(), task.clone()))
     }
 
-    /// Returns whether a reservation waits to be stored.
-    pub(crate) fn is_due(&self) -> bool {
+    /// Returns whether a reservation on a worker that the state would contain waits to be stored.
+    pub(crate) fn is_due(&self, contains: impl Fn(&WorkerId) -> bool) -> bool {
         let mut reservations = self.reservations.iter();
-        reservations.any(|(task, worker)| !self.is_stored(task, worker))
+        reservations.any(|(task, worker)| !self.is_stored(task, worker) && contains(worker))
     }
 
     /// Records that a transaction which lists `listed` is about to be sent, and may be stored even
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -28,6 +28,7 @@
 use crate::record::TaskProgress;
 use crate::record::encode_cell;
 use crate::scheduler::Scheduler;
+use crate::worker::Worker;
 
 /// Age of an end after which the progress of its unfinished job is stored. While a worker reports
 /// an end it answers every poll at once, and a poll costs nearly as much as a transaction.
@@ -223,9 +224,10 @@
     /// maintenance progress, ordered machines or moved queues have changed.
     fn cell_state_due(&self, now: Duration) -> bool {
         let mut workers = self.workers.values();
+        let contains = |id: &WorkerId| self.workers.get(id).is_some_and(Worker::is_stored);
         workers.any(|worker| worker.may_enrol() && !worker.enrolled)
             || self.flush_queue.outdated
-            || self.assignments.is_due()
+            || self.assignments.is_due(contains)
             || self.maintenance.unsaved
             || self.has_unstored_orders()
             || self.stored_orders_stale(now)
@@ -255,7 +257,7 @@
             if worker.may_enrol() && !worker.enrolled {
                 in_flight.enrolled.push((id.clone(), worker.incarnation));
             }
-            if worker.may_enrol() || worker.enrolled || worker.may_have_runs() {
+            if worker.is_stored() {
                 record.workers.push(EnrolledWorker {
                     worker: id.clone(),
                     incarnation: worker.incarnation,
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -400,6 +400,12 @@
         self.listed && self.incarnation != 0 && self.unreachable_since.is_none()
     }
 
+    /// Returns whether the stored cell state contains the worker when it is written.
+    #[must_use]
+    pub fn is_stored(&self) -> bool {
+        self.may_enrol() || self.enrolled || self.may_have_runs()
+    }
+
     /// Returns whether tasks of the cell may run on the worker.
     #[must_use]
     pub fn may_have_runs(&self) -> bool {
--- a/crates/nutmegcart_jobs/tests/assignments.rs
+++ b/crates/nutmegcart_jobs/tests/assignments.rs
@@ -6,6 +6,7 @@
 
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_jobs::CellRecord;
+use nutmegcart_jobs::FlushOutcome;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::WaitReason;
 use nutmegcart_jobs::record::decode_cell;
@@ -322,3 +323,28 @@
     assert_eq!(world.checker.completed, 1);
     assert_no_violations(&world);
 }
+
+/// Guards against an owner that stores the state of its cell again and again for a reservation on a
+/// worker that is gone, until a pass chooses another one; a pass waits while the view is late.
+#[test]
+fn reservation_on_a_removed_worker_is_not_stored_for_ever() {
+    let mut world = cell(31, 3);
+    submit(&mut world, 1, vec![long_running_step(1)]);
+    let host = loop {
+        world.run(Duration::from_millis(1));
+        if let [WaitReason::Unstored(host)] = &reasons(&world)[..] {
+            break host.clone();
+        }
+        assert_eq!(live_long_running_runs(&world), 0, "it was never reserved");
+    };
+    let now = world.now;
+    let scheduler = &mut world.owners.last_mut().expect("an owner").scheduler;
+    scheduler.handle_flush_outcome(&FlushOutcome::NotStored, now);
+    scheduler.end_incarnation(&host, now);
+    let mut writes = 0;
+    while writes < 10 && scheduler.next_flush(now).is_some() {
+        scheduler.handle_flush_outcome(&FlushOutcome::Stored, now);
+        writes += 1;
+    }
+    assert_eq!(writes, 1);
+}
