--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -159,7 +159,7 @@
     #[serde(rename = "commanded")]
     pub ordered_machines: Vec<Arc<str>>,
     /// Queues whose open jobs may have tasks in pools other than that of their configuration.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(skip)]
     pub moved_queues: Vec<QueueKey>,
     /// Fencing token of the owner that wrote the record; 0 if it was of a version without
     /// assignments.
@@ -220,7 +220,8 @@
 
 /// Encodes the state of a cell.
 ///
-/// The assignments follow the record, where programs of versions without them do not read.
+/// The assignments and the moved queues follow the record, where programs of versions without them
+/// do not read: they refuse a longer record, and would know no worker.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
@@ -233,24 +234,49 @@
 #[must_use]
 pub fn encode_cell(record: &CellRecord) -> Vec<u8> {
     let mut bytes = encode(record);
-    bytes.extend(encode(&(record.fence, &record.assignments)));
+    let added = (record.fence, &record.assignments, &record.moved_queues);
+    bytes.extend(encode(&added));
     bytes
 }
 
-/// Decodes the state of a cell, with the assignments if there are any.
+/// Decodes the state of a cell, with the assignments and the moved queues if it contains them.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode_cell(bytes: &[u8]) -> Result<CellRecord> {
-    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
-    let mut record: CellRecord = decode_next(&mut decoder)?;
-    if decoder.position() < bytes.len() as u64 {
-        (record.fence, record.assignments) = decode_next(&mut decoder)?;
+    let (mut record, added): (CellRecord, _) = decode_extended(bytes)?;
+    if let Some(added) = added {
+        (record.fence, record.assignments, record.moved_queues) = added;
     }
     Ok(record)
 }
 
+/// Decodes a record, and the one that follows it if there is one. Programs of versions without the
+/// second read only the first.
+///
+/// ```
+/// # use nutmegcart_jobs::record::{decode, decode_extended, encode};
+/// let mut bytes = encode(&1);
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, None));
+/// bytes.extend(encode(&2));
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, Some(2)));
+/// assert_eq!(decode::<u64>(&bytes).unwrap(), 1);
+/// ```
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or a newer program wrote them.
+pub fn decode_extended<T: DeserializeOwned, U: DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, Option<U>)> {
+    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
+    let record = decode_next(&mut decoder)?;
+    let extended = decoder.position() < bytes.len() as u64;
+    let added = extended.then(|| decode_next(&mut decoder)).transpose()?;
+    Ok((record, added))
+}
+
 /// Decodes a record and checks its version.
 ///
 /// # Errors
