--- a/review/stand_ins/src/main.rs
+++ b/review/stand_ins/src/main.rs
@@ -31,6 +31,8 @@
 const MB_256K: u64 = 262_144;
 /// `contact-ms` of the installation.
 const CONTACT_MS: u64 = 3_000;
+/// `finish_s` of the installation.
+const FINISH_MS: u64 = 14_000;
 
 /// Time after which a case is given up.
 const LONGEST: Duration = Duration::from_secs(110);
@@ -508,6 +510,78 @@
     )])
 }
 
+/// A job's work unit takes ten times as long as estimated; one runner has the label that it requires.
+/// Beside it runs the same job without a label.
+async fn case_long(stage: &Stage) -> Outcome {
+    let took = if stage.trouble { 300_000 } else { 30_000 };
+    let spec = json!({"ms": took, "cpu": 4_000, "mem": 1_024}).to_string();
+    let step = json!({"count": 1, "cpu": 4_000, "mem-mb": 1_024, "est-ms": 30_000});
+    let mut labelled = step.clone();
+    labelled["required-label"] = json!("b");
+    let jobs = [(job_id(1), labelled), (job_id(2), step)];
+    for (id, step) in &jobs {
+        let job = json!({"spec": spec, "steps": [step]});
+        if !stage.callers.submit(id, &job, 5).await {
+            return Err("a job is not accepted".into());
+        }
+    }
+    let handed_in = stage.now();
+    stage.note("the jobs are accepted; the traffic has ended");
+    let ids = jobs.iter().map(|(id, _)| id.clone()).collect();
+    let open = stage.wait_completed(&ids, Duration::from_secs(90)).await;
+    let mut breaches = Vec::new();
+    for (id, _) in &jobs {
+        let starts = count_starts(&stage.world, id);
+        let state = if open.contains(id) {
+            "not completed"
+        } else {
+            "completed"
+        };
+        stage.note(format!("job {id} is {state} after {starts} starts"));
+        if open.contains(id) {
+            breaches.extend(missing_spans(
+                &stage.world,
+                id,
+                handed_in + FINISH_MS,
+                stage.now(),
+            ));
+        }
+    }
+    Ok(breaches)
+}
+
+fn count_starts(world: &Shared, job: &str) -> usize {
+    let state = world.borrow();
+    let starts = state.facts.iter();
+    starts
+        .filter(|(_, fact)| matches!(fact, Fact::Start { task, .. } if task.starts_with(job)))
+        .count()
+}
+
+/// LOST: spans of over 3 s after `from` in which no run of a job with one work unit exists.
+fn missing_spans(world: &Shared, job: &str, from: u64, until: u64) -> Vec<String> {
+    let state = world.borrow();
+    let mut idle_since = None;
+    let mut spans = Vec::new();
+    let mut close = |since: Option<u64>, at: u64| {
+        let since = since.map(|since: u64| since.max(from));
+        if let Some(since) = since.filter(|since| at > since + 3_000) {
+            spans.push(format!(
+                "nothing of job {job} runs from {since} ms to {at} ms"
+            ));
+        }
+    };
+    for (at, fact) in &state.facts {
+        match fact {
+            Fact::Start { task, .. } if task.starts_with(job) => close(idle_since.take(), *at),
+            Fact::End { task, .. } if task.starts_with(job) => idle_since = Some(*at),
+            _ => {}
+        }
+    }
+    close(idle_since, until);
+    spans
+}
+
 async fn play(case: &str, binary: &Path, record: &Path) -> Result<bool, String> {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let runners = match case {
@@ -520,6 +594,7 @@
             "ends" => case_ends(&stage).await,
             "gang" => case_gang(&stage).await,
             "timed" => case_timed(&stage).await,
+            "long" => case_long(&stage).await,
             other => Err(format!("no case {other}")),
         }
     };
--- a/review/stand_ins/src/runner.rs
+++ b/review/stand_ins/src/runner.rs
@@ -400,7 +400,7 @@
             "slots": 8, "state": if draining.is_some() { "draining" } else { "ready" },
             "remaining-ms": draining.unwrap_or_default(),
             "cold-remaining-ms": 0, "seq": 1, "born": runner.born,
-            "labels": ["a", format!("r1-{}", index / 4 + 1)],
+            "labels": [if index == 7 { "b" } else { "a" }, format!("r1-{}", index / 4 + 1).as_str()],
             "capacity": {"cpu": runner.cpu, "mem-mb": runner.mem},
         })
     }
