Tell what a pool wants and holds while its long-running tasks wait

Event 726 tells why a task is not started, and nothing told the balance of its pool. Event 742 follows 726 when no worker takes the task: wanted and held machines, missing workers, leaving workers, machines on their way, idle ones here and elsewhere, and vacated ones.

--- a/crates/nutmegcart_fakes/src/cell/faults.rs
+++ b/crates/nutmegcart_fakes/src/cell/faults.rs
@@ -76,6 +76,20 @@
         }
     }
 
+    /// Announces that a worker leaves, and removes it for good with its machine after a notice.
+    ///
+    /// The platform refuses orders for its machine from the announcement on.
+    pub fn withdraw(&mut self, id: &WorkerId, notice: Duration) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.listing.draining = true;
+        worker.listing.remaining = notice;
+        self.list_worker(id);
+        let leaving = id.clone();
+        self.after(notice, move |cell| cell.remove_for_good(&leaving, None));
+    }
+
     /// Releases an owner gracefully: it stops acting at once, and a successor takes over when its
     /// calls in progress have completed. The successor learns of the end of this owner at once, and
     /// knows of the others that they act no longer than their ownership is valid.
--- a/crates/nutmegcart_fakes/src/cell/machines.rs
+++ b/crates/nutmegcart_fakes/src/cell/machines.rs
@@ -24,7 +24,7 @@
             return MachineOutcome::Invalid;
         };
         let worker = machine.worker.as_ref().and_then(|id| self.workers.get(id));
-        if machine.state != MachineState::Up || worker.is_some_and(|worker| !worker.up) {
+        if machine.state != MachineState::Up || worker.is_some_and(is_leaving) {
             return MachineOutcome::Busy;
         }
         let delay = match order {
@@ -113,3 +113,8 @@
         self.schedule(MACHINE_LIST_PERIOD, Event::MachinesListed(index));
     }
 }
+
+/// Returns whether the platform refuses orders for the machine of a worker.
+fn is_leaving(worker: &FakeWorker) -> bool {
+    !worker.up || worker.listing.draining
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -74,6 +74,7 @@
 pub use maintenance::WaveState;
 pub use orders::OrderOutcome;
 pub use orders::Refusal;
+pub use rebalancing::PoolDemand;
 pub use record::AcceptedJob;
 pub use record::CellRecord;
 pub use record::FinalState;
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_model::Event;
 use nutmegcart_model::PoolName;
+use nutmegcart_model::log_event;
 
 use crate::burst_forecast::BurstForecast;
 use crate::machines::MachineOrder;
@@ -35,10 +37,25 @@
 /// Time from the end of a move until the machine's worker can start tasks.
 const WORKER_START_TIME: Duration = Duration::from_millis(250);
 
+/// Machines of a pool at the latest pass.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PoolDemand {
+    /// Number of machines wanted.
+    pub wanted: usize,
+    /// Number of machines that count as held, including those that are moving to the pool.
+    pub held: usize,
+    /// Number of workers that waiting long-running tasks need and for which no machine is moving to
+    /// the pool.
+    pub urgent: usize,
+    /// Number of idle machines.
+    pub idle: usize,
+}
+
 /// State that is kept between passes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Rebalancer {
     idle_since: BTreeMap<Arc<str>, Duration>,
+    demands: BTreeMap<PoolName, PoolDemand>,
     arrivals: BTreeMap<PoolName, Arrivals>,
     forecast: BurstForecast,
     pub(crate) vacations: Vacations,
@@ -93,6 +110,15 @@
 }
 
 impl Balance {
+    fn demand(&self) -> PoolDemand {
+        PoolDemand {
+            wanted: self.wanted,
+            held: self.held,
+            urgent: self.urgent,
+            idle: self.idle.len(),
+        }
+    }
+
     /// Returns how many machines with a label, or of any kind, the pool lacks.
     fn shortage(&self, label: Option<&Arc<str>>) -> usize {
         match label {
@@ -147,6 +173,42 @@
 }
 
 impl Scheduler {
+    /// Returns the machines that a pool wanted and held at the latest pass, before that pass began
+    /// any move; `None` if this owner may not order machines or has not listed them.
+    #[must_use]
+    pub fn pool_demand(&self, pool: &PoolName) -> Option<PoolDemand> {
+        self.rebalancer.demands.get(pool).copied()
+    }
+
+    /// Logs the machines of a pool in which a long-running task waits for a worker.
+    ///
+    /// The line tells whether the pool counts as short of machines, and whether there are any that
+    /// could move.
+    pub(crate) fn log_shortage(&self, cell: u32, pool: &PoolName, now: Duration) {
+        let Some(demand) = self.pool_demand(pool) else {
+            return;
+        };
+        let of_pool = self.workers.values();
+        let of_pool = of_pool.filter(|worker| worker.listing.pool == *pool);
+        let leaving = of_pool.filter(|worker| worker.listing.draining || worker.is_missing(now));
+        let all = self.rebalancer.demands.values();
+        let orders = self.machines.pending.values();
+        let to_pool = MachineOrder::Move(pool.clone());
+        log_event!(
+            Event::PoolShortage,
+            cell = cell,
+            pool = pool,
+            wanted = demand.wanted,
+            held = demand.held,
+            urgent = demand.urgent,
+            leaving = leaving.count(),
+            coming = orders.filter(|pending| pending.order == to_pool).count(),
+            idle = demand.idle,
+            idle_elsewhere = all.map(|each| each.idle).sum::<usize>() - demand.idle,
+            vacating = self.rebalancer.vacations.machines().count(),
+        );
+    }
+
     /// Begins moves of idle machines to pools with a shortage.
     ///
     /// Queues burst one after another: each needs several times its pool while the others are
@@ -157,6 +219,9 @@
             return;
         }
         let mut balances = self.balances(now);
+        let demands = balances.iter();
+        let demands = demands.map(|(pool, balance)| (pool.clone(), balance.demand()));
+        self.rebalancer.demands = demands.collect();
         let spare = self
             .pools
             .iter()
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -352,6 +352,12 @@
                 reason = first.reason,
                 causes = first.reason.details(),
             );
+            if matches!(
+                first.reason,
+                WaitReason::NoneUsable(_) | WaitReason::NoneAdmits(_)
+            ) {
+                self.log_shortage(cell, &pool.pool, now);
+            }
         }
     }
 }
