--- /dev/null
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -0,0 +1,175 @@
+//! Long-running tasks whose workers are withdrawn, and the machines that replace them.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_fakes::cell::worker::FakeWorker;
+use nutmegcart_fakes::cell::worker::listing;
+use nutmegcart_fleet::Resources;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::Machine;
+use nutmegcart_jobs::MachineState;
+use nutmegcart_jobs::PoolConfig;
+use nutmegcart_model::WorkerId;
+use support::assert_no_violations;
+use support::batch_step;
+use support::long_running_step;
+use support::queue;
+use support::seconds;
+use support::submit;
+use support::submit_to;
+use support::world;
+
+/// Time from the announcement of a withdrawal until the worker is gone.
+const NOTICE: Duration = Duration::from_secs(8);
+/// Time within which the tasks have to run again: that of a stop, of a move and of a worker's start,
+/// with the delay before a busy machine is vacated.
+const RESTART_LIMIT: Duration = Duration::from_secs(5);
+
+/// Creates a cell with `gates` workers in one pool, `boats` in another and `spares` machines in the
+/// spare pool.
+fn cell(seed: u64, gates: usize, boats: usize, spares: usize) -> CellSimulation {
+    let mut world = world(seed, gates);
+    world.queues.push(queue("boats"));
+    let pool = ("boats".into(), PoolConfig { spare: false });
+    world.pools.insert(1, pool);
+    let size = Resources::new(64_000, 262_144, 0);
+    for index in 0..boats {
+        let id = format!("boat-{index:02}");
+        let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
+        world.add_worker(worker);
+    }
+    for index in 0..spares {
+        let name: Arc<str> = format!("spare-{index}").into();
+        let machine = Machine {
+            name: name.clone(),
+            pool: "shared".into(),
+            state: MachineState::Up,
+            worker: None,
+            capacity: size,
+            labels: vec!["a".into(), "r3-0".into()],
+        };
+        world.machines.insert(name, machine);
+    }
+    world.take_over();
+    world
+}
+
+/// Returns the workers that run a task of a job and do not leave.
+fn staying_hosts(world: &CellSimulation, id: &JobId) -> Vec<WorkerId> {
+    let runs_job = |worker: &FakeWorker| worker.runs.keys().any(|task| task.job == *id);
+    let workers = world.workers.iter();
+    let hosts = workers
+        .filter(|(_, worker)| worker.up && !worker.listing.draining && runs_job(worker))
+        .map(|(id, _)| id.clone());
+    hosts.collect()
+}
+
+/// Submits a long-running job and lets it start; returns it with the workers that run it.
+fn start_job(world: &mut CellSimulation, count: u32) -> (JobId, Vec<WorkerId>) {
+    let id = submit(world, 1, vec![long_running_step(count)]);
+    world.run(seconds(1.0));
+    let hosts = staying_hosts(world, &id);
+    assert_eq!(hosts.len(), count as usize, "all tasks run");
+    (id, hosts)
+}
+
+/// Returns the orders for machines of the given workers.
+fn orders_for(world: &CellSimulation, workers: &[WorkerId]) -> usize {
+    let machine = |id: &WorkerId| world.workers.get(id)?.listing.machine.clone();
+    let machines: Vec<Arc<str>> = workers.iter().filter_map(machine).collect();
+    let orders = world.machine_orders.iter();
+    let orders = orders.filter(|(name, ..)| machines.contains(name));
+    orders.count()
+}
+
+/// Guards against machines of leaving workers that count as held by their pool until they are gone,
+/// so that the pool gets no other ones.
+#[test]
+fn leaving_workers_are_replaced_before_they_are_gone() {
+    let mut world = cell(121, 8, 0, 8);
+    let (id, hosts) = start_job(&mut world, 6);
+    for host in &hosts[..4] {
+        world.withdraw(host, NOTICE);
+    }
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 6);
+    assert_no_violations(&world);
+}
+
+/// Guards against moves of machines whose workers are leaving: the platform refuses the orders, and
+/// meanwhile the machines count as on their way to the pool that needs one.
+#[test]
+fn machines_of_leaving_workers_are_not_moved() {
+    let mut world = cell(122, 3, 10, 0);
+    let (id, hosts) = start_job(&mut world, 3);
+    let leaving: Vec<WorkerId> = (0..4)
+        .map(|index| format!("boat-{index:02}").into())
+        .collect();
+    for boat in &leaving {
+        world.withdraw(boat, NOTICE);
+    }
+    world.run(seconds(0.5));
+    world.remove_for_good(&hosts[0], None);
+    world.run(RESTART_LIMIT);
+    assert_eq!(
+        (
+            staying_hosts(&world, &id).len(),
+            orders_for(&world, &leaving)
+        ),
+        (3, 0),
+        "workers that run a task, and orders for machines of leaving workers"
+    );
+    assert_no_violations(&world);
+}
+
+/// Guards against leaving workers that are vacated for a waiting task, because they have the fewest
+/// tasks.
+#[test]
+fn machines_of_leaving_workers_are_not_vacated() {
+    let mut world = cell(123, 3, 8, 0);
+    // Before any machine is idle long enough to move.
+    let id = submit(&mut world, 1, vec![long_running_step(3)]);
+    for number in 0..60 {
+        submit_to(&mut world, 1, 10 + number, vec![batch_step(60, 8_000, 900)]);
+    }
+    world.run(seconds(1.0));
+    let hosts = staying_hosts(&world, &id);
+    assert_eq!(hosts.len(), 3, "all tasks run");
+    let leaving: Vec<WorkerId> = (0..4)
+        .map(|index| format!("boat-{index:02}").into())
+        .collect();
+    for boat in &leaving {
+        world.withdraw(boat, NOTICE);
+    }
+    world.run(seconds(0.5));
+    world.remove_for_good(&hosts[0], None);
+    world.run(RESTART_LIMIT);
+    assert_eq!(
+        (
+            staying_hosts(&world, &id).len(),
+            orders_for(&world, &leaving)
+        ),
+        (3, 0),
+        "workers that run a task, and orders for machines of leaving workers"
+    );
+    assert_no_violations(&world);
+}
+
+/// Guards against machines of workers that the owner does not reach, which count as held although
+/// the platform lists them as up.
+#[test]
+fn workers_that_are_cut_off_are_replaced() {
+    let mut world = cell(124, 8, 0, 8);
+    let (id, hosts) = start_job(&mut world, 6);
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.extend(hosts[..4].iter().cloned());
+    world.run(seconds(5.6) + seconds(1.0));
+    let cut: Vec<WorkerId> = staying_hosts(&world, &id);
+    let reached = cut.iter().filter(|host| !hosts[..4].contains(host));
+    assert_eq!(reached.count(), 6);
+    assert_no_violations(&world);
+}
