Don't count machines of leaving workers as held by their pool

A pool wants a machine for each one with long-running tasks, each missing worker, and two more; each machine that was not down counted as held. When workers announce that they leave, their tasks are stopped and become missing workers, while the machines still counted, so the pool was never short and no machine was moved or vacated for it until the workers had ended.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -337,6 +337,12 @@
         })
     }
 
+    /// Returns whether the worker of a machine is leaving, so that it takes no new tasks.
+    pub(crate) fn is_leaving(&self, machine: &Machine, now: Duration) -> bool {
+        let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
+        worker.is_some_and(|worker| worker.listing.draining || worker.is_missing(now))
+    }
+
     /// Queues an order for a machine on which nothing runs, and reserves its worker.
     pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder) {
         let Some(machine) = self.machines.known.get(name) else {
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -98,7 +98,8 @@
 pub(crate) struct Balance {
     /// Number of machines wanted.
     wanted: usize,
-    /// Number of machines in the pool, including those that are moving to it.
+    /// Number of machines in the pool, including those that are moving to it, without those whose
+    /// workers are leaving.
     held: usize,
     /// Number of workers that waiting long-running tasks need, for which no machine is moving to the
     /// pool yet.
@@ -381,7 +382,8 @@
             let (long_running, _) = self.load_of(machine);
             let empty = self.is_empty(machine);
             let balance = balances.entry(target).or_default();
-            if machine.state != MachineState::Down {
+            let leaving = !arriving && self.is_leaving(machine, now);
+            if machine.state != MachineState::Down && !leaving {
                 balance.count(&machine.labels, true);
             }
             if arriving {
