Don't move machines whose workers are leaving

The platform refuses orders for the machine of a leaving worker. Once such a worker was empty its machine counted as idle, was ordered to the pool that needed one, and until the refusal counted as on its way there; the next pass chose it again. Callers of the pool waited.

Machines of leaving workers are no longer idle machines. The test machines_of_leaving_workers_are_not_moved counted orders from before the announcement too, and one lost task did not need a machine; it now counts from the announcement and loses all three workers.

--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -395,7 +395,7 @@
             let free =
                 machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
             let inherited = self.may_have_inherited_order(&name, now);
-            if free && empty && !inherited && !self.maintenance.is_due(&name) {
+            if free && empty && !leaving && !inherited && !self.maintenance.is_due(&name) {
                 let since = self
                     .rebalancer
                     .idle_since
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -77,12 +77,12 @@
     (id, hosts)
 }
 
-/// Returns the orders for machines of the given workers.
-fn orders_for(world: &CellSimulation, workers: &[WorkerId]) -> usize {
+/// Returns the number of orders for machines of the given workers since a time.
+fn orders_for(world: &CellSimulation, workers: &[WorkerId], since: Duration) -> usize {
     let machine = |id: &WorkerId| world.workers.get(id)?.listing.machine.clone();
     let machines: Vec<Arc<str>> = workers.iter().filter_map(machine).collect();
     let orders = world.machine_orders.iter();
-    let orders = orders.filter(|(name, ..)| machines.contains(name));
+    let orders = orders.filter(|(name, _, at)| *at >= since && machines.contains(name));
     orders.count()
 }
 
@@ -104,21 +104,24 @@
 /// meanwhile the machines count as on their way to the pool that needs one.
 #[test]
 fn machines_of_leaving_workers_are_not_moved() {
-    let mut world = cell(122, 3, 10, 0);
+    let mut world = cell(122, 5, 10, 0);
     let (id, hosts) = start_job(&mut world, 3);
     let leaving: Vec<WorkerId> = (0..4)
         .map(|index| format!("boat-{index:02}").into())
         .collect();
+    let announced_at = world.now;
     for boat in &leaving {
         world.withdraw(boat, NOTICE);
     }
     world.run(seconds(0.5));
-    world.remove_for_good(&hosts[0], None);
+    for host in &hosts {
+        world.remove_for_good(host, None);
+    }
     world.run(RESTART_LIMIT);
     assert_eq!(
         (
             staying_hosts(&world, &id).len(),
-            orders_for(&world, &leaving)
+            orders_for(&world, &leaving, announced_at)
         ),
         (3, 0),
         "workers that run a task, and orders for machines of leaving workers"
@@ -142,6 +145,7 @@
     let leaving: Vec<WorkerId> = (0..4)
         .map(|index| format!("boat-{index:02}").into())
         .collect();
+    let announced_at = world.now;
     for boat in &leaving {
         world.withdraw(boat, NOTICE);
     }
@@ -151,7 +155,7 @@
     assert_eq!(
         (
             staying_hosts(&world, &id).len(),
-            orders_for(&world, &leaving)
+            orders_for(&world, &leaving, announced_at)
         ),
         (3, 0),
         "workers that run a task, and orders for machines of leaving workers"
