Don't vacate machines whose workers are leaving

Machines with the fewest tasks are vacated first for waiting long-running tasks, and a leaving worker has the fewest. Its machine cannot move, so up to eight of them held all places while the task waited: in machines_of_leaving_workers_are_not_vacated 2 of 3 tasks ran after 5 s, with four orders that the platform refused. It passes now.

--- a/crates/nutmegcart_jobs/src/vacating.rs
+++ b/crates/nutmegcart_jobs/src/vacating.rs
@@ -110,6 +110,7 @@
     fn may_vacate(&self, machine: &Machine, now: Duration) -> bool {
         machine.state == MachineState::Up
             && !self.machines.pending.contains_key(&machine.name)
+            && !self.is_leaving(machine, now)
             && !self.may_have_inherited_order(&machine.name, now)
             && !self.maintenance.is_due(&machine.name)
             && self.load_of(machine).0 == 0
