Replace workers that are out of service for waiting long-running tasks

A silent worker, one with unknown runs, a faulty or an unlisted one takes no task, but its machine counted as held while the platform listed it as up. More of them than the two machines that a pool keeps hid the shortage: in workers_that_are_cut_off_are_replaced 4 of 6 tasks ran 1.3 s after the leases of the cut-off workers had run out.

Such machines no longer count as far as long-running tasks wait for a worker, so an outage of many workers moves no more machines than those tasks need.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -20,6 +20,7 @@
 
 use crate::action::Action;
 use crate::scheduler::Scheduler;
+use crate::worker::Unusable;
 use crate::worker::Worker;
 
 /// Time beyond [`JobSettings::order_gap`](crate::JobSettings::order_gap) for which a machine counts
@@ -343,6 +344,24 @@
         worker.is_some_and(|worker| worker.listing.draining || worker.is_missing(now))
     }
 
+    /// Returns whether the worker of a machine takes no new tasks for a time that is not known: it is
+    /// silent, runs unknown tasks, is faulty, or is not listed.
+    ///
+    /// A worker that has just started, or that is reserved, is not out of service.
+    pub(crate) fn is_out_of_service(&self, machine: &Machine, now: Duration) -> bool {
+        let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
+        let cause = worker.and_then(|worker| worker.unusable(now));
+        matches!(
+            cause,
+            Some(
+                Unusable::Unlisted
+                    | Unusable::Unreachable
+                    | Unusable::UnknownRuns
+                    | Unusable::Penalised
+            )
+        )
+    }
+
     /// Queues an order for a machine on which nothing runs, and reserves its worker.
     pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder) {
         let Some(machine) = self.machines.known.get(name) else {
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -104,6 +104,8 @@
     /// Number of workers that waiting long-running tasks need, for which no machine is moving to the
     /// pool yet.
     pub(crate) urgent: usize,
+    /// Number of held machines without long-running tasks whose workers cannot take one.
+    unusable: usize,
     /// Idle machines, with the time since when they have been idle.
     idle: Vec<(Duration, Arc<str>)>,
     /// Number of machines wanted and held, by label that waiting work requires.
@@ -141,6 +143,14 @@
             .unwrap_or_default()
     }
 
+    /// Stops counting unusable machines as held as far as long-running tasks wait for a worker.
+    ///
+    /// Those that the pool keeps for its next burst may be unusable for a while.
+    fn discount_unusable(&mut self) {
+        let unusable = self.unusable.saturating_sub(MIN_MACHINES);
+        self.held = self.held.saturating_sub(unusable.min(self.urgent));
+    }
+
     /// Returns whether long-running tasks wait for a machine that is not on its way.
     pub(crate) fn is_urgent(&self) -> bool {
         self.urgent > 0 && self.shortage(None) > 0
@@ -391,6 +401,8 @@
             }
             if long_running > 0 {
                 balance.wanted += 1;
+            } else if !arriving && !leaving && self.is_out_of_service(machine, now) {
+                balance.unusable += 1;
             }
             let free =
                 machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
@@ -420,6 +432,7 @@
             let expected = self.rebalancer.forecast.expected_demand(pool, lead, now);
             let busy = backlog.max(arriving).max(expected.unwrap_or_default()) / median_cores;
             balance.wanted += MIN_MACHINES.max(round_up(busy));
+            balance.discount_unusable();
             balance.idle.sort();
         }
         balances
