Pause orders for a machine after the platform has rejected one

When the platform rejected an order for a machine (409), the next pass chose the same machine again, since nothing remembered the rejection: machines that leave unannounced were tried again in each pass while a long-running task waited, 104 rejected orders in 5 s in refused_machine_is_not_ordered_again_at_once (its bound is one a second for each of eight machines). A machine whose order was rejected now gets none for 1 s, so the others have their turn.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -31,6 +31,9 @@
 /// Time after a change, such as an order, for which the platform's list may still show the state
 /// before it.
 const LIST_LAG: Duration = Duration::from_millis(700);
+/// Time for which a machine gets no further order after the platform rejected one. A machine that is
+/// leaving is announced or gone by then.
+const REJECTION_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which an unconfirmed order is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -148,6 +151,8 @@
     pub(crate) inherited: HashSet<Arc<str>>,
     /// Time of the latest order for each machine.
     pub(crate) last_orders: BTreeMap<Arc<str>, Duration>,
+    /// Time of the latest rejection of an order, by machine.
+    pub(crate) rejected: BTreeMap<Arc<str>, Duration>,
     /// Machines that the stored cell state names as ordered.
     pub(crate) stored: Vec<Arc<str>>,
     /// When the cell state was last stored.
@@ -269,6 +274,8 @@
             self.end_incarnation(&worker, now);
         }
         let known = &self.machines.known;
+        let rejected = &mut self.machines.rejected;
+        rejected.retain(|_, at| now < *at + REJECTION_PAUSE);
         self.machines.pending.retain(|name, pending| {
             let Some(machine) = known.get(name) else {
                 return false;
@@ -338,6 +345,16 @@
         })
     }
 
+    /// Returns whether a machine may get an order: it is up, and no other order for it is under way or
+    /// was rejected a short time ago.
+    pub(crate) fn may_order(&self, machine: &Machine, now: Duration) -> bool {
+        let rejected = self.machines.rejected.get(&machine.name);
+        machine.state == MachineState::Up
+            && !self.machines.pending.contains_key(&machine.name)
+            && !self.may_have_inherited_order(&machine.name, now)
+            && rejected.is_none_or(|at| now >= *at + REJECTION_PAUSE)
+    }
+
     /// Returns whether the worker of a machine is leaving, so that it takes no new tasks.
     pub(crate) fn is_leaving(&self, machine: &Machine, now: Duration) -> bool {
         let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
@@ -440,6 +457,7 @@
             MachineOutcome::Busy | MachineOutcome::Fenced | MachineOutcome::Invalid => {
                 let worker = pending.worker.clone();
                 self.machines.pending.remove(name);
+                self.machines.rejected.insert(name.clone(), now);
                 if let Some(worker) = worker.and_then(|id| self.workers.get_mut(&id)) {
                     worker.reserved = false;
                 }
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -404,10 +404,8 @@
             } else if !arriving && !leaving && self.is_out_of_service(machine, now) {
                 balance.unusable += 1;
             }
-            let free =
-                machine.state == MachineState::Up && !self.machines.pending.contains_key(&name);
-            let inherited = self.may_have_inherited_order(&name, now);
-            if free && empty && !leaving && !inherited && !self.maintenance.is_due(&name) {
+            let free = self.may_order(machine, now) && !leaving;
+            if free && empty && !self.maintenance.is_due(&name) {
                 let since = self
                     .rebalancer
                     .idle_since
--- a/crates/nutmegcart_jobs/src/vacating.rs
+++ b/crates/nutmegcart_jobs/src/vacating.rs
@@ -12,7 +12,6 @@
 use nutmegcart_model::PoolName;
 
 use crate::machines::Machine;
-use crate::machines::MachineState;
 use crate::rebalancing::Balance;
 use crate::scheduler::Scheduler;
 
@@ -108,10 +107,8 @@
 
     /// Returns whether a machine may be vacated, or go on being vacated.
     fn may_vacate(&self, machine: &Machine, now: Duration) -> bool {
-        machine.state == MachineState::Up
-            && !self.machines.pending.contains_key(&machine.name)
+        self.may_order(machine, now)
             && !self.is_leaving(machine, now)
-            && !self.may_have_inherited_order(&machine.name, now)
             && !self.maintenance.is_due(&machine.name)
             && self.load_of(machine).0 == 0
     }
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -177,3 +177,29 @@
     assert_eq!(reached.count(), 6);
     assert_no_violations(&world);
 }
+
+/// Guards against an order that the platform refuses and that is sent again in each pass, so that
+/// no other machine is tried.
+#[test]
+fn refused_machine_is_not_ordered_again_at_once() {
+    let mut world = cell(125, 5, 10, 0);
+    let (id, hosts) = start_job(&mut world, 3);
+    let leaving: Vec<WorkerId> = (0..8)
+        .map(|index| format!("boat-{index:02}").into())
+        .collect();
+    for boat in &leaving {
+        // The announcement has not reached the owner.
+        let worker = world.workers.get_mut(boat).expect("the worker exists");
+        worker.listing.draining = true;
+    }
+    let since = world.now;
+    for host in &hosts {
+        world.remove_for_good(host, None);
+    }
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    // Eight machines, each refused once in a second.
+    let orders = orders_for(&world, &leaving, since);
+    assert!(orders <= 8 * 6, "{orders} orders were refused");
+    assert_no_violations(&world);
+}
