Let a wave go on beside machines whose workers are leaving

A wave now orders and empties only machines that may get an order, as moves do. successor_leaves_ordered_machines_of_a_wave_alone passed before too; it guards the pause for machines that an earlier owner has ordered, which waves now share with moves.

--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -210,9 +210,7 @@
             }
             return;
         }
-        remaining.retain(|machine| {
-            machine.state == MachineState::Up && !self.machines.pending.contains_key(&machine.name)
-        });
+        remaining.retain(|machine| self.may_order(machine, now) && !self.is_leaving(machine, now));
         let reserved = wave.reserved.clone();
         remaining.sort_by_cached_key(|machine| {
             let unreserved = !reserved.contains(&machine.name);
--- /dev/null
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -0,0 +1,98 @@
+//! Which machines of a wave get orders: none of an earlier owner's, and none whose workers leave.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_jobs::WaveRequest;
+use nutmegcart_jobs::WaveState;
+use support::assert_no_violations;
+use support::seconds;
+use support::worker;
+use support::world;
+
+fn wave_of_all(world: &CellSimulation, max_down: usize) -> WaveRequest {
+    WaveRequest {
+        number: 1,
+        machines: world.machines.keys().cloned().collect(),
+        duration: seconds(60.0),
+        max_down,
+    }
+}
+
+fn start_wave(world: &mut CellSimulation, owner: usize, wave: &WaveRequest) {
+    let now = world.now;
+    let scheduler = &mut world.owners[owner].scheduler;
+    scheduler.update_wave(wave.clone(), now);
+}
+
+/// Returns the shortest time between orders of different owners for the same machine.
+fn shortest_gap(world: &CellSimulation) -> Option<Duration> {
+    let mut gaps = Vec::new();
+    let orders = &world.machine_orders;
+    for (index, (machine, owner, at)) in orders.iter().enumerate() {
+        let later = orders[index + 1..].iter();
+        let other = later.filter(|(name, by, _)| name == machine && by != owner);
+        gaps.extend(other.map(|(_, _, then)| then.saturating_sub(*at)));
+    }
+    gaps.into_iter().min()
+}
+
+/// Guards against a successor that repeats the order of a wave for a machine that its predecessor
+/// ordered a moment before.
+#[test]
+fn successor_leaves_ordered_machines_of_a_wave_alone() {
+    for delay in [0.004, 0.05, 0.5, 1.0, 1.9, 2.1, 2.5] {
+        let mut world = world(131, 6);
+        world.pools.truncate(1);
+        let wave = wave_of_all(&world, 5);
+        let first = world.take_over();
+        world.run(seconds(1.0));
+        start_wave(&mut world, first, &wave);
+        while world.machine_orders.is_empty() {
+            world.run(seconds(0.001));
+        }
+        world.run(seconds(delay));
+        world.owners[first].up = false;
+        world.run(seconds(0.2));
+        let second = world.take_over();
+        start_wave(&mut world, second, &wave);
+        world.run(seconds(15.0));
+        let gap = shortest_gap(&world);
+        assert!(
+            gap.is_none_or(|gap| gap >= world.settings.order_gap),
+            "after {delay} s: {gap:?}"
+        );
+        let state = world.owners[second].scheduler.wave_state(1);
+        assert_eq!(state, Some(WaveState::Completed));
+        assert_no_violations(&world);
+    }
+}
+
+/// Guards against a wave that waits for machines of leaving workers, whose orders the platform
+/// rejects.
+#[test]
+fn wave_goes_on_beside_leaving_workers() {
+    let mut world = world(132, 6);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, 1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    let leaving: Vec<Arc<str>> = (0..3)
+        .filter_map(|index| world.workers[&worker(index)].listing.machine.clone())
+        .collect();
+    for index in 0..3 {
+        world.withdraw(&worker(index), seconds(20.0));
+    }
+    start_wave(&mut world, owner, &wave);
+    world.run(seconds(10.0));
+    let orders = world.machine_orders.iter();
+    let refused = orders.filter(|(name, ..)| leaving.contains(name)).count();
+    assert_eq!((world.operations_started, refused), (3, 0));
+    world.run(seconds(12.0));
+    let state = world.owners[owner].scheduler.wave_state(1);
+    assert_eq!(state, Some(WaveState::Completed));
+    assert_no_violations(&world);
+}
