--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -229,7 +229,7 @@
     while staying_hosts(&world, &id).len() < 18 && world.now < announced_at + seconds(20.0) {
         world.run(seconds(0.02));
     }
-    let took = world.now - announced_at;
+    let took = world.now.saturating_sub(announced_at);
     // The machines become empty after the delay and a task of the burst, and move in two groups; each
     // move is followed by the start of a worker and a list of machines.
     let limit = seconds(0.9) + seconds(1.7) + 2 * (seconds(1.5) + seconds(0.5));
