Give an answer of the store as long as its bytes keep arriving

An instance behind a link of 10 Mbit/s gets no answer of more than about 1 MB, so neither a large configuration at its start nor the changes after an outage.

Cause: the timeout of 0.9 s that finds silent connections bounded the whole answer.

Transactions and lease calls are as before. Present keys may take longer than changes because there is nothing cheaper to ask for.

--- a/crates/nutmegcart_fakes/src/store_api.rs
+++ b/crates/nutmegcart_fakes/src/store_api.rs
@@ -40,7 +40,9 @@
                 let reason = "etcdserver: mvcc: required revision has been compacted";
                 Self(400, 11, reason.into())
             }
-            StoreError::Unreachable { .. } | StoreError::AnswerLost { .. } => server::disconnect(),
+            StoreError::Unreachable { .. }
+            | StoreError::AnswerLost { .. }
+            | StoreError::AnswerCut { .. } => server::disconnect(),
         }
     }
 }
--- a/crates/nutmegcart_http/src/client.rs
+++ b/crates/nutmegcart_http/src/client.rs
@@ -13,8 +13,11 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
+use crate::connection::AnswerError;
 use crate::connection::DeliveryError;
 use crate::connection::HttpConnection;
 use crate::connection::Result;
@@ -41,6 +44,17 @@
     }
 }
 
+/// Time limits of a call with a response that may be large.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerLimits {
+    /// Longest time from the start of the call to the head of the response.
+    pub head: Duration,
+    /// Longest time without a byte of the body.
+    pub idle: Duration,
+    /// Longest time from the head to the end of the body.
+    pub body: Duration,
+}
+
 /// An HTTP client that reuses connections. Clones share the idle connections.
 #[derive(Clone, Debug, Default)]
 pub struct HttpClient {
@@ -75,14 +89,75 @@
         }
     }
 
+    /// Sends a request and returns the complete response. A body takes as long as its bytes keep
+    /// arriving, within `limits`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AnswerError::Cut`] if the response began and did not end.
+    pub async fn call_steadily(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limits: AnswerLimits,
+    ) -> std::result::Result<Response<Bytes>, AnswerError> {
+        let (connection, response) = match timeout(limits.head, self.send(address, request)).await {
+            Ok(sent) => sent?,
+            Err(_) => return Err(DeliveryError::lost("timeout").into()),
+        };
+        let (head, mut body) = response.into_parts();
+        let end = Instant::now() + limits.body;
+        let mut bytes = Vec::new();
+        loop {
+            let until = end.min(Instant::now() + limits.idle);
+            let Ok(frame) = timeout_at(until, body.frame()).await else {
+                return Err(AnswerError::cut("timeout", bytes.len()));
+            };
+            let Some(frame) = frame else {
+                break;
+            };
+            let frame = frame.map_err(|error| AnswerError::cut(error, bytes.len()))?;
+            // Trailers are not used.
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if bytes.len() + data.len() > self.limits.response_bytes {
+                return Err(AnswerError::cut("too large", bytes.len()));
+            }
+            bytes.extend_from_slice(&data);
+            // A body that keeps arriving may be late without a single late frame.
+            if Instant::now() > end {
+                return Err(AnswerError::cut("timeout", bytes.len()));
+            }
+        }
+        self.keep_idle(address, connection);
+        Ok(Response::from_parts(head, bytes.into()))
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>> {
+        let (connection, response) = self.send(address, request).await?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, self.limits.response_bytes)
+            .collect()
+            .await;
+        let body = body.map_err(DeliveryError::lost)?.to_bytes();
+        self.keep_idle(address, connection);
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Sends a request on an idle connection or a new one, and returns the head of the response.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(HttpConnection, Response<Incoming>)> {
         while let Some(mut connection) = self.take_idle(address) {
             match connection.try_send(request).await {
-                Ok(response) => return self.read_response(address, connection, response).await,
+                Ok(response) => return Ok((connection, response)),
                 // The server closed the idle connection before any byte was written to it.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(error),
@@ -90,7 +165,7 @@
         }
         let mut connection = HttpConnection::open(address, self.limits.connect).await?;
         let response = connection.send(request).await?;
-        self.read_response(address, connection, response).await
+        Ok((connection, response))
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<HttpConnection> {
@@ -111,22 +186,11 @@
         found
     }
 
-    async fn read_response(
-        &self,
-        address: SocketAddr,
-        connection: HttpConnection,
-        response: Response<Incoming>,
-    ) -> Result<Response<Bytes>> {
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.limits.response_bytes)
-            .collect()
-            .await;
-        let body = body.map_err(DeliveryError::lost)?.to_bytes();
+    fn keep_idle(&self, address: SocketAddr, connection: HttpConnection) {
         let mut idle = self.idle.lock();
         let connections = idle.entry(address).or_default();
         if connections.len() < self.limits.idle_connections && !connection.is_closed() {
             connections.push(connection);
         }
-        Ok(Response::from_parts(head, body))
     }
 }
--- a/crates/nutmegcart_http/src/connection.rs
+++ b/crates/nutmegcart_http/src/connection.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use derive_more::Error;
+use derive_more::From;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -48,6 +49,29 @@
     }
 }
 
+/// Why a call has no complete response.
+#[derive(Clone, Debug, derive_more::Display, Eq, Error, From, PartialEq)]
+pub enum AnswerError {
+    /// No head of a response arrived.
+    Delivery(DeliveryError),
+    /// The response began and did not end in time.
+    #[display("the response ended after {received} bytes: {reason}")]
+    #[from(skip)]
+    Cut {
+        /// What failed.
+        reason: String,
+        /// Bytes of the body that arrived.
+        received: usize,
+    },
+}
+
+impl AnswerError {
+    pub(crate) fn cut(error: impl Display, received: usize) -> Self {
+        let reason = error.to_string();
+        Self::Cut { reason, received }
+    }
+}
+
 /// A request that was not sent, which may be sent on another connection.
 pub(crate) type Unsent = Option<Request<Full<Bytes>>>;
 
--- a/crates/nutmegcart_http/src/lib.rs
+++ b/crates/nutmegcart_http/src/lib.rs
@@ -18,8 +18,10 @@
 
 pub use body::BodyError;
 pub use body::keep_until_written;
+pub use client::AnswerLimits;
 pub use client::ClientLimits;
 pub use client::HttpClient;
+pub use connection::AnswerError;
 pub use connection::DeliveryError;
 pub use connection::HttpConnection;
 pub use executor::LocalExecutor;
--- a/crates/nutmegcart_platform/src/store.rs
+++ b/crates/nutmegcart_platform/src/store.rs
@@ -30,6 +30,12 @@
         /// Error that the transport reported.
         reason: String,
     },
+    /// The answer to a read began and did not end in time; a smaller one may pass.
+    #[display("the store's answer was cut off: {reason}")]
+    AnswerCut {
+        /// Error that the transport reported.
+        reason: String,
+    },
     /// The store refused the call, for example because of its rate limit; nothing was written.
     #[display("the store refused the call: {reason}")]
     Refused {
