Catch up by the present keys, and tell a late view from an outage

After a cut of a zone during a configuration storm, instances behind links of 10 Mbit/s answered by the old configuration until the store had dropped its history, 16 s after the cut, and refused requests in between, in turns.

Cause: the watch of operators' records asked for all changes since its revision again and again, which never passed the link in time. Each failed call counted like a read, although the store answered the other watches of the instance, so the view counted as current.

Change: after a cut-off answer every watcher reads the present keys. After a lost one, or an outage of more than 2 s, the watcher of operators' records does.

Consumers: of operators' records only the latest configuration and state of a wave count, so skipped versions lose nothing. For the shared keys a read is a gap in the history of owners (event 707, longer waits), for the cell and the workers' entries it is as after a forgotten history (keys that are gone count as removed); these go on with the changes unless an answer was cut off.

--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -326,7 +326,7 @@
     /// Time since which calls to the store have been failing.
     pub failing_since: Cell<Option<Duration>>,
     /// Time of the latest answer of the store.
-    pub last_answer: Cell<Option<Duration>>,
+    pub last_answer: Rc<Cell<Option<Duration>>>,
     /// Set to true when servers must close their connections.
     pub stop_servers: watch::Sender<bool>,
     /// Whether the instance is shutting down and reports not ready.
@@ -366,7 +366,7 @@
             finished_parts: RefCell::default(),
             members: RefCell::default(),
             failing_since: Cell::new(None),
-            last_answer: Cell::new(None),
+            last_answer: Rc::default(),
             stop_servers: watch::Sender::new(false),
             draining: Cell::new(false),
             active_requests: Cell::new(0),
@@ -495,7 +495,7 @@
     /// # Errors
     ///
     /// Fails if there is none yet, or if the instance reads operators' records late although the store
-    /// answers: it was paused, or is short of processor time.
+    /// answers: it was paused, is short of processor time, or gets no complete answer with them.
     pub fn current_configuration(&self, at: Duration) -> Result<Rc<PlatformConfig>> {
         let configuration = self.configuration.borrow().clone();
         let configuration = configuration.ok_or(Code::NoConfiguration)?;
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -77,6 +77,7 @@
 async fn watch_cell(node: Rc<Node>, owned: Rc<OwnedCell>) {
     let mut watcher = PrefixWatcher::new(owned.view.keys.prefix.clone());
     watcher.batch_delay = CELL_BATCH_DELAY;
+    watcher.last_answer = node.last_answer.clone();
     let mut initial = Vec::new();
     while !owned.has_ended() {
         let changes = watcher.next(&node.platform.store).await;
--- a/crates/nutmegcart_control/src/prefix_watcher.rs
+++ b/crates/nutmegcart_control/src/prefix_watcher.rs
@@ -1,7 +1,10 @@
-//! Watches the keys with a prefix, and reads them again after the store compacted its history.
+//! Watches the keys with a prefix, and reads them again after the store compacted its history or if the
+//! changes since the latest answer may not pass the link.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use nutmegcart_model::Event;
@@ -26,6 +29,20 @@
 /// store.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Age of a view above which a failed watch of present keys is not repeated from its revision.
+const MAX_BACKLOG_AGE: Duration = Duration::from_secs(2);
+
+/// How a watcher goes on after a failed watch.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum CatchUp {
+    /// With the changes since its revision, unless an answer with them was cut off.
+    #[default]
+    Changes,
+    /// With a read of the present keys, unless the store refused the watch soon after an answer. For
+    /// prefixes with large values, of which only the latest counts.
+    PresentKeys,
+}
+
 /// A change reported by a [`PrefixWatcher`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum KeyChange {
@@ -37,7 +54,8 @@
     Synced,
 }
 
-/// Watches the keys with a prefix. Each change is reported once, in order of revisions.
+/// Watches the keys with a prefix. Each change is reported once, in order of revisions. A read of the
+/// present keys reports only the latest of several changes of a key.
 #[derive(Debug)]
 pub struct PrefixWatcher {
     prefix: String,
@@ -45,6 +63,12 @@
     revisions: HashMap<String, Revision>,
     retry_delay: Duration,
     failing_since: Option<Duration>,
+    /// Earliest possible time of the first failure since the latest success.
+    first_failure: Option<Duration>,
+    /// How to go on after a failed watch.
+    pub catch_up: CatchUp,
+    /// When the store last answered any call of this instance.
+    pub last_answer: Rc<Cell<Option<Duration>>>,
     /// Delay after a watch that reported changes, so that the next call covers further ones.
     pub batch_delay: Duration,
     /// Longest wait of the next watch.
@@ -76,6 +100,9 @@
             revisions: HashMap::new(),
             retry_delay: FIRST_RETRY_DELAY,
             failing_since: None,
+            first_failure: None,
+            catch_up: CatchUp::default(),
+            last_answer: Rc::default(),
             batch_delay: Duration::ZERO,
             watch_wait: WATCH_WAIT,
             view: ViewTimes::default(),
@@ -97,6 +124,8 @@
         match result {
             Ok(changes) => {
                 self.retry_delay = FIRST_RETRY_DELAY;
+                self.first_failure = None;
+                self.last_answer.set(Some(now()));
                 let read_at = if changes.is_empty() {
                     waited_until
                 } else {
@@ -125,8 +154,7 @@
             }
             Err(error) => {
                 self.reachable = false;
-                let lost = matches!(error, StoreError::AnswerLost { .. });
-                self.view.failed_at = Some(if lost { waited_until } else { sent });
+                self.record_failure(&error, sent, waited_until);
                 self.watch_wait = Duration::ZERO;
                 if self.failing_since.is_none() {
                     self.failing_since = Some(now());
@@ -144,6 +172,27 @@
         }
     }
 
+    fn record_failure(&mut self, error: &StoreError, sent: Duration, waited_until: Duration) {
+        let cut = matches!(error, StoreError::AnswerCut { .. });
+        let lost = cut || matches!(error, StoreError::AnswerLost { .. });
+        let failed = if lost { waited_until } else { sent };
+        let since = *self.first_failure.get_or_insert(failed);
+        if cut {
+            // Bytes of the answer arrived.
+            self.last_answer.set(Some(now()));
+        } else {
+            let answered = self.last_answer.get();
+            self.view.record_failure(failed, since, answered);
+        }
+        let old = self
+            .view
+            .read_at
+            .is_none_or(|read| failed > read + MAX_BACKLOG_AGE);
+        if cut || self.catch_up == CatchUp::PresentKeys && (lost || old) {
+            self.revision = None;
+        }
+    }
+
     async fn read(&mut self, store: &KeyStore) -> crate::port::StoreResult<Vec<KeyChange>> {
         let range = (store.range)(self.prefix.clone()).await?;
         let present: HashSet<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -13,6 +13,7 @@
 use crate::ownership;
 use crate::peer;
 use crate::port::OperatorRecord;
+use crate::prefix_watcher::CatchUp;
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
 use crate::release;
@@ -53,6 +54,8 @@
 async fn watch_operator_records(node: Rc<Node>) {
     let directory = node.platform.directory.clone();
     let mut watcher = PrefixWatcher::new(&*directory.operator_prefix);
+    watcher.catch_up = CatchUp::PresentKeys;
+    watcher.last_answer = node.last_answer.clone();
     loop {
         let changes = watcher.next(&node.platform.store).await;
         node.record_store_call(watcher.reachable);
--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -39,6 +39,7 @@
 /// Watches the shared keys and updates the node's state.
 pub async fn watch(node: Rc<Node>) {
     let mut watcher = PrefixWatcher::new(keys::SHARED_PREFIX);
+    watcher.last_answer = node.last_answer.clone();
     loop {
         let changes = watcher.next(&node.platform.store).await;
         node.record_store_call(watcher.reachable);
