A list of ends that may be truncated proves nothing about other runs

What callers saw: tasks that had ended as done ran again while a worker held more than 500 ends that were not acknowledged, as after a few seconds without the store beside short tasks.

Cause: a worker lists at most 500 ends. `settle_unreported_runs` took runs whose ends lay beyond them for vanished, and runs whose stop was confirmed for ended; a new owner took the first report of a worker for all that its predecessor had started there.

Change: the adapter says whether a report certainly lists all ends, and how many it lists at most. A truncated list settles no run, and a new owner counts the worker as not reached until a complete one, a new incarnation or the end of its lease. Acknowledgements are sent as before, so the later ends appear. Starts on a worker stop while its unacknowledged ends and live runs reach 75 % of the limit (rejection "unacknowledged ends"); event 743 tells of a truncated report all the same. A machine whose worker is not wholly reached is not taken for empty.

--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -20,6 +20,8 @@
 
 /// Longest time from now for which a worker accepts a lease.
 const MAX_LEASE: Duration = Duration::from_secs(10);
+/// Largest number of ends in a response to a poll, unless a test sets another.
+const DEFAULT_MAX_ENDS: usize = 500;
 
 /// A run of a task on a worker.
 #[derive(Clone, Debug)]
@@ -71,6 +73,8 @@
     pub checks_capacity: bool,
     /// Time from the response to a stop order until the run ends.
     pub stop_duration: Duration,
+    /// Largest number of ends in a response to a poll.
+    pub max_ends: usize,
 }
 
 impl FakeWorker {
@@ -92,6 +96,7 @@
             slowdown: 1,
             checks_capacity: true,
             stop_duration: Duration::ZERO,
+            max_ends: DEFAULT_MAX_ENDS,
         }
     }
 
@@ -162,7 +167,7 @@
         true
     }
 
-    /// Returns the response to a poll: its running tasks and at most 500 ends.
+    /// Returns the response to a poll: its running tasks and at most `max_ends` ends.
     #[must_use]
     pub fn poll_response(&self, now: Duration) -> PollResponse {
         #[expect(
@@ -196,7 +201,9 @@
             incarnation: self.listing.incarnation,
             clock: self.clock_ms(now),
             running: self.runs.iter().map(reported).collect(),
-            ended: self.ended.iter().take(500).cloned().collect(),
+            ended: self.ended.iter().take(self.max_ends).cloned().collect(),
+            ends_complete: self.ended.len() < self.max_ends,
+            max_ends: self.max_ends,
         }
     }
 
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -256,7 +256,7 @@
         match self.worker_of(machine).and_then(|id| self.workers.get(&id)) {
             Some(worker) => {
                 let reserved = self.reserved_tasks(&worker.listing.id);
-                worker.runs.is_empty() && worker.fenced && reserved == 0
+                worker.runs.is_empty() && worker.fenced && !worker.inherited && reserved == 0
             }
             None => machine
                 .worker
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -85,8 +85,12 @@
     pub clock: u64,
     /// Live runs.
     pub running: Vec<ReportedRun>,
-    /// Unacknowledged ends, by ascending sequence number.
+    /// Unacknowledged ends, by ascending sequence number; the first ones if not all are listed.
     pub ended: Vec<ReportedEnd>,
+    /// Whether `ended` certainly lists all unacknowledged ends.
+    pub ends_complete: bool,
+    /// Largest number of ends that a report of the worker lists.
+    pub max_ends: usize,
 }
 
 /// A poll: it renews the lease of a worker's runs, acknowledges ends and requests a report.
@@ -209,8 +213,21 @@
                 self.settings.lease
             };
             worker.extend_lease(report.clock + millis(lease));
+        }
+        if report.ends_complete {
+            // What an earlier owner started here is either listed or certainly never ran.
             worker.inherited = false;
         }
+        if worker.ends_complete && !report.ends_complete {
+            log_event!(
+                Event::WorkerEndsTruncated,
+                worker = id,
+                ended = report.ended.len(),
+                runs = worker.runs.len()
+            );
+        }
+        worker.ends_complete = report.ends_complete;
+        worker.max_ends = report.max_ends;
         let runs = worker.runs.len();
         if first {
             log_event!(
@@ -495,6 +512,9 @@
     }
 
     /// Stops or releases runs that the worker reports neither as live nor as ended.
+    ///
+    /// A report that does not list all ends tells nothing about the runs that are missing from it.
+    /// They wait until the ends before theirs have been acknowledged.
     fn settle_unreported_runs(
         &mut self,
         id: &WorkerId,
@@ -502,6 +522,9 @@
         report: &PollResponse,
         now: Duration,
     ) {
+        if !report.ends_complete {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/slot.rs
+++ b/crates/nutmegcart_jobs/src/slot.rs
@@ -26,6 +26,8 @@
     pub(crate) id: WorkerId,
     pub(crate) free: Resources,
     pub(crate) capacity: Resources,
+    /// Number of tasks that may be started before an end is acknowledged.
+    pub(crate) startable: usize,
     pub(crate) rack: Option<Rack>,
     pub(crate) labels: Vec<Arc<str>>,
     pub(crate) long_running: usize,
@@ -49,6 +51,7 @@
             id: worker.listing.id.clone(),
             free: worker.free(),
             capacity: worker.listing.capacity,
+            startable: worker.startable(),
             rack: worker.rack(),
             labels: worker.listing.labels.clone(),
             long_running: count(&|run| run.long_running),
@@ -99,6 +102,7 @@
 
     pub(crate) fn assign(&mut self, step: &Step) {
         self.free = self.free.saturating_sub(step.allocation());
+        self.startable = self.startable.saturating_sub(1);
         self.unproven += 1;
         self.long_running += usize::from(step.long_running);
         self.serving += usize::from(step.target_ms > 0);
@@ -110,13 +114,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Slots {
     pub(crate) items: Vec<Slot>,
-    /// Largest free amount of each resource on any worker that is not reserved.
+    /// Largest free amount of each resource on any worker that is not reserved and may get tasks.
     pub(crate) largest_free: Resources,
 }
 
 impl Slots {
     pub(crate) fn update_largest_free(&mut self) {
-        let open = self.items.iter().filter(|slot| !slot.reserved);
+        let open = self.items.iter();
+        let open = open.filter(|slot| !slot.reserved && slot.startable > 0);
         self.largest_free = open.fold(Resources::default(), |largest, slot| largest.max(slot.free));
     }
 
@@ -177,6 +182,9 @@
     /// The task does not fit into its free capacity.
     #[display("no room")]
     Room,
+    /// It holds so many ends that are not acknowledged that its reports may soon not list all.
+    #[display("unacknowledged ends")]
+    Ends,
 }
 
 impl Slot {
@@ -184,7 +192,8 @@
     pub(crate) fn obstacle(&self, step: &Step, constraints: &Constraints<'_>) -> Option<Rejection> {
         let room = step.allocation().fits(self.free);
         let full = (!room).then_some(Rejection::Room);
-        self.rejection(step, constraints).or(full)
+        let ends = (self.startable == 0).then_some(Rejection::Ends);
+        self.rejection(step, constraints).or(full).or(ends)
     }
 
     pub(crate) fn admits(&self, step: &Step, constraints: &Constraints<'_>) -> bool {
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -29,6 +29,9 @@
 /// Time at work since a worker's latest failure after which a run shows that the worker can run
 /// tasks. It exceeds the time after which a hung run is stopped.
 const PROOF_TIME: Duration = Duration::from_secs(2);
+/// Share of the ends that a report lists, in percent, up to which a worker gets tasks. Each live run
+/// counts as an end that is still to come. The rest is for runs of which the owner does not know yet.
+const MAX_ENDS_PERCENT: usize = 75;
 /// Number of different jobs with consecutive failures after which a worker counts as faulty.
 const MAX_FAILED_JOBS: usize = 3;
 
@@ -258,6 +261,10 @@
     pub acked_end: u64,
     /// Ends that were processed and may not be acknowledged yet, because they are not stored.
     pub pending_ends: VecDeque<PendingEnd>,
+    /// Whether the latest report certainly listed all unacknowledged ends.
+    pub ends_complete: bool,
+    /// Largest number of ends that a report lists; unlimited until the first report.
+    pub max_ends: usize,
     /// Whether the worker is reserved for a move or maintenance.
     pub reserved: bool,
     /// Jobs with a failed task since the latest success.
@@ -294,6 +301,8 @@
             last_end: 0,
             acked_end: 0,
             pending_ends: VecDeque::new(),
+            ends_complete: true,
+            max_ends: usize::MAX,
             reserved: false,
             failed_jobs: Vec::new(),
             failed_at: Duration::ZERO,
@@ -315,6 +324,20 @@
         self.listing.capacity.saturating_sub(self.used())
     }
 
+    /// Returns the number of tasks that may be started before an end is acknowledged.
+    ///
+    /// The ends of the runs then never exceed what a report lists, however long the store is
+    /// unavailable.
+    #[must_use]
+    pub fn startable(&self) -> usize {
+        if !self.ends_complete {
+            return 0;
+        }
+        let limit = self.max_ends.saturating_mul(MAX_ENDS_PERCENT) / 100;
+        let ends = self.pending_ends.len() + self.runs.len();
+        limit.max(1).saturating_sub(ends)
+    }
+
     /// Returns the least that the worker's clock may show, in milliseconds, if it was ever read.
     ///
     /// A lease that ends a span after it is not longer than the span, however old the reading is.
@@ -377,11 +400,11 @@
         cause.map(|(_, cause)| cause)
     }
 
-    /// Returns whether an earlier owner may have started tasks here, and the worker has not
-    /// answered this owner.
+    /// Returns whether an earlier owner may have started tasks here, and the worker has not told
+    /// this owner of all their runs and ends.
     #[must_use]
     pub const fn is_unreached(&self) -> bool {
-        self.inherited && !self.fenced
+        self.inherited
     }
 
     /// Returns for how many milliseconds the worker has blocked inherited jobs since this owner took
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -128,6 +128,7 @@
     WorkerInvalid = 739, Warn, "entry of service discovery cannot be read; it is ignored";
     MachineOrdered = 740, Info, "order for a machine answered";
     WaveDetected = 741, Info, "maintenance wave detected";
+    WorkerEndsTruncated = 743, Warn, "worker has more ends that are not acknowledged than its reports list; it gets no new tasks until they are";
     OperatorConfigInForce = 750, Info, "operator's configuration in force";
     SettingsChanged = 751, Info, "settings file changed";
     LogDropped = 752, Warn, "log lines were dropped because the reader is slow";
