Ask every worker of a pool for tickets in turn

What callers saw: in a pool of more than 30 workers, a step of a queue that requires tickets never started if only workers beyond the first 30 with room may run it.

Cause: `Scheduler::choose_slot` named the first 30 workers with room in the order of their identifiers, the same ones in each request.

Change: a request names the 30 workers with room that have not been asked for this step for longest, so each of n is asked after at most ⌈n / 30⌉ requests. The virtual cell answers requests for tickets.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -98,6 +98,11 @@
             Event::LeaseExpires(id, incarnation) => self.lease_expires(&id, incarnation),
             Event::MachinesListed(index) => self.list_machines(index),
             Event::MachineOperationEnds(name) => self.machine_operation_ends(&name),
+            Event::TicketsAnswered(index, step, tickets, valid, sent) => {
+                let scheduler = &mut self.owners[index].scheduler;
+                scheduler.add_tickets(&step, &tickets, valid, sent);
+                self.schedule_pass(index);
+            }
             Event::MachineAnswered(index, name, order, outcome) => {
                 let now = self.now;
                 self.owners[index]
@@ -178,10 +183,30 @@
                     self.schedule(LATENCY, Event::ImmediatePoll(index, worker, request, now));
                 }
             }
-            Action::RequestTickets { .. } => {}
+            Action::RequestTickets { step, workers } => {
+                self.request_tickets(index, step, &workers);
+            }
         }
     }
 
+    /// Answers a request for tickets after the time that the step's queue states.
+    fn request_tickets(&mut self, index: usize, step: TaskKey, workers: &[WorkerId]) {
+        self.ticket_requests += 1;
+        let timing = {
+            let mut jobs = self.owners[index].scheduler.jobs();
+            let job = jobs.find(|job| job.id == step.job);
+            job.and_then(|job| job.accepted.queue.ticket_timing)
+        };
+        let count = u64::try_from(workers.len()).unwrap_or_default();
+        let timing = timing.unwrap_or_default();
+        let duration = timing.fixed_ms + timing.each_ms * count;
+        let valid = Duration::from_millis(timing.valid_ms);
+        let permitted = workers.iter().filter(|id| self.permitted.contains(*id));
+        let tickets = permitted.map(|id| (id.clone(), "ticket".into())).collect();
+        let answer = Event::TicketsAnswered(index, step, tickets, valid, self.now);
+        self.schedule(Duration::from_millis(duration), answer);
+    }
+
     fn send_order(&mut self, index: usize, id: WorkerId, order: WorkerOrder) {
         let delayed = self.delayed_share > 0.0 && self.rng.random_bool(self.delayed_share);
         let worker = self.workers.get(&id);
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -133,6 +133,14 @@
     MachineOperationEnds(std::sync::Arc<str>),
     MachinesListed(usize),
     MachineAnswered(usize, std::sync::Arc<str>, MachineOrder, MachineOutcome),
+    /// Owner, step, tickets with their validity, and time of sending.
+    TicketsAnswered(
+        usize,
+        TaskKey,
+        Vec<(WorkerId, std::sync::Arc<str>)>,
+        Duration,
+        Duration,
+    ),
     Script(Box<dyn FnOnce(&mut CellSimulation)>),
 }
 
@@ -215,6 +223,10 @@
     pub reused_addresses: BTreeSet<WorkerId>,
     /// Whether the platform answers requests for the list of machines.
     pub lists_machines: bool,
+    /// Workers that may run the steps of queues which require tickets.
+    pub permitted: BTreeSet<WorkerId>,
+    /// Number of requests for tickets.
+    pub ticket_requests: usize,
     /// Settings of each owner's scheduler, and durations of machine operations.
     pub settings: JobSettings,
     /// Number of machine moves and maintenance operations started.
@@ -254,6 +266,8 @@
             pools: Vec::new(),
             reused_addresses: BTreeSet::new(),
             lists_machines: true,
+            permitted: BTreeSet::new(),
+            ticket_requests: 0,
             settings: JobSettings::default(),
             operations_started: 0,
             machine_orders: Vec::new(),
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -25,7 +25,6 @@
 use crate::slot::Constraints;
 use crate::slot::Slot;
 use crate::slot::Slots;
-use crate::tickets::MAX_CANDIDATES;
 use crate::worker::Run;
 use crate::worker::RunState;
 use crate::worker::StopReason;
@@ -240,17 +239,17 @@
         });
         if let (None, Some(timing)) = (chosen, timing) {
             let without_tickets = Constraints {
+                avoid: None,
+                preferred_rack,
+                runs_per_worker: counts,
                 tickets: None,
-                ..relaxed
             };
-            let candidates = slots.items.iter().filter(|slot| {
-                slot.admits(step, &without_tickets) && step.allocation().fits(slot.free)
-            });
-            let workers: Vec<WorkerId> = candidates
-                .take(MAX_CANDIDATES)
-                .map(|slot| slot.id.clone())
-                .collect();
-            if !workers.is_empty() && self.tickets.begin_request(task, timing, now) {
+            let candidates = slots.items.iter();
+            let candidates =
+                candidates.filter(|slot| slot.obstacle(step, &without_tickets).is_none());
+            let candidates = candidates.map(|slot| slot.id.clone());
+            let workers = self.tickets.begin_request(task, timing, candidates, now);
+            if !workers.is_empty() {
                 self.actions.push(Action::RequestTickets {
                     step: TaskKey {
                         index: 0,
--- a/crates/nutmegcart_jobs/src/tickets.rs
+++ b/crates/nutmegcart_jobs/src/tickets.rs
@@ -13,7 +13,7 @@
 
 /// Candidate workers in one request. The latency objective of a job includes one request of this
 /// size for each step.
-pub(crate) const MAX_CANDIDATES: usize = 30;
+const MAX_CANDIDATES: usize = 30;
 /// Minimum remaining validity of a ticket when its start order is sent.
 const MIN_VALIDITY: Duration = Duration::from_millis(150);
 /// Time beyond the expected duration after which an unanswered request is repeated.
@@ -34,6 +34,8 @@
     tickets: HashMap<WorkerId, (Arc<str>, Duration)>,
     /// When the pending request was sent.
     requested_at: Option<Duration>,
+    /// When each worker was last named in a request.
+    asked_at: HashMap<WorkerId, Duration>,
 }
 
 impl Tickets {
@@ -48,24 +50,37 @@
         (now + MIN_VALIDITY < *valid_until).then(|| ticket.clone())
     }
 
-    /// Returns whether a request is due, and records that it is being sent.
+    /// Returns the workers that a request now due names, and records that it is being sent. Empty if
+    /// no request is due.
+    ///
+    /// Those go first that have not been asked for longest, so each of any number of candidates is
+    /// asked after as many requests as it takes to name them all.
     pub(crate) fn begin_request(
         &mut self,
         task: &TaskKey,
         timing: TicketTiming,
+        candidates: impl Iterator<Item = WorkerId>,
         now: Duration,
-    ) -> bool {
+    ) -> Vec<WorkerId> {
         let step = self.steps.entry(Self::key(task)).or_default();
-        let candidates = u64::try_from(MAX_CANDIDATES).unwrap_or_default();
-        let duration = Duration::from_millis(timing.fixed_ms + timing.each_ms * candidates);
-        if step
+        let longest = u64::try_from(MAX_CANDIDATES).unwrap_or_default();
+        let duration = Duration::from_millis(timing.fixed_ms + timing.each_ms * longest);
+        let pending = step
             .requested_at
-            .is_some_and(|at| now < at + duration + ANSWER_TIMEOUT)
-        {
-            return false;
+            .is_some_and(|at| now < at + duration + ANSWER_TIMEOUT);
+        if pending {
+            return Vec::new();
         }
+        let mut candidates: Vec<WorkerId> = candidates.collect();
+        if candidates.is_empty() {
+            return candidates;
+        }
+        candidates.sort_by_key(|worker| step.asked_at.get(worker).copied());
+        candidates.truncate(MAX_CANDIDATES);
+        let asked = candidates.iter().map(|worker| (worker.clone(), now));
+        step.asked_at.extend(asked);
         step.requested_at = Some(now);
-        true
+        candidates
     }
 
     /// Adds the tickets of a request that was sent at `sent`.
