Start all members of a gang with one checkpoint

Cause: each member was started again with its own latest checkpoint, and members work only together with the same one. Members that were live while others had no run (an owner that died between two starts) also waited until they gave up.

Change: the step of a gang has one checkpoint, with its origin (run, written at a stop, progress, time), which all its tasks carry. Starts and the stored state take it; the stored form is unchanged, and a successor that finds different ones takes one. Runs of an incomplete gang are stopped (reason `Incomplete`). The virtual cell has gangs: members begin only if all are present with the same checkpoint, end `alone` after 3 s, and `broken` with another.

Changed tests: `another_task_of_the_gang_is_live` relied on a model in which a member works on after another one has ended. It now has an owner that cannot know the end of the other member, and demands the same reason. `end_run` of the model takes the time, which one test in starvation.rs passes.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -11,6 +11,7 @@
 use nutmegcart_jobs::OrderOutcome;
 use nutmegcart_jobs::PollRequest;
 use nutmegcart_jobs::RunEnd;
+use nutmegcart_jobs::StartOrder;
 use nutmegcart_jobs::TaskKey;
 use nutmegcart_jobs::WorkerOrder;
 use nutmegcart_model::WorkerId;
@@ -26,6 +27,7 @@
 use crate::cell::STORE_LATENCY;
 use crate::cell::TICK_PERIOD;
 use crate::cell::WaitingPoll;
+use crate::cell::gangs::Member;
 use crate::cell::worker::FakeRun;
 
 impl CellSimulation {
@@ -271,7 +273,7 @@
         }
     }
 
-    fn answer_waiting_poll(&mut self, id: &WorkerId) {
+    pub(super) fn answer_waiting_poll(&mut self, id: &WorkerId) {
         let Some(waiting) = self.waiting_polls.remove(id) else {
             return;
         };
@@ -346,7 +348,7 @@
         let now = self.now;
         let fence = self.owners[index].fence;
         let new_run = match order {
-            WorkerOrder::Start(start) => self.new_run(id, start.run, &start.task),
+            WorkerOrder::Start(start) => self.new_run(id, start),
             _ => None,
         };
         let reached = self
@@ -403,7 +405,10 @@
                     .violations
                     .push(format!("{at} ms: {task} exceeds the capacity of {id}"));
             }
-            if let Some(run) = self.workers[id].runs.get(&start.task)
+            let run = self.workers[id].runs.get(&start.task);
+            if run.is_some_and(|run| run.member.is_some()) {
+                self.member_started(id, &start.task, start.run);
+            } else if let Some(run) = run
                 && !run.long_running
             {
                 let duration = run.duration;
@@ -429,6 +434,7 @@
         if !ended.is_empty() {
             self.answer_waiting_poll(id);
         }
+        self.break_gangs(&ended);
         if answered {
             self.schedule(
                 LATENCY,
@@ -438,7 +444,8 @@
     }
 
     /// Returns the run for a start order, as described by the step of its job.
-    fn new_run(&mut self, id: &WorkerId, number: u32, task: &TaskKey) -> Option<FakeRun> {
+    fn new_run(&mut self, id: &WorkerId, start: &StartOrder) -> Option<FakeRun> {
+        let task = &start.task;
         let worker = self.workers.get(id)?;
         let (slow, hung) = (worker.slowdown, worker.hung);
         let step = self.owners.iter().rev().find_map(|owner| {
@@ -457,11 +464,17 @@
             step.declared().mul_f64(factor) * slow
         };
         Some(FakeRun {
-            number,
+            number: start.run,
             started_at: self.now,
             duration,
             allocation: step.allocation(),
             long_running: step.long_running,
+            member: step.gang.then(|| Member {
+                size: step.count,
+                saves: step.checkpoints,
+                checkpoint: start.checkpoint.clone(),
+                began: None,
+            }),
         })
     }
 
@@ -478,9 +491,12 @@
             return;
         }
         let how = if fails { RunEnd::Failed } else { RunEnd::Done };
-        worker.end_run(task, how);
+        let now = self.now;
+        worker.end_run(task, how, now);
+        let ended: Vec<_> = worker.ended.last().cloned().into_iter().collect();
         self.checker.record_end(id, task, run, !fails, fails);
         self.answer_waiting_poll(id);
+        self.break_gangs(&ended);
     }
 
     /// Schedules the end of the runs on a worker for the present end of its lease.
@@ -511,10 +527,11 @@
             .filter(|end| end.number > last_end)
             .cloned()
             .collect();
-        for end in ended {
+        for end in &ended {
             self.checker
                 .record_end(id, &end.task, end.run, false, false);
         }
+        self.break_gangs(&ended);
     }
 
     fn flush_arrives(&mut self, index: usize, flush: &Flush) {
--- a/crates/nutmegcart_fakes/src/cell/faults.rs
+++ b/crates/nutmegcart_fakes/src/cell/faults.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use nutmegcart_jobs::ReportedEnd;
+use nutmegcart_jobs::RunEnd;
 use nutmegcart_model::WorkerId;
 
 use crate::cell::CALL_TIMEOUT;
@@ -26,9 +28,18 @@
         };
         worker.up = false;
         let runs = std::mem::take(&mut worker.runs);
+        let mut lost = Vec::new();
         for (task, run) in runs {
             self.checker.record_end(id, &task, run.number, false, false);
+            lost.push(ReportedEnd {
+                number: 0,
+                task,
+                run: run.number,
+                how: RunEnd::Lapsed,
+                checkpoint: None,
+            });
         }
+        self.break_gangs(&lost);
         if let Some(waiting) = self.waiting_polls.remove(id) {
             let unanswered = Event::PollAnswered(
                 waiting.owner,
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -6,6 +6,7 @@
 
 mod events;
 mod faults;
+pub mod gangs;
 pub mod invariant_checker;
 mod long_running;
 mod machines;
@@ -205,6 +206,8 @@
     pub delayed_share: f64,
     /// Tasks whose runs always fail.
     pub failing_tasks: BTreeSet<TaskKey>,
+    /// Number of members of gangs that ended because they waited too long for the others.
+    pub alone: usize,
     /// Largest factor by which a run is shorter or longer than its step declares.
     pub duration_spread: f64,
     /// Queues with which a new owner is configured.
@@ -249,6 +252,7 @@
             checker: InvariantChecker::default(),
             delayed_share: 0.0,
             failing_tasks: BTreeSet::new(),
+            alone: 0,
             duration_spread: 1.0,
             queues: Vec::new(),
             pools: Vec::new(),
--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -18,6 +18,8 @@
 use nutmegcart_jobs::WorkerOrder;
 use nutmegcart_jobs::worker::millis;
 
+use crate::cell::gangs::Member;
+
 /// Longest time from now for which a worker accepts a lease.
 const MAX_LEASE: Duration = Duration::from_secs(10);
 
@@ -34,6 +36,8 @@
     pub allocation: Resources,
     /// Whether it runs until it is stopped.
     pub long_running: bool,
+    /// Set for a run of a gang's member.
+    pub member: Option<Member>,
 }
 
 /// A worker in virtual time.
@@ -122,19 +126,23 @@
     }
 
     /// Ends the run of a task and keeps its end until an owner acknowledges it.
-    pub fn end_run(&mut self, task: &TaskKey, how: RunEnd) {
+    pub fn end_run(&mut self, task: &TaskKey, how: RunEnd, now: Duration) {
         let Some(run) = self.runs.remove(task) else {
             return;
         };
         let last_run = self.last_runs.entry(task.clone()).or_default();
         *last_run = (*last_run).max(run.number);
         self.last_end += 1;
+        let saved = run
+            .member
+            .filter(|_| how != RunEnd::Done)
+            .and_then(|member| member.saved(task.index, now, how == RunEnd::Stopped));
         self.ended.push(ReportedEnd {
             number: self.last_end,
             task: task.clone(),
             run: run.number,
             how,
-            checkpoint: None,
+            checkpoint: saved,
         });
     }
 
@@ -145,7 +153,7 @@
         }
         let tasks: Vec<TaskKey> = self.runs.keys().cloned().collect();
         for task in tasks {
-            self.end_run(&task, RunEnd::Lapsed);
+            self.end_run(&task, RunEnd::Lapsed, now);
         }
     }
 
@@ -182,13 +190,17 @@
                     0
                 };
             }
+            let age = run.member.as_ref().map_or(age, |member| member.done(now));
             let share = age.as_secs_f64() / run.duration.as_secs_f64().max(0.001);
             (share * 100.0).min(99.0) as u32
         };
         let reported = |(task, run): (&TaskKey, &FakeRun)| ReportedRun {
             task: task.clone(),
             run: run.number,
-            checkpoint: None,
+            checkpoint: run
+                .member
+                .as_ref()
+                .and_then(|member| member.saved(task.index, now, false)),
             progress: percent(run),
             metric: 0,
         };
@@ -246,12 +258,12 @@
                 }
                 self.runs.insert(start.task.clone(), run);
                 if self.failing {
-                    self.end_run(&start.task, RunEnd::Failed);
+                    self.end_run(&start.task, RunEnd::Failed, now);
                 }
             }
             WorkerOrder::Stop { task, run } => {
                 if self.runs.get(task).is_some_and(|each| each.number <= *run) {
-                    self.end_run(task, RunEnd::Stopped);
+                    self.end_run(task, RunEnd::Stopped, now);
                 }
                 let last_run = self.last_runs.entry(task.clone()).or_default();
                 *last_run = (*last_run).max(*run);
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -0,0 +1,122 @@
+//! Gangs: tasks of a step that work only together.
+//!
+//! The checkpoint of any member is valid for the whole gang, and the members begin only if all of
+//! them have the same. So a gang has one checkpoint, which each of its tasks carries: starts and the
+//! stored state take it from there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::job::TaskKey;
+use crate::live_job::LiveJob;
+use crate::record::TaskProgress;
+use crate::reports::ReportedEnd;
+use crate::reports::ReportedRun;
+use crate::reports::RunEnd;
+use crate::scheduler::Scheduler;
+use crate::worker::StopReason;
+
+/// Where a checkpoint comes from; the greater, the more work it contains, as far as can be known.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Origin {
+    /// Whether a worker reported it to this owner; a stored one may be of any run before.
+    reported: bool,
+    /// Number of its run.
+    run: u32,
+    /// Whether it was written when the run was stopped.
+    stopped: bool,
+    /// Progress of the run when it was first reported, in percent.
+    progress: u32,
+    /// When it was first reported.
+    seen_at: Duration,
+}
+
+impl Origin {
+    /// Returns the origin of a checkpoint that a live run reports.
+    pub(crate) const fn live(run: u32, progress: u32, seen_at: Duration) -> Self {
+        Self {
+            reported: true,
+            run,
+            stopped: false,
+            progress,
+            seen_at,
+        }
+    }
+
+    /// Returns the origin of a checkpoint with which a run ended; `progress` is the latest that the
+    /// run reported.
+    pub(crate) fn ended(end: &ReportedEnd, progress: u32, seen_at: Duration) -> Self {
+        Self {
+            stopped: end.how == RunEnd::Stopped,
+            ..Self::live(end.run, progress, seen_at)
+        }
+    }
+
+    fn stored(progress: &TaskProgress) -> Self {
+        Self {
+            run: progress.run,
+            ..Self::default()
+        }
+    }
+}
+
+impl LiveJob {
+    /// Records the checkpoint of a task; that of a gang's member becomes the checkpoint of all
+    /// members, unless they have one that contains more work.
+    pub(crate) fn record_checkpoint(
+        &mut self,
+        key: &TaskKey,
+        checkpoint: Option<&Arc<str>>,
+        origin: Origin,
+    ) {
+        let Some(checkpoint) = checkpoint else {
+            return;
+        };
+        if !self.step(key).is_some_and(|step| step.gang) {
+            if let Some(task) = self.task(key) {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+            return;
+        }
+        let Some(state) = self.step_state(key) else {
+            return;
+        };
+        if state.checkpoint_origin.is_some_and(|known| origin <= known) {
+            return;
+        }
+        state.checkpoint_origin = Some(origin);
+        for task in &mut state.tasks {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+    }
+
+    /// Records the checkpoint of a live run for its gang, if its task belongs to one.
+    pub(crate) fn share_checkpoint(&mut self, reported: &ReportedRun, now: Duration) {
+        if self.step(&reported.task).is_some_and(|step| step.gang) {
+            let origin = Origin::live(reported.run, reported.progress, now);
+            self.record_checkpoint(&reported.task, reported.checkpoint.as_ref(), origin);
+        }
+    }
+
+    /// Records the checkpoint of a task that another owner has stored.
+    pub(crate) fn restore_checkpoint(&mut self, progress: &TaskProgress) {
+        let origin = Origin::stored(progress);
+        self.record_checkpoint(&progress.task, progress.checkpoint.as_ref(), origin);
+    }
+}
+
+impl Scheduler {
+    /// Stops the live runs of a gang of which some tasks have no run, since they wait in vain.
+    pub(crate) fn stop_incomplete_gang(&mut self, key: &TaskKey) {
+        let mut runs = Vec::new();
+        for worker in self.workers.values() {
+            let members = worker.runs.keys().filter(|task| {
+                (&task.job, task.occurrence, task.step) == (&key.job, key.occurrence, key.step)
+            });
+            runs.extend(members.map(|task| (worker.listing.id.clone(), task.clone())));
+        }
+        for (worker, task) in runs {
+            self.stop(&worker, &task, StopReason::Incomplete);
+        }
+    }
+}
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -7,6 +7,7 @@
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 
+use crate::gang::Origin;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::scheduler::Scheduler;
@@ -193,9 +194,11 @@
         if let Some(task) = job.task(key) {
             task.live_runs = task.live_runs.saturating_sub(1);
             task.waiting_since = now;
-            if run.checkpoint.is_some() {
-                task.checkpoint = run.checkpoint;
-            }
+        }
+        // A gang has had the checkpoint since it was reported, with its origin.
+        if !job.step(key).is_some_and(|step| step.gang) {
+            let origin = Origin::live(run.number, run.progress, now);
+            job.record_checkpoint(key, run.checkpoint.as_ref(), origin);
         }
         self.forget_if_ended(&key.job);
     }
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod estimate;
 pub mod failed_runs;
 pub mod flush;
+mod gang;
 mod incarnations;
 pub mod job;
 pub mod layout;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -11,6 +11,7 @@
 
 use crate::estimate::Estimates;
 use crate::failed_runs::FailedRuns;
+use crate::gang::Origin;
 use crate::job::Job;
 use crate::job::JobId;
 use crate::job::Step;
@@ -62,6 +63,8 @@
     pub ready: bool,
     /// Number of finished tasks.
     pub done: u32,
+    /// Where the checkpoint of a gang comes from, if it has one.
+    pub(crate) checkpoint_origin: Option<Origin>,
 }
 
 impl LiveStep {
@@ -274,10 +277,10 @@
         if let Some(task) = self.task(&progress.task) {
             task.failed_runs = FailedRuns::restore(progress.failed.clone());
             task.last_run = task.last_run.max(progress.run + run_gap);
-            task.checkpoint.clone_from(&progress.checkpoint);
             task.started = true;
             self.started = true;
         }
+        self.restore_checkpoint(progress);
     }
 
     /// Returns whether further occurrences will become due.
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -166,6 +166,10 @@
         else {
             return;
         };
+        if step.gang && pending.len() != step.count as usize {
+            self.stop_incomplete_gang(key);
+            return;
+        }
         if !step.allocation().fits(slots.largest_free) && !step.long_running {
             return;
         }
@@ -327,9 +331,6 @@
         counts: &mut HashMap<WorkerId, u32>,
         now: Duration,
     ) {
-        if pending.len() != step.count as usize {
-            return;
-        }
         let racks: Vec<Option<Rack>> = if step.same_rack && step.rack.is_none() {
             let mut racks: Vec<Rack> = slots
                 .items
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -7,6 +7,7 @@
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 
+use crate::gang::Origin;
 use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
 use crate::worker::PendingEnd;
@@ -258,6 +259,10 @@
             if run.progress != reported.progress || run.checkpoint != reported.checkpoint {
                 run.progressed_at = now;
             }
+            let job = self.jobs.get_mut(&reported.task.job);
+            if let Some(job) = job.filter(|_| run.checkpoint != reported.checkpoint) {
+                job.share_checkpoint(reported, now);
+            }
             let was_at_work = run.is_at_work();
             run.progress = reported.progress;
             run.metric = reported.metric;
@@ -301,6 +306,7 @@
             task.last_run = task.last_run.max(reported.run);
             task.started = true;
         }
+        job.share_checkpoint(reported, now);
         let run = Run {
             number: reported.run,
             state: RunState::Running,
@@ -349,6 +355,7 @@
             .get(&end.task)
             .is_some_and(|run| run.number == end.run);
         let started = worker.runs.get(&end.task).map(|run| run.ordered_at);
+        let progress = worker.runs.get(&end.task).map_or(0, |run| run.progress);
         let stalled = worker.runs.get(&end.task).is_some_and(Run::is_stalled);
         self.flush_queue.record_task_end(&end.task);
         match end.how {
@@ -373,10 +380,9 @@
             if let Some(task) = job.task(&end.task) {
                 task.last_run = task.last_run.max(end.run);
                 task.started = true;
-                if end.checkpoint.is_some() {
-                    task.checkpoint.clone_from(&end.checkpoint);
-                }
             }
+            let origin = Origin::ended(end, progress, now);
+            job.record_checkpoint(&end.task, end.checkpoint.as_ref(), origin);
             job.started = true;
         }
         if known {
@@ -580,16 +586,3 @@
         self.runs.values().any(|run| run.serving) && self.runs.values().any(|run| run.best_effort)
     }
 }
-
-impl Run {
-    /// Returns whether the run is being stopped because it made no progress.
-    fn is_stalled(&self) -> bool {
-        matches!(
-            self.state,
-            RunState::Stopping {
-                reason: StopReason::Stalled,
-                ..
-            }
-        )
-    }
-}
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -95,6 +95,8 @@
     Evacuated,
     /// Its resources are needed by work of a higher priority.
     Preempted,
+    /// Another task of its gang has no run.
+    Incomplete,
 }
 
 /// State of a run, as far as the owner knows.
@@ -188,6 +190,17 @@
     pub fn is_at_work(&self) -> bool {
         self.long_running && self.progress >= 100
     }
+
+    /// Returns whether the run is being stopped because it made no progress.
+    pub(crate) const fn is_stalled(&self) -> bool {
+        matches!(
+            self.state,
+            RunState::Stopping {
+                reason: StopReason::Stalled,
+                ..
+            }
+        )
+    }
 }
 
 /// An end of a run that the worker still reports because it has not been acknowledged.
--- /dev/null
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -0,0 +1,191 @@
+//! Gangs: their members start together, with one checkpoint.
+
+mod support;
+
+use std::time::Duration;
+
+use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_jobs::CellRecord;
+use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::Step;
+use nutmegcart_jobs::record::TaskProgress;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_model::WorkerId;
+use support::assert_no_violations;
+use support::batch_step;
+use support::completed;
+use support::seconds;
+use support::submit;
+use support::task;
+use support::worker;
+
+/// Number of tasks of the gang.
+const SIZE: u32 = 4;
+/// Duration of its work.
+const WORK: Duration = Duration::from_secs(8);
+
+/// Disturbs a gang that has been at work for 2.7 s.
+type Disturbance = fn(&mut CellSimulation, &JobId);
+
+fn gang_step() -> Step {
+    Step {
+        gang: true,
+        checkpoints: true,
+        per_worker: 1,
+        ..batch_step(SIZE, 4_000, 8_000)
+    }
+}
+
+/// Creates a simulated cell with one pool, whose machines stay there.
+fn world(seed: u64, workers: usize) -> CellSimulation {
+    let mut world = support::world(seed, workers);
+    world.pools.truncate(1);
+    world
+}
+
+fn host(world: &CellSimulation, job: &JobId, index: u32) -> WorkerId {
+    let key = task(job, 0, index);
+    let mut workers = world.workers.iter();
+    let found = workers.find(|(_, worker)| worker.up && worker.runs.contains_key(&key));
+    found.expect("the member runs").0.clone()
+}
+
+fn empty_worker(world: &mut CellSimulation, job: &JobId) {
+    let id = host(world, job, 1);
+    let worker = world.workers.get_mut(&id).expect("a known worker");
+    worker.listing.draining = true;
+    worker.listing.remaining = seconds(2.0);
+    world.list_worker(&id);
+    world.after(seconds(2.5), move |world| {
+        world.crash(&id);
+        world.unlist_worker(&id);
+    });
+}
+
+fn crash_worker(world: &mut CellSimulation, job: &JobId) {
+    let id = host(world, job, 2);
+    world.crash(&id);
+    world.after(seconds(1.0), move |world| world.restart(&id));
+}
+
+fn lose_worker(world: &mut CellSimulation, job: &JobId) {
+    let id = host(world, job, 3);
+    world.remove_for_good(&id, None);
+}
+
+fn fail(world: &mut CellSimulation, job: &JobId) {
+    world.fail_member(&task(job, 0, 0));
+}
+
+fn change_owner(world: &mut CellSimulation, _: &JobId) {
+    world.owners[0].up = false;
+    world.after(seconds(0.5), |world| {
+        world.take_over();
+    });
+}
+
+/// Guards against members that are started again with different checkpoints, so that they wait for
+/// each other until they give up, again and again.
+fn gang_works_again((disturb, limit): (Disturbance, f64)) {
+    let mut world = world(81, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.run(seconds(2.7));
+    disturb(&mut world, &job);
+    world.run(seconds(limit - 2.7));
+    assert_no_violations(&world);
+    assert_eq!(world.alone, 0, "members that waited in vain");
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
+
+cases! { gang_works_again:
+    undisturbed => (|_, _| {}, 8.5);
+    worker_of_a_member_is_emptied => (empty_worker, 10.0);
+    worker_of_a_member_crashes => (crash_worker, 10.5);
+    worker_of_a_member_is_lost => (lose_worker, 16.0);
+    member_fails => (fail, 10.0);
+    owner_changes => (change_owner, 8.7);
+}
+
+/// Guards against a successor that takes over while the members end or start again, and gives them
+/// different checkpoints.
+#[test]
+fn owner_changes_while_the_gang_ends() {
+    for delay in (0..600).step_by(20) {
+        let mut world = world(82, 8);
+        world.take_over();
+        world.run(seconds(1.0));
+        let job = submit(&mut world, 1, vec![gang_step()]);
+        world.run(seconds(2.7));
+        empty_worker(&mut world, &job);
+        world.run(Duration::from_millis(delay));
+        world.owners[0].up = false;
+        world.run(seconds(0.3));
+        world.take_over();
+        world.run(WORK + seconds(4.0));
+        assert_no_violations(&world);
+        assert_eq!(world.alone, 0, "taken over after {delay} ms");
+        assert!(completed(&world, &job), "taken over after {delay} ms");
+    }
+}
+
+/// Guards against a successor that lets the members wait for those that its predecessor has not
+/// started.
+#[test]
+fn owner_changes_between_the_starts_of_two_members() {
+    let mut world = world(83, SIZE as usize);
+    world.take_over();
+    world.run(seconds(1.0));
+    world.owners[0].unreachable.extend([worker(2), worker(3)]);
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.run(seconds(0.1));
+    assert_eq!(world.checker.starts, 2);
+    world.owners[0].up = false;
+    world.run(seconds(0.3));
+    world.take_over();
+    world.run(WORK + seconds(1.0));
+    assert_no_violations(&world);
+    assert_eq!(world.alone, 0, "members that waited in vain");
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
+
+/// Guards against members that wait for one whose start order was lost until they give up.
+#[test]
+fn start_of_a_member_is_lost() {
+    let mut world = world(84, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    world.owners[0].unreachable.extend((0..3).map(worker));
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.after(seconds(0.1), |world| world.owners[0].unreachable.clear());
+    world.run(WORK + seconds(3.0));
+    assert_no_violations(&world);
+    assert_eq!(world.alone, 0, "members that waited in vain");
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
+
+/// Guards against a successor that finds different checkpoints in the state that an earlier version
+/// stored.
+#[test]
+fn stored_checkpoints_differ() {
+    let mut world = world(85, 8);
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    let progress = |index: u32| TaskProgress {
+        task: task(&job, 0, index),
+        done: false,
+        failed: Vec::new(),
+        run: 3,
+        checkpoint: (index != 1).then(|| format!("{}-{index}", 500 * index + 500).into()),
+    };
+    let record = CellRecord {
+        tasks: (0..SIZE).map(progress).collect(),
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode(&record));
+    world.take_over();
+    world.run(WORK + seconds(5.0));
+    assert_no_violations(&world);
+    assert_eq!(world.alone, 0, "members that waited in vain");
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
--- a/crates/nutmegcart_jobs/tests/starvation.rs
+++ b/crates/nutmegcart_jobs/tests/starvation.rs
@@ -64,7 +64,7 @@
     let id = host(world, key).expect("the task runs");
     let worker = world.workers.get_mut(&id).expect("a known worker");
     let number = worker.runs[key].number;
-    worker.end_run(key, RunEnd::Failed);
+    worker.end_run(key, RunEnd::Failed, world.now);
     world.checker.record_end(&id, key, number, false, true);
     id
 }
--- a/crates/nutmegcart_jobs/tests/waiting.rs
+++ b/crates/nutmegcart_jobs/tests/waiting.rs
@@ -224,13 +224,18 @@
     };
     /// Guards against a task of a gang that waits for the others and is reported as startable.
     another_task_of_the_gang_is_live => Case {
-        workers: 2,
+        workers: 3,
         script: |world| {
             submit_with(world, |step| {
                 step.count = 2;
                 step.gang = true;
             });
             let id = first_busy_worker(world);
+            // The end of the other member is not known to the owner.
+            let workers = world.workers.iter();
+            let mut others = workers.filter(|(other, each)| **other != id && !each.runs.is_empty());
+            let other = others.next().expect("another worker runs a task").0.clone();
+            world.owners[0].unreachable.insert(other);
             let state = world.workers.get_mut(&id).expect("the worker exists");
             state.listing.draining = true;
             world.list_worker(&id);
