Add numbers of lists, reports and waves without overflow

Callers saw nothing yet: found by tests that state the largest numbers. Cause: sums of capacities, run numbers, ticket times and the limit of a wave were added without a bound. With overflow checks the task of the owner ended; without them the sums wrapped, so a pool with a huge machine looked full. Evidence: 4 of 5 tests of extreme_numbers.rs failed before, with 'attempt to add with overflow' in passing.rs (sums), maintenance.rs:238, placement.rs:434, and 'attempt to multiply with overflow' in tickets.rs:60. The fifth, a successor after the largest run number, passed before. Change: these sums saturate. All 5 pass, as do the tests of nutmegcart_jobs and nutmegcart_fleet.

--- a/crates/nutmegcart_fleet/src/resources.rs
+++ b/crates/nutmegcart_fleet/src/resources.rs
@@ -90,11 +90,12 @@
 impl Add for Resources {
     type Output = Self;
 
+    /// Adds each amount, up to the largest number: lists of other writers may state any.
     fn add(self, other: Self) -> Self {
         Self::new(
-            self.cpu + other.cpu,
-            self.memory + other.memory,
-            self.accelerators + other.accelerators,
+            self.cpu.saturating_add(other.cpu),
+            self.memory.saturating_add(other.memory),
+            self.accelerators.saturating_add(other.accelerators),
         )
     }
 }
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -273,7 +273,7 @@
         }
         if let Some(task) = self.task(&progress.task) {
             task.failed_runs = FailedRuns::restore(progress.failed.clone());
-            task.last_run = task.last_run.max(progress.run + run_gap);
+            task.last_run = task.last_run.max(progress.run.saturating_add(run_gap));
             task.checkpoint.clone_from(&progress.checkpoint);
             task.started = true;
             self.started = true;
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -235,7 +235,7 @@
             // Other cells use the whole limit; tasks keep running here until then.
             return;
         }
-        let max_drained = max_down + DRAIN_AHEAD;
+        let max_drained = max_down.saturating_add(DRAIN_AHEAD);
         let busy: Vec<Machine> = remaining
             .into_iter()
             .filter(|machine| !self.machines.pending.contains_key(&machine.name))
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -109,7 +109,9 @@
 /// Returns the processor of a worker that long-running tasks leave to others.
 fn batch_cpu(worker: &Worker) -> u64 {
     let long_running = worker.runs.values().filter(|run| run.long_running);
-    let used: u64 = long_running.map(|run| run.allocation.cpu).sum();
+    let used = long_running
+        .map(|run| run.allocation.cpu)
+        .fold(0, u64::saturating_add);
     worker.listing.capacity.cpu.saturating_sub(used)
 }
 
@@ -128,8 +130,8 @@
                 workers.filter(|worker| worker.listing.pool == *pool && worker.usable(now));
             let load = PoolLoad {
                 pool: pool.clone(),
-                work_ms: jobs.map(work_ms).sum(),
-                cpu: workers.map(batch_cpu).sum::<u64>() + spare_cpu,
+                work_ms: jobs.map(work_ms).fold(0, u64::saturating_add),
+                cpu: workers.map(batch_cpu).fold(spare_cpu, u64::saturating_add),
             };
             if load.work_ms > 0 || load.cpu > 0 {
                 loads.push(load);
@@ -147,7 +149,8 @@
                 && machine.state == MachineState::Up
                 && !self.machines.pending.contains_key(&machine.name)
         });
-        available.map(|machine| machine.capacity.cpu).sum()
+        let capacities = available.map(|machine| machine.capacity.cpu);
+        capacities.fold(0, u64::saturating_add)
     }
 
     /// Returns whether the job waits, and nothing of it can be running under any owner.
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -389,7 +389,7 @@
             .get_mut(&key.job)
             .and_then(|job| job.step_state(key));
         let highest = state.and_then(|state| state.tasks.iter().map(|task| task.last_run).max());
-        highest.unwrap_or_default() + 1
+        highest.unwrap_or_default().saturating_add(1)
     }
 
     #[expect(
@@ -431,7 +431,7 @@
         let Some(task) = job.task(key) else {
             return;
         };
-        task.last_run = gang_run.unwrap_or(task.last_run + 1);
+        task.last_run = gang_run.unwrap_or(task.last_run.saturating_add(1));
         task.live_runs += 1;
         task.started = true;
         let number = task.last_run;
--- a/crates/nutmegcart_jobs/src/tickets.rs
+++ b/crates/nutmegcart_jobs/src/tickets.rs
@@ -57,7 +57,8 @@
     ) -> bool {
         let step = self.steps.entry(Self::key(task)).or_default();
         let candidates = u64::try_from(MAX_CANDIDATES).unwrap_or_default();
-        let duration = Duration::from_millis(timing.fixed_ms + timing.each_ms * candidates);
+        let duration = timing.each_ms.saturating_mul(candidates);
+        let duration = Duration::from_millis(timing.fixed_ms.saturating_add(duration));
         if step
             .requested_at
             .is_some_and(|at| now < at + duration + ANSWER_TIMEOUT)
