Check a worker's entry against the limits of its fields

Seen in tests: while the entry of a known worker stated a start time that is too large, its runs counted as ended; every later answer of the worker was ignored as one of an earlier incarnation. The start time went into the stored cell state, so after a change of the owner the jobs of the pool waited for ever (2 of 3 jobs pending after 9 s, no runs). A pool or machine name as long as a value of the store made the cell state larger than the store accepts. Evidence: in odd_entries.rs incarnation_in_another_unit, incarnation_above_signed_numbers and largest_incarnation failed with jobs 'stored Some(Pending) ... runs []'; pool_with_a_long_name and machine_with_a_long_name with 'the cell state has 1048848 bytes'; report_of_the_largest_clock with an overflow in reports.rs:124; report_of_the_largest_incarnation with a pending job. 7 of 14 failed. Change: an entry with a start time after 2100, a name above 256 bytes, more than 64 labels or a capacity above any machine's lists no worker (event 739), like one that cannot be read. An answer with such a time counts as a failed poll. A successor takes a stored start time beyond the limit as not known.

--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -203,6 +203,7 @@
     let entries = range.ok()?.items;
     let listings = entries.iter().filter_map(|item| {
         let listing = (directory.parse_listing)(item).ok()?;
+        listing.check().ok()?;
         let name = listing.machine.unwrap_or_else(|| (&*listing.id).into());
         Some((name, listing.pool))
     });
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -22,9 +22,15 @@
 const IDLE_SILENCE: Duration = Duration::from_secs(1);
 
 impl Scheduler {
-    /// Updates a worker from its entry in service discovery.
+    /// Updates a worker from its entry in service discovery. An entry beyond the limits of its fields
+    /// lists no worker.
     pub fn worker_listed(&mut self, listing: WorkerListing, now: Duration) {
         let id = listing.id.clone();
+        if let Err(reason) = listing.check() {
+            log_event!(Event::WorkerInvalid, key = id, reason = reason);
+            self.worker_unlisted(&id, now);
+            return;
+        }
         if self
             .ended_incarnations
             .get(&id)
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -9,6 +9,7 @@
 
 use crate::job::TaskKey;
 use crate::scheduler::Scheduler;
+use crate::worker::MAX_TIME;
 use crate::worker::PendingEnd;
 use crate::worker::Run;
 use crate::worker::RunState;
@@ -169,6 +170,10 @@
         report: &PollResponse,
         now: Duration,
     ) -> usize {
+        if report.incarnation.max(report.clock) > MAX_TIME {
+            self.poll_failed(id, "a time is out of range", now);
+            return 0;
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return 0;
         };
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -36,6 +36,7 @@
 use crate::record::JobState;
 use crate::size_shares::SizeShares;
 use crate::tickets::Tickets;
+use crate::worker::MAX_TIME;
 use crate::worker::RunState;
 use crate::worker::StopReason;
 use crate::worker::Worker;
@@ -170,9 +171,12 @@
     /// Restores the state of the cell that an earlier owner stored.
     pub fn inherit(&mut self, record: &CellRecord) {
         for enrolled in &record.workers {
+            // Versions before stored what an invalid entry stated; the worker's answer tells.
+            let incarnation = Some(enrolled.incarnation).filter(|stated| *stated <= MAX_TIME);
+            let incarnation = incarnation.unwrap_or_default();
             let listing = WorkerListing {
                 id: enrolled.worker.clone(),
-                incarnation: enrolled.incarnation,
+                incarnation,
                 machine: enrolled.machine.clone(),
                 address: enrolled.address.clone(),
                 centre: "".into(),
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -32,6 +32,16 @@
 /// Number of different jobs with consecutive failures after which a worker counts as faulty.
 const MAX_FAILED_JOBS: usize = 3;
 
+/// Latest time that a worker may state, in milliseconds: the year 2100 as a time since 1970. One in
+/// another unit is later.
+pub(crate) const MAX_TIME: u64 = 4_102_444_800_000;
+/// Longest name in an entry, in bytes. The stored cell state contains the names of many workers.
+const MAX_NAME: usize = 256;
+/// Largest number of labels of a worker.
+const MAX_LABELS: usize = 64;
+/// Largest capacity of a worker, far above that of any machine.
+const MAX_CAPACITY: Resources = Resources::new(1 << 40, 1 << 40, 1 << 20);
+
 /// Entry of a worker in service discovery.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WorkerListing {
@@ -59,6 +69,36 @@
 }
 
 impl WorkerListing {
+    /// Checks the entry against the limits of its fields. It may be of another writer, and goes into
+    /// the stored cell state, which successors read.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the field that exceeds its limit.
+    pub fn check(&self) -> Result<(), &'static str> {
+        let names = [&*self.id, &self.address, &self.centre, &self.pool];
+        let long = |name: &str| name.len() > MAX_NAME;
+        let causes = [
+            (self.incarnation > MAX_TIME, "the start time is too late"),
+            (
+                !self.capacity.fits(MAX_CAPACITY),
+                "the capacity is too large",
+            ),
+            (names.into_iter().any(long), "a name is too long"),
+            (
+                self.machine.as_deref().is_some_and(long),
+                "the machine's name is too long",
+            ),
+            (self.labels.len() > MAX_LABELS, "there are too many labels"),
+            (
+                self.labels.iter().any(|label| long(label)),
+                "a label is too long",
+            ),
+        ];
+        let cause = causes.into_iter().find(|(applies, _)| *applies);
+        cause.map_or(Ok(()), |(_, reason)| Err(reason))
+    }
+
     /// Returns the first label that names a rack.
     ///
     /// ```
@@ -349,6 +389,8 @@
 
     /// Records a response that carried the worker's clock.
     pub fn record_clock(&mut self, clock: u64, now: Duration) {
+        // Lease ends are added to it.
+        let clock = clock.min(MAX_TIME);
         self.clock_reading = Some(ClockReading { clock, at: now });
         self.unreachable_since = None;
     }
