Read a list of machines beside an entry without a name

From a list with one, no worker counts as ended because its machine is missing; every owner keeps it, the layout of cells leaves it out.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -533,7 +533,10 @@
             let requested_at = now();
             match (node.platform.fleet.list_machines)().await {
                 Ok(mut list) => {
-                    list.retain(|machine| in_cell(&node, &owned, &machine.name));
+                    // An entry without a name says to every owner that the list is incomplete.
+                    list.retain(|machine| {
+                        machine.name.is_empty() || in_cell(&node, &owned, &machine.name)
+                    });
                     owned
                         .scheduler
                         .borrow_mut()
--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -186,7 +186,8 @@
 async fn compute_layout(node: &Rc<Node>, started: Duration) -> Option<CellLayout> {
     match (node.platform.fleet.list_machines)().await {
         Ok(machines) if !machines.is_empty() => {
-            let locations = machines.into_iter().map(|each| (each.name, each.pool));
+            let named = machines.into_iter().filter(|each| !each.name.is_empty());
+            let locations = named.map(|each| (each.name, each.pool));
             return Some(CellLayout::divide(locations.collect()));
         }
         Ok(_) => {}
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -51,7 +51,7 @@
 /// Entry of a machine in the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Machine {
-    /// Name, unique in the fleet.
+    /// Name, unique in the fleet; empty if the entry names none, so that the list is incomplete.
     pub name: Arc<str>,
     /// Pool that it belongs to.
     pub pool: PoolName,
@@ -297,7 +297,9 @@
         let silent = |since: Duration| worker.unreachable_since.is_some_and(|at| at <= since);
         let Some(machine) = self.machines.known.get(name) else {
             // The pages of a list are not a snapshot, so one list may miss a machine that exists.
-            let missing = |names: &BTreeSet<Arc<str>>| !names.is_empty() && !names.contains(name);
+            let missing = |names: &BTreeSet<Arc<str>>| {
+                !names.is_empty() && !names.contains("") && !names.contains(name)
+            };
             return missing(&self.machines.listed)
                 && missing(&earlier.names)
                 && earlier.requested_at.is_some_and(silent);
--- a/crates/nutmegcart_jobs/tests/odd_entries.rs
+++ b/crates/nutmegcart_jobs/tests/odd_entries.rs
@@ -8,6 +8,8 @@
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::Machine;
+use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PollResponse;
 use nutmegcart_jobs::ReportedRun;
 use nutmegcart_jobs::WorkerListing;
@@ -137,3 +139,38 @@
         ..PollResponse::default()
     };
 }
+
+/// Guards against taking a machine for gone because an incomplete list does not name it.
+fn silent_worker_is_missing_from_the_list(complete: bool) {
+    let mut world = world(77, 2);
+    world.pools.truncate(1);
+    let first = world.take_over();
+    world.run(seconds(1.0));
+    submit_jobs(&mut world);
+    world.run(seconds(0.5));
+    let machine = |name: &str, state| Machine {
+        name: name.into(),
+        pool: "gates".into(),
+        state,
+        worker: None,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+    };
+    let mut list = vec![machine("m-i-00", MachineState::Up)];
+    if !complete {
+        list.push(machine("", MachineState::Unknown));
+    }
+    let now = world.now;
+    let scheduler = &mut world.owners[first].scheduler;
+    scheduler.poll_failed(&worker(1), "timeout", now);
+    for second in 1..=3 {
+        let at = now + Duration::from_secs(second);
+        scheduler.update_machines(list.clone(), at, at);
+    }
+    assert_eq!(scheduler.worker(&worker(1)).is_some(), !complete);
+}
+
+cases! { silent_worker_is_missing_from_the_list:
+    machine_that_lists_do_not_name_has_ended => true;
+    machine_that_incomplete_lists_do_not_name_may_run => false;
+}
