--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -187,7 +187,8 @@
 async fn compute_layout(node: &Rc<Node>, started: Duration) -> Option<CellLayout> {
     match (node.platform.fleet.list_machines)().await {
         Ok(machines) if !machines.is_empty() => {
-            let locations = machines.into_iter().map(|each| (each.name, each.pool));
+            let named = machines.into_iter().filter(|each| !each.name.is_empty());
+            let locations = named.map(|each| (each.name, each.pool));
             return Some(CellLayout::divide(locations.collect()));
         }
         Ok(_) => {}
@@ -204,6 +205,7 @@
     let entries = range.ok()?.items;
     let listings = entries.iter().filter_map(|item| {
         let listing = (directory.parse_listing)(item).ok()?;
+        listing.check().ok()?;
         let name = listing.machine.unwrap_or_else(|| (&*listing.id).into());
         Some((name, listing.pool))
     });
--- a/crates/nutmegcart_jobs/src/tickets.rs
+++ b/crates/nutmegcart_jobs/src/tickets.rs
@@ -64,7 +64,8 @@
     ) -> Vec<WorkerId> {
         let step = self.steps.entry(Self::key(task)).or_default();
         let longest = u64::try_from(MAX_CANDIDATES).unwrap_or_default();
-        let duration = Duration::from_millis(timing.fixed_ms + timing.each_ms * longest);
+        let duration = timing.each_ms.saturating_mul(longest);
+        let duration = Duration::from_millis(timing.fixed_ms.saturating_add(duration));
         let pending = step
             .requested_at
             .is_some_and(|at| now < at + duration + ANSWER_TIMEOUT);
