Judge stalled runs by their prediction and the pace that they have shown

Cause: any run whose whole percent stayed for over 1.5 s counted as stalled, whatever its duration, and its task had to stay away from the worker for 10 s even if no other one may run it.

Change: the time allowed is 1.5 s or a fifth of the prediction, and at least three times the longest time that the run has needed for a percent (for a run of an earlier owner, the age of its job divided by its progress). From the second stall of a task on workers without failures of other jobs, its estimate is doubted: no worker is blamed, and the time doubles with each stall. The worker is avoided only if another one may run the task.

Not covered: a successor does not know the stalls before it, so a run at 0 percent whose estimate is too short by more than ten is stopped again.

--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod orders;
 pub mod passing;
 mod placement;
+mod progress;
 pub mod rank;
 mod rebalancing;
 pub mod record;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -38,6 +38,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// Worker on which the latest run failed or stalled.
     pub avoid: Option<WorkerId>,
+    /// Runs that stalled on workers without other failures, under this owner.
+    pub stalls: u32,
     /// When its latest run ended, or when its occurrence became due.
     pub waiting_since: Duration,
 }
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -446,6 +446,7 @@
             allocation: step.allocation(),
             progress: 0,
             progressed_at: now,
+            percent_time: Duration::ZERO,
             metric: 0,
             speed_limit: 100,
             limited_at: now,
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -17,8 +17,6 @@
 use crate::worker::Worker;
 use crate::worker::millis;
 
-/// Time without progress after which a run counts as stalled.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// First penalty of a faulty worker; it doubles with each further one.
 const BASE_PENALTY: Duration = Duration::from_secs(2);
 /// Largest number of doublings of the penalty.
@@ -257,7 +255,7 @@
                 run.confirmed_at = Some(now);
             }
             if run.progress != reported.progress || run.checkpoint != reported.checkpoint {
-                run.progressed_at = now;
+                run.record_progress(reported.progress, now);
             }
             let job = self.jobs.get_mut(&reported.task.job);
             if let Some(job) = job.filter(|_| run.checkpoint != reported.checkpoint) {
@@ -297,6 +295,7 @@
                 .insert((id.clone(), reported.task.clone(), reported.run));
             return;
         };
+        let percent_time = self.inherited_percent_time(&reported.task, reported.progress, now);
         let Some(job) = self.jobs.get_mut(&reported.task.job) else {
             return;
         };
@@ -315,6 +314,7 @@
             allocation: step.allocation(),
             progress: reported.progress,
             progressed_at: now,
+            percent_time,
             metric: reported.metric,
             speed_limit: 100,
             limited_at: now,
@@ -371,7 +371,10 @@
                         how = format_args!("{:?}", end.how)
                     );
                 }
-                if stalled && let Some(worker) = self.workers.get_mut(id) {
+                if stalled
+                    && self.blames_worker(&end.task)
+                    && let Some(worker) = self.workers.get_mut(id)
+                {
                     worker.record_failure(&end.task.job, now);
                 }
             }
@@ -471,7 +474,7 @@
     ///
     /// A worker that fails every task at once always appears empty and would drain the whole queue.
     /// At most a third of a pool is penalised, since jobs that cannot succeed fail on every worker.
-    fn penalise(&mut self, id: &WorkerId, task: &TaskKey, now: Duration) {
+    pub(crate) fn penalise(&mut self, id: &WorkerId, task: &TaskKey, now: Duration) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -542,42 +545,6 @@
             self.release_run(id, &key, now);
         }
     }
-
-    /// Stops runs that make no progress, so that their tasks start again on other workers.
-    ///
-    /// All runs of a worker may hang while it still answers polls. The time without progress counts
-    /// up to the latest response, so the runs of an unreachable worker are not stopped.
-    pub(crate) fn stop_stalled(&mut self, now: Duration) {
-        let mut stalled = Vec::new();
-        for worker in self.workers.values() {
-            let Some(reading) = worker
-                .clock_reading
-                .filter(|_| worker.unreachable_since.is_none())
-            else {
-                continue;
-            };
-            for (key, run) in &worker.runs {
-                let throttled = run.speed_limit < 100 || run.best_effort;
-                let idle = reading
-                    .at
-                    .saturating_sub(run.progressed_at.max(run.confirmed_at.unwrap_or(now)));
-                if run.state == RunState::Running
-                    && !run.long_running
-                    && !throttled
-                    && idle > STALL_TIMEOUT
-                {
-                    stalled.push((worker.listing.id.clone(), key.clone()));
-                }
-            }
-        }
-        for (id, key) in stalled {
-            if let Some(task) = self.jobs.get_mut(&key.job).and_then(|job| job.task(&key)) {
-                task.avoid = Some(id.clone());
-            }
-            self.stop(&id, &key, StopReason::Stalled);
-            self.penalise(&id, &key, now);
-        }
-    }
 }
 
 impl Worker {
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -167,6 +167,8 @@
     pub progress: u32,
     /// When the progress or the checkpoint last changed.
     pub progressed_at: Duration,
+    /// Longest time that it has needed for a percent so far.
+    pub percent_time: Duration,
     /// Tail latency in milliseconds of a serving task, else processor use in thousandths.
     pub metric: u32,
     /// Speed limit in percent of full speed.
