--- a/crates/nutmegcart_jobs/tests/odd_fuzz.rs
+++ b/crates/nutmegcart_jobs/tests/odd_fuzz.rs
@@ -119,6 +119,8 @@
                     metric: u32::MAX,
                 }],
                 ended: Vec::new(),
+                ends_complete: true,
+                max_ends: usize::from(born),
             };
             scheduler.handle_poll_response(&id(worker), now, &report, now);
         }
