Count the workers that a waiting gang needs as demand of its pool

Callers would see a job with a gang that never starts again: its pool gives idle machines to the spare pool while the gang runs, and its demand counts only work. With a limit for each worker, a gang of 4 then waits for ever with two workers in its pool. Found while testing gangs with two pools.

Change: the workers that such a gang needs count as missing while it waits, as those of long-running tasks do. The number of long-running workers that an owner reports stays without them.

Evidence: `gang_gets_workers_back_that_its_pool_has_given_away` failed on (not completed 20 s after a worker was emptied) and passes.

--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -364,14 +364,16 @@
         self.ended.is_none() && open.any(|step| step.pending().next().is_some())
     }
 
-    /// Returns the largest number of workers that the waiting tasks of one long-running step need,
-    /// without those for which `has_worker` is true.
+    /// Returns the largest number of workers that the waiting tasks of one step need which is
+    /// long-running, or a gang with a limit for each worker, without those for which `has_worker`
+    /// is true.
     pub(crate) fn missing_workers(&self, has_worker: impl Fn(&TaskKey) -> bool) -> usize {
         let mut workers = 0;
         for (number, occurrence) in &self.occurrences {
             let steps = self.accepted.job.steps.iter().zip(&occurrence.steps);
             for (index, (step, state)) in (0_u16..).zip(steps) {
-                if step.long_running && state.ready {
+                let spread = step.long_running || (step.gang && step.per_worker > 0);
+                if spread && state.ready {
                     let lacks_worker = |task: &u32| {
                         !has_worker(&TaskKey {
                             job: self.id.clone(),
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -329,7 +329,8 @@
                 || self.reserved_tasks(&worker.listing.id) > 0
         };
         let open = self.jobs.values().filter(|job| job.ended.is_none());
-        let waiting: usize = open.map(|job| self.missing_workers(job)).sum();
+        let lasting = open.filter(|job| job.accepted.job.is_long_running());
+        let waiting: usize = lasting.map(|job| self.missing_workers(job)).sum();
         self.workers.values().filter(holds).count() + waiting
     }
 
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -189,3 +189,18 @@
     assert_eq!(world.alone, 0, "members that waited in vain");
     assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
 }
+
+/// Guards against a pool that gives away the workers that a gang needs to start again, and never
+/// gets them back.
+#[test]
+fn gang_gets_workers_back_that_its_pool_has_given_away() {
+    let mut world = support::world(86, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.run(seconds(2.7));
+    empty_worker(&mut world, &job);
+    world.run(WORK + seconds(12.0));
+    assert_no_violations(&world);
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
