Merge the demand of gangs, and bound it by the machines of the cell

A gang that needs more workers than the cell has machines can never start; counting them would draw and vacate machines of other pools for as long as the job is open. It no longer counts as demand.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -170,10 +170,11 @@
         of_step.map(|(_, worker)| worker)
     }
 
-    /// Returns the largest number of workers that the tasks of one long-running step of the job need
-    /// and have not been given.
+    /// Returns the largest number of workers that the tasks of one long-running step, or of a gang,
+    /// of the job need and have not been given.
     pub(crate) fn missing_workers(&self, job: &LiveJob) -> usize {
-        job.missing_workers(|task| self.assignments.reserved(task).is_some())
+        let machines = self.machines.known.len();
+        job.missing_workers(machines, |task| self.assignments.reserved(task).is_some())
     }
 
     /// Drops the reservations of tasks that do not wait for a run any more.
