Store finished occurrences of timed jobs as ranges of their numbers

Cause: the owner kept every occurrence of an unfinished timed job in memory, and the stored state one entry for each of its ended tasks.

Change: an occurrence whose tasks have all finished leaves the live job; its number joins a set of ranges, at most one more than there are open occurrences. The ranges follow the assignments and moved queues in the stored value, as a third record, which earlier versions do not read. An old state is read as before, and the occurrences that it lists as finished collapse at the take-over, so a state that had grown too large shrinks with the first write.

Not solved: a version without the ranges that takes over a cell runs the finished occurrences again. It starts every due occurrence whose tasks are not listed, and refuses no form of the state that would stop it.

--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -36,6 +36,9 @@
 /// Maximum number of final states in one transaction. The store accepts 32 entries, conditions
 /// included: two for each final state, two for the state of the cell and one for the owner.
 const MAX_FINALS: usize = 12;
+/// Maximum number of tasks of finished occurrences that the cell state lists one by one, for programs
+/// of versions that do not read [`CellRecord::past`]. Those would run the others once more.
+const MAX_LISTED_PAST_TASKS: u64 = 500;
 /// Maximum number of expired jobs removed in a transaction with final states; each may have two
 /// keys.
 const MAX_EXPIRED_WITH_FINALS: usize = 2;
@@ -136,6 +139,8 @@
         for progress in &record.tasks {
             self.jobs_with_ends.insert(progress.task.job.clone());
         }
+        let past = record.past.iter().map(|(job, _)| job.clone());
+        self.jobs_with_ends.extend(past);
     }
 
     pub(crate) fn queue_final(&mut self, id: &JobId) {
@@ -278,8 +283,16 @@
         let with_ends = self.flush_queue.jobs_with_ends.iter();
         let mut jobs: Vec<&LiveJob> = with_ends.filter_map(|id| self.jobs.get(id)).collect();
         jobs.sort_by(|a, b| a.id.cmp(&b.id));
-        for job in jobs {
+        let mut listed = 0;
+        for job in jobs.into_iter().filter(|job| !job.stored) {
             record.tasks.extend(progress(job));
+            if !job.past.is_empty() {
+                record.past.push((job.id.clone(), job.past.clone()));
+                if listed + job.past_tasks() <= MAX_LISTED_PAST_TASKS {
+                    listed += job.past_tasks();
+                    record.tasks.extend(job.past_progress());
+                }
+            }
         }
         in_flight.covered_ends = Some(covered_ends);
         in_flight
@@ -400,8 +413,5 @@
 
 /// Returns the task progress that workers no longer report once their ends are acknowledged.
 fn progress(job: &LiveJob) -> Vec<TaskProgress> {
-    if job.ended.is_some() && job.stored {
-        return Vec::new();
-    }
     job.progress(|task| task.done || !task.failed_runs.is_empty() || task.checkpoint.is_some())
 }
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_fleet::IndexRanges;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
 use nutmegcart_platform::Revision;
@@ -156,8 +157,11 @@
     pub critical_path: Duration,
     /// Latency objective, from the critical path and the queue's settings.
     pub objective: Duration,
-    /// Occurrences that have become due, by number.
+    /// Occurrences that have become due, by number, without those in `past`.
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Numbers of the occurrences of a schedule whose tasks have all finished. Nothing else is kept
+    /// of them, so that a job that goes on for long takes no more room than its open occurrences.
+    pub past: IndexRanges,
     /// Number of occurrences that have become due.
     pub spawned: u32,
     /// Final state, whether or not it is stored.
@@ -201,6 +205,7 @@
             critical_path,
             objective,
             occurrences: BTreeMap::new(),
+            past: IndexRanges::default(),
             spawned: 0,
             ended: None,
             stored: false,
@@ -233,12 +238,61 @@
             if due > unix {
                 break;
             }
-            let occurrence = Occurrence::new(&self.accepted.job, now, self.critical_path);
-            self.occurrences.insert(self.spawned, occurrence);
+            if !self.past.contains(self.spawned) {
+                let occurrence = Occurrence::new(&self.accepted.job, now, self.critical_path);
+                self.occurrences.insert(self.spawned, occurrence);
+            }
             self.spawned += 1;
         }
     }
 
+    /// Restores the numbers of the occurrences that another owner has recorded as finished.
+    pub fn restore_past(&mut self, past: &IndexRanges) {
+        self.past.merge(past);
+        self.occurrences.retain(|number, _| !past.contains(*number));
+        self.spawned = self.past.next_absent(self.spawned);
+        self.started |= !past.is_empty();
+    }
+
+    /// Drops an occurrence of a schedule if all its tasks have finished.
+    fn drop_finished(&mut self, number: u32) {
+        let occurrence = self.occurrences.get(&number);
+        if self.accepted.job.schedule.is_some() && occurrence.is_some_and(Occurrence::finished) {
+            self.occurrences.remove(&number);
+            self.past.insert(number);
+        }
+    }
+
+    /// Returns the number of tasks in finished occurrences of a schedule.
+    #[must_use]
+    pub fn past_tasks(&self) -> u64 {
+        let steps = self.accepted.job.steps.iter();
+        let tasks: u64 = steps.map(|step| u64::from(step.count)).sum();
+        tasks * u64::from(self.past.len())
+    }
+
+    /// Returns the progress of the tasks in finished occurrences of a schedule.
+    pub fn past_progress(&self) -> impl Iterator<Item = TaskProgress> {
+        let numbers = (0..self.spawned).filter(|number| self.past.contains(*number));
+        numbers.flat_map(move |occurrence| {
+            let steps = (0_u16..).zip(&self.accepted.job.steps);
+            steps.flat_map(move |(step, definition)| {
+                (0..definition.count).map(move |index| TaskProgress {
+                    task: TaskKey {
+                        job: self.id.clone(),
+                        occurrence,
+                        step,
+                        index,
+                    },
+                    done: true,
+                    failed: Vec::new(),
+                    run: 0,
+                    checkpoint: None,
+                })
+            })
+        })
+    }
+
     /// Returns the progress of the tasks for which `keep` is true.
     #[must_use]
     pub fn progress(&self, keep: impl Fn(&LiveTask) -> bool) -> Vec<TaskProgress> {
@@ -269,6 +323,7 @@
     /// above `run_gap` more.
     pub fn restore(&mut self, progress: &TaskProgress, run_gap: u32) {
         if progress.done {
+            self.started = true;
             self.finish(&progress.task);
         }
         if let Some(task) = self.task(&progress.task) {
@@ -323,6 +378,7 @@
             step.done += 1;
         }
         self.update_ready(key.occurrence);
+        self.drop_finished(key.occurrence);
         true
     }
 
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -6,6 +6,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use nutmegcart_fleet::IndexRanges;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
 use rmp_serde::decode::ReadReader;
@@ -14,6 +15,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::job::Job;
+use crate::job::JobId;
 use crate::job::Queue;
 use crate::job::QueueKey;
 use crate::job::TaskKey;
@@ -169,6 +171,9 @@
     /// entry is not known.
     #[serde(skip)]
     pub assignments: Vec<Assignment>,
+    /// Finished occurrences of the schedules of unfinished jobs.
+    #[serde(skip)]
+    pub past: Vec<(JobId, IndexRanges)>,
 }
 
 /// Long-running tasks of which runs may live on a worker.
@@ -221,7 +226,8 @@
 /// Encodes the state of a cell.
 ///
 /// The assignments and the moved queues follow the record, where programs of versions without them
-/// do not read: they refuse a longer record, and would know no worker.
+/// do not read: they refuse a longer record, and would know no worker. The finished occurrences
+/// follow these for the same reason.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
@@ -236,18 +242,23 @@
     let mut bytes = encode(record);
     let added = (record.fence, &record.assignments, &record.moved_queues);
     bytes.extend(encode(&added));
+    bytes.extend(encode(&record.past));
     bytes
 }
 
-/// Decodes the state of a cell, with the assignments and the moved queues if it contains them.
+/// Decodes the state of a cell, with what follows the record if it contains that.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode_cell(bytes: &[u8]) -> Result<CellRecord> {
-    let (mut record, added): (CellRecord, _) = decode_extended(bytes)?;
-    if let Some(added) = added {
-        (record.fence, record.assignments, record.moved_queues) = added;
+    let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
+    let mut record: CellRecord = decode_next(&mut decoder)?;
+    if decoder.position() < bytes.len() as u64 {
+        (record.fence, record.assignments, record.moved_queues) = decode_next(&mut decoder)?;
+    }
+    if decoder.position() < bytes.len() as u64 {
+        record.past = decode_next(&mut decoder)?;
     }
     Ok(record)
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -191,6 +191,11 @@
             self.workers.insert(enrolled.worker.clone(), worker);
         }
         self.inherit_moved_queues(&record.moved_queues);
+        for (id, past) in &record.past {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.restore_past(past);
+            }
+        }
         for progress in &record.tasks {
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
