Store final states without a cell state that the store does not accept

Cause: final states shared the transaction with the state, the store refused it, and the writer repeated it every 0.12 s for ever. value-bytes was not read.

Final states that are refused together go one by one.

Left: the state is one value. Until it fits again no new worker is enrolled, no long-running task starts and ends of unfinished jobs are not acknowledged.

--- a/crates/nutmegcart/src/cell_table.rs
+++ b/crates/nutmegcart/src/cell_table.rs
@@ -67,6 +67,12 @@
         if let Some(reason) = report["unknown"].as_str() {
             println!("cell {} is unknown: {reason}", report["cell"]);
         }
+        if let Some(bytes) = report["status"]["rejected_bytes"].as_u64() {
+            println!(
+                "cell {}: the store does not accept its state of {bytes} B",
+                report["cell"]
+            );
+        }
         let stalled = report["status"]["stalled_jobs"].as_array();
         for job in stalled.into_iter().flatten() {
             println!(
--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -63,6 +63,9 @@
     pub stalled: u64,
     /// The first [`MAX_LISTED`] of them.
     pub stalled_jobs: Vec<StalledEntry>,
+    /// Size in bytes of the stored state of the cell if the store does not accept it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rejected_bytes: Option<u64>,
 }
 
 /// What an instance knows about a cell: its status, or why that is unknown.
@@ -125,6 +128,7 @@
         }),
         stalled: count(stalled.len()),
         stalled_jobs: stalled.iter().take(MAX_LISTED).map(entry).collect(),
+        rejected_bytes: scheduler.rejected_state().map(count),
     }
 }
 
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -58,6 +58,8 @@
     pub stalled_jobs: IntGaugeVec,
     /// Workers that block inherited jobs, by cell; set by the cell's owner.
     pub blocking_workers: IntGaugeVec,
+    /// Size of a cell's state that the store does not accept, by cell; set by the cell's owner.
+    pub rejected_state: IntGaugeVec,
     /// Jobs passed to another cell, by the number of that cell.
     pub passed_jobs: IntCounterVec,
     /// Version of the configuration in force.
@@ -160,6 +162,7 @@
                 "nutmegcart_blocking_workers",
                 "Workers on which inherited jobs may still run, and which have not answered.",
             ),
+            rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
             config_version,
             registry,
@@ -178,6 +181,17 @@
     counter
 }
 
+/// Creates and registers the gauge of cell states that the store does not accept.
+fn rejected_state(registry: &Registry) -> IntGaugeVec {
+    let help = "Size of a cell's state that the store does not accept in bytes, 0 if it does.";
+    gauge(
+        registry,
+        "nutmegcart_cell_state_rejected_bytes",
+        help,
+        &["cell"],
+    )
+}
+
 /// Creates and registers the gauge of stalled jobs.
 fn stalled_jobs(registry: &Registry) -> IntGaugeVec {
     let help = "Jobs of a cell that have waited too long for a start.";
--- a/crates/nutmegcart_control/src/status.rs
+++ b/crates/nutmegcart_control/src/status.rs
@@ -33,6 +33,10 @@
     let blocking = i64::try_from(scheduler.blocking_workers()).unwrap_or(i64::MAX);
     let gauge = &node.metrics.blocking_workers;
     gauge.with_label_values(&[&label]).set(blocking);
+    let rejected = scheduler.rejected_state().unwrap_or_default();
+    let gauge = &node.metrics.rejected_state;
+    let rejected = i64::try_from(rejected).unwrap_or(i64::MAX);
+    gauge.with_label_values(&[&label]).set(rejected);
     report_stalled(node, owned, &scheduler.stalled_jobs(now));
 }
 
@@ -82,4 +86,5 @@
     }
     let _ = node.metrics.longest_wait.remove_label_values(&[&label]);
     let _ = node.metrics.blocking_workers.remove_label_values(&[&label]);
+    let _ = node.metrics.rejected_state.remove_label_values(&[&label]);
 }
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -44,7 +44,7 @@
             let outcome = commit(&node, &owned, &flush).await;
             let took = now().saturating_sub(sent);
             node.metrics.store_latency.observe(took.as_secs_f64());
-            let failed = outcome == FlushOutcome::NotStored;
+            let failed = matches!(outcome, FlushOutcome::NotStored | FlushOutcome::Rejected);
             owned
                 .scheduler
                 .borrow_mut()
@@ -97,6 +97,10 @@
             FlushOutcome::Stored
         }
         Ok(reply) => resolve_conflict(owned, flush, &reply.found),
+        Err(StoreError::Rejected { reason }) => {
+            log::warn!("transaction of the cell not accepted: {reason}");
+            FlushOutcome::Rejected
+        }
         Err(error) => {
             if matches!(error, StoreError::AnswerLost { .. }) {
                 node.metrics
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -40,6 +40,7 @@
         .with_label_values(&["0", "batch"])
         .set(1);
     metrics.blocking_workers.with_label_values(&["0"]).set(1);
+    metrics.rejected_state.with_label_values(&["0"]).set(1);
     metrics.passed_jobs.with_label_values(&["0"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -533,6 +533,10 @@
         if fence != self.store.owner {
             return FlushOutcome::NotStored;
         }
+        let size = flush.state.as_ref().map_or(0, Vec::len);
+        if self.store.max_value.is_some_and(|max| size > max) {
+            return FlushOutcome::Rejected;
+        }
         let mut changed = Vec::new();
         for write in &flush.finals {
             match self.store.jobs.get(&write.job) {
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -184,6 +184,8 @@
     pub owner: u64,
     /// Whether every transaction fails.
     pub down: bool,
+    /// Size of the largest value that it accepts, in bytes.
+    pub max_value: Option<usize>,
 }
 
 /// A simulated cell with its workers, machines, owners and store.
--- a/crates/nutmegcart_fakes/src/store_api.rs
+++ b/crates/nutmegcart_fakes/src/store_api.rs
@@ -35,7 +35,9 @@
                 Self(429, 8, reason)
             }
             StoreError::Refused { reason } if reason.contains("not found") => Self(404, 5, reason),
-            StoreError::Refused { reason } => Self(400, 3, reason),
+            StoreError::Refused { reason } | StoreError::Rejected { reason } => {
+                Self(400, 3, reason)
+            }
             StoreError::Compacted { .. } => {
                 let reason = "etcdserver: mvcc: required revision has been compacted";
                 Self(400, 11, reason.into())
--- a/crates/nutmegcart_jobs/src/action.rs
+++ b/crates/nutmegcart_jobs/src/action.rs
@@ -8,7 +8,7 @@
 use crate::job::TaskKey;
 use crate::machines::MachineOrder;
 
-/// Durations that the scheduler works with.
+/// Durations and limits that the scheduler works with.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct JobSettings {
     /// Length of the lease that a worker's runs need to stay alive.
@@ -25,6 +25,8 @@
     pub maintenance_time: Duration,
     /// Minimum time for which callers can read the state of an ended job.
     pub retention: Duration,
+    /// Size of the largest value that the store accepts, in bytes.
+    pub max_value: usize,
 }
 
 impl Default for JobSettings {
@@ -37,6 +39,7 @@
             move_time: Duration::from_millis(1_500),
             maintenance_time: Duration::from_secs(2),
             retention: Duration::from_mins(3),
+            max_value: 1 << 20,
         }
     }
 }
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -33,6 +33,9 @@
 /// Age of an end after which the progress of its unfinished job is stored. While a worker reports
 /// an end it answers every poll at once, and a poll costs nearly as much as a transaction.
 const MAX_END_AGE: Duration = Duration::from_millis(80);
+/// Time for which a cell state that the store does not accept is not tried again. Meanwhile final
+/// states are stored without it, which makes it smaller.
+const STATE_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of final states in one transaction. The store accepts 32 entries, conditions
 /// included: two for each final state, two for the state of the cell and one for the owner.
 const MAX_FINALS: usize = 12;
@@ -84,6 +87,8 @@
     Changed(Vec<(JobId, JobKeyState)>),
     /// Nothing was stored.
     NotStored,
+    /// Nothing was stored, because the store does not accept the content of the transaction.
+    Rejected,
 }
 
 /// Content of a job's key.
@@ -115,6 +120,12 @@
     expired: VecDeque<JobId>,
     /// Whether the stored cell state names workers on which certainly nothing runs any more.
     pub(crate) outdated: bool,
+    /// Size in bytes of the cell state that the store does not accept.
+    rejected_state: Option<usize>,
+    /// Until when the cell state is not tried again.
+    state_held_until: Duration,
+    /// Whether the store did not accept the latest final states, so that the next ones go one by one.
+    rejected_finals: bool,
 }
 
 /// What the transaction in flight stores.
@@ -123,6 +134,8 @@
     finals: Vec<(JobId, FinalState)>,
     /// Workers that the cell state enrols, with their incarnation.
     enrolled: Vec<(WorkerId, u64)>,
+    /// Size of the cell state in bytes.
+    state_size: usize,
     /// Worker, incarnation and highest covered end, if the transaction stores the cell state.
     covered_ends: Option<Vec<(WorkerId, u64, u64)>>,
     jobs_with_ends: HashSet<JobId>,
@@ -184,7 +197,12 @@
         }
         let mut flush = Flush::default();
         let mut in_flight = InFlight::default();
-        while flush.finals.len() < MAX_FINALS {
+        let max_finals = if self.flush_queue.rejected_finals {
+            1
+        } else {
+            MAX_FINALS
+        };
+        while flush.finals.len() < max_finals {
             let Some(id) = self.flush_queue.final_queue.pop_front() else {
                 break;
             };
@@ -211,11 +229,22 @@
             let count = removable.min(self.flush_queue.expired.len());
             flush.expired = self.flush_queue.expired.drain(..count).collect();
         }
-        if self.cell_state_due(now) {
-            self.maintenance.unsaved = false;
-            self.flush_queue.outdated = false;
-            flush.state = Some(self.encode_cell_state(&mut in_flight, now));
-            self.assignments.begin_store(&in_flight.assigned);
+        if now >= self.flush_queue.state_held_until && self.cell_state_due(now) {
+            let mut covered = InFlight {
+                finals: in_flight.finals.clone(),
+                ..InFlight::default()
+            };
+            let state = self.encode_cell_state(&mut covered, now);
+            if state.len() <= self.settings.max_value {
+                self.maintenance.unsaved = false;
+                self.flush_queue.outdated = false;
+                covered.state_size = state.len();
+                flush.state = Some(state);
+                in_flight = covered;
+                self.assignments.begin_store(&in_flight.assigned);
+            } else {
+                self.hold_state(state.len(), now);
+            }
         }
         if flush.is_empty() {
             return None;
@@ -224,6 +253,24 @@
         Some(flush)
     }
 
+    /// Keeps a cell state that the store does not accept from being tried again at once.
+    fn hold_state(&mut self, size: usize, now: Duration) {
+        self.flush_queue.state_held_until = now + STATE_RETRY_DELAY;
+        if self.flush_queue.rejected_state.replace(size).is_none() {
+            log_event!(
+                Event::CellStateRejected,
+                bytes = size,
+                max_bytes = self.settings.max_value
+            );
+        }
+    }
+
+    /// Returns the size of the cell state in bytes if the store does not accept it.
+    #[must_use]
+    pub const fn rejected_state(&self) -> Option<usize> {
+        self.flush_queue.rejected_state
+    }
+
     /// Returns whether the cell state has to be stored: a worker waits to be enrolled or need not be
     /// any more, a long-running task waits for its assignment, an end has reached [`MAX_END_AGE`], or
     /// maintenance progress, ordered machines or moved queues have changed.
@@ -326,6 +373,14 @@
                 self.requeue(&in_flight);
             }
             FlushOutcome::NotStored => self.requeue(&in_flight),
+            FlushOutcome::Rejected => {
+                if in_flight.covered_ends.is_some() {
+                    self.hold_state(in_flight.state_size, now);
+                } else {
+                    self.flush_queue.rejected_finals = true;
+                }
+                self.requeue(&in_flight);
+            }
         }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
         for id in ids {
@@ -343,6 +398,10 @@
     }
 
     fn handle_stored(&mut self, in_flight: InFlight, now: Duration) {
+        self.flush_queue.rejected_finals = false;
+        if in_flight.covered_ends.is_some() && self.flush_queue.rejected_state.take().is_some() {
+            log_event!(Event::CellStateStored, bytes = in_flight.state_size);
+        }
         for (id, how) in &in_flight.finals {
             if let Some(job) = self.jobs.get_mut(id) {
                 let age = now.saturating_sub(job.accepted_at);
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -134,6 +134,8 @@
     DependencyLost = 753, Warn, "dependency does not answer";
     DependencyRecovered = 754, Info, "dependency answers again";
     ConfigViewAge = 755, Warn, "requests are refused while the configuration is read late, or are served again";
+    CellStateRejected = 756, Error, "stored state of a cell is too large for the store; final states are stored without it";
+    CellStateStored = 757, Info, "state of a cell is stored again";
 }
 
 /// Logs a numbered event with key-value fields.
--- a/crates/nutmegcart_platform/src/store.rs
+++ b/crates/nutmegcart_platform/src/store.rs
@@ -36,6 +36,13 @@
         /// Error that the store reported.
         reason: String,
     },
+    /// The store does not accept the content of the call, and would refuse it again; nothing was
+    /// written.
+    #[display("the store does not accept the call: {reason}")]
+    Rejected {
+        /// Error that the store reported.
+        reason: String,
+    },
     /// The store has compacted the history from which a watch was to start; the caller must read
     /// the keys again.
     #[display("the store's history starts at revision {oldest}")]
