Keep the progress of occurrences that are not yet due by a successor's clock

Cause: Scheduler::inherit restored progress only of occurrences that the successor counted as due, and dropped the rest. Ends and runs that workers report of such occurrences were dropped or stopped in the same way.

Change: an occurrence with stored progress, or of which a worker reports a run or an end, counts as due. Occurrences that become due later in an inherited job also number their runs above those of the earlier owner.

Evidence: successor_with_a_late_clock_repeats_no_task failed before at the number of starts and passes now. Only the stored progress has a test; the reports of workers have none.

--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -20,6 +20,7 @@
 use crate::record::FinalState;
 use crate::record::JobState;
 use crate::record::TaskProgress;
+use crate::scheduler::INHERITED_RUN_GAP;
 
 /// State of one task.
 #[derive(Clone, Debug, Default)]
@@ -238,12 +239,33 @@
             if due > unix {
                 break;
             }
-            if !self.past.contains(self.spawned) {
-                let occurrence = Occurrence::new(&self.accepted.job, now, self.critical_path);
-                self.occurrences.insert(self.spawned, occurrence);
+            self.spawn_next(now);
+        }
+    }
+
+    /// Returns the state of a task that an owner has started; its occurrence was due by the clock of
+    /// that owner.
+    pub(crate) fn started_task(&mut self, key: &TaskKey, now: Duration) -> Option<&mut LiveTask> {
+        let timed = self.accepted.job.schedule.is_some();
+        while timed && self.has_future() && self.spawned <= key.occurrence {
+            self.spawn_next(now);
+        }
+        self.task(key)
+    }
+
+    /// Adds the next occurrence of a schedule.
+    fn spawn_next(&mut self, now: Duration) {
+        if !self.past.contains(self.spawned) {
+            let mut occurrence = Occurrence::new(&self.accepted.job, now, self.critical_path);
+            if self.inherited {
+                let steps = &mut occurrence.steps;
+                for task in steps.iter_mut().flat_map(|step| &mut step.tasks) {
+                    task.last_run = INHERITED_RUN_GAP;
+                }
             }
-            self.spawned += 1;
+            self.occurrences.insert(self.spawned, occurrence);
         }
+        self.spawned += 1;
     }
 
     /// Restores the numbers of the occurrences that another owner has recorded as finished.
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -284,7 +284,7 @@
         let wanted = step.filter(|step| {
             let job = self.jobs.get_mut(&reported.task.job);
             let active = job.filter(|job| job.ended.is_none());
-            let task = active.and_then(|job| job.task(&reported.task));
+            let task = active.and_then(|job| job.started_task(&reported.task, now));
             task.is_some_and(|task| !task.done && (task.live_runs == 0 || step.speculative))
         });
         let Some(step) = wanted.filter(|_| !occupied) else {
@@ -351,6 +351,9 @@
         let started = worker.runs.get(&end.task).map(|run| run.ordered_at);
         let stalled = worker.runs.get(&end.task).is_some_and(Run::is_stalled);
         self.flush_queue.record_task_end(&end.task);
+        if let Some(job) = self.jobs.get_mut(&end.task.job) {
+            job.started_task(&end.task, now);
+        }
         match end.how {
             RunEnd::Done => self.handle_done(id, end, started, now),
             RunEnd::Failed => self.handle_failed(id, end, now),
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -43,7 +43,7 @@
 
 /// Number of run numbers to skip for tasks that an earlier owner may have started since it last
 /// stored their progress.
-const INHERITED_RUN_GAP: u32 = 16;
+pub(crate) const INHERITED_RUN_GAP: u32 = 16;
 
 /// State of a cell, and the decisions of its owner.
 #[derive(Debug)]
@@ -200,6 +200,7 @@
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
             };
+            job.started_task(&progress.task, self.taken_over_at);
             job.restore(progress, INHERITED_RUN_GAP);
         }
         self.flush_queue.inherit(record);
--- a/crates/nutmegcart_jobs/tests/timed_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/timed_jobs.rs
@@ -167,3 +167,24 @@
         assert!(found, "{task} is missing");
     }
 }
+
+/// Guards against a successor whose clock is behind, and which drops the progress of occurrences that
+/// it does not yet count as due.
+#[test]
+fn successor_with_a_late_clock_repeats_no_task() {
+    let mut world = world(45, 8);
+    let first_ms = world.unix_ms() + 1_000;
+    let id = submit_timed(&mut world, 1, 20, first_ms);
+    let mut tasks: Vec<TaskProgress> = (0..WIDTH).map(|index| done(&id, 0, index)).collect();
+    tasks.extend((0..WIDTH / 2).map(|index| done(&id, 1, index)));
+    let record = CellRecord {
+        tasks,
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode(&record));
+    world.take_over();
+    world.run(seconds(8.0));
+    assert!(completed(&world, &id));
+    assert_eq!(world.checker.starts, (18 * WIDTH + WIDTH / 2) as usize);
+    assert_no_violations(&world);
+}
