--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -44,7 +44,7 @@
 
 /// Number of run numbers to skip for tasks that an earlier owner may have started since it last
 /// stored their progress.
-const INHERITED_RUN_GAP: u32 = 16;
+pub(crate) const INHERITED_RUN_GAP: u32 = 16;
 
 /// State of a cell, and the decisions of its owner.
 #[derive(Debug)]
@@ -195,10 +195,16 @@
             self.workers.insert(enrolled.worker.clone(), worker);
         }
         self.inherit_moved_queues(&record.moved_queues);
+        for (id, past) in &record.past {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.restore_past(past);
+            }
+        }
         for progress in &record.tasks {
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
             };
+            job.started_task(&progress.task, self.taken_over_at);
             job.restore(progress, INHERITED_RUN_GAP);
         }
         self.flush_queue.inherit(record);
