Discount all unusable machines of a pool whose tasks wait

A pool of twelve workers that is cut off as a whole, three of them with long-running tasks, got no machine: in pool_that_is_cut_off_as_a_whole_gets_machines none of the three tasks ran 5 s after the leases had ended.

All of them are discounted now, and the shortage is bounded by the missing workers instead. The test passes.

--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -143,12 +143,14 @@
             .unwrap_or_default()
     }
 
-    /// Stops counting unusable machines as held as far as long-running tasks wait for a worker.
+    /// Stops counting unusable machines as held until the pool is short of the workers that
+    /// long-running tasks wait for, and of no more.
     ///
     /// Those that the pool keeps for its next burst may be unusable for a while.
     fn discount_unusable(&mut self) {
         let unusable = self.unusable.saturating_sub(MIN_MACHINES);
-        self.held = self.held.saturating_sub(unusable.min(self.urgent));
+        let least = self.wanted.saturating_sub(self.urgent).min(self.held);
+        self.held = self.held.saturating_sub(unusable).max(least);
     }
 
     /// Returns whether long-running tasks wait for a machine that is not on its way.
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -32,6 +32,13 @@
 /// Creates a cell with `gates` workers in one pool, `boats` in another and `spares` machines in the
 /// spare pool.
 fn cell(seed: u64, gates: usize, boats: usize, spares: usize) -> CellSimulation {
+    let mut world = vacant_cell(seed, gates, boats, spares);
+    world.take_over();
+    world
+}
+
+/// Same without an owner.
+fn vacant_cell(seed: u64, gates: usize, boats: usize, spares: usize) -> CellSimulation {
     let mut world = world(seed, gates);
     world.queues.push(queue("boats"));
     let pool = ("boats".into(), PoolConfig { spare: false });
@@ -54,7 +61,6 @@
         };
         world.machines.insert(name, machine);
     }
-    world.take_over();
     world
 }
 
@@ -178,6 +184,51 @@
     assert_no_violations(&world);
 }
 
+/// Guards against many unusable machines that hide the shortage although a few of them no longer
+/// count.
+#[test]
+fn pool_that_is_cut_off_as_a_whole_gets_machines() {
+    let mut world = vacant_cell(127, 12, 8, 0);
+    // Without a spare pool nothing takes the machines that the pool does not need.
+    world.pools.retain(|(_, config)| !config.spare);
+    world.take_over();
+    let (id, hosts) = start_job(&mut world, 3);
+    let workers = world.workers.iter();
+    let gates = workers.filter(|(_, worker)| &*worker.listing.pool == "gates");
+    let gates: Vec<WorkerId> = gates.map(|(id, _)| id.clone()).collect();
+    assert_eq!((gates.len(), hosts.len()), (12, 3));
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.extend(gates.iter().cloned());
+    // The leases of the runs end, and machines move.
+    world.run(seconds(5.6) + RESTART_LIMIT);
+    let reached = staying_hosts(&world, &id);
+    let reached = reached.iter().filter(|host| !gates.contains(host));
+    assert_eq!(reached.count(), 3);
+    assert_no_violations(&world);
+}
+
+/// Guards against silent workers that are vacated for a waiting task: no task of theirs is known to
+/// end.
+#[test]
+fn machines_of_silent_workers_are_not_vacated() {
+    let mut world = cell(128, 3, 12, 0);
+    let id = submit(&mut world, 1, vec![long_running_step(3)]);
+    for number in 0..60 {
+        submit_to(&mut world, 1, 10 + number, vec![batch_step(60, 8_000, 900)]);
+    }
+    world.run(seconds(1.0));
+    let hosts = staying_hosts(&world, &id);
+    assert_eq!(hosts.len(), 3, "all tasks run");
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    let silent = (0..9).map(|index| WorkerId::from(format!("boat-{index:02}")));
+    owner.unreachable.extend(silent);
+    world.run(seconds(1.0));
+    world.remove_for_good(&hosts[0], None);
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    assert_no_violations(&world);
+}
+
 /// Guards against an order that the platform refuses and that is sent again in each pass, so that
 /// no other machine is tried.
 #[test]
