--- a/crates/nutmegcart_jobs/src/vacating.rs
+++ b/crates/nutmegcart_jobs/src/vacating.rs
@@ -109,6 +109,7 @@
     fn may_vacate(&self, machine: &Machine, now: Duration) -> bool {
         self.may_order(machine, now)
             && !self.is_leaving(machine, now)
+            && !self.is_out_of_service(machine, now)
             && !self.maintenance.is_due(&machine.name)
             && self.load_of(machine).0 == 0
     }
