--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -201,7 +201,8 @@
         };
         let count = u64::try_from(workers.len()).unwrap_or_default();
         let timing = timing.unwrap_or_default();
-        let duration = timing.fixed_ms + timing.each_ms * count;
+        let duration = timing.each_ms.saturating_mul(count);
+        let duration = duration.saturating_add(timing.fixed_ms);
         let valid = Duration::from_millis(timing.valid_ms);
         let permitted = workers.iter().filter(|id| self.permitted.contains(*id));
         let tickets = permitted.map(|id| (id.clone(), "ticket".into())).collect();
