--- a/crates/nutmegcart_entry/tests/forward.rs
+++ b/crates/nutmegcart_entry/tests/forward.rs
@@ -97,7 +97,8 @@
         value.map_or(0, |value| value.trim().parse().expect("a count"))
     }
 
-    /// Sends the headers and the first 3 of 10 body bytes of a request.
+    /// Sends the headers and the first 3 of 10 body bytes of a request, and waits until it is being
+    /// handled or has its answer.
     fn open(&self) -> TcpStream {
         let mut stream = TcpStream::connect(self.entry.settings.listen).expect("connected");
         stream
@@ -105,7 +106,11 @@
                 b"POST /v1/services/gates/x HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc",
             )
             .expect("sent");
-        wait_until(|| self.entry.lifecycle.active_requests.load(Ordering::Acquire) == 1);
+        stream.set_nonblocking(true).expect("set");
+        let answered = || stream.peek(&mut [0]).is_ok_and(|count| count > 0);
+        let active = || self.entry.lifecycle.active_requests.load(Ordering::Acquire) == 1;
+        wait_until(|| active() || answered());
+        stream.set_nonblocking(false).expect("set");
         stream
     }
 }
