Let the soak's checker wait for the answer to a repeated submission

Cause: a caller whose first submission is refused (503 in an outage of the store) may repeat it. The job is stored, its owner starts a task at once, and the checker sees the start before the caller has read the answer 200. It then knew of the refusal only.

Change: the history notes when a submission is sent, and while one is in progress its answer decides. The check stays as strict: a start before a refusal is reported when the refusal arrives, and a refusal after a start is reported at once; both have a test now. job_starts_before_the_answer_to_a_repeat failed before.

--- a/crates/nutmegcart_soak/src/callers.rs
+++ b/crates/nutmegcart_soak/src/callers.rs
@@ -332,8 +332,9 @@
     }
 
     fn submit(&mut self, index: usize) {
-        let answer = self.call(index, "POST").map(|(status, _)| status);
         let job = self.jobs[index].id.clone();
+        self.history.add(Fact::Submitting { job: job.clone() });
+        let answer = self.call(index, "POST").map(|(status, _)| status);
         self.history.add(Fact::Submitted { job, answer });
         let stage = &mut self.jobs[index].stage;
         if *stage == Stage::Submitting {
--- a/crates/nutmegcart_soak/src/checker.rs
+++ b/crates/nutmegcart_soak/src/checker.rs
@@ -58,6 +58,8 @@
     pub cancelled: Option<Duration>,
     refused: bool,
     unanswered: bool,
+    /// Whether a submission has been sent that has no answer yet.
+    submitting: bool,
     started: bool,
     /// Whether it was cancelled and had nothing running in a settled state.
     buried: bool,
@@ -168,11 +170,17 @@
                     cancelled: None,
                     refused: false,
                     unanswered: false,
+                    submitting: false,
                     started: false,
                     buried: false,
                 };
                 self.jobs.insert(job.clone(), view);
             }
+            Fact::Submitting { job } => {
+                if let Some(view) = self.jobs.get_mut(job) {
+                    view.submitting = true;
+                }
+            }
             Fact::Submitted { job, answer } => self.submitted(at, job, *answer),
             Fact::Cancelling { job } => {
                 if let Some(view) = self.jobs.get_mut(job) {
@@ -230,6 +238,7 @@
         let Some(view) = self.jobs.get_mut(job) else {
             return;
         };
+        view.submitting = false;
         match answer {
             Some(200..=299) => {
                 view.accepted.get_or_insert(at);
@@ -243,9 +252,12 @@
         }
     }
 
+    /// Reports a job that ran although every answer was a refusal. While a submission is in
+    /// progress, its answer decides.
     fn check_refused(&mut self, at: Duration, job: &Arc<str>) {
         let ran = self.jobs.get(job).is_some_and(|view| {
-            view.started && view.refused && !view.unanswered && view.accepted.is_none()
+            let undecided = view.submitting || view.unanswered || view.accepted.is_some();
+            view.started && view.refused && !undecided
         });
         if ran {
             let detail = format!("job {job}: every answer was a refusal");
--- a/crates/nutmegcart_soak/src/history.rs
+++ b/crates/nutmegcart_soak/src/history.rs
@@ -36,6 +36,11 @@
         /// Number of its tasks.
         tasks: u32,
     },
+    /// A submission is about to be sent.
+    Submitting {
+        /// The job.
+        job: Arc<str>,
+    },
     /// A submission was answered with a status, or not.
     Submitted {
         /// The job.
--- a/crates/nutmegcart_soak/tests/checker.rs
+++ b/crates/nutmegcart_soak/tests/checker.rs
@@ -89,6 +89,10 @@
     }
 }
 
+fn submitting() -> Fact {
+    Fact::Submitting { job: JOB.into() }
+}
+
 /// Returns the promises that a history breaks; each fact is one second after the one before.
 fn broken(facts: Vec<Fact>) -> Vec<&'static str> {
     let mut checker = Checker::new(true);
@@ -171,6 +175,22 @@
         vec![submitted(Some(503)), start(0, 1)],
         &["a refused job does not run"]
     );
+    /// Guards against an objection to a job that starts before the answer to its repeated
+    /// submission arrives.
+    job_starts_before_the_answer_to_a_repeat => (
+        vec![submitting(), submitted(Some(503)), submitting(), start(0, 1), submitted(Some(200))],
+        &[]
+    );
+    /// Guards against a refused job that runs unnoticed because it started before the refusal.
+    job_starts_before_a_refusal => (
+        vec![submitting(), submitted(Some(503)), submitting(), start(0, 1), submitted(Some(503))],
+        &["a refused job does not run"]
+    );
+    /// Guards against a repeat that hides a refused job that had started.
+    refusal_after_a_start => (
+        vec![submitting(), start(0, 1), submitted(Some(503)), submitting(), submitted(Some(200))],
+        &["a refused job does not run"]
+    );
     /// Guards against an objection to a job whose submission got no answer once.
     job_without_an_answer_may_run => (
         vec![submitted(None), submitted(Some(503)), start(0, 1)],
