Store finished tasks of a job too large for the state as ranges

Callers saw the jobs of a cell stop for good: the state listed every finished task of unfinished jobs with 28 B. Once it was above the largest value of the store, the ends of these jobs were not acknowledged, each worker kept 375 of them and got no more tasks, so the state never shrank.

A state that does not fit with every finished task listed now contains the ranges of their numbers for each step. After a rejection by a store whose limit the owner doesn't know, listing is tried again at half the rejected size. A state that fits is stored as before. Ends are still acknowledged only once the stored state contains them.

The tests state_above_the_known_limit_of_the_store and state_above_an_unknown_limit_of_the_store failed before and pass: the state of the job of 4,000 tasks takes 357 B on a store with a limit of 12,000 B. They required that the owner holds a rejected state while the large job is at work, which the ranges prevent. Instead they require that the stored state contains more finished tasks than fit one by one, that it goes on growing, and that no state is rejected; the former assertion remains in state_without_room_*, with 60 open jobs and 1,500 B. New tests cover successors, a state that fits in neither form for a while, and unknown numbers; with ranges that no successor reads three of them fail, with ranges never written seven of the ten.

--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -20,13 +20,10 @@
 use crate::job::JobId;
 use crate::job::QueueKey;
 use crate::job::TaskKey;
-use crate::live_job::LiveJob;
 use crate::record::Assignment;
 use crate::record::CellRecord;
 use crate::record::EnrolledWorker;
 use crate::record::FinalState;
-use crate::record::TaskProgress;
-use crate::record::encode_cell;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
 
@@ -39,9 +36,6 @@
 /// Maximum number of final states in one transaction. The store accepts 32 entries, conditions
 /// included: two for each final state, two for the state of the cell and one for the owner.
 const MAX_FINALS: usize = 12;
-/// Maximum number of tasks of finished occurrences that the cell state lists one by one, for programs
-/// of versions that do not read [`CellRecord::past`]. Those would run the others once more.
-const MAX_LISTED_PAST_TASKS: u64 = 500;
 /// Maximum number of expired jobs removed in a transaction with final states; each may have two
 /// keys.
 const MAX_EXPIRED_WITH_FINALS: usize = 2;
@@ -110,7 +104,7 @@
     /// Jobs in `final_queue`.
     in_queue: HashSet<JobId>,
     /// Unfinished jobs with ended runs, whose progress is part of the cell state.
-    jobs_with_ends: HashSet<JobId>,
+    pub(crate) jobs_with_ends: HashSet<JobId>,
     in_flight: Option<InFlight>,
     /// Stored final states, for requests about jobs that are no longer live.
     ended: HashMap<JobId, FinalState>,
@@ -122,6 +116,9 @@
     pub(crate) outdated: bool,
     /// Size in bytes of the cell state that the store does not accept.
     rejected_state: Option<usize>,
+    /// Size in bytes of the smallest cell state that the store has rejected, unless it has accepted a
+    /// larger one since.
+    pub(crate) refused_size: Option<usize>,
     /// Until when the cell state is not tried again.
     state_held_until: Duration,
     /// Whether the store did not accept the latest final states, so that the next ones go one by one.
@@ -136,6 +133,8 @@
     enrolled: Vec<(WorkerId, u64)>,
     /// Size of the cell state in bytes.
     state_size: usize,
+    /// Whether the cell state lists finished tasks one by one.
+    listed: bool,
     /// Worker, incarnation and highest covered end, if the transaction stores the cell state.
     covered_ends: Option<Vec<(WorkerId, u64, u64)>>,
     jobs_with_ends: HashSet<JobId>,
@@ -154,6 +153,8 @@
         }
         let past = record.past.iter().map(|(job, _)| job.clone());
         self.jobs_with_ends.extend(past);
+        let finished = record.finished.iter().map(|each| each.job.clone());
+        self.jobs_with_ends.extend(finished);
     }
 
     pub(crate) fn queue_final(&mut self, id: &JobId) {
@@ -265,6 +266,17 @@
         }
     }
 
+    fn handle_rejected_state(&mut self, in_flight: &InFlight, now: Duration) {
+        let size = in_flight.state_size;
+        let smallest = self.flush_queue.refused_size.unwrap_or(size);
+        self.flush_queue.refused_size = Some(smallest.min(size));
+        self.hold_state(size, now);
+        if in_flight.listed {
+            // The next state is smaller.
+            self.flush_queue.state_held_until = now;
+        }
+    }
+
     /// Returns the size of the cell state in bytes if the store does not accept it.
     #[must_use]
     pub const fn rejected_state(&self) -> Option<usize> {
@@ -327,25 +339,13 @@
                 }
             }
         }
-        let with_ends = self.flush_queue.jobs_with_ends.iter();
-        let mut jobs: Vec<&LiveJob> = with_ends.filter_map(|id| self.jobs.get(id)).collect();
-        jobs.sort_by(|a, b| a.id.cmp(&b.id));
-        let mut listed = 0;
-        for job in jobs.into_iter().filter(|job| !job.stored) {
-            record.tasks.extend(progress(job));
-            if !job.past.is_empty() {
-                record.past.push((job.id.clone(), job.past.clone()));
-                if listed + job.past_tasks() <= MAX_LISTED_PAST_TASKS {
-                    listed += job.past_tasks();
-                    record.tasks.extend(job.past_progress());
-                }
-            }
-        }
         in_flight.covered_ends = Some(covered_ends);
         in_flight
             .jobs_with_ends
             .clone_from(&self.flush_queue.jobs_with_ends);
-        encode_cell(&record)
+        let encoded = self.encode_with_progress(record);
+        in_flight.listed = encoded.listed;
+        encoded.bytes
     }
 
     /// Processes the outcome of the transaction that [`Scheduler::next_flush`] returned.
@@ -375,7 +375,7 @@
             FlushOutcome::NotStored => self.requeue(&in_flight),
             FlushOutcome::Rejected => {
                 if in_flight.covered_ends.is_some() {
-                    self.hold_state(in_flight.state_size, now);
+                    self.handle_rejected_state(&in_flight, now);
                 } else {
                     self.flush_queue.rejected_finals = true;
                 }
@@ -402,6 +402,10 @@
         if in_flight.covered_ends.is_some() && self.flush_queue.rejected_state.take().is_some() {
             log_event!(Event::CellStateStored, bytes = in_flight.state_size);
         }
+        if in_flight.covered_ends.is_some() {
+            let refused = &mut self.flush_queue.refused_size;
+            *refused = refused.filter(|size| *size > in_flight.state_size);
+        }
         for (id, how) in &in_flight.finals {
             if let Some(job) = self.jobs.get_mut(id) {
                 let age = now.saturating_sub(job.accepted_at);
@@ -469,8 +473,3 @@
         }
     }
 }
-
-/// Returns the task progress that workers no longer report once their ends are acknowledged.
-fn progress(job: &LiveJob) -> Vec<TaskProgress> {
-    job.progress(|task| task.done || !task.failed_runs.is_empty() || task.checkpoint.is_some())
-}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod burst_forecast;
 pub mod estimate;
 pub mod failed_runs;
+mod finished_tasks;
 pub mod flush;
 mod gang;
 mod incarnations;
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -174,6 +174,22 @@
     /// Finished occurrences of the schedules of unfinished jobs.
     #[serde(skip)]
     pub past: Vec<(JobId, IndexRanges)>,
+    /// Finished tasks of unfinished jobs that `tasks` does not list.
+    #[serde(skip)]
+    pub finished: Vec<FinishedTasks>,
+}
+
+/// Finished tasks of one step of a job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct FinishedTasks {
+    /// Job that the tasks belong to.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: u16,
+    /// Numbers of the tasks within their step.
+    pub indexes: IndexRanges,
 }
 
 /// Long-running tasks of which runs may live on a worker.
@@ -227,7 +243,7 @@
 ///
 /// The assignments and the moved queues follow the record, where programs of versions without them
 /// do not read: they refuse a longer record, and would know no worker. The finished occurrences
-/// follow these for the same reason.
+/// follow these for the same reason, and then the finished tasks if there are any.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
@@ -243,6 +259,9 @@
     let added = (record.fence, &record.assignments, &record.moved_queues);
     bytes.extend(encode(&added));
     bytes.extend(encode(&record.past));
+    if !record.finished.is_empty() {
+        bytes.extend(encode(&record.finished));
+    }
     bytes
 }
 
@@ -260,6 +279,9 @@
     if decoder.position() < bytes.len() as u64 {
         record.past = decode_next(&mut decoder)?;
     }
+    if decoder.position() < bytes.len() as u64 {
+        record.finished = decode_next(&mut decoder)?;
+    }
     Ok(record)
 }
 
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -200,6 +200,11 @@
                 job.restore_past(past);
             }
         }
+        for finished in &record.finished {
+            if let Some(job) = self.jobs.get_mut(&finished.job) {
+                job.restore_finished(finished, self.taken_over_at);
+            }
+        }
         for progress in &record.tasks {
             let Some(job) = self.jobs.get_mut(&progress.task.job) else {
                 continue;
