Name inherited machine orders in a successor's first stored state

A machine could get orders of two owners within the minimum gap, if the owner between them was lost early. The writer stores the state right after the load, before the first placement pass has set until when inherited orders count; without that time the state named no machine that the predecessor had ordered, and the owner after forgot these orders.

Until the time is known, inherited orders count as possibly in effect.

second_successor_leaves_ordered_machines_of_a_wave_alone failed before: the third owner ordered a machine of the wave 366 ms after the first. It passes now, as do the other two tests of wave_orders.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -157,8 +157,8 @@
     pub(crate) stored: Vec<Arc<str>>,
     /// When the cell state was last stored.
     pub(crate) stored_at: Duration,
-    /// Time until which no orders may be sent for `inherited` machines.
-    pub(crate) inherited_until: Duration,
+    /// Time until which no orders may be sent for `inherited` machines; `None` until it is known.
+    pub(crate) inherited_until: Option<Duration>,
     /// Time until which this owner is certainly the only one.
     pub(crate) exclusive_until: Duration,
     /// When the latest list was requested.
@@ -169,7 +169,7 @@
     /// Sets the time until which no orders may be sent for machines that an earlier owner may have
     /// ordered, and the time until which this owner is certainly the only one.
     pub fn set_ownership(&mut self, inherited_until: Duration, exclusive_until: Duration) {
-        self.machines.inherited_until = inherited_until;
+        self.machines.inherited_until = Some(inherited_until);
         self.machines.exclusive_until = exclusive_until;
     }
 
@@ -185,7 +185,14 @@
 
     /// Returns whether an order of an earlier owner for a machine may still take effect.
     pub(crate) fn may_have_inherited_order(&self, name: &str, now: Duration) -> bool {
-        now < self.machines.inherited_until && self.machines.inherited.contains(name)
+        self.inherits_orders(now) && self.machines.inherited.contains(name)
+    }
+
+    /// Returns whether orders of an earlier owner may still take effect. The cell state may be stored
+    /// before it is known until when.
+    fn inherits_orders(&self, now: Duration) -> bool {
+        let until = self.machines.inherited_until;
+        until.is_none_or(|until| now < until)
     }
 
     /// Lists the machines for which an order was sent recently or is about to be sent.
@@ -195,7 +202,7 @@
         let recent = orders.filter(|(_, at)| now < **at + span);
         let mut names: Vec<Arc<str>> = recent.map(|(name, _)| name.clone()).collect();
         names.extend(self.machines.pending.keys().cloned());
-        if now < self.machines.inherited_until {
+        if self.inherits_orders(now) {
             names.extend(self.machines.inherited.iter().cloned());
         }
         names.sort();
--- a/crates/nutmegcart_jobs/tests/wave_orders.rs
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -96,3 +96,39 @@
     assert_eq!(state, Some(WaveState::Completed));
     assert_no_violations(&world);
 }
+
+/// Guards against a first stored state of a successor without the machines that its predecessor
+/// ordered: if the successor is lost as well, the next one repeats their orders.
+#[test]
+fn second_successor_leaves_ordered_machines_of_a_wave_alone() {
+    for lived in [0.005, 0.01, 0.03, 0.06, 0.2] {
+        let mut world = world(133, 6);
+        world.pools.truncate(1);
+        // The machines are up again before the orders may be repeated.
+        world.settings.maintenance_time = seconds(0.2);
+        let wave = wave_of_all(&world, 5);
+        let first = world.take_over();
+        world.run(seconds(1.0));
+        start_wave(&mut world, first, &wave);
+        while world.machine_orders.is_empty() {
+            world.run(seconds(0.001));
+        }
+        // It does not learn that the orders were carried out.
+        world.owners[first].up = false;
+        let second = world.take_over();
+        world.run(seconds(lived));
+        world.owners[second].up = false;
+        world.run(seconds(0.3));
+        let third = world.take_over();
+        start_wave(&mut world, third, &wave);
+        world.run(seconds(15.0));
+        let gap = shortest_gap(&world);
+        assert!(
+            gap.is_none_or(|gap| gap >= world.settings.order_gap),
+            "after {lived} s: {gap:?}"
+        );
+        let state = world.owners[third].scheduler.wave_state(1);
+        assert_eq!(state, Some(WaveState::Completed), "after {lived} s");
+        assert_no_violations(&world);
+    }
+}
