Keep assignments across an owner that stored nothing

A long-running task waited 11.5 s for an idle silent worker after two changes of the owner if the first successor was lost before it stored the state: the second dropped the assignments, since the latest owner had not written them.

An owner that stores assignments starts no long-running task before it has written the state, so the state of the owner before it still holds. The log of owners now names, behind its record, the first of the latest owners of such versions; the state of any of them counts. A version that does not know this writes the log without it, which makes its own owner the first anew, so no start that is not stored can be missed.

--- a/crates/nutmegcart_control/src/earlier_owners.rs
+++ b/crates/nutmegcart_control/src/earlier_owners.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::Revision;
@@ -105,6 +104,8 @@
         if log == owned.log {
             return;
         }
+        log.extend_states();
+        log.released = None;
         log.earlier.push(LoggedOwner {
             fence: owned.fence,
             record: owner_record(node, owned.lease),
@@ -113,7 +114,7 @@
         let txn = Txn::default()
             .unchanged(owner_key.clone(), revision)
             .unchanged(log_key.clone(), revision)
-            .put(log_key.clone(), encode(&log));
+            .put(log_key.clone(), log.encode());
         match (node.platform.store.txn)(txn).await {
             Ok(_) => return,
             // An attempt whose answer was lost may have been made; the next one then changes nothing.
@@ -129,6 +130,7 @@
     let cell = (owned.view.number, owned.fence);
     let history = node.owner_history.borrow();
     let mut log = history.settle(&owned.log, cell, validity, now());
+    log.extend_states();
     log.released = Some(owned.fence);
     log.complete &= owned.log.complete || now() >= owned.state.since.get() + validity;
     log
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -138,7 +138,7 @@
         owned.state.record_revision.set(item.modified);
         match decode_cell(&item.value) {
             Ok(mut record) => {
-                record.check_writer(owned.log.latest());
+                record.check_writer(owned.log.state_writers().as_ref());
                 owned.scheduler.borrow_mut().inherit(&record);
             }
             Err(error) => log_event!(Event::JobRecordInvalid, key = state, reason = error),
--- a/crates/nutmegcart_control/src/owner_history.rs
+++ b/crates/nutmegcart_control/src/owner_history.rs
@@ -239,6 +239,7 @@
             writer: None,
             complete,
             released: log.released,
+            states_since: log.states_since,
         }
     }
 
--- a/crates/nutmegcart_control/src/owner_log.rs
+++ b/crates/nutmegcart_control/src/owner_log.rs
@@ -5,6 +5,9 @@
 //! predecessor to a log, in the transaction that writes its key. Its successors know from the log
 //! all owners that may still act, and ask them.
 
+use std::ops::RangeInclusive;
+
+use nutmegcart_jobs::record;
 use nutmegcart_jobs::record::decode_extended;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
@@ -46,6 +49,10 @@
     /// Fencing token of an owner that acted after all others and has released the cell.
     #[serde(skip)]
     pub released: Option<u64>,
+    /// Fencing token of the first of the latest owners that start no long-running task before they
+    /// have stored its assignment, if it is not that of the latest one alone.
+    #[serde(skip)]
+    pub states_since: Option<u64>,
 }
 
 impl OwnerLog {
@@ -56,6 +63,44 @@
         self.released.or(last.map(|owner| owner.fence))
     }
 
+    /// Returns the fencing tokens of the owners whose stored state lists all long-running tasks that
+    /// may run. Those that came after the one that wrote the state have started no other.
+    #[must_use]
+    pub fn state_writers(&self) -> Option<RangeInclusive<u64>> {
+        let latest = self.latest()?;
+        Some(self.states_since.unwrap_or(latest)..=latest)
+    }
+
+    /// Records that an owner which stores assignments follows the latest one.
+    pub(crate) fn extend_states(&mut self) {
+        self.states_since = self.states_since.or(self.latest());
+    }
+
+    /// Encodes the log. The fencing tokens follow the record, where programs of versions without them
+    /// do not read.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        let mut bytes = encode(self);
+        let latest = self.latest().filter(|_| self.states_since.is_some());
+        for fence in self
+            .released
+            .or(latest)
+            .into_iter()
+            .chain(self.states_since)
+        {
+            bytes.extend(encode(&fence));
+        }
+        bytes
+    }
+
+    fn decode(bytes: &[u8]) -> record::Result<Self> {
+        let (log, fences) = decode_extended::<Self, u64>(bytes)?;
+        Ok(Self {
+            released: fences.first().copied(),
+            states_since: fences.get(1).copied(),
+            ..log
+        })
+    }
+
     /// Returns the transaction by which an owner that grants no more leases gives up its key, and
     /// stores the log without itself. It changes nothing once the key is gone.
     ///
@@ -67,15 +112,11 @@
             writer: None,
             ..self.clone()
         };
-        let mut bytes = encode(&released);
-        if let Some(fence) = self.released {
-            bytes.extend(encode(&fence));
-        }
         Txn::default()
             .unchanged(owner.clone(), fence)
             .delete(owner)
             .delete(keys::owner_copy(cell))
-            .put(keys::owner_log(cell), bytes)
+            .put(keys::owner_log(cell), released.encode())
     }
 }
 
@@ -132,6 +173,7 @@
             writer: None,
             complete: dropped == 0 && (self.log.complete || self.unused),
             released: self.log.released.filter(|_| self.log.writer.is_none()),
+            states_since: self.log.states_since,
         }
     }
 
@@ -145,11 +187,12 @@
             (0, false) => txn.absent(key.clone()),
             (revision, _) => txn.unchanged(key.clone(), revision),
         };
-        let written = OwnerLog {
+        let mut written = OwnerLog {
             writer: Some(owner),
             ..log.clone()
         };
-        conditional.put(key, encode(&written))
+        written.extend_states();
+        conditional.put(key, written.encode())
     }
 }
 
@@ -167,14 +210,10 @@
             ..StoredLog::default()
         });
     };
-    let decoded = decode_extended::<OwnerLog, u64>(&item.value);
-    let log = match decoded {
-        Ok((log, released)) => OwnerLog { released, ..log },
-        Err(error) => {
-            log_event!(Event::JobRecordInvalid, key = key, reason = error);
-            OwnerLog::default()
-        }
-    };
+    let log = OwnerLog::decode(&item.value).unwrap_or_else(|error| {
+        log_event!(Event::JobRecordInvalid, key = key, reason = error);
+        OwnerLog::default()
+    });
     Ok(StoredLog {
         log,
         revision: item.modified,
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::io::Cursor;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use derive_more::Display;
@@ -186,12 +187,23 @@
 }
 
 impl CellRecord {
-    /// Drops the assignments unless the latest owner wrote the record, whose fencing token is
-    /// `latest`.
+    /// Drops the assignments unless one of the latest owners wrote the record, whose fencing tokens
+    /// are `writers`. None of them starts a long-running task before it has written a record.
     ///
-    /// An owner of a version without assignments starts tasks before it has written a record.
-    pub fn check_writer(&mut self, latest: Option<u64>) {
-        if latest != Some(self.fence) {
+    /// An owner of a version without assignments does, so a record of an owner before it may lack
+    /// them.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::record::{Assignment, CellRecord};
+    /// let assignments = vec![Assignment { worker: "i-01".into(), tasks: Vec::new() }];
+    /// let mut record = CellRecord { assignments, fence: 7, ..CellRecord::default() };
+    /// record.check_writer(Some(&(7..=9)));
+    /// assert_eq!(record.assignments.len(), 1);
+    /// record.check_writer(Some(&(8..=9)));
+    /// assert!(record.assignments.is_empty());
+    /// ```
+    pub fn check_writer(&mut self, writers: Option<&RangeInclusive<u64>>) {
+        if writers.is_none_or(|writers| !writers.contains(&self.fence)) {
             self.assignments.clear();
         }
     }
@@ -263,15 +275,16 @@
     Ok(record)
 }
 
-/// Decodes a record, and the one that follows it if there is one. Programs of versions without the
-/// second read only the first.
+/// Decodes a record, and those of another type that follow it. Programs of versions without them
+/// read only the first.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{decode, decode_extended, encode};
 /// let mut bytes = encode(&1);
-/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, None));
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, vec![]));
 /// bytes.extend(encode(&2));
-/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, Some(2)));
+/// bytes.extend(encode(&3));
+/// assert_eq!(decode_extended::<u64, u64>(&bytes).unwrap(), (1, vec![2, 3]));
 /// assert_eq!(decode::<u64>(&bytes).unwrap(), 1);
 /// ```
 ///
@@ -280,11 +293,13 @@
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode_extended<T: DeserializeOwned, U: DeserializeOwned>(
     bytes: &[u8],
-) -> Result<(T, Option<U>)> {
+) -> Result<(T, Vec<U>)> {
     let mut decoder = rmp_serde::Deserializer::new(Cursor::new(bytes));
     let record = decode_next(&mut decoder)?;
-    let extended = decoder.position() < bytes.len() as u64;
-    let added = extended.then(|| decode_next(&mut decoder)).transpose()?;
+    let mut added = Vec::new();
+    while decoder.position() < bytes.len() as u64 {
+        added.push(decode_next(&mut decoder)?);
+    }
     Ok((record, added))
 }
 
--- a/crates/nutmegcart_jobs/tests/assignments.rs
+++ b/crates/nutmegcart_jobs/tests/assignments.rs
@@ -202,6 +202,57 @@
     assert_no_violations(&world);
 }
 
+/// Guards against a task that waits for a worker on which nothing runs, and against a second run,
+/// after an owner that was lost before it stored anything: at once, or after a time in which it
+/// reached no store.
+#[test]
+fn successor_of_an_owner_that_stored_nothing_waits_for_the_same_workers() {
+    for lived in [0.0, 0.002, 0.3] {
+        let mut world = cell(32, 6);
+        submit(&mut world, 1, vec![long_running_step(3)]);
+        world.run(seconds(1.0));
+        let (busy, idle) = split_workers(&world);
+        let silent = [busy[0].clone(), idle[0].clone()];
+        replace_owner(&mut world, &silent);
+        let lost = world.owners.len() - 1;
+        world.owners[lost].reaches_store = false;
+        world.run(seconds(lived));
+        assert_ne!(stored_record(&world).fence, world.store.owner);
+        world.remove_for_good(&busy[1], None);
+        replace_owner(&mut world, &silent);
+        // The first run of the task lives until its lease ends.
+        world.run(seconds(4.0));
+        assert_eq!(world.checker.starts, 4, "lost after {lived} s");
+        let reasons = reasons(&world);
+        assert!(
+            matches!(&reasons[..], [WaitReason::Blocked { worker, workers: 1, .. }] if *worker == busy[0]),
+            "{reasons:?}"
+        );
+        world.run(BLOCK_END);
+        assert_eq!(live_long_running_runs(&world), 3);
+        assert_no_violations(&world);
+    }
+}
+
+/// Guards against a second run of a task whose owner is lost around its start, if the next owner is
+/// lost at any time around its first transaction.
+#[test]
+fn owners_lost_in_a_row_cause_no_second_run() {
+    for lost_after in 0..20 {
+        for (next_lost_after, silent) in (0..12).zip((0..3).cycle()) {
+            let mut world = cell(33, 3);
+            submit(&mut world, 1, vec![long_running_step(1)]);
+            world.run(Duration::from_millis(lost_after));
+            replace_owner(&mut world, &[worker(0)]);
+            world.run(Duration::from_millis(next_lost_after));
+            replace_owner(&mut world, &[worker(silent)]);
+            world.run(BLOCK_END);
+            assert_no_violations(&world);
+            assert_eq!(live_long_running_runs(&world), 1);
+        }
+    }
+}
+
 /// Guards against a start without a stored assignment while the store does not answer, and against
 /// other tasks that wait with it or use its room.
 #[test]
