Judge a cancellation's answer in the soak by the time at which it was sent

A caller whose DELETE was sent soon after the acceptance of the job, or soon after a fault, and answered 410 up to five seconds later would be reported under "an accepted job is known", although the request came within the bound.

Cause: the checker measured the calm stretch up to the answer. For a GET it uses the time of sending.

Change: the history notes when a cancellation was sent, and the bound holds for that time. The check stays: a cancellation that is sent after the bound and answered 410 is reported, which has a test now.

Measured: cancellation_is_answered_late failed before; the 26 tests of the checker pass.

--- a/crates/nutmegcart_soak/src/callers.rs
+++ b/crates/nutmegcart_soak/src/callers.rs
@@ -348,9 +348,10 @@
     }
 
     fn cancel(&mut self, index: usize) {
+        let sent = self.history.now();
         let answer = self.call(index, "DELETE").map(|(status, _)| status);
         let job = self.jobs[index].id.clone();
-        self.history.add(Fact::Cancelled { job, answer });
+        self.history.add(Fact::Cancelled { job, answer, sent });
         if matches!(answer, Some(200..=299 | 410)) {
             self.jobs[index].stage = Stage::Over;
         }
--- a/crates/nutmegcart_soak/src/checker.rs
+++ b/crates/nutmegcart_soak/src/checker.rs
@@ -187,7 +187,7 @@
                     view.cancelling = true;
                 }
             }
-            Fact::Cancelled { job, answer } => self.cancelled(at, job, *answer),
+            Fact::Cancelled { job, answer, sent } => self.cancelled(at, job, *answer, *sent),
             Fact::Shown {
                 job,
                 answer,
@@ -265,7 +265,7 @@
         }
     }
 
-    fn cancelled(&mut self, at: Duration, job: &Arc<str>, answer: Option<u16>) {
+    fn cancelled(&mut self, at: Duration, job: &Arc<str>, answer: Option<u16>, sent: Duration) {
         self.calls += 1;
         let Some(view) = self.jobs.get_mut(job) else {
             return;
@@ -275,8 +275,8 @@
                 view.cancelled.get_or_insert(at);
             }
             Some(410) => {
-                let since = view.accepted.unwrap_or(at);
-                if self.timed && self.all.calm(since, at) > VISIBLE_BOUND {
+                let since = view.accepted.unwrap_or(sent);
+                if self.timed && self.all.calm(since, sent) > VISIBLE_BOUND {
                     let detail = format!("job {job}: its cancellation was answered 410");
                     self.report(at, "an accepted job is known", detail);
                 }
--- a/crates/nutmegcart_soak/src/history.rs
+++ b/crates/nutmegcart_soak/src/history.rs
@@ -59,6 +59,8 @@
         job: Arc<str>,
         /// Status of the answer.
         answer: Option<u16>,
+        /// Time at which the request was sent.
+        sent: Duration,
     },
     /// The state of a job was answered.
     Shown {
--- a/crates/nutmegcart_soak/tests/checker.rs
+++ b/crates/nutmegcart_soak/tests/checker.rs
@@ -56,8 +56,15 @@
 }
 
 fn cancelled() -> Fact {
-    let (job, answer) = (JOB.into(), Some(200));
-    Fact::Cancelled { job, answer }
+    cancel_answered(200, 0)
+}
+
+fn cancel_answered(status: u16, sent_s: u64) -> Fact {
+    Fact::Cancelled {
+        job: JOB.into(),
+        answer: Some(status),
+        sent: Duration::from_secs(sent_s),
+    }
 }
 
 fn shown(answer: u16, state: &str, sent_s: u64) -> Fact {
@@ -218,6 +225,19 @@
         vec![submitted(Some(200)), shown(410, "", 8)],
         &["an accepted job is known"]
     );
+    /// Guards against an accepted job that a cancellation does not find.
+    accepted_job_is_unknown_to_a_cancellation => (
+        vec![submitted(Some(200)), shown(200, "pending", 1), shown(200, "pending", 2),
+            shown(200, "pending", 3), shown(200, "pending", 4), cancel_answered(410, 5)],
+        &["an accepted job is known"]
+    );
+    /// Guards against an objection to a cancellation that was sent soon after the acceptance, and
+    /// answered later.
+    cancellation_is_answered_late => (
+        vec![submitted(Some(200)), shown(200, "pending", 1), shown(200, "pending", 2),
+            shown(200, "pending", 3), cancel_answered(410, 3)],
+        &[]
+    );
     /// Guards against a job shown as completed before its tasks are done.
     job_completed_too_early => (
         vec![submitted(Some(200)), start(0, 1), shown(200, "completed", 3)],
