--- a/crates/nutmegcart_jobs/src/job.rs
+++ b/crates/nutmegcart_jobs/src/job.rs
@@ -23,6 +23,9 @@
 pub const MAX_TASKS: u32 = 10_000;
 /// Maximum length of a job's opaque description, from the published interface.
 pub const MAX_SPEC_BYTES: usize = 4_000;
+/// Longest duration that is expected of a task, in milliseconds: a hundred years. A longer declared
+/// one counts as this, so that sums and multiples of durations stay in range.
+pub const MAX_ESTIMATE_MS: u64 = 100 * 365 * 24 * 3_600 * 1_000;
 
 /// Error of checking a job.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
@@ -221,10 +224,10 @@
         }
     }
 
-    /// Returns the declared duration.
+    /// Returns the declared duration, at most [`MAX_ESTIMATE_MS`].
     #[must_use]
-    pub const fn declared(&self) -> Duration {
-        Duration::from_millis(self.estimate_ms)
+    pub fn declared(&self) -> Duration {
+        Duration::from_millis(self.estimate_ms.min(MAX_ESTIMATE_MS))
     }
 }
 
