Split the events of the virtual cell over three files

The runs on the workers and the transactions on the store have files of their own now. Nothing else changes.

--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -10,6 +10,8 @@
 pub mod invariant_checker;
 mod long_running;
 mod machines;
+mod runs;
+mod transactions;
 pub mod worker;
 
 use std::cmp::Ordering;
