Store ranges of finished tasks only if all instances read them

During an update, an instance of an earlier version that becomes the owner of a cell does not read the ranges which follow the record, and would run finished tasks a second time. Its callers would see the work done twice.

Each instance now states in its member key which form of the cell state it reads; the number follows the record, where earlier versions do not read. An owner writes ranges only while every known member states the present form, and otherwise waits as it did before.

The tests ranges_wait_for_earlier_versions_* (jobs) fail if the owner ignores the setting and pass now; member_formats.rs and the example of MemberRecord::encode show that both versions read each other's keys.

--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -18,6 +18,9 @@
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::record::STATE_FORMAT;
+use nutmegcart_jobs::record::decode_extended;
+use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::stalled::StallLog;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
@@ -82,6 +85,44 @@
     pub peer: SocketAddr,
     /// Processor time that the instance may use, in cores.
     pub cores: f64,
+    /// Form of the cell state that it reads; 0 for versions that do not state it.
+    #[serde(skip)]
+    pub state_format: u32,
+}
+
+impl MemberRecord {
+    /// Encodes the record. The form of the cell state follows it, where versions without that do not
+    /// read.
+    ///
+    /// ```
+    /// # use nutmegcart_control::node::MemberRecord;
+    /// # use nutmegcart_jobs::record::{decode, encode};
+    /// let peer = "127.0.0.1:1".parse().unwrap();
+    /// let record = MemberRecord { peer, cores: 0.5, state_format: 1 };
+    /// assert_eq!(MemberRecord::decode(&record.encode()).unwrap(), record);
+    /// let before = MemberRecord { state_format: 0, ..record };
+    /// assert_eq!(decode::<MemberRecord>(&record.encode()).unwrap(), before);
+    /// assert_eq!(MemberRecord::decode(&encode(&before)).unwrap(), before);
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = encode(self);
+        bytes.extend(encode(&self.state_format));
+        bytes
+    }
+
+    /// Decodes a record of this version or of one before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are malformed or a newer program wrote them.
+    pub fn decode(bytes: &[u8]) -> nutmegcart_jobs::record::Result<Self> {
+        let (record, state_format) = decode_extended::<Self, u32>(bytes)?;
+        Ok(Self {
+            state_format: state_format.unwrap_or_default(),
+            ..record
+        })
+    }
 }
 
 /// Record of a cell's owner in the store.
@@ -430,6 +471,15 @@
         self.owners.borrow().get(&cell).cloned()
     }
 
+    /// Returns whether all instances read cell states of the form that this version writes. An
+    /// earlier one may acquire any cell.
+    #[must_use]
+    pub fn members_read_state(&self) -> bool {
+        let members = self.members.borrow();
+        let mut formats = members.values().map(|member| member.state_format);
+        !members.is_empty() && formats.all(|format| format >= STATE_FORMAT)
+    }
+
     /// Returns the peers that may call the store on behalf of this instance, the owner of the cell
     /// first. The incarnation rotates the order of the others, so it differs between instances.
     #[must_use]
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -400,6 +400,7 @@
             status::report(&node, &owned);
         }
         let mut scheduler = owned.scheduler.borrow_mut();
+        scheduler.allow_ranges(node.members_read_state());
         scheduler.tick(unix_ms(), now());
         for wait in scheduler.take_start_delays() {
             node.metrics.first_start.observe(wait.as_secs_f64());
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -256,7 +256,8 @@
         .ownership_changes
         .with_label_values(&["taken"])
         .inc();
-    let scheduler = Scheduler::new(node.reloadable.get().jobs, fence, now());
+    let mut scheduler = Scheduler::new(node.reloadable.get().jobs, fence, now());
+    scheduler.allow_ranges(node.members_read_state());
     let owned = Rc::new(OwnedCell {
         view: view.clone(),
         scheduler: RefCell::new(scheduler),
--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::record::STATE_FORMAT;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
@@ -66,7 +67,7 @@
             Ok(layout) => node.set_layout(layout),
             Err(error) => invalid(error),
         },
-        Some(SharedKey::Member(name)) => match decode::<MemberRecord>(&item.value) {
+        Some(SharedKey::Member(name)) => match MemberRecord::decode(&item.value) {
             Ok(member) => {
                 node.members.borrow_mut().insert(name.into(), member);
             }
@@ -109,8 +110,9 @@
     let member = MemberRecord {
         peer: node.settings.peer,
         cores: node.settings.cores,
+        state_format: STATE_FORMAT,
     };
-    let value = encode(&member);
+    let value = member.encode();
     let mut lease = None;
     while !node.is_draining() {
         let result = match lease {
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -54,6 +54,7 @@
         let member = MemberRecord {
             peer: ([127, 0, 0, 1], number).into(),
             cores: 0.25,
+            state_format: 0,
         };
         let name = format!("entry-{number}").into();
         node.members.borrow_mut().insert(name, member);
--- /dev/null
+++ b/crates/nutmegcart_control/tests/member_formats.rs
@@ -0,0 +1,47 @@
+//! Instances of several versions, and the form of the cell state that all of them read.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_control::Node;
+use nutmegcart_control::NodeSettings;
+use nutmegcart_control::metrics::Metrics;
+use nutmegcart_control::node::MemberRecord;
+use nutmegcart_control::node::ReloadableSettings;
+use nutmegcart_jobs::record::STATE_FORMAT;
+
+mod support;
+
+fn node() -> Rc<Node> {
+    let settings = NodeSettings {
+        name: "entry-1".into(),
+        peer: "127.0.0.1:1".parse().expect("an address"),
+        cores: 0.25,
+        lease: Duration::from_secs(2),
+        reloadable: ReloadableSettings::default(),
+    };
+    let platform = support::silent_platform();
+    Node::new(settings, platform, Metrics::default(), 7)
+}
+
+fn insert(node: &Node, name: &str, state_format: u32) {
+    let member = MemberRecord {
+        peer: "127.0.0.1:2".parse().expect("an address"),
+        cores: 0.25,
+        state_format,
+    };
+    node.members.borrow_mut().insert(name.into(), member);
+}
+
+/// Guards against a form of the state that an instance of an earlier version would misread.
+#[test]
+fn earlier_version_decides_the_form_of_the_state() {
+    let node = node();
+    assert!(!node.members_read_state(), "no instance is known");
+    insert(&node, "entry-1", STATE_FORMAT);
+    assert!(node.members_read_state());
+    insert(&node, "entry-2", 0);
+    assert!(!node.members_read_state());
+    insert(&node, "entry-2", STATE_FORMAT + 1);
+    assert!(node.members_read_state());
+}
--- a/crates/nutmegcart_control/tests/vacant_cell.rs
+++ b/crates/nutmegcart_control/tests/vacant_cell.rs
@@ -197,6 +197,7 @@
     let larger = MemberRecord {
         peer: "127.0.0.1:2".parse().expect("an address"),
         cores: 4.0,
+        state_format: 0,
     };
     node.members.borrow_mut().insert("entry-2".into(), larger);
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/nutmegcart_jobs/src/finished_tasks.rs
+++ b/crates/nutmegcart_jobs/src/finished_tasks.rs
@@ -28,15 +28,22 @@
 /// An encoded cell state.
 pub(crate) struct EncodedState {
     pub(crate) bytes: Vec<u8>,
-    /// Whether it lists finished tasks one by one.
+    /// Whether it lists finished tasks that it may contain as ranges.
     pub(crate) listed: bool,
 }
 
 impl Scheduler {
+    /// Sets whether every instance that may succeed this owner reads ranges of finished tasks, as
+    /// programs of [`crate::record::STATE_FORMAT`] do. Another one would run these tasks again.
+    pub const fn allow_ranges(&mut self, allowed: bool) {
+        self.flush_queue.lists_only = !allowed;
+    }
+
     /// Adds the progress of unfinished jobs to the state of the cell and encodes it.
     ///
     /// Finished tasks are listed one by one, which all versions read, unless the store does not
-    /// accept a state of that size. Else the state contains the ranges of their numbers.
+    /// accept a state of that size. Then the state contains the ranges of their numbers if every
+    /// instance reads those.
     pub(crate) fn encode_with_progress(&self, mut record: CellRecord) -> EncodedState {
         let with_ends = self.flush_queue.jobs_with_ends.iter();
         let mut jobs: Vec<&LiveJob> = with_ends.filter_map(|id| self.jobs.get(id)).collect();
@@ -47,13 +54,16 @@
             .map(|job| (job.id.clone(), job.past.clone()))
             .collect();
         let finished: usize = jobs.iter().map(|job| job.finished_count()).sum();
-        if self.may_list(finished.saturating_mul(MIN_LISTED_SIZE)) {
+        let lists_only = self.flush_queue.lists_only;
+        if lists_only || self.may_list(finished.saturating_mul(MIN_LISTED_SIZE)) {
             let mut listing = record.clone();
             list_progress(&mut listing, &jobs);
             let bytes = encode_cell(&listing);
-            if self.may_list(bytes.len()) {
-                let listed = finished > 0;
-                return EncodedState { bytes, listed };
+            if lists_only || self.may_list(bytes.len()) {
+                return EncodedState {
+                    bytes,
+                    listed: finished > 0 && !lists_only,
+                };
             }
         }
         for job in jobs {
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -119,6 +119,9 @@
     /// Size in bytes of the smallest cell state that the store has rejected, unless it has accepted a
     /// larger one since.
     pub(crate) refused_size: Option<usize>,
+    /// Whether the cell state has to list finished tasks one by one, since an instance may not read
+    /// ranges.
+    pub(crate) lists_only: bool,
     /// Until when the cell state is not tried again.
     state_held_until: Duration,
     /// Whether the store did not accept the latest final states, so that the next ones go one by one.
@@ -133,7 +136,7 @@
     enrolled: Vec<(WorkerId, u64)>,
     /// Size of the cell state in bytes.
     state_size: usize,
-    /// Whether the cell state lists finished tasks one by one.
+    /// Whether the cell state lists finished tasks that it may contain as ranges.
     listed: bool,
     /// Worker, incarnation and highest covered end, if the transaction stores the cell state.
     covered_ends: Option<Vec<(WorkerId, u64, u64)>>,
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -28,6 +28,9 @@
 /// Fields are encoded by position. New ones are added at the end of a record with a default, so
 /// older records decode with defaults; records of newer versions are refused.
 pub const SCHEMA: u32 = 1;
+/// Form of the cell state that this program reads. Programs of form 0 do not read
+/// [`CellRecord::finished`].
+pub const STATE_FORMAT: u32 = 1;
 
 /// Error of decoding a record.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
--- a/crates/nutmegcart_jobs/tests/cell_state_limit.rs
+++ b/crates/nutmegcart_jobs/tests/cell_state_limit.rs
@@ -203,6 +203,31 @@
     successor_repeats_no_task_below_an_unknown_limit => false;
 }
 
+/// Guards against a state with ranges while an instance that does not read them may become the
+/// owner, and would run finished tasks again.
+fn ranges_wait_for_earlier_versions(known: bool) {
+    let mut world = limited_world(58, MAX_VALUE, known);
+    world.owners[0].scheduler.allow_ranges(false);
+    let large = submit(&mut world, 1, vec![batch_step(TASKS, 2_000, 400)]);
+    for _ in 0..60 {
+        world.run(seconds(0.1));
+        assert_eq!(stored(&world).finished, Vec::new());
+    }
+    assert!(rejected_state(&world).is_some_and(|size| size > MAX_VALUE));
+    assert!(!completed(&world, &large));
+    world.owners[0].scheduler.allow_ranges(true);
+    world.run(seconds(15.0));
+    assert!(completed(&world, &large));
+    assert_eq!(world.checker.starts, TASKS as usize);
+    assert_no_violations(&world);
+}
+
+cases! {
+    ranges_wait_for_earlier_versions:
+    ranges_wait_for_earlier_versions_below_the_known_limit => true;
+    ranges_wait_for_earlier_versions_below_an_unknown_limit => false;
+}
+
 /// Guards against a state that earlier versions misread although they could read it whole.
 #[test]
 fn state_that_fits_lists_every_finished_task() {
