Remove expired jobs again after a failed transaction

The store kept the keys of ended jobs for as long as their cell had the same owner, beyond the retention time, if the transaction that was to remove them failed: they were taken off the queue, and only the final states of the transaction were queued again. Expired jobs are queued again as well now. The three tests expired_jobs_are_removed_after_* (an outage, a rejection, a conflict) failed before with 14 of 28 keys left, and pass.

--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -132,6 +132,8 @@
 #[derive(Clone, Debug, Default)]
 struct InFlight {
     finals: Vec<(JobId, FinalState)>,
+    /// Jobs whose keys it removes.
+    expired: Vec<JobId>,
     /// Workers that the cell state enrols, with their incarnation.
     enrolled: Vec<(WorkerId, u64)>,
     /// Size of the cell state in bytes.
@@ -232,10 +234,12 @@
         if self.flush_queue.expired.len() >= MAX_EXPIRED {
             let count = removable.min(self.flush_queue.expired.len());
             flush.expired = self.flush_queue.expired.drain(..count).collect();
+            in_flight.expired.clone_from(&flush.expired);
         }
         if now >= self.flush_queue.state_held_until && self.cell_state_due(now) {
             let mut covered = InFlight {
                 finals: in_flight.finals.clone(),
+                expired: in_flight.expired.clone(),
                 ..InFlight::default()
             };
             let state = self.encode_cell_state(&mut covered, now);
@@ -373,16 +377,16 @@
                         }
                     }
                 }
-                self.requeue(&in_flight);
+                self.requeue(in_flight);
             }
-            FlushOutcome::NotStored => self.requeue(&in_flight),
+            FlushOutcome::NotStored => self.requeue(in_flight),
             FlushOutcome::Rejected => {
                 if in_flight.covered_ends.is_some() {
                     self.handle_rejected_state(&in_flight, now);
                 } else {
                     self.flush_queue.rejected_finals = true;
                 }
-                self.requeue(&in_flight);
+                self.requeue(in_flight);
             }
         }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
@@ -391,13 +395,14 @@
         }
     }
 
-    fn requeue(&mut self, in_flight: &InFlight) {
+    fn requeue(&mut self, in_flight: InFlight) {
         self.maintenance.unsaved |= in_flight.covered_ends.is_some();
         for (id, _) in &in_flight.finals {
             if self.jobs.get(id).is_some_and(|job| !job.stored) {
                 self.flush_queue.queue_final(id);
             }
         }
+        self.flush_queue.expired.extend(in_flight.expired);
     }
 
     fn handle_stored(&mut self, in_flight: InFlight, now: Duration) {
