Store only the latest failed run of a long-running task

The stored state of a cell grew by 5 B with each failed run of a long-running task, whose attempts have no limit, until the store would refuse the state and the cell would stop. The list only serves to count attempts, so it keeps its latest run for these tasks, which also keeps the number of the task's highest run in the state; longer lists of earlier versions are cut when they are read.

--- a/crates/nutmegcart_jobs/src/failed_runs.rs
+++ b/crates/nutmegcart_jobs/src/failed_runs.rs
@@ -45,6 +45,19 @@
         }
     }
 
+    /// Drops all runs but the latest one.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::failed_runs::FailedRuns;
+    /// let mut failed = FailedRuns::restore(vec![1, 2, 3]);
+    /// failed.keep_latest();
+    /// assert_eq!(failed.stored(), [3]);
+    /// ```
+    pub fn keep_latest(&mut self) {
+        let earlier = self.0.len().saturating_sub(1);
+        self.0.drain(..earlier);
+    }
+
     /// Returns whether no run has failed.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -357,8 +357,14 @@
             self.started = true;
             self.finish(&progress.task);
         }
+        let long_running = self
+            .step(&progress.task)
+            .is_some_and(|step| step.long_running);
         if let Some(task) = self.task(&progress.task) {
             task.failed_runs = FailedRuns::restore(progress.failed.clone());
+            if long_running {
+                task.failed_runs.keep_latest();
+            }
             task.last_run = task.last_run.max(progress.run.saturating_add(run_gap));
             task.started = true;
             self.started = true;
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -489,6 +489,10 @@
             return;
         };
         task.failed_runs.record(id, end.run);
+        if long_running {
+            // Its attempts have no limit, and the list is part of the stored state.
+            task.failed_runs.keep_latest();
+        }
         task.avoid = Some(id.clone());
         if !long_running && !task.done && task.failed_runs.count() >= attempts {
             self.fail_job(&end.task.job, now);
--- a/crates/nutmegcart_jobs/tests/state_size.rs
+++ b/crates/nutmegcart_jobs/tests/state_size.rs
@@ -16,8 +16,11 @@
 use support::assert_no_violations;
 use support::batch_step;
 use support::job_id;
+use support::long_running_step;
 use support::queue;
 use support::seconds;
+use support::submit;
+use support::task;
 use support::world;
 
 /// Numbers of finished occurrences or tasks.
@@ -152,3 +155,30 @@
     println!("{} scattered tasks: {size} B", MAX_TASKS / 2);
     assert!(size < 8 * MAX_TASKS as usize / 2);
 }
+
+/// Guards against a state that grows with each failed run of a long-running task, which has no limit
+/// of attempts.
+#[test]
+fn state_does_not_grow_with_failures_of_a_long_running_task() {
+    let mut world = world(62, 3);
+    for worker in world.workers.values_mut() {
+        worker.failing = true;
+    }
+    world.take_over();
+    world.run(seconds(1.0));
+    let id = submit(&mut world, 1, vec![long_running_step(1)]);
+    for _ in 0..2 {
+        world.run(seconds(5.0));
+        world.owners.last_mut().expect("an owner").up = false;
+        world.take_over();
+    }
+    world.run(seconds(5.0));
+    let failures = world.checker.failures(&task(&id, 0, 0));
+    assert!(failures > 30, "{failures} failures");
+    let state = world.store.state.as_ref().expect("a state");
+    let record = decode_cell(state).expect("a record");
+    let stored: Vec<usize> = record.tasks.iter().map(|each| each.failed.len()).collect();
+    assert_eq!(stored, [1], "failed runs of {failures}");
+    assert!(record.tasks[0].run >= failures, "the number of runs");
+    assert_no_violations(&world);
+}
