Forget ended jobs once their keys are removed

The owner of a cell kept the final state of every job that had ever ended in its memory, which so grew with each job until the owner changed, and it showed these states longer than the store did. It now drops a state together with the job's key, after the retention time.

--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -429,6 +429,9 @@
             }
             self.record_final_state(id, *how, now);
         }
+        for id in &in_flight.expired {
+            self.flush_queue.ended.remove(id);
+        }
         self.send_stored_orders(&in_flight.ordered_machines, now);
         if in_flight.covered_ends.is_some() {
             self.machines.stored.clone_from(&in_flight.ordered_machines);
--- a/crates/nutmegcart_jobs/tests/expiry.rs
+++ b/crates/nutmegcart_jobs/tests/expiry.rs
@@ -54,3 +54,18 @@
     expired_jobs_are_removed_after_a_rejection => &FlushOutcome::Rejected;
     expired_jobs_are_removed_after_a_conflict => &FlushOutcome::Changed(Vec::new());
 }
+
+/// Guards against an owner whose memory grows with every job that has ever ended.
+#[test]
+fn removed_jobs_are_forgotten() {
+    let (mut world, jobs) = ended_jobs(72);
+    let known = |world: &CellSimulation| {
+        let scheduler = &world.owners[0].scheduler;
+        let states = jobs.iter().map(|id| scheduler.job_state(id));
+        states.flatten().count()
+    };
+    assert_eq!(known(&world), JOBS);
+    world.run(seconds(10.0));
+    assert_eq!(world.store.jobs.len(), 0);
+    assert_eq!(known(&world), 0);
+}
