--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -119,6 +119,9 @@
     /// Size in bytes of the smallest cell state that the store has rejected, unless it has accepted a
     /// larger one since.
     pub(crate) refused_size: Option<usize>,
+    /// Whether the cell state has to list finished tasks one by one, since an instance may not read
+    /// ranges.
+    pub(crate) lists_only: bool,
     /// Until when the cell state is not tried again.
     state_held_until: Duration,
     /// Whether the store did not accept the latest final states, so that the next ones go one by one.
@@ -129,11 +132,13 @@
 #[derive(Clone, Debug, Default)]
 struct InFlight {
     finals: Vec<(JobId, FinalState)>,
+    /// Jobs whose keys it removes.
+    expired: Vec<JobId>,
     /// Workers that the cell state enrols, with their incarnation.
     enrolled: Vec<(WorkerId, u64)>,
     /// Size of the cell state in bytes.
     state_size: usize,
-    /// Whether the cell state lists finished tasks one by one.
+    /// Whether the cell state lists finished tasks that it may contain as ranges.
     listed: bool,
     /// Worker, incarnation and highest covered end, if the transaction stores the cell state.
     covered_ends: Option<Vec<(WorkerId, u64, u64)>>,
@@ -229,10 +234,12 @@
         if self.flush_queue.expired.len() >= MAX_EXPIRED {
             let count = removable.min(self.flush_queue.expired.len());
             flush.expired = self.flush_queue.expired.drain(..count).collect();
+            in_flight.expired.clone_from(&flush.expired);
         }
         if now >= self.flush_queue.state_held_until && self.cell_state_due(now) {
             let mut covered = InFlight {
                 finals: in_flight.finals.clone(),
+                expired: in_flight.expired.clone(),
                 ..InFlight::default()
             };
             let state = self.encode_cell_state(&mut covered, now);
@@ -370,16 +377,16 @@
                         }
                     }
                 }
-                self.requeue(&in_flight);
+                self.requeue(in_flight);
             }
-            FlushOutcome::NotStored => self.requeue(&in_flight),
+            FlushOutcome::NotStored => self.requeue(in_flight),
             FlushOutcome::Rejected => {
                 if in_flight.covered_ends.is_some() {
                     self.handle_rejected_state(&in_flight, now);
                 } else {
                     self.flush_queue.rejected_finals = true;
                 }
-                self.requeue(&in_flight);
+                self.requeue(in_flight);
             }
         }
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
@@ -388,13 +395,14 @@
         }
     }
 
-    fn requeue(&mut self, in_flight: &InFlight) {
+    fn requeue(&mut self, in_flight: InFlight) {
         self.maintenance.unsaved |= in_flight.covered_ends.is_some();
         for (id, _) in &in_flight.finals {
             if self.jobs.get(id).is_some_and(|job| !job.stored) {
                 self.flush_queue.queue_final(id);
             }
         }
+        self.flush_queue.expired.extend(in_flight.expired);
     }
 
     fn handle_stored(&mut self, in_flight: InFlight, now: Duration) {
@@ -421,6 +429,9 @@
             }
             self.record_final_state(id, *how, now);
         }
+        for id in &in_flight.expired {
+            self.flush_queue.ended.remove(id);
+        }
         self.send_stored_orders(&in_flight.ordered_machines, now);
         if in_flight.covered_ends.is_some() {
             self.machines.stored.clone_from(&in_flight.ordered_machines);
