Stop the rest of a gang when the start of a member is unanswered

Members of a gang waited for the whole time that they wait for each other, and ended alone, if the start order of one went to a worker that had fallen silent. The owner stops a run whose start was not answered, but that run counts as live until its lease has ended, so the gang did not count as incomplete. Only gangs of short tasks were stopped before, as stalled.

The others are now stopped together with it; their room is free at once.

worker_of_a_member_falls_silent_before_its_start failed before with three members that ended alone, and passes now, as do the 11 other tests of gangs.

--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -106,6 +106,15 @@
 }
 
 impl Scheduler {
+    /// Stops the live runs of the gang to which a task belongs whose run is stopped, if it belongs to
+    /// one, since they wait in vain.
+    pub(crate) fn stop_rest_of_gang(&mut self, key: &TaskKey) {
+        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
+        if step.is_some_and(|step| step.gang) {
+            self.stop_incomplete_gang(key);
+        }
+    }
+
     /// Stops the live runs of a gang of which some tasks have no run, since they wait in vain.
     pub(crate) fn stop_incomplete_gang(&mut self, key: &TaskKey) {
         let mut runs = Vec::new();
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -194,6 +194,8 @@
                         sent: false,
                         confirmed_at: None,
                     };
+                    // It is stopped even if it has begun, and its worker may keep it for seconds.
+                    self.stop_rest_of_gang(key);
                 }
             }
             OrderOutcome::Refused { why, .. } => {
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -204,3 +204,31 @@
     assert_no_violations(&world);
     assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
 }
+
+/// Guards against members that wait in vain for one whose start order went to a worker that falls
+/// silent, until they give up.
+#[test]
+fn worker_of_a_member_falls_silent_before_its_start() {
+    let mut started = 0;
+    for silent in 0..5 {
+        let mut world = world(87, 5);
+        world.take_over();
+        world.run(seconds(1.0));
+        world.owners[0].unreachable.insert(worker(silent));
+        // A member may stand still for longer than it waits for the others.
+        let step = Step {
+            estimate_ms: 20_000,
+            ..gang_step()
+        };
+        let job = submit(&mut world, 1, vec![step]);
+        world.after(seconds(5.0), |world| world.owners[0].unreachable.clear());
+        world.run(seconds(0.1));
+        started += world.checker.starts;
+        world.run(seconds(28.0));
+        assert_no_violations(&world);
+        assert_eq!(world.alone, 0, "members that waited in vain");
+        assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+    }
+    // One of the workers gets no member.
+    assert_eq!(started, 16);
+}
