Count the failed runs of a gang as attempts of the gang

A job whose gang fails was started more often than its queue allows if another member failed each time, since every member had its own count: a gang of four with two attempts could run five times.

Two members that fail in one run use up one attempt. A successor counts the stored ones in the same way.

--- a/crates/nutmegcart_jobs/src/failed_runs.rs
+++ b/crates/nutmegcart_jobs/src/failed_runs.rs
@@ -4,6 +4,11 @@
 //! successor does not know the run, so its own first run has the same number. Once the worker is
 //! back, both runs have failed, and count as two attempts. A report that the worker repeats to a
 //! successor counts once.
+//!
+//! The members of a gang start with one run number, and several of them may fail in a run, which is
+//! one attempt. So of a gang the plain numbers are kept.
+
+use std::collections::BTreeSet;
 
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::rendezvous;
@@ -45,6 +50,29 @@
         }
     }
 
+    /// Adds a run of a gang's member, unless it is known.
+    pub fn record_member(&mut self, worker: &WorkerId, run: u32) {
+        if !self.0.contains(&identity(worker, run)) && !self.0.contains(&run) {
+            self.0.push(run);
+        }
+    }
+
+    /// Returns the number of runs of a gang in which a member has failed.
+    ///
+    /// ```
+    /// # use nutmegcart_jobs::failed_runs::FailedRuns;
+    /// let mut members = [FailedRuns::default(), FailedRuns::default()];
+    /// members[0].record_member(&"i-1".into(), 17);
+    /// members[1].record_member(&"i-2".into(), 17);
+    /// assert_eq!(FailedRuns::count_of_gang(&members), 1);
+    /// members[1].record_member(&"i-2".into(), 18);
+    /// assert_eq!(FailedRuns::count_of_gang(&members), 2);
+    /// ```
+    pub fn count_of_gang<'a>(members: impl IntoIterator<Item = &'a Self>) -> usize {
+        let runs = members.into_iter().flat_map(|member| &member.0);
+        runs.collect::<BTreeSet<_>>().len()
+    }
+
     /// Returns whether no run has failed.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_model::WorkerId;
+
+use crate::failed_runs::FailedRuns;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::record::TaskProgress;
@@ -98,6 +101,33 @@
         }
     }
 
+    /// Records a failed run of a task.
+    pub(crate) fn record_failure(&mut self, key: &TaskKey, worker: &WorkerId, run: u32) {
+        let gang = self.step(key).is_some_and(|step| step.gang);
+        let Some(task) = self.task(key) else {
+            return;
+        };
+        if gang {
+            task.failed_runs.record_member(worker, run);
+        } else {
+            task.failed_runs.record(worker, run);
+        }
+    }
+
+    /// Returns the number of attempts that a task has used up; those of a gang count for each of its
+    /// tasks.
+    pub(crate) fn failed_attempts(&self, key: &TaskKey) -> usize {
+        let steps = self.occurrences.get(&key.occurrence);
+        let state = steps.and_then(|each| each.steps.get(usize::from(key.step)));
+        let tasks = state.map_or(&[][..], |state| &state.tasks);
+        if self.step(key).is_some_and(|step| step.gang) {
+            return FailedRuns::count_of_gang(tasks.iter().map(|task| &task.failed_runs));
+        }
+        let index = usize::try_from(key.index).ok();
+        let task = index.and_then(|index| tasks.get(index));
+        task.map_or(0, |task| task.failed_runs.count())
+    }
+
     /// Records the checkpoint of a task that another owner has stored.
     pub(crate) fn restore_checkpoint(&mut self, progress: &TaskProgress) {
         let origin = Origin::stored(progress);
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -485,12 +485,13 @@
         };
         let attempts = job.accepted.queue.attempts.max(1) as usize;
         let long_running = job.step(&end.task).is_some_and(|step| step.long_running);
+        job.record_failure(&end.task, id, end.run);
+        let failed = job.failed_attempts(&end.task);
         let Some(task) = job.task(&end.task) else {
             return;
         };
-        task.failed_runs.record(id, end.run);
         task.avoid = Some(id.clone());
-        if !long_running && !task.done && task.failed_runs.count() >= attempts {
+        if !long_running && !task.done && failed >= attempts {
             self.fail_job(&end.task.job, now);
         }
     }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -231,7 +231,8 @@
                 let long_running = job
                     .step(&progress.task)
                     .is_some_and(|step| step.long_running);
-                !long_running && !progress.done && progress.failed.len() >= attempts
+                let failed = job.failed_attempts(&progress.task);
+                !long_running && !progress.done && failed.max(progress.failed.len()) >= attempts
             })
         });
         let ids: Vec<JobId> = exhausted.map(|each| each.task.job.clone()).collect();
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -6,7 +6,9 @@
 
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_jobs::CellRecord;
+use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::record::TaskProgress;
 use nutmegcart_jobs::record::encode;
@@ -232,3 +234,75 @@
     // One of the workers gets no member.
     assert_eq!(started, 16);
 }
+
+/// Lets a different member of a gang fail in each of two runs, of which its queue allows two, with a
+/// change of the owner between them if `changes` is true.
+fn members_fail_in_turn(changes: bool) {
+    let mut world = world(88, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.run(seconds(2.7));
+    fail(&mut world, &job);
+    world.run(seconds(1.0));
+    if changes {
+        change_owner(&mut world, &job);
+    }
+    world.run(seconds(2.0));
+    let starts = world.checker.starts;
+    assert_eq!(starts, 2 * SIZE as usize);
+    world.fail_member(&task(&job, 0, 1));
+    world.run(WORK + seconds(5.0));
+    assert_eq!(world.checker.starts, starts, "a third run");
+    let state = Some(JobState::Ended(FinalState::Failed));
+    assert_eq!(world.stored_state(&job), state);
+    assert_no_violations(&world);
+}
+
+/// Guards against a gang that runs again and again because the attempts of each member are counted
+/// alone.
+#[test]
+fn gang_uses_up_its_attempts() {
+    members_fail_in_turn(false);
+}
+
+/// Guards against the same after a change of the owner.
+#[test]
+fn gang_uses_up_its_attempts_under_two_owners() {
+    members_fail_in_turn(true);
+}
+
+/// Returns the state of a job of one gang, of whose members each has failed in the given runs
+/// according to the stored state, and the number of its starts.
+fn inherited_failures(failed: [Vec<u32>; SIZE as usize]) -> (Option<JobState>, usize) {
+    let mut world = world(89, 8);
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    let progress = |(index, failed): (u32, Vec<u32>)| TaskProgress {
+        task: task(&job, 0, index),
+        done: false,
+        failed,
+        run: 3,
+        checkpoint: None,
+    };
+    let record = CellRecord {
+        tasks: (0..SIZE).zip(failed).map(progress).collect(),
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode(&record));
+    world.take_over();
+    world.run(WORK + seconds(5.0));
+    assert_no_violations(&world);
+    (world.stored_state(&job), world.checker.starts)
+}
+
+/// Guards against a run in which two members have failed that counts as two attempts, and against a
+/// successor that starts a gang without attempts left.
+#[test]
+fn attempts_of_a_gang_are_runs() {
+    let one_run = [vec![2], vec![2], Vec::new(), vec![2]];
+    let done = Some(JobState::Ended(FinalState::Completed));
+    assert_eq!(inherited_failures(one_run), (done, SIZE as usize));
+    let two_runs = [vec![2], Vec::new(), vec![3], Vec::new()];
+    let failed = Some(JobState::Ended(FinalState::Failed));
+    assert_eq!(inherited_failures(two_runs), (failed, 0));
+}
