Count a stall of a gang's member for the whole gang

A gang of which one worker was slow or hung was started again far more often than a single task: each member had its own number of stalls and avoided only the worker on which it had stalled itself, so the members took turns on that worker, and the estimate was doubted only once a member had stalled twice.

A stall now counts for all members, once for each run of the gang. All avoid the worker if the others of the pool suffice for the gang, and the members that have not stalled are stopped with the first, before they can stall too.

--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -128,6 +128,23 @@
         task.map_or(0, |task| task.failed_runs.count())
     }
 
+    /// Records that a run of a gang's member has stalled. It holds up the whole gang, so all members
+    /// avoid the worker, and the stall counts for all unless the worker is to blame.
+    pub(crate) fn record_gang_stall(
+        &mut self,
+        key: &TaskKey,
+        avoid: Option<&WorkerId>,
+        blamed: bool,
+    ) {
+        let Some(state) = self.step_state(key) else {
+            return;
+        };
+        for task in &mut state.tasks {
+            task.stalls += u32::from(!blamed);
+            task.avoid = avoid.cloned();
+        }
+    }
+
     /// Records the checkpoint of a task that another owner has stored.
     pub(crate) fn restore_checkpoint(&mut self, progress: &TaskProgress) {
         let origin = Origin::stored(progress);
--- a/crates/nutmegcart_jobs/src/progress.rs
+++ b/crates/nutmegcart_jobs/src/progress.rs
@@ -5,6 +5,7 @@
 //! stay at its percent follows from its predicted duration, from what it has shown, and from
 //! earlier runs of its task.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use nutmegcart_model::WorkerId;
@@ -98,8 +99,18 @@
                 }
             }
         }
-        for (id, key) in stalled {
-            self.stop_stalled_run(&id, &key, now);
+        let mut gangs = BTreeSet::new();
+        for (id, key) in &stalled {
+            let job = self.jobs.get(&key.job);
+            let gang = job
+                .and_then(|job| job.step(key))
+                .is_some_and(|step| step.gang);
+            let first = !gang || gangs.insert((&key.job, key.occurrence, key.step));
+            self.stop_stalled_run(id, key, first, now);
+        }
+        // The others would count as stalled too until their gang has ended.
+        for (_, key) in &stalled {
+            self.stop_rest_of_gang(key);
         }
     }
 
@@ -118,8 +129,9 @@
         stall_time(predicted, run.percent_time, stalls)
     }
 
-    fn stop_stalled_run(&mut self, id: &WorkerId, key: &TaskKey, now: Duration) {
-        let has_alternative = self.has_alternative(id, key);
+    /// Stops a stalled run; `first` is false if the stall of its gang has been counted.
+    fn stop_stalled_run(&mut self, id: &WorkerId, key: &TaskKey, first: bool, now: Duration) {
+        let avoid = self.has_alternative(id, key).then_some(id);
         let worker = self.workers.get(id);
         // Where runs of other jobs have failed too, the worker is to blame.
         let suspect = worker.is_some_and(|each| each.failed_jobs.iter().any(|job| *job != key.job));
@@ -129,12 +141,15 @@
             .and_then(|job| job.step(key))
             .is_some_and(|step| step.gang);
         let mut doubted = false;
-        if let Some(task) = job.and_then(|job| job.task(key)) {
-            if !suspect {
-                task.stalls += 1;
+        if let Some(job) = job {
+            if gang && first {
+                job.record_gang_stall(key, avoid, suspect);
+            }
+            if let Some(task) = job.task(key) {
+                task.stalls += u32::from(!suspect && !gang);
+                doubted = task.is_doubted();
+                task.avoid = avoid.cloned();
             }
-            doubted = task.is_doubted();
-            task.avoid = has_alternative.then(|| id.clone());
         }
         self.stop(id, key, StopReason::Stalled);
         if doubted {
@@ -147,7 +162,8 @@
         }
     }
 
-    /// Returns whether another worker of the pool may run the task when it has room.
+    /// Returns whether other workers of the pool may run the task, or all members of its gang, when
+    /// they have room.
     fn has_alternative(&self, id: &WorkerId, key: &TaskKey) -> bool {
         let Some(job) = self.jobs.get(&key.job) else {
             return false;
@@ -155,18 +171,23 @@
         let Some(step) = job.step(key) else {
             return false;
         };
-        let mut others = self.workers.values().filter(|worker| {
+        let needed = match step.per_worker {
+            most @ 1.. if step.gang => step.count.div_ceil(most),
+            _ => 1,
+        };
+        let others = self.workers.values().filter(|worker| {
             let listing = &worker.listing;
             worker.listed && !listing.draining && listing.id != *id && listing.pool == job.pool
         });
-        others.any(|worker| {
+        let suitable = others.filter(|worker| {
             let labels = &worker.listing.labels;
             let labelled = step
                 .label
                 .as_ref()
                 .is_none_or(|label| labels.contains(label));
             labelled && step.allocation().fits(worker.listing.capacity)
-        })
+        });
+        suitable.count() >= needed as usize
     }
 
     /// Returns whether a run that was stopped as stalled counts against its worker.
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -306,3 +306,49 @@
     let failed = Some(JobState::Ended(FinalState::Failed));
     assert_eq!(inherited_failures(two_runs), (failed, 0));
 }
+
+/// Guards against a sound gang that is stopped as stalled again and again, because the stalls of each
+/// member are counted alone: the first percent of the one on the slow worker takes longer than its
+/// estimate suggests.
+#[test]
+fn stalls_count_for_the_gang() {
+    let mut world = world(90, SIZE as usize);
+    for (index, fake) in world.workers.values_mut().enumerate() {
+        fake.slowdown = if index == 0 { 250 } else { 100 };
+    }
+    world.take_over();
+    world.run(seconds(1.0));
+    let step = Step {
+        checkpoints: false,
+        estimate_ms: 1_000,
+        ..gang_step()
+    };
+    let job = submit(&mut world, 1, vec![step]);
+    world.run(seconds(30.0));
+    let starts = world.checker.starts;
+    world.run(seconds(100.0));
+    assert_no_violations(&world);
+    assert_eq!((starts, world.checker.starts), (3 * SIZE as usize, starts));
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
+
+/// Guards against a gang whose members take turns on a worker that hangs.
+#[test]
+fn gang_avoids_a_worker_that_hangs() {
+    for hung in 0..SIZE as usize {
+        let mut world = world(91, SIZE as usize + 1);
+        let fake = world.workers.get_mut(&worker(hung)).expect("a worker");
+        fake.hung = true;
+        world.take_over();
+        world.run(seconds(1.0));
+        let step = Step {
+            checkpoints: false,
+            ..gang_step()
+        };
+        let job = submit(&mut world, 1, vec![step]);
+        world.run(WORK + seconds(4.0));
+        assert_no_violations(&world);
+        assert_eq!(world.checker.starts, 2 * SIZE as usize);
+        assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+    }
+}
