--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -6,7 +6,9 @@
 
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_jobs::CellRecord;
+use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::record::TaskProgress;
 use nutmegcart_jobs::record::encode;
@@ -204,3 +206,149 @@
     assert_no_violations(&world);
     assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
 }
+
+/// Guards against members that wait in vain for one whose start order went to a worker that falls
+/// silent, until they give up.
+#[test]
+fn worker_of_a_member_falls_silent_before_its_start() {
+    let mut started = 0;
+    for silent in 0..5 {
+        let mut world = world(87, 5);
+        world.take_over();
+        world.run(seconds(1.0));
+        world.owners[0].unreachable.insert(worker(silent));
+        // A member may stand still for longer than it waits for the others.
+        let step = Step {
+            estimate_ms: 20_000,
+            ..gang_step()
+        };
+        let job = submit(&mut world, 1, vec![step]);
+        world.after(seconds(5.0), |world| world.owners[0].unreachable.clear());
+        world.run(seconds(0.1));
+        started += world.checker.starts;
+        world.run(seconds(28.0));
+        assert_no_violations(&world);
+        assert_eq!(world.alone, 0, "members that waited in vain");
+        assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+    }
+    // One of the workers gets no member.
+    assert_eq!(started, 16);
+}
+
+/// Lets a different member of a gang fail in each of two runs, of which its queue allows two, with a
+/// change of the owner between them if `changes` is true.
+fn members_fail_in_turn(changes: bool) {
+    let mut world = world(88, 8);
+    world.take_over();
+    world.run(seconds(1.0));
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    world.run(seconds(2.7));
+    fail(&mut world, &job);
+    world.run(seconds(1.0));
+    if changes {
+        change_owner(&mut world, &job);
+    }
+    world.run(seconds(2.0));
+    let starts = world.checker.starts;
+    assert_eq!(starts, 2 * SIZE as usize);
+    world.fail_member(&task(&job, 0, 1));
+    world.run(WORK + seconds(5.0));
+    assert_eq!(world.checker.starts, starts, "a third run");
+    let state = Some(JobState::Ended(FinalState::Failed));
+    assert_eq!(world.stored_state(&job), state);
+    assert_no_violations(&world);
+}
+
+/// Guards against a gang that runs again and again because the attempts of each member are counted
+/// alone.
+#[test]
+fn gang_uses_up_its_attempts() {
+    members_fail_in_turn(false);
+}
+
+/// Guards against the same after a change of the owner.
+#[test]
+fn gang_uses_up_its_attempts_under_two_owners() {
+    members_fail_in_turn(true);
+}
+
+/// Returns the state of a job of one gang, of whose members each has failed in the given runs
+/// according to the stored state, and the number of its starts.
+fn inherited_failures(failed: [Vec<u32>; SIZE as usize]) -> (Option<JobState>, usize) {
+    let mut world = world(89, 8);
+    let job = submit(&mut world, 1, vec![gang_step()]);
+    let progress = |(index, failed): (u32, Vec<u32>)| TaskProgress {
+        task: task(&job, 0, index),
+        done: false,
+        failed,
+        run: 3,
+        checkpoint: None,
+    };
+    let record = CellRecord {
+        tasks: (0..SIZE).zip(failed).map(progress).collect(),
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode(&record));
+    world.take_over();
+    world.run(WORK + seconds(5.0));
+    assert_no_violations(&world);
+    (world.stored_state(&job), world.checker.starts)
+}
+
+/// Guards against a run in which two members have failed that counts as two attempts, and against a
+/// successor that starts a gang without attempts left.
+#[test]
+fn attempts_of_a_gang_are_runs() {
+    let one_run = [vec![2], vec![2], Vec::new(), vec![2]];
+    let done = Some(JobState::Ended(FinalState::Completed));
+    assert_eq!(inherited_failures(one_run), (done, SIZE as usize));
+    let two_runs = [vec![2], Vec::new(), vec![3], Vec::new()];
+    let failed = Some(JobState::Ended(FinalState::Failed));
+    assert_eq!(inherited_failures(two_runs), (failed, 0));
+}
+
+/// Guards against a sound gang that is stopped as stalled again and again, because the stalls of each
+/// member are counted alone: the first percent of the one on the slow worker takes longer than its
+/// estimate suggests.
+#[test]
+fn stalls_count_for_the_gang() {
+    let mut world = world(90, SIZE as usize);
+    for (index, fake) in world.workers.values_mut().enumerate() {
+        fake.slowdown = if index == 0 { 250 } else { 100 };
+    }
+    world.take_over();
+    world.run(seconds(1.0));
+    let step = Step {
+        checkpoints: false,
+        estimate_ms: 1_000,
+        ..gang_step()
+    };
+    let job = submit(&mut world, 1, vec![step]);
+    world.run(seconds(30.0));
+    let starts = world.checker.starts;
+    world.run(seconds(100.0));
+    assert_no_violations(&world);
+    assert_eq!((starts, world.checker.starts), (3 * SIZE as usize, starts));
+    assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+}
+
+/// Guards against a gang whose members take turns on a worker that hangs.
+#[test]
+fn gang_avoids_a_worker_that_hangs() {
+    for hung in 0..SIZE as usize {
+        let mut world = world(91, SIZE as usize + 1);
+        let fake = world.workers.get_mut(&worker(hung)).expect("a worker");
+        fake.hung = true;
+        world.take_over();
+        world.run(seconds(1.0));
+        let step = Step {
+            checkpoints: false,
+            ..gang_step()
+        };
+        let job = submit(&mut world, 1, vec![step]);
+        world.run(WORK + seconds(4.0));
+        assert_no_violations(&world);
+        assert_eq!(world.checker.starts, 2 * SIZE as usize);
+        assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
+    }
+}
