Bound the memory and the backlog of one timed job, whatever its schedule

Seen in tests: a schedule with 2^32 occurrences that are all due (period 0, or a first time in 1970) kept its owner busy for ever, and with 10,000 tasks an occurrence ended it when the memory limit of 3 GB was reached. A period of 2^64 - 1 ms ended it with an overflow. Each successor would meet the same job, so the cell would be lost. One report that names occurrence 10,000 of a job with 10,000 tasks each ended it, too.

Cause: every due occurrence was added at once, with a state for each task; the product of period and number was not checked; and an owner adds the occurrences before one of which a worker reports a run, up to 10,000 of any width.

Change: once the open occurrences of a job have MAX_OPEN_TASKS tasks (10,000), the next follow as earlier ones end. The due times saturate. An occurrence counts as due at its own time, but not before the acceptance of its job, so a backlog does not pass as new work before other jobs. A report adds at most 1,000,000 tasks. It is the number of occurrences without a stored end that is limited, since a successor adds fewer now before it knows what ran; a run beyond the limit is one of an owner of the version before with over a million open tasks of one job.

--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -25,6 +25,10 @@
 
 /// Occurrences that may be due by the clock of another owner and not by that of this one.
 const MAX_EARLY_OCCURRENCES: u32 = 10_000;
+/// Same as a number of tasks.
+const MAX_EARLY_TASKS: u32 = 1_000_000;
+/// Tasks of the open occurrences of a schedule from which on no further occurrence is added.
+pub const MAX_OPEN_TASKS: u64 = 10_000;
 
 /// State of one task.
 #[derive(Clone, Debug, Default)]
@@ -231,7 +235,8 @@
         self.pool = pool.clone();
     }
 
-    /// Adds the occurrences that are due at `unix`, in milliseconds since 1970.
+    /// Adds the occurrences that are due at `unix`, in milliseconds since 1970. Of those with
+    /// [`MAX_OPEN_TASKS`] tasks or more, the others follow as earlier ones end.
     pub fn spawn(&mut self, unix: u64, now: Duration) {
         let Some(schedule) = self.accepted.job.schedule else {
             if self.spawned == 0 {
@@ -242,20 +247,51 @@
             }
             return;
         };
-        while self.spawned < schedule.count {
-            let due = schedule.first_ms + u64::from(self.spawned) * schedule.period_ms;
-            if due > unix {
+        while self.spawned < schedule.count && self.open_tasks() < MAX_OPEN_TASKS {
+            let elapsed = u64::from(self.spawned).saturating_mul(schedule.period_ms);
+            let due = schedule.first_ms.saturating_add(elapsed);
+            let Some(late_ms) = unix.checked_sub(due) else {
+                break;
+            };
+            let due = now.saturating_sub(Duration::from_millis(late_ms));
+            self.spawn_next(due.max(self.accepted_at));
+        }
+    }
+
+    /// Returns the number of tasks of one occurrence.
+    fn width(&self) -> u64 {
+        let steps = self.accepted.job.steps.iter();
+        steps.map(|step| u64::from(step.count)).sum()
+    }
+
+    /// Returns the number of tasks of the occurrences that have not ended.
+    fn open_tasks(&self) -> u64 {
+        self.width() * self.occurrences.len() as u64
+    }
+
+    /// Returns whether another owner may have added an occurrence that this one has not. Its clock
+    /// may be ahead, and it knows ends that are not stored.
+    fn may_exist(&self, occurrence: u32) -> bool {
+        let width = u32::try_from(self.width()).unwrap_or(u32::MAX);
+        let most = MAX_EARLY_OCCURRENCES.min(MAX_EARLY_TASKS / width.max(1));
+        let missing = occurrence.saturating_sub(self.spawned);
+        if missing > most.saturating_add(self.past.len()) {
+            return false;
+        }
+        let mut next = self.spawned;
+        for _ in 0..most {
+            if next >= occurrence {
                 break;
             }
-            self.spawn_next(now);
+            next = self.past.next_absent(next.saturating_add(1));
         }
+        next >= occurrence
     }
 
     /// Returns the state of a task that an owner has started; its occurrence was due by the clock of
     /// that owner.
     pub(crate) fn started_task(&mut self, key: &TaskKey, now: Duration) -> Option<&mut LiveTask> {
-        let early = key.occurrence.saturating_sub(self.spawned) <= MAX_EARLY_OCCURRENCES;
-        let timed = early && self.accepted.job.schedule.is_some();
+        let timed = self.accepted.job.schedule.is_some() && self.may_exist(key.occurrence);
         while timed && self.has_future() && self.spawned <= key.occurrence {
             self.spawn_next(now);
         }
@@ -263,9 +299,9 @@
     }
 
     /// Adds the next occurrence of a schedule.
-    fn spawn_next(&mut self, now: Duration) {
+    fn spawn_next(&mut self, due: Duration) {
         if !self.past.contains(self.spawned) {
-            let mut occurrence = Occurrence::new(&self.accepted.job, now, self.critical_path);
+            let mut occurrence = Occurrence::new(&self.accepted.job, due, self.critical_path);
             if self.inherited {
                 let steps = &mut occurrence.steps;
                 for task in steps.iter_mut().flat_map(|step| &mut step.tasks) {
@@ -274,7 +310,7 @@
             }
             self.occurrences.insert(self.spawned, occurrence);
         }
-        self.spawned += 1;
+        self.spawned = self.past.next_absent(self.spawned + 1);
     }
 
     /// Restores the numbers of the occurrences that another owner has recorded as finished.
@@ -297,9 +333,7 @@
     /// Returns the number of tasks in finished occurrences of a schedule.
     #[must_use]
     pub fn past_tasks(&self) -> u64 {
-        let steps = self.accepted.job.steps.iter();
-        let tasks: u64 = steps.map(|step| u64::from(step.count)).sum();
-        tasks * u64::from(self.past.len())
+        self.width() * u64::from(self.past.len())
     }
 
     /// Returns the progress of the tasks in finished occurrences of a schedule.
--- a/crates/nutmegcart_jobs/tests/timed_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/timed_jobs.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_fleet::IndexRanges;
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::CellRecord;
 use nutmegcart_jobs::JobId;
@@ -12,6 +13,7 @@
 use nutmegcart_jobs::record::TaskProgress;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::record::encode_cell;
 use support::assert_no_violations;
 use support::batch_step;
 use support::completed;
@@ -188,3 +190,24 @@
     assert_eq!(world.checker.starts, (18 * WIDTH + WIDTH / 2) as usize);
     assert_no_violations(&world);
 }
+
+/// Guards against a successor that forgets the progress of late occurrences, because it has not yet
+/// added all of those that were open under its predecessor.
+#[test]
+fn successor_knows_occurrences_far_behind_an_open_one() {
+    let mut world = world(46, 8);
+    let first_ms = world.unix_ms() - 20_000 * PERIOD_MS;
+    let id = submit_timed(&mut world, 1, 20_050, first_ms);
+    let ended = (0..20_000).filter(|number| *number != 2_000);
+    let record = CellRecord {
+        past: vec![(id.clone(), IndexRanges::from_indexes(ended.collect()))],
+        tasks: (0..WIDTH).map(|index| done(&id, 20_003, index)).collect(),
+        ..CellRecord::default()
+    };
+    world.store.state = Some(encode_cell(&record));
+    world.take_over();
+    world.run(seconds(10.0));
+    assert!(completed(&world, &id));
+    assert_eq!(world.checker.starts, 50 * WIDTH as usize);
+    assert_no_violations(&world);
+}
