Store the other jobs of a batch whose content the store does not accept

Seen in a test: a caller's job whose record was larger than the largest value of the store let up to eleven other callers get 503 "store unavailable", and the instance then took the store for failing and sent further jobs through peers. A batch of jobs of 200 kB each, which callers may hand in, was one transaction of 2.4 MB.

Cause: a batch was bounded by the number of its entries alone, and a transaction that the store rejects for its content counted as a failure of the store for each of its jobs.

Change: a rejected batch is stored job by job, and the rejection counts as an answer of the store. The values of a transaction have at most MAX_TXN_BYTES (512 KiB), or it has one job.

--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -25,6 +25,8 @@
 /// Entries in one transaction. The store allows 32 and a job needs two to five; a smaller batch
 /// delays the next caller less.
 const MAX_TXN_ENTRIES: usize = 24;
+/// Bytes of the values in one transaction. A larger value is stored alone.
+const MAX_TXN_BYTES: usize = 512 << 10;
 
 /// Result of an attempt to store a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -61,6 +63,10 @@
     fn entries(&self) -> usize {
         self.absent.len() + self.puts.len()
     }
+
+    fn bytes(&self) -> usize {
+        self.puts.iter().map(|(_, value)| value.len()).sum()
+    }
 }
 
 struct PendingInsert {
@@ -111,10 +117,12 @@
         while self.in_flight.get() < MAX_IN_FLIGHT && !self.queue.borrow().is_empty() {
             let mut batch = Vec::new();
             let mut queue = self.queue.borrow_mut();
-            let mut entries = 0;
+            let (mut entries, mut bytes) = (0, 0);
             while let Some(pending) = queue.pop_front() {
                 entries += pending.insert.entries();
-                if entries > MAX_TXN_ENTRIES {
+                bytes += pending.insert.bytes();
+                let full = entries > MAX_TXN_ENTRIES || bytes > MAX_TXN_BYTES;
+                if full && !batch.is_empty() {
                     queue.push_front(pending);
                     break;
                 }
@@ -132,9 +140,27 @@
         }
     }
 
+    /// Stores a batch in one transaction. If the store does not accept its content, each job is tried
+    /// alone.
+    async fn store(&self, node: &Rc<Node>, batch: Vec<PendingInsert>) {
+        let mut rejected = self.store_together(node, batch).await;
+        if rejected.len() > 1 {
+            for pending in std::mem::take(&mut rejected) {
+                rejected.extend(self.store_together(node, vec![pending]).await);
+            }
+        }
+        for pending in rejected {
+            self.complete(pending, Acceptance::NotStored);
+        }
+    }
+
     /// Stores a batch in one transaction. If some of the jobs exist already, the others are tried
-    /// again without them.
-    async fn store(&self, node: &Rc<Node>, mut batch: Vec<PendingInsert>) {
+    /// again without them. Returns the jobs of a transaction whose content the store does not accept.
+    async fn store_together(
+        &self,
+        node: &Rc<Node>,
+        mut batch: Vec<PendingInsert>,
+    ) -> Vec<PendingInsert> {
         while !batch.is_empty() {
             let mut txn = Txn::default();
             for pending in &batch {
@@ -174,6 +200,12 @@
                         self.complete(pending, Acceptance::Unknown);
                     }
                 }
+                Err(StoreError::Rejected { reason }) => {
+                    node.record_store_call(true);
+                    let jobs = batch.len();
+                    log::warn!("the store does not accept a transaction of {jobs} jobs: {reason}");
+                    return batch;
+                }
                 Err(_) => {
                     node.record_store_call(false);
                     for pending in batch.drain(..) {
@@ -182,6 +214,7 @@
                 }
             }
         }
+        Vec::new()
     }
 
     fn complete(&self, pending: PendingInsert, acceptance: Acceptance) {
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -56,9 +56,23 @@
     items: RefCell<BTreeMap<String, KeyValue>>,
     revision: Cell<i64>,
     script: RefCell<Vec<StoreBehaviour>>,
+    /// Size of the largest value that it accepts, in bytes.
+    max_value: usize,
+    /// Bytes of the values of each transaction.
+    txn_bytes: RefCell<Vec<usize>>,
 }
 
 impl ScriptedStore {
+    fn new(script: &[StoreBehaviour], max_value: usize) -> Rc<Self> {
+        Rc::new(Self {
+            items: RefCell::default(),
+            revision: Cell::new(1),
+            script: RefCell::new(script.to_vec()),
+            max_value,
+            txn_bytes: RefCell::default(),
+        })
+    }
+
     fn behaviour(&self) -> StoreBehaviour {
         let mut script = self.script.borrow_mut();
         if script.len() > 1 {
@@ -69,6 +83,16 @@
     }
 
     fn txn(&self, txn: &Txn) -> Result<TxnReply, StoreError> {
+        let values = txn.writes.iter().map(|write| match write {
+            WriteOp::Put(_, value, _) => value.len(),
+            WriteOp::Delete(_) => 0,
+        });
+        self.txn_bytes.borrow_mut().push(values.clone().sum());
+        if values.max().is_some_and(|largest| largest > self.max_value) {
+            return Err(StoreError::Rejected {
+                reason: "unexpected status 413".into(),
+            });
+        }
         let behaviour = self.behaviour();
         let lost = || StoreError::AnswerLost {
             reason: "scripted".into(),
@@ -203,11 +227,7 @@
 
 /// Submits a job; returns the response and whether the store holds the job afterwards.
 fn submit(script: &[StoreBehaviour]) -> (CallerResponse, bool) {
-    let scripted = Rc::new(ScriptedStore {
-        items: RefCell::default(),
-        revision: Cell::new(1),
-        script: RefCell::new(script.to_vec()),
-    });
+    let scripted = ScriptedStore::new(script, usize::MAX);
     let node = node(&scripted);
     let id = JobId::parse("00000000000000aa").expect("sixteen digits");
     let request = CallerRequest::Submit(queue(), id.clone(), Box::new(job()));
@@ -278,11 +298,7 @@
 /// when the job has ended meanwhile.
 #[test]
 fn repeated_submission_returns_the_same_job() {
-    let scripted = Rc::new(ScriptedStore {
-        items: RefCell::default(),
-        revision: Cell::new(1),
-        script: RefCell::new(vec![StoreBehaviour::Succeed]),
-    });
+    let scripted = ScriptedStore::new(&[StoreBehaviour::Succeed], usize::MAX);
     let node = node(&scripted);
     let id = JobId::parse("00000000000000ab").expect("sixteen digits");
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -333,11 +349,7 @@
 /// Guards against storing a malformed job, also on behalf of a peer.
 #[test]
 fn malformed_job_is_refused_and_not_stored() {
-    let scripted = Rc::new(ScriptedStore {
-        items: RefCell::default(),
-        revision: Cell::new(1),
-        script: RefCell::new(vec![StoreBehaviour::Succeed]),
-    });
+    let scripted = ScriptedStore::new(&[StoreBehaviour::Succeed], usize::MAX);
     let node = node(&scripted);
     let id = JobId::parse("00000000000000ad").expect("sixteen digits");
     let step = Step {
@@ -372,3 +384,59 @@
     assert_eq!(for_peer, Acceptance::NotStored);
     assert!(scripted.items.borrow().is_empty());
 }
+
+/// Returns a job whose record has more than `bytes` bytes.
+fn large_job(bytes: usize) -> Job {
+    let mut job = job();
+    job.steps[0].image = Some("x".repeat(bytes).into());
+    job
+}
+
+/// Submits jobs at the same time, and returns the responses.
+fn submit_all(node: &Rc<Node>, jobs: Vec<Job>) -> Vec<CallerResponse> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
+        let service = JobService::default();
+        let submit = |(number, job): (usize, Job)| {
+            let id = JobId::parse(&format!("{number:016x}")).expect("sixteen digits");
+            let (node, service) = (node.clone(), service.clone());
+            tokio::task::spawn_local(async move {
+                let request = CallerRequest::Submit(queue(), id, Box::new(job));
+                let limit = Duration::from_millis(600);
+                service.handle(&node, request, limit).await
+            })
+        };
+        let tasks: Vec<_> = jobs.into_iter().enumerate().map(submit).collect();
+        let mut answers = Vec::new();
+        for task in tasks {
+            answers.push(task.await.expect("a response"));
+        }
+        answers
+    })
+}
+
+/// Guards against refusing the jobs that share a transaction with one that the store rejects.
+#[test]
+fn jobs_are_stored_beside_one_that_the_store_rejects() {
+    let scripted = ScriptedStore::new(&[StoreBehaviour::Succeed], 4_000);
+    let node = node(&scripted);
+    let mut jobs = vec![job(); 60];
+    jobs[40] = large_job(5_000);
+    let answers = submit_all(&node, jobs);
+    let refused = |answer: &&CallerResponse| **answer != CallerResponse::Accepted;
+    assert_eq!(answers.iter().filter(refused).count(), 1, "{answers:?}");
+    assert_ne!(answers[40], CallerResponse::Accepted);
+}
+
+/// Guards against transactions that grow with the size of the jobs that wait.
+#[test]
+fn large_jobs_share_no_large_transaction() {
+    let scripted = ScriptedStore::new(&[StoreBehaviour::Succeed], 1 << 20);
+    let node = node(&scripted);
+    let answers = submit_all(&node, vec![large_job(200_000); 40]);
+    assert_eq!(answers, vec![CallerResponse::Accepted; 40]);
+    let largest = scripted.txn_bytes.borrow().iter().max().copied();
+    assert!(largest < Some(1 << 20), "{largest:?} bytes");
+}
