Refuse a job for good whose record is larger than the store's largest value

Seen in a test: such a job was sent to the store, and its caller got 503 (NC2102, with Retry-After), so a caller who follows the interface repeats it for ever, and each repeat is tried at the store and at up to four peers.

Cause: bodies are bounded by the operator's limit on bodies, which need not fit the `value-bytes` of the settings.

Change: a record above the largest value is refused at once with 413 (NC1402); nothing is sent.

Measured: job_above_the_largest_value_is_refused_for_good failed before and passes, with the other tests of accept.rs.

--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -8,6 +8,7 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
 use nutmegcart_jobs::record::encode;
@@ -116,6 +117,16 @@
             at: unix_ms(),
             job,
         };
+        let bytes = encode(&JobRecord::Accepted(Box::new(accepted.clone()))).len();
+        if bytes > node.reloadable.get().jobs.max_value {
+            log_event!(
+                Event::JobRefused,
+                job = id,
+                queue = queue.key,
+                reason = format_args!("its record has {bytes} bytes")
+            );
+            return CallerResponse::refused(Code::BodyTooLarge);
+        }
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
         let acceptance = self.store_job(node, cells, &id, &accepted, deadline).await;
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -417,6 +417,16 @@
     })
 }
 
+/// Guards against asking a caller to repeat a job that never fits the store, and against sending it.
+#[test]
+fn job_above_the_largest_value_is_refused_for_good() {
+    let scripted = ScriptedStore::new(&[StoreBehaviour::Succeed], 1 << 20);
+    let node = node(&scripted);
+    let answers = submit_all(&node, vec![large_job(1 << 20)]);
+    assert_eq!(answers, [CallerResponse::refused(Code::BodyTooLarge)]);
+    assert!(scripted.txn_bytes.borrow().is_empty(), "it was sent");
+}
+
 /// Guards against refusing the jobs that share a transaction with one that the store rejects.
 #[test]
 fn jobs_are_stored_beside_one_that_the_store_rejects() {
