--- a/crates/nutmegcart_control/src/caller_request.rs
+++ b/crates/nutmegcart_control/src/caller_request.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::Job;
+use nutmegcart_jobs::JobError;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::Queue;
@@ -54,6 +55,8 @@
     Waiting(u64),
     /// No such job exists.
     NotFound,
+    /// The job breaks a limit; it was not stored, and will not be accepted later.
+    Invalid(JobError),
     /// The request was refused, or its outcome is unknown.
     Refused {
         /// Reason; its verdict says whether the outcome is unknown.
@@ -89,6 +92,7 @@
             Self::Cancelled => "cancelled",
             Self::Waiting(_) => "counted",
             Self::NotFound => "gone",
+            Self::Invalid(_) => Code::BadRequest.label(),
             Self::Refused { code, .. } => code.label(),
         }
     }
--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -3,6 +3,7 @@
 //! `docs/interfaces.md` describes it. The caller chooses the identifier of a job, so every request
 //! is idempotent.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,7 +83,7 @@
 struct ErrorBody {
     code: String,
     verdict: nutmegcart_model::Verdict,
-    message: &'static str,
+    message: Cow<'static, str>,
 }
 
 /// Returns whether a path belongs to this interface.
@@ -281,6 +282,14 @@
             response(headers, 200, &body, None)
         }
         CallerResponse::NotFound => error_response(headers, Code::UnknownJob, None),
+        CallerResponse::Invalid(error) => {
+            let code = Code::BadRequest;
+            let body = ErrorBody {
+                message: format!("{}: {error}", code.text()).into(),
+                ..error_body(code)
+            };
+            response(headers, code.status(), &body, None)
+        }
         CallerResponse::Refused { code, retry_after } => {
             error_response(headers, *code, *retry_after)
         }
@@ -292,12 +301,15 @@
     code: Code,
     retry_after: Option<Duration>,
 ) -> Response<Full<Bytes>> {
-    let body = ErrorBody {
+    response(headers, code.status(), &error_body(code), retry_after)
+}
+
+fn error_body(code: Code) -> ErrorBody {
+    ErrorBody {
         code: format!("NC{}", code.number()),
         verdict: code.verdict(),
-        message: code.text(),
-    };
-    response(headers, code.status(), &body, retry_after)
+        message: code.text().into(),
+    }
 }
 
 fn response<T: Serialize>(
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -80,7 +80,12 @@
             .requests
             .with_label_values(&[kind, answer.label()])
             .inc();
-        if let CallerResponse::Refused { code, .. } = &answer {
+        let refusal = match &answer {
+            CallerResponse::Refused { code, .. } => Some(*code),
+            CallerResponse::Invalid(_) => Some(Code::BadRequest),
+            _ => None,
+        };
+        if let Some(code) = refusal {
             node.metrics
                 .refusals
                 .with_label_values(&[code.label()])
@@ -108,7 +113,7 @@
                 queue = queue.key,
                 reason = error
             );
-            return CallerResponse::refused(Code::BadRequest);
+            return CallerResponse::Invalid(error);
         }
         let accepted = AcceptedJob {
             waited_ms: 0,
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -25,6 +25,7 @@
 use nutmegcart_control::port::WatchReply;
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
+use nutmegcart_jobs::JobError;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::MachineOutcome;
@@ -380,7 +381,8 @@
         let for_peer = service.store_for_peer(&node, id, accepted, limit).await;
         (answer, for_peer)
     });
-    assert_eq!(answer, CallerResponse::refused(Code::BadRequest));
+    let error = JobError::Dependency { step: 0, on: 3 };
+    assert_eq!(answer, CallerResponse::Invalid(error));
     assert_eq!(for_peer, Acceptance::NotStored);
     assert!(scripted.items.borrow().is_empty());
 }
