--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -8,6 +8,7 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
 use nutmegcart_jobs::record::encode;
@@ -79,7 +80,12 @@
             .requests
             .with_label_values(&[kind, answer.label()])
             .inc();
-        if let CallerResponse::Refused { code, .. } = &answer {
+        let refusal = match &answer {
+            CallerResponse::Refused { code, .. } => Some(*code),
+            CallerResponse::Invalid(_) => Some(Code::BadRequest),
+            _ => None,
+        };
+        if let Some(code) = refusal {
             node.metrics
                 .refusals
                 .with_label_values(&[code.label()])
@@ -107,7 +113,7 @@
                 queue = queue.key,
                 reason = error
             );
-            return CallerResponse::refused(Code::BadRequest);
+            return CallerResponse::Invalid(error);
         }
         let accepted = AcceptedJob {
             waited_ms: 0,
@@ -116,6 +122,16 @@
             at: unix_ms(),
             job,
         };
+        let bytes = encode(&JobRecord::Accepted(Box::new(accepted.clone()))).len();
+        if bytes > node.reloadable.get().jobs.max_value {
+            log_event!(
+                Event::JobRefused,
+                job = id,
+                queue = queue.key,
+                reason = format_args!("its record has {bytes} bytes")
+            );
+            return CallerResponse::refused(Code::BodyTooLarge);
+        }
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
         let acceptance = self.store_job(node, cells, &id, &accepted, deadline).await;
