Count the label in the demand of long-running tasks

A long-running task that requires a label waited although a machine with it was idle in another pool. Its demand was counted without the label, so any machine of its pool, or the first idle one elsewhere, seemed to serve it, and any busy machine was vacated for it.

Waiting tasks now count as demand for their label, like backlogs. Demand for machines of any kind and for each label is served, and vacated for, on its own. A label that no machine has keeps neither other machines from the pool nor its own machines from others.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fleet::Resources;
@@ -171,8 +172,8 @@
     }
 
     /// Returns the largest number of workers that the tasks of one long-running step, or of a gang,
-    /// of the job need and have not been given.
-    pub(crate) fn missing_workers(&self, job: &LiveJob) -> usize {
+    /// of the job need and have not been given, by label that the workers must have.
+    pub(crate) fn missing_workers(&self, job: &LiveJob) -> BTreeMap<Option<Arc<str>>, usize> {
         let machines = self.machines.known.len();
         job.missing_workers(machines, |task| self.assignments.reserved(task).is_some())
     }
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -448,13 +448,14 @@
 
     /// Returns the largest number of workers that the waiting tasks of one step need which is
     /// long-running, or a gang with a limit for each worker, without those for which `has_worker`
-    /// is true. A gang that needs more than `most` workers in all can never start and needs none.
+    /// is true, by label that the workers must have. A gang that needs more than `most` workers in
+    /// all can never start and needs none.
     pub(crate) fn missing_workers(
         &self,
         most: usize,
         has_worker: impl Fn(&TaskKey) -> bool,
-    ) -> usize {
-        let mut workers = 0;
+    ) -> BTreeMap<Option<Arc<str>>, usize> {
+        let mut workers: BTreeMap<Option<Arc<str>>, usize> = BTreeMap::new();
         for (number, occurrence) in &self.occurrences {
             let steps = self.accepted.job.steps.iter().zip(&occurrence.steps);
             for (index, (step, state)) in (0_u16..).zip(steps) {
@@ -471,7 +472,9 @@
                         })
                     };
                     let waiting = state.pending().filter(lacks_worker).count();
-                    workers = workers.max(waiting.div_ceil(step.per_worker.max(1) as usize));
+                    let needed = waiting.div_ceil(step.per_worker.max(1) as usize);
+                    let most = workers.entry(step.label.clone()).or_default();
+                    *most = needed.max(*most);
                 }
             }
         }
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -93,98 +93,141 @@
     }
 }
 
-/// Machines that a pool wants and holds.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Balance {
+/// A pool that lacks machines with a label, or of any kind.
+pub(crate) type Need = (PoolName, Option<Arc<str>>);
+
+/// Machines with a label, or of any kind, that a pool wants and holds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Demand {
     /// Number of machines wanted.
     wanted: usize,
     /// Number of machines in the pool, including those that are moving to it, without those whose
     /// workers are leaving.
     held: usize,
-    /// Number of workers that waiting long-running tasks need, for which no machine is moving to the
-    /// pool yet.
+    /// Number of workers that waiting long-running tasks need.
+    missing: usize,
+    /// Number of these for which no machine is moving to the pool yet.
     pub(crate) urgent: usize,
     /// Number of held machines without long-running tasks whose workers cannot take one.
     unusable: usize,
+}
+
+impl Demand {
+    /// Returns how many machines the pool lacks.
+    const fn shortage(self) -> usize {
+        self.wanted.saturating_sub(self.held)
+    }
+
+    /// Returns whether long-running tasks wait for a machine that is not on its way.
+    const fn is_urgent(self) -> bool {
+        self.urgent > 0 && self.shortage() > 0
+    }
+
+    /// Stops counting unusable machines as held, except for `kept`, until the pool is short of the
+    /// workers that long-running tasks wait for, and of no more.
+    fn discount_unusable(&mut self, kept: usize) {
+        let unusable = self.unusable.saturating_sub(kept);
+        let least = self.wanted.saturating_sub(self.urgent).min(self.held);
+        self.held = self.held.saturating_sub(unusable).max(least);
+    }
+}
+
+/// Machines that a pool wants and holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Balance {
+    /// Machines of any kind. Those that are urgent are wanted by tasks that require no label.
+    all: Demand,
+    /// Machines by label that waiting work requires.
+    labelled: BTreeMap<Arc<str>, Demand>,
     /// Idle machines, with the time since when they have been idle.
     idle: Vec<(Duration, Arc<str>)>,
-    /// Number of machines wanted and held, by label that waiting work requires.
-    labelled: BTreeMap<Arc<str>, (usize, usize)>,
 }
 
 impl Balance {
     fn demand(&self) -> PoolDemand {
         PoolDemand {
-            wanted: self.wanted,
-            held: self.held,
-            urgent: self.urgent,
+            wanted: self.all.wanted,
+            held: self.all.held,
+            urgent: self.demands().map(|(_, demand)| demand.urgent).sum(),
             idle: self.idle.len(),
         }
     }
 
-    /// Returns how many machines with a label, or of any kind, the pool lacks.
-    fn shortage(&self, label: Option<&Arc<str>>) -> usize {
-        match label {
-            None => self.wanted.saturating_sub(self.held),
-            Some(label) => self
-                .labelled
-                .get(label)
-                .map_or(0, |(wanted, held)| wanted.saturating_sub(*held)),
-        }
+    /// Returns the demand for machines of any kind, and that for each label.
+    fn demands(&self) -> impl Iterator<Item = (Option<&Arc<str>>, &Demand)> {
+        let labelled = self.labelled.iter();
+        let labelled = labelled.map(|(label, demand)| (Some(label), demand));
+        std::iter::once((None, &self.all)).chain(labelled)
     }
 
-    /// Returns the largest shortage, with its label.
-    fn largest_shortage(&self) -> (usize, Option<Arc<str>>) {
-        let labels = self.labelled.keys().cloned().map(Some);
-        let all = labels.chain([None]);
-        let shortages = all.map(|label| (self.shortage(label.as_ref()), label));
-        shortages
-            .max_by_key(|(count, _)| *count)
-            .unwrap_or_default()
+    /// Returns the demands for which long-running tasks wait.
+    pub(crate) fn urgent(&self) -> impl Iterator<Item = (Option<&Arc<str>>, &Demand)> {
+        self.demands().filter(|(_, demand)| demand.is_urgent())
     }
 
-    /// Stops counting unusable machines as held until the pool is short of the workers that
-    /// long-running tasks wait for, and of no more.
-    ///
-    /// Those that the pool keeps for its next burst may be unusable for a while.
-    fn discount_unusable(&mut self) {
-        let unusable = self.unusable.saturating_sub(MIN_MACHINES);
-        let least = self.wanted.saturating_sub(self.urgent).min(self.held);
-        self.held = self.held.saturating_sub(unusable).max(least);
+    /// Returns the demands that a machine with these labels serves.
+    fn served_by(&mut self, labels: &[Arc<str>]) -> impl Iterator<Item = &mut Demand> {
+        let labelled = self.labelled.iter_mut();
+        let labelled = labelled.filter(|(label, _)| labels.contains(label));
+        std::iter::once(&mut self.all).chain(labelled.map(|(_, demand)| demand))
     }
 
-    /// Returns whether long-running tasks wait for a machine that is not on its way.
-    pub(crate) fn is_urgent(&self) -> bool {
-        self.urgent > 0 && self.shortage(None) > 0
+    /// Counts a machine that joins.
+    fn join(&mut self, labels: &[Arc<str>]) {
+        for demand in self.served_by(labels) {
+            demand.held += 1;
+            demand.urgent = demand.urgent.saturating_sub(1);
+        }
     }
 
-    /// Counts a machine that joins or leaves.
-    fn count(&mut self, labels: &[Arc<str>], joins: bool) {
-        let change = |held: usize| {
-            if joins {
-                held + 1
-            } else {
-                held.saturating_sub(1)
-            }
-        };
-        self.held = change(self.held);
-        for label in labels {
-            if let Some((_, held)) = self.labelled.get_mut(label) {
-                *held = change(*held);
-            }
+    /// Counts a machine that leaves.
+    fn leave(&mut self, labels: &[Arc<str>]) {
+        for demand in self.served_by(labels) {
+            demand.held = demand.held.saturating_sub(1);
         }
     }
 
+    /// Stops counting unusable machines as held where long-running tasks wait, and counts the
+    /// workers that tasks with a label wait for as wanted, as far as their machines are held.
+    fn settle(&mut self) {
+        for demand in self.labelled.values_mut() {
+            demand.discount_unusable(0);
+            self.all.wanted += demand.missing.saturating_sub(demand.shortage());
+        }
+        // The machines that the pool keeps for its next burst may be unusable for a while.
+        self.all.discount_unusable(MIN_MACHINES);
+    }
+
     /// Returns whether the pool does not need a machine with these labels.
     fn can_spare(&self, labels: &[Arc<str>]) -> bool {
         let scarce = labels
             .iter()
             .filter_map(|label| self.labelled.get(label))
-            .any(|(wanted, held)| wanted >= held);
-        self.held > self.wanted && !scarce
+            .any(|demand| demand.wanted >= demand.held);
+        self.all.held > self.all.wanted && !scarce
     }
 }
 
+/// Returns the need that is served next.
+fn next_need(
+    balances: &BTreeMap<PoolName, Balance>,
+    spare: Option<&PoolName>,
+    unmet: &BTreeSet<Need>,
+) -> Option<Need> {
+    let pools = balances.iter().filter(|(pool, _)| Some(*pool) != spare);
+    let needs = pools.flat_map(|(pool, balance)| {
+        let demands = balance.demands();
+        demands.map(|(label, demand)| ((pool.clone(), label.cloned()), demand))
+    });
+    let open = needs.filter(|(need, demand)| demand.shortage() > 0 && !unmet.contains(need));
+    // As in placement, long-running tasks go first. The few machines that they need would otherwise
+    // wait until the largest burst is over. A machine with a label also serves other work.
+    let next = open.max_by_key(|((_, label), demand)| {
+        (demand.is_urgent(), demand.shortage(), label.is_some())
+    });
+    next.map(|(need, _)| need)
+}
+
 impl Scheduler {
     /// Returns the machines that a pool wanted and held at the latest pass, before that pass began
     /// any move; `None` if this owner may not order machines or has not listed them.
@@ -241,20 +284,9 @@
             .find(|(_, config)| config.spare)
             .map(|(name, _)| name.clone());
         let mut moves: Vec<(Arc<str>, PoolName)> = Vec::new();
-        let mut unmet: BTreeSet<(PoolName, Option<Arc<str>>)> = BTreeSet::new();
+        let mut unmet: BTreeSet<Need> = BTreeSet::new();
         while moves.len() < MAX_MOVES {
-            let receiver = balances
-                .iter()
-                .filter(|(pool, _)| Some(*pool) != spare.as_ref())
-                .map(|(pool, balance)| (balance.largest_shortage(), pool))
-                .filter(|((count, label), pool)| {
-                    *count > 0 && !unmet.contains(&((*pool).clone(), label.clone()))
-                })
-                // As in placement, long-running tasks go first. The few machines that they need would
-                // otherwise wait until the largest burst is over.
-                .max_by_key(|((count, _), pool)| (balances[*pool].is_urgent(), *count))
-                .map(|((_, label), pool)| (pool.clone(), label));
-            let Some((receiver, label)) = receiver else {
+            let Some((receiver, label)) = next_need(&balances, spare.as_ref(), &unmet) else {
                 break;
             };
             let request = (&receiver, label.as_ref());
@@ -264,12 +296,11 @@
             };
             let labels = self.machines.known[&machine].labels.clone();
             if let Some(balance) = balances.get_mut(&donor) {
-                balance.count(&labels, false);
+                balance.leave(&labels);
                 balance.idle.retain(|(_, name)| *name != machine);
             }
             if let Some(balance) = balances.get_mut(&receiver) {
-                balance.count(&labels, true);
-                balance.urgent = balance.urgent.saturating_sub(1);
+                balance.join(&labels);
             }
             moves.push((machine, receiver));
         }
@@ -288,7 +319,7 @@
                         break;
                     };
                     let (_, machine) = balance.idle.remove(index);
-                    balance.count(&self.machines.known[&machine].labels, false);
+                    balance.leave(&self.machines.known[&machine].labels);
                     moves.push((machine, spare.clone()));
                 }
             }
@@ -326,20 +357,15 @@
         };
         let donors = balances.iter().filter(|(pool, _)| *pool != receiver);
         let donors = donors.filter_map(|(pool, balance)| {
-            let surplus = balance.held.saturating_sub(balance.wanted);
+            let surplus = balance.all.held.saturating_sub(balance.all.wanted);
             idle_machine(balance).map(|machine| (surplus, pool, machine))
         });
         let (_, pool, machine) = donors.max_by_key(|(surplus, ..)| *surplus)?;
         Some((pool.clone(), machine))
     }
 
-    /// Computes the machines that each pool wants and holds. Demand in cores is converted to
-    /// machines of median capacity.
-    fn balances(&mut self, now: Duration) -> BTreeMap<PoolName, Balance> {
-        let mut balances: BTreeMap<PoolName, Balance> = BTreeMap::new();
-        for pool in self.pools.keys() {
-            balances.insert(pool.clone(), Balance::default());
-        }
+    /// Returns the median number of cores of the known machines.
+    fn median_cores(&self) -> f64 {
         let mut capacities: Vec<u64> = self
             .machines
             .known
@@ -347,12 +373,22 @@
             .map(|machine| machine.capacity.cpu)
             .collect();
         capacities.sort_unstable();
-        let median_cores = capacities
+        capacities
             .get(capacities.len() / 2)
             .copied()
             .unwrap_or(1)
             .max(1) as f64
-            / 1_000.0;
+            / 1_000.0
+    }
+
+    /// Computes the machines that each pool wants and holds. Demand in cores is converted to
+    /// machines of median capacity.
+    fn balances(&mut self, now: Duration) -> BTreeMap<PoolName, Balance> {
+        let mut balances: BTreeMap<PoolName, Balance> = BTreeMap::new();
+        for pool in self.pools.keys() {
+            balances.insert(pool.clone(), Balance::default());
+        }
+        let median_cores = self.median_cores();
         let mut cores: BTreeMap<PoolName, f64> = BTreeMap::new();
         let mut labelled: BTreeMap<(PoolName, Arc<str>), f64> = BTreeMap::new();
         for job in self
@@ -369,18 +405,21 @@
             }
         }
         for job in self.jobs.values().filter(|job| job.ended.is_none()) {
-            let missing = self.missing_workers(job);
-            if missing > 0 {
-                let balance = balances.entry(job.pool.clone()).or_default();
-                balance.wanted += missing;
-                balance.urgent += missing;
+            let balance = balances.entry(job.pool.clone()).or_default();
+            for (label, missing) in self.missing_workers(job) {
+                let demand = match label {
+                    None => &mut balance.all,
+                    Some(label) => balance.labelled.entry(label).or_default(),
+                };
+                demand.wanted += missing;
+                demand.missing += missing;
+                demand.urgent += missing;
             }
         }
         for ((pool, label), cores) in labelled {
             let balance = balances.entry(pool).or_default();
-            balance
-                .labelled
-                .insert(label, (round_up(cores / median_cores), 0));
+            let demand = balance.labelled.entry(label).or_default();
+            demand.wanted += round_up(cores / median_cores);
         }
         let names: Vec<Arc<str>> = self.machines.known.keys().cloned().collect();
         let mut idle_since: BTreeMap<Arc<str>, Duration> = BTreeMap::new();
@@ -395,17 +434,21 @@
             let empty = self.is_empty(machine);
             let balance = balances.entry(target).or_default();
             let leaving = !arriving && self.is_leaving(machine, now);
-            if machine.state != MachineState::Down && !leaving {
-                balance.count(&machine.labels, true);
-            }
-            // The list of machines lags behind the worker that has started after a move.
-            if arriving && long_running == 0 {
-                balance.urgent = balance.urgent.saturating_sub(1);
+            let held = machine.state != MachineState::Down && !leaving;
+            let unusable = !arriving && !leaving && self.is_out_of_service(machine, now);
+            balance.all.wanted += usize::from(long_running > 0);
+            for demand in balance.served_by(&machine.labels) {
+                demand.held += usize::from(held);
+                demand.unusable += usize::from(long_running == 0 && unusable);
+                // The list of machines lags behind the worker that has started after a move.
+                if arriving && long_running == 0 {
+                    demand.urgent = demand.urgent.saturating_sub(1);
+                }
             }
-            if long_running > 0 {
-                balance.wanted += 1;
-            } else if !arriving && !leaving && self.is_out_of_service(machine, now) {
-                balance.unusable += 1;
+            let labelled = balance.labelled.iter_mut();
+            for (_, demand) in labelled.filter(|(label, _)| machine.labels.contains(label)) {
+                // Other work with the label runs beside long-running tasks.
+                demand.wanted += usize::from(long_running > 0 && demand.missing > 0);
             }
             let free = self.may_order(machine, now) && !leaving;
             if free && empty && !self.maintenance.is_due(&name) {
@@ -432,8 +475,8 @@
             let lead = self.settings.move_time + WORKER_START_TIME;
             let expected = self.rebalancer.forecast.expected_demand(pool, lead, now);
             let busy = backlog.max(arriving).max(expected.unwrap_or_default()) / median_cores;
-            balance.wanted += MIN_MACHINES.max(round_up(busy));
-            balance.discount_unusable();
+            balance.all.wanted += MIN_MACHINES.max(round_up(busy));
+            balance.settle();
             balance.idle.sort();
         }
         balances
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -340,7 +340,8 @@
         };
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let lasting = open.filter(|job| job.accepted.job.is_long_running());
-        let waiting: usize = lasting.map(|job| self.missing_workers(job)).sum();
+        let missing = lasting.map(|job| self.missing_workers(job).into_values().max());
+        let waiting: usize = missing.flatten().sum();
         self.workers.values().filter(holds).count() + waiting
     }
 
--- a/crates/nutmegcart_jobs/src/vacating.rs
+++ b/crates/nutmegcart_jobs/src/vacating.rs
@@ -13,6 +13,8 @@
 
 use crate::machines::Machine;
 use crate::rebalancing::Balance;
+use crate::rebalancing::Demand;
+use crate::rebalancing::Need;
 use crate::scheduler::Scheduler;
 
 /// Time that long-running tasks wait for an idle machine before another one is vacated for them. It
@@ -28,10 +30,10 @@
 /// Machines that are being vacated.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Vacations {
-    /// Pools whose long-running tasks wait for a machine, with the time since when they do.
-    urgent_since: BTreeMap<PoolName, Duration>,
-    /// Machines by name, with the pool that each is to move to.
-    machines: BTreeMap<Arc<str>, PoolName>,
+    /// Needs for which long-running tasks wait, with the time since when they do.
+    urgent_since: BTreeMap<Need, Duration>,
+    /// Machines by name, with the need that each is to serve.
+    machines: BTreeMap<Arc<str>, Need>,
     /// When machines may be chosen again.
     next_choice: Duration,
 }
@@ -54,55 +56,58 @@
         most: usize,
         now: Duration,
     ) -> Vec<(Arc<str>, PoolName)> {
-        let urgent: BTreeSet<&PoolName> = balances
-            .iter()
-            .filter(|(_, balance)| balance.is_urgent())
-            .map(|(pool, _)| pool)
-            .collect();
+        let mut urgent: BTreeMap<Need, &Demand> = BTreeMap::new();
+        for (pool, balance) in balances {
+            let demands = balance.urgent();
+            urgent.extend(demands.map(|(label, each)| ((pool.clone(), label.cloned()), each)));
+        }
         let mut vacations = std::mem::take(&mut self.rebalancer.vacations);
         vacations
             .urgent_since
-            .retain(|pool, _| urgent.contains(pool));
-        for pool in &urgent {
-            let since = vacations.urgent_since.entry((*pool).clone());
+            .retain(|need, _| urgent.contains_key(need));
+        for need in urgent.keys() {
+            let since = vacations.urgent_since.entry(need.clone());
             since.or_insert(now);
         }
-        vacations.machines.retain(|name, pool| {
+        vacations.machines.retain(|name, need| {
             let machine = self.machines.known.get(name);
-            urgent.contains(pool) && machine.is_some_and(|machine| self.may_vacate(machine, now))
+            urgent.contains_key(need)
+                && machine.is_some_and(|machine| self.may_vacate(machine, now))
         });
         let mut moves = Vec::new();
-        vacations.machines.retain(|name, pool| {
+        vacations.machines.retain(|name, need| {
             let empty = self.is_empty(&self.machines.known[name]);
             let moves_now = empty && moves.len() < most;
             if moves_now {
-                moves.push((name.clone(), pool.clone()));
+                moves.push((name.clone(), need.clone()));
             }
             !moves_now
         });
         if now >= vacations.next_choice {
-            for pool in urgent.iter().copied() {
-                if now < vacations.urgent_since[pool] + VACATION_DELAY {
+            for (need, demand) in &urgent {
+                if now < vacations.urgent_since[need] + VACATION_DELAY {
                     continue;
                 }
                 vacations.next_choice = now + CHOICE_PERIOD;
-                let moving = moves.iter().filter(|(_, to)| to == pool).count();
-                let vacated = vacations.machines.values().filter(|to| *to == pool).count();
-                let missing = balances[pool].urgent.saturating_sub(moving + vacated);
+                let moving = moves.iter().filter(|(_, to)| to == need).count();
+                let vacated = vacations.machines.values().filter(|to| *to == need).count();
+                let missing = demand.urgent.saturating_sub(moving + vacated);
                 let room = MAX_VACATED.saturating_sub(vacations.machines.len());
                 if missing.min(room) == 0 {
                     continue;
                 }
                 let taken: BTreeSet<Arc<str>> = vacations.machines.keys().cloned().collect();
-                let candidates = self.candidates(&urgent, spare, &taken, now);
+                let label = need.1.as_ref();
+                let candidates = self.candidates(&urgent, label, spare, &taken, now);
                 for name in candidates.into_iter().take(missing.min(room)) {
-                    vacations.machines.insert(name, pool.clone());
+                    vacations.machines.insert(name, need.clone());
                 }
             }
         }
         self.rebalancer.vacations = vacations;
         self.reserve_vacated();
-        moves
+        let moves = moves.into_iter();
+        moves.map(|(name, (pool, _))| (name, pool)).collect()
     }
 
     /// Returns whether a machine may be vacated, or go on being vacated.
@@ -114,19 +119,23 @@
             && self.load_of(machine).0 == 0
     }
 
-    /// Returns the machines that may be vacated, those with the fewest tasks first.
+    /// Returns the machines with the label, if one is given, that may be vacated, those with the
+    /// fewest tasks first.
     fn candidates(
         &self,
-        urgent: &BTreeSet<&PoolName>,
+        urgent: &BTreeMap<Need, &Demand>,
+        label: Option<&Arc<str>>,
         spare: Option<&PoolName>,
         taken: &BTreeSet<Arc<str>>,
         now: Duration,
     ) -> Vec<Arc<str>> {
         let mut by_pool: BTreeMap<&PoolName, Vec<(usize, &Arc<str>)>> = BTreeMap::new();
         for machine in self.machines.known.values() {
-            let excluded = urgent.contains(&machine.pool)
-                || Some(&machine.pool) == spare
-                || taken.contains(&machine.name);
+            let needed = urgent.keys().any(|(pool, label)| {
+                let serves = |label: &Arc<str>| machine.labels.contains(label);
+                *pool == machine.pool && label.as_ref().is_none_or(serves)
+            });
+            let excluded = needed || Some(&machine.pool) == spare || taken.contains(&machine.name);
             if !excluded && self.may_vacate(machine, now) {
                 let runs = self.load_of(machine).1;
                 let machines = by_pool.entry(&machine.pool).or_default();
@@ -136,8 +145,12 @@
         let mut candidates = Vec::new();
         for mut machines in by_pool.into_values() {
             machines.sort();
-            machines.truncate(machines.len().saturating_sub(MIN_KEPT));
-            candidates.extend(machines);
+            let most = machines.len().saturating_sub(MIN_KEPT);
+            let fitting = machines.into_iter().filter(|(_, name)| {
+                let labels = &self.machines.known[*name].labels;
+                label.is_none_or(|label| labels.contains(label))
+            });
+            candidates.extend(fitting.take(most));
         }
         candidates.sort();
         candidates
