Keep usable machines in a pool beside unusable ones

A pool with silent workers gave its usable idle machines to the spare pool, or to other pools, and kept those that cannot take a task: its next burst, or its next long-running task, then waited for a move of 1.5 s or more. All machines counted alike when the pool decided what it can spare.

A usable idle machine is now spared only if the pool holds more usable ones than it wants. Unusable ones leave as before.

In usable_machines_stay_beside_silent_ones a pool with three usable machines, one of them with a long-running task, and five silent ones kept one of the three; it keeps all three now.

--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -128,10 +128,21 @@
     fn discount_unusable(&mut self, kept: usize) {
         let unusable = self.unusable.saturating_sub(kept);
         let least = self.wanted.saturating_sub(self.urgent).min(self.held);
-        self.held = self.held.saturating_sub(unusable).max(least);
+        let held = self.held.saturating_sub(unusable).max(least);
+        self.unusable -= self.held - held;
+        self.held = held;
     }
 }
 
+/// A machine on which nothing runs.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct IdleMachine {
+    since: Duration,
+    name: Arc<str>,
+    /// Whether its worker takes no new tasks for a time that is not known.
+    unusable: bool,
+}
+
 /// Machines that a pool wants and holds.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Balance {
@@ -139,8 +150,8 @@
     all: Demand,
     /// Machines by label that waiting work requires.
     labelled: BTreeMap<Arc<str>, Demand>,
-    /// Idle machines, with the time since when they have been idle.
-    idle: Vec<(Duration, Arc<str>)>,
+    /// Idle machines, those that have been idle for longest first.
+    idle: Vec<IdleMachine>,
 }
 
 impl Balance {
@@ -180,10 +191,15 @@
         }
     }
 
-    /// Counts a machine that leaves.
-    fn leave(&mut self, labels: &[Arc<str>]) {
+    /// Removes an idle machine that leaves.
+    fn leave(&mut self, name: &str, labels: &[Arc<str>]) {
+        let Some(index) = self.idle.iter().position(|idle| &*idle.name == name) else {
+            return;
+        };
+        let unusable = self.idle.remove(index).unusable;
         for demand in self.served_by(labels) {
             demand.held = demand.held.saturating_sub(1);
+            demand.unusable = demand.unusable.saturating_sub(usize::from(unusable));
         }
     }
 
@@ -198,13 +214,15 @@
         self.all.discount_unusable(MIN_MACHINES);
     }
 
-    /// Returns whether the pool does not need a machine with these labels.
-    fn can_spare(&self, labels: &[Arc<str>]) -> bool {
-        let scarce = labels
-            .iter()
-            .filter_map(|label| self.labelled.get(label))
-            .any(|demand| demand.wanted >= demand.held);
-        self.all.held > self.all.wanted && !scarce
+    /// Returns whether the pool does not need an idle machine with these labels. It keeps as many
+    /// usable ones as it wants.
+    fn can_spare(&self, idle: &IdleMachine, labels: &[Arc<str>]) -> bool {
+        let surplus = |demand: &Demand| {
+            let unusable = if idle.unusable { 0 } else { demand.unusable };
+            demand.held.saturating_sub(unusable) > demand.wanted
+        };
+        let mut labelled = labels.iter().filter_map(|label| self.labelled.get(label));
+        surplus(&self.all) && labelled.all(surplus)
     }
 }
 
@@ -296,8 +314,7 @@
             };
             let labels = self.machines.known[&machine].labels.clone();
             if let Some(balance) = balances.get_mut(&donor) {
-                balance.leave(&labels);
-                balance.idle.retain(|(_, name)| *name != machine);
+                balance.leave(&machine, &labels);
             }
             if let Some(balance) = balances.get_mut(&receiver) {
                 balance.join(&labels);
@@ -311,15 +328,14 @@
                     continue;
                 }
                 while moves.len() < MAX_MOVES {
-                    let surplus = balance.idle.iter().position(|(since, name)| {
-                        let labels = &self.machines.known[name].labels;
-                        now >= *since + MIN_IDLE_SPARE && balance.can_spare(labels)
+                    let surplus = balance.idle.iter().find(|idle| {
+                        let labels = &self.machines.known[&idle.name].labels;
+                        now >= idle.since + MIN_IDLE_SPARE && balance.can_spare(idle, labels)
                     });
-                    let Some(index) = surplus else {
+                    let Some(machine) = surplus.map(|idle| idle.name.clone()) else {
                         break;
                     };
-                    let (_, machine) = balance.idle.remove(index);
-                    balance.leave(&self.machines.known[&machine].labels);
+                    balance.leave(&machine, &self.machines.known[&machine].labels);
                     moves.push((machine, spare.clone()));
                 }
             }
@@ -344,16 +360,17 @@
         };
         let spare = spare.and_then(|spare| balances.get(spare).map(|balance| (spare, balance)));
         if let Some((pool, balance)) = spare
-            && let Some((_, machine)) = balance.idle.iter().find(|(_, name)| fits(name))
+            && let Some(idle) = balance.idle.iter().find(|idle| fits(&idle.name))
         {
-            return Some((pool.clone(), machine.clone()));
+            return Some((pool.clone(), idle.name.clone()));
         }
         let idle_machine = |balance: &Balance| {
-            let idle = balance.idle.iter().find(|(since, name)| {
-                let labels = &self.machines.known[name].labels;
-                now >= *since + MIN_IDLE_MOVE && fits(name) && balance.can_spare(labels)
+            let idle = balance.idle.iter().find(|idle| {
+                let labels = &self.machines.known[&idle.name].labels;
+                let rested = now >= idle.since + MIN_IDLE_MOVE;
+                rested && fits(&idle.name) && balance.can_spare(idle, labels)
             });
-            idle.map(|(_, name)| name.clone())
+            idle.map(|idle| idle.name.clone())
         };
         let donors = balances.iter().filter(|(pool, _)| *pool != receiver);
         let donors = donors.filter_map(|(pool, balance)| {
@@ -459,7 +476,11 @@
                     .copied()
                     .unwrap_or(now);
                 idle_since.insert(name.clone(), since);
-                balance.idle.push((since, name));
+                balance.idle.push(IdleMachine {
+                    since,
+                    name,
+                    unusable,
+                });
             }
         }
         self.rebalancer.idle_since = idle_since;
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -281,3 +281,23 @@
     assert!(took <= limit, "{took:?}");
     assert_no_violations(&world);
 }
+
+/// Guards against a pool that gives its usable machines away, because silent ones count as held.
+#[test]
+fn usable_machines_stay_beside_silent_ones() {
+    let mut world = cell(130, 10, 0, 0);
+    // The other pool takes two of the first five.
+    let silent: Vec<WorkerId> = world.workers.keys().skip(5).cloned().collect();
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.extend(silent.iter().cloned());
+    start_job(&mut world, 1);
+    world.run(RESTART_LIMIT);
+    let machines = world.machines.values();
+    let usable = machines.filter(|machine| {
+        let worker = machine.worker.as_ref();
+        &*machine.pool == "gates" && worker.is_some_and(|id| !silent.contains(id))
+    });
+    // One with a task, and two for the next burst.
+    assert_eq!(usable.count(), 3);
+    assert_no_violations(&world);
+}
