Reserve no further workers of a wave for rejected orders

A wave kept more workers from new tasks with each order that the platform rejected, as it does for machines whose leaving is not announced yet. The rejected machine stayed in the wave's set of reserved ones, and the next took its place. Machines ordered in a pass also did not count against those that were drained ahead in it.

A wave now reserves those that it drains in the pass, and those that the latest list lacks.

In rejected_orders_reserve_no_more_workers, with one machine down at once and eight unannounced leaving workers of twelve, up to five workers were reserved in two seconds; now three at most, one ordered and two drained ahead.

--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -187,7 +187,7 @@
         let stop_short = now >= wave.received_at + wave.request.duration.mul_f64(AWAIT_SHARE);
         let max_down = wave.request.max_down;
         let names = wave.request.machines.iter();
-        let down = names
+        let mut down = names
             .clone()
             .filter(|name| self.counts_as_down(name, number, now))
             .count();
@@ -210,23 +210,22 @@
             return;
         }
         remaining.retain(|machine| self.may_order(machine, now) && !self.is_leaving(machine, now));
-        let reserved = wave.reserved.clone();
+        let mut reserved = wave.reserved.clone();
         remaining.sort_by_cached_key(|machine| {
             let unreserved = !reserved.contains(&machine.name);
             (unreserved, self.load_of(machine), machine.name.clone())
         });
-        let mut available = max_down.saturating_sub(down);
         let empty: Vec<Arc<str>> = remaining
             .iter()
             .filter(|machine| self.is_empty(machine))
             .map(|machine| machine.name.clone())
             .collect();
         for name in empty {
-            if available == 0 {
+            if down >= max_down {
                 break;
             }
             self.order_machine(&name, &MachineOrder::Maintain(number));
-            available -= 1;
+            down += 1;
         }
         if max_down == 0 {
             // Other cells use the whole limit; tasks keep running here until then.
@@ -237,14 +236,18 @@
             .into_iter()
             .filter(|machine| !self.machines.pending.contains_key(&machine.name))
             .collect();
-        for machine in busy
-            .into_iter()
-            .take(max_drained.saturating_sub(down).min(max_drained))
-        {
+        let drained = max_drained.saturating_sub(down).min(max_drained);
+        // Those that the latest list lacks are still being drained.
+        reserved.retain(|name| {
+            !self.machines.known.contains_key(name) && self.machines.may_exist(name)
+        });
+        for machine in busy.into_iter().take(drained) {
             self.drain_machine(&machine, stop_short, now);
-            if let Some(wave) = self.maintenance.waves.get_mut(&number) {
-                wave.reserved.insert(machine.name.clone());
-            }
+            reserved.insert(machine.name);
+        }
+        // A machine whose order was rejected gets tasks again until its next turn.
+        if let Some(wave) = self.maintenance.waves.get_mut(&number) {
+            wave.reserved = reserved;
         }
     }
 
--- a/crates/nutmegcart_jobs/tests/wave_orders.rs
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -187,3 +187,28 @@
     );
     assert_no_violations(&world);
 }
+
+/// Guards against a wave that reserves one more worker with each order that the platform rejects.
+#[test]
+fn rejected_orders_reserve_no_more_workers() {
+    let mut world = world(135, 12);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, 1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    for index in 0..8 {
+        // The announcement has not reached the owner.
+        let leaving = world.workers.get_mut(&worker(index));
+        leaving.expect("the worker exists").listing.draining = true;
+    }
+    start_wave(&mut world, owner, &wave);
+    let mut most = 0;
+    for _ in 0..400 {
+        world.run(seconds(0.005));
+        let workers = world.owners[owner].scheduler.workers();
+        most = most.max(workers.filter(|worker| worker.reserved).count());
+    }
+    // One is ordered, and two are drained ahead.
+    assert_eq!(most, 3);
+    assert_no_violations(&world);
+}
