Forget an order whose machine went down after it

A machine that went down when its move ended counted as on its way to its pool until it was up again or gone, so no busy machine was vacated for the long-running task that waited. In the same way a machine that went down after its maintenance held a place of its wave, which stood still. An order was kept until a list showed its machine as up.

An order is now also forgotten once a list shows the machine as down after the time that its operation takes and the lag of the list.

In machine_that_goes_down_after_its_move_is_replaced two of three tasks ran 5 s later, and in wave_goes_on_beside_a_machine_that_went_down one of four machines was maintained in 12 s. Now all three run, and the wave completes.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -286,6 +286,7 @@
         }
         self.machines.earlier = earlier.requested_at.map(|_| earlier.names);
         let mut pending = std::mem::take(&mut self.machines.pending);
+        let settings = &self.settings;
         let machines = &mut self.machines;
         machines
             .rejected
@@ -294,10 +295,18 @@
             let Some(machine) = machines.known.get(name) else {
                 return machines.may_exist(name);
             };
-            let visible = pending
-                .done_at
-                .is_some_and(|done| requested_at > done + LIST_LAG);
-            !(visible && machine.state == MachineState::Up)
+            let operation = match pending.order {
+                MachineOrder::Move(_) => settings.move_time,
+                MachineOrder::Maintain(_) => settings.maintenance_time,
+            };
+            // An operation on a machine that is down ends when it would have ended otherwise.
+            let least = match machine.state {
+                MachineState::Up => Some(LIST_LAG),
+                MachineState::Down => Some(operation + LIST_LAG),
+                _ => None,
+            };
+            let ended = pending.done_at.zip(least);
+            ended.is_none_or(|(done, least)| requested_at <= done + least)
         });
         machines.pending = pending;
     }
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -301,3 +301,31 @@
     assert_eq!(usable.count(), 3);
     assert_no_violations(&world);
 }
+
+/// Guards against a machine that goes down when its move ends, and counts as on its way until it is
+/// up again, so that no other one is vacated.
+#[test]
+fn machine_that_goes_down_after_its_move_is_replaced() {
+    let mut world = cell(129, 3, 8, 0);
+    let (id, hosts) = start_job_beside_a_burst(&mut world);
+    world.remove_for_good(&hosts[0], None);
+    let arrived = |world: &CellSimulation| {
+        let mut machines = world.machines.values();
+        let arrived = machines.find(|machine| {
+            let new = machine.worker.as_ref().filter(|id| !hosts.contains(id));
+            &*machine.pool == "gates" && machine.state == MachineState::Up && new.is_some()
+        });
+        arrived.map(|machine| (machine.name.clone(), machine.worker.clone()))
+    };
+    let limit = world.now + RESTART_LIMIT;
+    while arrived(&world).is_none() && world.now < limit {
+        world.run(seconds(0.001));
+    }
+    let (name, next) = arrived(&world).expect("a machine has moved");
+    let machine = world.machines.get_mut(&name).expect("it is listed");
+    machine.state = MachineState::Down;
+    world.crash(&next.expect("a worker starts there"));
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    assert_no_violations(&world);
+}
--- a/crates/nutmegcart_jobs/tests/wave_orders.rs
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -212,3 +212,35 @@
     assert_eq!(most, 3);
     assert_no_violations(&world);
 }
+
+/// Guards against a machine that goes down when its maintenance ends, and holds a place of its wave
+/// until it is up again.
+#[test]
+fn wave_goes_on_beside_a_machine_that_went_down() {
+    let mut world = world(136, 4);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, 1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    start_wave(&mut world, owner, &wave);
+    while maintained(&world) == 0 {
+        world.run(seconds(0.01));
+    }
+    let machines = world.machines.values();
+    let mut first = machines.filter(|machine| machine.state == MachineState::Maintained);
+    let first = first.next().expect("a machine is maintained").name.clone();
+    while maintained(&world) > 0 {
+        world.run(seconds(0.001));
+    }
+    let machine = world.machines.get_mut(&first).expect("it is listed");
+    machine.state = MachineState::Down;
+    let next = machine.worker.clone().expect("a worker starts there");
+    world.crash(&next);
+    world.run(seconds(12.0));
+    let state = world.owners[owner].scheduler.wave_state(1);
+    assert_eq!(
+        (world.operations_started, state),
+        (4, Some(WaveState::Completed))
+    );
+    assert_no_violations(&world);
+}
