Count no machine as held that stays without a worker

Long-running tasks waited for ever in a pool with machines that the platform lists as up and on which no worker is known: each counted as held, as if its worker were about to start, so the pool was not short of machines.

Such a machine now counts like one whose worker is out of service, 2.5 s after it was first seen so. Machines of the spare pool have no workers and are not concerned.

In machines_without_workers_do_not_hide_a_shortage, with three workers, six machines without one and six spare machines, three of five tasks ran after 8 s; all five run now.

--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -34,6 +34,8 @@
 /// Time for which a machine gets no further order after the platform rejected one. A machine that is
 /// leaving is announced or gone by then.
 const REJECTION_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which the worker of a machine that is up should be known.
+const WORKER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which an unconfirmed order is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -153,6 +155,8 @@
     pub(crate) inherited: HashSet<Arc<str>>,
     /// Time of the latest order for each machine.
     pub(crate) last_orders: BTreeMap<Arc<str>, Duration>,
+    /// Since when machines that are up have had no known worker.
+    pub(crate) workerless_since: BTreeMap<Arc<str>, Duration>,
     /// Time of the latest rejection of an order, by machine.
     pub(crate) rejected: BTreeMap<Arc<str>, Duration>,
     /// Machines that the stored cell state names as ordered.
@@ -405,6 +409,30 @@
         )
     }
 
+    /// Notes since when machines that are up, except for those of the spare pool, have had no known
+    /// worker.
+    pub(crate) fn note_workerless(&mut self, now: Duration) {
+        let mut since = std::mem::take(&mut self.machines.workerless_since);
+        let is_spare = |pool| self.pools.get(pool).is_some_and(|config| config.spare);
+        let machines = self.machines.known.values();
+        let workerless = machines.filter(|machine| {
+            machine.state == MachineState::Up
+                && !is_spare(&machine.pool)
+                && self.worker_of(machine).is_none()
+        });
+        let noted = workerless.map(|machine| {
+            let known = since.remove(&machine.name);
+            (machine.name.clone(), known.unwrap_or(now))
+        });
+        self.machines.workerless_since = noted.collect();
+    }
+
+    /// Returns whether the worker of a machine should have started, and is not known.
+    pub(crate) fn lacks_worker(&self, machine: &Machine, now: Duration) -> bool {
+        let since = self.machines.workerless_since.get(&machine.name);
+        since.is_some_and(|since| now >= *since + WORKER_TIMEOUT)
+    }
+
     /// Queues an order for a machine on which nothing runs, and reserves its worker.
     pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder) {
         let Some(machine) = self.machines.known.get(name) else {
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -292,6 +292,7 @@
         if !self.may_order_machines(now) {
             return;
         }
+        self.note_workerless(now);
         let mut balances = self.balances(now);
         let demands = balances.iter();
         let demands = demands.map(|(pool, balance)| (pool.clone(), balance.demand()));
@@ -452,7 +453,9 @@
             let balance = balances.entry(target).or_default();
             let leaving = !arriving && self.is_leaving(machine, now);
             let held = machine.state != MachineState::Down && !leaving;
-            let unusable = !arriving && !leaving && self.is_out_of_service(machine, now);
+            let out_of_service =
+                self.is_out_of_service(machine, now) || self.lacks_worker(machine, now);
+            let unusable = !arriving && !leaving && out_of_service;
             balance.all.wanted += usize::from(long_running > 0);
             for demand in balance.served_by(&machine.labels) {
                 demand.held += usize::from(held);
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -329,3 +329,27 @@
     assert_eq!(staying_hosts(&world, &id).len(), 3);
     assert_no_violations(&world);
 }
+
+/// Guards against machines that are listed as up without a worker, and count as held for ever.
+#[test]
+fn machines_without_workers_do_not_hide_a_shortage() {
+    let mut world = vacant_cell(140, 3, 0, 6);
+    for index in 0..6 {
+        let name: Arc<str> = format!("empty-{index}").into();
+        let machine = Machine {
+            name: name.clone(),
+            pool: "gates".into(),
+            state: MachineState::Up,
+            worker: None,
+            capacity: Resources::new(64_000, 262_144, 0),
+            labels: vec!["a".into(), "r3-0".into()],
+        };
+        world.machines.insert(name, machine);
+    }
+    world.take_over();
+    let id = submit(&mut world, 1, vec![long_running_step(5)]);
+    // A machine without a worker counts as one that starts for a while.
+    world.run(seconds(3.0) + RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 5);
+    assert_no_violations(&world);
+}
