Tell a reserved worker that is silent from one that is not

A machine that fell silent while it was vacated for a waiting long-running task stayed chosen for it until its leases ended, and no other one took its place. It is reserved, and that was named as the cause why it gets no tasks before all others, so it did not count as out of service.

Being reserved, which the owner itself decides, is now the last of the causes.

In vacated_machine_that_falls_silent_is_replaced two of three tasks ran 5 s after the machine had been cut off; all three run now.

--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -445,13 +445,14 @@
         let causes = [
             (!self.listed, Unusable::Unlisted),
             (self.listing.draining, Unusable::Draining),
-            (self.reserved, Unusable::Reserved),
             (self.unreachable_since.is_some(), Unusable::Unreachable),
             (!self.fenced, Unusable::NotFenced),
             (!self.enrolled, Unusable::NotEnrolled),
             (self.clock_reading.is_none(), Unusable::NoClock),
             (self.unknown_runs != 0, Unusable::UnknownRuns),
             (now < self.penalised_until, Unusable::Penalised),
+            // The owner's own decision hides none of the others.
+            (self.reserved, Unusable::Reserved),
         ];
         let cause = causes.into_iter().find(|(applies, _)| *applies);
         cause.map(|(_, cause)| cause)
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -353,3 +353,28 @@
     assert_eq!(staying_hosts(&world, &id).len(), 5);
     assert_no_violations(&world);
 }
+
+/// Guards against a machine that falls silent while it is vacated, and stays chosen because it is
+/// reserved.
+#[test]
+fn vacated_machine_that_falls_silent_is_replaced() {
+    let mut world = cell(141, 3, 8, 0);
+    let (id, hosts) = start_job_beside_a_burst(&mut world);
+    world.remove_for_good(&hosts[0], None);
+    let reserved = |world: &CellSimulation| {
+        let owner = world.owners.last().expect("a cell has an owner");
+        let mut workers = owner.scheduler.workers();
+        let reserved = workers.find(|worker| worker.reserved && !worker.runs.is_empty());
+        reserved.map(|worker| worker.listing.id.clone())
+    };
+    let limit = world.now + RESTART_LIMIT;
+    while reserved(&world).is_none() && world.now < limit {
+        world.run(seconds(0.001));
+    }
+    let vacated = reserved(&world).expect("a machine is vacated");
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.insert(vacated);
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    assert_no_violations(&world);
+}
