Tell other cells only spare machines that can move

A cell told its spare machines as room for jobs of others although it could not move them: the platform had rejected its orders for them a moment before, or an earlier owner may have ordered them. Jobs that passed to it then waited there, and a job passes only once.

Spare machines count if they may get an order, as in the moves themselves.

In machines_that_cannot_move_are_not_told, with four spare machines whose orders are rejected, a cell told six machines for a pool with two; it tells two now.

--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -16,7 +16,6 @@
 
 use crate::job::JobId;
 use crate::live_job::LiveJob;
-use crate::machines::MachineState;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
@@ -120,7 +119,7 @@
     #[must_use]
     pub fn pool_loads(&self, now: Duration) -> Vec<PoolLoad> {
         let mut loads: Vec<PoolLoad> = Vec::new();
-        let spare_cpu = self.spare_cpu();
+        let spare_cpu = self.spare_cpu(now);
         let serving = self.pools.iter().filter(|(_, config)| !config.spare);
         for (pool, _) in serving {
             let jobs = self.jobs.values();
@@ -140,15 +139,12 @@
         loads
     }
 
-    /// Returns the processor of the machines of the spare pool that no order concerns.
-    fn spare_cpu(&self) -> u64 {
+    /// Returns the processor of the machines of the spare pool that may get an order.
+    fn spare_cpu(&self, now: Duration) -> u64 {
         let is_spare = |pool: &PoolName| self.pools.get(pool).is_some_and(|config| config.spare);
         let machines = self.machines.known.values();
-        let available = machines.filter(|machine| {
-            is_spare(&machine.pool)
-                && machine.state == MachineState::Up
-                && !self.machines.pending.contains_key(&machine.name)
-        });
+        let available =
+            machines.filter(|machine| is_spare(&machine.pool) && self.may_order(machine, now));
         let capacities = available.map(|machine| machine.capacity.cpu);
         capacities.fold(0, u64::saturating_add)
     }
--- a/crates/nutmegcart_jobs/tests/passing.rs
+++ b/crates/nutmegcart_jobs/tests/passing.rs
@@ -2,11 +2,18 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_fakes::cell::worker::FakeWorker;
+use nutmegcart_fakes::cell::worker::listing;
+use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::Machine;
+use nutmegcart_jobs::MachineState;
+use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::passing::CellLoad;
 use nutmegcart_jobs::passing::PassOutcome;
 use rand::Rng;
@@ -17,6 +24,7 @@
 use crate::support::assert_no_violations;
 use crate::support::batch_step;
 use crate::support::completed;
+use crate::support::queue;
 use crate::support::seconds;
 use crate::support::submit;
 use crate::support::world;
@@ -329,3 +337,59 @@
         cells.assert_completed(&jobs);
     }
 }
+
+/// Creates a cell with three workers in each of two pools and four machines in the spare pool.
+fn cell_with_spares(seed: u64) -> CellSimulation {
+    let mut world = world(seed, 3);
+    world.queues.push(queue("boats"));
+    let pool = ("boats".into(), PoolConfig { spare: false });
+    world.pools.insert(1, pool);
+    let size = Resources::new(64_000, 262_144, 0);
+    for index in 0..3 {
+        let id = format!("boat-{index}");
+        let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
+        world.add_worker(worker);
+    }
+    for index in 0..4 {
+        let name: Arc<str> = format!("spare-{index}").into();
+        let machine = Machine {
+            name: name.clone(),
+            pool: "shared".into(),
+            state: MachineState::Up,
+            worker: None,
+            capacity: size,
+            labels: vec!["a".into(), "r3-0".into()],
+        };
+        world.machines.insert(name, machine);
+    }
+    world.take_over();
+    world.run(seconds(1.0));
+    world
+}
+
+/// Returns the processor that a cell tells for a pool, in thousandths of a core.
+fn told_cpu(world: &CellSimulation, pool: &str) -> u64 {
+    let owner = world.owners.last().expect("a cell has an owner");
+    let loads = owner.scheduler.pool_loads(world.now);
+    let load = loads.iter().find(|load| &*load.pool == pool);
+    load.map_or(0, |load| load.cpu)
+}
+
+/// Guards against spare machines that are told as room although the platform refuses to move them.
+#[test]
+fn machines_that_cannot_move_are_not_told() {
+    let mut world = cell_with_spares(201);
+    assert_eq!(told_cpu(&world, "boats"), 7 * 64_000);
+    // The owner's list still shows them as up.
+    world.lists_machines = false;
+    for machine in world.machines.values_mut() {
+        if &*machine.pool == "shared" {
+            machine.state = MachineState::Down;
+        }
+    }
+    submit(&mut world, 1, vec![batch_step(400, 8_000, 3_000)]);
+    world.run(seconds(0.5));
+    // One of its own three moves.
+    assert_eq!(told_cpu(&world, "boats"), 2 * 64_000);
+    assert_no_violations(&world);
+}
