Tell no spare machines that another pool of the cell needs

A cell told its whole spare pool to other cells as room of each of its pools, also while the backlog of one pool needed all of it. Jobs of the other pools passed there although no machine would join them.

Each pool's load now has the spare machines that the backlogs of the others leave, for work that is done within the wait up to which a cell gets jobs.

In spare_machines_that_a_pool_needs_are_not_told_for_others, with four spare machines and a backlog that needs more, a cell told seven machines for both pools with three each; it tells seven and three now.

--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -63,6 +63,13 @@
             None => None,
         }
     }
+
+    /// Returns the processor that is missing to finish the work in [`MAX_TARGET_WAIT`].
+    fn lack(&self) -> u64 {
+        let wait = u64::try_from(MAX_TARGET_WAIT.as_millis()).unwrap_or(u64::MAX);
+        let wanted = self.work_ms.saturating_mul(1_000) / wait.max(1);
+        wanted.saturating_sub(self.cpu)
+    }
 }
 
 /// Latest load of another cell.
@@ -119,7 +126,6 @@
     #[must_use]
     pub fn pool_loads(&self, now: Duration) -> Vec<PoolLoad> {
         let mut loads: Vec<PoolLoad> = Vec::new();
-        let spare_cpu = self.spare_cpu(now);
         let serving = self.pools.iter().filter(|(_, config)| !config.spare);
         for (pool, _) in serving {
             let jobs = self.jobs.values();
@@ -127,15 +133,21 @@
             let workers = self.workers.values();
             let workers =
                 workers.filter(|worker| worker.listing.pool == *pool && worker.usable(now));
-            let load = PoolLoad {
+            loads.push(PoolLoad {
                 pool: pool.clone(),
                 work_ms: jobs.map(work_ms).fold(0, u64::saturating_add),
-                cpu: workers.map(batch_cpu).fold(spare_cpu, u64::saturating_add),
-            };
-            if load.work_ms > 0 || load.cpu > 0 {
-                loads.push(load);
-            }
+                cpu: workers.map(batch_cpu).fold(0, u64::saturating_add),
+            });
+        }
+        let lacks: Vec<u64> = loads.iter().map(PoolLoad::lack).collect();
+        let lacking = lacks.iter().copied().fold(0, u64::saturating_add);
+        let spare_cpu = self.spare_cpu(now);
+        for (load, lack) in loads.iter_mut().zip(lacks) {
+            // Machines that other pools need do not join this one.
+            let others = lacking.saturating_sub(lack);
+            load.cpu = load.cpu.saturating_add(spare_cpu.saturating_sub(others));
         }
+        loads.retain(|load| load.work_ms > 0 || load.cpu > 0);
         loads
     }
 
--- a/crates/nutmegcart_jobs/tests/passing.rs
+++ b/crates/nutmegcart_jobs/tests/passing.rs
@@ -393,3 +393,15 @@
     assert_eq!(told_cpu(&world, "boats"), 2 * 64_000);
     assert_no_violations(&world);
 }
+
+/// Guards against spare machines that are told to each pool, although one pool needs them all.
+#[test]
+fn spare_machines_that_a_pool_needs_are_not_told_for_others() {
+    let mut world = cell_with_spares(202);
+    submit(&mut world, 1, vec![batch_step(400, 8_000, 3_000)]);
+    assert_eq!(
+        (told_cpu(&world, "gates"), told_cpu(&world, "boats")),
+        (7 * 64_000, 3 * 64_000)
+    );
+    assert_no_violations(&world);
+}
