--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -16,7 +16,6 @@
 
 use crate::job::JobId;
 use crate::live_job::LiveJob;
-use crate::machines::MachineState;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
@@ -64,6 +63,13 @@
             None => None,
         }
     }
+
+    /// Returns the processor that is missing to finish the work in [`MAX_TARGET_WAIT`].
+    fn lack(&self) -> u64 {
+        let wait = u64::try_from(MAX_TARGET_WAIT.as_millis()).unwrap_or(u64::MAX);
+        let wanted = self.work_ms.saturating_mul(1_000) / wait.max(1);
+        wanted.saturating_sub(self.cpu)
+    }
 }
 
 /// Latest load of another cell.
@@ -120,7 +126,6 @@
     #[must_use]
     pub fn pool_loads(&self, now: Duration) -> Vec<PoolLoad> {
         let mut loads: Vec<PoolLoad> = Vec::new();
-        let spare_cpu = self.spare_cpu();
         let serving = self.pools.iter().filter(|(_, config)| !config.spare);
         for (pool, _) in serving {
             let jobs = self.jobs.values();
@@ -128,27 +133,30 @@
             let workers = self.workers.values();
             let workers =
                 workers.filter(|worker| worker.listing.pool == *pool && worker.usable(now));
-            let load = PoolLoad {
+            loads.push(PoolLoad {
                 pool: pool.clone(),
                 work_ms: jobs.map(work_ms).fold(0, u64::saturating_add),
-                cpu: workers.map(batch_cpu).fold(spare_cpu, u64::saturating_add),
-            };
-            if load.work_ms > 0 || load.cpu > 0 {
-                loads.push(load);
-            }
+                cpu: workers.map(batch_cpu).fold(0, u64::saturating_add),
+            });
+        }
+        let lacks: Vec<u64> = loads.iter().map(PoolLoad::lack).collect();
+        let lacking = lacks.iter().copied().fold(0, u64::saturating_add);
+        let spare_cpu = self.spare_cpu(now);
+        for (load, lack) in loads.iter_mut().zip(lacks) {
+            // Machines that other pools need do not join this one.
+            let others = lacking.saturating_sub(lack);
+            load.cpu = load.cpu.saturating_add(spare_cpu.saturating_sub(others));
         }
+        loads.retain(|load| load.work_ms > 0 || load.cpu > 0);
         loads
     }
 
-    /// Returns the processor of the machines of the spare pool that no order concerns.
-    fn spare_cpu(&self) -> u64 {
+    /// Returns the processor of the machines of the spare pool that may get an order.
+    fn spare_cpu(&self, now: Duration) -> u64 {
         let is_spare = |pool: &PoolName| self.pools.get(pool).is_some_and(|config| config.spare);
         let machines = self.machines.known.values();
-        let available = machines.filter(|machine| {
-            is_spare(&machine.pool)
-                && machine.state == MachineState::Up
-                && !self.machines.pending.contains_key(&machine.name)
-        });
+        let available =
+            machines.filter(|machine| is_spare(&machine.pool) && self.may_order(machine, now));
         let capacities = available.map(|machine| machine.capacity.cpu);
         capacities.fold(0, u64::saturating_add)
     }
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -281,3 +281,100 @@
     assert!(took <= limit, "{took:?}");
     assert_no_violations(&world);
 }
+
+/// Guards against a pool that gives its usable machines away, because silent ones count as held.
+#[test]
+fn usable_machines_stay_beside_silent_ones() {
+    let mut world = cell(130, 10, 0, 0);
+    // The other pool takes two of the first five.
+    let silent: Vec<WorkerId> = world.workers.keys().skip(5).cloned().collect();
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.extend(silent.iter().cloned());
+    start_job(&mut world, 1);
+    world.run(RESTART_LIMIT);
+    let machines = world.machines.values();
+    let usable = machines.filter(|machine| {
+        let worker = machine.worker.as_ref();
+        &*machine.pool == "gates" && worker.is_some_and(|id| !silent.contains(id))
+    });
+    // One with a task, and two for the next burst.
+    assert_eq!(usable.count(), 3);
+    assert_no_violations(&world);
+}
+
+/// Guards against a machine that goes down when its move ends, and counts as on its way until it is
+/// up again, so that no other one is vacated.
+#[test]
+fn machine_that_goes_down_after_its_move_is_replaced() {
+    let mut world = cell(129, 3, 8, 0);
+    let (id, hosts) = start_job_beside_a_burst(&mut world);
+    world.remove_for_good(&hosts[0], None);
+    let arrived = |world: &CellSimulation| {
+        let mut machines = world.machines.values();
+        let arrived = machines.find(|machine| {
+            let new = machine.worker.as_ref().filter(|id| !hosts.contains(id));
+            &*machine.pool == "gates" && machine.state == MachineState::Up && new.is_some()
+        });
+        arrived.map(|machine| (machine.name.clone(), machine.worker.clone()))
+    };
+    let limit = world.now + RESTART_LIMIT;
+    while arrived(&world).is_none() && world.now < limit {
+        world.run(seconds(0.001));
+    }
+    let (name, next) = arrived(&world).expect("a machine has moved");
+    let machine = world.machines.get_mut(&name).expect("it is listed");
+    machine.state = MachineState::Down;
+    world.crash(&next.expect("a worker starts there"));
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    assert_no_violations(&world);
+}
+
+/// Guards against machines that are listed as up without a worker, and count as held for ever.
+#[test]
+fn machines_without_workers_do_not_hide_a_shortage() {
+    let mut world = vacant_cell(140, 3, 0, 6);
+    for index in 0..6 {
+        let name: Arc<str> = format!("empty-{index}").into();
+        let machine = Machine {
+            name: name.clone(),
+            pool: "gates".into(),
+            state: MachineState::Up,
+            worker: None,
+            capacity: Resources::new(64_000, 262_144, 0),
+            labels: vec!["a".into(), "r3-0".into()],
+        };
+        world.machines.insert(name, machine);
+    }
+    world.take_over();
+    let id = submit(&mut world, 1, vec![long_running_step(5)]);
+    // A machine without a worker counts as one that starts for a while.
+    world.run(seconds(3.0) + RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 5);
+    assert_no_violations(&world);
+}
+
+/// Guards against a machine that falls silent while it is vacated, and stays chosen because it is
+/// reserved.
+#[test]
+fn vacated_machine_that_falls_silent_is_replaced() {
+    let mut world = cell(141, 3, 8, 0);
+    let (id, hosts) = start_job_beside_a_burst(&mut world);
+    world.remove_for_good(&hosts[0], None);
+    let reserved = |world: &CellSimulation| {
+        let owner = world.owners.last().expect("a cell has an owner");
+        let mut workers = owner.scheduler.workers();
+        let reserved = workers.find(|worker| worker.reserved && !worker.runs.is_empty());
+        reserved.map(|worker| worker.listing.id.clone())
+    };
+    let limit = world.now + RESTART_LIMIT;
+    while reserved(&world).is_none() && world.now < limit {
+        world.run(seconds(0.001));
+    }
+    let vacated = reserved(&world).expect("a machine is vacated");
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.unreachable.insert(vacated);
+    world.run(RESTART_LIMIT);
+    assert_eq!(staying_hosts(&world, &id).len(), 3);
+    assert_no_violations(&world);
+}
--- a/crates/nutmegcart_jobs/tests/wave_orders.rs
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -193,10 +193,10 @@
     let wave = wave_of_all(&world, 1);
     let owner = world.take_over();
     world.run(seconds(1.0));
-    let last = wave.machines.last().expect("the wave has machines").clone();
+    let remaining = wave.machines.last().expect("the wave has machines").clone();
     let pending = |world: &CellSimulation| world.operations_started < 2 || maintained(world) > 0;
     let busy = world.workers[&worker(2)].listing.machine.clone();
-    assert_eq!(busy.as_ref(), Some(&last));
+    assert_eq!(busy.as_ref(), Some(&remaining));
     start_wave(&mut world, owner, &wave);
     while pending(&world) {
         world.run(seconds(0.001));
@@ -204,7 +204,7 @@
     // Both others are done.
     world.lists_machines = false;
     let mut list: Vec<Machine> = world.machines.values().cloned().collect();
-    list.retain(|machine| machine.name != last);
+    list.retain(|machine| machine.name != remaining);
     let now = world.now;
     let scheduler = &mut world.owners[owner].scheduler;
     scheduler.update_machines(list, now, now);
@@ -223,3 +223,60 @@
     );
     assert_no_violations(&world);
 }
+
+/// Guards against a wave that reserves one more worker with each order that the platform rejects.
+#[test]
+fn rejected_orders_reserve_no_more_workers() {
+    let mut world = world(135, 12);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, 1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    for index in 0..8 {
+        // The announcement has not reached the owner.
+        let leaving = world.workers.get_mut(&worker(index));
+        leaving.expect("the worker exists").listing.draining = true;
+    }
+    start_wave(&mut world, owner, &wave);
+    let mut most = 0;
+    for _ in 0..400 {
+        world.run(seconds(0.005));
+        let workers = world.owners[owner].scheduler.workers();
+        most = most.max(workers.filter(|worker| worker.reserved).count());
+    }
+    // One is ordered, and two are drained ahead.
+    assert_eq!(most, 3);
+    assert_no_violations(&world);
+}
+
+/// Guards against a machine that goes down when its maintenance ends, and holds a place of its wave
+/// until it is up again.
+#[test]
+fn wave_goes_on_beside_a_machine_that_went_down() {
+    let mut world = world(136, 4);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, 1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    start_wave(&mut world, owner, &wave);
+    while maintained(&world) == 0 {
+        world.run(seconds(0.01));
+    }
+    let machines = world.machines.values();
+    let mut first = machines.filter(|machine| machine.state == MachineState::Maintained);
+    let first = first.next().expect("a machine is maintained").name.clone();
+    while maintained(&world) > 0 {
+        world.run(seconds(0.001));
+    }
+    let machine = world.machines.get_mut(&first).expect("it is listed");
+    machine.state = MachineState::Down;
+    let next = machine.worker.clone().expect("a worker starts there");
+    world.crash(&next);
+    world.run(seconds(12.0));
+    let state = world.owners[owner].scheduler.wave_state(1);
+    assert_eq!(
+        (world.operations_started, state),
+        (4, Some(WaveState::Completed))
+    );
+    assert_no_violations(&world);
+}
