Count the machines that a waiting gang without a limit for each worker needs

Seen in a test: a gang of 7 tasks, each as large as a worker, in a pool with 4 workers beside 8 idle machines of the spare pool was not started within 12 s, and nothing would ever have changed that.

Cause: such a gang counted only as work, and its work of a few seconds wants few machines. Only a gang with a limit for each worker counted by workers.

Change: a pool wants at least the machines that its largest waiting gang needs, by the number of its tasks that fit on the largest machine of the cell. It is a minimum of the demand by work and not added to it, nothing is vacated for it, and a gang that needs more machines than the cell has counts as work only.

Measured: gang_whose_tasks_fill_a_worker failed before and passes, and so does a gang of which two tasks fit on a worker.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -178,6 +178,26 @@
         job.missing_workers(machines, |task| self.assignments.reserved(task).is_some())
     }
 
+    /// Returns the different capacities of the machines of the cell.
+    pub(crate) fn machine_sizes(&self) -> Vec<Resources> {
+        let known = self.machines.known.values();
+        let mut sizes: Vec<Resources> = known.map(|machine| machine.capacity).collect();
+        sizes.sort_unstable_by_key(|size| (size.cpu, size.memory, size.accelerators));
+        sizes.dedup();
+        sizes
+    }
+
+    /// Returns the number of machines that the largest waiting gang of the job needs if it may share
+    /// them; 0 if the cell, whose machines have the given sizes, does not have as many.
+    pub(crate) fn gang_machines(&self, job: &LiveJob, sizes: &[Resources]) -> usize {
+        let needed = job.gang_workers(|step| {
+            let most = sizes.iter().map(|size| count_fitting(step, *size));
+            most.max().unwrap_or_default()
+        });
+        let most = self.machines.known.len();
+        if needed <= most { needed } else { 0 }
+    }
+
     /// Drops the reservations of tasks that do not wait for a run any more.
     pub(crate) fn drop_obsolete_reservations(&mut self) {
         let jobs = &mut self.jobs;
@@ -283,3 +303,17 @@
         slots.update_largest_free();
     }
 }
+
+/// Returns how many tasks of a step fit on an empty machine.
+fn count_fitting(step: &Step, size: Resources) -> u32 {
+    let need = step.allocation();
+    let each = [
+        size.cpu.checked_div(need.cpu),
+        size.memory.checked_div(need.memory),
+        size.accelerators
+            .checked_div(need.accelerators)
+            .map(u64::from),
+    ];
+    let most = each.into_iter().flatten().min();
+    most.map_or(u32::MAX, |most| u32::try_from(most).unwrap_or(u32::MAX))
+}
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -486,6 +486,19 @@
         self.ended.is_none() && open.any(|step| step.pending().next().is_some())
     }
 
+    /// Returns the largest number of workers that a waiting gang without a limit for each worker
+    /// needs, where `fitting` tasks of its step fit on one.
+    pub(crate) fn gang_workers(&self, fitting: impl Fn(&Step) -> u32) -> usize {
+        let occurrences = self.occurrences.values();
+        let all = occurrences.flat_map(|each| self.accepted.job.steps.iter().zip(&each.steps));
+        let waiting = all.filter(|(step, state)| {
+            let shared = step.gang && step.per_worker == 0 && !step.long_running;
+            shared && state.ready && state.pending().count() == state.tasks.len()
+        });
+        let workers = waiting.map(|(step, _)| step.count.div_ceil(fitting(step).max(1)) as usize);
+        workers.max().unwrap_or_default()
+    }
+
     /// Returns the largest number of workers that the waiting tasks of one step need which is
     /// long-running, or a gang with a limit for each worker, without those for which `has_worker`
     /// is true, by label that the workers must have. A gang that needs more than `most` workers in
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_fleet::Resources;
 use nutmegcart_model::Event;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::log_event;
@@ -399,6 +400,31 @@
             / 1_000.0
     }
 
+    /// Adds the workers that waiting tasks lack to the balances of their pools. Returns the machines
+    /// that the largest waiting gang of each pool needs if it may share them.
+    fn count_missing(
+        &self,
+        balances: &mut BTreeMap<PoolName, Balance>,
+        sizes: &[Resources],
+    ) -> BTreeMap<PoolName, usize> {
+        let mut gangs: BTreeMap<PoolName, usize> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.ended.is_none()) {
+            let balance = balances.entry(job.pool.clone()).or_default();
+            for (label, missing) in self.missing_workers(job) {
+                let demand = match label {
+                    None => &mut balance.all,
+                    Some(label) => balance.labelled.entry(label).or_default(),
+                };
+                demand.wanted += missing;
+                demand.missing += missing;
+                demand.urgent += missing;
+            }
+            let gang = gangs.entry(job.pool.clone()).or_default();
+            *gang = self.gang_machines(job, sizes).max(*gang);
+        }
+        gangs
+    }
+
     /// Computes the machines that each pool wants and holds. Demand in cores is converted to
     /// machines of median capacity.
     fn balances(&mut self, now: Duration) -> BTreeMap<PoolName, Balance> {
@@ -422,18 +448,8 @@
                 }
             }
         }
-        for job in self.jobs.values().filter(|job| job.ended.is_none()) {
-            let balance = balances.entry(job.pool.clone()).or_default();
-            for (label, missing) in self.missing_workers(job) {
-                let demand = match label {
-                    None => &mut balance.all,
-                    Some(label) => balance.labelled.entry(label).or_default(),
-                };
-                demand.wanted += missing;
-                demand.missing += missing;
-                demand.urgent += missing;
-            }
-        }
+        let sizes = self.machine_sizes();
+        let gangs = self.count_missing(&mut balances, &sizes);
         for ((pool, label), cores) in labelled {
             let balance = balances.entry(pool).or_default();
             let demand = balance.labelled.entry(label).or_default();
@@ -499,7 +515,8 @@
             let lead = self.settings.move_time + WORKER_START_TIME;
             let expected = self.rebalancer.forecast.expected_demand(pool, lead, now);
             let busy = backlog.max(arriving).max(expected.unwrap_or_default()) / median_cores;
-            balance.all.wanted += MIN_MACHINES.max(round_up(busy));
+            let gang = gangs.get(pool).copied().unwrap_or_default();
+            balance.all.wanted += MIN_MACHINES.max(round_up(busy)).max(gang);
             balance.settle();
             balance.idle.sort();
         }
--- a/crates/nutmegcart_jobs/tests/large_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/large_jobs.rs
@@ -129,6 +129,10 @@
     gang_larger_than_the_fleet_without_a_limit_for_each_worker => (gang(MAX_TASKS, 64_000, 0), false);
     more_processors_than_any_machine => (needing(Resources::new(64_001, 0, 0)), false);
     more_memory_than_any_machine => (needing(Resources::new(0, 1 << 40, 0)), false);
+    tasks_that_need_nothing => (
+        once(Step { need: Resources::default(), ..batch_step(MAX_TASKS, 0, 300) }),
+        true
+    );
     accelerators_that_no_machine_has => (needing(Resources::new(0, 0, 1)), false);
     largest_needs => (needing(Resources::new(u64::MAX, u64::MAX, u32::MAX)), false);
     image_with_a_long_name => (
@@ -264,6 +268,8 @@
 
 cases! { gang_gets_workers_from_the_spare_pool:
     gang_with_a_limit_for_each_worker => gang(7, 4_000, 1);
+    gang_whose_tasks_fill_a_worker => gang(7, 64_000, 0);
+    gang_of_which_two_tasks_fit_on_a_worker => gang(14, 30_000, 0);
 }
 
 /// Guards against a gang that draws machines to its pool although it can never start.
