Let the members of a simulated gang be done together, and check their checkpoint

Each member of a gang drew its own factor of duration, although the members of a gang are done together; with a spread of durations one ended while the others worked on. They now take that of the member that starts last. The virtual cell also reports a member that starts beside others of the same run with another checkpoint, which until now only made them wait in vain.

--- a/crates/nutmegcart_fakes/src/cell/gangs.rs
+++ b/crates/nutmegcart_fakes/src/cell/gangs.rs
@@ -137,15 +137,24 @@
             }
         }
         checkpoints.dedup();
+        if checkpoints.len() > 1 {
+            let at = self.now.as_millis();
+            self.checker.violations.push(format!(
+                "{at} ms: {task} run {number} started beside members with another checkpoint"
+            ));
+        }
         if members.len() != size as usize || checkpoints.len() != 1 {
             return;
         }
         let now = self.now;
+        // The members of a gang are done together.
+        let duration = self.member_run(id, task).map(|run| run.duration);
         for (id, key) in members {
             let incarnation = self.workers[&id].listing.incarnation;
             let Some(run) = self.member_run(&id, &key) else {
                 continue;
             };
+            run.duration = duration.unwrap_or(run.duration);
             let duration = run.duration;
             let Some(member) = run.member.as_mut() else {
                 continue;
