Let the clocks of the owners of a simulated cell differ

All owners read the same system clock, so no test could show a successor whose clock is behind that of its predecessor, except by hand.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -111,7 +111,7 @@
         if !self.owners[index].up {
             return;
         }
-        let (unix, now) = (self.unix_ms(), self.now);
+        let (unix, now) = (self.owner_unix_ms(index), self.now);
         let reached = self.owners[index].reaches_store && !self.store.down;
         let holds = self.store.owner == self.owners[index].fence;
         if reached && holds {
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -95,6 +95,8 @@
     pub reaches_store: bool,
     /// Workers to which it has no connection.
     pub unreachable: BTreeSet<WorkerId>,
+    /// Time by which its system clock is ahead, in milliseconds.
+    pub clock_ahead: i64,
     /// Workers that this owner polls in a loop.
     polled: BTreeSet<WorkerId>,
     pass_scheduled: bool,
@@ -232,6 +234,9 @@
     pub lists_machines: bool,
     /// Workers that may run the steps of queues which require tickets.
     pub permitted: BTreeSet<WorkerId>,
+    /// Time by which the system clock of each owner is ahead in milliseconds, in the order in
+    /// which they take over and again from the first; none if all clocks are right.
+    pub clocks_ahead: Vec<i64>,
     /// Number of requests for tickets.
     pub ticket_requests: usize,
     /// Settings of each owner's scheduler, and durations of machine operations.
@@ -275,6 +280,7 @@
             reused_addresses: BTreeSet::new(),
             lists_machines: true,
             permitted: BTreeSet::new(),
+            clocks_ahead: Vec::new(),
             ticket_requests: 0,
             settings: JobSettings::default(),
             operations_started: 0,
@@ -295,6 +301,12 @@
         START_UNIX_MS + u64::try_from(self.now.as_millis()).unwrap_or_default()
     }
 
+    /// Returns the Unix time in milliseconds according to the clock of an owner.
+    fn owner_unix_ms(&self, index: usize) -> u64 {
+        self.unix_ms()
+            .saturating_add_signed(self.owners[index].clock_ahead)
+    }
+
     fn schedule(&mut self, after: Duration, event: Event) {
         self.sequence += 1;
         self.events.push(Reverse(Scheduled {
@@ -385,7 +397,7 @@
         self.checker.record_accepted(id);
         for index in 0..self.owners.len() {
             if self.owners[index].up && self.owners[index].reaches_store {
-                let (unix, now) = (self.unix_ms(), self.now);
+                let (unix, now) = (self.owner_unix_ms(index), self.now);
                 let owner = &mut self.owners[index];
                 let inherited =
                     u64::try_from(revision).is_ok_and(|revision| revision < owner.fence);
@@ -448,19 +460,15 @@
         self.store.revision += 1;
         let fence = self.store.revision;
         self.store.owner = u64::try_from(fence).unwrap_or_default();
+        let ahead = self.clocks_ahead.iter().cycle();
+        let clock_ahead = ahead.copied().nth(self.owners.len()).unwrap_or_default();
+        let unix = self.unix_ms().saturating_add_signed(clock_ahead);
         let mut scheduler = Scheduler::new(self.settings, fence, self.now);
         scheduler.configure(&self.queues, &self.pools);
         for (id, (record, revision)) in &self.store.jobs {
             match record {
                 JobRecord::Accepted(accepted) => {
-                    scheduler.add_job(
-                        id,
-                        (**accepted).clone(),
-                        *revision,
-                        true,
-                        self.unix_ms(),
-                        self.now,
-                    );
+                    scheduler.add_job(id, (**accepted).clone(), *revision, true, unix, self.now);
                 }
                 JobRecord::Ended { how, .. } => scheduler.record_final_state(id, *how, self.now),
             }
@@ -482,6 +490,7 @@
             released: false,
             reaches_store: true,
             unreachable: unreachable.into_iter().collect(),
+            clock_ahead,
             polled: BTreeSet::new(),
             pass_scheduled: false,
             started_at: self.now,
