Count stored failures of a gang that an earlier version wrote once a run

Since the failed runs of a gang count as its attempts, two members that had failed in one run used up both attempts if an earlier version had stored them: it wrote a hash of worker and run for each, and the two hashes counted as two runs. The job was shown as failed after an update of the instances.

Those hashes don't tell the run, but the ones of one member are of different runs. So the largest number of hashes of one member counts, beside the distinct plain numbers.

--- a/crates/nutmegcart_jobs/src/failed_runs.rs
+++ b/crates/nutmegcart_jobs/src/failed_runs.rs
@@ -72,6 +72,9 @@
 
     /// Returns the number of runs of a gang in which a member has failed.
     ///
+    /// Earlier versions stored identities for the members of a gang too, which don't tell the run.
+    /// Those of one member are of different runs.
+    ///
     /// ```
     /// # use nutmegcart_jobs::failed_runs::FailedRuns;
     /// let mut members = [FailedRuns::default(), FailedRuns::default()];
@@ -82,8 +85,15 @@
     /// assert_eq!(FailedRuns::count_of_gang(&members), 2);
     /// ```
     pub fn count_of_gang<'a>(members: impl IntoIterator<Item = &'a Self>) -> usize {
-        let runs = members.into_iter().flat_map(|member| &member.0);
-        runs.collect::<BTreeSet<_>>().len()
+        let mut runs = BTreeSet::new();
+        let mut unknown = 0;
+        for member in members {
+            let (identities, known): (Vec<u32>, Vec<u32>) =
+                member.0.iter().partition(|run| **run & IDENTITY != 0);
+            unknown = unknown.max(identities.len());
+            runs.extend(known);
+        }
+        runs.len() + unknown
     }
 
     /// Returns whether no run has failed.
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -302,6 +302,9 @@
     let one_run = [vec![2], vec![2], Vec::new(), vec![2]];
     let done = Some(JobState::Ended(FinalState::Completed));
     assert_eq!(inherited_failures(one_run), (done, SIZE as usize));
+    // An earlier version stored hashes of worker and run, here of two members in one run.
+    let hashes = [vec![1 << 31 | 5], Vec::new(), vec![1 << 31 | 9], Vec::new()];
+    assert_eq!(inherited_failures(hashes), (done, SIZE as usize));
     let two_runs = [vec![2], Vec::new(), vec![3], Vec::new()];
     let failed = Some(JobState::Ended(FinalState::Failed));
     assert_eq!(inherited_failures(two_runs), (failed, 0));
