--- a/crates/nutmegcart_fakes/src/cell/gangs.rs
+++ b/crates/nutmegcart_fakes/src/cell/gangs.rs
@@ -28,6 +28,8 @@
     pub saves: bool,
     /// Checkpoint that its start carried.
     pub checkpoint: Option<Arc<str>>,
+    /// Factor of its duration, drawn at its start. That of the last member holds for all.
+    pub factor: f64,
     /// When all members were present, if they were.
     pub began: Option<Duration>,
 }
@@ -148,13 +150,15 @@
         }
         let now = self.now;
         // The members of a gang are done together.
-        let duration = self.member_run(id, task).map(|run| run.duration);
+        let last = self.member_run(id, task);
+        let factor = last.and_then(|run| Some(run.member.as_ref()?.factor));
+        let factor = factor.unwrap_or(1.0);
         for (id, key) in members {
             let incarnation = self.workers[&id].listing.incarnation;
             let Some(run) = self.member_run(&id, &key) else {
                 continue;
             };
-            run.duration = duration.unwrap_or(run.duration);
+            run.duration = run.duration.mul_f64(factor);
             let duration = run.duration;
             let Some(member) = run.member.as_mut() else {
                 continue;
--- a/crates/nutmegcart_fakes/src/cell/runs.rs
+++ b/crates/nutmegcart_fakes/src/cell/runs.rs
@@ -143,6 +143,7 @@
         let duration = if hung {
             Duration::from_secs(1_000_000)
         } else {
+            let factor = if step.gang { 1.0 } else { factor };
             step.declared().mul_f64(factor) * slow
         };
         Some(FakeRun {
@@ -155,6 +156,7 @@
                 size: step.count,
                 saves: step.checkpoints,
                 checkpoint: start.checkpoint.clone(),
+                factor,
                 began: None,
             }),
         })
