--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -119,7 +119,7 @@
     pub fn decode(bytes: &[u8]) -> nutmegcart_jobs::record::Result<Self> {
         let (record, state_format) = decode_extended::<Self, u32>(bytes)?;
         Ok(Self {
-            state_format: state_format.unwrap_or_default(),
+            state_format: state_format.first().copied().unwrap_or_default(),
             ..record
         })
     }
