--- a/crates/nutmegcart_control/tests/bad_jobs.rs
+++ b/crates/nutmegcart_control/tests/bad_jobs.rs
@@ -119,7 +119,7 @@
 }
 
 /// Returns a job of one step with some of its fields replaced.
-fn with(fields: Value) -> Value {
+fn with(fields: &Value) -> Value {
     let mut step = step();
     for (name, value) in fields.as_object().expect("an object") {
         step[name] = value.clone();
@@ -138,8 +138,8 @@
 }
 
 /// Guards against refusing a job that can be served, whatever its size.
-fn is_accepted(job: Value) {
-    assert_eq!(submit(&job), (200, String::new(), true));
+fn is_accepted(job: &Value) {
+    assert_eq!(submit(job), (200, String::new(), true));
 }
 
 /// Guards against a job that is stored although it breaks a limit, and against a refusal without the
@@ -157,17 +157,17 @@
 }
 
 cases! { is_accepted:
-    most_tasks => with(json!({"tasks": MAX_TASKS}));
-    most_steps => json!({"steps": vec![step(); MAX_STEPS]});
-    longest_description => described(MAX_SPEC_BYTES);
-    gang_larger_than_any_fleet => with(json!({"tasks": MAX_TASKS, "gang": true, "spread": 1}));
-    no_estimate => with(json!({"duration_ms": 0}));
-    largest_estimate => with(json!({"duration_ms": u64::MAX}));
-    no_needs => with(json!({"cpu": 0, "memory": 0}));
-    largest_needs => with(json!({"cpu": u64::MAX, "memory": u64::MAX, "accelerators": u32::MAX}));
-    most_repeats_at_once => repeated(0, 0, u32::MAX);
-    longest_period => repeated(u64::MAX, u64::MAX, u32::MAX);
-    long_names => with(json!({"label": "x".repeat(80_000), "image": "y".repeat(80_000), "rack": "z".repeat(80_000)}));
+    most_tasks => &with(&json!({"tasks": MAX_TASKS}));
+    most_steps => &json!({"steps": vec![step(); MAX_STEPS]});
+    longest_description => &described(MAX_SPEC_BYTES);
+    gang_larger_than_any_fleet => &with(&json!({"tasks": MAX_TASKS, "gang": true, "spread": 1}));
+    no_estimate => &with(&json!({"duration_ms": 0}));
+    largest_estimate => &with(&json!({"duration_ms": u64::MAX}));
+    no_needs => &with(&json!({"cpu": 0, "memory": 0}));
+    largest_needs => &with(&json!({"cpu": u64::MAX, "memory": u64::MAX, "accelerators": u32::MAX}));
+    most_repeats_at_once => &repeated(0, 0, u32::MAX);
+    longest_period => &repeated(u64::MAX, u64::MAX, u32::MAX);
+    long_names => &with(&json!({"label": "x".repeat(80_000), "image": "y".repeat(80_000), "rack": "z".repeat(80_000)}));
 }
 
 cases! { is_refused:
@@ -177,9 +177,9 @@
         400,
         "the job has 65 steps; 1 to 64 are allowed"
     );
-    no_tasks => (with(json!({"tasks": 0})), 400, "step 0 has 0 tasks; 1 to 10000 are allowed");
+    no_tasks => (with(&json!({"tasks": 0})), 400, "step 0 has 0 tasks; 1 to 10000 are allowed");
     too_many_tasks => (
-        with(json!({"tasks": MAX_TASKS + 1})),
+        with(&json!({"tasks": MAX_TASKS + 1})),
         400,
         "step 0 has 10001 tasks; 1 to 10000 are allowed"
     );
@@ -189,7 +189,7 @@
         "the description has 4001 bytes, above 4000"
     );
     step_after_itself => (
-        with(json!({"after": [0]})),
+        with(&json!({"after": [0]})),
         400,
         "step 0 depends on step 0, which is not an earlier one"
     );
@@ -198,15 +198,15 @@
         400,
         "step 0 depends on step 1, which is not an earlier one"
     );
-    negative_number => (with(json!({"tasks": -1})), 400, "the request is malformed");
+    negative_number => (with(&json!({"tasks": -1})), 400, "the request is malformed");
     number_above_its_type => (
-        with(json!({"duration_ms": 1e30})),
+        with(&json!({"duration_ms": 1e30})),
         400,
         "the request is malformed"
     );
     schedule_without_runs => (repeated(0, 1, 0), 400, "the request is malformed");
     body_above_its_limit => (
-        with(json!({"label": "x".repeat(256 << 10)})),
+        with(&json!({"label": "x".repeat(256 << 10)})),
         413,
         "the request body exceeds the size limit"
     );
