Count the runs of a gang under two owners separately if their numbers are equal

Since the attempts of a gang count by the number of its runs, two failed runs of one member counted as one attempt if two owners had given them the same number: a successor that doesn't know a run of a silent worker uses its number again. The gang could then start once more than its queue allows.

The entry of a member now tells the worker beside the number of the run, in one number as before. Runs of one member on different workers count separately, members that fail in one run count once.

--- a/crates/nutmegcart_jobs/src/failed_runs.rs
+++ b/crates/nutmegcart_jobs/src/failed_runs.rs
@@ -6,7 +6,7 @@
 //! successor counts once.
 //!
 //! The members of a gang start with one run number, and several of them may fail in a run, which is
-//! one attempt. So of a gang the plain numbers are kept.
+//! one attempt. So the entries of a gang's members tell the number of the run, beside the worker.
 
 use std::collections::BTreeSet;
 
@@ -16,6 +16,10 @@
 /// Bit that distinguishes identities from the plain run numbers that earlier versions stored.
 const IDENTITY: u32 = 1 << 31;
 
+/// Bits of a run number in the entry of a gang's member; the others tell the worker.
+const RUN_BITS: u32 = 16;
+const RUN_MASK: u32 = (1 << RUN_BITS) - 1;
+
 /// Distinct failed runs of a task.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct FailedRuns(Vec<u32>);
@@ -65,15 +69,17 @@
 
     /// Adds a run of a gang's member, unless it is known.
     pub fn record_member(&mut self, worker: &WorkerId, run: u32) {
-        if !self.0.contains(&identity(worker, run)) && !self.0.contains(&run) {
-            self.0.push(run);
+        let entry = member_entry(worker, run);
+        let known = [entry, identity(worker, run), run];
+        if !known.iter().any(|each| self.0.contains(each)) {
+            self.0.push(entry);
         }
     }
 
     /// Returns the number of runs of a gang in which a member has failed.
     ///
-    /// Earlier versions stored identities for the members of a gang too, which don't tell the run.
-    /// Those of one member are of different runs.
+    /// Those of one member are different runs, also if two owners gave them the same number. Earlier
+    /// versions stored identities for the members of a gang too, which don't tell the number.
     ///
     /// ```
     /// # use nutmegcart_jobs::failed_runs::FailedRuns;
@@ -81,19 +87,20 @@
     /// members[0].record_member(&"i-1".into(), 17);
     /// members[1].record_member(&"i-2".into(), 17);
     /// assert_eq!(FailedRuns::count_of_gang(&members), 1);
-    /// members[1].record_member(&"i-2".into(), 18);
+    /// members[0].record_member(&"i-3".into(), 17);
     /// assert_eq!(FailedRuns::count_of_gang(&members), 2);
     /// ```
     pub fn count_of_gang<'a>(members: impl IntoIterator<Item = &'a Self>) -> usize {
         let mut runs = BTreeSet::new();
-        let mut unknown = 0;
+        let (mut most, mut unknown) = (0, 0);
         for member in members {
-            let (identities, known): (Vec<u32>, Vec<u32>) =
+            let (identities, entries): (Vec<u32>, Vec<u32>) =
                 member.0.iter().partition(|run| **run & IDENTITY != 0);
             unknown = unknown.max(identities.len());
-            runs.extend(known);
+            most = most.max(entries.len());
+            runs.extend(entries.iter().map(|entry| entry & RUN_MASK));
         }
-        runs.len() + unknown
+        runs.len().max(most) + unknown
     }
 
     /// Returns whether no run has failed.
@@ -116,3 +123,8 @@
 fn identity(worker: &WorkerId, run: u32) -> u32 {
     rendezvous::weight(worker.as_bytes(), &run.to_le_bytes()) as u32 | IDENTITY
 }
+
+fn member_entry(worker: &WorkerId, run: u32) -> u32 {
+    let host = identity(worker, 0) << RUN_BITS;
+    (host | run & RUN_MASK) & !IDENTITY
+}
--- a/crates/nutmegcart_jobs/tests/attempts.rs
+++ b/crates/nutmegcart_jobs/tests/attempts.rs
@@ -8,6 +8,7 @@
 use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::Step;
 use nutmegcart_jobs::failed_runs::FailedRuns;
 use support::assert_no_violations;
 use support::batch_step;
@@ -112,13 +113,15 @@
     failed_ends_survive_outages => Change::Outage;
 }
 
-/// Guards against two failed runs under two owners that count as one because both owners gave them
-/// the same number.
-#[test]
-fn runs_of_two_owners_count_separately() {
+fn runs_of_two_owners_count(gang: bool) {
     let mut world = world(12, 2);
     // The job is older than the ownership of both owners.
-    let id = submit_failing(&mut world, 900);
+    let step = Step {
+        gang,
+        ..batch_step(1, 1_000, 900)
+    };
+    let id = submit(&mut world, 1, vec![step]);
+    world.failing_tasks.insert(task(&id, 0, 0));
     let first = world.take_over_partitioned([worker(1)]);
     let key = task(&id, 0, 0);
     while !world.checker.is_live(&key) {
@@ -137,6 +140,14 @@
     assert_attempts(&world, &id, "two owners");
 }
 
+cases! { runs_of_two_owners_count:
+    /// Guards against two failed runs under two owners that count as one because both owners gave
+    /// them the same number.
+    runs_of_two_owners_count_separately => false;
+    /// Same for the members of a gang, whose runs in one attempt have one number.
+    runs_of_a_gang_under_two_owners_count_separately => true;
+}
+
 /// Guards against a failed run that counts twice because an earlier version has stored its number, or
 /// because its worker reports it again to a successor.
 #[test]
