Draw no machines to a pool for tasks that fit on none of them

Seen in a test: a job of 4 tasks, each of which needs more than the largest machine of the cell, moved all 8 idle machines of the spare pool to its own pool, where they could run nothing of it, for as long as the job was open.

Cause: the predicted work of a job counts as demand for machines whether or not any can run it, both as backlog and as work that arrives.

Change: a step that fits on no machine of the cell does not count as backlog, and a job with such a step not as arriving work.

Measured: tasks_that_no_machine_can_run (8 moves, 18 with the first half of the change alone) failed before and passes. Not covered: a gang without a limit for each worker that needs more machines than there are still counts by its work.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -187,6 +187,16 @@
         sizes
     }
 
+    /// Returns whether a task of each step fits on some machine, as far as these are known.
+    pub(crate) fn machines_fit(&self, job: &LiveJob) -> bool {
+        let known = &self.machines.known;
+        let fits = |step: &Step| {
+            let mut sizes = known.values().map(|machine| machine.capacity);
+            sizes.any(|size| step.allocation().fits(size))
+        };
+        known.is_empty() || job.accepted.job.steps.iter().all(fits)
+    }
+
     /// Returns the number of machines that the largest waiting gang of the job needs if it may share
     /// them; 0 if the cell, whose machines have the given sizes, does not have as many.
     pub(crate) fn gang_machines(&self, job: &LiveJob, sizes: &[Resources]) -> usize {
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -537,15 +537,19 @@
     /// Returns the predicted work of tasks that have not finished, in core-seconds.
     #[must_use]
     pub fn work_left(&self) -> f64 {
-        self.work_by_label().map(|(_, work)| work).sum()
+        self.work_by_label(|_| true).map(|(_, work)| work).sum()
     }
 
     /// Returns the predicted work of unfinished tasks by the label that their worker must have; a
-    /// label may occur more than once.
-    pub fn work_by_label(&self) -> impl Iterator<Item = (Option<&Arc<str>>, f64)> {
-        self.occurrences.values().flat_map(|occurrence| {
+    /// label may occur more than once. Only the steps for which `counts` is true count.
+    pub fn work_by_label(
+        &self,
+        counts: impl Fn(&Step) -> bool + Copy,
+    ) -> impl Iterator<Item = (Option<&Arc<str>>, f64)> {
+        self.occurrences.values().flat_map(move |occurrence| {
             let steps = self.accepted.job.steps.iter().zip(&self.durations);
             let states = steps.zip(&occurrence.steps);
+            let states = states.filter(move |((step, _), _)| counts(step));
             states.map(|((step, duration), state)| {
                 let count = state.tasks.len() as f64 - f64::from(state.done);
                 let work = count * step.need.cpu as f64 / 1_000.0 * duration.as_secs_f64();
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -11,6 +11,7 @@
 use nutmegcart_model::log_event;
 
 use crate::burst_forecast::BurstForecast;
+use crate::job::Step;
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
@@ -433,6 +434,8 @@
             balances.insert(pool.clone(), Balance::default());
         }
         let median_cores = self.median_cores();
+        let sizes = self.machine_sizes();
+        let fits = |step: &Step| sizes.iter().any(|size| step.allocation().fits(*size));
         let mut cores: BTreeMap<PoolName, f64> = BTreeMap::new();
         let mut labelled: BTreeMap<(PoolName, Arc<str>), f64> = BTreeMap::new();
         for job in self
@@ -440,7 +443,7 @@
             .values()
             .filter(|job| job.ended.is_none() && !job.accepted.job.is_long_running())
         {
-            for (label, work) in job.work_by_label() {
+            for (label, work) in job.work_by_label(fits) {
                 *cores.entry(job.pool.clone()).or_default() += work / BACKLOG_SECONDS;
                 if let Some(label) = label {
                     let key = (job.pool.clone(), label.clone());
@@ -448,7 +451,6 @@
                 }
             }
         }
-        let sizes = self.machine_sizes();
         let gangs = self.count_missing(&mut balances, &sizes);
         for ((pool, label), cores) in labelled {
             let balance = balances.entry(pool).or_default();
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -295,7 +295,9 @@
             job.restore(&progress, if inherited { INHERITED_RUN_GAP } else { 0 });
         }
         if !inherited && !job.accepted.job.is_long_running() {
-            self.rebalancer.record_arrival(&job.pool, job.work, now);
+            if self.machines_fit(&job) {
+                self.rebalancer.record_arrival(&job.pool, job.work, now);
+            }
             let queue = &job.accepted.queue.key;
             self.size_shares.record_arrival(queue, job.work, now);
         }
--- a/crates/nutmegcart_jobs/tests/large_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/large_jobs.rs
@@ -287,4 +287,5 @@
 cases! { gang_draws_no_machines:
     gang_with_more_members_than_machines => gang(100, 100, 1);
     gang_that_shares_workers_and_needs_more_than_there_are => gang(100, 100, 2);
+    tasks_that_no_machine_can_run => once(batch_step(4, 64_001, 100_000));
 }
