Count no failed or leaving instance as a member of its pool

A new instance went to the spare pool while a pool had an instance that had failed or was about to leave: such instances counted as members, so no pool seemed short. When the new one came before the other had vanished from the list, the pool stayed short until another new instance came.

Instances that are failed by the map, or that the platform lists as other than live while no operation concerns them, no longer count. Those that are out for maintenance count as before, since they return.

a_new_instance_goes_to_the_pool_of_one_that_fails_or_leaves failed before: the new instance went to the spare pool.

--- a/crates/nutmegcart_fleet/src/assign.rs
+++ b/crates/nutmegcart_fleet/src/assign.rs
@@ -29,7 +29,8 @@
 ///
 /// A new instance first replaces one of its role that vanished from the instance list, so the pool
 /// keeps its size. Otherwise it goes to the pool that is furthest below its declared size, of which
-/// each data centre provides an equal part. Without a shortfall it goes to the spare pool.
+/// each data centre provides an equal part; instances that have failed or are leaving do not count.
+/// Without a shortfall it goes to the spare pool.
 pub(crate) fn assign(view: &FleetView, map: &mut PoolMap, now: Duration) -> Vec<PlannedChange> {
     let mut changes = Vec::new();
     let unassigned: Vec<_> = view
@@ -45,7 +46,7 @@
         return changes;
     }
     let mut vanished = vanished(view, map, now);
-    let mut members = members(view, map);
+    let mut members = members(view, map, now);
     let centres = centres(view);
     for (id, observed) in unassigned {
         let found = vanished.iter().position(|(_, role)| *role == observed.role);
@@ -72,10 +73,11 @@
     changes
 }
 
-/// Number of members in all data centres and in this one, by pool and whether they are runners.
+/// Number of members that stay in service, in all data centres and in this one, by pool and whether
+/// they are runners.
 type Members = BTreeMap<(PoolName, bool), (u32, u32)>;
 
-fn members(view: &FleetView, map: &PoolMap) -> Members {
+fn members(view: &FleetView, map: &PoolMap, now: Duration) -> Members {
     let mut members = Members::new();
     let others = view
         .pool_maps()
@@ -84,7 +86,9 @@
         .map(|(_, map)| (map, 0))
         .chain(std::iter::once((map, 1)));
     for (map, own) in maps {
-        for entry in map.instances.values() {
+        let staying = map.instances.iter();
+        let staying = staying.filter(|(id, entry)| !is_lost(view, id, entry, now));
+        for (_, entry) in staying {
             let key = (entry.pool.clone(), entry.role == Role::Runner);
             let counts = members.entry(key).or_default();
             counts.0 += 1;
@@ -94,6 +98,15 @@
     members
 }
 
+/// Returns whether an instance has failed, or leaves without an operation that returns it to service.
+fn is_lost(view: &FleetView, id: &InstanceId, entry: &MapEntry, now: Duration) -> bool {
+    if entry.state != MaintenanceState::Service {
+        return entry.state == MaintenanceState::Failed;
+    }
+    let observed = view.instances.known(id, now);
+    observed.is_some_and(|observed| observed.state != InstanceState::Live)
+}
+
 /// Returns the number of data centres that have a map or listed instances, at least one.
 fn centres(view: &FleetView) -> u32 {
     let listed = view.instances.iter().map(|(_, observed)| &observed.centre);
--- a/crates/nutmegcart_fleet/tests/waves_rules.rs
+++ b/crates/nutmegcart_fleet/tests/waves_rules.rs
@@ -360,6 +360,26 @@
     assert_eq!((members.len(), members.contains(&id)), (8, false));
 }
 
+#[test]
+fn a_new_instance_goes_to_the_pool_of_one_that_fails_or_leaves() {
+    for state in [InstanceState::Failed, InstanceState::Leaving] {
+        let mut sim = Simulation::new(2, Allowance::Count(2));
+        let id = sim.members(POOLS[1])[0].clone();
+        let lost = sim.true_instances.get_mut(&id).expect("exists");
+        lost.instance.state = state;
+        let (centre, rack) = (lost.instance.centre.clone(), lost.instance.rack.clone());
+        sim.advance_time(1);
+        sim.run_rounds(2);
+        let known: BTreeSet<String> = sim.true_instances.keys().cloned().collect();
+        sim.add_instance(&centre, &rack);
+        sim.advance_time(1);
+        sim.run_rounds(2);
+        let mut added = sim.true_instances.keys().filter(|id| !known.contains(*id));
+        let added = added.next().expect("it was added");
+        assert_eq!(sim.pool_of(added), POOLS[1], "{state:?}");
+    }
+}
+
 #[test]
 fn weights_decide_reserve_and_hysteresis() {
     let policy = |buffer, rollout, moves| {
