Check that no task starts again whose end a worker still holds as done

The virtual cell knew a task as done only once an owner had acknowledged its end, so tasks that ran again while their ends waited on a worker, as with a list read as complete, broke no promise. A drawn session now reports such a start, unless the worker was cut off from an owner in the 10 s before.

--- a/crates/nutmegcart_fakes/src/cell/invariant_checker.rs
+++ b/crates/nutmegcart_fakes/src/cell/invariant_checker.rs
@@ -28,6 +28,9 @@
     pub starts: usize,
     /// Number of runs that completed.
     pub completed: usize,
+    /// Starts of tasks of which a running worker holds an end as done: the time, the task and that
+    /// worker. They are right only if the owner could not ask it.
+    pub repeated: Vec<(Duration, TaskKey, WorkerId)>,
     /// Runs that have not ended, with their workers.
     live: BTreeMap<TaskKey, BTreeSet<(WorkerId, u32)>>,
     /// Tasks whose completion an owner has acknowledged to the worker.
--- a/crates/nutmegcart_fakes/src/cell/runs.rs
+++ b/crates/nutmegcart_fakes/src/cell/runs.rs
@@ -79,6 +79,7 @@
             && before.get(&start.task) != Some(&start.run)
         {
             self.checker.check_start(id, &start.task, start.run, now);
+            self.record_repeated(&start.task);
             let worker = &self.workers[id];
             if !worker.used().fits(worker.listing.capacity) {
                 let at = now.as_millis();
@@ -125,6 +126,22 @@
         }
     }
 
+    /// Records the start of a task of which a running worker holds an end as done.
+    fn record_repeated(&mut self, task: &TaskKey) {
+        if !self.checker.is_completed(task) {
+            return;
+        }
+        let mut up = self.workers.iter().filter(|(_, worker)| worker.up);
+        let holder = up.find(|(_, worker)| {
+            let mut ended = worker.ended.iter();
+            ended.any(|end| end.task == *task && end.how == RunEnd::Done)
+        });
+        if let Some((holder, _)) = holder {
+            let repeated = (self.now, task.clone(), holder.clone());
+            self.checker.repeated.push(repeated);
+        }
+    }
+
     /// Returns the run for a start order, as described by the step of its job.
     fn new_run(&mut self, id: &WorkerId, start: &StartOrder) -> Option<FakeRun> {
         let task = &start.task;
--- a/crates/nutmegcart_jobs/tests/drawn/faults.rs
+++ b/crates/nutmegcart_jobs/tests/drawn/faults.rs
@@ -108,6 +108,9 @@
             && let Some(id) = self.any_worker()
         {
             let span = self.fault(&format!("{id} cut off from the owner"), 0.3, 9.0);
+            let until = self.world.now + span;
+            let known = self.cut_off.entry(id.clone()).or_default();
+            *known = until.max(*known);
             self.world.owners[owner].unreachable.insert(id.clone());
             self.world.after(span, move |world| {
                 world.owners[owner].unreachable.remove(&id);
--- a/crates/nutmegcart_jobs/tests/drawn/session.rs
+++ b/crates/nutmegcart_jobs/tests/drawn/session.rs
@@ -14,6 +14,7 @@
 use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::job::TicketTiming;
+use nutmegcart_model::WorkerId;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -37,6 +38,8 @@
 const SLACK: Duration = Duration::from_mins(2);
 /// Largest time by which the clock of an owner is wrong, in milliseconds.
 const MAX_AHEAD: i64 = 2_500;
+/// Time from the end of a fault until no start follows from what a worker could not report.
+const REPEAT_TIME: Duration = Duration::from_secs(10);
 /// Sum of the unacknowledged ends from which a session counts as one with many.
 const MANY_ENDS: usize = 1_000;
 /// Largest number of open jobs that get another one.
@@ -59,6 +62,8 @@
     /// Features that the session has used.
     pub used: BTreeSet<Feature>,
     pub log: Vec<String>,
+    /// Until when each worker was cut off from an owner.
+    pub cut_off: BTreeMap<WorkerId, Duration>,
     /// Final states; the store forgets them after a while.
     ended: BTreeMap<JobId, FinalState>,
     alone: usize,
@@ -133,6 +138,7 @@
             max_down: Vec::new(),
             used,
             log: Vec::new(),
+            cut_off: BTreeMap::new(),
             ended: BTreeMap::new(),
             alone: 0,
         };
@@ -168,6 +174,16 @@
             self.world.checker.violations.push(broken);
         }
         self.alone = self.world.alone;
+        for (when, task, holder) in std::mem::take(&mut self.world.checker.repeated) {
+            let until = self.cut_off.get(&holder);
+            if until.is_none_or(|until| when >= *until + REPEAT_TIME) {
+                let broken = format!(
+                    "{} ms: {task} started although {holder} reports that it is done",
+                    when.as_millis()
+                );
+                self.world.checker.violations.push(broken);
+            }
+        }
         let open: Vec<JobId> = self.open().into_iter().cloned().collect();
         for id in open {
             let Some(JobState::Ended(how)) = self.world.stored_state(&id) else {
