Encode the record of a submitted job once

A submission encoded the record to check its size, and again for each attempt to store it, twice for a job with long-running tasks that goes to another cell. The record is encoded once now and handed to the attempts; the transaction that passes a job uses the same function. What is stored stays the same.

--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -50,13 +50,12 @@
 }
 
 impl JobInsert {
-    /// Stores a job under one key.
+    /// Stores the encoded record of a job under one key.
     #[must_use]
-    pub fn new(key: String, accepted: &AcceptedJob) -> Self {
-        let value = encode(&JobRecord::Accepted(Box::new(accepted.clone())));
+    pub fn new(key: String, record: Vec<u8>) -> Self {
         Self {
             absent: vec![key.clone()],
-            puts: vec![(key, value)],
+            puts: vec![(key, record)],
         }
     }
 
@@ -69,6 +68,11 @@
     }
 }
 
+/// Encodes the record of a job that is to be stored.
+pub(crate) fn encode_accepted(accepted: &AcceptedJob) -> Vec<u8> {
+    encode(&JobRecord::Accepted(Box::new(accepted.clone())))
+}
+
 struct PendingInsert {
     id: JobId,
     insert: JobInsert,
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -8,7 +8,6 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
 use nutmegcart_jobs::record::encode;
@@ -20,6 +19,7 @@
 use crate::acceptor::Acceptance;
 use crate::acceptor::Acceptor;
 use crate::acceptor::JobInsert;
+use crate::acceptor::encode_accepted;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::CallerResponse;
 use crate::caller_request::HELPER_TIMEOUT;
@@ -122,19 +122,21 @@
             at: unix_ms(),
             job,
         };
-        let bytes = encode(&JobRecord::Accepted(Box::new(accepted.clone()))).len();
-        if bytes > node.reloadable.get().jobs.max_value {
+        let record = encode_accepted(&accepted);
+        if record.len() > node.reloadable.get().jobs.max_value {
             log_event!(
                 Event::JobRefused,
                 job = id,
                 queue = queue.key,
-                reason = format_args!("its record has {bytes} bytes")
+                reason = format_args!("its record has {} bytes", record.len())
             );
             return CallerResponse::refused(Code::BodyTooLarge);
         }
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
-        let acceptance = self.store_job(node, cells, &id, &accepted, deadline).await;
+        let acceptance = self
+            .store_job(node, cells, &id, (&accepted, &record), deadline)
+            .await;
         let took = now().saturating_sub(start);
         node.metrics.acceptance_latency.observe(took.as_secs_f64());
         let took = took.as_millis();
@@ -183,7 +185,7 @@
         node: &Rc<Node>,
         cells: &Cells,
         id: &JobId,
-        accepted: &AcceptedJob,
+        (accepted, record): (&AcceptedJob, &[u8]),
         deadline: Duration,
     ) -> Acceptance {
         let cell = cells.of_job(id).number;
@@ -206,7 +208,7 @@
                     helpers = node.helpers(cell).into_iter().take(MAX_HELPERS);
                 }
                 tried_store = true;
-                let insert = plan_insert(node, cells, id, accepted).await;
+                let insert = plan_insert(node, cells, id, accepted, record.to_vec()).await;
                 self.acceptor
                     .accept(node, id.clone(), insert, deadline)
                     .await
@@ -247,7 +249,8 @@
             log_event!(Event::JobRefused, job = id, reason = error);
             return Acceptance::NotStored;
         }
-        let insert = plan_insert(node, &cells, &id, &accepted).await;
+        let record = encode_accepted(&accepted);
+        let insert = plan_insert(node, &cells, &id, &accepted, record).await;
         self.acceptor.accept(node, id, insert, now() + limit).await
     }
 }
@@ -271,7 +274,7 @@
     }
 }
 
-/// Chooses the cell of a job and returns the writes that store it there.
+/// Chooses the cell of a job and returns the writes that store its encoded record there.
 ///
 /// The identifier determines the cell. A job with long-running tasks goes to the least loaded cell
 /// instead. Attempts of several instances may then choose different cells. Each attempt requires
@@ -282,9 +285,10 @@
     cells: &Cells,
     id: &JobId,
     accepted: &AcceptedJob,
+    record: Vec<u8>,
 ) -> JobInsert {
     let own = cells.of_job(id);
-    let mut insert = JobInsert::new(own.keys.job(id), accepted);
+    let mut insert = JobInsert::new(own.keys.job(id), record);
     if cells.views.len() == 1 {
         return insert;
     }
@@ -295,9 +299,11 @@
     }
     let view = least_loaded(node, cells, accepted).await;
     if view.number != own.number {
-        let elsewhere = JobInsert::new(view.keys.job(id), accepted);
-        insert.absent.extend(elsewhere.absent);
-        insert.puts = elsewhere.puts;
+        let elsewhere = view.keys.job(id);
+        insert.absent.push(elsewhere.clone());
+        for (key, _) in &mut insert.puts {
+            key.clone_from(&elsewhere);
+        }
         let cell = encode(&view.number);
         insert.puts.push((keys::job_location(id), cell));
     }
--- a/crates/nutmegcart_control/src/passing.rs
+++ b/crates/nutmegcart_control/src/passing.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::passing::CellLoad;
 use nutmegcart_jobs::passing::JobPass;
 use nutmegcart_jobs::passing::PassOutcome;
@@ -19,6 +18,7 @@
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 
+use crate::acceptor::encode_accepted;
 use crate::clock::now;
 use crate::keys;
 use crate::keys::CellKeys;
@@ -159,7 +159,6 @@
 pub fn transaction(own: &CellKeys, fence: Revision, target: &CellKeys, pass: &JobPass) -> Txn {
     let (key, target_key) = (own.job(&pass.job), target.job(&pass.job));
     let location = keys::job_location(&pass.job);
-    let record = JobRecord::Accepted(Box::new(pass.accepted.clone()));
     Txn::default()
         .unchanged(own.owner(), fence)
         .unchanged(key.clone(), pass.revision)
@@ -169,7 +168,7 @@
         .or_read(key.clone())
         .or_read(location.clone())
         .delete(key)
-        .put(target_key, encode(&record))
+        .put(target_key, encode_accepted(&pass.accepted))
         .put(location, encode(&pass.cell))
 }
 
