Build the cell state without a copy, and share three small checks

The state of a cell was copied at each write in case the listing of finished tasks does not fit; the listing is now taken out again instead. Whether a task belongs to a gang, the read access to the tasks of its step, and whether a step fits on a machine were each written in several places; is_gang, tasks_of_step and fits_any serve them. The first stall of a gang no longer needs to know about gangs where runs are collected.

--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -189,12 +189,9 @@
 
     /// Returns whether a task of each step fits on some machine, as far as these are known.
     pub(crate) fn machines_fit(&self, job: &LiveJob) -> bool {
-        let known = &self.machines.known;
-        let fits = |step: &Step| {
-            let mut sizes = known.values().map(|machine| machine.capacity);
-            sizes.any(|size| step.allocation().fits(size))
-        };
-        known.is_empty() || job.accepted.job.steps.iter().all(fits)
+        let sizes = self.machine_sizes();
+        let mut steps = job.accepted.job.steps.iter();
+        sizes.is_empty() || steps.all(|step| fits_any(step, &sizes))
     }
 
     /// Returns the number of machines that the largest waiting gang of the job needs if it may share
@@ -314,6 +311,11 @@
     }
 }
 
+/// Returns whether a task of a step fits on a machine of one of the sizes.
+pub(crate) fn fits_any(step: &Step, sizes: &[Resources]) -> bool {
+    sizes.iter().any(|size| step.allocation().fits(*size))
+}
+
 /// Returns how many tasks of a step fit on an empty machine.
 fn count_fitting(step: &Step, size: Resources) -> u32 {
     let need = step.allocation();
--- a/crates/nutmegcart_jobs/src/finished_tasks.rs
+++ b/crates/nutmegcart_jobs/src/finished_tasks.rs
@@ -39,7 +39,8 @@
         self.flush_queue.lists_only = !allowed;
     }
 
-    /// Adds the progress of unfinished jobs to the state of the cell and encodes it.
+    /// Adds the progress of unfinished jobs to the state of the cell, which has none yet, and encodes
+    /// it.
     ///
     /// Finished tasks are listed one by one, which all versions read, unless the store does not
     /// accept a state of that size. Then the state contains the ranges of their numbers if every
@@ -56,15 +57,15 @@
         let finished: usize = jobs.iter().map(|job| job.finished_count()).sum();
         let lists_only = self.flush_queue.lists_only;
         if lists_only || self.may_list(finished.saturating_mul(MIN_LISTED_SIZE)) {
-            let mut listing = record.clone();
-            list_progress(&mut listing, &jobs);
-            let bytes = encode_cell(&listing);
+            list_progress(&mut record, &jobs);
+            let bytes = encode_cell(&record);
             if lists_only || self.may_list(bytes.len()) {
                 return EncodedState {
                     bytes,
                     listed: finished > 0 && !lists_only,
                 };
             }
+            record.tasks.clear();
         }
         for job in jobs {
             record
--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -75,7 +75,7 @@
         let Some(checkpoint) = checkpoint else {
             return;
         };
-        if !self.step(key).is_some_and(|step| step.gang) {
+        if !self.is_gang(key) {
             if let Some(task) = self.task(key) {
                 task.checkpoint = Some(checkpoint.clone());
             }
@@ -95,7 +95,7 @@
 
     /// Records the checkpoint of a live run for its gang, if its task belongs to one.
     pub(crate) fn share_checkpoint(&mut self, reported: &ReportedRun, now: Duration) {
-        if self.step(&reported.task).is_some_and(|step| step.gang) {
+        if self.is_gang(&reported.task) {
             let origin = Origin::live(reported.run, reported.progress, now);
             self.record_checkpoint(&reported.task, reported.checkpoint.as_ref(), origin);
         }
@@ -103,7 +103,7 @@
 
     /// Records a failed run of a task.
     pub(crate) fn record_failure(&mut self, key: &TaskKey, worker: &WorkerId, run: u32) {
-        let gang = self.step(key).is_some_and(|step| step.gang);
+        let gang = self.is_gang(key);
         let Some(task) = self.task(key) else {
             return;
         };
@@ -117,10 +117,8 @@
     /// Returns the number of attempts that a task has used up; those of a gang count for each of its
     /// tasks.
     pub(crate) fn failed_attempts(&self, key: &TaskKey) -> usize {
-        let steps = self.occurrences.get(&key.occurrence);
-        let state = steps.and_then(|each| each.steps.get(usize::from(key.step)));
-        let tasks = state.map_or(&[][..], |state| &state.tasks);
-        if self.step(key).is_some_and(|step| step.gang) {
+        let tasks = self.tasks_of_step(key);
+        if self.is_gang(key) {
             return FailedRuns::count_of_gang(tasks.iter().map(|task| &task.failed_runs));
         }
         let index = usize::try_from(key.index).ok();
@@ -156,8 +154,8 @@
     /// Stops the live runs of the gang to which a task belongs whose run is stopped, if it belongs to
     /// one, since they wait in vain.
     pub(crate) fn stop_rest_of_gang(&mut self, key: &TaskKey) {
-        let step = self.jobs.get(&key.job).and_then(|job| job.step(key));
-        if step.is_some_and(|step| step.gang) {
+        let job = self.jobs.get(&key.job);
+        if job.is_some_and(|job| job.is_gang(key)) {
             self.stop_incomplete_gang(key);
         }
     }
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -202,7 +202,7 @@
             task.waiting_since = now;
         }
         // A gang has had the checkpoint since it was reported, with its origin.
-        if !job.step(key).is_some_and(|step| step.gang) {
+        if !job.is_gang(key) {
             let origin = Origin::live(run.number, run.progress, now);
             job.record_checkpoint(key, run.checkpoint.as_ref(), origin);
         }
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -423,6 +423,20 @@
         self.accepted.job.steps.get(usize::from(key.step))
     }
 
+    /// Returns whether a task belongs to a gang.
+    #[must_use]
+    pub fn is_gang(&self, key: &TaskKey) -> bool {
+        self.step(key).is_some_and(|step| step.gang)
+    }
+
+    /// Returns the states of the tasks of a task's step, none if its occurrence is not open.
+    #[must_use]
+    pub fn tasks_of_step(&self, key: &TaskKey) -> &[LiveTask] {
+        let occurrence = self.occurrences.get(&key.occurrence);
+        let step = occurrence.and_then(|each| each.steps.get(usize::from(key.step)));
+        step.map_or(&[], |step| &step.tasks)
+    }
+
     /// Returns the state of a task's step.
     pub fn step_state(&mut self, key: &TaskKey) -> Option<&mut LiveStep> {
         let occurrence = self.occurrences.get_mut(&key.occurrence)?;
--- a/crates/nutmegcart_jobs/src/progress.rs
+++ b/crates/nutmegcart_jobs/src/progress.rs
@@ -99,13 +99,9 @@
                 }
             }
         }
-        let mut gangs = BTreeSet::new();
+        let mut steps = BTreeSet::new();
         for (id, key) in &stalled {
-            let job = self.jobs.get(&key.job);
-            let gang = job
-                .and_then(|job| job.step(key))
-                .is_some_and(|step| step.gang);
-            let first = !gang || gangs.insert((&key.job, key.occurrence, key.step));
+            let first = steps.insert((&key.job, key.occurrence, key.step));
             self.stop_stalled_run(id, key, first, now);
         }
         // The others would count as stalled too until their gang has ended.
@@ -121,25 +117,20 @@
         let learnt = job.durations.get(usize::from(key.step)).copied();
         let declared = job.step(key).map(crate::job::Step::declared);
         let predicted = learnt.max(declared).unwrap_or_default();
-        let steps = job.occurrences.get(&key.occurrence);
-        let task = steps
-            .and_then(|each| each.steps.get(usize::from(key.step)))
-            .and_then(|step| step.tasks.get(usize::try_from(key.index).ok()?));
+        let index = usize::try_from(key.index).ok();
+        let task = index.and_then(|index| job.tasks_of_step(key).get(index));
         let stalls = task.map_or(0, |task| task.stalls);
         stall_time(predicted, run.percent_time, stalls)
     }
 
-    /// Stops a stalled run; `first` is false if the stall of its gang has been counted.
+    /// Stops a stalled run; `first` is false if another one of its step has been stopped before.
     fn stop_stalled_run(&mut self, id: &WorkerId, key: &TaskKey, first: bool, now: Duration) {
         let avoid = self.has_alternative(id, key).then_some(id);
         let worker = self.workers.get(id);
         // Where runs of other jobs have failed too, the worker is to blame.
         let suspect = worker.is_some_and(|each| each.failed_jobs.iter().any(|job| *job != key.job));
         let job = self.jobs.get_mut(&key.job);
-        let gang = job
-            .as_ref()
-            .and_then(|job| job.step(key))
-            .is_some_and(|step| step.gang);
+        let gang = job.as_ref().is_some_and(|job| job.is_gang(key));
         let mut doubted = false;
         if let Some(job) = job {
             if gang && first {
@@ -195,7 +186,7 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return true;
         };
-        let gang = job.step(key).is_some_and(|step| step.gang);
+        let gang = job.is_gang(key);
         !gang && job.task(key).is_none_or(|task| !task.is_doubted())
     }
 }
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -10,8 +10,8 @@
 use nutmegcart_model::PoolName;
 use nutmegcart_model::log_event;
 
+use crate::assignments::fits_any;
 use crate::burst_forecast::BurstForecast;
-use crate::job::Step;
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
@@ -435,7 +435,6 @@
         }
         let median_cores = self.median_cores();
         let sizes = self.machine_sizes();
-        let fits = |step: &Step| sizes.iter().any(|size| step.allocation().fits(*size));
         let mut cores: BTreeMap<PoolName, f64> = BTreeMap::new();
         let mut labelled: BTreeMap<(PoolName, Arc<str>), f64> = BTreeMap::new();
         for job in self
@@ -443,7 +442,7 @@
             .values()
             .filter(|job| job.ended.is_none() && !job.accepted.job.is_long_running())
         {
-            for (label, work) in job.work_by_label(fits) {
+            for (label, work) in job.work_by_label(|step| fits_any(step, &sizes)) {
                 *cores.entry(job.pool.clone()).or_default() += work / BACKLOG_SECONDS;
                 if let Some(label) = label {
                     let key = (job.pool.clone(), label.clone());
