Share set-up and checks between the tests of the scheduler

Machines without a worker were built in five places, the start of a wave in five, the end of one in six and the check of a blocked task in three; the checks of the size of the state in two. Each is one function now, and the assertions are the same. The two statements of the wave's end that compared a pair compare its halves one after the other. All tests of nutmegcart_jobs pass.

--- a/crates/nutmegcart_jobs/tests/assignments.rs
+++ b/crates/nutmegcart_jobs/tests/assignments.rs
@@ -53,6 +53,15 @@
     decode_cell(state).expect("the stored state decodes")
 }
 
+/// Panics unless one long-running task waits, for this worker alone.
+fn assert_blocked_by(world: &CellSimulation, host: &WorkerId) {
+    let reasons = reasons(world);
+    assert!(
+        matches!(&reasons[..], [WaitReason::Blocked { worker, workers: 1, .. }] if worker == host),
+        "{reasons:?}"
+    );
+}
+
 fn reasons(world: &CellSimulation) -> Vec<WaitReason> {
     let owner = world.owners.last().expect("the cell has an owner");
     let pools = owner.scheduler.waiting_long_running(world.now);
@@ -124,11 +133,7 @@
     replace_owner(&mut world, std::slice::from_ref(&host));
     world.run(BLOCKED_TIME);
     assert_eq!(world.checker.starts, 1);
-    let reasons = reasons(&world);
-    assert!(
-        matches!(&reasons[..], [WaitReason::Blocked { worker, workers: 1, .. }] if *worker == host),
-        "{reasons:?}"
-    );
+    assert_blocked_by(&world, &host);
     world.run(BLOCK_END.saturating_sub(BLOCKED_TIME));
     assert_eq!(world.checker.starts, 2);
     assert_no_violations(&world);
@@ -192,11 +197,7 @@
     // The task of the removed worker runs again, and that of the silent one waits; its first run
     // lives until its lease ends.
     assert_eq!(world.checker.starts, 4);
-    let reasons = reasons(&world);
-    assert!(
-        matches!(&reasons[..], [WaitReason::Blocked { worker, workers: 1, .. }] if *worker == busy[0]),
-        "{reasons:?}"
-    );
+    assert_blocked_by(&world, &busy[0]);
     world.run(BLOCK_END);
     assert_eq!(live_long_running_runs(&world), 3);
     assert_no_violations(&world);
@@ -223,11 +224,7 @@
         // The first run of the task lives until its lease ends.
         world.run(seconds(4.0));
         assert_eq!(world.checker.starts, 4, "lost after {lived} s");
-        let reasons = reasons(&world);
-        assert!(
-            matches!(&reasons[..], [WaitReason::Blocked { worker, workers: 1, .. }] if *worker == busy[0]),
-            "{reasons:?}"
-        );
+        assert_blocked_by(&world, &busy[0]);
         world.run(BLOCK_END);
         assert_eq!(live_long_running_runs(&world), 3);
         assert_no_violations(&world);
--- a/crates/nutmegcart_jobs/tests/cell_state_limit.rs
+++ b/crates/nutmegcart_jobs/tests/cell_state_limit.rs
@@ -44,6 +44,10 @@
     world
 }
 
+fn submit_large_job(world: &mut CellSimulation) -> JobId {
+    submit(world, 1, vec![batch_step(TASKS, 2_000, 400)])
+}
+
 fn submit_small_jobs(world: &mut CellSimulation) -> Vec<JobId> {
     let mut jobs = Vec::new();
     for number in 2..22 {
@@ -75,6 +79,13 @@
     listed.count() + ranges as usize
 }
 
+/// Panics unless the store has accepted the state of the cell, and it is below the limit.
+fn assert_state_below(world: &CellSimulation, limit: usize) {
+    assert_eq!(rejected_state(world), None);
+    let state = world.store.state.as_ref();
+    assert!(state.is_some_and(|state| state.len() < limit));
+}
+
 fn rejected_state(world: &CellSimulation) -> Option<usize> {
     let owner = world.owners.last().expect("an owner");
     owner.scheduler.rejected_state()
@@ -85,7 +96,7 @@
 /// ends of a job whose finished tasks do not fit when they are listed one by one.
 fn jobs_end_beside_a_state_that_is_too_large(known: bool) {
     let mut world = limited_world(51, MAX_VALUE, known);
-    let large = submit(&mut world, 1, vec![batch_step(TASKS, 2_000, 400)]);
+    let large = submit_large_job(&mut world);
     world.run(seconds(3.0));
     let jobs = submit_small_jobs(&mut world);
     let progress = stored_tasks(&world, &large);
@@ -100,14 +111,7 @@
     assert_all_completed(&world, &jobs);
     world.run(seconds(15.0));
     assert!(completed(&world, &large));
-    assert_eq!(rejected_state(&world), None);
-    assert!(
-        world
-            .store
-            .state
-            .as_ref()
-            .is_some_and(|state| state.len() < MAX_VALUE)
-    );
+    assert_state_below(&world, MAX_VALUE);
     assert_eq!(world.checker.starts, TASKS as usize + 20);
     assert_no_violations(&world);
 }
@@ -136,14 +140,7 @@
     assert_all_completed(&world, &jobs);
     world.run(seconds(15.0));
     assert_all_completed(&world, &open);
-    assert_eq!(rejected_state(&world), None);
-    assert!(
-        world
-            .store
-            .state
-            .as_ref()
-            .is_some_and(|state| state.len() < SMALL_VALUE)
-    );
+    assert_state_below(&world, SMALL_VALUE);
     assert_eq!(world.checker.starts, 2 * OPEN_JOBS + 20);
     assert_no_violations(&world);
 }
@@ -159,7 +156,7 @@
 fn large_job_goes_on_once_the_state_fits(known: bool) {
     let mut world = limited_world(54, SMALL_VALUE, known);
     let mut jobs = submit_open_jobs(&mut world);
-    jobs.push(submit(&mut world, 1, vec![batch_step(TASKS, 2_000, 400)]));
+    jobs.push(submit_large_job(&mut world));
     world.run(seconds(5.5));
     let starts = world.checker.starts;
     assert!(rejected_state(&world).is_some());
@@ -182,7 +179,7 @@
 /// does not list one by one.
 fn successor_repeats_no_task(known: bool) {
     let mut world = limited_world(55, MAX_VALUE, known);
-    let large = submit(&mut world, 1, vec![batch_step(TASKS, 2_000, 400)]);
+    let large = submit_large_job(&mut world);
     for _ in 0..3 {
         world.run(seconds(1.5));
         world.owners.last_mut().expect("an owner").up = false;
@@ -208,7 +205,7 @@
 fn ranges_wait_for_earlier_versions(known: bool) {
     let mut world = limited_world(58, MAX_VALUE, known);
     world.owners[0].scheduler.allow_ranges(false);
-    let large = submit(&mut world, 1, vec![batch_step(TASKS, 2_000, 400)]);
+    let large = submit_large_job(&mut world);
     for _ in 0..60 {
         world.run(seconds(0.1));
         assert_eq!(stored(&world).finished, Vec::new());
--- a/crates/nutmegcart_jobs/tests/labelled_demand.rs
+++ b/crates/nutmegcart_jobs/tests/labelled_demand.rs
@@ -2,17 +2,14 @@
 
 mod support;
 
-use std::sync::Arc;
-
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_fakes::cell::worker::FakeWorker;
 use nutmegcart_fakes::cell::worker::listing;
 use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::Machine;
-use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::Step;
+use support::add_machine;
 use support::assert_no_violations;
 use support::batch_step;
 use support::long_running_step;
@@ -25,20 +22,6 @@
 
 const SIZE: Resources = Resources::new(64_000, 262_144, 0);
 
-/// Adds a machine to the spare pool.
-fn add_spare(world: &mut CellSimulation, name: &str, label: &str) {
-    let name: Arc<str> = name.into();
-    let machine = Machine {
-        name: name.clone(),
-        pool: "shared".into(),
-        state: MachineState::Up,
-        worker: None,
-        capacity: SIZE,
-        labels: vec![label.into(), "r3-0".into()],
-    };
-    world.machines.insert(name, machine);
-}
-
 /// Creates a cell with four workers, the first with label `x`, and a second pool of six, the last two
 /// with label `x`.
 fn cell_with_boats(seed: u64) -> CellSimulation {
@@ -89,9 +72,9 @@
 fn idle_machine_with_the_label_moves() {
     let mut world = world(301, 3);
     for index in 0..4 {
-        add_spare(&mut world, &format!("spare-{index}"), "a");
+        add_machine(&mut world, &format!("spare-{index}"), "shared", "a");
     }
-    add_spare(&mut world, "spare-4", "x");
+    add_machine(&mut world, "spare-4", "shared", "x");
     world.take_over();
     world.run(seconds(1.0));
     let id = submit(&mut world, 1, vec![labelled_step(1)]);
@@ -112,10 +95,10 @@
         label_worker(&mut world, index);
     }
     for index in 0..4 {
-        add_spare(&mut world, &format!("spare-{index}"), "a");
+        add_machine(&mut world, &format!("spare-{index}"), "shared", "a");
     }
     for index in 4..7 {
-        add_spare(&mut world, &format!("spare-{index}"), "x");
+        add_machine(&mut world, &format!("spare-{index}"), "shared", "x");
     }
     world.take_over();
     let id = submit(&mut world, 1, vec![labelled_step(3)]);
@@ -152,7 +135,7 @@
 fn missing_label_does_not_keep_other_machines_away() {
     let mut world = world(304, 3);
     for index in 0..6 {
-        add_spare(&mut world, &format!("spare-{index}"), "a");
+        add_machine(&mut world, &format!("spare-{index}"), "shared", "a");
     }
     world.take_over();
     world.run(seconds(1.0));
--- a/crates/nutmegcart_jobs/tests/leaving_workers.rs
+++ b/crates/nutmegcart_jobs/tests/leaving_workers.rs
@@ -10,10 +10,11 @@
 use nutmegcart_fakes::cell::worker::listing;
 use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::Machine;
 use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_model::WorkerId;
+use support::add_machine;
+use support::add_spares;
 use support::assert_no_violations;
 use support::batch_step;
 use support::long_running_step;
@@ -49,18 +50,7 @@
         let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
         world.add_worker(worker);
     }
-    for index in 0..spares {
-        let name: Arc<str> = format!("spare-{index}").into();
-        let machine = Machine {
-            name: name.clone(),
-            pool: "shared".into(),
-            state: MachineState::Up,
-            worker: None,
-            capacity: size,
-            labels: vec!["a".into(), "r3-0".into()],
-        };
-        world.machines.insert(name, machine);
-    }
+    add_spares(&mut world, spares);
     world
 }
 
@@ -335,16 +325,7 @@
 fn machines_without_workers_do_not_hide_a_shortage() {
     let mut world = vacant_cell(140, 3, 0, 6);
     for index in 0..6 {
-        let name: Arc<str> = format!("empty-{index}").into();
-        let machine = Machine {
-            name: name.clone(),
-            pool: "gates".into(),
-            state: MachineState::Up,
-            worker: None,
-            capacity: Resources::new(64_000, 262_144, 0),
-            labels: vec!["a".into(), "r3-0".into()],
-        };
-        world.machines.insert(name, machine);
+        add_machine(&mut world, &format!("empty-{index}"), "gates", "a");
     }
     world.take_over();
     let id = submit(&mut world, 1, vec![long_running_step(5)]);
--- a/crates/nutmegcart_jobs/tests/passing.rs
+++ b/crates/nutmegcart_jobs/tests/passing.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
@@ -11,7 +10,6 @@
 use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
-use nutmegcart_jobs::Machine;
 use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::passing::CellLoad;
@@ -20,6 +18,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::support::add_spares;
 use crate::support::assert_all_completed;
 use crate::support::assert_no_violations;
 use crate::support::batch_step;
@@ -350,18 +349,7 @@
         let worker = FakeWorker::new(listing(&id, "boats", "r2-0", size), world.now);
         world.add_worker(worker);
     }
-    for index in 0..4 {
-        let name: Arc<str> = format!("spare-{index}").into();
-        let machine = Machine {
-            name: name.clone(),
-            pool: "shared".into(),
-            state: MachineState::Up,
-            worker: None,
-            capacity: size,
-            labels: vec!["a".into(), "r3-0".into()],
-        };
-        world.machines.insert(name, machine);
-    }
+    add_spares(&mut world, 4);
     world.take_over();
     world.run(seconds(1.0));
     world
--- a/crates/nutmegcart_jobs/tests/starvation.rs
+++ b/crates/nutmegcart_jobs/tests/starvation.rs
@@ -2,8 +2,6 @@
 
 mod support;
 
-use std::sync::Arc;
-
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_fakes::cell::worker::FakeWorker;
 use nutmegcart_fakes::cell::worker::listing;
@@ -11,13 +9,12 @@
 use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
-use nutmegcart_jobs::Machine;
-use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::RunEnd;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::TaskKey;
 use nutmegcart_model::WorkerId;
+use support::add_spares;
 use support::assert_no_violations;
 use support::batch_step;
 use support::completed;
@@ -309,7 +306,6 @@
 #[test]
 fn long_running_task_gets_a_machine_during_the_burst_of_another_pool() {
     let mut world = cell_with_boats(81, 2);
-    let size = Resources::new(64_000, 262_144, 0);
     let lasting = submit(&mut world, 1, vec![long_running(3, 5_000, 1)]);
     world.run(seconds(1.0));
     assert_eq!(live_runs(&world, &lasting), 3);
@@ -324,18 +320,7 @@
     }
     world.remove_for_good(&lost, None);
     world.run(seconds(1.0));
-    for index in 0..3 {
-        let name: Arc<str> = format!("spare-{index}").into();
-        let machine = Machine {
-            name: name.clone(),
-            pool: "shared".into(),
-            state: MachineState::Up,
-            worker: None,
-            capacity: size,
-            labels: vec!["a".into(), "r3-0".into()],
-        };
-        world.machines.insert(name, machine);
-    }
+    add_spares(&mut world, 3);
     world.run(seconds(7.0));
     assert_eq!(live_runs(&world, &lasting), 3);
     assert_no_violations(&world);
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Simulated cells and assertions for the tests of this crate.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
@@ -12,6 +13,8 @@
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
+use nutmegcart_jobs::Machine;
+use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::PoolConfig;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
@@ -66,6 +69,27 @@
     world
 }
 
+/// Adds a machine without a worker, and with the label, to a pool.
+pub fn add_machine(world: &mut CellSimulation, name: &str, pool: &str, label: &str) {
+    let name: Arc<str> = name.into();
+    let machine = Machine {
+        name: name.clone(),
+        pool: pool.into(),
+        state: MachineState::Up,
+        worker: None,
+        capacity: Resources::new(64_000, 262_144, 0),
+        labels: vec![label.into(), "r3-0".into()],
+    };
+    world.machines.insert(name, machine);
+}
+
+/// Adds machines to the spare pool.
+pub fn add_spares(world: &mut CellSimulation, count: usize) {
+    for index in 0..count {
+        add_machine(world, &format!("spare-{index}"), "shared", "a");
+    }
+}
+
 pub fn worker_name(index: usize) -> String {
     format!("i-{index:02}")
 }
--- a/crates/nutmegcart_jobs/tests/wave_orders.rs
+++ b/crates/nutmegcart_jobs/tests/wave_orders.rs
@@ -30,6 +30,48 @@
     scheduler.update_wave(wave.clone(), now);
 }
 
+/// Creates a cell of one pool with an owner at work, and a wave over all of its machines.
+fn world_with_wave(
+    seed: u64,
+    workers: usize,
+    max_down: usize,
+) -> (CellSimulation, usize, WaveRequest) {
+    let mut world = world(seed, workers);
+    world.pools.truncate(1);
+    let wave = wave_of_all(&world, max_down);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    (world, owner, wave)
+}
+
+/// Starts the wave and runs until its first order has been sent.
+fn order_first(world: &mut CellSimulation, owner: usize, wave: &WaveRequest) {
+    start_wave(world, owner, wave);
+    while world.machine_orders.is_empty() {
+        world.run(seconds(0.001));
+    }
+}
+
+/// Panics unless the wave is completed, as its owner tells.
+fn assert_completed(world: &CellSimulation, owner: usize) {
+    let state = world.owners[owner].scheduler.wave_state(1);
+    assert_eq!(state, Some(WaveState::Completed));
+    assert_no_violations(world);
+}
+
+/// Runs the wave to its end under a successor, and panics if that has repeated an order too early.
+fn finish_under_successor(world: &mut CellSimulation, wave: &WaveRequest, case: &str) {
+    let successor = world.take_over();
+    start_wave(world, successor, wave);
+    world.run(seconds(15.0));
+    let gap = shortest_gap(world);
+    assert!(
+        gap.is_none_or(|gap| gap >= world.settings.order_gap),
+        "{case}: {gap:?}"
+    );
+    assert_completed(world, successor);
+}
+
 /// Returns the shortest time between orders of different owners for the same machine.
 fn shortest_gap(world: &CellSimulation) -> Option<Duration> {
     let mut gaps = Vec::new();
@@ -47,29 +89,12 @@
 #[test]
 fn successor_leaves_ordered_machines_of_a_wave_alone() {
     for delay in [0.004, 0.05, 0.5, 1.0, 1.9, 2.1, 2.5] {
-        let mut world = world(131, 6);
-        world.pools.truncate(1);
-        let wave = wave_of_all(&world, 5);
-        let first = world.take_over();
-        world.run(seconds(1.0));
-        start_wave(&mut world, first, &wave);
-        while world.machine_orders.is_empty() {
-            world.run(seconds(0.001));
-        }
+        let (mut world, first, wave) = world_with_wave(131, 6, 5);
+        order_first(&mut world, first, &wave);
         world.run(seconds(delay));
         world.owners[first].up = false;
         world.run(seconds(0.2));
-        let second = world.take_over();
-        start_wave(&mut world, second, &wave);
-        world.run(seconds(15.0));
-        let gap = shortest_gap(&world);
-        assert!(
-            gap.is_none_or(|gap| gap >= world.settings.order_gap),
-            "after {delay} s: {gap:?}"
-        );
-        let state = world.owners[second].scheduler.wave_state(1);
-        assert_eq!(state, Some(WaveState::Completed));
-        assert_no_violations(&world);
+        finish_under_successor(&mut world, &wave, &format!("after {delay} s"));
     }
 }
 
@@ -77,11 +102,7 @@
 /// rejects.
 #[test]
 fn wave_goes_on_beside_leaving_workers() {
-    let mut world = world(132, 6);
-    world.pools.truncate(1);
-    let wave = wave_of_all(&world, 1);
-    let owner = world.take_over();
-    world.run(seconds(1.0));
+    let (mut world, owner, wave) = world_with_wave(132, 6, 1);
     let leaving: Vec<Arc<str>> = (0..3)
         .filter_map(|index| world.workers[&worker(index)].listing.machine.clone())
         .collect();
@@ -94,9 +115,7 @@
     let refused = orders.filter(|(name, ..)| leaving.contains(name)).count();
     assert_eq!((world.operations_started, refused), (3, 0));
     world.run(seconds(12.0));
-    let state = world.owners[owner].scheduler.wave_state(1);
-    assert_eq!(state, Some(WaveState::Completed));
-    assert_no_violations(&world);
+    assert_completed(&world, owner);
 }
 
 /// Guards against a first stored state of a successor without the machines that its predecessor
@@ -111,27 +130,14 @@
         let wave = wave_of_all(&world, 5);
         let first = world.take_over();
         world.run(seconds(1.0));
-        start_wave(&mut world, first, &wave);
-        while world.machine_orders.is_empty() {
-            world.run(seconds(0.001));
-        }
+        order_first(&mut world, first, &wave);
         // It does not learn that the orders were carried out.
         world.owners[first].up = false;
         let second = world.take_over();
         world.run(seconds(lived));
         world.owners[second].up = false;
         world.run(seconds(0.3));
-        let third = world.take_over();
-        start_wave(&mut world, third, &wave);
-        world.run(seconds(15.0));
-        let gap = shortest_gap(&world);
-        assert!(
-            gap.is_none_or(|gap| gap >= world.settings.order_gap),
-            "after {lived} s: {gap:?}"
-        );
-        let state = world.owners[third].scheduler.wave_state(1);
-        assert_eq!(state, Some(WaveState::Completed), "after {lived} s");
-        assert_no_violations(&world);
+        finish_under_successor(&mut world, &wave, &format!("after {lived} s"));
     }
 }
 
@@ -172,9 +178,7 @@
         }
     }
     assert_eq!((world.operations_started, most), (6, 2));
-    let state = world.owners[owner].scheduler.wave_state(1);
-    assert_eq!(state, Some(WaveState::Completed));
-    assert_no_violations(&world);
+    assert_completed(&world, owner);
 }
 
 cases! { wave_beside_incomplete_lists:
@@ -188,11 +192,7 @@
 /// Guards against a wave that is said to be completed because a list lacks its last machine.
 #[test]
 fn wave_is_not_completed_by_an_incomplete_list() {
-    let mut world = world(134, 3);
-    world.pools.truncate(1);
-    let wave = wave_of_all(&world, 1);
-    let owner = world.take_over();
-    world.run(seconds(1.0));
+    let (mut world, owner, wave) = world_with_wave(134, 3, 1);
     let remaining = wave.machines.last().expect("the wave has machines").clone();
     let pending = |world: &CellSimulation| world.operations_started < 2 || maintained(world) > 0;
     let busy = world.workers[&worker(2)].listing.machine.clone();
@@ -216,22 +216,14 @@
     );
     world.lists_machines = true;
     world.run(seconds(8.0));
-    let state = world.owners[owner].scheduler.wave_state(1);
-    assert_eq!(
-        (state, world.operations_started),
-        (Some(WaveState::Completed), 3)
-    );
-    assert_no_violations(&world);
+    assert_eq!(world.operations_started, 3);
+    assert_completed(&world, owner);
 }
 
 /// Guards against a wave that reserves one more worker with each order that the platform rejects.
 #[test]
 fn rejected_orders_reserve_no_more_workers() {
-    let mut world = world(135, 12);
-    world.pools.truncate(1);
-    let wave = wave_of_all(&world, 1);
-    let owner = world.take_over();
-    world.run(seconds(1.0));
+    let (mut world, owner, wave) = world_with_wave(135, 12, 1);
     for index in 0..8 {
         // The announcement has not reached the owner.
         let leaving = world.workers.get_mut(&worker(index));
@@ -253,11 +245,7 @@
 /// until it is up again.
 #[test]
 fn wave_goes_on_beside_a_machine_that_went_down() {
-    let mut world = world(136, 4);
-    world.pools.truncate(1);
-    let wave = wave_of_all(&world, 1);
-    let owner = world.take_over();
-    world.run(seconds(1.0));
+    let (mut world, owner, wave) = world_with_wave(136, 4, 1);
     start_wave(&mut world, owner, &wave);
     while maintained(&world) == 0 {
         world.run(seconds(0.01));
@@ -273,10 +261,6 @@
     let next = machine.worker.clone().expect("a worker starts there");
     world.crash(&next);
     world.run(seconds(12.0));
-    let state = world.owners[owner].scheduler.wave_state(1);
-    assert_eq!(
-        (world.operations_started, state),
-        (4, Some(WaveState::Completed))
-    );
-    assert_no_violations(&world);
+    assert_eq!(world.operations_started, 4);
+    assert_completed(&world, owner);
 }
