Share the settings of an instance between the tests of control

Nine test files wrote the same settings, and accept.rs a directory that the silent platform has. They take them from the support module; what is checked stays the same, and the tests of nutmegcart_control pass.

--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -1,5 +1,7 @@
 //! Submission of jobs while the store loses answers or refuses transactions.
 
+mod support;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -8,15 +10,12 @@
 use std::time::Duration;
 
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::acceptor::Acceptance;
 use nutmegcart_control::caller_request::CallerRequest;
 use nutmegcart_control::caller_request::CallerResponse;
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
-use nutmegcart_control::node::ReloadableSettings;
-use nutmegcart_control::port::Directory;
 use nutmegcart_control::port::FleetClient;
 use nutmegcart_control::port::KeyStore;
 use nutmegcart_control::port::Platform;
@@ -174,27 +173,12 @@
         send_machine_order: Rc::new(|_| Box::pin(async { MachineOutcome::Invalid })),
         request_tickets: Rc::new(|_, _| Box::pin(async { Err(String::new()) })),
     };
-    let directory = Directory {
-        operator_prefix: "operator/".into(),
-        parse_record: Rc::new(|_| Err(String::new())),
-        worker_prefix: "workers/".into(),
-        parse_listing: Rc::new(|_| Err(String::new())),
-        worker_of: Rc::new(|_| None),
-        wave_progress: Rc::new(|_, _| (String::new(), Vec::new())),
-    };
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
     let platform = Platform {
         store: store(scripted),
         fleet,
-        directory,
+        directory: support::silent_platform().directory,
     };
-    let node = Node::new(settings, platform, Metrics::default(), 7);
+    let node = Node::new(support::settings(), platform, Metrics::default(), 7);
     node.set_layout(CellLayout::default());
     node
 }
--- a/crates/nutmegcart_control/tests/bad_jobs.rs
+++ b/crates/nutmegcart_control/tests/bad_jobs.rs
@@ -12,11 +12,9 @@
 use http_body_util::Full;
 use hyper::Request;
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::job_api;
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::metrics::Metrics;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::PlatformConfig;
 use nutmegcart_jobs::Queue;
@@ -62,14 +60,7 @@
         };
         Box::pin(async move { Ok(reply) })
     });
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
-    let node = Node::new(settings, platform, Metrics::default(), 7);
+    let node = Node::new(support::settings(), platform, Metrics::default(), 7);
     node.set_layout(CellLayout::default());
     node.configure(PlatformConfig {
         version: 1,
--- a/crates/nutmegcart_control/tests/earlier_owners.rs
+++ b/crates/nutmegcart_control/tests/earlier_owners.rs
@@ -16,7 +16,6 @@
 use nutmegcart_control::node::Acquired;
 use nutmegcart_control::node::OwnedCell;
 use nutmegcart_control::node::OwnershipState;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::peer;
 use nutmegcart_control::peer::PeerRequest;
@@ -41,9 +40,7 @@
     let settings = NodeSettings {
         name: name.into(),
         peer,
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
+        ..support::settings()
     };
     let node = Node::new(
         settings,
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::candidate::Candidate;
 use nutmegcart_control::candidate::accepts_handoff;
 use nutmegcart_control::candidate::may_acquire;
@@ -14,7 +13,6 @@
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::ownership;
 use nutmegcart_control::port::CallerLimits;
@@ -40,14 +38,7 @@
 }
 
 fn node_on(platform: Platform, instances: u16) -> Rc<Node> {
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
-    let node = Node::new(settings, platform, Metrics::default(), 7);
+    let node = Node::new(support::settings(), platform, Metrics::default(), 7);
     let machines = (0..2 * CELL_SIZE).map(|number| (format!("m-{number}").into(), "gates".into()));
     node.set_layout(CellLayout::divide(machines.collect()));
     for number in 1..=instances {
--- a/crates/nutmegcart_control/tests/member_formats.rs
+++ b/crates/nutmegcart_control/tests/member_formats.rs
@@ -1,27 +1,17 @@
 //! Instances of several versions, and the form of the cell state that all of them read.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_jobs::record::STATE_FORMAT;
 
 mod support;
 
 fn node() -> Rc<Node> {
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
     let platform = support::silent_platform();
-    Node::new(settings, platform, Metrics::default(), 7)
+    Node::new(support::settings(), platform, Metrics::default(), 7)
 }
 
 fn insert(node: &Node, name: &str, state_format: u32) {
--- a/crates/nutmegcart_control/tests/moved_callers.rs
+++ b/crates/nutmegcart_control/tests/moved_callers.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::caller_request::CallerRequest;
 use nutmegcart_control::caller_request::CallerResponse;
 use nutmegcart_control::clock::now;
@@ -19,7 +18,6 @@
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::OwnedCell;
 use nutmegcart_control::node::OwnershipState;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::passing::transaction;
 use nutmegcart_control::port::KeyStore;
@@ -101,14 +99,7 @@
             },
             ..silent
         };
-        let settings = NodeSettings {
-            name: "entry-1".into(),
-            peer: "127.0.0.1:1".parse().expect("an address"),
-            cores: 0.25,
-            lease: Duration::from_secs(2),
-            reloadable: ReloadableSettings::default(),
-        };
-        let node = Node::new(settings, platform, Metrics::default(), 7);
+        let node = Node::new(support::settings(), platform, Metrics::default(), 7);
         let machine = |number| (format!("m-{number}").into(), "gates".into());
         node.set_layout(CellLayout::divide(
             (0..2 * CELL_SIZE).map(machine).collect(),
--- a/crates/nutmegcart_control/tests/peer_requests.rs
+++ b/crates/nutmegcart_control/tests/peer_requests.rs
@@ -15,7 +15,6 @@
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::OwnedCell;
 use nutmegcart_control::node::OwnershipState;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::owner_log::OwnerLog;
 use nutmegcart_control::peer;
 use nutmegcart_control::peer::PeerRequest;
@@ -36,9 +35,7 @@
     let settings = NodeSettings {
         name: "entry-1".into(),
         peer: address,
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
+        ..support::settings()
     };
     let platform = support::silent_platform();
     let node = Node::new(settings, platform, Metrics::default(), 7);
--- a/crates/nutmegcart_control/tests/support/mod.rs
+++ b/crates/nutmegcart_control/tests/support/mod.rs
@@ -1,12 +1,27 @@
 //! Set-up that several tests share.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use nutmegcart_control::NodeSettings;
+use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::port::Directory;
 use nutmegcart_control::port::FleetClient;
 use nutmegcart_control::port::KeyStore;
 use nutmegcart_control::port::Platform;
 
+/// Returns the settings of an instance to which no test connects.
+pub fn settings() -> NodeSettings {
+    NodeSettings {
+        name: "entry-1".into(),
+        peer: "127.0.0.1:1".parse().expect("an address"),
+        cores: 0.25,
+        lease: Duration::from_secs(2),
+        reloadable: ReloadableSettings::default(),
+    }
+}
+
 /// Returns a platform that never answers.
 pub fn silent_platform() -> Platform {
     Platform {
--- a/crates/nutmegcart_control/tests/vacant_cell.rs
+++ b/crates/nutmegcart_control/tests/vacant_cell.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::keys;
 use nutmegcart_control::keys::CellKeys;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::node::MemberRecord;
 use nutmegcart_control::node::OwnerRecord;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::ownership;
 use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::KeyStore;
@@ -173,14 +171,7 @@
     let script = Rc::new(Script::default());
     let mut platform = support::silent_platform();
     platform.store = store(&script, late);
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
-    let node = Node::new(settings, platform, Metrics::default(), 7);
+    let node = Node::new(support::settings(), platform, Metrics::default(), 7);
     node.set_layout(CellLayout::default());
     node.configure(PlatformConfig {
         version: 1,
--- a/crates/nutmegcart_control/tests/view_age.rs
+++ b/crates/nutmegcart_control/tests/view_age.rs
@@ -9,12 +9,10 @@
 use hyper::Request;
 use hyper::header;
 use nutmegcart_control::Node;
-use nutmegcart_control::NodeSettings;
 use nutmegcart_control::clock::now;
 use nutmegcart_control::job_api;
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::metrics::Metrics;
-use nutmegcart_control::node::ReloadableSettings;
 use nutmegcart_control::port::CallerLimits;
 use nutmegcart_control::port::PlatformConfig;
 use nutmegcart_control::view_age::ViewTimes;
@@ -33,14 +31,12 @@
 
 /// Returns an instance with a configuration that it has read at the given time.
 fn node(read: Duration) -> Rc<Node> {
-    let settings = NodeSettings {
-        name: "entry-1".into(),
-        peer: "127.0.0.1:1".parse().expect("an address"),
-        cores: 0.25,
-        lease: Duration::from_secs(2),
-        reloadable: ReloadableSettings::default(),
-    };
-    let node = Node::new(settings, support::silent_platform(), Metrics::default(), 7);
+    let node = Node::new(
+        support::settings(),
+        support::silent_platform(),
+        Metrics::default(),
+        7,
+    );
     node.set_layout(CellLayout::default());
     node.configure(PlatformConfig {
         version: 1,
