Share the start of whole processes between three test files

odd_entries.rs, stalled.rs and moved_callers.rs each had their own process with settings, log and removal; one support module has it now. The odd entries are those of a runner with another start time and address, from a new function of the stand-in, so that the test names no other fields of the platform's entries. The assertions are the same, and the three files pass. manage.rs and walkthroughs.rs keep theirs: they read logs by other names and wait for them at a panic.

--- a/crates/nutmegcart/tests/moved_callers.rs
+++ b/crates/nutmegcart/tests/moved_callers.rs
@@ -1,10 +1,9 @@
 //! Test that a caller who moves to another data centre is shown its jobs there, by whole
 //! `nutmegcart manage` processes on a stand-in platform.
 
+mod support;
+
 use std::fs;
-use std::fs::File;
-use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
 use std::thread::sleep;
 use std::time::Duration;
@@ -13,61 +12,26 @@
 use nutmegcart_stand_in::gate::Conduct;
 use nutmegcart_stand_in::gate::Gate;
 use serde_json::json;
+use support::Process;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const JOB: &str = "00000000000000f2";
 
-/// A `nutmegcart manage` process of a data centre, which calls the store through a gate.
-struct Process {
-    child: Child,
-    directory: PathBuf,
-    entry: String,
+/// A process of a data centre, which calls the store through a gate.
+struct Instance {
+    process: Process,
     gate: Gate,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-        if std::thread::panicking() {
-            let log = fs::read_to_string(self.directory.join("log"));
-            eprintln!("{}", log.unwrap_or_default());
-        }
-        let _ = fs::remove_dir_all(&self.directory);
-    }
-}
-
-impl Process {
+impl Instance {
     fn start(platform: &StandIn, name: &str, centre: &str) -> Self {
         let mut settings = platform.settings(name);
         let gate = Gate::default();
         let store = platform.add_store_address(gate.clone());
         settings["zone"] = json!(centre);
         settings["platform"]["address"] = json!(store.to_string());
-        let ip = settings["ip"].as_str().expect("an address");
-        let directory = format!("nutmegcart-moved-{}-{ip}", std::process::id());
-        let directory = std::env::temp_dir().join(directory);
-        fs::create_dir_all(&directory).expect("a directory");
-        let file = directory.join("settings.json");
-        fs::write(&file, settings.to_string()).expect("the settings are written");
-        let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
-            .arg("manage")
-            .env("NUTMEGCART_SETTINGS", &file)
-            .stdout(File::create(directory.join("log")).expect("a log"))
-            .spawn()
-            .expect("the binary starts");
-        let port = settings["port-range"][0].as_u64().expect("a port");
-        Self {
-            child,
-            entry: format!("{ip}:{port}"),
-            directory,
-            gate,
-        }
-    }
-
-    fn kill(&mut self) {
-        // Fails if the process has exited already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let process = Process::start_with(settings);
+        Self { process, gate }
     }
 
     /// Runs a `job` command against this process; returns what it printed, errors included.
@@ -75,7 +39,7 @@
         let output = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
             .arg("job")
             .args(arguments)
-            .args(["--entry", &self.entry])
+            .args(["--entry", &self.process.entry()])
             .output()
             .expect("the binary runs");
         let text = [output.stdout, output.stderr].concat();
@@ -105,8 +69,8 @@
     let platform = StandIn::start();
     platform.configure(1, "gates", "counts.example", "/gates/");
     let runner = platform.add_runner("i-1", "gates");
-    let mut first = Process::start(&platform, "entry-1", "nadi");
-    let file = first.directory.join("job.json");
+    let mut first = Instance::start(&platform, "entry-1", "nadi");
+    let file = first.process.directory.join("job.json");
     let job = json!({
         "schema": 1, "queue": {"host": "counts.example", "prefix": "/gates/"},
         "spec": "count", "steps": [{"tasks": 2, "cpu": 500, "duration_ms": 80}],
@@ -118,12 +82,12 @@
         sleep(POLL_INTERVAL);
     }
     first.wait_for("completed");
-    let second = Process::start(&platform, "entry-2", "lautoka");
+    let second = Instance::start(&platform, "entry-2", "lautoka");
     second.wait_for("completed");
     second.gate.set(Conduct::Refuse, 1);
     // The owner remembers it.
     second.wait_for("completed");
-    first.kill();
+    first.process.kill();
     // Neither the owner nor the store can tell.
     assert_ne!(second.show(), "completed\n");
     second.gate.set(Conduct::Answer, 1);
--- a/crates/nutmegcart/tests/odd_entries.rs
+++ b/crates/nutmegcart/tests/odd_entries.rs
@@ -1,67 +1,23 @@
 //! Tests of whole `nutmegcart manage` processes beside entries of other writers in the store.
 
-use std::fs;
-use std::fs::File;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
+mod support;
+
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
 
 use nutmegcart_stand_in::StandIn;
+use nutmegcart_stand_in::runner::Runner;
 use serde_json::Value;
 use serde_json::json;
+use support::Process;
 use ureq::http::Request;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which a job that is not completed counts as lost.
 const LIMIT: Duration = Duration::from_mins(1);
 
-/// A `nutmegcart manage` process whose log goes to a file.
-struct Process {
-    child: Child,
-    directory: PathBuf,
-    front: String,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if std::thread::panicking() {
-            eprintln!("{}", self.log());
-        }
-        let _ = fs::remove_dir_all(&self.directory);
-    }
-}
-
 impl Process {
-    fn start(platform: &StandIn, name: &str) -> Self {
-        let settings = platform.settings(name);
-        let front = settings["listen"]["front"].as_str().expect("an address");
-        let directory = format!("nutmegcart-odd-{}-{name}", std::process::id());
-        let directory = std::env::temp_dir().join(directory);
-        fs::create_dir_all(&directory).expect("a directory");
-        let file = directory.join("settings.json");
-        fs::write(&file, settings.to_string()).expect("the settings are written");
-        let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
-            .arg("manage")
-            .env("NUTMEGCART_SETTINGS", &file)
-            .stdout(File::create(directory.join("log")).expect("a log"))
-            .spawn()
-            .expect("the binary starts");
-        Self {
-            child,
-            directory,
-            front: front.to_owned(),
-        }
-    }
-
-    fn log(&self) -> String {
-        fs::read_to_string(self.directory.join("log")).unwrap_or_default()
-    }
-
     /// Sends a request as a caller; status 0 means that the connection failed.
     fn call(&self, method: &str, id: &str, body: &str) -> (u16, Value) {
         let agent: ureq::Agent = ureq::Agent::config_builder()
@@ -69,9 +25,11 @@
             .allow_non_standard_methods(true)
             .build()
             .into();
+        let front = self.settings["listen"]["front"].as_str();
+        let front = front.expect("an address");
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}/gates/{id}", self.front))
+            .uri(format!("http://{front}/gates/{id}"))
             .header("host", "counts.example")
             .header("content-type", "application/json")
             .body(body.to_owned())
@@ -103,24 +61,20 @@
     }
 }
 
-fn entry(born: u64, address: &str) -> Value {
-    json!({
-        "service": "gates", "address": address, "zone": "suva", "version": "v1", "slots": 8,
-        "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": born, "labels": ["a"],
-        "capacity": {"cpu": 64_000, "mem-mb": 65_536, "gpu": 0},
-    })
+/// Writes the entry of a runner under another key, with another start time and address.
+fn put_entry(platform: &StandIn, runner: &Runner, key: &str, born: u64, address: &str) {
+    let mut entry = runner.entry();
+    entry["born"] = born.into();
+    entry["address"] = address.into();
+    platform.store.put(key, &entry);
 }
 
-fn put_odd_entries(platform: &StandIn) {
+fn put_odd_entries(platform: &StandIn, runner: &Runner) {
     let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
     platform.store.put_bytes("servers/i-0", nested.into_bytes());
     platform.store.put_bytes("servers/i-8", vec![0xff; 4_000]);
-    platform
-        .store
-        .put("servers/i-9", &entry(u64::MAX, "0.0.0.0:70000"));
-    platform
-        .store
-        .put("servers/j-0", &entry(u64::MAX, "127.0.0.1:1"));
+    put_entry(platform, runner, "servers/i-9", u64::MAX, "0.0.0.0:70000");
+    put_entry(platform, runner, "servers/j-0", u64::MAX, "127.0.0.1:1");
 }
 
 /// Guards against an instance that does not start beside odd entries, or leaves out the sound ones.
@@ -128,8 +82,8 @@
 fn instance_starts_beside_odd_entries() {
     let platform = StandIn::start();
     platform.configure(1, "gates", "counts.example", "/gates/");
-    put_odd_entries(&platform);
-    let _runner = platform.add_runner("i-1", "gates");
+    let runner = platform.add_runner("i-1", "gates");
+    put_odd_entries(&platform, &runner);
     let mut first = Process::start(&platform, "odd-1");
     first.submit("00000000000000e1");
     first.wait_until_completed("00000000000000e1");
@@ -146,10 +100,9 @@
     let mut first = Process::start(&platform, "odd-2");
     first.submit("00000000000000e2");
     first.wait_until_completed("00000000000000e2");
-    let address = platform.store.get("servers/i-1").expect("an entry");
-    let address: Value = serde_json::from_slice(&address).expect("an entry");
-    let address = address["address"].as_str().expect("an address");
-    platform.store.put("servers/i-1", &entry(1 << 63, address));
+    let address = runner.entry()["address"].clone();
+    let address = address.as_str().expect("an address");
+    put_entry(&platform, &runner, "servers/i-1", 1 << 63, address);
     sleep(Duration::from_secs(2));
     assert!(first.child.try_wait().expect("a status").is_none());
     let mut second = Process::start(&platform, "odd-3");
--- a/crates/nutmegcart/tests/stalled.rs
+++ b/crates/nutmegcart/tests/stalled.rs
@@ -1,10 +1,9 @@
 //! Tests that stalled work is shown without anyone asking for its job: by the log and by
 //! `nutmegcart status` on every instance of a `manage` deployment on a stand-in platform.
 
+mod support;
+
 use std::fs;
-use std::fs::File;
-use std::path::PathBuf;
-use std::process::Child;
 use std::process::Command;
 use std::thread::sleep;
 use std::time::Duration;
@@ -16,55 +15,12 @@
 use rustix::process::kill_process;
 use serde_json::Value;
 use serde_json::json;
+use support::Process;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const JOB: &str = "00000000000000f1";
 
-/// A `nutmegcart manage` process whose log goes to a file.
-struct Process {
-    child: Child,
-    directory: PathBuf,
-    entry: String,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if std::thread::panicking() {
-            eprintln!("{}", self.log());
-        }
-        let _ = fs::remove_dir_all(&self.directory);
-    }
-}
-
 impl Process {
-    fn start(platform: &StandIn, name: &str) -> Self {
-        let settings = platform.settings(name);
-        let ip = settings["ip"].as_str().expect("an address");
-        let directory = format!("nutmegcart-stalled-{}-{ip}", std::process::id());
-        let directory = std::env::temp_dir().join(directory);
-        fs::create_dir_all(&directory).expect("a directory");
-        let file = directory.join("settings.json");
-        fs::write(&file, settings.to_string()).expect("the settings are written");
-        let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
-            .arg("manage")
-            .env("NUTMEGCART_SETTINGS", &file)
-            .stdout(File::create(directory.join("log")).expect("a log"))
-            .spawn()
-            .expect("the binary starts");
-        let port = settings["port-range"][0].as_u64().expect("a port");
-        Self {
-            child,
-            entry: format!("{ip}:{port}"),
-            directory,
-        }
-    }
-
-    fn log(&self) -> String {
-        fs::read_to_string(self.directory.join("log")).unwrap_or_default()
-    }
-
     /// Returns the log lines of an event.
     fn events(&self, number: &str) -> Vec<Value> {
         let log = self.log();
@@ -88,7 +44,7 @@
     fn command(&self, arguments: &[&str]) -> (bool, String) {
         let output = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
             .args(arguments)
-            .args(["--entry", &self.entry])
+            .args(["--entry", &self.entry()])
             .output()
             .expect("the binary runs");
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
