--- a/review/stand_ins_2/platform_stand_in.py
+++ b/review/stand_ins_2/platform_stand_in.py
@@ -284,7 +284,7 @@
 
     The spec of a work unit is JSON with `ms`, its duration in milliseconds. A work unit without it
     lasts until it is stopped. `fail` lists the run numbers, counted over all runners, whose end is
-    `failed` instead of `done`.
+    `failed` instead of `done`; with `only`, all runs but these last.
     """
 
     def __init__(self, record, store, name, service, *, machine=None, labels=("a", "r1-1"),
@@ -370,6 +370,8 @@
         self.lease = max(self.lease, min(until, self.clock() + BOUNDS["hold-max-ms"]))
 
     async def handle(self, method, path, query, headers, body):
+        if not self.up:
+            return LOSE_ANSWER
         if path == "/healthz":
             return 200, None
         if headers.get("x-expect-instance", self.id) != self.id:
@@ -435,6 +437,8 @@
             return self.refuse("room")
         self.extend(body["until-ms"])
         spec = json.loads(body["spec"])
+        if spec.get("only") and number not in spec["fail"]:
+            spec = {}
         now = time.monotonic()
         self.runs[task] = {
             "run": number, "at": now, "need": need, "stop_at": None,
