--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 import platform_stand_in as stand_in
 
 JOB = "00000000000000a2"
-DOWN_S = 0.3
+DOWN_S = 0.5
 COUNT = 8
 
 
