Keep the runs of a restarted worker that its new incarnation may have accepted

Cause: orders name the identifier only, and the response to a start does not state the incarnation. The poll that would tell hangs on a connection of the earlier incarnation, so the owner starts tasks on the new one before it learns of it. Its new entry then released all confirmed runs as ended.

Change: a run remembers whether a report of the current incarnation has listed it. A new incarnation ends only such runs; the others wait for its first report, which is asked for at once. On related paths: a successor no longer counts a worker as reached because a later incarnation than the stored one is listed; runs on an incarnation that was never reached are released after the longest time that a late order and its lease can take, instead of never.

--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -7,6 +7,7 @@
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 
+use crate::action::Action;
 use crate::gang::Origin;
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
@@ -118,27 +119,20 @@
         }
     }
 
-    /// Resets a worker to a new incarnation, and releases the runs of the earlier one.
+    /// Resets a worker to a new incarnation, and releases the runs that ended with the earlier one:
+    /// those that it listed in a report.
     ///
-    /// Runs whose start order may still be carried out are kept, to be stopped.
+    /// All others may live on the new incarnation, which accepts orders before this owner learns of
+    /// it. Its first report tells. Runs whose start order has no response are stopped.
     pub(crate) fn replace_incarnation(&mut self, id: &WorkerId, incarnation: u64, now: Duration) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        log_event!(
-            Event::WorkerReplaced,
-            worker = id,
-            runs = worker.runs.len(),
-            born = incarnation,
-            blocked_ms = worker.blocked_ms(self.taken_over_at, now),
-            reason = "another incarnation"
-        );
         self.flush_queue.outdated |= worker.enrolled;
         worker.incarnation = incarnation;
-        worker.restarted = true;
+        worker.restarted_at = Some(now);
         worker.fenced = false;
         worker.enrolled = false;
-        worker.inherited = false;
         worker.unknown_runs = 0;
         worker.unknown_tasks.clear();
         worker.clock_reading = None;
@@ -149,21 +143,35 @@
         worker.failed_jobs.clear();
         let mut ended = Vec::new();
         for (task, run) in &mut worker.runs {
-            let may_start = match run.state {
-                RunState::Ordered => true,
-                RunState::Stopping { reason, .. } => reason == StopReason::Unanswered,
-                RunState::Running => false,
+            let reason = match run.state {
+                RunState::Ordered => Some(StopReason::Unanswered),
+                RunState::Stopping { reason, .. } => Some(reason),
+                RunState::Running => None,
             };
-            if may_start {
+            if run.reported && reason != Some(StopReason::Unanswered) {
+                ended.push(task.clone());
+            } else if let Some(reason) = reason {
                 run.state = RunState::Stopping {
-                    reason: StopReason::Unanswered,
+                    reason,
                     sent: false,
                     confirmed_at: None,
                 };
-            } else {
-                ended.push(task.clone());
             }
         }
+        let uncertain = worker.runs.len() - ended.len();
+        log_event!(
+            Event::WorkerReplaced,
+            worker = id,
+            runs = worker.runs.len(),
+            uncertain = uncertain,
+            born = incarnation,
+            blocked_ms = worker.blocked_ms(self.taken_over_at, now),
+            reason = "another incarnation"
+        );
+        if uncertain > 0 {
+            // The poll that waits may be held on a connection of the earlier incarnation.
+            self.actions.push(Action::Poll { worker: id.clone() });
+        }
         // The new incarnation does not know which delayed starts the earlier one was ordered to
         // refuse.
         let unanswered: Vec<(TaskKey, u32)> = worker.unanswered_starts(now);
@@ -221,15 +229,16 @@
         candidates.filter(|worker| worker.is_unreached())
     }
 
-    /// Returns when the leases that an earlier owner may have granted have certainly expired.
-    pub(crate) fn inherited_runs_end(&self) -> Duration {
+    /// Returns when the leases that an earlier owner may have granted on a worker have certainly
+    /// expired.
+    pub(crate) fn inherited_runs_end(&self, worker: &Worker) -> Duration {
         let longest = self.taken_over_at + self.settings.owner_validity;
         // A worker that has only not been asked yet may report finished tasks, so the wait does not
         // begin before the take-over.
         let granted_until = self
             .earlier_end
             .map_or(longest, |end| end.max(self.taken_over_at));
-        granted_until + max_elapsed(self.settings.lease) + KILL_TIME
+        granted_until + max_elapsed(worker.longest_lease(self.settings)) + KILL_TIME
     }
 
     /// Releases the runs of unreachable workers whose leases have expired.
@@ -240,14 +249,17 @@
         if !self.is_exclusive(now) {
             return;
         }
-        let inherited = self.inherited_runs_end();
         let mut expired = Vec::new();
         for (id, worker) in &self.workers {
             let unreachable = worker.unreachable_since.is_some() || !worker.listed;
             let lease_over = match worker.runs_end() {
                 Some(end) => now >= end,
-                None if worker.inherited => now >= inherited,
-                None => worker.runs.is_empty() && !worker.listed,
+                None if !worker.runs.is_empty() => {
+                    let end = worker.unreached_runs_end(self.settings.max_lease);
+                    end.is_some_and(|end| now >= end)
+                }
+                None if worker.inherited => now >= self.inherited_runs_end(worker),
+                None => !worker.listed,
             };
             if unreachable
                 && lease_over
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -442,6 +442,7 @@
             state: RunState::Ordered,
             ordered_at: now,
             confirmed_at: None,
+            reported: false,
             allocation: step.allocation(),
             progress: 0,
             progressed_at: now,
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -209,13 +209,8 @@
         worker.fenced = true;
         if first {
             // The lease end that an earlier owner granted is unknown, but none can grant a lease any
-            // more, and all leases have the same length. Only a late order to an incarnation before
-            // this one may name a time that is farther ahead on the clock that began anew.
-            let lease = if worker.restarted {
-                self.settings.max_lease
-            } else {
-                self.settings.lease
-            };
+            // more.
+            let lease = worker.longest_lease(self.settings);
             worker.extend_lease(report.clock + millis(lease));
         }
         if report.ends_complete {
@@ -276,6 +271,7 @@
                 run.state = RunState::Running;
                 run.confirmed_at = Some(now);
             }
+            run.reported = true;
             if run.progress != reported.progress || run.checkpoint != reported.checkpoint {
                 run.record_progress(reported.progress, now);
             }
@@ -333,6 +329,7 @@
             state: RunState::Running,
             ordered_at: now,
             confirmed_at: Some(now),
+            reported: true,
             allocation: step.allocation(),
             progress: reported.progress,
             progressed_at: now,
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -13,6 +13,7 @@
 use nutmegcart_model::Rack;
 use nutmegcart_model::WorkerId;
 
+use crate::action::JobSettings;
 use crate::job::JobId;
 use crate::job::TaskKey;
 
@@ -194,6 +195,10 @@
 }
 
 /// A run that may be live on a worker.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags come from independent sources"
+)]
 #[derive(Clone, Debug)]
 pub struct Run {
     /// Run number, unique within the task.
@@ -204,6 +209,9 @@
     pub ordered_at: Duration,
     /// When the worker confirmed the start.
     pub confirmed_at: Option<Duration>,
+    /// Whether the current incarnation has listed it in a report. The response to a start order does
+    /// not tell which incarnation sent it.
+    pub reported: bool,
     /// Part of the worker's capacity that it occupies.
     pub allocation: Resources,
     /// Latest reported progress in percent.
@@ -284,8 +292,9 @@
     /// Start time of this incarnation in milliseconds since 1970; 0 until the worker or its listing
     /// states it.
     pub incarnation: u64,
-    /// Whether this owner knew an earlier incarnation under the same identifier.
-    pub restarted: bool,
+    /// When this owner learned that the incarnation has replaced an earlier one under the same
+    /// identifier, if it has.
+    pub restarted_at: Option<Duration>,
     /// Whether this incarnation has seen this owner's fencing token.
     pub fenced: bool,
     /// Whether the stored state of the cell certainly contains this incarnation, so that it may get
@@ -341,7 +350,7 @@
             listing,
             listed: true,
             unlisted_at: Duration::ZERO,
-            restarted: false,
+            restarted_at: None,
             fenced: false,
             enrolled: false,
             clock_reading: None,
@@ -407,7 +416,7 @@
     }
 
     /// Returns when every run of this incarnation has certainly ended, if no order extends the
-    /// lease.
+    /// lease; none while its clock has not been read.
     ///
     /// When the latest reading arrived, the worker's clock was at least that, and it may run slow.
     ///
@@ -425,6 +434,30 @@
             .map(|reading| lease_end(reading, self.lease_end))
     }
 
+    /// Returns the longest lease that orders of earlier owners, or to an earlier incarnation, may have
+    /// granted.
+    ///
+    /// All leases have the same length, but a lease end on the clock of an earlier incarnation may be
+    /// farther ahead on the clock that began anew.
+    pub(crate) const fn longest_lease(&self, settings: JobSettings) -> Duration {
+        if self.restarted_at.is_some() {
+            settings.max_lease
+        } else {
+            settings.lease
+        }
+    }
+
+    /// Returns when every run of an incarnation that replaced another one has certainly ended, if it
+    /// has not been reached since.
+    ///
+    /// Orders that were sent before may still arrive. The lease ends in them are times on the clock
+    /// of the earlier incarnation, so the worker shortens them to `max_lease`.
+    pub(crate) fn unreached_runs_end(&self, max_lease: Duration) -> Option<Duration> {
+        let lease = max_elapsed(max_lease);
+        self.restarted_at
+            .map(|at| at + MAX_ORDER_DELAY + lease + KILL_TIME)
+    }
+
     /// Records a response that carried the worker's clock.
     pub fn record_clock(&mut self, clock: u64, now: Duration) {
         // Lease ends are added to it.
