End the reservations of a wave that cannot go on

Cause: a wave reserves the workers of max-count + 2 machines until they are empty. A machine whose long-running task has no budget, or that runs a long task, never becomes empty, and nothing ended its reservation.

Change: a reservation expires after 8 s, an empty machine's 8 s after the wave's latest progress. The worker then gets tasks for 3 s at least, and is reserved again only if draining can begin. Without a share of the wave's limit nothing stays reserved. Event 744 tells what still ran there.

--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -39,6 +39,7 @@
 mod rebalancing;
 pub mod record;
 pub mod reports;
+mod reservations;
 pub mod scheduler;
 pub mod size_shares;
 mod slot;
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -510,7 +510,7 @@
                 // The order may have been carried out long before, so the worker is not removed
                 // here. The platform's list shows whether it was replaced.
                 if let MachineOrder::Maintain(wave) = order {
-                    self.maintenance.record_done(*wave, name);
+                    self.maintenance.record_done(*wave, name, now);
                 }
             }
             MachineOutcome::Unknown => {}
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -13,6 +13,7 @@
 use crate::machines::Machine;
 use crate::machines::MachineOrder;
 use crate::machines::MachineState;
+use crate::reservations::Reservations;
 use crate::scheduler::Scheduler;
 use crate::worker::RunState;
 use crate::worker::StopReason;
@@ -54,7 +55,9 @@
     /// Machines that have been maintained.
     done: BTreeSet<Arc<str>>,
     /// Machines whose workers are reserved, so that no new tasks start there.
-    reserved: BTreeSet<Arc<str>>,
+    reserved: Reservations,
+    /// When the latest of its machines was maintained.
+    advanced_at: Duration,
     completed: bool,
 }
 
@@ -89,9 +92,10 @@
         listed.collect()
     }
 
-    pub(crate) fn record_done(&mut self, wave: u64, machine: &Arc<str>) {
+    pub(crate) fn record_done(&mut self, wave: u64, machine: &Arc<str>, now: Duration) {
         if let Some(wave) = self.waves.get_mut(&wave) {
             wave.done.insert(machine.clone());
+            wave.advanced_at = now;
             self.unsaved = true;
             wave.reserved.remove(machine);
         }
@@ -131,7 +135,8 @@
                     request: request.clone(),
                     received_at: now,
                     done,
-                    reserved: BTreeSet::new(),
+                    reserved: Reservations::default(),
+                    advanced_at: now,
                     completed: false,
                 }
             });
@@ -151,16 +156,48 @@
 
     /// Advances all waves.
     pub(crate) fn advance_waves(&mut self, now: Duration) {
+        let numbers: Vec<u64> = self.maintenance.waves.keys().copied().collect();
+        for number in &numbers {
+            self.expire_reservations(*number, now);
+        }
         if !self.may_order_machines(now) {
             return;
         }
         self.retry_machine_orders(now);
-        let numbers: Vec<u64> = self.maintenance.waves.keys().copied().collect();
         for number in numbers {
             self.advance_wave(number, now);
         }
     }
 
+    /// Ends the reservations of a wave that have lasted too long, so that their workers get tasks
+    /// again. A machine that is already empty waits for as long as the wave goes on.
+    fn expire_reservations(&mut self, number: u64, now: Duration) {
+        let Some(wave) = self.maintenance.waves.get_mut(&number) else {
+            return;
+        };
+        let advanced_at = wave.advanced_at;
+        let mut reserved = std::mem::take(&mut wave.reserved);
+        let restarted = |name: &Arc<str>| {
+            let machine = self.machines.known.get(name);
+            let empty = machine.is_some_and(|machine| self.is_empty(machine));
+            empty.then_some(advanced_at)
+        };
+        for name in reserved.expire(restarted, now) {
+            let machine = self.machines.known.get(&name);
+            let (long_running, runs) = machine.map_or((0, 0), |machine| self.load_of(machine));
+            log_event!(
+                Event::ReservationExpired,
+                wave = number,
+                machine = name,
+                long_running = long_running,
+                runs = runs
+            );
+        }
+        if let Some(wave) = self.maintenance.waves.get_mut(&number) {
+            wave.reserved = reserved;
+        }
+    }
+
     /// Returns whether a machine counts as down for the wave.
     ///
     /// A machine that an earlier owner may have ordered counts as down, since that order may still
@@ -229,21 +266,31 @@
         }
         if max_down == 0 {
             // Other cells use the whole limit; tasks keep running here until then.
+            if let Some(wave) = self.maintenance.waves.get_mut(&number) {
+                wave.reserved.clear();
+            }
             return;
         }
         let max_drained = max_down.saturating_add(DRAIN_AHEAD);
         let busy: Vec<Machine> = remaining
             .into_iter()
-            .filter(|machine| !self.machines.pending.contains_key(&machine.name))
+            .filter(|machine| {
+                !self.machines.pending.contains_key(&machine.name)
+                    && reserved.allows(&machine.name, now)
+                    && (!reserved.has_expired(&machine.name) || self.is_drainable(machine, now))
+            })
             .collect();
         let drained = max_drained.saturating_sub(down).min(max_drained);
+        let chosen: Vec<Machine> = busy.into_iter().take(drained).collect();
         // Those that the latest list lacks are still being drained.
         reserved.retain(|name| {
-            !self.machines.known.contains_key(name) && self.machines.may_exist(name)
+            let unlisted = !self.machines.known.contains_key(name);
+            chosen.iter().any(|machine| machine.name == *name)
+                || (unlisted && self.machines.may_exist(name))
         });
-        for machine in busy.into_iter().take(drained) {
+        for machine in chosen {
             self.drain_machine(&machine, stop_short, now);
-            reserved.insert(machine.name);
+            reserved.insert(machine.name, now);
         }
         // A machine whose order was rejected gets tasks again until its next turn.
         if let Some(wave) = self.maintenance.waves.get_mut(&number) {
@@ -276,6 +323,17 @@
         })
     }
 
+    /// Returns whether draining a machine can begin with its long-running tasks: it has none, one is
+    /// being stopped, or the budget of one allows that.
+    fn is_drainable(&self, machine: &Machine, now: Duration) -> bool {
+        let worker = self.worker_of(machine).and_then(|id| self.workers.get(&id));
+        let runs = worker.into_iter().flat_map(|worker| &worker.runs);
+        let mut long_running = runs.filter(|(_, run)| run.long_running).peekable();
+        long_running.peek().is_none()
+            || long_running
+                .any(|(key, run)| run.state != RunState::Running || self.may_interrupt(key, now))
+    }
+
     /// Stops new tasks on a machine, and evacuates long-running ones as their budgets allow.
     fn drain_machine(&mut self, machine: &Machine, stop_short: bool, now: Duration) {
         let Some(id) = self.worker_of(machine) else {
@@ -350,7 +408,7 @@
             .waves
             .values()
             .filter(|wave| !wave.completed)
-            .flat_map(|wave| wave.reserved.iter())
+            .flat_map(|wave| wave.reserved.machines())
             .chain(self.rebalancer.vacations.machines())
             .filter_map(|name| self.machines.known.get(name))
             .filter_map(|machine| self.worker_of(machine))
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -130,6 +130,7 @@
     WaveDetected = 741, Info, "maintenance wave detected";
     PoolShortage = 742, Info, "machines of a pool in which a long-running task waits for a worker";
     WorkerEndsTruncated = 743, Warn, "worker has more ends that are not acknowledged than its reports list; it gets no new tasks until they are";
+    ReservationExpired = 744, Warn, "machine of a wave could not be emptied in time; its worker gets tasks again for a while";
     OperatorConfigInForce = 750, Info, "operator's configuration in force";
     SettingsChanged = 751, Info, "settings file changed";
     LogDropped = 752, Warn, "log lines were dropped because the reader is slow";
