--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
+use nutmegcart_model::log_event;
 
 use crate::failed_runs::FailedRuns;
 use crate::job::TaskKey;
@@ -19,6 +21,9 @@
 use crate::scheduler::Scheduler;
 use crate::worker::StopReason;
 
+/// Longest part of a checkpoint that a log line contains, in characters.
+const LOGGED_CHECKPOINT: usize = 32;
+
 /// Where a checkpoint comes from; the greater, the more work it contains, as far as can be known.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Origin {
@@ -151,6 +156,32 @@
 }
 
 impl Scheduler {
+    /// Logs the start of a gang with its checkpoint and where that comes from, so that the log tells
+    /// why members wait in vain.
+    pub(crate) fn log_gang_start(&mut self, key: &TaskKey, run: u32, members: usize) {
+        let job = self.jobs.get_mut(&key.job);
+        let Some(state) = job.and_then(|job| job.step_state(key)) else {
+            return;
+        };
+        let checkpoints = state.tasks.iter().map(|task| task.checkpoint.as_deref());
+        let checkpoint = checkpoints.flatten().next().unwrap_or_default();
+        let origin = state.checkpoint_origin.unwrap_or_default();
+        log_event!(
+            Event::GangStarted,
+            task = key,
+            run = run,
+            members = members,
+            checkpoint = checkpoint
+                .chars()
+                .take(LOGGED_CHECKPOINT)
+                .collect::<String>(),
+            written_by = origin.run,
+            stopped = origin.stopped,
+            progress = origin.progress,
+            stored = !origin.reported
+        );
+    }
+
     /// Stops the live runs of the gang to which a task belongs whose run is stopped, if it belongs to
     /// one, since they wait in vain.
     pub(crate) fn stop_rest_of_gang(&mut self, key: &TaskKey) {
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -373,6 +373,7 @@
                     .all(|(_, slot)| slots.items[*slot].rack == rack);
             if chosen.len() == pending.len() && one_rack {
                 let run = self.gang_run(key);
+                self.log_gang_start(key, run, chosen.len());
                 for (task, slot) in chosen {
                     self.start(slots, slot, &task, step, Some(run), counts, now);
                 }
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -116,6 +116,7 @@
     TaskWaiting = 726, Warn, "long-running task waits for a start; the one of its pool that has waited longest";
     JobStalled = 727, Warn, "job has waited too long for a start";
     JobResumed = 728, Info, "job that had stalled no longer waits";
+    GangStarted = 729, Info, "gang started; all its members get the same checkpoint";
     WorkerListed = 730, Info, "worker listed by service discovery";
     WorkerUnlisted = 731, Warn, "worker no longer listed";
     WorkerLeaving = 732, Info, "worker is shutting down; it gets no new tasks";
