Send orders for machines only while nothing runs there

Only the worker of the time of the decision stayed reserved, and an old list of machines hid the next one.

Change: an order is sent only while nothing runs on its machine. The machine's worker is the one with the latest start that the list or service discovery names.

--- a/crates/nutmegcart_fakes/src/cell/machines.rs
+++ b/crates/nutmegcart_fakes/src/cell/machines.rs
@@ -20,6 +20,12 @@
         name: &Arc<str>,
         order: &MachineOrder,
     ) -> MachineOutcome {
+        if self.refuses_orders {
+            return MachineOutcome::Refused;
+        }
+        if self.loses_orders {
+            return MachineOutcome::Unknown;
+        }
         let Some(machine) = self.machines.get_mut(name) else {
             return MachineOutcome::Invalid;
         };
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -230,6 +230,10 @@
     pub pools: Vec<(PoolName, PoolConfig)>,
     /// Workers at whose address another one has started, which rejects calls meant for them.
     pub reused_addresses: BTreeSet<WorkerId>,
+    /// Whether the platform temporarily refuses orders for machines.
+    pub refuses_orders: bool,
+    /// Whether orders for machines are lost together with their responses.
+    pub loses_orders: bool,
     /// Whether the platform answers requests for the list of machines.
     pub lists_machines: bool,
     /// Workers that may run the steps of queues which require tickets.
@@ -278,6 +282,8 @@
             queues: Vec::new(),
             pools: Vec::new(),
             reused_addresses: BTreeSet::new(),
+            refuses_orders: false,
+            loses_orders: false,
             lists_machines: true,
             permitted: BTreeSet::new(),
             clocks_ahead: Vec::new(),
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -40,6 +40,7 @@
         {
             return;
         }
+        self.record_machine_of(&listing);
         let Some(worker) = self.workers.get_mut(&id) else {
             log_event!(
                 Event::WorkerListed,
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +20,12 @@
 use nutmegcart_model::log_event;
 
 use crate::action::Action;
+use crate::reservations::MAX_RESERVATION;
 use crate::scheduler::Scheduler;
+use crate::worker::MAX_ORDER_DELAY;
 use crate::worker::Unusable;
 use crate::worker::Worker;
+use crate::worker::WorkerListing;
 
 /// Time beyond [`JobSettings::order_gap`](crate::JobSettings::order_gap) for which a machine counts
 /// as recently ordered.
@@ -130,12 +134,26 @@
     pub(crate) worker: Option<WorkerId>,
     /// Whether the stored cell state names the machine, so that the order may be sent.
     pub(crate) stored: bool,
+    /// When it was queued.
+    pub(crate) queued_at: Duration,
     /// When it was last sent.
     pub(crate) sent_at: Option<Duration>,
+    /// Number of times that it was sent without an outcome so far.
+    pub(crate) in_flight: u32,
+    /// When a response was last found to be lost.
+    pub(crate) unknown_at: Option<Duration>,
     /// When it was confirmed.
     pub(crate) done_at: Option<Duration>,
 }
 
+impl PendingOrder {
+    /// Returns whether the order has certainly not been carried out and no longer can be.
+    fn is_undone(&self, now: Duration) -> bool {
+        let settled = self.unknown_at.is_none_or(|at| now >= at + MAX_ORDER_DELAY);
+        self.done_at.is_none() && self.in_flight == 0 && settled
+    }
+}
+
 /// Names in the list of machines before the latest one, and when that list was requested.
 struct EarlierList {
     names: BTreeSet<Arc<str>>,
@@ -151,6 +169,8 @@
     /// Same for the list before it, if there is one.
     pub(crate) earlier: Option<BTreeSet<Arc<str>>>,
     pub(crate) pending: BTreeMap<Arc<str>, PendingOrder>,
+    /// Worker with the latest start among those whose entries named the machine.
+    latest_workers: HashMap<Arc<str>, WorkerId>,
     /// Machines for which an earlier owner may have sent orders.
     pub(crate) inherited: HashSet<Arc<str>>,
     /// Time of the latest order for each machine.
@@ -245,19 +265,12 @@
 
     /// Sends the orders whose machines a stored transaction has named.
     pub(crate) fn send_stored_orders(&mut self, stored: &[Arc<str>], now: Duration) {
-        let mut due = Vec::new();
         for name in stored {
-            if let Some(pending) = self.machines.pending.get_mut(name)
-                && !pending.stored
-            {
+            if let Some(pending) = self.machines.pending.get_mut(name) {
                 pending.stored = true;
-                pending.sent_at = Some(now);
-                due.push((name.clone(), pending.order.clone()));
             }
         }
-        for (name, order) in due {
-            self.send_machine_order(&name, &order, now);
-        }
+        self.send_machine_orders(now);
     }
 
     /// Returns whether orders for machines are pending, so that the list should be read often.
@@ -367,19 +380,31 @@
         replaced || moved || crashed || operated
     }
 
-    /// Returns the worker of a machine.
+    /// Records the entry of a worker for its machine.
+    pub(crate) fn record_machine_of(&mut self, listing: &WorkerListing) {
+        let Some(name) = &listing.machine else {
+            return;
+        };
+        let latest = self.machines.latest_workers.get(name);
+        let latest = latest.and_then(|id| self.workers.get(id));
+        if latest.is_none_or(|latest| latest.incarnation <= listing.incarnation) {
+            let latest_workers = &mut self.machines.latest_workers;
+            latest_workers.insert(name.clone(), listing.id.clone());
+        }
+    }
+
+    /// Returns the worker of a machine: the one in the platform's list, or one with a later start in
+    /// service discovery, since the list may be old.
     pub(crate) fn worker_of(&self, machine: &Machine) -> Option<WorkerId> {
-        let listed = machine
-            .worker
-            .clone()
-            .filter(|id| self.workers.contains_key(id));
-        listed.or_else(|| {
-            let on_it = |id: &&WorkerId| {
-                let worker = &self.workers[*id];
-                worker.listed && worker.listing.machine.as_ref() == Some(&machine.name)
-            };
-            self.workers.keys().find(on_it).cloned()
-        })
+        let known = |id: &WorkerId| self.workers.get(id);
+        let named = machine.worker.as_ref().and_then(known);
+        let latest = self.machines.latest_workers.get(&machine.name);
+        let latest = latest.and_then(known).filter(|worker| worker.listed);
+        let worker = match (named, latest) {
+            (Some(named), Some(latest)) if latest.incarnation > named.incarnation => Some(latest),
+            (named, latest) => named.or(latest),
+        };
+        worker.map(|worker| worker.listing.id.clone())
     }
 
     /// Returns whether a machine may get an order: it is up, and no other order for it is under way or
@@ -441,7 +466,7 @@
     }
 
     /// Queues an order for a machine on which nothing runs, and reserves its worker.
-    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder) {
+    pub(crate) fn order_machine(&mut self, name: &Arc<str>, order: &MachineOrder, now: Duration) {
         let Some(machine) = self.machines.known.get(name) else {
             return;
         };
@@ -453,34 +478,83 @@
             order: order.clone(),
             worker,
             stored: false,
+            queued_at: now,
             sent_at: None,
+            in_flight: 0,
+            unknown_at: None,
             done_at: None,
         };
         self.machines.pending.insert(name.clone(), pending);
     }
 
-    fn send_machine_order(&mut self, name: &Arc<str>, order: &MachineOrder, now: Duration) {
-        self.machines.last_orders.insert(name.clone(), now);
-        self.actions.push(Action::Machine {
-            machine: name.clone(),
-            order: order.clone(),
-        });
-    }
-
-    /// Repeats orders whose response was lost or that were refused temporarily.
-    pub(crate) fn retry_machine_orders(&mut self, now: Duration) {
-        let mut due = Vec::new();
-        for (name, pending) in &mut self.machines.pending {
+    /// Sends the orders that are due: those that a stored transaction has named, and again those
+    /// whose response was lost or that were refused temporarily.
+    ///
+    /// An order ends whatever runs on its machine, so it is sent only while nothing does. It is not
+    /// repeated for longer than its machine may be reserved, so that it is settled some time after.
+    pub(crate) fn send_machine_orders(&mut self, now: Duration) {
+        let is_due = |(name, pending): &(&Arc<str>, &PendingOrder)| {
             let waited = pending
                 .sent_at
                 .is_none_or(|sent| now >= sent + RETRY_INTERVAL);
-            if pending.done_at.is_none() && pending.stored && waited {
-                pending.sent_at = Some(now);
-                due.push((name.clone(), pending.order.clone()));
+            let machine = self.machines.known.get(*name);
+            pending.done_at.is_none()
+                && pending.stored
+                && waited
+                && now < pending.queued_at + MAX_RESERVATION
+                && machine.is_none_or(|machine| self.is_empty(machine))
+        };
+        let due = self.machines.pending.iter().filter(is_due);
+        let names: Vec<Arc<str>> = due.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let Some(pending) = self.machines.pending.get_mut(&name) else {
+                continue;
+            };
+            pending.sent_at = Some(now);
+            pending.in_flight += 1;
+            self.machines.last_orders.insert(name.clone(), now);
+            self.actions.push(Action::Machine {
+                machine: name,
+                order: pending.order.clone(),
+            });
+        }
+    }
+
+    /// Withdraws orders that were certainly not carried out, if the machine has another worker by now
+    /// or the platform has refused them for long. Other orders are kept, and keep new tasks from the
+    /// machine's worker, since they may still end what runs there.
+    pub(crate) fn review_machine_orders(&mut self, now: Duration) {
+        let mut withdrawn = Vec::new();
+        let mut replaced = Vec::new();
+        for (name, pending) in &self.machines.pending {
+            let machine = self.machines.known.get(name);
+            let worker = machine.and_then(|machine| self.worker_of(machine));
+            let another = worker.is_some() && worker != pending.worker;
+            let expired = now >= pending.queued_at + MAX_RESERVATION;
+            if pending.is_undone(now) && (another || expired) {
+                withdrawn.push(name.clone());
+            } else if another && pending.done_at.is_none() {
+                replaced.push((name.clone(), worker));
+            }
+        }
+        for name in withdrawn {
+            if let Some(pending) = self.machines.pending.remove(&name) {
+                log_event!(
+                    Event::MachineOrdered,
+                    machine = name,
+                    order = format_args!("{:?}", pending.order),
+                    outcome = "withdrawn"
+                );
+                self.machines.rejected.insert(name, now);
             }
         }
-        for (name, order) in due {
-            self.send_machine_order(&name, &order, now);
+        for (name, id) in replaced {
+            if let Some(worker) = id.as_ref().and_then(|id| self.workers.get_mut(id)) {
+                worker.reserved = true;
+            }
+            if let Some(pending) = self.machines.pending.get_mut(&name) {
+                pending.worker = id;
+            }
         }
     }
 
@@ -504,6 +578,7 @@
             order = format_args!("{order:?}"),
             outcome = format_args!("{outcome:?}")
         );
+        pending.in_flight = pending.in_flight.saturating_sub(1);
         match outcome {
             MachineOutcome::Done => {
                 pending.done_at = Some(now);
@@ -513,7 +588,7 @@
                     self.maintenance.record_done(*wave, name, now);
                 }
             }
-            MachineOutcome::Unknown => {}
+            MachineOutcome::Unknown => pending.unknown_at = Some(now),
             MachineOutcome::Refused => pending.sent_at = Some(now),
             MachineOutcome::Busy | MachineOutcome::Fenced | MachineOutcome::Invalid => {
                 let worker = pending.worker.clone();
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -163,7 +163,8 @@
         if !self.may_order_machines(now) {
             return;
         }
-        self.retry_machine_orders(now);
+        self.review_machine_orders(now);
+        self.send_machine_orders(now);
         for number in numbers {
             self.advance_wave(number, now);
         }
@@ -261,7 +262,7 @@
             if down >= max_down {
                 break;
             }
-            self.order_machine(&name, &MachineOrder::Maintain(number));
+            self.order_machine(&name, &MachineOrder::Maintain(number), now);
             down += 1;
         }
         if max_down == 0 {
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -345,7 +345,7 @@
         }
         for (machine, pool) in moves {
             self.rebalancer.idle_since.remove(&machine);
-            self.order_machine(&machine, &MachineOrder::Move(pool));
+            self.order_machine(&machine, &MachineOrder::Move(pool), now);
         }
     }
 
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -21,9 +21,9 @@
 const MAX_CLOCK_DRIFT: f64 = 0.02;
 /// Time that a worker may need to kill its runs after their lease expired.
 pub(crate) const KILL_TIME: Duration = Duration::from_millis(300);
-/// Time after which a start whose response was lost is no longer carried out; the platform states
+/// Time after which a call whose response was lost is no longer carried out; the platform states
 /// a maximum delay of 12 s.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(14);
+pub(crate) const MAX_ORDER_DELAY: Duration = Duration::from_secs(14);
 /// Time after which a worker without a listing counts as gone; listings that expired while the
 /// store was unavailable are back within 2 s.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(2_500);
