Count a job as waiting until one of its starts is confirmed

Cause: a job counted as started with its first start order, also if the order was refused. The number of waiting jobs and the state shown to callers follow from it.

Change: a job has started once a start was confirmed or a worker has reported one of its runs or ends. The statistics of first starts still go by the order.

Evidence: jobs_with_refused_starts_wait failed before (0 of 4 waited) and passes now.

--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -183,8 +183,10 @@
     pub stored: bool,
     /// Whether an earlier owner may have started tasks that this owner does not know.
     pub inherited: bool,
-    /// Whether any task was ever started.
+    /// Whether any task has certainly started, also under an earlier owner.
     pub started: bool,
+    /// Whether this owner has emitted a start order for any task, which may yet be refused.
+    pub ordered: bool,
     /// Whether a transaction may pass it to another cell, so that nothing may be started here.
     pub passing: bool,
 }
@@ -224,6 +226,7 @@
             stored: false,
             inherited: false,
             started: false,
+            ordered: false,
             passing: false,
             accepted,
         }
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -186,6 +186,9 @@
                 if run.state == RunState::Ordered {
                     run.state = RunState::Running;
                 }
+                if let Some(job) = self.jobs.get_mut(&key.job) {
+                    job.started = true;
+                }
             }
             OrderOutcome::Unknown => {
                 if run.state == RunState::Ordered {
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -423,7 +423,7 @@
             return;
         };
         let spec = job.accepted.job.spec.clone();
-        if !std::mem::replace(&mut job.started, true) {
+        if !std::mem::replace(&mut job.ordered, true) && !job.started {
             self.start_delays.push(now.saturating_sub(job.accepted_at));
             if !job.inherited && !job.accepted.job.is_long_running() {
                 self.size_shares.record_start(job, now);
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -275,9 +275,11 @@
             if run.progress != reported.progress || run.checkpoint != reported.checkpoint {
                 run.record_progress(reported.progress, now);
             }
-            let job = self.jobs.get_mut(&reported.task.job);
-            if let Some(job) = job.filter(|_| run.checkpoint != reported.checkpoint) {
-                job.share_checkpoint(reported, now);
+            if let Some(job) = self.jobs.get_mut(&reported.task.job) {
+                job.started = true;
+                if run.checkpoint != reported.checkpoint {
+                    job.share_checkpoint(reported, now);
+                }
             }
             let was_at_work = run.is_at_work();
             run.progress = reported.progress;
--- a/crates/nutmegcart_jobs/tests/orders.rs
+++ b/crates/nutmegcart_jobs/tests/orders.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
+use nutmegcart_fleet::Resources;
 use nutmegcart_jobs::FinalState;
+use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use support::assert_all_completed;
 use support::assert_no_violations;
@@ -252,3 +254,36 @@
     assert_eq!(live_long_running_runs(&world), 3);
     assert_no_violations(&world);
 }
+
+/// Guards against jobs whose start orders are refused, and that callers are told to be running and no
+/// longer waiting.
+#[test]
+fn jobs_with_refused_starts_wait() {
+    let mut world = world(67, 2);
+    world.pools.truncate(1);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    let capacity = world.workers[&worker(0)].listing.capacity;
+    for fake in world.workers.values_mut() {
+        fake.listing.capacity = Resources::default();
+    }
+    let jobs: Vec<JobId> = (1..5)
+        .map(|number| submit(&mut world, number, vec![batch_step(1, 1_000, 500)]))
+        .collect();
+    world.run(seconds(1.0));
+    let scheduler = &world.owners[owner].scheduler;
+    assert_eq!(scheduler.waiting_in(&world.queues[0].key), jobs.len());
+    assert_eq!(scheduler.waiting_total(), jobs.len());
+    for job in &jobs {
+        assert_eq!(scheduler.job_state(job), Some(JobState::Pending));
+    }
+    for fake in world.workers.values_mut() {
+        fake.listing.capacity = capacity;
+    }
+    world.run(seconds(0.3));
+    let scheduler = &world.owners[owner].scheduler;
+    assert_eq!(scheduler.waiting_in(&world.queues[0].key), 0);
+    world.run(seconds(2.0));
+    assert_all_completed(&world, &jobs);
+    assert_no_violations(&world);
+}
