Make room for long-running gangs in a full pool

Cause: a long-running task without a worker keeps room and, after 0.9 s, has shorter tasks stopped. The placement of a gang left before that, so free room went to short tasks one by one and never to all members at once.

Change: a long-running gang looks for room for all members, with shorter tasks stopped, and claims it only if all fit. The code of make_room moves to room.rs.

Evidence: three new cases in gangs.rs failed before (0 members live 9 s after the loss) and pass now. Tests of nutmegcart_jobs pass.

--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod record;
 pub mod reports;
 mod reservations;
+mod room;
 pub mod scheduler;
 pub mod size_shares;
 mod slot;
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -36,8 +36,6 @@
 const AVOID_TIME: Duration = Duration::from_secs(2);
 /// Same for other tasks, whose attempts are limited. Bursts that fill a pool are shorter.
 const BATCH_AVOID_TIME: Duration = Duration::from_secs(10);
-/// Time that a long-running task waits for capacity before shorter ones are stopped for it.
-const PREEMPTION_DELAY: Duration = Duration::from_millis(900);
 
 impl Scheduler {
     /// Places waiting tasks, and emits all orders that are due.
@@ -381,6 +379,9 @@
                 return;
             }
         }
+        if step.long_running {
+            self.make_room_for_gang(slots, key, step, pending, counts, now);
+        }
     }
 
     /// Returns the run number of a gang's next start, above all that its tasks have used.
@@ -472,78 +473,6 @@
         );
     }
 
-    /// Reserves a worker for a long-running task, and after a delay stops shorter ones to make
-    /// room.
-    ///
-    /// A long-running task that fails during a burst has to start again within seconds, although
-    /// the pool is full.
-    fn make_room(
-        &mut self,
-        slots: &mut Slots,
-        task: &TaskKey,
-        step: &Step,
-        counts: &HashMap<WorkerId, u32>,
-        now: Duration,
-    ) {
-        let (avoid, waited) = self.avoided_worker(task, step, now);
-        let acceptable = waited || slots.may_relax_avoid();
-        let constraints = Constraints {
-            avoid: avoid.as_ref().filter(|_| !acceptable),
-            preferred_rack: None,
-            runs_per_worker: counts,
-            tickets: None,
-        };
-        let available = |slot: &Slot| {
-            let worker = self.workers.get(&slot.id);
-            let runs = worker.into_iter().flat_map(|worker| worker.runs.values());
-            let preemptible = runs.filter(|run| !run.long_running);
-            preemptible.fold(slot.free, |sum, run| sum + run.allocation)
-        };
-        let fitting = slots.items.iter().enumerate().filter(|(_, slot)| {
-            slot.admits(step, &constraints) && step.allocation().fits(available(slot))
-        });
-        let best = fitting.max_by_key(|(_, slot)| {
-            let preferred = avoid.as_ref() != Some(&slot.id);
-            (preferred, slot.reserved, slot.free.cpu)
-        });
-        let Some(index) = best.map(|(index, _)| index) else {
-            return;
-        };
-        slots.items[index].reserved = true;
-        let id = slots.items[index].id.clone();
-        let waiting = self
-            .jobs
-            .get_mut(&task.job)
-            .and_then(|job| job.task(task))
-            .map(|task| task.waiting_since);
-        if waiting.is_none_or(|since| now < since + PREEMPTION_DELAY) {
-            return;
-        }
-        let Some(worker) = self.workers.get(&id) else {
-            return;
-        };
-        let mut preemptible: Vec<(Duration, TaskKey, Resources)> = worker
-            .runs
-            .iter()
-            .filter(|(_, run)| !run.long_running && run.state == RunState::Running)
-            .map(|(key, run)| (run.ordered_at, key.clone(), run.allocation))
-            .collect();
-        preemptible.sort_by_key(|(since, _, _)| std::cmp::Reverse(*since));
-        let stopping = worker
-            .runs
-            .values()
-            .filter(|run| matches!(run.state, RunState::Stopping { .. }));
-        let unreserved = worker.free().saturating_sub(self.reserved_capacity(&id));
-        let mut free = stopping.fold(unreserved, |sum, run| sum + run.allocation);
-        for (_, key, size) in preemptible {
-            if step.allocation().fits(free) {
-                break;
-            }
-            free += size;
-            self.stop(&id, &key, StopReason::Preempted);
-        }
-    }
-
     /// Stops tasks on workers that are shutting down or missing, so that they start again on other
     /// workers.
     ///
--- a/crates/nutmegcart_jobs/tests/gangs.rs
+++ b/crates/nutmegcart_jobs/tests/gangs.rs
@@ -16,6 +16,7 @@
 use support::assert_no_violations;
 use support::batch_step;
 use support::completed;
+use support::live_long_running_runs;
 use support::seconds;
 use support::submit;
 use support::task;
@@ -355,3 +356,43 @@
         assert!(completed(&world, &job), "{:?}", world.stored_state(&job));
     }
 }
+
+/// Guards against a long-running gang that never starts again in a pool that is full of shorter
+/// tasks, because what becomes free there goes to them one by one.
+fn gang_gets_room((size, cpu, per_worker): (u32, u64, u32)) {
+    let mut world = world(92, 7);
+    let owner = world.take_over();
+    world.run(seconds(1.0));
+    let step = Step {
+        long_running: true,
+        checkpoints: false,
+        per_worker,
+        ..batch_step(size, cpu, 900)
+    };
+    let gang = Step { gang: true, ..step };
+    submit(&mut world, 1, vec![gang]);
+    world.run(seconds(1.0));
+    for number in 2..200 {
+        let length = if number % 2 == 0 { 1_500 } else { 2_500 };
+        submit(&mut world, number, vec![batch_step(8, 8_000, length)]);
+    }
+    world.run(seconds(5.0));
+    assert_eq!(live_long_running_runs(&world), size as usize);
+    assert!(world.owners[owner].scheduler.waiting_total() > 0);
+    let job = support::job_id(1);
+    let id = host(&world, &job, 0);
+    world.remove_for_good(&id, None);
+    // A long-running task may wait for 6 s after its last run, and for 3 s with free capacity.
+    world.run(seconds(9.0));
+    assert!(world.owners[owner].scheduler.waiting_total() > 0);
+    assert_eq!(live_long_running_runs(&world), size as usize);
+    assert_no_violations(&world);
+}
+
+cases! { gang_gets_room:
+    /// Each member needs most of a worker.
+    of_two_large_members => (2, 56_000, 1);
+    of_one_member_on_each_worker => (6, 30_000, 1);
+    /// Several members share a worker.
+    of_members_without_a_limit => (8, 30_000, 0);
+}
