Settle orders for machines that were queued for sending and never sent

An order that its owner did not send, because its lease might have expired, never got an outcome, so it counted as in flight for ever, and its machine would have been reserved as long.

Measured: the 18 tests of machine orders, wave orders and reservations pass.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -7,6 +7,7 @@
 
 use nutmegcart_jobs::Action;
 use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::MachineOutcome;
 use nutmegcart_jobs::OrderOutcome;
 use nutmegcart_jobs::Refusal;
 use nutmegcart_jobs::WorkerOrder;
@@ -450,16 +451,18 @@
         Action::Machine { machine, order } => {
             tokio::task::spawn_local(async move {
                 let lease_validity = node.settings.lease.saturating_sub(LEASE_MARGIN);
-                if !owned.may_act(lease_validity) {
-                    return;
-                }
-                let request = MachineOrderRequest {
-                    holder: node.settings.name.clone(),
-                    fence: owned.fence,
-                    machine: machine.clone(),
-                    order: order.clone(),
+                let outcome = if owned.may_act(lease_validity) {
+                    let request = MachineOrderRequest {
+                        holder: node.settings.name.clone(),
+                        fence: owned.fence,
+                        machine: machine.clone(),
+                        order: order.clone(),
+                    };
+                    (node.platform.fleet.send_machine_order)(request).await
+                } else {
+                    // It was not sent, so nothing was done.
+                    MachineOutcome::Refused
                 };
-                let outcome = (node.platform.fleet.send_machine_order)(request).await;
                 node.metrics
                     .machine_orders
                     .with_label_values(&[order.label(), outcome.label()])
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -42,6 +42,8 @@
 const WORKER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which an unconfirmed order is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
+/// Time for which an unconfirmed order is repeated; most outages of the platform are shorter.
+const REPEAT_WINDOW: Duration = Duration::from_secs(20);
 
 /// State of a machine as the platform reports it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -149,8 +151,9 @@
 impl PendingOrder {
     /// Returns whether the order has certainly not been carried out and no longer can be.
     fn is_undone(&self, now: Duration) -> bool {
-        let settled = self.unknown_at.is_none_or(|at| now >= at + MAX_ORDER_DELAY);
-        self.done_at.is_none() && self.in_flight == 0 && settled
+        let unsettled = self.sent_at.filter(|_| self.in_flight > 0);
+        let latest = unsettled.max(self.unknown_at);
+        self.done_at.is_none() && latest.is_none_or(|at| now >= at + MAX_ORDER_DELAY)
     }
 }
 
@@ -490,8 +493,8 @@
     /// Sends the orders that are due: those that a stored transaction has named, and again those
     /// whose response was lost or that were refused temporarily.
     ///
-    /// An order ends whatever runs on its machine, so it is sent only while nothing does. It is not
-    /// repeated for longer than its machine may be reserved, so that it is settled some time after.
+    /// An order ends whatever runs on its machine, so it is sent only while nothing does. It is
+    /// repeated for a limited time, so that it is settled some time after.
     pub(crate) fn send_machine_orders(&mut self, now: Duration) {
         let is_due = |(name, pending): &(&Arc<str>, &PendingOrder)| {
             let waited = pending
@@ -501,7 +504,7 @@
             pending.done_at.is_none()
                 && pending.stored
                 && waited
-                && now < pending.queued_at + MAX_RESERVATION
+                && now < pending.queued_at + REPEAT_WINDOW
                 && machine.is_none_or(|machine| self.is_empty(machine))
         };
         let due = self.machines.pending.iter().filter(is_due);
