--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -170,20 +170,15 @@
         }
     }
 
-    /// Ends the reservations of a wave that have lasted too long, so that their workers get tasks
-    /// again. A machine that is already empty waits for as long as the wave goes on.
+    /// Ends the reservations of a wave that has not gone on for too long, so that their workers get
+    /// tasks again. While it goes on, those that wait for their turn or for a budget stay reserved.
     fn expire_reservations(&mut self, number: u64, now: Duration) {
         let Some(wave) = self.maintenance.waves.get_mut(&number) else {
             return;
         };
         let advanced_at = wave.advanced_at;
         let mut reserved = std::mem::take(&mut wave.reserved);
-        let restarted = |name: &Arc<str>| {
-            let machine = self.machines.known.get(name);
-            let empty = machine.is_some_and(|machine| self.is_empty(machine));
-            empty.then_some(advanced_at)
-        };
-        for name in reserved.expire(restarted, now) {
+        for name in reserved.expire(advanced_at, now) {
             let machine = self.machines.known.get(&name);
             let (long_running, runs) = machine.map_or((0, 0), |machine| self.load_of(machine));
             log_event!(
--- a/crates/nutmegcart_jobs/src/reservations.rs
+++ b/crates/nutmegcart_jobs/src/reservations.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest time that a machine may be reserved before it is empty. Work that waits for a worker of
-/// its kind starts within this time; most tasks are shorter.
+/// Longest time that machines stay reserved while none of them is dealt with. Most tasks are shorter.
 pub(crate) const MAX_RESERVATION: Duration = Duration::from_secs(8);
 /// Time for which a machine is not reserved again after its reservation has expired.
 pub(crate) const RESERVATION_PAUSE: Duration = Duration::from_secs(3);
@@ -61,20 +60,11 @@
         self.since.clear();
     }
 
-    /// Ends the reservations that have lasted for [`MAX_RESERVATION`] since they began or since the
-    /// time that `restarted` gives for the machine, and returns their machines.
-    pub(crate) fn expire(
-        &mut self,
-        restarted: impl Fn(&Arc<str>) -> Option<Duration>,
-        now: Duration,
-    ) -> Vec<Arc<str>> {
-        let began = |name: &Arc<str>, since: Duration| {
-            let restarted = restarted(name).unwrap_or_default();
-            since.max(restarted)
-        };
-        let over =
-            |(name, since): &(&Arc<str>, &Duration)| now >= began(name, **since) + MAX_RESERVATION;
-        let over = self.since.iter().filter(over);
+    /// Ends the reservations that have lasted for [`MAX_RESERVATION`] since they began and since
+    /// `advanced_at`, when a machine was last dealt with, and returns their machines.
+    pub(crate) fn expire(&mut self, advanced_at: Duration, now: Duration) -> Vec<Arc<str>> {
+        let over = |since: Duration| now >= since.max(advanced_at) + MAX_RESERVATION;
+        let over = self.since.iter().filter(|(_, since)| over(**since));
         let names: Vec<Arc<str>> = over.map(|(name, _)| name.clone()).collect();
         for name in &names {
             self.since.remove(name);
