--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -42,7 +42,7 @@
 const WORKER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which an unconfirmed order is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(800);
-/// Time for which an unconfirmed order is repeated; most outages of the platform are shorter.
+/// Time for which an unconfirmed order is repeated, so that it is settled some time after.
 const REPEAT_WINDOW: Duration = Duration::from_secs(20);
 
 /// State of a machine as the platform reports it.
--- a/crates/nutmegcart_jobs/src/reservations.rs
+++ b/crates/nutmegcart_jobs/src/reservations.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest time that machines stay reserved while none of them is dealt with. Most tasks are shorter.
+/// Longest time that machines stay reserved while none of them is dealt with. Work that needs one of
+/// their workers waits for as long.
 pub(crate) const MAX_RESERVATION: Duration = Duration::from_secs(8);
 /// Time for which a machine is not reserved again after its reservation has expired.
 pub(crate) const RESERVATION_PAUSE: Duration = Duration::from_secs(3);
