Split orders for machines and entries of workers from their files

Change: machine_orders.rs has the orders, their repetition and withdrawal; listing.rs has the entries of workers and the limits of their fields. Code is moved, not changed.

--- a/crates/nutmegcart_jobs/src/action.rs
+++ b/crates/nutmegcart_jobs/src/action.rs
@@ -6,7 +6,7 @@
 use nutmegcart_model::WorkerId;
 
 use crate::job::TaskKey;
-use crate::machines::MachineOrder;
+use crate::machine_orders::MachineOrder;
 
 /// Durations and limits that the scheduler works with.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -10,13 +10,13 @@
 use crate::action::Action;
 use crate::gang::Origin;
 use crate::job::TaskKey;
+use crate::listing::WorkerListing;
 use crate::live_job::LiveJob;
 use crate::scheduler::Scheduler;
 use crate::worker::KILL_TIME;
 use crate::worker::RunState;
 use crate::worker::StopReason;
 use crate::worker::Worker;
-use crate::worker::WorkerListing;
 use crate::worker::max_elapsed;
 
 /// Time for which a worker without runs must have been silent before the stored cell state drops it.
--- a/crates/nutmegcart_jobs/src/layout.rs
+++ b/crates/nutmegcart_jobs/src/layout.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 
 use crate::job::JobId;
-use crate::worker::WorkerListing;
+use crate::listing::WorkerListing;
 
 /// Maximum number of machines of a cell. An owner spends 0.2 ms of processor time on a task, and a
 /// fleet of this size starts 400 tasks/s, which the smallest instances with 0.12 cores can just
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! * [`job`]: jobs, steps and queues as callers and operators describe them;
 //! * [`record`]: records in the store;
+//! * [`listing`]: entries of workers in service discovery;
 //! * [`live_job`], [`worker`]: jobs and workers as the owner of a cell tracks them;
 //! * [`layout`], [`wave_partition`]: division of a fleet, and of waves, into cells;
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its event handlers in [`reports`], [`orders`]
@@ -11,8 +12,9 @@
 //! * `assignments`: long-running tasks whose workers are stored before they are started;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`rank`], [`placement`](Scheduler::run_pass): priority of waiting work and choice of workers;
-//! * [`machines`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
+//! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
+//!   and room for long-running tasks in a full pool;
+//! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
 //!   machines that move between pools or are maintained;
 //! * [`estimate`], [`throttling`]: predicted task durations, and speed limits of best-effort tasks.
 
@@ -27,7 +29,9 @@
 mod incarnations;
 pub mod job;
 pub mod layout;
+pub mod listing;
 pub mod live_job;
+pub mod machine_orders;
 pub mod machines;
 pub mod maintenance;
 mod moved_queues;
@@ -70,10 +74,11 @@
 pub use job::Step;
 pub use job::TaskKey;
 pub use job::TicketTiming;
+pub use listing::WorkerListing;
 pub use live_job::LiveJob;
+pub use machine_orders::MachineOrder;
+pub use machine_orders::MachineOutcome;
 pub use machines::Machine;
-pub use machines::MachineOrder;
-pub use machines::MachineOutcome;
 pub use machines::MachineState;
 pub use maintenance::WaveRequest;
 pub use maintenance::WaveState;
@@ -92,4 +97,3 @@
 pub use reports::RunEnd;
 pub use scheduler::Scheduler;
 pub use waiting::WaitReason;
-pub use worker::WorkerListing;
--- a/crates/nutmegcart_jobs/src/maintenance.rs
+++ b/crates/nutmegcart_jobs/src/maintenance.rs
@@ -10,8 +10,8 @@
 use nutmegcart_model::log_event;
 
 use crate::job::TaskKey;
+use crate::machine_orders::MachineOrder;
 use crate::machines::Machine;
-use crate::machines::MachineOrder;
 use crate::machines::MachineState;
 use crate::reservations::Reservations;
 use crate::scheduler::Scheduler;
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -524,6 +524,6 @@
 impl Worker {
     /// Returns the rack that the worker's labels name.
     pub(crate) fn rack(&self) -> Option<Rack> {
-        crate::worker::WorkerListing::rack_of(&self.listing.labels)
+        crate::listing::WorkerListing::rack_of(&self.listing.labels)
     }
 }
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -12,7 +12,7 @@
 
 use crate::assignments::fits_any;
 use crate::burst_forecast::BurstForecast;
-use crate::machines::MachineOrder;
+use crate::machine_orders::MachineOrder;
 use crate::machines::MachineState;
 use crate::scheduler::Scheduler;
 use crate::vacating::Vacations;
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -9,8 +9,8 @@
 
 use crate::gang::Origin;
 use crate::job::TaskKey;
+use crate::listing::MAX_TIME;
 use crate::scheduler::Scheduler;
-use crate::worker::MAX_TIME;
 use crate::worker::PendingEnd;
 use crate::worker::Run;
 use crate::worker::RunState;
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -26,6 +26,8 @@
 use crate::job::Queue;
 use crate::job::QueueKey;
 use crate::job::TaskKey;
+use crate::listing::MAX_TIME;
+use crate::listing::WorkerListing;
 use crate::live_job::LiveJob;
 use crate::machines::Machines;
 use crate::maintenance::Maintenance;
@@ -36,11 +38,9 @@
 use crate::record::JobState;
 use crate::size_shares::SizeShares;
 use crate::tickets::Tickets;
-use crate::worker::MAX_TIME;
 use crate::worker::RunState;
 use crate::worker::StopReason;
 use crate::worker::Worker;
-use crate::worker::WorkerListing;
 
 /// Number of run numbers to skip for tasks that an earlier owner may have started since it last
 /// stored their progress.
