Test an order for a machine whose sender never learns of an outcome

Change: the platform of the virtual cell answers, refuses, loses or hangs, in one value instead of two flags; the two loops that check a budget are one function, with the same assertions.

Measured: sender_never_learns_of_it fails if an order in flight is never settled (0 of 4 tasks live), and passes; all six tests of machine_orders pass.

--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -163,11 +163,10 @@
             Action::Order { worker, order } => self.send_order(index, worker, order),
             Action::Machine { machine, order } => {
                 self.machine_orders.push((machine.clone(), index, self.now));
-                let outcome = self.start_operation(&machine, &order);
-                self.schedule(
-                    STORE_LATENCY,
-                    Event::MachineAnswered(index, machine, order, outcome),
-                );
+                if let Some(outcome) = self.order_machine(&machine, &order) {
+                    let answer = Event::MachineAnswered(index, machine, order, outcome);
+                    self.schedule(STORE_LATENCY, answer);
+                }
             }
             Action::Poll { worker } => {
                 let now = self.now;
--- a/crates/nutmegcart_fakes/src/cell/machines.rs
+++ b/crates/nutmegcart_fakes/src/cell/machines.rs
@@ -14,18 +14,35 @@
 use crate::cell::worker;
 use crate::cell::worker::FakeWorker;
 
+/// What the platform does with orders for machines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MachineService {
+    /// It carries them out or rejects them.
+    Answers,
+    /// It refuses them temporarily.
+    Refuses,
+    /// Orders are lost, and their sender learns that it gets no response.
+    Loses,
+    /// Orders are lost, and their sender never learns of any outcome.
+    Hangs,
+}
+
 impl CellSimulation {
-    pub(super) fn start_operation(
+    /// Handles an order for a machine; returns its outcome, unless the sender learns of none.
+    pub(super) fn order_machine(
         &mut self,
         name: &Arc<str>,
         order: &MachineOrder,
-    ) -> MachineOutcome {
-        if self.refuses_orders {
-            return MachineOutcome::Refused;
-        }
-        if self.loses_orders {
-            return MachineOutcome::Unknown;
+    ) -> Option<MachineOutcome> {
+        match self.machine_service {
+            MachineService::Answers => Some(self.start_operation(name, order)),
+            MachineService::Refuses => Some(MachineOutcome::Refused),
+            MachineService::Loses => Some(MachineOutcome::Unknown),
+            MachineService::Hangs => None,
         }
+    }
+
+    fn start_operation(&mut self, name: &Arc<str>, order: &MachineOrder) -> MachineOutcome {
         let Some(machine) = self.machines.get_mut(name) else {
             return MachineOutcome::Invalid;
         };
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -49,6 +49,7 @@
 use rand::rngs::StdRng;
 
 use crate::cell::invariant_checker::InvariantChecker;
+pub use crate::cell::machines::MachineService;
 use crate::cell::worker::FakeWorker;
 
 /// One-way network latency between any two processes.
@@ -230,10 +231,8 @@
     pub pools: Vec<(PoolName, PoolConfig)>,
     /// Workers at whose address another one has started, which rejects calls meant for them.
     pub reused_addresses: BTreeSet<WorkerId>,
-    /// Whether the platform temporarily refuses orders for machines.
-    pub refuses_orders: bool,
-    /// Whether orders for machines are lost together with their responses.
-    pub loses_orders: bool,
+    /// What the platform does with orders for machines.
+    pub machine_service: MachineService,
     /// Whether the platform answers requests for the list of machines.
     pub lists_machines: bool,
     /// Workers that may run the steps of queues which require tickets.
@@ -282,8 +281,7 @@
             queues: Vec::new(),
             pools: Vec::new(),
             reused_addresses: BTreeSet::new(),
-            refuses_orders: false,
-            loses_orders: false,
+            machine_service: MachineService::Answers,
             lists_machines: true,
             permitted: BTreeSet::new(),
             clocks_ahead: Vec::new(),
--- a/crates/nutmegcart_jobs/tests/machine_orders.rs
+++ b/crates/nutmegcart_jobs/tests/machine_orders.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
+use nutmegcart_fakes::cell::MachineService;
 use nutmegcart_fakes::cell::worker::FakeWorker;
 use nutmegcart_fakes::cell::worker::listing;
 use nutmegcart_fleet::Resources;
@@ -90,21 +91,27 @@
     assert!(live + 1 >= TASKS as usize, "{live} of {TASKS} tasks live");
 }
 
+/// Runs for a span, and panics if the budget is exceeded at any time of it.
+fn run_within_budget(world: &mut CellSimulation, span: Duration) {
+    let end = world.now + span;
+    while world.now < end {
+        world.run(seconds(0.01));
+        assert_budget_kept(world);
+    }
+}
+
 /// Guards against an order that the platform refused at first and that is repeated when tasks run on
 /// the next worker of its machine, so that it ends more of them than their budget allows.
 fn refused_order_is_not_repeated_for_the_next_worker(lists_machines: bool) {
     let (mut world, machine) = labelled_world(151);
-    world.refuses_orders = true;
+    world.machine_service = MachineService::Refuses;
     world.lists_machines = lists_machines;
     replace_worker(&mut world, &machine);
     world.run(seconds(3.7));
     assert_budget_kept(&world);
-    world.refuses_orders = false;
+    world.machine_service = MachineService::Answers;
     world.lists_machines = true;
-    for _ in 0..1_500 {
-        world.run(seconds(0.01));
-        assert_budget_kept(&world);
-    }
+    run_within_budget(&mut world, seconds(15.0));
     assert_no_violations(&world);
 }
 
@@ -115,26 +122,27 @@
 
 /// Guards against an order without an outcome that keeps tasks from a machine for ever, or that is
 /// repeated when tasks run there.
-#[test]
-fn lost_order_is_settled() {
+fn order_without_an_outcome_is_settled(service: MachineService) {
     let (mut world, machine) = labelled_world(152);
-    world.loses_orders = true;
+    world.machine_service = service;
     replace_worker(&mut world, &machine);
     world.run(SETTLED_AFTER);
     assert_budget_kept(&world);
-    world.loses_orders = false;
-    for _ in 0..1_000 {
-        world.run(seconds(0.01));
-        assert_budget_kept(&world);
-    }
+    world.machine_service = MachineService::Answers;
+    run_within_budget(&mut world, seconds(10.0));
     assert_no_violations(&world);
 }
 
+cases! { order_without_an_outcome_is_settled:
+    response_is_lost => MachineService::Loses;
+    sender_never_learns_of_it => MachineService::Hangs;
+}
+
 /// Guards against an order that is refused for a long time and keeps its machine from all tasks.
 #[test]
 fn order_that_is_refused_for_long_frees_its_machine() {
     let (mut world, machine) = labelled_world(153);
-    world.refuses_orders = true;
+    world.machine_service = MachineService::Refuses;
     start_wave(&mut world, &machine);
     world.run(seconds(0.5));
     submit_labelled(&mut world);
@@ -146,10 +154,10 @@
 #[test]
 fn wave_completes_after_refusals() {
     let (mut world, machine) = labelled_world(154);
-    world.refuses_orders = true;
+    world.machine_service = MachineService::Refuses;
     start_wave(&mut world, &machine);
     world.run(seconds(20.0));
-    world.refuses_orders = false;
+    world.machine_service = MachineService::Answers;
     world.run(seconds(5.0));
     let state = world.owners[0].scheduler.wave_state(1);
     assert_eq!(state, Some(WaveState::Completed));
