Log the clock for which the leases of a worker count as expired

Cause: line 737 told that the leases of a silent worker had expired, and not for which incarnation, nor how old the reading of its clock was, so the hypotheses of the incident of restarted workers could not be told apart. Change: born, restarted and clock_age_ms in event 737, and how to read them.

--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -277,7 +277,10 @@
                     Event::WorkerLeasesExpired,
                     worker = id,
                     runs = worker.runs.len(),
-                    blocked_ms = worker.blocked_ms(self.taken_over_at, now)
+                    blocked_ms = worker.blocked_ms(self.taken_over_at, now),
+                    born = worker.incarnation,
+                    restarted = worker.restarted_at.is_some(),
+                    clock_age_ms = worker.clock_age(now)
                 );
             }
             self.release_all_runs(&id, now);
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -370,6 +370,12 @@
             .map(|at| at + MAX_ORDER_DELAY + lease + KILL_TIME)
     }
 
+    /// Returns the age in milliseconds of the latest reading of the worker's clock, for the log.
+    pub(crate) fn clock_age(&self, now: Duration) -> String {
+        let age = |reading: ClockReading| millis(now.saturating_sub(reading.at)).to_string();
+        self.clock_reading.map_or_else(|| "never read".into(), age)
+    }
+
     /// Records a response that carried the worker's clock.
     pub fn record_clock(&mut self, clock: u64, now: Duration) {
         // Lease ends are added to it.
--- a/crates/nutmegcart_jobs/tests/waiting.rs
+++ b/crates/nutmegcart_jobs/tests/waiting.rs
@@ -420,6 +420,8 @@
         lines[0].contains(&format!("worker={host} runs=0 blocked_ms=114")),
         "{lines:?}"
     );
+    let clock = "restarted=false clock_age_ms=never read";
+    assert!(lines[0].contains(clock), "{lines:?}");
 }
 
 /// Guards against a block that ends with the list of machines, and a line that does not tell so.
