Test leases that are stated on the clock of a former incarnation (failing)

Cause: a restarted worker's clock begins anew, and an owner that does not know of the restart states the lease ends of its orders on the former clock; the worker grants its longest lease, 10 s, where a successor expects 5 s. An answer to a start whose clock began anew makes the owner wait for a lost worker as long as the former incarnation had lived. Change: tests; in the virtual cell a new owner may read an entry that a restarted worker has not replaced yet.

--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -40,6 +40,7 @@
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::TaskKey;
+use nutmegcart_jobs::WorkerListing;
 use nutmegcart_jobs::WorkerOrder;
 use nutmegcart_jobs::record::decode_cell;
 use nutmegcart_model::PoolName;
@@ -248,6 +249,8 @@
     pub operations_started: usize,
     /// Orders sent to the platform: the machine, the index of the owner, and the time of sending.
     pub machine_orders: Vec<(std::sync::Arc<str>, usize, Duration)>,
+    /// Entries that new owners read although their workers have started again since.
+    pub late_entries: BTreeMap<WorkerId, WorkerListing>,
     /// Workers with an entry in service discovery.
     entries: BTreeSet<WorkerId>,
     events: BinaryHeap<Reverse<Scheduled>>,
@@ -289,6 +292,7 @@
             settings: JobSettings::default(),
             operations_started: 0,
             machine_orders: Vec::new(),
+            late_entries: BTreeMap::new(),
             entries: BTreeSet::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -368,6 +372,7 @@
             return;
         };
         self.entries.insert(id.clone());
+        self.late_entries.remove(id);
         for index in 0..self.owners.len() {
             if self.owners[index].up && self.owners[index].reaches_store {
                 let now = self.now;
@@ -512,7 +517,9 @@
                 if !cell.entries.contains(&id) {
                     return;
                 }
-                let (listing, now) = (cell.workers[&id].listing.clone(), cell.now);
+                let late = cell.late_entries.get(&id).cloned();
+                let listing = late.unwrap_or_else(|| cell.workers[&id].listing.clone());
+                let now = cell.now;
                 cell.owners[index].scheduler.worker_listed(listing, now);
                 cell.start_polling(index, &id);
                 cell.schedule_pass(index);
--- a/crates/nutmegcart_jobs/tests/restarted_workers.rs
+++ b/crates/nutmegcart_jobs/tests/restarted_workers.rs
@@ -8,6 +8,7 @@
 use nutmegcart_fakes::cell::worker::FakeWorker;
 use nutmegcart_fakes::cell::worker::listing;
 use nutmegcart_fleet::Resources;
+use nutmegcart_jobs::Step;
 use nutmegcart_model::WorkerId;
 use support::assert_no_violations;
 use support::batch_step;
@@ -133,3 +134,74 @@
     assert_no_violations(&world);
     assert!(completed(&world, &job));
 }
+
+/// Guards against a successor that starts tasks elsewhere while they live on a restarted worker,
+/// because the owner before it stated a lease end on the clock of the former incarnation.
+fn lease_end_is_not_stated_on_a_former_clock((step, read_at, lost_at): (Step, f64, f64)) {
+    let mut world = world(75, 3);
+    world.pools.truncate(1);
+    let first = world.take_over();
+    world.run(seconds(20.4));
+    world.crash(&worker(0));
+    let now = world.now;
+    let entry = world.workers[&worker(0)].listing.clone();
+    world.late_entries.insert(worker(0), entry);
+    let restarted = world.workers.get_mut(&worker(0));
+    restarted.expect("a known worker").restart(now);
+    world.after(seconds(read_at), |world| world.list_worker(&worker(0)));
+    world.after(seconds(lost_at), move |world| {
+        world.owners[first].up = false;
+    });
+    world.run(seconds(0.25));
+    submit(&mut world, 1, vec![step]);
+    world.run(seconds(0.25));
+    let end = world.now;
+    let second = world.take_over_partitioned([worker(0)]);
+    world.owners[second].scheduler.set_earlier_owners_end(end);
+    let size = Resources::new(64_000, 262_144, 0);
+    let other = FakeWorker::new(listing("i-other", "gates", "r1-3", size), world.now);
+    world.add_worker(other);
+    world.run(seconds(14.0));
+    assert_no_violations(&world);
+}
+
+cases! { lease_end_is_not_stated_on_a_former_clock:
+    batch_tasks_of_an_owner_that_learned_of_the_restart =>
+        (batch_step(150, 1_000, 12_000), 0.35, 0.45);
+    long_running_tasks_of_an_owner_that_learned_of_the_restart =>
+        (long_running_step(3), 0.35, 0.45);
+    batch_tasks_of_an_owner_lost_before_it_learned =>
+        (batch_step(150, 1_000, 12_000), 0.45, 0.32);
+    long_running_tasks_of_an_owner_lost_before_it_learned =>
+        (long_running_step(3), 0.45, 0.32);
+    batch_tasks_while_no_entry_is_read => (batch_step(150, 1_000, 12_000), 60.0, 0.4);
+    long_running_tasks_while_no_entry_is_read => (long_running_step(3), 60.0, 0.4);
+}
+
+/// Guards against tasks that wait for a lost worker as long as its former incarnation had lived,
+/// because the answer to a start was read as a time on the former clock.
+#[test]
+fn lost_worker_is_not_awaited_for_the_age_of_its_former_incarnation() {
+    let mut world = world(76, 3);
+    world.pools.truncate(1);
+    let owner = world.take_over();
+    world.run(seconds(60.4));
+    world.lists_machines = false;
+    world.crash(&worker(0));
+    let now = world.now;
+    let restarted = world.workers.get_mut(&worker(0));
+    restarted.expect("a known worker").restart(now);
+    world.run(seconds(0.25));
+    submit(&mut world, 1, vec![long_running_step(3)]);
+    world.run(seconds(0.1));
+    world.owners[owner].unreachable.insert(worker(0));
+    world.run(seconds(1.0));
+    world.crash(&worker(0));
+    world.unlist_worker(&worker(0));
+    let size = Resources::new(64_000, 262_144, 0);
+    let other = FakeWorker::new(listing("i-other", "gates", "r1-3", size), world.now);
+    world.add_worker(other);
+    world.run(seconds(12.0));
+    assert_no_violations(&world);
+    assert_eq!(live_long_running_runs(&world), 3);
+}
