State lease ends only on a clock that was read a moment before

Cause: an owner that does not know of the restart states lease ends on the clock of the former incarnation. The clock began anew, so the worker grants its longest lease, 10 s, to the starts and polls that it takes. The owner corrects for that once it learns of the restart; a successor counts on 5 s, starts the tasks elsewhere, and cannot know better. Change: a start waits for a poll that the worker answers at once, unless its clock was read in the last 200 ms; a restart takes longer. If the worker tells another incarnation, or nothing for 300 ms, the start is withdrawn. A poll renews the lease and acknowledges ends only on such a reading, and is otherwise answered at once, so the next one renews. An answer to an order whose clock began anew is told by event 745, is no reading of the known clock, and makes the owner poll. Why it works: no lease of more than 5 s is granted, so what a successor assumes holds whether or not anybody knew of the restart.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -263,6 +263,7 @@
             break;
         };
         let polled = target.address;
+        let renews = request.lease_end.is_some();
         let result = (node.platform.fleet.poll)(target, request).await;
         if owned.has_ended() {
             break;
@@ -277,9 +278,13 @@
                         .handle_poll_response(&id, sent, &report, now());
                 owned.pass_wanted.notify_one();
                 owned.write_wanted.notify_one();
-                if new_ends > 0 {
+                let fresh = owned.scheduler.borrow().has_fresh_clock(&id, now());
+                // The poll after one that did not renew the lease does so without a pause.
+                if !fresh {
+                    tokio::time::sleep(POLL_RETRY_DELAY).await;
+                } else if renews && new_ends > 0 {
                     tokio::time::sleep(NEW_ENDS_DELAY).await;
-                } else if !report.ended.is_empty() {
+                } else if renews && !report.ended.is_empty() {
                     tokio::time::sleep(KNOWN_ENDS_DELAY).await;
                 }
             }
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -126,6 +126,7 @@
     /// All others may live on the new incarnation, which accepts orders before this owner learns of
     /// it. Its first report tells. Runs whose start order has no response are stopped.
     pub(crate) fn replace_incarnation(&mut self, id: &WorkerId, incarnation: u64, now: Duration) {
+        self.withdraw_held_starts(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod failed_runs;
 mod finished_tasks;
 pub mod flush;
+mod fresh_clock;
 mod gang;
 mod incarnations;
 pub mod job;
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -115,12 +115,15 @@
         outcome: OrderOutcome,
         now: Duration,
     ) {
+        if let OrderOutcome::Done { clock: Some(clock) }
+        | OrderOutcome::Refused {
+            clock: Some(clock), ..
+        } = outcome
+        {
+            self.record_order_clock(id, clock, now);
+        }
         if let Some(worker) = self.workers.get_mut(id) {
             match outcome {
-                OrderOutcome::Done { clock: Some(clock) }
-                | OrderOutcome::Refused {
-                    clock: Some(clock), ..
-                } => worker.record_clock(clock, now),
                 OrderOutcome::NotSent if worker.unreachable_since.is_none() => {
                     worker.unreachable_since = Some(now);
                     log_event!(
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -13,7 +13,6 @@
 
 use crate::action::Action;
 use crate::action::StartOrder;
-use crate::action::WorkerOrder;
 use crate::assignments::is_assigned;
 use crate::job::JobId;
 use crate::job::Step;
@@ -460,17 +459,15 @@
         worker.runs.insert(key.clone(), run);
         slots.items[slot].assign(step);
         *counts.entry(id.clone()).or_default() += 1;
-        self.order(
-            &id,
-            WorkerOrder::Start(StartOrder {
-                task: key.clone(),
-                run: number,
-                spec,
-                lease_end,
-                checkpoint,
-                ticket,
-            }),
-        );
+        let start = StartOrder {
+            task: key.clone(),
+            run: number,
+            spec,
+            lease_end,
+            checkpoint,
+            ticket,
+        };
+        self.order_start(&id, start, now);
     }
 
     /// Stops tasks on workers that are shutting down or missing, so that they start again on other
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -117,11 +117,13 @@
     /// Returns the next poll of a worker.
     ///
     /// The lease of an unreachable worker is not renewed, so that the time at which its runs have
-    /// certainly ended does not move.
+    /// certainly ended does not move. A worker that may have started again since its clock was read
+    /// is asked for its incarnation first.
     pub fn next_poll(&mut self, id: &WorkerId, now: Duration) -> Option<PollRequest> {
         let lease = self.settings.lease;
         let worker = self.workers.get_mut(id)?;
-        let renew = worker.unreachable_since.is_none() && worker.fenced;
+        let fresh = worker.is_clock_fresh(now);
+        let renew = worker.unreachable_since.is_none() && worker.fenced && fresh;
         let lease_end = worker
             .clock(now)
             .filter(|_| renew)
@@ -129,7 +131,7 @@
         if let Some(lease_end) = lease_end {
             worker.extend_lease(lease_end);
         }
-        let max_wait = if !worker.fenced || worker.unreachable_since.is_some() {
+        let max_wait = if !renew {
             Duration::ZERO
         } else if worker.shares_processor() {
             SHARED_POLL_WAIT
@@ -138,7 +140,8 @@
         };
         Some(PollRequest {
             lease_end,
-            acked_end: worker.acked_end,
+            // A later incarnation numbers its ends anew.
+            acked_end: if fresh { worker.acked_end } else { 0 },
             max_wait,
         })
     }
@@ -156,6 +159,7 @@
                 reason = reason
             );
         }
+        self.withdraw_held_starts(id, now);
     }
 
     /// Records that another incarnation answers at a worker's address. An address is used again only
@@ -255,6 +259,7 @@
         }
         self.settle_unreported_runs(id, sent, report, now);
         self.acknowledge_ends(id);
+        self.send_held_starts(id, now);
         let new = |end: &&ReportedEnd| end.number > last_end;
         report.ended.iter().filter(new).count()
     }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -459,6 +459,7 @@
             job.spawn(unix, now);
         }
         self.expire_workers(now);
+        self.expire_held_starts(now);
         self.unenrol_idle_workers(now);
         self.stop_stalled(now);
         self.throttle(now);
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -10,6 +10,7 @@
 use nutmegcart_fleet::Resources;
 
 use crate::action::JobSettings;
+use crate::fresh_clock::HeldStarts;
 use crate::job::JobId;
 use crate::job::TaskKey;
 use crate::listing::MAX_TIME;
@@ -231,6 +232,8 @@
     pub unknown_tasks: Vec<TaskKey>,
     /// Starts whose response was lost, with the time at which that was noticed.
     pub unanswered: Vec<(TaskKey, u32, Duration)>,
+    /// Starts that wait until the worker has told its incarnation.
+    pub(crate) held: HeldStarts,
     /// Highest sequence number of an end that was processed.
     pub last_end: u64,
     /// Highest sequence number of an end that may be acknowledged.
@@ -274,6 +277,7 @@
             unknown_runs: 0,
             unknown_tasks: Vec::new(),
             unanswered: Vec::new(),
+            held: HeldStarts::default(),
             last_end: 0,
             acked_end: 0,
             pending_ends: VecDeque::new(),
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -132,6 +132,7 @@
     PoolShortage = 742, Info, "machines of a pool in which a long-running task waits for a worker";
     WorkerEndsTruncated = 743, Warn, "worker has more ends that are not acknowledged than its reports list; it gets no new tasks until they are";
     ReservationExpired = 744, Warn, "machine of a wave could not be emptied in time; its worker gets tasks again for a while";
+    WorkerClockRestarted = 745, Warn, "worker's clock began anew; its next starts wait until it has told its incarnation";
     OperatorConfigInForce = 750, Info, "operator's configuration in force";
     SettingsChanged = 751, Info, "settings file changed";
     LogDropped = 752, Warn, "log lines were dropped because the reader is slow";
