Wait for orders that a restarted worker may carry out late

Callers saw (possible; not in the users' record): a task ran on two workers at once, after its worker had started again under its identifier and was cut off seconds later.

Cause: a call that was meant for the former incarnation and got no answer may be carried out seconds later by the next one, also if it is refused as old. Its lease end is a time on the former clock, so all runs of the next incarnation get the longest lease, 10 s, while owner and successor compute 5 s from the clock that they have read since. Change: runs on a worker whose restart is known count as possibly live until such calls and the longest lease after them are certainly over (14 s, 10.2 s and 0.3 s after the restart was noticed), unless the worker answers. The stored cell state names these workers with the time left, in the transaction that enrols the new incarnation, so before anything starts there; a successor waits as long. In the virtual cell a start that is refused as old extends the lease, as the interface states. Tests: order_for_the_former_incarnation_is_carried_out_late and the same before a change of the owner, both failed before ("run 2 on i-02 while run 1 is alive on i-00"). lost_worker_is_not_awaited_for_the_age_of_its_former_incarnation allowed 12 s, in which a late order may still hold the run; it allows 24.5 s now, and the former incarnation is twice as old (120 s).

--- a/crates/nutmegcart_fakes/src/cell/worker.rs
+++ b/crates/nutmegcart_fakes/src/cell/worker.rs
@@ -124,6 +124,12 @@
         allocations.fold(Resources::default(), |sum, allocation| sum + allocation)
     }
 
+    /// Returns the time on its clock until the lease of its runs ends.
+    #[must_use]
+    pub fn lease_left(&self, now: Duration) -> Duration {
+        Duration::from_millis(self.lease_end.saturating_sub(self.clock_ms(now)))
+    }
+
     /// Extends the lease, up to the longest lease that it accepts.
     fn extend_lease(&mut self, until: u64, now: Duration) {
         let latest = self.clock_ms(now) + millis(MAX_LEASE);
@@ -238,6 +244,8 @@
                 if self.clock_ms(now) >= start.lease_end {
                     return refused(Refusal::Late);
                 }
+                // A refused start extends the lease as well.
+                self.extend_lease(start.lease_end, now);
                 if self
                     .last_runs
                     .get(&start.task)
@@ -245,7 +253,6 @@
                 {
                     return refused(Refusal::OldRun);
                 }
-                self.extend_lease(start.lease_end, now);
                 if self
                     .runs
                     .get(&start.task)
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -149,6 +149,8 @@
     ordered_machines: Vec<Arc<str>>,
     /// Moved queues that the cell state names.
     moved_queues: BTreeSet<QueueKey>,
+    /// Restarted workers that the cell state names.
+    restarts: BTreeSet<WorkerId>,
 }
 
 impl FlushQueue {
@@ -303,6 +305,7 @@
             || self.has_unstored_orders()
             || self.stored_orders_stale(now)
             || self.moved_queues() != self.stored_moves
+            || self.has_unstored_restarts(now)
             || self.workers.values().any(|worker| {
                 let oldest = worker.pending_ends.front();
                 oldest.is_some_and(|end| now >= end.seen_at + MAX_END_AGE)
@@ -319,6 +322,9 @@
         };
         in_flight.moved_queues = self.moved_queues();
         record.moved_queues = in_flight.moved_queues.iter().cloned().collect();
+        record.restarted = self.recent_restarts(now);
+        let restarted = record.restarted.iter();
+        in_flight.restarts = restarted.map(|each| each.worker.clone()).collect();
         in_flight
             .ordered_machines
             .clone_from(&record.ordered_machines);
@@ -437,6 +443,7 @@
             self.machines.stored.clone_from(&in_flight.ordered_machines);
             self.machines.stored_at = now;
             self.stored_moves.clone_from(&in_flight.moved_queues);
+            self.stored_restarts.clone_from(&in_flight.restarts);
             self.assignments.finish_store(in_flight.assigned);
         }
         for (id, incarnation) in &in_flight.enrolled {
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -243,6 +243,17 @@
         granted_until + max_elapsed(worker.longest_lease(self.settings)) + KILL_TIME
     }
 
+    /// Returns when every run on a worker has certainly ended if it is not reached any more; none if
+    /// nothing is known of leases there.
+    pub(crate) fn leases_end(&self, worker: &Worker) -> Option<Duration> {
+        let inherited = worker
+            .inherited
+            .then(|| self.inherited_runs_end(worker))
+            .filter(|_| worker.clock_reading.is_none());
+        let late = worker.late_leases_end(self.settings.max_lease);
+        worker.runs_end().or(inherited).max(late)
+    }
+
     /// Releases the runs of unreachable workers whose leases have expired.
     ///
     /// Only an owner that is certainly the only one may do so. Another owner could reach the worker
@@ -254,14 +265,9 @@
         let mut expired = Vec::new();
         for (id, worker) in &self.workers {
             let unreachable = worker.unreachable_since.is_some() || !worker.listed;
-            let lease_over = match worker.runs_end() {
+            let lease_over = match self.leases_end(worker) {
                 Some(end) => now >= end,
-                None if !worker.runs.is_empty() => {
-                    let end = worker.unreached_runs_end(self.settings.max_lease);
-                    end.is_some_and(|end| now >= end)
-                }
-                None if worker.inherited => now >= self.inherited_runs_end(worker),
-                None => !worker.listed,
+                None => worker.runs.is_empty() && !worker.listed,
             };
             if unreachable
                 && lease_over
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod record;
 pub mod reports;
 mod reservations;
+mod restarts;
 mod room;
 pub mod scheduler;
 pub mod size_shares;
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -181,6 +181,19 @@
     /// Finished tasks of unfinished jobs that `tasks` does not list.
     #[serde(skip)]
     pub finished: Vec<FinishedTasks>,
+    /// Workers that may still carry out orders for an earlier incarnation.
+    #[serde(skip)]
+    pub restarted: Vec<RestartedWorker>,
+}
+
+/// A worker that has started again under its identifier a short time ago.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RestartedWorker {
+    /// Identifier of the worker.
+    pub worker: WorkerId,
+    /// Time in milliseconds, from the writing of the record, in which an order for the earlier
+    /// incarnation may be carried out.
+    pub left_ms: u64,
 }
 
 /// Finished tasks of one step of a job.
@@ -258,7 +271,8 @@
 ///
 /// The assignments and the moved queues follow the record, where programs of versions without them
 /// do not read: they refuse a longer record, and would know no worker. The finished occurrences
-/// follow these for the same reason, and then the finished tasks if there are any.
+/// follow these for the same reason, then the finished tasks and the restarted workers if there are
+/// any.
 ///
 /// ```
 /// # use nutmegcart_jobs::record::{Assignment, CellRecord, decode, decode_cell, encode_cell};
@@ -274,9 +288,12 @@
     let added = (record.fence, &record.assignments, &record.moved_queues);
     bytes.extend(encode(&added));
     bytes.extend(encode(&record.past));
-    if !record.finished.is_empty() {
+    if !record.finished.is_empty() || !record.restarted.is_empty() {
         bytes.extend(encode(&record.finished));
     }
+    if !record.restarted.is_empty() {
+        bytes.extend(encode(&record.restarted));
+    }
     bytes
 }
 
@@ -297,6 +314,9 @@
     if decoder.position() < bytes.len() as u64 {
         record.finished = decode_next(&mut decoder)?;
     }
+    if decoder.position() < bytes.len() as u64 {
+        record.restarted = decode_next(&mut decoder)?;
+    }
     Ok(record)
 }
 
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -60,6 +60,8 @@
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
     /// Moved queues that the stored cell state names.
     pub(crate) stored_moves: BTreeSet<QueueKey>,
+    /// Restarted workers that the stored cell state names.
+    pub(crate) stored_restarts: BTreeSet<WorkerId>,
     pub(crate) jobs: BTreeMap<JobId, LiveJob>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Latest incarnations that have certainly ended, whose entries may still be listed.
@@ -91,6 +93,7 @@
             queues: HashMap::new(),
             pools: BTreeMap::new(),
             stored_moves: BTreeSet::new(),
+            stored_restarts: BTreeSet::new(),
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             ended_incarnations: HashMap::new(),
@@ -194,6 +197,7 @@
             worker.assigned = record.assigned_to(&enrolled.worker);
             self.workers.insert(enrolled.worker.clone(), worker);
         }
+        self.inherit_restarts(&record.restarted);
         self.inherit_moved_queues(&record.moved_queues);
         for (id, past) in &record.past {
             if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -265,7 +265,7 @@
 
     fn blocked(&self, job: &LiveJob, task: &TaskKey) -> Option<WaitReason> {
         let end = |worker: &Worker| {
-            let known = worker.runs_end();
+            let known = self.leases_end(worker);
             known.unwrap_or_else(|| self.inherited_runs_end(worker))
         };
         let last = self.blockers(job, task).max_by_key(|each| end(each))?;
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -363,15 +363,20 @@
         }
     }
 
-    /// Returns when every run of an incarnation that replaced another one has certainly ended, if it
-    /// has not been reached since.
+    /// Returns until when an order that was meant for the earlier incarnation may be carried out, if
+    /// this one has replaced another.
+    pub(crate) fn late_orders_end(&self) -> Option<Duration> {
+        self.restarted_at.map(|at| at + MAX_ORDER_DELAY)
+    }
+
+    /// Returns when the leases have certainly ended that orders for the earlier incarnation may have
+    /// granted, if this one has replaced another.
     ///
-    /// Orders that were sent before may still arrive. The lease ends in them are times on the clock
-    /// of the earlier incarnation, so the worker shortens them to `max_lease`.
-    pub(crate) fn unreached_runs_end(&self, max_lease: Duration) -> Option<Duration> {
+    /// The lease ends in them are times on the clock of the earlier incarnation, so the worker
+    /// shortens them to `max_lease`.
+    pub(crate) fn late_leases_end(&self, max_lease: Duration) -> Option<Duration> {
         let lease = max_elapsed(max_lease);
-        self.restarted_at
-            .map(|at| at + MAX_ORDER_DELAY + lease + KILL_TIME)
+        self.late_orders_end().map(|end| end + lease + KILL_TIME)
     }
 
     /// Returns the age in milliseconds of the latest reading of the worker's clock, for the log.
--- a/crates/nutmegcart_jobs/tests/restarted_workers.rs
+++ b/crates/nutmegcart_jobs/tests/restarted_workers.rs
@@ -199,7 +199,7 @@
     let mut world = world(76, 3);
     world.pools.truncate(1);
     let owner = world.take_over();
-    world.run(seconds(60.4));
+    world.run(seconds(120.4));
     world.lists_machines = false;
     world.crash(&worker(0));
     let now = world.now;
@@ -215,7 +215,54 @@
     let size = Resources::new(64_000, 262_144, 0);
     let other = FakeWorker::new(listing("i-other", "gates", "r1-3", size), world.now);
     world.add_worker(other);
-    world.run(seconds(12.0));
+    // An order for the former incarnation may be carried out 14 s late, and grants 10 s.
+    world.run(seconds(14.0 + 10.0 / 0.98 + 0.3));
     assert_no_violations(&world);
     assert_eq!(live_long_running_runs(&world), 3);
 }
+
+/// Lets an order that is meant for a worker's former incarnation be carried out late by the next one,
+/// which extends the lease of the run there. Returns the index of the owner.
+fn carry_out_late(world: &mut CellSimulation) -> usize {
+    world.pools.truncate(1);
+    world.lists_machines = false;
+    let owner = world.take_over();
+    world.run(seconds(20.0));
+    hear_of_workers(world);
+    world.delayed_share = 1.0;
+    submit(world, 1, vec![batch_step(40, 4_000, 100)]);
+    world.run(seconds(0.01));
+    world.delayed_share = 0.0;
+    restart_silently(world, &worker(0));
+    world.run(seconds(1.0));
+    submit(world, 2, vec![batch_step(150, 1_000, 60_000)]);
+    while world.workers[&worker(0)].lease_left(world.now) < seconds(6.0) {
+        world.run(seconds(0.01));
+    }
+    assert!(!world.workers[&worker(0)].runs.is_empty());
+    owner
+}
+
+/// Guards against a second run of a task whose lease was extended by an order that a restarted
+/// worker carried out late.
+#[test]
+fn order_for_the_former_incarnation_is_carried_out_late() {
+    let mut world = world(77, 3);
+    let owner = carry_out_late(&mut world);
+    world.owners[owner].unreachable.insert(worker(0));
+    world.run(seconds(14.0));
+    assert_no_violations(&world);
+}
+
+/// Guards against the same under a successor, which has not seen the restart.
+#[test]
+fn order_for_the_former_incarnation_is_carried_out_late_before_a_change_of_the_owner() {
+    let mut world = world(77, 3);
+    let owner = carry_out_late(&mut world);
+    world.owners[owner].up = false;
+    let end = world.now;
+    let second = world.take_over_partitioned([worker(0)]);
+    world.owners[second].scheduler.set_earlier_owners_end(end);
+    world.run(seconds(14.0));
+    assert_no_violations(&world);
+}
