Do not end a worker by a list of machines that is older than it

Cause: the list may be 0.7 s old. Only the rule for machines that are down reckoned with it. Change: a list shows the end of a worker by such a state only if it was requested 0.7 s after the owner learned of the worker, or later. Why it works: the list then shows a state since the worker is known.

--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -48,7 +48,9 @@
                 pool = listing.pool,
                 born = listing.incarnation
             );
-            self.workers.insert(id, Worker::new(listing));
+            let mut worker = Worker::new(listing);
+            worker.known_at = now;
+            self.workers.insert(id, worker);
             return;
         };
         let replaced = listing.incarnation != 0
@@ -132,6 +134,7 @@
         };
         self.flush_queue.outdated |= worker.enrolled;
         worker.incarnation = incarnation;
+        worker.known_at = now;
         worker.restarted_at = Some(now);
         worker.fenced = false;
         worker.enrolled = false;
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -216,10 +216,12 @@
                 && missing(&earlier.names)
                 && earlier.requested_at.is_some_and(silent);
         };
+        // The list may lag behind the start of the worker.
+        let shown = worker.known_at + LIST_LAG <= requested_at;
         let replaced = machine
             .worker
             .as_ref()
-            .is_some_and(|id| *id != worker.listing.id);
+            .is_some_and(|id| shown && *id != worker.listing.id);
         // A move ends the worker. The list may lag behind the entry of a new worker, which has no
         // runs.
         let moved = machine.pool != worker.listing.pool
@@ -233,6 +235,7 @@
             machine.state,
             MachineState::Moving | MachineState::Maintained
         );
+        let operated = operated && shown;
         replaced || moved || crashed || operated
     }
 
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -205,6 +205,8 @@
     /// Start time of this incarnation in milliseconds since 1970; 0 until the worker or its listing
     /// states it.
     pub incarnation: u64,
+    /// When this owner learned of the incarnation; zero for one that an earlier owner knew.
+    pub known_at: Duration,
     /// When this owner learned that the incarnation has replaced an earlier one under the same
     /// identifier, if it has.
     pub restarted_at: Option<Duration>,
@@ -265,6 +267,7 @@
             listing,
             listed: true,
             unlisted_at: Duration::ZERO,
+            known_at: Duration::ZERO,
             restarted_at: None,
             fenced: false,
             enrolled: false,
