Check at sending that the worker has not restarted since it was heard

Callers saw (shown in virtual time only): starts that waited for the answers to others went to a restarted worker; a start on a link of 0.35 s waited 2.4 s; a worker counted as restarted because its owner had stood still. Cause: the reading of the clock was checked when a start was ordered, not when it was sent. A start waited 300 ms for the worker's answer and the worker was then left out for 300 ms, in which the answer became too old. The clock in an answer to an order was compared with the time at which the owner read it. Change: a start is withdrawn if the worker was last heard more than 200 ms before it is sent. A clock began anew if it is 2 s behind an earlier reading; the worker then counts as not heard, and starts that wait are withdrawn. Measured: paused_owner_takes_no_worker_for_restarted and slow_link_delays_no_start_for_seconds failed before and pass. No test covers the check at sending, as the virtual cell sends orders at once.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -501,7 +501,7 @@
     let target = target(&owned, &id);
     // While the order waited, it may have become obsolete, or this owner may have lost its right
     // to send orders.
-    let wanted = owned.scheduler.borrow().is_still_wanted(&id, &order);
+    let wanted = owned.scheduler.borrow().is_still_wanted(&id, &order, sent);
     let outcome = match target {
         Some(target) if wanted && owned.may_act(node.owner_validity()) => {
             (node.platform.fleet.send_order)(target, order.clone()).await
--- a/crates/nutmegcart_jobs/src/fresh_clock.rs
+++ b/crates/nutmegcart_jobs/src/fresh_clock.rs
@@ -21,17 +21,16 @@
 use crate::orders::OrderOutcome;
 use crate::scheduler::Scheduler;
 use crate::worker::Worker;
-use crate::worker::least_clock;
 use crate::worker::millis;
 
 /// Age of the reading of a worker's clock up to which the worker has not started again since; a
 /// restart takes longer.
 const FRESH_CLOCK: Duration = Duration::from_millis(200);
-/// Longest time from the reading of a clock by a worker until the answer with it is used.
-const MAX_ANSWER_DELAY: Duration = Duration::from_millis(500);
-/// Time for which a start waits for the worker to tell its incarnation.
-const MAX_HOLD: Duration = Duration::from_millis(300);
-/// Time without starts for a worker that did not tell its incarnation in time.
+/// Longest time by which an answer may be used later than another one that was read after it.
+const MAX_DISORDER: Duration = Duration::from_secs(2);
+/// Time for which a start waits for the worker to tell its incarnation; no call takes longer.
+const MAX_HOLD: Duration = Duration::from_millis(500);
+/// Time without starts for a worker that did not tell its incarnation in time, unless it does.
 const HOLD_PAUSE: Duration = Duration::from_millis(300);
 
 /// Starts that are sent once their worker has told its incarnation.
@@ -40,20 +39,28 @@
     orders: Vec<StartOrder>,
     /// When the worker was asked.
     since: Duration,
+    /// Until when the worker gets no starts, because it did not tell its incarnation.
+    paused_until: Duration,
+}
+
+impl HeldStarts {
+    /// Returns whether the worker gets no starts because it did not tell its incarnation.
+    pub(crate) fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
 }
 
 impl Worker {
     /// Returns whether the worker has certainly not started again since its clock was read.
     pub(crate) fn is_clock_fresh(&self, now: Duration) -> bool {
-        let reading = self.clock_reading.as_ref();
-        reading.is_some_and(|reading| now <= reading.at + FRESH_CLOCK)
+        self.heard_at.is_some_and(|at| now <= at + FRESH_CLOCK)
     }
 
     /// Returns whether a clock in an answer to an order is that of a later incarnation.
-    fn is_clock_restarted(&self, clock: u64, now: Duration) -> bool {
-        let latest = clock.saturating_add(millis(MAX_ANSWER_DELAY));
+    fn is_clock_restarted(&self, clock: u64) -> bool {
+        let latest = clock.saturating_add(millis(MAX_DISORDER));
         let reading = self.clock_reading;
-        reading.is_some_and(|reading| latest < least_clock(reading, now))
+        reading.is_some_and(|reading| latest < reading.clock)
     }
 }
 
@@ -97,13 +104,14 @@
         let Some(lease_end) = worker.clock(now).map(|clock| clock + lease) else {
             return;
         };
+        worker.held.paused_until = Duration::ZERO;
         let held = std::mem::take(&mut worker.held.orders);
         if !held.is_empty() {
             worker.extend_lease(lease_end);
         }
         for start in held {
             let order = WorkerOrder::Start(StartOrder { lease_end, ..start });
-            if self.is_still_wanted(id, &order) {
+            if self.is_still_wanted(id, &order, now) {
                 self.order(id, order);
             } else {
                 self.handle_order_outcome(id, &order, OrderOutcome::Withdrawn, now);
@@ -128,7 +136,7 @@
         let workers = self.workers.values_mut().filter(|worker| late(worker));
         let mut expired = Vec::new();
         for worker in workers {
-            worker.penalised_until = worker.penalised_until.max(now + HOLD_PAUSE);
+            worker.held.paused_until = now + HOLD_PAUSE;
             expired.push(worker.listing.id.clone());
         }
         for id in expired {
@@ -141,7 +149,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.is_clock_restarted(clock, now) {
+        if !worker.is_clock_restarted(clock) {
             worker.record_clock(clock, now);
             return;
         }
@@ -153,6 +161,8 @@
             clock_age_ms = worker.clock_age(now)
         );
         worker.restarted_at = Some(now);
+        worker.heard_at = None;
+        self.withdraw_held_starts(id, now);
         self.actions.push(Action::Poll { worker: id.clone() });
     }
 }
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -141,6 +141,7 @@
         worker.unknown_runs = 0;
         worker.unknown_tasks.clear();
         worker.clock_reading = None;
+        worker.heard_at = None;
         worker.lease_end = 0;
         worker.last_end = 0;
         worker.acked_end = 0;
--- a/crates/nutmegcart_jobs/src/machines.rs
+++ b/crates/nutmegcart_jobs/src/machines.rs
@@ -296,6 +296,7 @@
                     | Unusable::Unreachable
                     | Unusable::UnknownRuns
                     | Unusable::Penalised
+                    | Unusable::Unverified
             )
         )
     }
--- a/crates/nutmegcart_jobs/src/orders.rs
+++ b/crates/nutmegcart_jobs/src/orders.rs
@@ -81,9 +81,10 @@
 }
 
 impl Scheduler {
-    /// Returns whether an order that was queued should still be sent.
+    /// Returns whether an order that was queued should still be sent. The worker may have started
+    /// again while a start waited for the answers to others.
     #[must_use]
-    pub fn is_still_wanted(&self, id: &WorkerId, order: &WorkerOrder) -> bool {
+    pub fn is_still_wanted(&self, id: &WorkerId, order: &WorkerOrder, now: Duration) -> bool {
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
@@ -99,6 +100,7 @@
                     && worker.listed
                     && !worker.listing.draining
                     && worker.unreachable_since.is_none()
+                    && worker.is_clock_fresh(now)
             }
             WorkerOrder::Stop { .. } => true,
             WorkerOrder::Throttle {
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -105,6 +105,9 @@
     /// It failed or refused tasks recently.
     #[display("penalised")]
     Penalised,
+    /// It was asked for its incarnation, and has not answered in time.
+    #[display("unverified")]
+    Unverified,
 }
 
 /// A run that may be live on a worker.
@@ -217,6 +220,8 @@
     pub enrolled: bool,
     /// Latest response that carried the worker's clock.
     pub clock_reading: Option<ClockReading>,
+    /// When this incarnation was heard last, unless another one may have replaced it since.
+    pub heard_at: Option<Duration>,
     /// Since when calls have failed, if they do.
     pub unreachable_since: Option<Duration>,
     /// Latest lease end that any order carried, on the worker's clock in milliseconds.
@@ -272,6 +277,7 @@
             fenced: false,
             enrolled: false,
             clock_reading: None,
+            heard_at: None,
             unreachable_since: None,
             lease_end: 0,
             runs: BTreeMap::new(),
@@ -393,6 +399,7 @@
         // Lease ends are added to it.
         let clock = clock.min(MAX_TIME);
         self.clock_reading = Some(ClockReading { clock, at: now });
+        self.heard_at = Some(now);
         self.unreachable_since = None;
     }
 
@@ -414,6 +421,7 @@
             (self.clock_reading.is_none(), Unusable::NoClock),
             (self.unknown_runs != 0, Unusable::UnknownRuns),
             (now < self.penalised_until, Unusable::Penalised),
+            (self.held.is_paused(now), Unusable::Unverified),
             // The owner's own decision hides none of the others.
             (self.reserved, Unusable::Reserved),
         ];
