Keep starts without an answer for as long as the longest lease

Cause: the start states its lease end on the former clock, so the next incarnation grants 10 s. The owner, which hears nothing any more, released it with the others after 5.4 s. Change: a run of a silent worker whose start was never answered or reported is kept until 1.5 s, 10.2 s and 0.3 s after it was ordered; the others are released as before. Event 737 counts the released ones. Measured: start_under_way_before_a_silent_restart failed before and passes.

--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -200,6 +200,17 @@
         }
     }
 
+    /// Returns the runs of a silent worker that have ended with its leases. A start that got no answer
+    /// may have been taken by an incarnation that is not known.
+    fn ended_runs(&self, worker: &Worker, now: Duration) -> Vec<TaskKey> {
+        let max_lease = self.settings.max_lease;
+        let ended = worker.runs.iter().filter(|(_, run)| {
+            let until = run.unanswered_until(max_lease);
+            until.is_none_or(|until| now >= until)
+        });
+        ended.map(|(task, _)| task.clone()).collect()
+    }
+
     /// Removes a run that has certainly ended, so that an unfinished task can start again.
     pub(crate) fn release_run(&mut self, id: &WorkerId, key: &TaskKey, now: Duration) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -281,20 +292,28 @@
             }
         }
         for (id, listed) in expired {
-            if let Some(worker) = self.workers.get(&id)
-                && (!worker.runs.is_empty() || worker.is_unreached())
-            {
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
+            let ended = self.ended_runs(worker, now);
+            let all = ended.len() == worker.runs.len();
+            if !ended.is_empty() || (all && worker.is_unreached()) {
                 log_event!(
                     Event::WorkerLeasesExpired,
                     worker = id,
-                    runs = worker.runs.len(),
+                    runs = ended.len(),
                     blocked_ms = worker.blocked_ms(self.taken_over_at, now),
                     born = worker.incarnation,
                     restarted = worker.restarted_at.is_some(),
                     clock_age_ms = worker.clock_age(now)
                 );
             }
-            self.release_all_runs(&id, now);
+            for task in ended {
+                self.release_run(&id, &task, now);
+            }
+            if !all {
+                continue;
+            }
             if listed {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.inherited = false;
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -23,6 +23,9 @@
 /// Time after which a call whose response was lost is no longer carried out; the platform states
 /// a maximum delay of 12 s.
 pub(crate) const MAX_ORDER_DELAY: Duration = Duration::from_secs(14);
+/// Time from a start that is ordered until an incarnation that runs at the address by then may have
+/// taken it, unless it is carried out late: it may wait for the worker's clock, and for its answer.
+const START_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which a worker without a listing counts as gone; listings that expired while the
 /// store was unavailable are back within 2 s.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -153,6 +156,14 @@
 }
 
 impl Run {
+    /// Returns until when the run may live if the worker restarted before it took the start, and has
+    /// not answered it; an incarnation that is not known grants `max_lease`.
+    pub(crate) fn unanswered_until(&self, max_lease: Duration) -> Option<Duration> {
+        let answered = self.reported || self.confirmed_at.is_some();
+        let end = self.ordered_at + START_TIMEOUT + max_elapsed(max_lease) + KILL_TIME;
+        (!answered).then_some(end)
+    }
+
     /// Returns whether it is a long-running task that reports full progress; such a task has no
     /// other success.
     #[must_use]
