Space the attempts of long-running tasks that fail wherever they start

Cause: nothing slowed the attempts of a long-running task down, which have no limit. Change: after a run that failed before it came to work the next one waits 0.1 s, twice as long each time, up to 5 s. A run at work resets the wait; runs that were lost, stopped, lapsed or evacuated don't count, nor those of an earlier owner. A gang has one wait. The owner runs a pass when a wait ends. Event 726 tells `backoff` with `failures` and `left_ms`. Until 0.1 s after its wait a task demands no machines, and its pool keeps those that it holds. Batch tasks stay as they are: their attempts are limited, and a wait would delay the end of their jobs. In the virtual cell `failing_tasks` holds for long-running tasks too.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -355,7 +355,10 @@
 /// Runs a placement pass after each event, and executes the resulting actions.
 async fn run_passes(node: Rc<Node>, owned: Rc<OwnedCell>) {
     while !owned.has_ended() {
-        owned.pass_wanted.notified().await;
+        let due = owned.scheduler.borrow().next_attempt(now());
+        let due = due.map_or(Duration::MAX, |due| due.saturating_sub(now() + PASS_DELAY));
+        // A pass is due in either case.
+        let _ = tokio::time::timeout(due, owned.pass_wanted.notified()).await;
         tokio::time::sleep(PASS_DELAY).await;
         let at = now();
         if !owned.state.loaded.get() || !owned.may_act_at(node.owner_validity(), at) {
--- a/crates/nutmegcart_fakes/src/cell/events.rs
+++ b/crates/nutmegcart_fakes/src/cell/events.rs
@@ -27,7 +27,16 @@
         match event {
             Event::Script(script) => script(self),
             Event::Tick(index) => self.tick(index),
-            Event::Pass(index) => self.pass(index),
+            Event::Pass(index) => {
+                self.owners[index].pass_scheduled = false;
+                self.pass(index);
+            }
+            Event::Attempt(index, due) => {
+                if self.owners[index].next_attempt == Some(due) {
+                    self.owners[index].next_attempt = None;
+                    self.pass(index);
+                }
+            }
             Event::PollArrives(index, id, request, sent) => {
                 self.poll_arrives(index, &id, request, sent);
             }
@@ -141,12 +150,14 @@
     }
 
     fn pass(&mut self, index: usize) {
-        self.owners[index].pass_scheduled = false;
         if !self.may_act(index) {
             return;
         }
         let now = self.now;
         self.owners[index].scheduler.run_pass(now);
+        if let Some(due) = self.owners[index].scheduler.next_attempt(now) {
+            self.schedule_pass_at(index, due);
+        }
         for action in self.owners[index].scheduler.take_actions() {
             self.perform_action(index, action);
         }
@@ -158,6 +169,15 @@
         }
     }
 
+    /// Schedules a pass for the end of a wait, in place of the one that was scheduled for such an end.
+    fn schedule_pass_at(&mut self, index: usize, due: Duration) {
+        let known = self.owners[index].next_attempt.replace(due);
+        if known != Some(due) {
+            let delay = due.saturating_sub(self.now);
+            self.schedule(delay, Event::Attempt(index, due));
+        }
+    }
+
     fn perform_action(&mut self, index: usize, action: Action) {
         match action {
             Action::Order { worker, order } => self.send_order(index, worker, order),
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -102,6 +102,8 @@
     /// Workers that this owner polls in a loop.
     polled: BTreeSet<WorkerId>,
     pass_scheduled: bool,
+    /// End of a wait at which a pass runs.
+    next_attempt: Option<Duration>,
     started_at: Duration,
 }
 
@@ -120,6 +122,8 @@
 enum Event {
     Tick(usize),
     Pass(usize),
+    /// Owner, and the end of a wait at which it runs a pass.
+    Attempt(usize, Duration),
     /// Owner, worker, request and time of sending.
     PollArrives(usize, WorkerId, PollRequest, Duration),
     /// Owner, worker, time of sending, and outcome.
@@ -220,7 +224,7 @@
     /// Share of the worker orders that get no response, and that the worker carries out 2 to 12 s
     /// later.
     pub delayed_share: f64,
-    /// Tasks whose runs always fail.
+    /// Tasks whose runs always fail, those of long-running ones at once.
     pub failing_tasks: BTreeSet<TaskKey>,
     /// Number of members of gangs that ended because they waited too long for the others.
     pub alone: usize,
@@ -505,6 +509,7 @@
             clock_ahead,
             polled: BTreeSet::new(),
             pass_scheduled: false,
+            next_attempt: None,
             started_at: self.now,
         });
         let index = self.owners.len() - 1;
--- a/crates/nutmegcart_fakes/src/cell/runs.rs
+++ b/crates/nutmegcart_fakes/src/cell/runs.rs
@@ -169,6 +169,7 @@
             duration,
             allocation: step.allocation(),
             long_running: step.long_running,
+            fails: step.long_running && self.failing_tasks.contains(task),
             member: step.gang.then(|| Member {
                 size: step.count,
                 saves: step.checkpoints,
--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -98,14 +98,23 @@
     }
 
     /// Returns whether a long-running task that waits for a run may be given a worker.
-    pub(crate) fn may_assign(&self, job: &LiveJob, occurrence: u32, step: u16, index: u32) -> bool {
+    pub(crate) fn may_assign(
+        &self,
+        job: &LiveJob,
+        occurrence: u32,
+        step: u16,
+        index: u32,
+        now: Duration,
+    ) -> bool {
         let task = TaskKey {
             job: job.id.clone(),
             occurrence,
             step,
             index,
         };
-        self.assignments.reserved(&task).is_none() && !self.is_task_blocked(job, &task)
+        self.assignments.reserved(&task).is_none()
+            && self.backoff(job, &task, now).is_none()
+            && !self.is_task_blocked(job, &task)
     }
 
     fn is_task_blocked(&self, job: &LiveJob, task: &TaskKey) -> bool {
@@ -173,9 +182,40 @@
 
     /// Returns the largest number of workers that the tasks of one long-running step, or of a gang,
     /// of the job need and have not been given, by label that the workers must have.
-    pub(crate) fn missing_workers(&self, job: &LiveJob) -> BTreeMap<Option<Arc<str>>, usize> {
+    pub(crate) fn waiting_workers(&self, job: &LiveJob) -> BTreeMap<Option<Arc<str>>, usize> {
+        self.workers_for(job, |_| true)
+    }
+
+    /// Same without the tasks that wait for their next attempt.
+    pub(crate) fn missing_workers(
+        &self,
+        job: &LiveJob,
+        now: Duration,
+    ) -> BTreeMap<Option<Arc<str>>, usize> {
+        self.workers_for(job, |task| !self.demands_nothing(job, task, now))
+    }
+
+    /// Same for the tasks that wait for their next attempt.
+    pub(crate) fn delayed_workers(
+        &self,
+        job: &LiveJob,
+        now: Duration,
+    ) -> BTreeMap<Option<Arc<str>>, usize> {
+        if !self.has_backoffs() {
+            return BTreeMap::new();
+        }
+        self.workers_for(job, |task| self.demands_nothing(job, task, now))
+    }
+
+    fn workers_for(
+        &self,
+        job: &LiveJob,
+        counts: impl Fn(&TaskKey) -> bool,
+    ) -> BTreeMap<Option<Arc<str>>, usize> {
         let machines = self.machines.known.len();
-        job.missing_workers(machines, |task| self.assignments.reserved(task).is_some())
+        job.missing_workers(machines, |task| {
+            self.assignments.reserved(task).is_some() || !counts(task)
+        })
     }
 
     /// Returns the different capacities of the machines of the cell.
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -9,7 +9,8 @@
 //! * [`layout`], [`wave_partition`]: division of a fleet, and of waves, into cells;
 //! * [`scheduler`]: the [`Scheduler`] of a cell, with its event handlers in [`reports`], [`orders`]
 //!   and [`flush`], and the requests that it emits in [`action`];
-//! * `assignments`: long-running tasks whose workers are stored before they are started;
+//! * `assignments`, `backoff`: long-running tasks whose workers are stored before they are started,
+//!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
@@ -20,6 +21,7 @@
 
 pub mod action;
 mod assignments;
+mod backoff;
 pub mod burst_forecast;
 pub mod estimate;
 pub mod failed_runs;
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -74,6 +74,8 @@
         self.send_stops();
         let jobs = &self.jobs;
         self.tickets.retain(|job| jobs.contains_key(job));
+        let is_open = |job: &JobId| jobs.get(job).is_some_and(|job| job.ended.is_none());
+        self.backoffs.retain(is_open);
     }
 
     /// Returns the mean work of the known jobs of each queue, in core-seconds.
@@ -135,7 +137,7 @@
             if state.ready && (assigned || !blocked) {
                 let startable = |index: &u32| {
                     state.tasks[*index as usize].may_start(exclusive)
-                        && (!assigned || self.may_assign(job, number, step, *index))
+                        && (!assigned || self.may_assign(job, number, step, *index, now))
                 };
                 let pending: Vec<u32> = state.pending().filter(startable).collect();
                 if !pending.is_empty() {
@@ -167,6 +169,10 @@
             self.stop_incomplete_gang(key);
             return;
         }
+        let job = self.jobs.get(&key.job).filter(|_| step.gang);
+        if job.is_some_and(|job| self.backoff(job, key, now).is_some()) {
+            return;
+        }
         if !step.allocation().fits(slots.largest_free) && !step.long_running {
             return;
         }
@@ -456,6 +462,7 @@
             serving: step.target_ms > 0,
             best_effort: step.best_effort,
             long_running: step.long_running,
+            was_at_work: false,
         };
         worker.runs.insert(key.clone(), run);
         slots.items[slot].assign(step);
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -110,6 +110,8 @@
     missing: usize,
     /// Number of these for which no machine is moving to the pool yet.
     pub(crate) urgent: usize,
+    /// Number of workers that long-running tasks need which wait for their next attempt.
+    delayed: usize,
     /// Number of held machines without long-running tasks whose workers cannot take one.
     unusable: usize,
 }
@@ -125,6 +127,12 @@
         self.urgent > 0 && self.shortage() > 0
     }
 
+    /// Counts machines as wanted on which tasks wait for their next attempt, as far as they are held.
+    fn keep_delayed(&mut self) {
+        let kept = self.wanted.saturating_add(self.delayed).min(self.held);
+        self.wanted = self.wanted.max(kept);
+    }
+
     /// Stops counting unusable machines as held, except for `kept`, until the pool is short of the
     /// workers that long-running tasks wait for, and of no more.
     fn discount_unusable(&mut self, kept: usize) {
@@ -166,6 +174,14 @@
         }
     }
 
+    /// Returns the demand for machines with the label, or for those of any kind.
+    fn demand_for(&mut self, label: Option<Arc<str>>) -> &mut Demand {
+        match label {
+            None => &mut self.all,
+            Some(label) => self.labelled.entry(label).or_default(),
+        }
+    }
+
     /// Returns the demand for machines of any kind, and that for each label.
     fn demands(&self) -> impl Iterator<Item = (Option<&Arc<str>>, &Demand)> {
         let labelled = self.labelled.iter();
@@ -206,14 +222,17 @@
     }
 
     /// Stops counting unusable machines as held where long-running tasks wait, and counts the
-    /// workers that tasks with a label wait for as wanted, as far as their machines are held.
+    /// workers that tasks with a label wait for as wanted, as far as their machines are held, and
+    /// those of tasks that wait for their next attempt.
     fn settle(&mut self) {
         for demand in self.labelled.values_mut() {
             demand.discount_unusable(0);
             self.all.wanted += demand.missing.saturating_sub(demand.shortage());
+            demand.keep_delayed();
         }
         // The machines that the pool keeps for its next burst may be unusable for a while.
         self.all.discount_unusable(MIN_MACHINES);
+        self.all.keep_delayed();
     }
 
     /// Returns whether the pool does not need an idle machine with these labels. It keeps as many
@@ -407,19 +426,20 @@
         &self,
         balances: &mut BTreeMap<PoolName, Balance>,
         sizes: &[Resources],
+        now: Duration,
     ) -> BTreeMap<PoolName, usize> {
         let mut gangs: BTreeMap<PoolName, usize> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| job.ended.is_none()) {
             let balance = balances.entry(job.pool.clone()).or_default();
-            for (label, missing) in self.missing_workers(job) {
-                let demand = match label {
-                    None => &mut balance.all,
-                    Some(label) => balance.labelled.entry(label).or_default(),
-                };
+            for (label, missing) in self.missing_workers(job, now) {
+                let demand = balance.demand_for(label);
                 demand.wanted += missing;
                 demand.missing += missing;
                 demand.urgent += missing;
             }
+            for (label, delayed) in self.delayed_workers(job, now) {
+                balance.demand_for(label).delayed += delayed;
+            }
             let gang = gangs.entry(job.pool.clone()).or_default();
             *gang = self.gang_machines(job, sizes).max(*gang);
         }
@@ -450,7 +470,7 @@
                 }
             }
         }
-        let gangs = self.count_missing(&mut balances, &sizes);
+        let gangs = self.count_missing(&mut balances, &sizes, now);
         for ((pool, label), cores) in labelled {
             let balance = balances.entry(pool).or_default();
             let demand = balance.labelled.entry(label).or_default();
@@ -485,7 +505,8 @@
             let labelled = balance.labelled.iter_mut();
             for (_, demand) in labelled.filter(|(label, _)| machine.labels.contains(label)) {
                 // Other work with the label runs beside long-running tasks.
-                demand.wanted += usize::from(long_running > 0 && demand.missing > 0);
+                demand.wanted +=
+                    usize::from(long_running > 0 && demand.missing + demand.delayed > 0);
             }
             let free = self.may_order(machine, now) && !leaving;
             if free && empty && !self.maintenance.is_due(&name) {
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -285,8 +285,14 @@
             run.progress = reported.progress;
             run.metric = reported.metric;
             run.checkpoint.clone_from(&reported.checkpoint);
-            if run.is_at_work() && !was_at_work {
-                worker.record_success();
+            if run.is_at_work() {
+                run.was_at_work = true;
+                if !was_at_work {
+                    worker.record_success();
+                }
+                if let Some(job) = self.jobs.get(&reported.task.job) {
+                    self.backoffs.reset(job, &reported.task);
+                }
             }
             return;
         }
@@ -343,6 +349,7 @@
             serving: step.target_ms > 0,
             best_effort: step.best_effort,
             long_running: step.long_running,
+            was_at_work: step.long_running && reported.progress >= 100,
         };
         log_event!(
             Event::RunAdopted,
@@ -479,6 +486,7 @@
             worker = id
         );
         self.penalise(id, &end.task, now);
+        self.record_failed_attempt(id, end, now);
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -20,6 +20,7 @@
 use crate::action::JobSettings;
 use crate::action::PoolConfig;
 use crate::assignments::Assignments;
+use crate::backoff::Backoffs;
 use crate::estimate::Estimates;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
@@ -69,6 +70,7 @@
     pub(crate) estimates: Estimates,
     pub(crate) flush_queue: FlushQueue,
     pub(crate) assignments: Assignments,
+    pub(crate) backoffs: Backoffs,
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
     pub(crate) size_shares: SizeShares,
@@ -98,6 +100,7 @@
             estimates: Estimates::default(),
             flush_queue: FlushQueue::default(),
             assignments: Assignments::default(),
+            backoffs: Backoffs::default(),
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
             size_shares: SizeShares::default(),
@@ -348,7 +351,7 @@
         };
         let open = self.jobs.values().filter(|job| job.ended.is_none());
         let lasting = open.filter(|job| job.accepted.job.is_long_running());
-        let missing = lasting.map(|job| self.missing_workers(job).into_values().max());
+        let missing = lasting.map(|job| self.waiting_workers(job).into_values().max());
         let waiting: usize = missing.flatten().sum();
         self.workers.values().filter(holds).count() + waiting
     }
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -61,6 +61,14 @@
     /// The stored cell state does not name the worker that is reserved for it yet.
     #[display("unstored")]
     Unstored(WorkerId),
+    /// It has failed wherever it started, and waits for its next attempt.
+    #[display("backoff")]
+    Backoff {
+        /// Runs that failed since it was last at work.
+        failures: u32,
+        /// Time left until it may start.
+        left: Duration,
+    },
     /// No worker of its pool is usable.
     #[display("unusable")]
     NoneUsable(Counts<Unusable>),
@@ -78,17 +86,19 @@
 
 impl WaitReason {
     /// Texts of all reasons, which are the values of a metric's label.
-    pub const LABELS: [&str; 7] = [
+    pub const LABELS: [&str; 8] = [
         "blocked",
         "ownership",
         "unstored",
+        "backoff",
         "unusable",
         "gang",
         "rejected",
         "startable",
     ];
 
-    /// Returns the worker that blocks the task or is reserved for it, or the causes with their numbers of workers.
+    /// Returns the worker that blocks the task or is reserved for it, the failed runs after which it
+    /// waits, or the causes with their numbers of workers.
     ///
     /// ```
     /// # use nutmegcart_jobs::WaitReason;
@@ -100,6 +110,9 @@
     pub fn details(&self) -> String {
         match self {
             Self::Blocked { worker, .. } | Self::Unstored(worker) => worker.to_string(),
+            Self::Backoff { failures, left } => {
+                format!("failed runs: {failures}, left: {} ms", millis(*left))
+            }
             Self::NoneUsable(counts) => format_counts(counts),
             Self::NoneAdmits(counts) => format_counts(counts),
             Self::Ownership | Self::UnstoredMove | Self::Gang | Self::Startable => String::new(),
@@ -248,6 +261,12 @@
         if !task.may_start(self.is_exclusive(now)) {
             return Some(WaitReason::Ownership);
         }
+        if let Some(backoff) = self.backoff(job, key, now) {
+            return Some(WaitReason::Backoff {
+                failures: backoff.failures,
+                left: backoff.left(now),
+            });
+        }
         if let Some(worker) = self.assignments.reserved(key) {
             return Some(WaitReason::Unstored(worker.clone()));
         }
@@ -342,6 +361,20 @@
                 );
                 continue;
             }
+            if let WaitReason::Backoff { failures, left } = &first.reason {
+                log_event!(
+                    Event::TaskWaiting,
+                    cell = cell,
+                    pool = pool.pool,
+                    task = first.task,
+                    tasks = pool.total,
+                    age_ms = millis(age),
+                    reason = first.reason,
+                    failures = failures,
+                    left_ms = millis(*left),
+                );
+                continue;
+            }
             log_event!(
                 Event::TaskWaiting,
                 cell = cell,
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -146,6 +146,8 @@
     pub best_effort: bool,
     /// Whether it runs until its job is cancelled.
     pub long_running: bool,
+    /// Whether it has ever been at work.
+    pub was_at_work: bool,
 }
 
 impl Run {
--- a/crates/nutmegcart_jobs/tests/waiting.rs
+++ b/crates/nutmegcart_jobs/tests/waiting.rs
@@ -84,6 +84,18 @@
     world.run(seconds(1.0));
 }
 
+/// Lets a task fail `count` times, and 0.1 s pass after that.
+fn fail_everywhere(world: &mut CellSimulation, count: u32) {
+    let key = task(&support::job_id(1), 0, 0);
+    world.failing_tasks.insert(key.clone());
+    submit(world, 1, vec![long_running_step(1)]);
+    while world.checker.failures(&key) < count {
+        world.run(seconds(0.001));
+    }
+    // The owner learns of the end a millisecond later.
+    world.run(seconds(0.101));
+}
+
 fn submit_with(world: &mut CellSimulation, change: impl FnOnce(&mut nutmegcart_jobs::Step)) {
     let mut step = long_running_step(1);
     change(&mut step);
@@ -222,6 +234,15 @@
         },
         reason: |_| rejected(&[(Rejection::Suspect, 1)]),
     };
+    /// Guards against a task that waits after failed runs and is reported as startable.
+    failed_task_waits_for_its_next_attempt => Case {
+        workers: 3,
+        script: |world| fail_everywhere(world, 4),
+        reason: |_| WaitReason::Backoff {
+            failures: 4,
+            left: seconds(0.7),
+        },
+    };
     /// Guards against a task of a gang that waits for the others and is reported as startable.
     another_task_of_the_gang_is_live => Case {
         workers: 3,
@@ -377,6 +398,24 @@
     assert_eq!((pools[1].total, pools[1].tasks.len()), (136, MAX_REASONS));
 }
 
+/// Guards against a wait after failed runs of which the log does not tell how long it lasts.
+#[test]
+fn log_tells_how_long_a_task_waits_for_its_next_attempt() {
+    record_log();
+    let mut world = world(36, 3);
+    world.pools.truncate(1);
+    world.take_over();
+    world.run(seconds(1.0));
+    fail_everywhere(&mut world, 6);
+    world.run(seconds(1.0));
+    let lines = log_waits(&world);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    let wanted = "age_ms=1100 reason=backoff failures=6 left_ms=2100";
+    assert!(lines[0].contains(wanted), "{lines:?}");
+    let details = waits(&world)[0].tasks[0].reason.details();
+    assert_eq!(details, "failed runs: 6, left: 2100 ms");
+}
+
 /// Guards against a lost worker that blocks a task and is not named, and against an end of the
 /// block without a line.
 #[test]
