Follow the linter in the tests of outlived incarnations

Cause: four lints of the tests. Change: checked subtraction, is_multiple_of; the assertions are the same.

--- a/crates/nutmegcart_jobs/tests/outlived_incarnations.rs
+++ b/crates/nutmegcart_jobs/tests/outlived_incarnations.rs
@@ -331,7 +331,7 @@
             added = true;
             scheduler.add_job(&job, accepted.clone(), 1, false, unix, now);
         }
-        if (now - begin).as_millis() % 50 == 0 {
+        if now.saturating_sub(begin).as_millis().is_multiple_of(50) {
             scheduler.tick(unix, now);
         }
         scheduler.run_pass(now);
@@ -346,7 +346,7 @@
                     order: WorkerOrder::Start(_),
                     ..
                 } => {
-                    return now - begin - offset;
+                    return now.saturating_sub(begin + offset);
                 }
                 _ => {}
             }
