Require keys of organisations where the configuration has them

The configuration's organisations are read, each request to a route that is not public is checked against their keys before its body is read (NC1410, 401), and an accepted job carries its organisation in a record that follows the job's own, which earlier versions do not read. The scheduler knows the organisations for limits and shares to come.

--- a/crates/nutmegcart/src/demo/jobs.rs
+++ b/crates/nutmegcart/src/demo/jobs.rs
@@ -91,6 +91,7 @@
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: cell.queues[queue_index].clone(),
         at: cell.unix_ms(),
         job: Job {
--- a/crates/nutmegcart_bench/src/jobs.rs
+++ b/crates/nutmegcart_bench/src/jobs.rs
@@ -244,6 +244,7 @@
             let accepted = AcceptedJob {
                 waited_ms: 0,
                 progress: Vec::new(),
+                organisation: None,
                 queue: world.queues[arrival.queue].clone(),
                 at: world.unix_ms(),
                 job: arrival.job.clone(),
--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -10,7 +10,7 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
-use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::record::encode_job;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use serde::Deserialize;
@@ -70,7 +70,7 @@
 
 /// Encodes the record of a job that is to be stored.
 pub(crate) fn encode_accepted(accepted: &AcceptedJob) -> Vec<u8> {
-    encode(&JobRecord::Accepted(Box::new(accepted.clone())))
+    encode_job(&JobRecord::Accepted(Box::new(accepted.clone())))
 }
 
 struct PendingInsert {
--- a/crates/nutmegcart_control/src/job_lookup.rs
+++ b/crates/nutmegcart_control/src/job_lookup.rs
@@ -8,6 +8,7 @@
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::decode_job;
 use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
@@ -142,7 +143,7 @@
     let Some(item) = (node.platform.store.get)(view.keys.job(id)).await? else {
         return Ok(None);
     };
-    Ok(Some(match decode(&item.value) {
+    Ok(Some(match decode_job(&item.value) {
         Ok(JobRecord::Ended { how, .. }) => CallerResponse::State(JobState::Ended(how)),
         Ok(JobRecord::Accepted(_)) => CallerResponse::State(JobState::Pending),
         Err(error) => {
@@ -236,7 +237,7 @@
     let Some(item) = item else {
         return Ok(Some(CallerResponse::NotFound));
     };
-    match decode::<JobRecord>(&item.value) {
+    match decode_job(&item.value) {
         Ok(JobRecord::Ended { .. }) => return Ok(Some(CallerResponse::Cancelled)),
         Ok(JobRecord::Accepted(_)) => {}
         Err(error) => {
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::AcceptedJob;
-use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
@@ -14,6 +13,7 @@
 use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
+use nutmegcart_model::OrganisationName;
 use nutmegcart_model::log_event;
 
 use crate::acceptor::Acceptance;
@@ -53,12 +53,23 @@
 }
 
 impl JobService {
-    /// Handles a request and responds within `limit`.
+    /// Handles a request that belongs to no organisation, and responds within `limit`.
     pub async fn handle(
         &self,
         node: &Rc<Node>,
         request: CallerRequest,
         limit: Duration,
+    ) -> CallerResponse {
+        self.handle_for(node, None, request, limit).await
+    }
+
+    /// Handles a request of an organisation, if it belongs to one, and responds within `limit`.
+    pub async fn handle_for(
+        &self,
+        node: &Rc<Node>,
+        organisation: Option<&OrganisationName>,
+        request: CallerRequest,
+        limit: Duration,
     ) -> CallerResponse {
         let start = now();
         let deadline = start + limit.saturating_sub(RESPONSE_MARGIN);
@@ -69,7 +80,15 @@
         node.active_requests.set(node.active_requests.get() + 1);
         let answer = match request {
             CallerRequest::Submit(queue, id, job) => {
-                self.submit(node, &cells, &queue, id, *job, deadline).await
+                let accepted = AcceptedJob {
+                    waited_ms: 0,
+                    progress: Vec::new(),
+                    organisation: organisation.cloned(),
+                    queue: (*queue).clone(),
+                    at: unix_ms(),
+                    job: *job,
+                };
+                self.submit(node, &cells, id, accepted, deadline).await
             }
             CallerRequest::Show(id) => job_lookup::show(node, &cells, id, deadline).await,
             CallerRequest::Cancel(id) => job_lookup::cancel(node, &cells, id, deadline).await,
@@ -101,12 +120,12 @@
         &self,
         node: &Rc<Node>,
         cells: &Cells,
-        queue: &Arc<Queue>,
         id: JobId,
-        job: Job,
+        accepted: AcceptedJob,
         deadline: Duration,
     ) -> CallerResponse {
-        if let Err(error) = job.check() {
+        let queue = &accepted.queue;
+        if let Err(error) = accepted.job.check() {
             log_event!(
                 Event::JobRefused,
                 job = id,
@@ -115,13 +134,6 @@
             );
             return CallerResponse::Invalid(error);
         }
-        let accepted = AcceptedJob {
-            waited_ms: 0,
-            progress: Vec::new(),
-            queue: (**queue).clone(),
-            at: unix_ms(),
-            job,
-        };
         let record = encode_accepted(&accepted);
         if record.len() > node.reloadable.get().jobs.max_value {
             log_event!(
@@ -263,7 +275,7 @@
     deadline: Duration,
 ) -> Acceptance {
     let limit = deadline.saturating_sub(now()).min(HELPER_TIMEOUT);
-    let request = PeerRequest::Submit(id.clone(), Box::new(accepted.clone()), millis(limit));
+    let request = peer::submission(id, accepted, millis(limit));
     match peer::send(node, helper, &request, limit).await {
         Ok(PeerResponse::Accepted(acceptance)) => acceptance,
         Ok(_) | Err(PeerError::NoOwner | PeerError::Unreachable { .. }) => Acceptance::NotStored,
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -22,6 +22,7 @@
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
+pub mod api_keys;
 pub mod caller_request;
 pub mod candidate;
 pub mod cell_status;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -584,10 +584,20 @@
         let configuration = Rc::new(configuration);
         for owned in self.owned_cells() {
             let mut scheduler = owned.scheduler.borrow_mut();
-            scheduler.configure(&configuration.queues, &configuration.pools);
+            configure_scheduler(&mut scheduler, &configuration);
             owned.pass_wanted.notify_one();
             owned.write_wanted.notify_one();
         }
         *self.configuration.borrow_mut() = Some(configuration);
     }
 }
+
+/// Applies a configuration to the scheduler of an owned cell.
+pub(crate) fn configure_scheduler(scheduler: &mut Scheduler, configuration: &PlatformConfig) {
+    scheduler.configure(&configuration.queues, &configuration.pools);
+    let organisations = configuration.organisations.iter().flatten();
+    let organisations: Vec<_> = organisations
+        .map(|each| each.organisation.clone())
+        .collect();
+    scheduler.set_organisations(&organisations);
+}
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -11,8 +11,8 @@
 use nutmegcart_jobs::OrderOutcome;
 use nutmegcart_jobs::Refusal;
 use nutmegcart_jobs::WorkerOrder;
-use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::decode_cell;
+use nutmegcart_jobs::record::decode_job;
 use nutmegcart_model::Event;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -23,6 +23,7 @@
 use crate::clock::unix_ms;
 use crate::node::Node;
 use crate::node::OwnedCell;
+use crate::node::configure_scheduler;
 use crate::ownership;
 use crate::passing;
 use crate::port::MachineOrderRequest;
@@ -124,7 +125,7 @@
     {
         let mut scheduler = owned.scheduler.borrow_mut();
         if let Some(configuration) = node.configuration.borrow().as_ref() {
-            scheduler.configure(&configuration.queues, &configuration.pools);
+            configure_scheduler(&mut scheduler, configuration);
         }
     }
     for each in changes {
@@ -173,7 +174,7 @@
         return;
     };
     let mut scheduler = owned.scheduler.borrow_mut();
-    match decode::<JobRecord>(&item.value) {
+    match decode_job(&item.value) {
         Ok(JobRecord::Accepted(accepted)) => {
             let earlier = u64::try_from(item.created).is_ok_and(|created| created < owned.fence);
             scheduler.add_job(
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -20,6 +20,7 @@
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::passing::PoolLoad;
+use nutmegcart_model::OrganisationName;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -92,6 +93,8 @@
     /// Asks whether the ownership of a cell with the fencing token has ended, by the name and the
     /// incarnation of the owner.
     HasEnded(u32, u64, Arc<str>, u64),
+    /// Stores a job of an organisation as [`PeerRequest::Submit`] stores others.
+    SubmitFor(JobId, Box<AcceptedJob>, u64, OrganisationName),
 }
 
 /// The response to a [`PeerRequest`].
@@ -134,6 +137,15 @@
     Unknown,
 }
 
+/// Returns the request to store a job, with a time limit in milliseconds.
+pub(crate) fn submission(id: &JobId, accepted: &AcceptedJob, limit_ms: u64) -> PeerRequest {
+    let job = Box::new(accepted.clone());
+    match &accepted.organisation {
+        Some(name) => PeerRequest::SubmitFor(id.clone(), job, limit_ms, name.clone()),
+        None => PeerRequest::Submit(id.clone(), job, limit_ms),
+    }
+}
+
 /// Answers a request to the owner of a cell from memory.
 #[must_use]
 pub fn answer_from_memory(node: &Node, request: &PeerRequest) -> PeerResponse {
@@ -158,6 +170,7 @@
         PeerRequest::Load(_) => PeerResponse::Load(scheduler.pool_loads(now())),
         PeerRequest::Status(..)
         | PeerRequest::Submit(..)
+        | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
         | PeerRequest::TakeOver(..)
         | PeerRequest::HasEnded(..) => PeerResponse::NotOwner,
@@ -175,7 +188,7 @@
         | PeerRequest::Status(cell)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
-        PeerRequest::Submit(..) | PeerRequest::Cancel(..) => None,
+        PeerRequest::Submit(..) | PeerRequest::SubmitFor(..) | PeerRequest::Cancel(..) => None,
     }
 }
 
@@ -279,6 +292,11 @@
             let limit = Duration::from_millis(limit);
             PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
         }
+        PeerRequest::SubmitFor(id, mut accepted, limit, organisation) => {
+            let limit = Duration::from_millis(limit);
+            accepted.organisation = Some(organisation);
+            PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
+        }
         PeerRequest::Cancel(id, limit) => {
             let limit = Duration::from_millis(limit);
             PeerResponse::Cancelled(job_lookup::cancel_for_peer(node, &id, limit).await)
--- a/crates/nutmegcart_control/src/port.rs
+++ b/crates/nutmegcart_control/src/port.rs
@@ -14,6 +14,7 @@
 use nutmegcart_jobs::MachineOrder;
 use nutmegcart_jobs::MachineOutcome;
 use nutmegcart_jobs::OrderOutcome;
+use nutmegcart_jobs::Organisation;
 use nutmegcart_jobs::PollRequest;
 use nutmegcart_jobs::PollResponse;
 use nutmegcart_jobs::PoolConfig;
@@ -32,6 +33,8 @@
 use nutmegcart_platform::Txn;
 use nutmegcart_platform::TxnReply;
 
+use crate::api_keys::ApiKey;
+
 /// A boxed future that stays on the current thread.
 pub type LocalBoxFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
@@ -165,6 +168,24 @@
     pub idle_timeout: Duration,
 }
 
+/// Settings of the callers of a queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerSettings {
+    /// Longest time in milliseconds for which a caller waits.
+    pub timeout_ms: u64,
+    /// Whether callers need no key, also if there are organisations.
+    pub public: bool,
+}
+
+/// An organisation with the keys of its callers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrganisationConfig {
+    /// Name, share and limit.
+    pub organisation: Organisation,
+    /// Keys that its callers present.
+    pub keys: Vec<ApiKey>,
+}
+
 /// A configuration that an operator accepted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlatformConfig {
@@ -172,8 +193,10 @@
     pub version: u64,
     /// Queues that callers may submit jobs to.
     pub queues: Vec<Queue>,
-    /// Longest time in milliseconds for which a queue's callers wait, in the order of `queues`.
-    pub timeouts_ms: Vec<u64>,
+    /// Settings of the queues' callers, in the order of `queues`.
+    pub callers: Vec<CallerSettings>,
+    /// Organisations that share the deployment; `None` if callers need no key.
+    pub organisations: Option<Vec<OrganisationConfig>>,
     /// Pools by name.
     pub pools: Vec<(PoolName, PoolConfig)>,
     /// Limits of callers' connections.
--- a/crates/nutmegcart_control/src/routing.rs
+++ b/crates/nutmegcart_control/src/routing.rs
@@ -6,7 +6,10 @@
 
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
+use nutmegcart_model::OrganisationName;
 
+use crate::api_keys;
+use crate::api_keys::ApiKeys;
 use crate::port::PlatformConfig;
 
 /// A queue with the settings of its callers' requests.
@@ -16,6 +19,8 @@
     pub queue: Arc<Queue>,
     /// Longest time for which a caller of the queue waits.
     pub timeout: Duration,
+    /// Whether callers need no key, also if there are organisations.
+    pub public: bool,
 }
 
 /// Routes by host and path prefix.
@@ -28,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct Routing {
     hosts: HashMap<Arc<str>, Vec<Route>>,
+    /// Keys of callers; none if there are no organisations.
+    keys: Option<ApiKeys>,
 }
 
 impl Routing {
@@ -35,17 +42,35 @@
     #[must_use]
     pub fn new(configuration: &PlatformConfig) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Route>> = HashMap::new();
-        for (queue, timeout) in configuration.queues.iter().zip(&configuration.timeouts_ms) {
+        for (queue, callers) in configuration.queues.iter().zip(&configuration.callers) {
             let routes = hosts.entry(queue.key.host.clone()).or_default();
             routes.push(Route {
                 queue: Arc::new(queue.clone()),
-                timeout: Duration::from_millis(*timeout),
+                timeout: Duration::from_millis(callers.timeout_ms),
+                public: callers.public,
             });
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.queue.key.prefix.len()));
         }
-        Self { hosts }
+        let keys = configuration.organisations.as_deref().map(ApiKeys::new);
+        Self { hosts, keys }
+    }
+
+    /// Returns the organisation of a request on a route; none if the route needs no key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route needs a key and `key` is not that of one organisation.
+    pub fn organisation(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> api_keys::Result<Option<OrganisationName>> {
+        match &self.keys {
+            Some(keys) if !route.public => keys.organisation(key).map(Some),
+            _ => Ok(None),
+        }
     }
 
     /// Returns the queue with exactly this host and prefix.
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -357,6 +357,7 @@
         job: (*job).clone(),
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
     };
     let (answer, for_peer) = LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
         let service = JobService::default();
--- a/crates/nutmegcart_control/tests/bad_jobs.rs
+++ b/crates/nutmegcart_control/tests/bad_jobs.rs
@@ -16,6 +16,7 @@
 use nutmegcart_control::job_service::JobService;
 use nutmegcart_control::metrics::Metrics;
 use nutmegcart_control::port::CallerLimits;
+use nutmegcart_control::port::CallerSettings;
 use nutmegcart_control::port::PlatformConfig;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
@@ -65,7 +66,11 @@
     node.configure(PlatformConfig {
         version: 1,
         queues: vec![queue()],
-        timeouts_ms: vec![3_000],
+        callers: vec![CallerSettings {
+            timeout_ms: 3_000,
+            public: false,
+        }],
+        organisations: None,
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 4_096,
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -288,7 +288,8 @@
     node.configure(PlatformConfig {
         version: 1,
         queues: Vec::new(),
-        timeouts_ms: Vec::new(),
+        callers: Vec::new(),
+        organisations: None,
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 1 << 10,
--- a/crates/nutmegcart_control/tests/passing.rs
+++ b/crates/nutmegcart_control/tests/passing.rs
@@ -70,6 +70,7 @@
     AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: Queue {
             key: QueueKey {
                 host: "counts.example".into(),
--- a/crates/nutmegcart_control/tests/vacant_cell.rs
+++ b/crates/nutmegcart_control/tests/vacant_cell.rs
@@ -176,7 +176,8 @@
     node.configure(PlatformConfig {
         version: 1,
         queues: Vec::new(),
-        timeouts_ms: Vec::new(),
+        callers: Vec::new(),
+        organisations: None,
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 4_096,
--- a/crates/nutmegcart_control/tests/view_age.rs
+++ b/crates/nutmegcart_control/tests/view_age.rs
@@ -41,7 +41,8 @@
     node.configure(PlatformConfig {
         version: 1,
         queues: Vec::new(),
-        timeouts_ms: Vec::new(),
+        callers: Vec::new(),
+        organisations: None,
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 1 << 14,
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,6 +13,7 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
+//! * [`organisation`]: organisations that share a deployment;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
@@ -39,6 +40,7 @@
 pub mod maintenance;
 mod moved_queues;
 pub mod orders;
+pub mod organisation;
 pub mod passing;
 mod placement;
 pub mod polls;
@@ -89,6 +91,7 @@
 pub use maintenance::WaveState;
 pub use orders::OrderOutcome;
 pub use orders::Refusal;
+pub use organisation::Organisation;
 pub use polls::PollRequest;
 pub use rebalancing::PoolDemand;
 pub use record::AcceptedJob;
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -8,6 +8,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use nutmegcart_fleet::IndexRanges;
+use nutmegcart_model::OrganisationName;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
 use rmp_serde::decode::ReadReader;
@@ -107,6 +108,9 @@
     /// Progress that it had made in another cell before it passed to this one.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub progress: Vec<TaskProgress>,
+    /// Organisation whose key the job was submitted with, if one was required.
+    #[serde(skip)]
+    pub organisation: Option<OrganisationName>,
 }
 
 #[expect(
@@ -267,6 +271,41 @@
     rmp_serde::to_vec(&(SCHEMA, record)).expect("records encode to memory")
 }
 
+/// Encodes the record of a job. Its organisation follows the record, where programs of versions without
+/// organisations do not read.
+///
+/// ```
+/// # use nutmegcart_jobs::FinalState;
+/// # use nutmegcart_jobs::JobRecord;
+/// # use nutmegcart_jobs::record::{decode_job, encode, encode_job};
+/// let record = JobRecord::Ended { how: FinalState::Completed, at: 7 };
+/// assert_eq!(encode_job(&record), encode(&record));
+/// assert_eq!(decode_job(&encode_job(&record)).unwrap(), record);
+/// ```
+#[must_use]
+pub fn encode_job(record: &JobRecord) -> Vec<u8> {
+    let mut bytes = encode(record);
+    if let JobRecord::Accepted(accepted) = record
+        && let Some(organisation) = &accepted.organisation
+    {
+        bytes.extend(encode(organisation));
+    }
+    bytes
+}
+
+/// Decodes the record of a job, with its organisation if it has one.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or a newer program wrote them.
+pub fn decode_job(bytes: &[u8]) -> Result<JobRecord> {
+    let (mut record, organisations) = decode_extended::<JobRecord, OrganisationName>(bytes)?;
+    if let JobRecord::Accepted(accepted) = &mut record {
+        accepted.organisation = organisations.into_iter().next();
+    }
+    Ok(record)
+}
+
 /// Encodes the state of a cell.
 ///
 /// The assignments and the moved queues follow the record, where programs of versions without them
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use nutmegcart_model::Event;
+use nutmegcart_model::OrganisationName;
 use nutmegcart_model::PoolName;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
@@ -32,6 +33,7 @@
 use crate::live_job::LiveJob;
 use crate::machines::Machines;
 use crate::maintenance::Maintenance;
+use crate::organisation::Organisation;
 use crate::rebalancing::Rebalancer;
 use crate::record::AcceptedJob;
 use crate::record::CellRecord;
@@ -59,6 +61,8 @@
     pub(crate) earlier_end: Option<Duration>,
     pub(crate) queues: HashMap<QueueKey, Queue>,
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
+    /// Organisations by name; none if the configuration has none.
+    pub(crate) organisations: BTreeMap<OrganisationName, Organisation>,
     /// Moved queues that the stored cell state names.
     pub(crate) stored_moves: BTreeSet<QueueKey>,
     /// Restarted workers that the stored cell state names.
@@ -94,6 +98,7 @@
             earlier_end: None,
             queues: HashMap::new(),
             pools: BTreeMap::new(),
+            organisations: BTreeMap::new(),
             stored_moves: BTreeSet::new(),
             stored_restarts: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -174,6 +179,14 @@
         }
     }
 
+    /// Applies the organisations of a configuration.
+    pub fn set_organisations(&mut self, organisations: &[Organisation]) {
+        let named = organisations
+            .iter()
+            .map(|each| (each.name.clone(), each.clone()));
+        self.organisations = named.collect();
+    }
+
     /// Restores the state of the cell that an earlier owner stored.
     pub fn inherit(&mut self, record: &CellRecord) {
         for enrolled in &record.workers {
--- a/crates/nutmegcart_jobs/tests/drawn/work.rs
+++ b/crates/nutmegcart_jobs/tests/drawn/work.rs
@@ -181,6 +181,7 @@
         let accepted = AcceptedJob {
             waited_ms: 0,
             progress: Vec::new(),
+            organisation: None,
             queue,
             at: unix,
             job: Job {
--- a/crates/nutmegcart_jobs/tests/large_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/large_jobs.rs
@@ -37,6 +37,7 @@
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: world.queues[0].clone(),
         at: world.unix_ms(),
         job,
--- a/crates/nutmegcart_jobs/tests/state_size.rs
+++ b/crates/nutmegcart_jobs/tests/state_size.rs
@@ -43,6 +43,7 @@
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: queue("gates"),
         at: world.unix_ms(),
         job,
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -138,6 +138,7 @@
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: world.queues[queue].clone(),
         at: world.unix_ms(),
         job: Job {
--- a/crates/nutmegcart_jobs/tests/timed_jobs.rs
+++ b/crates/nutmegcart_jobs/tests/timed_jobs.rs
@@ -33,6 +33,7 @@
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
+        organisation: None,
         queue: world.queues[0].clone(),
         at: world.unix_ms(),
         job: Job {
--- a/crates/nutmegcart_model/src/code.rs
+++ b/crates/nutmegcart_model/src/code.rs
@@ -115,6 +115,8 @@
     BodyTooSlow = 1407, Invalid, 408, "the request body did not arrive in time";
     UnknownJob = 1408, Invalid, 410, "no such job exists";
     JobUnreadable = 1409, Unknown, 503, "the record of the job cannot be read";
+    UnknownKey = 1410, Invalid, 401, "the key is missing, or it is not that of one organisation";
+    OtherOrganisation = 1411, Invalid, 403, "the job belongs to another organisation";
     NotJson = 2001, Invalid, 400, "the document is not JSON";
     UnknownVersion = 2002, Invalid, 400, "the schema version is not supported";
     UnknownKind = 2003, Invalid, 400, "the record kind is not known";
--- a/crates/nutmegcart_model/src/lib.rs
+++ b/crates/nutmegcart_model/src/lib.rs
@@ -26,6 +26,7 @@
 pub use name::DataCentre;
 pub use name::InstanceId;
 pub use name::JobName;
+pub use name::OrganisationName;
 pub use name::PoolName;
 pub use name::Rack;
 pub use name::Region;
--- a/crates/nutmegcart_model/src/name.rs
+++ b/crates/nutmegcart_model/src/name.rs
@@ -76,6 +76,8 @@
     TaskId);
 name_type!(/// A team with a quota.
     TeamName);
+name_type!(/// An organisation that shares a deployment with others and owns the jobs submitted with its keys.
+    OrganisationName);
 name_type!(/// A caller; admission shares the queue of a service fairly between callers.
     CallerName);
 name_type!(/// A maintenance wave.
