Refuse jobs as not stored while the store is known to be away

Once a write has no answer for 0.3 s, reads tell whether the store is away; meanwhile new jobs wait, and they are refused at once (503, Retry-After) while it is. A job that waited until its deadline and was in no transaction is refused as not stored too.

--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -13,12 +13,15 @@
 use nutmegcart_jobs::record::encode_job;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
+use nutmegcart_platform::TxnReply;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
 
 use crate::clock::now;
 use crate::node::Node;
+use crate::port::StoreResult;
+use crate::store_probe::SUSPICION_DELAY;
 
 /// Concurrent transactions; further ones would only queue in the store.
 const MAX_IN_FLIGHT: usize = 3;
@@ -97,6 +100,10 @@
         insert: JobInsert,
         deadline: Duration,
     ) -> Acceptance {
+        let remaining = deadline.saturating_sub(now());
+        if !node.store_health.may_write(remaining).await {
+            return Acceptance::NotStored;
+        }
         let (sender, receiver) = oneshot::channel();
         if let Some(waiters) = self.joined.borrow_mut().get_mut(&id) {
             // An earlier request of the caller is already storing the same job.
@@ -104,7 +111,7 @@
         } else {
             self.joined.borrow_mut().insert(id.clone(), Vec::new());
             self.queue.borrow_mut().push_back(PendingInsert {
-                id,
+                id: id.clone(),
                 insert,
                 waiters: vec![sender],
             });
@@ -113,10 +120,25 @@
         let remaining = deadline.saturating_sub(now());
         match tokio::time::timeout(remaining, receiver).await {
             Ok(Ok(acceptance)) => acceptance,
+            Ok(Err(_)) | Err(_) if self.withdraw(&id) => Acceptance::NotStored,
             Ok(Err(_)) | Err(_) => Acceptance::Unknown,
         }
     }
 
+    /// Removes a job that is in no transaction yet; returns false if it may be in one.
+    fn withdraw(&self, id: &JobId) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        let Some(index) = queue.iter().position(|pending| pending.id == *id) else {
+            return false;
+        };
+        let pending = queue.remove(index);
+        drop(queue);
+        if let Some(pending) = pending {
+            self.complete(pending, Acceptance::NotStored);
+        }
+        true
+    }
+
     fn start_transactions(self: &Rc<Self>, node: &Rc<Node>) {
         while self.in_flight.get() < MAX_IN_FLIGHT && !self.queue.borrow().is_empty() {
             let mut batch = Vec::new();
@@ -175,7 +197,7 @@
                     txn = txn.put(key.clone(), value.clone());
                 }
             }
-            match (node.platform.store.txn)(txn).await {
+            match send(node, txn).await {
                 Ok(reply) if reply.committed => {
                     node.record_store_call(true);
                     for pending in batch.drain(..) {
@@ -233,3 +255,16 @@
         }
     }
 }
+
+/// Sends a transaction. If there is no answer for some time, it is found out whether the store is away.
+async fn send(node: &Node, txn: Txn) -> StoreResult<TxnReply> {
+    let mut answer = (node.platform.store.txn)(txn);
+    if let Ok(answer) = tokio::time::timeout(SUSPICION_DELAY, &mut answer).await {
+        return answer;
+    }
+    let answered = node.last_answer.get();
+    if answered.is_none_or(|at| now() >= at + SUSPICION_DELAY) {
+        node.store_health.suspect();
+    }
+    answer.await
+}
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod routing;
 mod shared_keys;
 mod status;
+pub mod store_probe;
 pub mod view_age;
 mod waves;
 mod writer;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -42,6 +42,7 @@
 use crate::port::Platform;
 use crate::port::PlatformConfig;
 use crate::routing::Routing;
+use crate::store_probe::StoreHealth;
 use crate::view_age::ViewTimes;
 
 /// Result of a question that may be refused; the error is the code of the refusal.
@@ -368,6 +369,8 @@
     pub failing_since: Cell<Option<Duration>>,
     /// Time of the latest answer of the store.
     pub last_answer: Rc<Cell<Option<Duration>>>,
+    /// Whether the store answers, as reads tell while that is in doubt.
+    pub store_health: StoreHealth,
     /// Set to true when servers must close their connections.
     pub stop_servers: watch::Sender<bool>,
     /// Whether the instance is shutting down and reports not ready.
@@ -408,6 +411,7 @@
             members: RefCell::default(),
             failing_since: Cell::new(None),
             last_answer: Rc::default(),
+            store_health: StoreHealth::default(),
             stop_servers: watch::Sender::new(false),
             draining: Cell::new(false),
             active_requests: Cell::new(0),
@@ -421,7 +425,11 @@
         if answered {
             self.last_answer.set(Some(now()));
             self.failing_since.set(None);
-        } else if self.failing_since.get().is_none() {
+            self.store_health.record_answer();
+            return;
+        }
+        self.store_health.suspect();
+        if self.failing_since.get().is_none() {
             self.failing_since.set(Some(now()));
         }
     }
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -17,6 +17,7 @@
 use crate::prefix_watcher::KeyChange;
 use crate::prefix_watcher::PrefixWatcher;
 use crate::release;
+use crate::store_probe;
 
 /// Time after SIGTERM for which new connections may still arrive. The load balancer removes an
 /// instance after two failed probes, one second apart.
@@ -28,6 +29,7 @@
 pub fn start(node: &Rc<Node>, service: &JobService) {
     tokio::task::spawn_local(watch_operator_records(node.clone()));
     tokio::task::spawn_local(ownership::run(node.clone()));
+    tokio::task::spawn_local(store_probe::run(node.clone()));
     tokio::task::spawn_local(serve_peers(node.clone(), service.clone()));
     tokio::task::spawn_local(async {
         loop {
