Move machines ahead of rising demand

A pool's demand was the average of the work that arrives, which lags behind a rise by 0.7 s, and a machine takes 1.75 s to move and start. Two averages with different time constants show the rise, and pools ask for the demand at the time at which machines arrive, at most twice the present one.

--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -16,11 +16,12 @@
 //! * [`organisation`]: organisations that share a deployment;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
-//! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
-//!   machines that move between pools or are maintained;
+//! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`],
+//!   [`arrivals`]: machines that move between pools or are maintained;
 //! * [`estimate`], [`throttling`]: predicted task durations, and speed limits of best-effort tasks.
 
 pub mod action;
+pub mod arrivals;
 mod assignments;
 mod backoff;
 pub mod burst_forecast;
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -10,6 +10,7 @@
 use nutmegcart_model::PoolName;
 use nutmegcart_model::log_event;
 
+use crate::arrivals::Arrivals;
 use crate::assignments::fits_any;
 use crate::burst_forecast::BurstForecast;
 use crate::machine_orders::MachineOrder;
@@ -30,10 +31,6 @@
 /// Upper bound on moves that one pass begins.
 const MAX_MOVES: usize = 12;
 
-/// Time constant of the average of arriving work, in seconds. It is short compared with a burst,
-/// and long enough that a single large job does not count as one.
-const ARRIVAL_SECONDS: f64 = 0.7;
-
 /// Demand in machines below which nothing counts as a burst.
 const MIN_BURST_MACHINES: f64 = 4.0;
 /// Time from the end of a move until the machine's worker can start tasks.
@@ -63,35 +60,16 @@
     pub(crate) vacations: Vacations,
 }
 
-/// Exponentially weighted average of the work that arrives for a pool, in cores.
-#[derive(Clone, Copy, Debug, Default)]
-struct Arrivals {
-    cores: f64,
-    updated_at: Duration,
-}
-
-impl Arrivals {
-    fn decayed(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.cores * (-age / ARRIVAL_SECONDS).exp()
-    }
-}
-
 impl Rebalancer {
     /// Records the work of a new job in core-seconds.
     pub(crate) fn record_arrival(&mut self, pool: &PoolName, work: f64, now: Duration) {
         let arrivals = self.arrivals.entry(pool.clone()).or_default();
-        *arrivals = Arrivals {
-            cores: arrivals.decayed(now) + work / ARRIVAL_SECONDS,
-            updated_at: now,
-        };
+        arrivals.record(work, now);
     }
 
-    /// Returns the average work that arrives for a pool, in cores.
-    fn arriving(&self, pool: &PoolName, now: Duration) -> f64 {
-        self.arrivals
-            .get(pool)
-            .map_or(0.0, |arrivals| arrivals.decayed(now))
+    /// Returns the averages of the work that arrives for a pool.
+    fn arriving(&self, pool: &PoolName) -> Arrivals {
+        self.arrivals.get(pool).copied().unwrap_or_default()
     }
 }
 
@@ -527,7 +505,8 @@
         self.rebalancer.idle_since = idle_since;
         for (pool, balance) in &mut balances {
             let backlog = cores.get(pool).copied().unwrap_or_default();
-            let arriving = self.rebalancer.arriving(pool, now);
+            let arrivals = self.rebalancer.arriving(pool);
+            let arriving = arrivals.mean(now);
             if arriving > 0.0 {
                 let min_burst = MIN_BURST_MACHINES * median_cores;
                 self.rebalancer
@@ -536,7 +515,8 @@
             }
             let lead = self.settings.move_time + WORKER_START_TIME;
             let expected = self.rebalancer.forecast.expected_demand(pool, lead, now);
-            let busy = backlog.max(arriving).max(expected.unwrap_or_default()) / median_cores;
+            let rising = arrivals.expected(lead, now);
+            let busy = backlog.max(rising).max(expected.unwrap_or_default()) / median_cores;
             let gang = gangs.get(pool).copied().unwrap_or_default();
             balance.all.wanted += MIN_MACHINES.max(round_up(busy)).max(gang);
             balance.settle();
