Keep an organisation's tasks within its cell's part of the limit

The owner of a cell started whatever had room, so an organisation could occupy any multiple of its max-count. Each cell now has an equal part of the limit (floor(1,000,000 / cells) millionths), and a pass starts or reserves a task, or a gang as a whole, only while use and need fit it in each limited dimension; the cell with more than half of the limit may exceed its part by one task. Use is counted once for a pass: runs in every state, reservations, reported runs that are to be stopped, and, after a take-over, what may run on unreached workers, at most their capacity. Runs keep need and organisation, so counting looks up no job. Without limits nothing is counted. A waiting task shows the reason "organisation's limit".

Not covered: runs of a job that had ended before the take-over, on a worker that the successor has not reached, since the stored final state names no organisation.

--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -258,6 +258,9 @@
         .inc();
     let mut scheduler = Scheduler::new(node.reloadable.get().jobs, fence, now());
     scheduler.allow_ranges(node.members_read_state());
+    if let Some(cells) = node.cells() {
+        scheduler.set_cells(cells.layout.cells());
+    }
     let owned = Rc::new(OwnedCell {
         view: view.clone(),
         scheduler: RefCell::new(scheduler),
--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -66,6 +66,11 @@
         self.stored = listed;
     }
 
+    /// Returns the tasks for which any worker is reserved.
+    pub(crate) fn reserved_tasks(&self) -> impl Iterator<Item = &TaskKey> {
+        self.reservations.keys()
+    }
+
     /// Returns the tasks for which a worker is reserved.
     pub(crate) fn on<'a>(&'a self, worker: &'a WorkerId) -> impl Iterator<Item = &'a TaskKey> {
         let reservations = self.reservations.iter();
@@ -271,10 +276,16 @@
             let index = slots.items.iter().position(|slot| slot.id == id);
             let job = self.jobs.get(&task.job);
             let step = job.and_then(|job| job.step(&task)).cloned();
+            if let Some(step) = &step {
+                self.remove_use(&task, step);
+            }
             let (Some(index), Some(step)) = (index, step) else {
                 continue;
             };
             let mut counts = self.runs_per_worker(&task);
+            if !self.limit_admits_task(&task, &step) {
+                continue;
+            }
             if !self.may_start_on(slots, index, &task, &step, &counts, now) {
                 continue;
             }
@@ -298,6 +309,7 @@
             self.start(slots, slot, task, step, None, counts, now);
             return;
         }
+        self.add_use(task, step);
         slots.items[slot].assign(step);
         *counts.entry(id.clone()).or_default() += 1;
         self.assignments.reservations.insert(task.clone(), id);
--- /dev/null
+++ b/crates/nutmegcart_jobs/src/fleet_limit.rs
@@ -0,0 +1,315 @@
+//! Fleet-wide limits of organisations: what each has running in the cell, and the part of its limit
+//! that the cell may use.
+//!
+//! Each cell has an allocation of every limit, in millionths. All allocations together are at most
+//! the whole, so the owners of cells need not ask each other before a start. What may be running
+//! counts: ordered, confirmed and stopping runs, reservations, and what an earlier owner may have
+//! started on workers that this owner has not reached.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use nutmegcart_fleet::Resources;
+use nutmegcart_model::OrganisationName;
+use nutmegcart_model::PoolName;
+
+use crate::assignments::is_assigned;
+use crate::job::Step;
+use crate::job::TaskKey;
+use crate::live_job::LiveJob;
+use crate::scheduler::Scheduler;
+use crate::worker::Worker;
+
+/// All allocations of a limit together, in millionths.
+pub const WHOLE: u32 = 1_000_000;
+
+/// Returns the allocation of each of `cells` cells while none has been moved, in millionths.
+///
+/// ```
+/// # use nutmegcart_jobs::fleet_limit::equal_allocation;
+/// assert_eq!(equal_allocation(4), 250_000);
+/// assert_eq!(equal_allocation(3), 333_333);
+/// ```
+#[must_use]
+pub const fn equal_allocation(cells: u32) -> u32 {
+    let cells = if cells == 0 { 1 } else { cells };
+    WHOLE / cells
+}
+
+/// What an organisation uses in a cell, and what it may use there.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Allowance {
+    /// Limit over all cells; 0 in an amount for no limit.
+    pub limit: Resources,
+    /// Part of the limit that the cell may use, in millionths.
+    pub allocation: u32,
+    /// What may be running in the cell.
+    pub used: Resources,
+}
+
+impl Allowance {
+    /// Returns whether `count` tasks of the same need may start together.
+    ///
+    /// A cell with more than half of all allocations, of which there is at most one, may exceed its
+    /// allocation by one task. Without that, a task larger than the limit would never run.
+    ///
+    /// ```
+    /// # use nutmegcart_fleet::Resources;
+    /// # use nutmegcart_jobs::fleet_limit::Allowance;
+    /// let limit = Resources::new(8_000, 0, 0);
+    /// let part = Allowance { limit, allocation: 500_000, used: Resources::new(3_000, 900, 0) };
+    /// assert!(part.admits(Resources::new(1_000, 900, 0), 1));
+    /// assert!(!part.admits(Resources::new(2_000, 0, 0), 1));
+    /// let whole = Allowance { allocation: 1_000_000, ..part };
+    /// assert!(whole.admits(Resources::new(64_000, 0, 0), 1));
+    /// ```
+    #[must_use]
+    pub fn admits(&self, need: Resources, count: u32) -> bool {
+        let (all, before) = (u128::from(count), u128::from(count.saturating_sub(1)));
+        let majority = self.allocation > WHOLE / 2;
+        let (limit, used) = (amounts(self.limit), amounts(self.used));
+        let each = limit.into_iter().zip(used).zip(amounts(need));
+        let mut limited = each.filter(|((limit, _), _)| *limit > 0);
+        limited.all(|((limit, used), need)| {
+            let allocated = limit * u128::from(self.allocation);
+            let used_with = |count: u128| (used + need * count) * u128::from(WHOLE);
+            used_with(all) <= allocated || (majority && used_with(before) < allocated)
+        })
+    }
+}
+
+/// Returns the amounts in a fixed order, wide enough for products.
+pub(crate) fn amounts(resources: Resources) -> [u128; 3] {
+    [
+        resources.cpu.into(),
+        resources.memory.into(),
+        resources.accelerators.into(),
+    ]
+}
+
+/// Limits of the organisations, as the owner of one cell tracks them.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetLimits {
+    /// Number of cells of the fleet.
+    pub(crate) cells: u32,
+    /// Allocations of this cell that differ from the equal one.
+    pub(crate) moved: BTreeMap<OrganisationName, u32>,
+    /// Use of the organisations with limits. A placement pass counts it once and then adds what it
+    /// starts.
+    allowances: BTreeMap<OrganisationName, Allowance>,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            cells: 1,
+            moved: BTreeMap::new(),
+            allowances: BTreeMap::new(),
+        }
+    }
+}
+
+impl FleetLimits {
+    fn allocation(&self, organisation: &OrganisationName) -> u32 {
+        let moved = self.moved.get(organisation).copied();
+        moved.unwrap_or_else(|| equal_allocation(self.cells))
+    }
+
+    fn add(&mut self, organisation: Option<&OrganisationName>, used: Resources) {
+        let allowance = organisation.and_then(|name| self.allowances.get_mut(name));
+        if let Some(allowance) = allowance {
+            allowance.used += used;
+        }
+    }
+}
+
+/// Capacity of the workers of a pool that this owner has not reached, and what it knows of them.
+struct Unreached {
+    capacity: Resources,
+    /// Whether the capacity of some of them is not known.
+    unbounded: bool,
+    /// Long-running tasks that may run there; `None` if an earlier owner did not store them.
+    assigned: Option<BTreeSet<TaskKey>>,
+}
+
+impl Default for Unreached {
+    fn default() -> Self {
+        Self {
+            capacity: Resources::default(),
+            unbounded: false,
+            assigned: Some(BTreeSet::new()),
+        }
+    }
+}
+
+impl Unreached {
+    fn add(&mut self, worker: &Worker) {
+        self.capacity += worker.listing.capacity;
+        // An inherited worker that service discovery does not list.
+        self.unbounded |= worker.listing.capacity == Resources::default();
+        match (&mut self.assigned, &worker.assigned) {
+            (Some(tasks), Some(more)) => tasks.extend(more.iter().cloned()),
+            (assigned, _) => *assigned = None,
+        }
+    }
+
+    /// Returns what tasks without a known run may occupy there: the part that the capacity bounds, and
+    /// the processor use of best-effort tasks, which occupy none of it.
+    fn possible_use(&self, job: &LiveJob) -> (Resources, Resources) {
+        let (mut bounded, mut unbounded) = (Resources::default(), Resources::default());
+        for (number, occurrence) in &job.occurrences {
+            let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
+            for (index, (step, state)) in (0_u16..).zip(steps) {
+                let known = self.assigned.as_ref().filter(|_| is_assigned(step));
+                let may_run = |task: &u32| {
+                    let key = TaskKey {
+                        job: job.id.clone(),
+                        occurrence: *number,
+                        step: index,
+                        index: *task,
+                    };
+                    known.is_none_or(|tasks| tasks.contains(&key))
+                };
+                for _ in state.pending().filter(may_run) {
+                    bounded += step.allocation();
+                    unbounded += step.need.saturating_sub(step.allocation());
+                }
+            }
+        }
+        (bounded, unbounded)
+    }
+
+    fn bound(&self, used: Resources) -> Resources {
+        if self.unbounded {
+            used
+        } else {
+            used.min(self.capacity)
+        }
+    }
+}
+
+impl Scheduler {
+    /// Sets the number of cells that share the limits of organisations.
+    pub const fn set_cells(&mut self, cells: u32) {
+        self.limits.cells = cells;
+    }
+
+    /// Returns the organisations with a limit, with their use in this cell as of the latest placement
+    /// pass.
+    pub fn allowances(&self) -> impl Iterator<Item = (&OrganisationName, &Allowance)> {
+        self.limits.allowances.iter()
+    }
+
+    /// Counts the use of the organisations with limits, for a placement pass.
+    pub(crate) fn count_use(&mut self) {
+        let mut limits = std::mem::take(&mut self.limits);
+        limits.allowances.clear();
+        for (name, organisation) in &self.organisations {
+            if organisation.has_limit() {
+                let allowance = Allowance {
+                    limit: organisation.limit,
+                    allocation: limits.allocation(name),
+                    used: Resources::default(),
+                };
+                limits.allowances.insert(name.clone(), allowance);
+            }
+        }
+        if !limits.allowances.is_empty() {
+            self.add_runs(&mut limits);
+            for task in self.assignments.reserved_tasks() {
+                if let Some(job) = self.jobs.get(&task.job) {
+                    let need = job.step(task).map(|step| step.need).unwrap_or_default();
+                    limits.add(job.accepted.organisation.as_ref(), need);
+                }
+            }
+            self.add_possible_runs(&mut limits);
+        }
+        self.limits = limits;
+    }
+
+    /// Adds the runs that this owner knows.
+    fn add_runs(&self, limits: &mut FleetLimits) {
+        for worker in self.workers.values() {
+            for run in worker.runs.values() {
+                limits.add(run.organisation.as_ref(), run.need);
+            }
+            for task in &worker.unknown_tasks {
+                if let Some(job) = self.jobs.get(&task.job) {
+                    let need = job.step(task).map(|step| step.need).unwrap_or_default();
+                    limits.add(job.accepted.organisation.as_ref(), need);
+                    continue;
+                }
+                // The organisation of a run whose job has ended is not known, so it counts for all.
+                for allowance in limits.allowances.values_mut() {
+                    allowance.used += worker.free();
+                }
+            }
+        }
+    }
+
+    /// Adds what an earlier owner may have started on workers that this owner has not reached.
+    fn add_possible_runs(&self, limits: &mut FleetLimits) {
+        let mut all = Unreached::default();
+        let mut pools: BTreeMap<&PoolName, Unreached> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.is_unreached()) {
+            all.add(worker);
+            pools.entry(&worker.listing.pool).or_default().add(worker);
+        }
+        if pools.is_empty() {
+            return;
+        }
+        // By organisation and pool; none for jobs that may have tasks in several pools.
+        let mut sums: BTreeMap<(&OrganisationName, Option<&PoolName>), Resources> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.inherited) {
+            let Some(name) = job.accepted.organisation.as_ref() else {
+                continue;
+            };
+            let pool = (!job.moved).then_some(&job.pool);
+            let unreached = pool.map_or(Some(&all), |pool| pools.get(pool));
+            let Some(unreached) = unreached.filter(|_| limits.allowances.contains_key(name)) else {
+                continue;
+            };
+            let (bounded, unbounded) = unreached.possible_use(job);
+            *sums.entry((name, pool)).or_default() += bounded;
+            limits.add(Some(name), unbounded);
+        }
+        for ((name, pool), sum) in sums {
+            let unreached = pool.map_or(Some(&all), |pool| pools.get(pool));
+            let bounded = unreached.map_or(sum, |unreached| unreached.bound(sum));
+            limits.add(Some(name), bounded);
+        }
+    }
+
+    /// Returns whether the limit of the job's organisation permits `count` tasks of a step to start
+    /// together.
+    pub(crate) fn limit_admits(&self, job: &LiveJob, step: &Step, count: u32) -> bool {
+        let organisation = job.accepted.organisation.as_ref();
+        let allowance = organisation.and_then(|name| self.limits.allowances.get(name));
+        allowance.is_none_or(|allowance| allowance.admits(step.need, count))
+    }
+
+    /// Same for a task, whose job may be gone.
+    pub(crate) fn limit_admits_task(&self, task: &TaskKey, step: &Step) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| self.limit_admits(job, step, 1))
+    }
+
+    /// Counts a task as used that is started or for which a worker is reserved.
+    pub(crate) fn add_use(&mut self, task: &TaskKey, step: &Step) {
+        if !self.limits.allowances.is_empty() {
+            let job = self.jobs.get(&task.job);
+            let organisation = job.and_then(|job| job.accepted.organisation.as_ref());
+            self.limits.add(organisation, step.need);
+        }
+    }
+
+    /// Takes back what [`Scheduler::add_use`] has counted.
+    pub(crate) fn remove_use(&mut self, task: &TaskKey, step: &Step) {
+        let job = self.jobs.get(&task.job);
+        let organisation = job.and_then(|job| job.accepted.organisation.as_ref());
+        let allowance = organisation.and_then(|name| self.limits.allowances.get_mut(name));
+        if let Some(allowance) = allowance {
+            allowance.used = allowance.used.saturating_sub(step.need);
+        }
+    }
+}
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,7 +13,7 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`organisation`]: organisations that share a deployment;
+//! * [`organisation`], [`fleet_limit`]: organisations that share a deployment, and their limits;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
@@ -27,6 +27,7 @@
 pub mod estimate;
 pub mod failed_runs;
 mod finished_tasks;
+pub mod fleet_limit;
 pub mod flush;
 mod fresh_clock;
 mod gang;
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -43,6 +43,7 @@
         self.advance_waves(now);
         self.rebalance(now);
         self.drop_obsolete_reservations();
+        self.count_use();
         let means = self.mean_work();
         let mut waiting: BTreeMap<PoolName, Vec<(Rank, JobId, u32)>> = BTreeMap::new();
         for job in self.jobs.values() {
@@ -175,6 +176,11 @@
         if !step.allocation().fits(slots.largest_free) && !step.long_running {
             return;
         }
+        let together = if step.gang { step.count } else { 1 };
+        let job = self.jobs.get(&key.job);
+        if !job.is_some_and(|job| self.limit_admits(job, &step, together)) {
+            return;
+        }
         let mut counts = self.runs_per_worker(key);
         if step.gang {
             self.place_gang(slots, key, &step, pending, &mut counts, now);
@@ -191,6 +197,9 @@
                 ..key.clone()
             };
             let preferred_rack = step.rack.as_ref().or(main_rack.as_ref());
+            if !self.limit_admits_task(&task, &step) {
+                break;
+            }
             match self.choose_slot(slots, &task, &step, &counts, preferred_rack, now) {
                 Some(slot) => {
                     self.start_or_reserve(slots, slot, &task, &step, &mut counts, now);
@@ -429,6 +438,7 @@
             return;
         };
         let spec = job.accepted.job.spec.clone();
+        let organisation = job.accepted.organisation.clone();
         if !std::mem::replace(&mut job.ordered, true) && !job.started {
             self.start_delays.push(now.saturating_sub(job.accepted_at));
             if !job.inherited && !job.accepted.job.is_long_running() {
@@ -451,6 +461,8 @@
             confirmed_at: None,
             reported: false,
             allocation: step.allocation(),
+            need: step.need,
+            organisation,
             progress: 0,
             progressed_at: now,
             percent_time: Duration::ZERO,
@@ -464,6 +476,7 @@
             was_at_work: false,
         };
         worker.runs.insert(key.clone(), run);
+        self.add_use(key, step);
         slots.items[slot].assign(step);
         *counts.entry(id.clone()).or_default() += 1;
         let start = StartOrder {
--- a/crates/nutmegcart_jobs/src/reports.rs
+++ b/crates/nutmegcart_jobs/src/reports.rs
@@ -263,6 +263,7 @@
             task.started = true;
         }
         job.share_checkpoint(reported, now);
+        let organisation = job.accepted.organisation.clone();
         let run = Run {
             number: reported.run,
             state: RunState::Running,
@@ -270,6 +271,8 @@
             confirmed_at: Some(now),
             reported: true,
             allocation: step.allocation(),
+            need: step.need,
+            organisation,
             progress: reported.progress,
             progressed_at: now,
             percent_time,
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::assignments::Assignments;
 use crate::backoff::Backoffs;
 use crate::estimate::Estimates;
+use crate::fleet_limit::FleetLimits;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
 use crate::job::Queue;
@@ -63,6 +64,7 @@
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
     /// Organisations by name; none if the configuration has none.
     pub(crate) organisations: BTreeMap<OrganisationName, Organisation>,
+    pub(crate) limits: FleetLimits,
     /// Moved queues that the stored cell state names.
     pub(crate) stored_moves: BTreeSet<QueueKey>,
     /// Restarted workers that the stored cell state names.
@@ -99,6 +101,7 @@
             queues: HashMap::new(),
             pools: BTreeMap::new(),
             organisations: BTreeMap::new(),
+            limits: FleetLimits::default(),
             stored_moves: BTreeSet::new(),
             stored_restarts: BTreeSet::new(),
             jobs: BTreeMap::new(),
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -69,6 +69,9 @@
         /// Time left until it may start.
         left: Duration,
     },
+    /// Its organisation may have nothing more running in this cell.
+    #[display("organisation's limit")]
+    OrganisationLimit,
     /// No worker of its pool is usable.
     #[display("unusable")]
     NoneUsable(Counts<Unusable>),
@@ -86,11 +89,12 @@
 
 impl WaitReason {
     /// Texts of all reasons, which are the values of a metric's label.
-    pub const LABELS: [&str; 8] = [
+    pub const LABELS: [&str; 9] = [
         "blocked",
         "ownership",
         "unstored",
         "backoff",
+        "organisation's limit",
         "unusable",
         "gang",
         "rejected",
@@ -115,7 +119,11 @@
             }
             Self::NoneUsable(counts) => format_counts(counts),
             Self::NoneAdmits(counts) => format_counts(counts),
-            Self::Ownership | Self::UnstoredMove | Self::Gang | Self::Startable => String::new(),
+            Self::Ownership
+            | Self::UnstoredMove
+            | Self::OrganisationLimit
+            | Self::Gang
+            | Self::Startable => String::new(),
         }
     }
 }
@@ -270,6 +278,10 @@
         if let Some(worker) = self.assignments.reserved(key) {
             return Some(WaitReason::Unstored(worker.clone()));
         }
+        let together = if step.gang { step.count } else { 1 };
+        if !self.limit_admits(job, step, together) {
+            return Some(WaitReason::OrganisationLimit);
+        }
         if slots.items.is_empty() {
             let workers = self.workers.values();
             let of_pool = workers.filter(|worker| worker.listing.pool == *pool);
--- a/crates/nutmegcart_jobs/src/worker.rs
+++ b/crates/nutmegcart_jobs/src/worker.rs
@@ -8,6 +8,7 @@
 
 use derive_more::Display;
 use nutmegcart_fleet::Resources;
+use nutmegcart_model::OrganisationName;
 
 use crate::action::JobSettings;
 use crate::fresh_clock::HeldStarts;
@@ -133,6 +134,10 @@
     pub reported: bool,
     /// Part of the worker's capacity that it occupies.
     pub allocation: Resources,
+    /// Resources that it needs, which count for the limit of its organisation.
+    pub need: Resources,
+    /// Organisation whose job it belongs to, if any.
+    pub organisation: Option<OrganisationName>,
     /// Latest reported progress in percent.
     pub progress: u32,
     /// When the progress or the checkpoint last changed.
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::Step;
 use nutmegcart_jobs::TaskKey;
+use nutmegcart_model::OrganisationName;
 use nutmegcart_model::WorkerId;
 
 /// Defines a named test for each argument of a test function.
@@ -133,12 +134,23 @@
     queue: usize,
     number: usize,
     steps: Vec<Step>,
+) -> JobId {
+    submit_as(world, None, queue, number, steps)
+}
+
+/// Submits a job of an organisation to the queue with the given index.
+pub fn submit_as(
+    world: &mut CellSimulation,
+    organisation: Option<OrganisationName>,
+    queue: usize,
+    number: usize,
+    steps: Vec<Step>,
 ) -> JobId {
     let id = job_id(number);
     let accepted = AcceptedJob {
         waited_ms: 0,
         progress: Vec::new(),
-        organisation: None,
+        organisation,
         queue: world.queues[queue].clone(),
         at: world.unix_ms(),
         job: Job {
