Move allocations of limits to the cells that need them

With equal parts, an organisation whose jobs are in one cell of four could use a quarter of its limit while three quarters lay idle, and a task above a quarter never started. The owner of a cell that lacks allocation now asks the others, those with the largest allocation first. A donor lowers its own in memory, stores all allocations in one transaction that compares the key's revision and the donor's owner key, and answers with them. It gives what it neither uses nor needs; of what both need, the cell whose task has waited longer gets what is above the donor's equal part, or all that is unused if the donor cannot start its oldest task with its own allocation. A new owner reads the keys before it starts anything of an organisation with a limit.

After a fall of a limit an owner starts nothing of the organisation until the other owners, with a configuration at least as new, have told what they use above their allocations, and takes that off its own room until it is nothing: without that, cells within their allocations exceed the limit by what old runs of another one still occupy.

Waits are compared by the time at which they began. As spans, each of two cells took itself for the older one, since the request arrives later than it was measured; four cells with one large task each then waited for ever (seen in large_tasks_in_all_cells_run_one_after_the_other).

No store call while nothing is lacking.

--- a/crates/nutmegcart_control/src/keys.rs
+++ b/crates/nutmegcart_control/src/keys.rs
@@ -1,6 +1,7 @@
 //! Names of the keys that this program writes to the store.
 
 use nutmegcart_jobs::JobId;
+use nutmegcart_model::OrganisationName;
 
 /// Prefix of the keys that all instances watch: addresses of instances, the layout, owners, and
 /// finished parts of waves.
@@ -42,6 +43,41 @@
     format!("nutmegcart/placed/{id}")
 }
 
+/// Prefix of the allocations of organisations' limits.
+pub const LIMIT_PREFIX: &str = "nutmegcart/limit/";
+/// Longest name that a key contains as it is; keys have at most 200 bytes.
+const MAX_PLAIN_NAME: usize = 120;
+
+/// Key of the allocations of an organisation's limit.
+///
+/// A name that is long, or has characters other than letters, digits, `-`, `_` and `.`, is replaced by
+/// two hashes of it after a `~`. The value contains the name.
+///
+/// ```
+/// # use nutmegcart_control::keys::limit;
+/// assert_eq!(limit(&"ferries".into()), "nutmegcart/limit/ferries");
+/// assert!(limit(&"a/b".into()).starts_with("nutmegcart/limit/~"));
+/// assert!(limit(&"x".repeat(500).as_str().into()).len() < 200);
+/// ```
+#[must_use]
+pub fn limit(organisation: &OrganisationName) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+    if !organisation.is_empty()
+        && organisation.len() <= MAX_PLAIN_NAME
+        && organisation.bytes().all(plain)
+    {
+        return format!("{LIMIT_PREFIX}{organisation}");
+    }
+    let hash = |start: u64| {
+        // FNV-1a; the same in all versions, unlike the hashes of the standard library.
+        organisation.bytes().fold(start, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        })
+    };
+    let (first, second) = (hash(0xcbf2_9ce4_8422_2325), hash(0x6c62_272e_07bb_0142));
+    format!("{LIMIT_PREFIX}~{first:016x}{second:016x}")
+}
+
 /// A parsed key that all instances watch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SharedKey<'a> {
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -14,6 +14,7 @@
 //!   owner;
 //! * [`owner_history`], [`owner_log`]: earlier owners, and until when they can have granted leases;
 //! * [`passing`]: waiting jobs that pass to another cell;
+//! * [`limit_exchange`]: allocations of organisations' limits that move between cells;
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
@@ -34,6 +35,7 @@
 mod job_lookup;
 pub mod job_service;
 pub mod keys;
+pub mod limit_exchange;
 pub mod logger;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/crates/nutmegcart_control/src/limit_exchange.rs
@@ -0,0 +1,396 @@
+//! Allocations of organisations' limits that move between the owners of cells.
+//!
+//! The owner of a cell that lacks allocation asks the owners of the others. A donor lowers its own
+//! allocation in memory, stores the new allocations in one transaction that is fenced by its owner's
+//! key, and then responds with them. Nothing is sent or read while nothing is lacking.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nutmegcart_fleet::Resources;
+use nutmegcart_jobs::limit_moves::Gift;
+use nutmegcart_jobs::limit_moves::LimitRequest;
+use nutmegcart_jobs::limit_moves::StoredAllocations;
+use nutmegcart_jobs::limit_moves::excess;
+use nutmegcart_jobs::record::decode;
+use nutmegcart_jobs::record::encode;
+use nutmegcart_model::Event;
+use nutmegcart_model::OrganisationName;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::Revision;
+use nutmegcart_platform::StoreError;
+use nutmegcart_platform::Txn;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::clock::now;
+use crate::keys;
+use crate::keys::CellKeys;
+use crate::node::Node;
+use crate::node::OwnedCell;
+use crate::peer;
+use crate::peer::PeerRequest;
+use crate::peer::PeerResponse;
+use crate::writer::STORE_RETRY_DELAY;
+use crate::writer::fence_revision;
+
+/// Least time between two rounds of requests for the same organisation.
+const ROUND_PERIOD: Duration = Duration::from_millis(100);
+/// Cells that are asked in one round, one after the other, until nothing is lacking.
+const MAX_ASKED: usize = 4;
+/// Time for which a cell that gave nothing is not asked again for the same organisation.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
+/// Same for a cell whose owner did not answer.
+const SILENCE_PAUSE: Duration = Duration::from_secs(1);
+/// Interval at which the stored allocations are read while allocation is lacking.
+const READ_PERIOD: Duration = Duration::from_secs(5);
+/// Writes that a donor may send at once.
+const WRITE_BURST: f64 = 6.0;
+/// Writes of a donor a second beyond these.
+const WRITES_PER_SECOND: f64 = 4.0;
+/// Attempts of a donor to store a gift when others change the allocations at the same time.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Value of the key of a limit. It names the organisation, since the key may contain a hash.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitRecord {
+    /// Organisation whose limit it is.
+    pub organisation: OrganisationName,
+    /// Allocations by cell, in millionths.
+    pub cells: Vec<u32>,
+}
+
+/// State of the exchange of one owner.
+#[derive(Debug, Default)]
+pub struct ExchangeState {
+    /// Notified when a pass lacks allocation, or allocations have to be read or compared.
+    pub wanted: Notify,
+    /// Writes that were sent and not yet made up for, and the time of that count.
+    writes: Cell<(f64, Duration)>,
+}
+
+impl ExchangeState {
+    /// Returns whether a write may be sent now, and counts it if so.
+    fn takes_write(&self, now: Duration) -> bool {
+        let (sent, at) = self.writes.get();
+        let elapsed = now.saturating_sub(at).as_secs_f64();
+        let sent = WRITES_PER_SECOND.mul_add(-elapsed, sent).max(0.0);
+        let permitted = sent + 1.0 <= WRITE_BURST;
+        self.writes
+            .set((if permitted { sent + 1.0 } else { sent }, now));
+        permitted
+    }
+}
+
+/// What the recipient remembers between rounds.
+#[derive(Default)]
+struct Rounds {
+    next: HashMap<OrganisationName, Duration>,
+    paused: HashMap<(OrganisationName, u32), Duration>,
+    next_read: HashMap<OrganisationName, Duration>,
+    held_since: HashMap<OrganisationName, Duration>,
+}
+
+/// Reads the allocations before anything of an organisation starts, requests what is lacking, and
+/// compares uses after a limit has fallen, until the ownership ends.
+pub(crate) async fn run(node: Rc<Node>, owned: Rc<OwnedCell>) {
+    let mut rounds = Rounds::default();
+    while !owned.has_ended() {
+        // The timeout only ends the task with the ownership.
+        let wanted = owned.state.limits.wanted.notified();
+        if tokio::time::timeout(READ_PERIOD, wanted).await.is_err() {
+            continue;
+        }
+        if !owned.state.loaded.get() || !owned.may_act(node.owner_validity()) {
+            continue;
+        }
+        if owned.scheduler.borrow().needs_allocations() {
+            load(&node, &owned).await;
+            continue;
+        }
+        compare_uses(&node, &owned, &mut rounds).await;
+        let requests = owned.scheduler.borrow().limit_requests();
+        for request in requests {
+            let due = rounds.next.get(&request.organisation);
+            if due.is_none_or(|due| now() >= *due) && !owned.has_ended() {
+                let next = now() + ROUND_PERIOD;
+                rounds.next.insert(request.organisation.clone(), next);
+                round(&node, &owned, &mut rounds, request).await;
+            }
+        }
+    }
+}
+
+/// Reads all stored allocations.
+async fn load(node: &Rc<Node>, owned: &Rc<OwnedCell>) {
+    match (node.platform.store.range)(keys::LIMIT_PREFIX.into()).await {
+        Ok(reply) => {
+            let stored = reply.items.iter().filter_map(parse).collect();
+            owned.scheduler.borrow_mut().load_allocations(stored);
+            owned.pass_wanted.notify_one();
+        }
+        Err(error) => {
+            log::debug!("allocations of limits not read: {error}");
+            tokio::time::sleep(STORE_RETRY_DELAY).await;
+        }
+    }
+}
+
+fn parse(item: &KeyValue) -> Option<(OrganisationName, StoredAllocations)> {
+    match decode::<LimitRecord>(&item.value) {
+        Ok(record) => {
+            let stored = StoredAllocations {
+                revision: item.modified,
+                cells: record.cells,
+            };
+            Some((record.organisation, stored))
+        }
+        Err(error) => {
+            log_event!(Event::JobRecordInvalid, key = item.key, reason = error);
+            None
+        }
+    }
+}
+
+/// Asks other owners, those with the largest allocation first, until nothing is lacking.
+async fn round(
+    node: &Rc<Node>,
+    owned: &Rc<OwnedCell>,
+    rounds: &mut Rounds,
+    mut request: LimitRequest,
+) {
+    let name = request.organisation.clone();
+    let paused = |cell: &u32| {
+        let until = rounds.paused.get(&(name.clone(), *cell));
+        until.is_some_and(|until| now() < *until)
+    };
+    let donors = owned.scheduler.borrow().donors(&name);
+    let donors: Vec<u32> = donors.into_iter().filter(|cell| !paused(cell)).collect();
+    for cell in donors.into_iter().take(MAX_ASKED) {
+        let asked = PeerRequest::Limit(cell, request.clone());
+        let answer = peer::ask_owner(node, &asked).await;
+        let (outcome, pause) = match answer {
+            Ok(PeerResponse::Limit(stored)) => {
+                let newer = {
+                    let mut scheduler = owned.scheduler.borrow_mut();
+                    scheduler.adopt_allocations(&name, &stored)
+                };
+                // A pass starts what the allocation now permits.
+                owned.pass_wanted.notify_one();
+                if newer {
+                    ("given", None)
+                } else {
+                    ("refused", Some(REFUSAL_PAUSE))
+                }
+            }
+            _ => ("unanswered", Some(SILENCE_PAUSE)),
+        };
+        node.metrics.limit_moves.with_label_values(&[outcome]).inc();
+        if let Some(pause) = pause {
+            rounds.paused.insert((name.clone(), cell), now() + pause);
+        }
+        let next = owned.scheduler.borrow().limit_request(&name);
+        match next {
+            Some(next) if !owned.has_ended() => request = next,
+            _ => return,
+        }
+    }
+    read_stored(node, owned, rounds, &name).await;
+}
+
+/// Reads the stored allocations of one limit now and then, in case that all responses were lost.
+async fn read_stored(
+    node: &Rc<Node>,
+    owned: &Rc<OwnedCell>,
+    rounds: &mut Rounds,
+    name: &OrganisationName,
+) {
+    let at = now();
+    let due = rounds.next_read.entry(name.clone());
+    let due = due.or_insert(at + READ_PERIOD);
+    if at < *due {
+        return;
+    }
+    *due = at + READ_PERIOD;
+    match (node.platform.store.get)(keys::limit(name)).await {
+        Ok(item) => {
+            if let Some((_, stored)) = item.as_ref().and_then(parse) {
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.adopt_allocations(name, &stored);
+                owned.pass_wanted.notify_one();
+            }
+        }
+        Err(error) => log::debug!("allocations of {name} not read: {error}"),
+    }
+}
+
+/// Answers a request of another instance for a part of an owned cell's allocation.
+pub(crate) async fn answer(node: &Rc<Node>, cell: u32, request: &LimitRequest) -> PeerResponse {
+    let cells = node.cells();
+    let view = cells.and_then(|cells| cells.views.get(cell as usize).cloned());
+    match view.and_then(|view| node.active_cell(&view)) {
+        Some(owned) => give(node, &owned, request).await,
+        None => PeerResponse::NotOwner,
+    }
+}
+
+/// Gives a part of the allocation if it is not needed, and returns the stored allocations.
+pub(crate) async fn give(
+    node: &Rc<Node>,
+    owned: &Rc<OwnedCell>,
+    request: &LimitRequest,
+) -> PeerResponse {
+    let (node, owned, request) = (node.clone(), owned.clone(), request.clone());
+    // The outcome must become known also if the recipient no longer waits.
+    let given = tokio::task::spawn_local(async move {
+        for _ in 0..MAX_ATTEMPTS {
+            if node.failing_since.get().is_some() || !owned.state.limits.takes_write(now()) {
+                break;
+            }
+            let gift = owned.scheduler.borrow_mut().begin_gift(&request);
+            let Some(gift) = gift else {
+                break;
+            };
+            if store(&node, &owned, &gift).await {
+                log_event!(
+                    Event::LimitMoved,
+                    organisation = gift.organisation,
+                    cell = owned.view.number,
+                    to = request.cell,
+                    millionths = gift.moved
+                );
+                break;
+            }
+        }
+        let scheduler = owned.scheduler.borrow();
+        PeerResponse::Limit(scheduler.stored_allocations(&request.organisation))
+    });
+    given.await.unwrap_or(PeerResponse::NotOwner)
+}
+
+/// Sends the transaction of a gift until its outcome is known or the ownership has ended; returns
+/// whether this attempt was stored.
+async fn store(node: &Rc<Node>, owned: &Rc<OwnedCell>, gift: &Gift) -> bool {
+    let txn = transaction(&owned.view.keys, fence_revision(owned), gift);
+    let key = keys::limit(&gift.organisation);
+    let mut answer_lost = false;
+    while !owned.has_ended() {
+        match (node.platform.store.txn)(txn.clone()).await {
+            Ok(reply) if reply.committed => {
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.finish_gift(gift, Some(reply.revision));
+                node.metrics
+                    .limit_moves
+                    .with_label_values(&["stored"])
+                    .inc();
+                return true;
+            }
+            Ok(reply) => {
+                let find = |key: &str| reply.found.iter().find(|item| item.key == key);
+                let holder = find(&owned.view.keys.owner());
+                if holder.is_none_or(|item| item.modified != fence_revision(owned)) {
+                    owned.end_ownership("the owner's key has changed");
+                    return false;
+                }
+                let mut scheduler = owned.scheduler.borrow_mut();
+                if let Some((name, stored)) = find(&key).and_then(parse) {
+                    scheduler.adopt_allocations(&name, &stored);
+                }
+                scheduler.finish_gift(gift, None);
+                node.metrics
+                    .limit_moves
+                    .with_label_values(&["conflict"])
+                    .inc();
+                return false;
+            }
+            Err(StoreError::AnswerLost { .. }) => answer_lost = true,
+            Err(_) if answer_lost => {}
+            Err(error) => {
+                log::debug!("allocation of {} not moved: {error}", gift.organisation);
+                owned.scheduler.borrow_mut().finish_gift(gift, None);
+                return false;
+            }
+        }
+        tokio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+    false
+}
+
+/// Returns the transaction of a gift of a cell, given by its keys and the fencing token.
+#[must_use]
+pub fn transaction(own: &CellKeys, fence: Revision, gift: &Gift) -> Txn {
+    let key = keys::limit(&gift.organisation);
+    let txn = Txn::default().unchanged(own.owner(), fence);
+    let txn = if gift.base == 0 {
+        txn.absent(key.clone())
+    } else {
+        txn.unchanged(key.clone(), gift.base)
+    };
+    let record = LimitRecord {
+        organisation: gift.organisation.clone(),
+        cells: gift.cells.clone(),
+    };
+    txn.or_read(own.owner())
+        .or_read(key.clone())
+        .put(key, encode(&record))
+}
+
+/// Asks all other owners what they use above their allocations of limits that have fallen.
+async fn compare_uses(node: &Rc<Node>, owned: &Rc<OwnedCell>, rounds: &mut Rounds) {
+    let held = owned.scheduler.borrow().held_limits();
+    let at = now();
+    rounds
+        .held_since
+        .retain(|name, _| held.iter().any(|(other, _)| other == name));
+    let version = node
+        .configuration
+        .borrow()
+        .as_ref()
+        .map(|each| each.version);
+    let (Some(cells), Some(version)) = (node.cells(), version) else {
+        return;
+    };
+    if held.is_empty() {
+        return;
+    }
+    let names: Vec<OrganisationName> = held.iter().map(|(name, _)| name.clone()).collect();
+    let others = cells.views.iter().map(|view| view.number);
+    let others = others.filter(|cell| *cell != owned.view.number);
+    let asked: Vec<_> = others
+        .map(|cell| {
+            let (node, request) = (node.clone(), PeerRequest::LimitUse(cell, names.clone()));
+            tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
+        })
+        .collect();
+    let (mut complete, mut sums) = (true, vec![Resources::default(); names.len()]);
+    for answer in asked {
+        match answer.await {
+            Ok(Ok(PeerResponse::LimitUse(seen, uses)))
+                if seen >= version && uses.len() == names.len() =>
+            {
+                let scheduler = owned.scheduler.borrow();
+                for ((sum, name), (allocation, used)) in sums.iter_mut().zip(&names).zip(uses) {
+                    let limit = scheduler.limit(name).unwrap_or_default();
+                    *sum += excess(limit, allocation, used);
+                }
+            }
+            // An owner with an earlier configuration may still start under a higher limit.
+            _ => complete = false,
+        }
+    }
+    for ((name, timeout), sum) in held.into_iter().zip(sums) {
+        let since = *rounds.held_since.entry(name.clone()).or_insert(at);
+        if complete || now() >= since + timeout {
+            let mut scheduler = owned.scheduler.borrow_mut();
+            scheduler.set_excess_elsewhere(&name, sum);
+            drop(scheduler);
+            owned.pass_wanted.notify_one();
+        }
+    }
+    // The next pass asks for another comparison.
+    tokio::time::sleep(ROUND_PERIOD / 2).await;
+}
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -62,6 +62,8 @@
     pub rejected_state: IntGaugeVec,
     /// Jobs passed to another cell, by the number of that cell.
     pub passed_jobs: IntCounterVec,
+    /// Messages and writes about allocations of organisations' limits, by outcome.
+    pub limit_moves: IntCounterVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -164,6 +166,7 @@
             ),
             rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
+            limit_moves: limit_moves(&registry),
             config_version,
             registry,
         }
@@ -171,6 +174,16 @@
 }
 
 /// Creates and registers the counter of jobs that passed to another cell.
+fn limit_moves(registry: &Registry) -> IntCounterVec {
+    let options = Opts::new(
+        "nutmegcart_limit_moves_total",
+        "Requests for allocation of organisations' limits, and writes of donors, by outcome.",
+    );
+    let counter = IntCounterVec::new(options, &["outcome"]).expect("metric name is valid");
+    register(registry, &counter);
+    counter
+}
+
 fn passed_jobs(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_jobs_passed_total",
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -36,6 +36,7 @@
 
 use crate::clock::now;
 use crate::keys::CellKeys;
+use crate::limit_exchange::ExchangeState;
 use crate::metrics::Metrics;
 use crate::owner_history::OwnerHistory;
 use crate::owner_log::OwnerLog;
@@ -160,6 +161,8 @@
     pub stall_log: RefCell<StallLog>,
     /// Semaphores that limit concurrent orders, by worker.
     pub order_slots: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
+    /// Exchange of allocations with other cells.
+    pub limits: ExchangeState,
 }
 
 /// An owner's key that was written.
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -21,6 +21,7 @@
 
 use crate::clock::now;
 use crate::clock::unix_ms;
+use crate::limit_exchange;
 use crate::node::Node;
 use crate::node::OwnedCell;
 use crate::node::configure_scheduler;
@@ -73,6 +74,7 @@
     tokio::task::spawn_local(watch_machines(node.clone(), owned.clone()));
     tokio::task::spawn_local(waves::run(node.clone(), owned.clone()));
     tokio::task::spawn_local(passing::run(node.clone(), owned.clone()));
+    tokio::task::spawn_local(limit_exchange::run(node.clone(), owned.clone()));
 }
 
 /// Reads all keys of the cell, then watches for submitted and cancelled jobs.
@@ -388,6 +390,9 @@
                 (owned.renewed_at.get() + node.settings.lease).saturating_sub(LEASE_MARGIN),
             );
             scheduler.run_pass(at);
+            if scheduler.wants_limits() {
+                owned.state.limits.wanted.notify_one();
+            }
             scheduler.take_actions()
         };
         for action in actions {
--- a/crates/nutmegcart_control/src/ownership.rs
+++ b/crates/nutmegcart_control/src/ownership.rs
@@ -259,7 +259,7 @@
     let mut scheduler = Scheduler::new(node.reloadable.get().jobs, fence, now());
     scheduler.allow_ranges(node.members_read_state());
     if let Some(cells) = node.cells() {
-        scheduler.set_cells(cells.layout.cells());
+        scheduler.set_cells(view.number, cells.layout.cells());
     }
     let owned = Rc::new(OwnedCell {
         view: view.clone(),
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -14,11 +14,14 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use nutmegcart_fleet::Resources;
 use nutmegcart_http::DeliveryError;
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::QueueKey;
+use nutmegcart_jobs::limit_moves::LimitRequest;
+use nutmegcart_jobs::limit_moves::StoredAllocations;
 use nutmegcart_jobs::passing::PoolLoad;
 use nutmegcart_model::OrganisationName;
 use serde::Deserialize;
@@ -33,6 +36,7 @@
 use crate::job_api;
 use crate::job_lookup;
 use crate::job_service::JobService;
+use crate::limit_exchange;
 use crate::node::CellView;
 use crate::node::Node;
 
@@ -95,6 +99,10 @@
     HasEnded(u32, u64, Arc<str>, u64),
     /// Stores a job of an organisation as [`PeerRequest::Submit`] stores others.
     SubmitFor(JobId, Box<AcceptedJob>, u64, OrganisationName),
+    /// Asks the owner of the cell for a part of its allocation of an organisation's limit.
+    Limit(u32, LimitRequest),
+    /// Asks the owner of the cell for its allocations and use of the organisations' limits.
+    LimitUse(u32, Vec<OrganisationName>),
 }
 
 /// The response to a [`PeerRequest`].
@@ -121,6 +129,10 @@
     Status(CellStatus),
     /// The work and capacity of the cell by pool.
     Load(Vec<PoolLoad>),
+    /// The stored allocations of the limit, after what was given.
+    Limit(StoredAllocations),
+    /// The version of the configuration, and allocation in millionths and use by organisation.
+    LimitUse(u64, Vec<(u32, Resources)>),
 }
 
 /// Result of an attempt to cancel a job.
@@ -168,7 +180,20 @@
             PeerResponse::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
         PeerRequest::Load(_) => PeerResponse::Load(scheduler.pool_loads(now())),
+        PeerRequest::LimitUse(_, names) => {
+            let uses = names.iter().map(|name| scheduler.limit_use(name));
+            let version = node
+                .configuration
+                .borrow()
+                .as_ref()
+                .map(|each| each.version);
+            match (version, uses.collect()) {
+                (Some(version), Some(uses)) => PeerResponse::LimitUse(version, uses),
+                _ => PeerResponse::NotOwner,
+            }
+        }
         PeerRequest::Status(..)
+        | PeerRequest::Limit(..)
         | PeerRequest::Submit(..)
         | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
@@ -186,6 +211,8 @@
         | PeerRequest::Waiting(cell, _)
         | PeerRequest::Load(cell)
         | PeerRequest::Status(cell)
+        | PeerRequest::Limit(cell, _)
+        | PeerRequest::LimitUse(cell, _)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
         PeerRequest::Submit(..) | PeerRequest::SubmitFor(..) | PeerRequest::Cancel(..) => None,
@@ -199,8 +226,11 @@
 /// Fails if no owner is known or it does not answer in time.
 pub async fn ask_owner(node: &Rc<Node>, request: &PeerRequest) -> Result<PeerResponse> {
     let view = cell_of(node, request).ok_or(PeerError::NoOwner)?;
-    if node.active_cell(&view).is_some() {
-        return Ok(answer_from_memory(node, request));
+    if let Some(owned) = node.active_cell(&view) {
+        return match request {
+            PeerRequest::Limit(_, request) => Ok(limit_exchange::give(node, &owned, request).await),
+            request => Ok(answer_from_memory(node, request)),
+        };
     }
     let owner = node.owner(view.number).ok_or(PeerError::NoOwner)?;
     if owner.incarnation == node.incarnation {
@@ -308,6 +338,7 @@
             let ended = earlier_owners::answer(node, cell, fence, &name, incarnation);
             PeerResponse::HasEnded(ended)
         }
+        PeerRequest::Limit(cell, request) => limit_exchange::answer(node, cell, &request).await,
         request => answer_from_memory(node, &request),
     };
     match rmp_serde::to_vec(&answer) {
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -42,6 +42,7 @@
     metrics.blocking_workers.with_label_values(&["0"]).set(1);
     metrics.rejected_state.with_label_values(&["0"]).set(1);
     metrics.passed_jobs.with_label_values(&["0"]).inc();
+    metrics.limit_moves.with_label_values(&["given"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -237,6 +237,8 @@
     pub pools: Vec<(PoolName, PoolConfig)>,
     /// Organisations with which a new owner is configured.
     pub organisations: Vec<Organisation>,
+    /// Number of this cell.
+    pub cell: u32,
     /// Number of cells that share the limits of organisations.
     pub cells: u32,
     /// Workers at whose address another one has started, which rejects calls meant for them.
@@ -293,6 +295,7 @@
             queues: Vec::new(),
             pools: Vec::new(),
             organisations: Vec::new(),
+            cell: 0,
             cells: 1,
             reused_addresses: BTreeSet::new(),
             machine_service: MachineService::Answers,
@@ -485,8 +488,8 @@
         let unix = self.unix_ms().saturating_add_signed(clock_ahead);
         let mut scheduler = Scheduler::new(self.settings, fence, self.now);
         scheduler.configure(&self.queues, &self.pools);
+        scheduler.set_cells(self.cell, self.cells);
         scheduler.set_organisations(&self.organisations);
-        scheduler.set_cells(self.cells);
         for (id, (record, revision)) in &self.store.jobs {
             match record {
                 JobRecord::Accepted(accepted) => {
--- a/crates/nutmegcart_jobs/src/fleet_limit.rs
+++ b/crates/nutmegcart_jobs/src/fleet_limit.rs
@@ -45,6 +45,11 @@
     pub allocation: u32,
     /// What may be running in the cell.
     pub used: Resources,
+    /// Part of it that long-running tasks use.
+    pub long_running: Resources,
+    /// What other cells use above their allocations, after the limit has fallen; `None` if that is
+    /// not known, so that nothing may start.
+    pub elsewhere: Option<Resources>,
 }
 
 impl Allowance {
@@ -57,7 +62,7 @@
     /// # use nutmegcart_fleet::Resources;
     /// # use nutmegcart_jobs::fleet_limit::Allowance;
     /// let limit = Resources::new(8_000, 0, 0);
-    /// let part = Allowance { limit, allocation: 500_000, used: Resources::new(3_000, 900, 0) };
+    /// let part = Allowance { limit, allocation: 500_000, used: Resources::new(3_000, 900, 0), long_running: Resources::default(), elsewhere: Some(Resources::default()) };
     /// assert!(part.admits(Resources::new(1_000, 900, 0), 1));
     /// assert!(!part.admits(Resources::new(2_000, 0, 0), 1));
     /// let whole = Allowance { allocation: 1_000_000, ..part };
@@ -65,9 +70,12 @@
     /// ```
     #[must_use]
     pub fn admits(&self, need: Resources, count: u32) -> bool {
+        let Some(elsewhere) = self.elsewhere else {
+            return false;
+        };
         let (all, before) = (u128::from(count), u128::from(count.saturating_sub(1)));
         let majority = self.allocation > WHOLE / 2;
-        let (limit, used) = (amounts(self.limit), amounts(self.used));
+        let (limit, used) = (amounts(self.limit), amounts(self.used + elsewhere));
         let each = limit.into_iter().zip(used).zip(amounts(need));
         let mut limited = each.filter(|((limit, _), _)| *limit > 0);
         limited.all(|((limit, used), need)| {
@@ -88,33 +96,14 @@
 }
 
 /// Limits of the organisations, as the owner of one cell tracks them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FleetLimits {
-    /// Number of cells of the fleet.
-    pub(crate) cells: u32,
-    /// Allocations of this cell that differ from the equal one.
-    pub(crate) moved: BTreeMap<OrganisationName, u32>,
     /// Use of the organisations with limits. A placement pass counts it once and then adds what it
     /// starts.
     allowances: BTreeMap<OrganisationName, Allowance>,
 }
 
-impl Default for FleetLimits {
-    fn default() -> Self {
-        Self {
-            cells: 1,
-            moved: BTreeMap::new(),
-            allowances: BTreeMap::new(),
-        }
-    }
-}
-
 impl FleetLimits {
-    fn allocation(&self, organisation: &OrganisationName) -> u32 {
-        let moved = self.moved.get(organisation).copied();
-        moved.unwrap_or_else(|| equal_allocation(self.cells))
-    }
-
     fn add(&mut self, organisation: Option<&OrganisationName>, used: Resources) {
         let allowance = organisation.and_then(|name| self.allowances.get_mut(name));
         if let Some(allowance) = allowance {
@@ -189,27 +178,37 @@
 }
 
 impl Scheduler {
-    /// Sets the number of cells that share the limits of organisations.
-    pub const fn set_cells(&mut self, cells: u32) {
-        self.limits.cells = cells;
-    }
-
     /// Returns the organisations with a limit, with their use in this cell as of the latest placement
     /// pass.
     pub fn allowances(&self) -> impl Iterator<Item = (&OrganisationName, &Allowance)> {
         self.limits.allowances.iter()
     }
 
+    pub(crate) fn allowance(&self, organisation: &OrganisationName) -> Option<&Allowance> {
+        self.limits.allowances.get(organisation)
+    }
+
+    /// Applies a changed allocation between two passes.
+    pub(crate) fn refresh_allocation(&mut self, organisation: &OrganisationName) {
+        let allocation = self.moves.allocation(organisation);
+        if let Some(allowance) = self.limits.allowances.get_mut(organisation) {
+            allowance.allocation = allocation;
+        }
+    }
+
     /// Counts the use of the organisations with limits, for a placement pass.
     pub(crate) fn count_use(&mut self) {
         let mut limits = std::mem::take(&mut self.limits);
         limits.allowances.clear();
+        self.moves.clear_lacks();
         for (name, organisation) in &self.organisations {
             if organisation.has_limit() {
                 let allowance = Allowance {
                     limit: organisation.limit,
-                    allocation: limits.allocation(name),
+                    allocation: self.moves.allocation(name),
                     used: Resources::default(),
+                    long_running: Resources::default(),
+                    elsewhere: self.moves.elsewhere(name),
                 };
                 limits.allowances.insert(name.clone(), allowance);
             }
@@ -232,6 +231,12 @@
         for worker in self.workers.values() {
             for run in worker.runs.values() {
                 limits.add(run.organisation.as_ref(), run.need);
+                let organisation = run.organisation.as_ref().filter(|_| run.long_running);
+                if let Some(allowance) =
+                    organisation.and_then(|name| limits.allowances.get_mut(name))
+                {
+                    allowance.long_running += run.need;
+                }
             }
             for task in &worker.unknown_tasks {
                 if let Some(job) = self.jobs.get(&task.job) {
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,7 +13,8 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`organisation`], [`fleet_limit`]: organisations that share a deployment, and their limits;
+//! * [`organisation`], [`fleet_limit`], [`limit_moves`]: organisations that share a deployment, their
+//!   limits, and allocations that move between cells;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
@@ -34,6 +35,7 @@
 mod incarnations;
 pub mod job;
 pub mod layout;
+pub mod limit_moves;
 pub mod listing;
 pub mod live_job;
 pub mod machine_orders;
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -179,6 +179,7 @@
         let together = if step.gang { step.count } else { 1 };
         let job = self.jobs.get(&key.job);
         if !job.is_some_and(|job| self.limit_admits(job, &step, together)) {
+            self.record_lack(slots, key, &step, pending);
             return;
         }
         let mut counts = self.runs_per_worker(key);
@@ -191,13 +192,14 @@
         } else {
             None
         };
-        for index in pending {
+        for (placed, index) in pending.iter().enumerate() {
             let task = TaskKey {
                 index: *index,
                 ..key.clone()
             };
             let preferred_rack = step.rack.as_ref().or(main_rack.as_ref());
             if !self.limit_admits_task(&task, &step) {
+                self.record_lack(slots, key, &step, &pending[placed..]);
                 break;
             }
             match self.choose_slot(slots, &task, &step, &counts, preferred_rack, now) {
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -29,6 +29,10 @@
 use crate::job::Queue;
 use crate::job::QueueKey;
 use crate::job::TaskKey;
+use crate::limit_moves::FALL_TIMEOUT;
+use crate::limit_moves::LimitMoves;
+use crate::limit_moves::TAKEOVER_TIMEOUT;
+use crate::limit_moves::has_fallen;
 use crate::listing::MAX_TIME;
 use crate::listing::WorkerListing;
 use crate::live_job::LiveJob;
@@ -64,7 +68,10 @@
     pub(crate) pools: BTreeMap<PoolName, PoolConfig>,
     /// Organisations by name; none if the configuration has none.
     pub(crate) organisations: BTreeMap<OrganisationName, Organisation>,
+    /// Whether a configuration has been applied to this scheduler.
+    has_organisations: bool,
     pub(crate) limits: FleetLimits,
+    pub(crate) moves: LimitMoves,
     /// Moved queues that the stored cell state names.
     pub(crate) stored_moves: BTreeSet<QueueKey>,
     /// Restarted workers that the stored cell state names.
@@ -101,7 +108,9 @@
             queues: HashMap::new(),
             pools: BTreeMap::new(),
             organisations: BTreeMap::new(),
+            has_organisations: false,
             limits: FleetLimits::default(),
+            moves: LimitMoves::default(),
             stored_moves: BTreeSet::new(),
             stored_restarts: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -187,7 +196,24 @@
         let named = organisations
             .iter()
             .map(|each| (each.name.clone(), each.clone()));
-        self.organisations = named.collect();
+        let before = std::mem::replace(&mut self.organisations, named.collect());
+        let first = !std::mem::replace(&mut self.has_organisations, true);
+        for (name, organisation) in &self.organisations {
+            let limit = before.get(name).map(|each| each.limit).unwrap_or_default();
+            if has_fallen(limit, organisation.limit) {
+                let timeout = if first {
+                    TAKEOVER_TIMEOUT
+                } else {
+                    FALL_TIMEOUT
+                };
+                self.moves.hold(name, timeout);
+            }
+        }
+        let organisations = &self.organisations;
+        self.moves.retain(|name| {
+            let organisation = organisations.get(name);
+            organisation.is_some_and(Organisation::has_limit)
+        });
     }
 
     /// Restores the state of the cell that an earlier owner stored.
@@ -474,6 +500,7 @@
 
     /// Applies changes that depend on time alone; to be called at least every 100 ms.
     pub fn tick(&mut self, unix: u64, now: Duration) {
+        self.moves.record_clock(unix, now);
         let scheduled = self
             .jobs
             .values_mut()
--- a/crates/nutmegcart_jobs/tests/fleet_limits.rs
+++ b/crates/nutmegcart_jobs/tests/fleet_limits.rs
@@ -26,6 +26,10 @@
     world.cells = cells;
     world.organisations = vec![organisation(cpu)];
     world.take_over();
+    let owner = world.owners.last_mut().expect("a cell has an owner");
+    owner.scheduler.load_allocations(Vec::new());
+    let nothing = Resources::default();
+    owner.scheduler.set_excess_elsewhere(&NAME.into(), nothing);
     world.run(seconds(0.5));
     world
 }
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -141,6 +141,7 @@
     ConfigViewAge = 755, Warn, "requests are refused while the configuration is read late, or are served again";
     CellStateRejected = 756, Error, "stored state of a cell is too large for the store; final states are stored without it";
     CellStateStored = 757, Info, "state of a cell is stored again";
+    LimitMoved = 760, Info, "part of an organisation's limit moved to another cell";
 }
 
 /// Logs a numbered event with key-value fields.
