Learn configurations from peers while the store fails for an instance

An instance kept its configuration, with revoked keys, for as long as the store refused it, although its peers had read newer versions. While the latest read of operators' records failed, it now asks a peer once a second (up to three in a round, if the store fails for those too), which answers from memory with the stored bytes; these pass the parser of the store's entries, and only a higher version replaces the one in force. An instance that has read no configuration yet asks nobody. Nothing is sent while the store answers.

--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -17,6 +17,8 @@
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
+//! * [`operator_records`]: configurations and waves, from the store or from peers;
+//! * [`api_keys`]: keys of callers;
 //! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
@@ -37,6 +39,7 @@
 pub mod logger;
 pub mod metrics;
 pub mod node;
+pub mod operator_records;
 pub mod owner;
 pub mod owner_history;
 pub mod owner_log;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -37,6 +37,7 @@
 use crate::clock::now;
 use crate::keys::CellKeys;
 use crate::metrics::Metrics;
+use crate::operator_records::StoredConfiguration;
 use crate::owner_history::OwnerHistory;
 use crate::owner_log::OwnerLog;
 use crate::port::Platform;
@@ -346,6 +347,10 @@
     pub cells: RefCell<Option<Rc<Cells>>>,
     /// Configuration in force, once one is known.
     pub configuration: RefCell<Option<Rc<PlatformConfig>>>,
+    /// Entry of the configuration in force, for peers for which the store fails.
+    pub stored_configuration: RefCell<Option<StoredConfiguration>>,
+    /// Whether the latest read of operators' records failed.
+    pub records_failing: Cell<bool>,
     /// When operators' records were last read.
     pub records_view: Cell<ViewTimes>,
     /// Whether requests are refused because the configuration is read late.
@@ -397,6 +402,8 @@
             incarnation,
             cells: RefCell::new(None),
             configuration: RefCell::new(None),
+            stored_configuration: RefCell::new(None),
+            records_failing: Cell::new(false),
             records_view: Cell::default(),
             config_late: Cell::new(false),
             routing: RefCell::new(Rc::default()),
@@ -564,17 +571,20 @@
         Ok(configuration)
     }
 
-    /// Puts a configuration into force unless the current one is as new or newer.
-    pub fn configure(&self, configuration: PlatformConfig) {
-        let newer = {
-            let current = self.configuration.borrow();
-            current
-                .as_ref()
-                .is_none_or(|current| current.version < configuration.version)
-        };
-        if !newer {
-            return;
+    /// Returns the version of the configuration in force.
+    #[must_use]
+    pub fn config_version(&self) -> Option<u64> {
+        let configuration = self.configuration.borrow();
+        configuration.as_ref().map(|each| each.version)
+    }
+
+    /// Puts a configuration into force, and returns true, unless the current one is as new or newer.
+    pub fn configure(&self, configuration: PlatformConfig) -> bool {
+        if self.config_version() >= Some(configuration.version) {
+            return false;
         }
+        let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
+        self.metrics.config_version.set(version);
         log_event!(
             Event::OperatorConfigInForce,
             version = configuration.version,
@@ -589,6 +599,7 @@
             owned.write_wanted.notify_one();
         }
         *self.configuration.borrow_mut() = Some(configuration);
+        true
     }
 }
 
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -35,6 +35,8 @@
 use crate::job_service::JobService;
 use crate::node::CellView;
 use crate::node::Node;
+use crate::operator_records;
+use crate::operator_records::NewerConfiguration;
 
 /// Result of a request to a peer.
 pub type Result<T> = std::result::Result<T, PeerError>;
@@ -95,6 +97,8 @@
     HasEnded(u32, u64, Arc<str>, u64),
     /// Stores a job of an organisation as [`PeerRequest::Submit`] stores others.
     SubmitFor(JobId, Box<AcceptedJob>, u64, OrganisationName),
+    /// Asks for a configuration with a higher version than this one.
+    NewerConfiguration(u64),
 }
 
 /// The response to a [`PeerRequest`].
@@ -121,6 +125,8 @@
     Status(CellStatus),
     /// The work and capacity of the cell by pool.
     Load(Vec<PoolLoad>),
+    /// Whether the receiver has a newer configuration, and which.
+    NewerConfiguration(NewerConfiguration),
 }
 
 /// Result of an attempt to cancel a job.
@@ -173,7 +179,8 @@
         | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
         | PeerRequest::TakeOver(..)
-        | PeerRequest::HasEnded(..) => PeerResponse::NotOwner,
+        | PeerRequest::HasEnded(..)
+        | PeerRequest::NewerConfiguration(_) => PeerResponse::NotOwner,
     }
 }
 
@@ -188,7 +195,10 @@
         | PeerRequest::Status(cell)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
-        PeerRequest::Submit(..) | PeerRequest::SubmitFor(..) | PeerRequest::Cancel(..) => None,
+        PeerRequest::Submit(..)
+        | PeerRequest::SubmitFor(..)
+        | PeerRequest::Cancel(..)
+        | PeerRequest::NewerConfiguration(_) => None,
     }
 }
 
@@ -308,6 +318,9 @@
             let ended = earlier_owners::answer(node, cell, fence, &name, incarnation);
             PeerResponse::HasEnded(ended)
         }
+        PeerRequest::NewerConfiguration(version) => {
+            PeerResponse::NewerConfiguration(operator_records::newer_than(node, version))
+        }
         request => answer_from_memory(node, &request),
     };
     match rmp_serde::to_vec(&answer) {
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -10,12 +10,9 @@
 use crate::job_service::JobService;
 use crate::logger;
 use crate::node::Node;
+use crate::operator_records;
 use crate::ownership;
 use crate::peer;
-use crate::port::OperatorRecord;
-use crate::prefix_watcher::CatchUp;
-use crate::prefix_watcher::KeyChange;
-use crate::prefix_watcher::PrefixWatcher;
 use crate::release;
 
 /// Time after SIGTERM for which new connections may still arrive. The load balancer removes an
@@ -26,7 +23,8 @@
 
 /// Starts the tasks of an instance, except for the servers of the adapter.
 pub fn start(node: &Rc<Node>, service: &JobService) {
-    tokio::task::spawn_local(watch_operator_records(node.clone()));
+    tokio::task::spawn_local(operator_records::watch(node.clone()));
+    tokio::task::spawn_local(operator_records::follow_peers(node.clone()));
     tokio::task::spawn_local(ownership::run(node.clone()));
     tokio::task::spawn_local(serve_peers(node.clone(), service.clone()));
     tokio::task::spawn_local(async {
@@ -50,41 +48,6 @@
     }
 }
 
-/// Watches operators' records and applies configurations and waves.
-async fn watch_operator_records(node: Rc<Node>) {
-    let directory = node.platform.directory.clone();
-    let mut watcher = PrefixWatcher::new(&*directory.operator_prefix);
-    watcher.catch_up = CatchUp::PresentKeys;
-    watcher.last_answer = node.last_answer.clone();
-    loop {
-        let changes = watcher.next(&node.platform.store).await;
-        node.record_store_call(watcher.reachable);
-        for each in changes {
-            let KeyChange::Put(item) = each else {
-                continue;
-            };
-            match (directory.parse_record)(&item) {
-                Ok(OperatorRecord::Configuration(configuration)) => {
-                    node.metrics
-                        .config_version
-                        .set(i64::try_from(configuration.version).unwrap_or(i64::MAX));
-                    node.configure(*configuration);
-                    for view in node.views() {
-                        view.owner_changed.notify_one();
-                    }
-                }
-                Ok(OperatorRecord::Wave(wave)) => {
-                    let mut waves = node.waves.borrow_mut();
-                    waves.retain(|each| each.number != wave.number);
-                    waves.push(wave);
-                }
-                Err(reason) => log_event!(Event::ConfigInvalid, key = item.key, reason = reason),
-            }
-        }
-        node.records_view.set(watcher.view);
-    }
-}
-
 /// Shuts down after SIGTERM: releases the cells, then returns once no request is in progress or
 /// the grace period is nearly over.
 pub async fn shut_down(node: &Rc<Node>) {
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -141,6 +141,8 @@
     ConfigViewAge = 755, Warn, "requests are refused while the configuration is read late, or are served again";
     CellStateRejected = 756, Error, "stored state of a cell is too large for the store; final states are stored without it";
     CellStateStored = 757, Info, "state of a cell is stored again";
+    ConfigFromPeer = 758, Info, "newer configuration learned from a peer while the store fails for this instance";
+    OrganisationInvalid = 759, Error, "organisation of the configuration is not valid; what is wrong with it has no effect";
 }
 
 /// Logs a numbered event with key-value fields.
