Keep jobs of an organisation from callers of others

A caller of one organisation could show, cancel and submit again the jobs of another. Each caller now has an access: all jobs (no organisations in the configuration), those of its organisation, or those without one (a public route without a valid key); others answer NC1411 (403).

- Show: the owner compares the access with the organisation that it knows, in the same message (StateFor); the store's record tells it otherwise.
- Cancel: the record that is read anyway tells; peers get the access.
- Submit: the items that a failed transaction has read tell.
The note of a passed or long-running job's cell names the organisation behind the cell, so it needs no further read.
A request that joins one for the same identifier is answered by the organisation that the store then holds.
- Ended: the final state keeps the organisation behind its record, and the owner's memory of ended jobs too.

A valid key on a public route opens the organisation's own jobs there, since a route may become public while its jobs run.

--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -10,14 +10,21 @@
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
+use nutmegcart_jobs::record::decode_job;
 use nutmegcart_jobs::record::encode_job;
+use nutmegcart_model::Event;
+use nutmegcart_model::OrganisationName;
+use nutmegcart_model::log_event;
+use nutmegcart_platform::KeyValue;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::oneshot;
 
+use crate::access::Access;
 use crate::clock::now;
+use crate::keys;
 use crate::node::Node;
 
 /// Concurrent transactions; further ones would only queue in the store.
@@ -38,6 +45,60 @@
     /// The store did not answer in time; the job may have been stored or may be stored later.
     #[serde(rename = "Unsettled")]
     Unknown,
+    /// The store holds a job with this identifier that the caller has no access to.
+    OtherOrganisation,
+}
+
+/// What a transaction shows about a job.
+#[derive(Clone, Debug)]
+enum Stored {
+    /// The store holds a job of the organisation, if any.
+    Held(Option<OrganisationName>),
+    /// The store holds a job, and its record cannot be read.
+    Unreadable,
+    /// The store refused the job.
+    Refused,
+    /// The store did not answer.
+    Unknown,
+}
+
+impl Stored {
+    fn acceptance(&self, access: &Access) -> Acceptance {
+        match self {
+            Self::Held(holder) if access.permits(holder.as_ref()) => Acceptance::Stored,
+            Self::Held(_) => Acceptance::OtherOrganisation,
+            // Callers without organisations need not know whose job it is.
+            Self::Unreadable if *access == Access::All => Acceptance::Stored,
+            Self::Unreadable | Self::Unknown => Acceptance::Unknown,
+            Self::Refused => Acceptance::NotStored,
+        }
+    }
+}
+
+/// Returns what the items under keys that must not exist tell about the job. The note of a job's cell
+/// names its organisation too.
+fn holder(found: &[KeyValue], insert: &JobInsert) -> Option<Stored> {
+    let items = found
+        .iter()
+        .filter(|item| insert.absent.contains(&item.key));
+    let stored = items.map(|item| {
+        let holder = if keys::is_job_location(&item.key) {
+            keys::location_holder(&item.value)
+        } else {
+            decode_job(&item.value).map(|record| record.organisation().cloned())
+        };
+        holder.map_or_else(
+            |error| {
+                log_event!(Event::JobRecordInvalid, key = item.key, reason = error);
+                Stored::Unreadable
+            },
+            Stored::Held,
+        )
+    });
+    stored.reduce(|one, other| match (&one, &other) {
+        (Stored::Held(Some(_)), _) | (_, Stored::Unreadable) => one,
+        _ => other,
+    })
 }
 
 /// Conditional writes that store a job.
@@ -47,6 +108,8 @@
     pub absent: Vec<String>,
     /// Keys and values to write.
     pub puts: Vec<(String, Vec<u8>)>,
+    /// Organisation of the job, if any.
+    pub organisation: Option<OrganisationName>,
 }
 
 impl JobInsert {
@@ -56,6 +119,7 @@
         Self {
             absent: vec![key.clone()],
             puts: vec![(key, record)],
+            organisation: None,
         }
     }
 
@@ -76,7 +140,7 @@
 struct PendingInsert {
     id: JobId,
     insert: JobInsert,
-    waiters: Vec<oneshot::Sender<Acceptance>>,
+    waiters: Vec<oneshot::Sender<Stored>>,
 }
 
 /// Queue of jobs that are to be stored in batches.
@@ -84,22 +148,24 @@
 pub struct Acceptor {
     queue: RefCell<VecDeque<PendingInsert>>,
     /// Waiters of repeated requests, by job that is queued or in a transaction.
-    joined: RefCell<HashMap<JobId, Vec<oneshot::Sender<Acceptance>>>>,
+    joined: RefCell<HashMap<JobId, Vec<oneshot::Sender<Stored>>>>,
     in_flight: Cell<usize>,
 }
 
 impl Acceptor {
-    /// Makes one attempt to store a job and waits for its result, at most until the deadline.
+    /// Makes one attempt to store a job for a caller with the access, and waits for its result, at most
+    /// until the deadline.
     pub async fn accept(
         self: &Rc<Self>,
         node: &Rc<Node>,
         id: JobId,
         insert: JobInsert,
+        access: &Access,
         deadline: Duration,
     ) -> Acceptance {
         let (sender, receiver) = oneshot::channel();
         if let Some(waiters) = self.joined.borrow_mut().get_mut(&id) {
-            // An earlier request of the caller is already storing the same job.
+            // An earlier request is already storing a job with this identifier.
             waiters.push(sender);
         } else {
             self.joined.borrow_mut().insert(id.clone(), Vec::new());
@@ -112,7 +178,7 @@
         }
         let remaining = deadline.saturating_sub(now());
         match tokio::time::timeout(remaining, receiver).await {
-            Ok(Ok(acceptance)) => acceptance,
+            Ok(Ok(stored)) => stored.acceptance(access),
             Ok(Err(_)) | Err(_) => Acceptance::Unknown,
         }
     }
@@ -154,7 +220,7 @@
             }
         }
         for pending in rejected {
-            self.complete(pending, Acceptance::NotStored);
+            self.complete(pending, &Stored::Refused);
         }
     }
 
@@ -179,17 +245,16 @@
                 Ok(reply) if reply.committed => {
                     node.record_store_call(true);
                     for pending in batch.drain(..) {
-                        self.complete(pending, Acceptance::Stored);
+                        let stored = Stored::Held(pending.insert.organisation.clone());
+                        self.complete(pending, &stored);
                     }
                 }
                 Ok(reply) => {
                     let mut remaining = Vec::new();
                     for pending in batch.drain(..) {
-                        let absent = &pending.insert.absent;
-                        if reply.found.iter().any(|found| absent.contains(&found.key)) {
-                            self.complete(pending, Acceptance::Stored);
-                        } else {
-                            remaining.push(pending);
+                        match holder(&reply.found, &pending.insert) {
+                            Some(stored) => self.complete(pending, &stored),
+                            None => remaining.push(pending),
                         }
                     }
                     batch = remaining;
@@ -201,7 +266,7 @@
                         .with_label_values(&["store_answer_lost"])
                         .inc();
                     for pending in batch.drain(..) {
-                        self.complete(pending, Acceptance::Unknown);
+                        self.complete(pending, &Stored::Unknown);
                     }
                 }
                 Err(StoreError::Rejected { reason }) => {
@@ -213,7 +278,7 @@
                 Err(_) => {
                     node.record_store_call(false);
                     for pending in batch.drain(..) {
-                        self.complete(pending, Acceptance::NotStored);
+                        self.complete(pending, &Stored::Refused);
                     }
                 }
             }
@@ -221,7 +286,7 @@
         Vec::new()
     }
 
-    fn complete(&self, pending: PendingInsert, acceptance: Acceptance) {
+    fn complete(&self, pending: PendingInsert, stored: &Stored) {
         let joined = self
             .joined
             .borrow_mut()
@@ -229,7 +294,7 @@
             .unwrap_or_default();
         for waiter in pending.waiters.into_iter().chain(joined) {
             // If the caller has disconnected, the job stays accepted.
-            let _ = waiter.send(acceptance);
+            let _ = waiter.send(stored.clone());
         }
     }
 }
--- a/crates/nutmegcart_control/src/job_lookup.rs
+++ b/crates/nutmegcart_control/src/job_lookup.rs
@@ -9,7 +9,7 @@
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::record::decode;
 use nutmegcart_jobs::record::decode_job;
-use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::record::encode_job;
 use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
@@ -17,6 +17,7 @@
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 
+use crate::access::Access;
 use crate::caller_request::CallerResponse;
 use crate::caller_request::HELPER_TIMEOUT;
 use crate::caller_request::RETRY_DELAY;
@@ -28,7 +29,6 @@
 use crate::node::Node;
 use crate::peer;
 use crate::peer::Cancellation;
-use crate::peer::PeerRequest;
 use crate::peer::PeerResponse;
 
 /// Where the store holds a job that the cell of its identifier does not hold.
@@ -70,14 +70,19 @@
     node: &Rc<Node>,
     cells: &Cells,
     id: JobId,
+    access: &Access,
     deadline: Duration,
 ) -> CallerResponse {
     let mut view = cells.of_job(&id).clone();
     let mut moved = false;
     let mut asked_others = false;
     loop {
-        match peer::ask_owner(node, &PeerRequest::State(view.number, id.clone())).await {
+        let request = peer::state_request(view.number, &id, access);
+        match peer::ask_owner(node, &request).await {
             Ok(PeerResponse::State(Some(state))) => return CallerResponse::State(state),
+            Ok(PeerResponse::OtherOrganisation) => {
+                return CallerResponse::refused(Code::OtherOrganisation);
+            }
             Ok(_) => {}
             Err(error) => {
                 node.metrics
@@ -88,7 +93,7 @@
             }
         }
         let mut store_error = None;
-        match read_from_store(node, &view, &id).await {
+        match read_from_store(node, &view, &id, access).await {
             Ok(Some(answer)) => return answer,
             Ok(None) if moved => return CallerResponse::NotFound,
             Ok(None) => match location(node, cells, &id).await {
@@ -107,9 +112,9 @@
         };
         log::debug!("cannot read from the store where job {id} is: {error}");
         if !std::mem::replace(&mut asked_others, true)
-            && let Some(state) = state_in_any_cell(node, cells, &id).await
+            && let Some(answer) = state_in_any_cell(node, cells, &id, access).await
         {
-            return CallerResponse::State(state);
+            return answer;
         }
         if now() + RETRY_DELAY >= deadline {
             return CallerResponse::unavailable(Code::StoreUnavailable);
@@ -118,17 +123,26 @@
     }
 }
 
-/// Returns the state of a job if the owner of any cell knows it.
-async fn state_in_any_cell(node: &Rc<Node>, cells: &Cells, id: &JobId) -> Option<JobState> {
+/// Returns the answer about the state of a job if the owner of any cell knows it.
+async fn state_in_any_cell(
+    node: &Rc<Node>,
+    cells: &Cells,
+    id: &JobId,
+    access: &Access,
+) -> Option<CallerResponse> {
     let ask = |view: &Rc<CellView>| {
-        let (node, request) = (node.clone(), PeerRequest::State(view.number, id.clone()));
+        let (node, request) = (node.clone(), peer::state_request(view.number, id, access));
         tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
     };
     let replies: Vec<_> = cells.views.iter().map(ask).collect();
     let mut known = None;
     for task in replies {
-        if let Ok(Ok(PeerResponse::State(Some(state)))) = task.await {
-            known = Some(state);
+        match task.await {
+            Ok(Ok(PeerResponse::State(Some(state)))) => known = Some(CallerResponse::State(state)),
+            Ok(Ok(PeerResponse::OtherOrganisation)) => {
+                known = Some(CallerResponse::refused(Code::OtherOrganisation));
+            }
+            _ => {}
         }
     }
     known
@@ -139,11 +153,15 @@
     node: &Rc<Node>,
     view: &CellView,
     id: &JobId,
+    access: &Access,
 ) -> Result<Option<CallerResponse>, StoreError> {
     let Some(item) = (node.platform.store.get)(view.keys.job(id)).await? else {
         return Ok(None);
     };
     Ok(Some(match decode_job(&item.value) {
+        Ok(record) if !access.permits(record.organisation()) => {
+            CallerResponse::refused(Code::OtherOrganisation)
+        }
         Ok(JobRecord::Ended { how, .. }) => CallerResponse::State(JobState::Ended(how)),
         Ok(JobRecord::Accepted(_)) => CallerResponse::State(JobState::Pending),
         Err(error) => {
@@ -159,6 +177,7 @@
     node: &Rc<Node>,
     cells: &Cells,
     id: JobId,
+    access: &Access,
     deadline: Duration,
 ) -> CallerResponse {
     let cell = cells.of_job(&id).number;
@@ -168,7 +187,7 @@
         let helper = if through_peer { helpers.next() } else { None };
         if let Some(helper) = helper {
             let limit = deadline.saturating_sub(now()).min(HELPER_TIMEOUT);
-            let request = PeerRequest::Cancel(id.clone(), millis(limit));
+            let request = peer::cancellation(&id, access, millis(limit));
             match peer::send(node, helper, &request, limit).await {
                 Ok(PeerResponse::Cancelled(Cancellation::Cancelled)) => {
                     return CallerResponse::Cancelled;
@@ -176,11 +195,14 @@
                 Ok(PeerResponse::Cancelled(Cancellation::NotFound)) => {
                     return CallerResponse::NotFound;
                 }
+                Ok(PeerResponse::Cancelled(Cancellation::OtherOrganisation)) => {
+                    return CallerResponse::refused(Code::OtherOrganisation);
+                }
                 Ok(_) | Err(_) => {}
             }
         } else {
             helpers = node.helpers(cell).into_iter();
-            match try_cancel(node, cells, &id).await {
+            match try_cancel(node, cells, &id, access).await {
                 Ok(Some(answer)) => return answer,
                 Ok(None) => continue,
                 Err(_) => through_peer = true,
@@ -198,15 +220,24 @@
 }
 
 /// Cancels a job on behalf of a peer that does not reach the store.
-pub(crate) async fn cancel_for_peer(node: &Rc<Node>, id: &JobId, limit: Duration) -> Cancellation {
+pub(crate) async fn cancel_for_peer(
+    node: &Rc<Node>,
+    id: &JobId,
+    access: &Access,
+    limit: Duration,
+) -> Cancellation {
     let Some(cells) = node.cells() else {
         return Cancellation::Unknown;
     };
     let deadline = now() + limit;
     while now() < deadline && node.failing_since.get().is_none() {
-        match try_cancel(node, &cells, id).await {
+        match try_cancel(node, &cells, id, access).await {
             Ok(Some(CallerResponse::Cancelled)) => return Cancellation::Cancelled,
             Ok(Some(CallerResponse::NotFound)) => return Cancellation::NotFound,
+            Ok(Some(CallerResponse::Refused {
+                code: Code::OtherOrganisation,
+                ..
+            })) => return Cancellation::OtherOrganisation,
             Ok(None) => {}
             Ok(Some(_)) | Err(_) => break,
         }
@@ -219,6 +250,7 @@
     node: &Rc<Node>,
     cells: &Cells,
     id: &JobId,
+    access: &Access,
 ) -> Result<Option<CallerResponse>, StoreError> {
     let mut key = cells.of_job(id).keys.job(id);
     let mut item = (node.platform.store.get)(key.clone()).await?;
@@ -237,21 +269,25 @@
     let Some(item) = item else {
         return Ok(Some(CallerResponse::NotFound));
     };
-    match decode_job(&item.value) {
+    let organisation = match decode_job(&item.value) {
+        Ok(record) if !access.permits(record.organisation()) => {
+            return Ok(Some(CallerResponse::refused(Code::OtherOrganisation)));
+        }
         Ok(JobRecord::Ended { .. }) => return Ok(Some(CallerResponse::Cancelled)),
-        Ok(JobRecord::Accepted(_)) => {}
+        Ok(JobRecord::Accepted(accepted)) => accepted.organisation,
         Err(error) => {
             log_event!(Event::JobRecordInvalid, job = id, reason = error);
             return Ok(Some(CallerResponse::refused(Code::JobUnreadable)));
         }
-    }
+    };
     let ended = JobRecord::Ended {
         how: FinalState::Cancelled,
         at: unix_ms(),
+        organisation,
     };
     let txn = Txn::default()
         .unchanged(key.clone(), item.modified)
-        .put(key, encode(&ended));
+        .put(key, encode_job(&ended));
     let reply = (node.platform.store.txn)(txn).await?;
     if !reply.committed {
         return Ok(None);
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -9,17 +9,17 @@
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::layout::cell_for_long_running;
-use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::worker::millis;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
-use nutmegcart_model::OrganisationName;
 use nutmegcart_model::log_event;
 
 use crate::acceptor::Acceptance;
 use crate::acceptor::Acceptor;
 use crate::acceptor::JobInsert;
 use crate::acceptor::encode_accepted;
+use crate::access::Access;
+use crate::access::Caller;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::CallerResponse;
 use crate::caller_request::HELPER_TIMEOUT;
@@ -53,27 +53,29 @@
 }
 
 impl JobService {
-    /// Handles a request that belongs to no organisation, and responds within `limit`.
+    /// Handles a request of a caller with access to all jobs, and responds within `limit`.
     pub async fn handle(
         &self,
         node: &Rc<Node>,
         request: CallerRequest,
         limit: Duration,
     ) -> CallerResponse {
-        self.handle_for(node, None, request, limit).await
+        self.handle_for(node, &Caller::default(), request, limit)
+            .await
     }
 
-    /// Handles a request of an organisation, if it belongs to one, and responds within `limit`.
+    /// Handles a request of a caller, and responds within `limit`.
     pub async fn handle_for(
         &self,
         node: &Rc<Node>,
-        organisation: Option<&OrganisationName>,
+        caller: &Caller,
         request: CallerRequest,
         limit: Duration,
     ) -> CallerResponse {
         let start = now();
         let deadline = start + limit.saturating_sub(RESPONSE_MARGIN);
         let kind = request.kind();
+        let access = &caller.access;
         let Some(cells) = node.cells() else {
             return CallerResponse::unavailable(Code::NoConfiguration);
         };
@@ -83,15 +85,18 @@
                 let accepted = AcceptedJob {
                     waited_ms: 0,
                     progress: Vec::new(),
-                    organisation: organisation.cloned(),
+                    organisation: caller.organisation.clone(),
                     queue: (*queue).clone(),
                     at: unix_ms(),
                     job: *job,
                 };
-                self.submit(node, &cells, id, accepted, deadline).await
+                self.submit(node, &cells, id, accepted, access, deadline)
+                    .await
+            }
+            CallerRequest::Show(id) => job_lookup::show(node, &cells, id, access, deadline).await,
+            CallerRequest::Cancel(id) => {
+                job_lookup::cancel(node, &cells, id, access, deadline).await
             }
-            CallerRequest::Show(id) => job_lookup::show(node, &cells, id, deadline).await,
-            CallerRequest::Cancel(id) => job_lookup::cancel(node, &cells, id, deadline).await,
             CallerRequest::Count(queue) => count(node, &cells, &queue).await,
         };
         node.active_requests.set(node.active_requests.get() - 1);
@@ -122,6 +127,7 @@
         cells: &Cells,
         id: JobId,
         accepted: AcceptedJob,
+        access: &Access,
         deadline: Duration,
     ) -> CallerResponse {
         let queue = &accepted.queue;
@@ -147,7 +153,7 @@
         let start = now();
         let tasks: u32 = accepted.job.steps.iter().map(|step| step.count).sum();
         let acceptance = self
-            .store_job(node, cells, &id, (&accepted, &record), deadline)
+            .store_job(node, cells, &id, (&accepted, &record, access), deadline)
             .await;
         let took = now().saturating_sub(start);
         node.metrics.acceptance_latency.observe(took.as_secs_f64());
@@ -173,6 +179,15 @@
                 );
                 CallerResponse::unavailable(Code::StoreUnavailable)
             }
+            Acceptance::OtherOrganisation => {
+                log_event!(
+                    Event::JobRefused,
+                    job = id,
+                    queue = queue.key,
+                    reason = "its identifier is that of another organisation's job"
+                );
+                CallerResponse::refused(Code::OtherOrganisation)
+            }
             Acceptance::Unknown => {
                 log_event!(
                     Event::JobAcceptanceUnknown,
@@ -197,7 +212,7 @@
         node: &Rc<Node>,
         cells: &Cells,
         id: &JobId,
-        (accepted, record): (&AcceptedJob, &[u8]),
+        (accepted, record, access): (&AcceptedJob, &[u8], &Access),
         deadline: Duration,
     ) -> Acceptance {
         let cell = cells.of_job(id).number;
@@ -213,7 +228,7 @@
                     .retries
                     .with_label_values(&["store_through_peer"])
                     .inc();
-                store_through_peer(node, helper, id, accepted, deadline).await
+                store_through_peer(node, helper, id, (accepted, access), deadline).await
             } else {
                 if tried_store {
                     tokio::time::sleep(RETRY_DELAY).await;
@@ -222,12 +237,12 @@
                 tried_store = true;
                 let insert = plan_insert(node, cells, id, accepted, record.to_vec()).await;
                 self.acceptor
-                    .accept(node, id.clone(), insert, deadline)
+                    .accept(node, id.clone(), insert, access, deadline)
                     .await
             };
             through_peer = true;
             match acceptance {
-                Acceptance::Stored => return Acceptance::Stored,
+                Acceptance::Stored | Acceptance::OtherOrganisation => return acceptance,
                 Acceptance::NotStored
                     if !outcome_unknown && tried_store && (exhausted || helpers.len() == 0) =>
                 {
@@ -252,6 +267,7 @@
         node: &Rc<Node>,
         id: JobId,
         accepted: AcceptedJob,
+        access: &Access,
         limit: Duration,
     ) -> Acceptance {
         let Some(cells) = node.cells().filter(|_| node.failing_since.get().is_none()) else {
@@ -263,7 +279,10 @@
         }
         let record = encode_accepted(&accepted);
         let insert = plan_insert(node, &cells, &id, &accepted, record).await;
-        self.acceptor.accept(node, id, insert, now() + limit).await
+        let deadline = now() + limit;
+        self.acceptor
+            .accept(node, id, insert, access, deadline)
+            .await
     }
 }
 
@@ -271,11 +290,11 @@
     node: &Rc<Node>,
     helper: SocketAddr,
     id: &JobId,
-    accepted: &AcceptedJob,
+    (accepted, access): (&AcceptedJob, &Access),
     deadline: Duration,
 ) -> Acceptance {
     let limit = deadline.saturating_sub(now()).min(HELPER_TIMEOUT);
-    let request = peer::submission(id, accepted, millis(limit));
+    let request = peer::submission(id, accepted, access, millis(limit));
     match peer::send(node, helper, &request, limit).await {
         Ok(PeerResponse::Accepted(acceptance)) => acceptance,
         Ok(_) | Err(PeerError::NoOwner | PeerError::Unreachable { .. }) => Acceptance::NotStored,
@@ -301,6 +320,7 @@
 ) -> JobInsert {
     let own = cells.of_job(id);
     let mut insert = JobInsert::new(own.keys.job(id), record);
+    insert.organisation.clone_from(&accepted.organisation);
     if cells.views.len() == 1 {
         return insert;
     }
@@ -316,8 +336,8 @@
         for (key, _) in &mut insert.puts {
             key.clone_from(&elsewhere);
         }
-        let cell = encode(&view.number);
-        insert.puts.push((keys::job_location(id), cell));
+        let location = keys::location_value(view.number, accepted.organisation.as_ref());
+        insert.puts.push((keys::job_location(id), location));
     }
     insert
 }
--- a/crates/nutmegcart_control/src/keys.rs
+++ b/crates/nutmegcart_control/src/keys.rs
@@ -1,11 +1,16 @@
 //! Names of the keys that this program writes to the store.
 
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::record;
+use nutmegcart_model::OrganisationName;
 
 /// Prefix of the keys that all instances watch: addresses of instances, the layout, owners, and
 /// finished parts of waves.
 pub const SHARED_PREFIX: &str = "nutmegcart/instance/";
 
+/// Prefix of the keys that name the cells of jobs.
+const LOCATION_PREFIX: &str = "nutmegcart/placed/";
+
 /// Key of the layout, the division of the fleet into cells.
 #[must_use]
 pub fn layout() -> String {
@@ -39,7 +44,43 @@
 /// Key of the cell of a job that is not in the cell that its identifier determines.
 #[must_use]
 pub fn job_location(id: &JobId) -> String {
-    format!("nutmegcart/placed/{id}")
+    format!("{LOCATION_PREFIX}{id}")
+}
+
+/// Returns whether a key names the cell of a job that is not in the cell of its identifier.
+#[must_use]
+pub fn is_job_location(key: &str) -> bool {
+    key.starts_with(LOCATION_PREFIX)
+}
+
+/// Returns the value that names the cell of a job. The organisation of the job follows the cell, where
+/// versions without organisations do not read.
+///
+/// ```
+/// # use nutmegcart_control::keys::{location_holder, location_value};
+/// # use nutmegcart_jobs::record::decode;
+/// let note = location_value(3, Some(&"ferries".into()));
+/// assert_eq!(decode::<u32>(&note), Ok(3));
+/// assert_eq!(location_holder(&note), Ok(Some("ferries".into())));
+/// assert_eq!(location_holder(&location_value(3, None)), Ok(None));
+/// ```
+#[must_use]
+pub fn location_value(cell: u32, organisation: Option<&OrganisationName>) -> Vec<u8> {
+    let mut bytes = record::encode(&cell);
+    if let Some(organisation) = organisation {
+        bytes.extend(record::encode(organisation));
+    }
+    bytes
+}
+
+/// Returns the organisation of the job whose cell a value names.
+///
+/// # Errors
+///
+/// Fails if the bytes are malformed or a newer program wrote them.
+pub fn location_holder(bytes: &[u8]) -> record::Result<Option<OrganisationName>> {
+    let (_, organisations) = record::decode_extended::<u32, OrganisationName>(bytes)?;
+    Ok(organisations.into_iter().next())
 }
 
 /// A parsed key that all instances watch.
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -18,12 +18,13 @@
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
 //! * [`operator_records`]: configurations and waves, from the store or from peers;
-//! * [`api_keys`]: keys of callers;
+//! * [`api_keys`], [`access`]: keys of callers, and whose jobs they may show and cancel;
 //! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
+pub mod access;
 pub mod api_keys;
 pub mod caller_request;
 pub mod candidate;
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -186,7 +186,9 @@
                 now(),
             );
         }
-        Ok(JobRecord::Ended { how, .. }) => scheduler.record_final_state(&id, how, now()),
+        Ok(JobRecord::Ended {
+            how, organisation, ..
+        }) => scheduler.record_stored_end(&id, how, organisation, now()),
         Err(error) => log_event!(Event::JobRecordInvalid, job = id, reason = error),
     }
 }
--- a/crates/nutmegcart_control/src/passing.rs
+++ b/crates/nutmegcart_control/src/passing.rs
@@ -10,7 +10,6 @@
 use nutmegcart_jobs::passing::CellLoad;
 use nutmegcart_jobs::passing::JobPass;
 use nutmegcart_jobs::passing::PassOutcome;
-use nutmegcart_jobs::record::encode;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
@@ -169,7 +168,10 @@
         .or_read(location.clone())
         .delete(key)
         .put(target_key, encode_accepted(&pass.accepted))
-        .put(location, encode(&pass.cell))
+        .put(
+            location,
+            keys::location_value(pass.cell, pass.accepted.organisation.as_ref()),
+        )
 }
 
 /// Determines the outcome of a pass from the keys that its failed transaction has read; `None` if
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -20,11 +20,12 @@
 use nutmegcart_jobs::JobState;
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::passing::PoolLoad;
-use nutmegcart_model::OrganisationName;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::acceptor::Acceptance;
+use crate::access::Access;
+use crate::access::Caller;
 use crate::cell_status;
 use crate::cell_status::CellStatus;
 use crate::clock::now;
@@ -95,8 +96,12 @@
     /// Asks whether the ownership of a cell with the fencing token has ended, by the name and the
     /// incarnation of the owner.
     HasEnded(u32, u64, Arc<str>, u64),
-    /// Stores a job of an organisation as [`PeerRequest::Submit`] stores others.
-    SubmitFor(JobId, Box<AcceptedJob>, u64, OrganisationName),
+    /// Like [`PeerRequest::Submit`], for a caller whose access is limited.
+    SubmitFor(JobId, Box<AcceptedJob>, u64, Caller),
+    /// Like [`PeerRequest::State`], for a caller whose access is limited.
+    StateFor(u32, JobId, Access),
+    /// Like [`PeerRequest::Cancel`], for a caller whose access is limited.
+    CancelFor(JobId, u64, Access),
     /// Asks for a configuration with a higher version than this one.
     NewerConfiguration(u64),
 }
@@ -127,6 +132,8 @@
     Load(Vec<PoolLoad>),
     /// Whether the receiver has a newer configuration, and which.
     NewerConfiguration(NewerConfiguration),
+    /// The caller has no access to the job.
+    OtherOrganisation,
 }
 
 /// Result of an attempt to cancel a job.
@@ -141,14 +148,43 @@
     /// The attempt failed or its outcome is unknown.
     #[serde(rename = "Unsettled")]
     Unknown,
+    /// The caller has no access to the job.
+    OtherOrganisation,
 }
 
+// Requests of callers with access to all jobs have a form that earlier versions read.
+
 /// Returns the request to store a job, with a time limit in milliseconds.
-pub(crate) fn submission(id: &JobId, accepted: &AcceptedJob, limit_ms: u64) -> PeerRequest {
+pub(crate) fn submission(
+    id: &JobId,
+    accepted: &AcceptedJob,
+    access: &Access,
+    limit_ms: u64,
+) -> PeerRequest {
     let job = Box::new(accepted.clone());
-    match &accepted.organisation {
-        Some(name) => PeerRequest::SubmitFor(id.clone(), job, limit_ms, name.clone()),
-        None => PeerRequest::Submit(id.clone(), job, limit_ms),
+    if *access == Access::All {
+        return PeerRequest::Submit(id.clone(), job, limit_ms);
+    }
+    let caller = Caller {
+        organisation: accepted.organisation.clone(),
+        access: access.clone(),
+    };
+    PeerRequest::SubmitFor(id.clone(), job, limit_ms, caller)
+}
+
+/// Returns the request for the state of a job.
+pub(crate) fn state_request(cell: u32, id: &JobId, access: &Access) -> PeerRequest {
+    match access {
+        Access::All => PeerRequest::State(cell, id.clone()),
+        _ => PeerRequest::StateFor(cell, id.clone(), access.clone()),
+    }
+}
+
+/// Returns the request to cancel a job, with a time limit in milliseconds.
+pub(crate) fn cancellation(id: &JobId, access: &Access, limit_ms: u64) -> PeerRequest {
+    match access {
+        Access::All => PeerRequest::Cancel(id.clone(), limit_ms),
+        _ => PeerRequest::CancelFor(id.clone(), limit_ms, access.clone()),
     }
 }
 
@@ -165,6 +201,13 @@
     let scheduler = owned.scheduler.borrow();
     match request {
         PeerRequest::State(_, id) => PeerResponse::State(scheduler.job_state(id)),
+        PeerRequest::StateFor(_, id, access) => {
+            if access.permits(scheduler.job_organisation(id)) {
+                PeerResponse::State(scheduler.job_state(id))
+            } else {
+                PeerResponse::OtherOrganisation
+            }
+        }
         PeerRequest::LongRunning(_) => {
             let workers = scheduler.long_running_workers();
             PeerResponse::LongRunning(u64::try_from(workers).unwrap_or(u64::MAX))
@@ -178,6 +221,7 @@
         | PeerRequest::Submit(..)
         | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
+        | PeerRequest::CancelFor(..)
         | PeerRequest::TakeOver(..)
         | PeerRequest::HasEnded(..)
         | PeerRequest::NewerConfiguration(_) => PeerResponse::NotOwner,
@@ -189,6 +233,7 @@
     let cells = node.cells()?;
     match request {
         PeerRequest::State(cell, _)
+        | PeerRequest::StateFor(cell, ..)
         | PeerRequest::LongRunning(cell)
         | PeerRequest::Waiting(cell, _)
         | PeerRequest::Load(cell)
@@ -198,6 +243,7 @@
         PeerRequest::Submit(..)
         | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
+        | PeerRequest::CancelFor(..)
         | PeerRequest::NewerConfiguration(_) => None,
     }
 }
@@ -300,16 +346,24 @@
     let answer = match request {
         PeerRequest::Submit(id, accepted, limit) => {
             let limit = Duration::from_millis(limit);
-            PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
+            let stored = service.store_for_peer(node, id, *accepted, &Access::All, limit);
+            PeerResponse::Accepted(stored.await)
         }
-        PeerRequest::SubmitFor(id, mut accepted, limit, organisation) => {
+        PeerRequest::SubmitFor(id, mut accepted, limit, caller) => {
             let limit = Duration::from_millis(limit);
-            accepted.organisation = Some(organisation);
-            PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
+            accepted.organisation = caller.organisation;
+            let stored = service.store_for_peer(node, id, *accepted, &caller.access, limit);
+            PeerResponse::Accepted(stored.await)
         }
         PeerRequest::Cancel(id, limit) => {
             let limit = Duration::from_millis(limit);
-            PeerResponse::Cancelled(job_lookup::cancel_for_peer(node, &id, limit).await)
+            let cancelled = job_lookup::cancel_for_peer(node, &id, &Access::All, limit);
+            PeerResponse::Cancelled(cancelled.await)
+        }
+        PeerRequest::CancelFor(id, limit, access) => {
+            let limit = Duration::from_millis(limit);
+            let cancelled = job_lookup::cancel_for_peer(node, &id, &access, limit);
+            PeerResponse::Cancelled(cancelled.await)
         }
         PeerRequest::TakeOver(cell, fence) => {
             PeerResponse::Taken(handoff::accept_handoff(node, cell, fence).await)
--- a/crates/nutmegcart_control/src/routing.rs
+++ b/crates/nutmegcart_control/src/routing.rs
@@ -6,8 +6,9 @@
 
 use nutmegcart_jobs::Queue;
 use nutmegcart_jobs::QueueKey;
-use nutmegcart_model::OrganisationName;
 
+use crate::access::Access;
+use crate::access::Caller;
 use crate::api_keys;
 use crate::api_keys::ApiKeys;
 use crate::port::PlatformConfig;
@@ -57,20 +58,30 @@
         Self { hosts, keys }
     }
 
-    /// Returns the organisation of a request on a route; none if the route needs no key.
+    /// Returns the caller of a request on a route.
+    ///
+    /// A public route needs no key, and jobs submitted there belong to no organisation. A valid key still
+    /// opens the organisation's own jobs there: a route may become public while its jobs run.
     ///
     /// # Errors
     ///
     /// Fails if the route needs a key and `key` is not that of one organisation.
-    pub fn organisation(
-        &self,
-        route: &Route,
-        key: Option<&str>,
-    ) -> api_keys::Result<Option<OrganisationName>> {
-        match &self.keys {
-            Some(keys) if !route.public => keys.organisation(key).map(Some),
-            _ => Ok(None),
-        }
+    pub fn caller(&self, route: &Route, key: Option<&str>) -> api_keys::Result<Caller> {
+        let Some(keys) = &self.keys else {
+            return Ok(Caller::default());
+        };
+        let organisation = match keys.organisation(key) {
+            Ok(organisation) => Some(organisation),
+            Err(_) if route.public => None,
+            Err(code) => return Err(code),
+        };
+        let access = organisation
+            .clone()
+            .map_or(Access::Public, Access::Organisation);
+        Ok(Caller {
+            organisation: organisation.filter(|_| !route.public),
+            access,
+        })
     }
 
     /// Returns the queue with exactly this host and prefix.
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -10,7 +10,7 @@
 use nutmegcart_jobs::JobKeyState;
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::record::decode;
-use nutmegcart_jobs::record::encode;
+use nutmegcart_jobs::record::encode_job;
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
@@ -69,10 +69,11 @@
         let record = JobRecord::Ended {
             how: write.how,
             at: unix_ms(),
+            organisation: write.organisation.clone(),
         };
         txn = txn
             .unchanged(key.clone(), write.revision)
-            .put(key.clone(), encode(&record))
+            .put(key.clone(), encode_job(&record))
             .or_read(key);
     }
     for id in &flush.expired {
--- a/crates/nutmegcart_control/tests/accept.rs
+++ b/crates/nutmegcart_control/tests/accept.rs
@@ -11,6 +11,7 @@
 
 use nutmegcart_control::Node;
 use nutmegcart_control::acceptor::Acceptance;
+use nutmegcart_control::access::Access;
 use nutmegcart_control::caller_request::CallerRequest;
 use nutmegcart_control::caller_request::CallerResponse;
 use nutmegcart_control::job_service::JobService;
@@ -363,7 +364,9 @@
         let service = JobService::default();
         let request = CallerRequest::Submit(queue(), id.clone(), job);
         let answer = service.handle(&node, request, limit).await;
-        let for_peer = service.store_for_peer(&node, id, accepted, limit).await;
+        let for_peer = service
+            .store_for_peer(&node, id, accepted, &Access::All, limit)
+            .await;
         (answer, for_peer)
     });
     let error = JobError::Dependency { step: 0, on: 3 };
--- a/crates/nutmegcart_control/tests/passing.rs
+++ b/crates/nutmegcart_control/tests/passing.rs
@@ -182,7 +182,11 @@
             Step::WriteCancel => {
                 let (key, modified) = self.read.clone().expect("the job is stored somewhere");
                 let how = FinalState::Cancelled;
-                let ended = JobRecord::Ended { how, at: 1 };
+                let ended = JobRecord::Ended {
+                    how,
+                    at: 1,
+                    organisation: None,
+                };
                 let txn = Txn::default()
                     .unchanged(key.clone(), modified)
                     .put(key, encode(&ended));
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -424,13 +424,15 @@
 
     /// Stores the cancellation of a job that has not ended, and notifies the owners.
     pub fn cancel(&mut self, id: &JobId) {
-        let Some((JobRecord::Accepted(_), _)) = self.store.jobs.get(id) else {
+        let Some((JobRecord::Accepted(accepted), _)) = self.store.jobs.get(id) else {
             return;
         };
+        let organisation = accepted.organisation.clone();
         self.store.revision += 1;
         let record = JobRecord::Ended {
             how: FinalState::Cancelled,
             at: self.unix_ms(),
+            organisation,
         };
         self.store
             .jobs
@@ -483,7 +485,9 @@
                 JobRecord::Accepted(accepted) => {
                     scheduler.add_job(id, (**accepted).clone(), *revision, true, unix, self.now);
                 }
-                JobRecord::Ended { how, .. } => scheduler.record_final_state(id, *how, self.now),
+                JobRecord::Ended {
+                    how, organisation, ..
+                } => scheduler.record_stored_end(id, *how, organisation.clone(), self.now),
             }
         }
         if let Some(state) = &self.store.state {
--- a/crates/nutmegcart_fakes/src/cell/transactions.rs
+++ b/crates/nutmegcart_fakes/src/cell/transactions.rs
@@ -50,7 +50,11 @@
         self.store.revision += 1;
         let (revision, at) = (self.store.revision, self.unix_ms());
         for write in &flush.finals {
-            let record = JobRecord::Ended { how: write.how, at };
+            let record = JobRecord::Ended {
+                how: write.how,
+                at,
+                organisation: write.organisation.clone(),
+            };
             self.store
                 .jobs
                 .insert(write.job.clone(), (record, revision));
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use nutmegcart_model::Event;
+use nutmegcart_model::OrganisationName;
 use nutmegcart_model::WorkerId;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::Revision;
@@ -51,6 +52,8 @@
     pub revision: Revision,
     /// Final state to store.
     pub how: FinalState,
+    /// Organisation of the job, which stays with the final state.
+    pub organisation: Option<OrganisationName>,
 }
 
 /// A transaction of the cell's owner.
@@ -107,7 +110,7 @@
     pub(crate) jobs_with_ends: HashSet<JobId>,
     in_flight: Option<InFlight>,
     /// Stored final states, for requests about jobs that are no longer live.
-    ended: HashMap<JobId, FinalState>,
+    ended: HashMap<JobId, EndedJob>,
     /// Ended jobs with the time at which their end was stored, oldest first.
     expiry: VecDeque<(Duration, JobId)>,
     /// Ended jobs whose retention time has expired.
@@ -128,6 +131,13 @@
     rejected_finals: bool,
 }
 
+/// A job whose final state is stored.
+#[derive(Clone, Debug)]
+pub(crate) struct EndedJob {
+    pub(crate) how: FinalState,
+    pub(crate) organisation: Option<OrganisationName>,
+}
+
 /// What the transaction in flight stores.
 #[derive(Clone, Debug, Default)]
 struct InFlight {
@@ -174,15 +184,15 @@
         self.jobs_with_ends.insert(task.job.clone());
     }
 
-    pub(crate) fn record_ended(&mut self, id: &JobId, how: FinalState, now: Duration) {
-        if self.ended.insert(id.clone(), how).is_none() {
+    pub(crate) fn record_ended(&mut self, id: &JobId, ended: EndedJob, now: Duration) {
+        if self.ended.insert(id.clone(), ended).is_none() {
             self.expiry.push_back((now, id.clone()));
         }
         self.jobs_with_ends.remove(id);
     }
 
-    pub(crate) fn ended(&self, id: &JobId) -> Option<FinalState> {
-        self.ended.get(id).copied()
+    pub(crate) fn ended(&self, id: &JobId) -> Option<&EndedJob> {
+        self.ended.get(id)
     }
 
     pub(crate) fn expire(&mut self, retention: Duration, now: Duration) {
@@ -226,6 +236,7 @@
                 job: id,
                 revision: job.revision,
                 how,
+                organisation: job.accepted.organisation.clone(),
             });
         }
         let removable = if flush.finals.is_empty() {
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -90,9 +90,23 @@
         how: FinalState,
         /// When it ended, in milliseconds since 1970.
         at: u64,
+        /// Organisation that it belonged to, if any.
+        #[serde(skip)]
+        organisation: Option<OrganisationName>,
     },
 }
 
+impl JobRecord {
+    /// Returns the organisation that the job belongs to, if any.
+    #[must_use]
+    pub const fn organisation(&self) -> Option<&OrganisationName> {
+        match self {
+            Self::Accepted(accepted) => accepted.organisation.as_ref(),
+            Self::Ended { organisation, .. } => organisation.as_ref(),
+        }
+    }
+}
+
 /// An accepted job with its queue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AcceptedJob {
@@ -278,16 +292,16 @@
 /// # use nutmegcart_jobs::FinalState;
 /// # use nutmegcart_jobs::JobRecord;
 /// # use nutmegcart_jobs::record::{decode_job, encode, encode_job};
-/// let record = JobRecord::Ended { how: FinalState::Completed, at: 7 };
+/// let how = FinalState::Completed;
+/// let record = JobRecord::Ended { how, at: 7, organisation: None };
 /// assert_eq!(encode_job(&record), encode(&record));
-/// assert_eq!(decode_job(&encode_job(&record)).unwrap(), record);
+/// let owned = JobRecord::Ended { how, at: 7, organisation: Some("ferries".into()) };
+/// assert_eq!(decode_job(&encode_job(&owned)).unwrap(), owned);
 /// ```
 #[must_use]
 pub fn encode_job(record: &JobRecord) -> Vec<u8> {
     let mut bytes = encode(record);
-    if let JobRecord::Accepted(accepted) = record
-        && let Some(organisation) = &accepted.organisation
-    {
+    if let Some(organisation) = record.organisation() {
         bytes.extend(encode(organisation));
     }
     bytes
@@ -300,8 +314,10 @@
 /// Fails if the bytes are malformed or a newer program wrote them.
 pub fn decode_job(bytes: &[u8]) -> Result<JobRecord> {
     let (mut record, organisations) = decode_extended::<JobRecord, OrganisationName>(bytes)?;
-    if let JobRecord::Accepted(accepted) = &mut record {
-        accepted.organisation = organisations.into_iter().next();
+    let stored = organisations.into_iter().next();
+    match &mut record {
+        JobRecord::Accepted(accepted) => accepted.organisation = stored,
+        JobRecord::Ended { organisation, .. } => *organisation = stored,
     }
     Ok(record)
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::assignments::Assignments;
 use crate::backoff::Backoffs;
 use crate::estimate::Estimates;
+use crate::flush::EndedJob;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
 use crate::job::Queue;
@@ -327,7 +328,20 @@
     /// Records that the store holds the final state of a job, written by this owner or by a cancel
     /// request.
     pub fn record_final_state(&mut self, id: &JobId, how: FinalState, now: Duration) {
-        self.flush_queue.record_ended(id, how, now);
+        let organisation = self.job_organisation(id).cloned();
+        self.record_stored_end(id, how, organisation, now);
+    }
+
+    /// Records a final state that was read from the store with the job's organisation.
+    pub fn record_stored_end(
+        &mut self,
+        id: &JobId,
+        how: FinalState,
+        organisation: Option<OrganisationName>,
+        now: Duration,
+    ) {
+        let ended = EndedJob { how, organisation };
+        self.flush_queue.record_ended(id, ended, now);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -347,7 +361,16 @@
     #[must_use]
     pub fn job_state(&self, id: &JobId) -> Option<JobState> {
         let live = self.jobs.get(id).map(LiveJob::state);
-        live.or_else(|| self.flush_queue.ended(id).map(JobState::Ended))
+        live.or_else(|| Some(JobState::Ended(self.flush_queue.ended(id)?.how)))
+    }
+
+    /// Returns the organisation that a known job belongs to, if any.
+    #[must_use]
+    pub fn job_organisation(&self, id: &JobId) -> Option<&OrganisationName> {
+        match self.jobs.get(id) {
+            Some(job) => job.accepted.organisation.as_ref(),
+            None => self.flush_queue.ended(id)?.organisation.as_ref(),
+        }
     }
 
     /// Returns the number of accepted jobs of a queue of which no task has started.
--- a/crates/nutmegcart_jobs/tests/lasting_overload.rs
+++ b/crates/nutmegcart_jobs/tests/lasting_overload.rs
@@ -101,7 +101,7 @@
 }
 
 fn value_of(world: &CellSimulation, job: &Submitted) -> f64 {
-    let Some((JobRecord::Ended { how, at }, _)) = world.store.jobs.get(&job.id) else {
+    let Some((JobRecord::Ended { how, at, .. }, _)) = world.store.jobs.get(&job.id) else {
         return 0.0;
     };
     assert_eq!(*how, FinalState::Completed);
