--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -18,11 +18,14 @@
 //! * [`keys`], [`prefix_watcher`]: names of keys in the store, and watching them;
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
+//! * [`operator_records`]: configurations and waves, from the store or from peers;
+//! * [`api_keys`], [`access`]: keys of callers, and whose jobs they may show and cancel;
 //! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
 //! * [`clock`], [`logger`], [`metrics`]: infrastructure.
 
 pub mod acceptor;
+pub mod access;
 pub mod api_keys;
 pub mod caller_request;
 pub mod candidate;
@@ -39,6 +42,7 @@
 pub mod logger;
 pub mod metrics;
 pub mod node;
+pub mod operator_records;
 pub mod owner;
 pub mod owner_history;
 pub mod owner_log;
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -28,6 +28,8 @@
 use serde::Serialize;
 
 use crate::acceptor::Acceptance;
+use crate::access::Access;
+use crate::access::Caller;
 use crate::cell_status;
 use crate::cell_status::CellStatus;
 use crate::clock::now;
@@ -39,6 +41,8 @@
 use crate::limit_exchange;
 use crate::node::CellView;
 use crate::node::Node;
+use crate::operator_records;
+use crate::operator_records::NewerConfiguration;
 
 /// Result of a request to a peer.
 pub type Result<T> = std::result::Result<T, PeerError>;
@@ -97,12 +101,18 @@
     /// Asks whether the ownership of a cell with the fencing token has ended, by the name and the
     /// incarnation of the owner.
     HasEnded(u32, u64, Arc<str>, u64),
-    /// Stores a job of an organisation as [`PeerRequest::Submit`] stores others.
-    SubmitFor(JobId, Box<AcceptedJob>, u64, OrganisationName),
     /// Asks the owner of the cell for a part of its allocation of an organisation's limit.
     Limit(u32, LimitRequest),
     /// Asks the owner of the cell for its allocations and use of the organisations' limits.
     LimitUse(u32, Vec<OrganisationName>),
+    /// Like [`PeerRequest::Submit`], for a caller whose access is limited.
+    SubmitFor(JobId, Box<AcceptedJob>, u64, Caller),
+    /// Like [`PeerRequest::State`], for a caller whose access is limited.
+    StateFor(u32, JobId, Access),
+    /// Like [`PeerRequest::Cancel`], for a caller whose access is limited.
+    CancelFor(JobId, u64, Access),
+    /// Asks for a configuration with a higher version than this one.
+    NewerConfiguration(u64),
 }
 
 /// The response to a [`PeerRequest`].
@@ -133,6 +143,10 @@
     Limit(StoredAllocations),
     /// The version of the configuration, and allocation in millionths and use by organisation.
     LimitUse(u64, Vec<(u32, Resources)>),
+    /// Whether the receiver has a newer configuration, and which.
+    NewerConfiguration(NewerConfiguration),
+    /// The caller has no access to the job.
+    OtherOrganisation,
 }
 
 /// Result of an attempt to cancel a job.
@@ -147,14 +161,43 @@
     /// The attempt failed or its outcome is unknown.
     #[serde(rename = "Unsettled")]
     Unknown,
+    /// The caller has no access to the job.
+    OtherOrganisation,
 }
 
+// Requests of callers with access to all jobs have a form that earlier versions read.
+
 /// Returns the request to store a job, with a time limit in milliseconds.
-pub(crate) fn submission(id: &JobId, accepted: &AcceptedJob, limit_ms: u64) -> PeerRequest {
+pub(crate) fn submission(
+    id: &JobId,
+    accepted: &AcceptedJob,
+    access: &Access,
+    limit_ms: u64,
+) -> PeerRequest {
     let job = Box::new(accepted.clone());
-    match &accepted.organisation {
-        Some(name) => PeerRequest::SubmitFor(id.clone(), job, limit_ms, name.clone()),
-        None => PeerRequest::Submit(id.clone(), job, limit_ms),
+    if *access == Access::All {
+        return PeerRequest::Submit(id.clone(), job, limit_ms);
+    }
+    let caller = Caller {
+        organisation: accepted.organisation.clone(),
+        access: access.clone(),
+    };
+    PeerRequest::SubmitFor(id.clone(), job, limit_ms, caller)
+}
+
+/// Returns the request for the state of a job.
+pub(crate) fn state_request(cell: u32, id: &JobId, access: &Access) -> PeerRequest {
+    match access {
+        Access::All => PeerRequest::State(cell, id.clone()),
+        _ => PeerRequest::StateFor(cell, id.clone(), access.clone()),
+    }
+}
+
+/// Returns the request to cancel a job, with a time limit in milliseconds.
+pub(crate) fn cancellation(id: &JobId, access: &Access, limit_ms: u64) -> PeerRequest {
+    match access {
+        Access::All => PeerRequest::Cancel(id.clone(), limit_ms),
+        _ => PeerRequest::CancelFor(id.clone(), limit_ms, access.clone()),
     }
 }
 
@@ -171,6 +214,13 @@
     let scheduler = owned.scheduler.borrow();
     match request {
         PeerRequest::State(_, id) => PeerResponse::State(scheduler.job_state(id)),
+        PeerRequest::StateFor(_, id, access) => {
+            if access.permits(scheduler.job_organisation(id)) {
+                PeerResponse::State(scheduler.job_state(id))
+            } else {
+                PeerResponse::OtherOrganisation
+            }
+        }
         PeerRequest::LongRunning(_) => {
             let workers = scheduler.long_running_workers();
             PeerResponse::LongRunning(u64::try_from(workers).unwrap_or(u64::MAX))
@@ -197,8 +247,10 @@
         | PeerRequest::Submit(..)
         | PeerRequest::SubmitFor(..)
         | PeerRequest::Cancel(..)
+        | PeerRequest::CancelFor(..)
         | PeerRequest::TakeOver(..)
-        | PeerRequest::HasEnded(..) => PeerResponse::NotOwner,
+        | PeerRequest::HasEnded(..)
+        | PeerRequest::NewerConfiguration(_) => PeerResponse::NotOwner,
     }
 }
 
@@ -207,6 +259,7 @@
     let cells = node.cells()?;
     match request {
         PeerRequest::State(cell, _)
+        | PeerRequest::StateFor(cell, ..)
         | PeerRequest::LongRunning(cell)
         | PeerRequest::Waiting(cell, _)
         | PeerRequest::Load(cell)
@@ -215,7 +268,11 @@
         | PeerRequest::LimitUse(cell, _)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
-        PeerRequest::Submit(..) | PeerRequest::SubmitFor(..) | PeerRequest::Cancel(..) => None,
+        PeerRequest::Submit(..)
+        | PeerRequest::SubmitFor(..)
+        | PeerRequest::Cancel(..)
+        | PeerRequest::CancelFor(..)
+        | PeerRequest::NewerConfiguration(_) => None,
     }
 }
 
@@ -320,16 +377,24 @@
     let answer = match request {
         PeerRequest::Submit(id, accepted, limit) => {
             let limit = Duration::from_millis(limit);
-            PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
+            let stored = service.store_for_peer(node, id, *accepted, &Access::All, limit);
+            PeerResponse::Accepted(stored.await)
         }
-        PeerRequest::SubmitFor(id, mut accepted, limit, organisation) => {
+        PeerRequest::SubmitFor(id, mut accepted, limit, caller) => {
             let limit = Duration::from_millis(limit);
-            accepted.organisation = Some(organisation);
-            PeerResponse::Accepted(service.store_for_peer(node, id, *accepted, limit).await)
+            accepted.organisation = caller.organisation;
+            let stored = service.store_for_peer(node, id, *accepted, &caller.access, limit);
+            PeerResponse::Accepted(stored.await)
         }
         PeerRequest::Cancel(id, limit) => {
             let limit = Duration::from_millis(limit);
-            PeerResponse::Cancelled(job_lookup::cancel_for_peer(node, &id, limit).await)
+            let cancelled = job_lookup::cancel_for_peer(node, &id, &Access::All, limit);
+            PeerResponse::Cancelled(cancelled.await)
+        }
+        PeerRequest::CancelFor(id, limit, access) => {
+            let limit = Duration::from_millis(limit);
+            let cancelled = job_lookup::cancel_for_peer(node, &id, &access, limit);
+            PeerResponse::Cancelled(cancelled.await)
         }
         PeerRequest::TakeOver(cell, fence) => {
             PeerResponse::Taken(handoff::accept_handoff(node, cell, fence).await)
@@ -339,6 +404,9 @@
             PeerResponse::HasEnded(ended)
         }
         PeerRequest::Limit(cell, request) => limit_exchange::answer(node, cell, &request).await,
+        PeerRequest::NewerConfiguration(version) => {
+            PeerResponse::NewerConfiguration(operator_records::newer_than(node, version))
+        }
         request => answer_from_memory(node, &request),
     };
     match rmp_serde::to_vec(&answer) {
