--- a/crates/nutmegcart/tests/support/mod.rs
+++ b/crates/nutmegcart/tests/support/mod.rs
@@ -38,6 +38,10 @@
     }
 
     pub fn start_with(settings: Value) -> Self {
+        Self::start_with_options(settings, &[])
+    }
+
+    pub fn start_with_options(settings: Value, options: &[&str]) -> Self {
         let number = PROCESSES.fetch_add(1, Ordering::Relaxed);
         let directory = format!("nutmegcart-process-{}-{number}", std::process::id());
         let directory = std::env::temp_dir().join(directory);
@@ -46,6 +50,7 @@
         fs::write(&file, settings.to_string()).expect("the settings are written");
         let child = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
             .arg("manage")
+            .args(options)
             .env("NUTMEGCART_SETTINGS", &file)
             .stdout(File::create(directory.join("log")).expect("a log"))
             .spawn()
