Bound what clients hold of a process, on every listener

Cause: connections were not bounded, each body was buffered as it arrived in pieces of its own, no budget was shared between requests, peers had no timeout for bodies, and timeouts of the configuration were not used.

Change: callers, peers, readiness and metrics are served by nutmegcart_http::serve_clients, which shares one ClientGuard. - Buffers of connections, bodies and responses are reserved in one byte budget. A body is kept in one buffer that grows with what arrives; an announced length reserves nothing. A body counts four times while its request is handled. - Above seven eighths of a limit, connections of addresses over their share are closed down to six eighths, by bytes held times time. A request that is being handled is never among them. - Connections are bounded for callers, for peers and operators, and for probes. - header-timeout-ms, idle-timeout-ms and max-header-bytes of the configuration are honoured; a body or an unread response below the minimum data rate over a window is ended (NC1407, or closed). - Settings in `limits`, checked at start, with defaults from memory-mb and max-fds; metrics, event 770, `nutmegcart status`, docs/OPERATIONS.md.

--- a/crates/nutmegcart/src/cell_table.rs
+++ b/crates/nutmegcart/src/cell_table.rs
@@ -61,6 +61,13 @@
 /// Prints a table of the cells, then why a cell is unknown and which jobs are stalled.
 pub fn print(answer: &Value) {
     println!("{}: ready {}", text(&answer["instance"]), answer["ready"]);
+    let clients = &answer["clients"];
+    if clients.is_object() {
+        println!(
+            "clients: {} connections hold {} of {} B; {} refused or closed by limits",
+            clients["connections"], clients["bytes"], clients["max_bytes"], clients["closed"]
+        );
+    }
     let cells = answer["cells"].as_array().cloned().unwrap_or_default();
     table::print(&TITLES, &cells.iter().map(row).collect::<Vec<_>>());
     for report in &cells {
--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clients::ClientsReport;
 use crate::clock::now;
 use crate::node::CellView;
 use crate::node::Cells;
@@ -90,6 +91,8 @@
     pub instance: Arc<str>,
     /// Whether it is ready for callers.
     pub ready: bool,
+    /// What clients hold of this instance.
+    pub clients: ClientsReport,
     /// The cells by number.
     pub cells: Vec<CellReport>,
 }
@@ -164,6 +167,7 @@
     FleetStatus {
         instance: node.settings.name.clone(),
         ready: node.is_ready(),
+        clients: ClientsReport::from(&node.clients.status()),
         cells: reports,
     }
 }
--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -9,9 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request as HttpRequest;
 use hyper::Response;
@@ -21,6 +19,7 @@
 use hyper::http::HeaderValue;
 use hyper::http::request::Parts;
 use nutmegcart_fleet::Resources;
+use nutmegcart_http::ClientBody;
 use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::Job;
 use nutmegcart_jobs::JobId;
@@ -36,6 +35,7 @@
 use crate::caller_request::CallerRequest;
 use crate::caller_request::CallerResponse;
 use crate::cell_status;
+use crate::clients;
 use crate::clock::now;
 use crate::generated::submission_v1::StepRequest;
 use crate::generated::submission_v1::Submission;
@@ -61,8 +61,6 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 /// Delay after which an operator should ask again while the cells are not known yet.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Timeout for reading a request's body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum size of a request's body; a job with the longest description and the most steps is far
 /// smaller.
 const MAX_BODY_BYTES: usize = 256 << 10;
@@ -105,8 +103,7 @@
     request: HttpRequest<B>,
 ) -> Response<Full<Bytes>>
 where
-    B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Into<ClientBody>,
 {
     let (head, body) = request.into_parts();
     if head.uri.path() == STATUS_PATH {
@@ -147,8 +144,7 @@
 
 async fn parse_request<B>(node: &Rc<Node>, head: &Parts, body: B) -> Result<CallerRequest>
 where
-    B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Into<ClientBody>,
 {
     if head.uri.path() == WAITING_PATH {
         if head.method != Method::GET {
@@ -163,10 +159,8 @@
         Method::GET => Ok(CallerRequest::Show(id)),
         Method::DELETE => Ok(CallerRequest::Cancel(id)),
         Method::PUT => {
-            let body = Limited::new(body, MAX_BODY_BYTES).collect();
-            let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
-            let body = body.map_err(|_| Code::BodyTooSlow)?;
-            let body = body.map_err(|_| Code::BodyTooLarge)?.to_bytes();
+            let body = body.into().read(MAX_BODY_BYTES).await;
+            let body = body.map_err(clients::body_code)?;
             let submission: Submission = decode(&head.headers, &body)?;
             if submission.schema.get() != SCHEMA_VERSION {
                 return Err(Code::BadRequest);
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod caller_request;
 pub mod candidate;
 pub mod cell_status;
+pub mod clients;
 pub mod clock;
 mod earlier_owners;
 mod generated;
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -62,10 +62,49 @@
     pub rejected_state: IntGaugeVec,
     /// Jobs passed to another cell, by the number of that cell.
     pub passed_jobs: IntCounterVec,
+    /// What clients hold.
+    pub clients: ClientMetrics,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
 
+/// Metrics of what clients hold.
+#[derive(Clone, Debug)]
+pub struct ClientMetrics {
+    /// Bytes held in unfinished requests and unread responses.
+    pub bytes: IntGauge,
+    /// Connections of clients, peers and probes by state.
+    pub connections: IntGaugeVec,
+    /// Connections that were refused or closed because of a limit, by reason.
+    pub closed: IntCounterVec,
+}
+
+impl ClientMetrics {
+    /// Creates and registers the metrics.
+    fn new(registry: &Registry) -> Self {
+        let help = "Bytes reserved for unfinished requests and unread responses.";
+        let bytes = IntGauge::new("nutmegcart_client_bytes", help);
+        let bytes = bytes.expect("metric name is valid");
+        register(registry, &bytes);
+        let help = "Connections of clients, peers and probes, by state.";
+        let connections = gauge(registry, "nutmegcart_client_connections", help, &["state"]);
+        let closed = IntCounterVec::new(
+            Opts::new(
+                "nutmegcart_client_connections_closed_total",
+                "Connections refused or closed because of a limit.",
+            ),
+            &["reason"],
+        );
+        let closed = closed.expect("metric name is valid");
+        register(registry, &closed);
+        Self {
+            bytes,
+            connections,
+            closed,
+        }
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -164,6 +203,7 @@
             ),
             rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
+            clients: ClientMetrics::new(&registry),
             config_version,
             registry,
         }
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_http::ClientGuard;
 use nutmegcart_http::HttpClient;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobSettings;
@@ -340,6 +341,8 @@
     pub platform: Platform,
     /// HTTP client for peers.
     pub client: HttpClient,
+    /// Account of what clients hold, over all listeners.
+    pub clients: ClientGuard,
     /// Incarnation of this process.
     pub incarnation: u64,
     /// Cells, once their layout is known.
@@ -394,6 +397,7 @@
             settings,
             platform,
             client: HttpClient::default(),
+            clients: ClientGuard::default(),
             incarnation,
             cells: RefCell::new(None),
             configuration: RefCell::new(None),
@@ -580,6 +584,8 @@
             version = configuration.version,
             queues = configuration.queues.len()
         );
+        self.clients
+            .set_request_limits(configuration.limits.of_requests());
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
         for owned in self.owned_cells() {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -8,13 +8,13 @@
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
+use nutmegcart_http::BodyError;
+use nutmegcart_http::ClientBody;
 use nutmegcart_http::DeliveryError;
+use nutmegcart_http::ListenerKind;
 use nutmegcart_jobs::AcceptedJob;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobState;
@@ -248,24 +248,19 @@
 ) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::bind(address).await?;
     let stop = node.stop_servers.subscribe();
-    let handler = move |request: Request<Incoming>| {
+    let guard = node.clients.clone();
+    let handler = move |request: Request<ClientBody>| {
         let (node, service) = (node.clone(), service.clone());
         async move { respond(&node, &service, request).await }
     };
-    nutmegcart_http::serve(
-        listener,
-        nutmegcart_http::ServerLimits::default(),
-        stop,
-        handler,
-    )
-    .await;
+    nutmegcart_http::serve_clients(listener, guard, ListenerKind::Peers, stop, handler).await;
     Ok(())
 }
 
 async fn respond(
     node: &Rc<Node>,
     service: &JobService,
-    request: Request<Incoming>,
+    request: Request<ClientBody>,
 ) -> Response<Full<Bytes>> {
     let status = |code: u16| {
         let mut response = Response::new(Full::default());
@@ -278,13 +273,12 @@
     if request.uri().path() != REQUEST_PATH {
         return status(404);
     }
-    let body = Limited::new(request.into_body(), MAX_REQUEST_BYTES)
-        .collect()
-        .await;
-    let Ok(body) = body else {
-        return status(413);
+    let body = match request.into_body().read(MAX_REQUEST_BYTES).await {
+        Ok(body) => body,
+        Err(BodyError::Timeout) => return status(408),
+        Err(_) => return status(413),
     };
-    let Ok(request) = rmp_serde::from_slice::<PeerRequest>(&body.to_bytes()) else {
+    let Ok(request) = rmp_serde::from_slice::<PeerRequest>(&body) else {
         return status(400);
     };
     let answer = match request {
--- a/crates/nutmegcart_control/src/port.rs
+++ b/crates/nutmegcart_control/src/port.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nutmegcart_http::RequestLimits;
 use nutmegcart_jobs::Machine;
 use nutmegcart_jobs::MachineOrder;
 use nutmegcart_jobs::MachineOutcome;
@@ -162,12 +163,26 @@
 pub struct CallerLimits {
     /// Maximum size of a request's head in bytes.
     pub head_bytes: usize,
+    /// Timeout for a request's head.
+    pub head_timeout: Duration,
     /// Maximum size of a request's body in bytes.
     pub body_bytes: usize,
     /// Longest time for which a connection may be idle.
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    /// Returns the limits that the servers apply to each request.
+    #[must_use]
+    pub fn of_requests(&self) -> RequestLimits {
+        RequestLimits {
+            head_bytes: self.head_bytes,
+            head_timeout: self.head_timeout,
+            idle_timeout: self.idle_timeout,
+        }
+    }
+}
+
 /// Settings of the callers of a queue.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerSettings {
--- a/crates/nutmegcart_control/src/process.rs
+++ b/crates/nutmegcart_control/src/process.rs
@@ -6,6 +6,7 @@
 use nutmegcart_model::Event;
 use nutmegcart_model::log_event;
 
+use crate::clients;
 use crate::clock::now;
 use crate::job_service::JobService;
 use crate::logger;
@@ -29,6 +30,7 @@
     tokio::task::spawn_local(watch_operator_records(node.clone()));
     tokio::task::spawn_local(ownership::run(node.clone()));
     tokio::task::spawn_local(serve_peers(node.clone(), service.clone()));
+    tokio::task::spawn_local(clients::report(node.clone()));
     tokio::task::spawn_local(async {
         loop {
             tokio::time::sleep(logger::FLUSH_PERIOD).await;
--- a/crates/nutmegcart_control/tests/bad_jobs.rs
+++ b/crates/nutmegcart_control/tests/bad_jobs.rs
@@ -74,6 +74,7 @@
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 4_096,
+            head_timeout: Duration::from_secs(3),
             body_bytes: 4_096,
             idle_timeout: Duration::from_secs(3),
         },
--- a/crates/nutmegcart_control/tests/handoff.rs
+++ b/crates/nutmegcart_control/tests/handoff.rs
@@ -293,6 +293,7 @@
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 1 << 10,
+            head_timeout: Duration::from_secs(3),
             body_bytes: 1 << 10,
             idle_timeout: Duration::from_secs(1),
         },
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -43,6 +43,10 @@
     metrics.rejected_state.with_label_values(&["0"]).set(1);
     metrics.passed_jobs.with_label_values(&["0"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
+    let closed = &metrics.clients.closed;
+    closed.with_label_values(&["bytes"]).inc();
+    let connections = &metrics.clients.connections;
+    connections.with_label_values(&["idle"]).set(1);
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     types
--- a/crates/nutmegcart_control/tests/vacant_cell.rs
+++ b/crates/nutmegcart_control/tests/vacant_cell.rs
@@ -181,6 +181,7 @@
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 4_096,
+            head_timeout: Duration::from_secs(3),
             body_bytes: 4_096,
             idle_timeout: LIMIT,
         },
--- a/crates/nutmegcart_control/tests/view_age.rs
+++ b/crates/nutmegcart_control/tests/view_age.rs
@@ -46,6 +46,7 @@
         pools: Vec::new(),
         limits: CallerLimits {
             head_bytes: 1 << 14,
+            head_timeout: Duration::from_secs(3),
             body_bytes: 1 << 18,
             idle_timeout: Duration::from_mins(1),
         },
--- a/crates/nutmegcart_http/src/lib.rs
+++ b/crates/nutmegcart_http/src/lib.rs
@@ -4,6 +4,8 @@
 //!   a request;
 //! * [`HttpConnection`]: one connection of a client, for callers that manage their own;
 //! * [`serve`]: a server for one listener;
+//! * [`serve_clients`]: the same for clients outside our control, within the limits of a
+//!   [`ClientGuard`];
 //! * [`LocalExecutor`]: a thread that runs tasks, with a bounded number of threads for calls that
 //!   block.
 //!
@@ -12,6 +14,11 @@
 
 pub mod body;
 pub mod client;
+pub mod client_body;
+pub mod client_connection;
+pub mod client_guard;
+pub mod client_server;
+mod client_stream;
 pub mod connection;
 pub mod executor;
 pub mod server;
@@ -21,6 +28,16 @@
 pub use client::AnswerLimits;
 pub use client::ClientLimits;
 pub use client::HttpClient;
+pub use client_body::BodyBuffer;
+pub use client_body::ClientBody;
+pub use client_connection::ConnectionState;
+pub use client_guard::ClientGuard;
+pub use client_guard::CloseReason;
+pub use client_guard::GuardLimits;
+pub use client_guard::GuardStatus;
+pub use client_guard::ListenerKind;
+pub use client_guard::RequestLimits;
+pub use client_server::serve_clients;
 pub use connection::AnswerError;
 pub use connection::DeliveryError;
 pub use connection::HttpConnection;
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -141,6 +141,7 @@
     ConfigViewAge = 755, Warn, "requests are refused while the configuration is read late, or are served again";
     CellStateRejected = 756, Error, "stored state of a cell is too large for the store; final states are stored without it";
     CellStateStored = 757, Info, "state of a cell is stored again";
+    ClientsClosed = 770, Warn, "connections of clients were refused or closed because of a limit";
 }
 
 /// Logs a numbered event with key-value fields.
