--- a/crates/nutmegcart_bench/src/wire.rs
+++ b/crates/nutmegcart_bench/src/wire.rs
@@ -14,15 +14,20 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use nutmegcart_http::ClientBody;
+use nutmegcart_http::ClientGuard;
 use nutmegcart_http::HttpClient;
+use nutmegcart_http::ListenerKind;
 use nutmegcart_http::ServerLimits;
 use nutmegcart_http::request;
 use nutmegcart_http::serve;
+use nutmegcart_http::serve_clients;
 use oxhttp::Server;
 use oxhttp::model::Body;
 use oxhttp::model::Request;
 use oxhttp::model::Response;
 use oxhttp::model::StatusCode;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -82,15 +87,7 @@
 
 /// Returns the same times as [`blocking_library`].
 fn event_loop() -> (f64, f64) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    LocalSet::new().block_on(&runtime.expect("the runtime starts"), async {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let address = listener.local_addr().expect("the listener has an address");
-        let (_stop, stopped) = watch::channel(false);
+    measure(|listener, stopped| {
         let handler = |request: Request<Incoming>| async move {
             let received = request.into_body().collect().await.is_ok();
             let mut response = Response::new(Full::new(Bytes::from_static(RESPONSE_BODY)));
@@ -100,6 +97,38 @@
             response
         };
         tokio::task::spawn_local(serve(listener, ServerLimits::default(), stopped, handler));
+    })
+}
+
+/// Returns the same times for a server that bounds what its clients hold.
+fn bounded_clients() -> (f64, f64) {
+    measure(|listener, stopped| {
+        let handler = |request: Request<ClientBody>| async move {
+            let received = request.into_body().read(BODY_BYTES).await.is_ok();
+            let mut response = Response::new(Full::new(Bytes::from_static(RESPONSE_BODY)));
+            if !received {
+                *response.status_mut() = StatusCode::BAD_REQUEST;
+            }
+            response
+        };
+        let guard = ClientGuard::default();
+        let kind = ListenerKind::Callers;
+        tokio::task::spawn_local(serve_clients(listener, guard, kind, stopped, handler));
+    })
+}
+
+/// Sends the orders to a server that `start` starts on the event loop.
+fn measure(start: impl FnOnce(TcpListener, watch::Receiver<bool>)) -> (f64, f64) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.expect("the runtime starts"), async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (_stop, stopped) = watch::channel(false);
+        start(listener, stopped);
         let (cpu_start, wall_start) = (ProcessTime::now(), Instant::now());
         let tasks: Vec<_> = (0..WORKERS)
             .map(|_| {
@@ -129,7 +158,14 @@
 pub fn comparisons() -> Vec<Comparison> {
     let (blocking_cpu, blocking_elapsed) = blocking_library();
     let (cpu, elapsed) = event_loop();
+    let (bounded_cpu, _) = bounded_clients();
     vec![
+        Comparison::new(
+            "order to a server that bounds its clients, processor time of both sides",
+            "us",
+            cpu,
+            bounded_cpu,
+        ),
         Comparison::new(
             "order, processor time of both sides",
             "us",
