Wait for closed clients before a new one is refused, and bound sockets

Cause: connections that are closed for others end a little later, so a burst of new ones could find the last eighth of a limit used up. The kernel's send buffer grew to megabytes for a client that reads nothing.

Change: a connection, its first buffers and a body that find no room try three times, between which closed ones end. The listeners of `manage` set 32 KiB to send and 64 KiB to receive.

--- a/crates/nutmegcart_http/src/client_connection.rs
+++ b/crates/nutmegcart_http/src/client_connection.rs
@@ -24,8 +24,8 @@
 /// Responses up to this size fit the write buffer that is reserved already.
 const SMALL_RESPONSE_BYTES: usize = 4 << 10;
 
-/// Attempts to reserve bytes of a body; connections that were closed for it end in between.
-const RESERVE_ATTEMPTS: usize = 3;
+/// Attempts to reserve what is short; connections that were closed for it end in between.
+pub(crate) const RESERVE_ATTEMPTS: usize = 3;
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -163,10 +163,11 @@
         }
     }
 
-    /// Reserves the buffers of the HTTP library; returns `false` if bytes are short.
-    pub(crate) fn reserve_buffers(&self) -> bool {
+    /// Reserves the buffers of the HTTP library, or closes the connection.
+    pub(crate) async fn reserve_buffers(&self) -> bool {
         self.read_buffer.set(READ_BUFFER_BYTES);
-        self.reserve(PROTOCOL_BYTES + READ_BUFFER_BYTES)
+        self.reserve_repeatedly(PROTOCOL_BYTES + READ_BUFFER_BYTES)
+            .await
     }
 
     /// Reserves bytes, or closes the connection.
@@ -246,12 +247,20 @@
 
     /// Reserves bytes of a body, until its request has been answered, or closes the connection.
     pub(crate) async fn reserve_body(&self, bytes: usize) -> bool {
+        let reserved = self.reserve_repeatedly(bytes).await;
+        if reserved {
+            self.body_bytes.update(|body| body + bytes);
+        }
+        reserved
+    }
+
+    /// Reserves bytes, after others that were closed for it have ended, or closes the connection.
+    async fn reserve_repeatedly(&self, bytes: usize) -> bool {
         for _ in 0..RESERVE_ATTEMPTS {
             if self.closing.get() {
                 return false;
             }
             if self.guard.reserve(self, bytes) {
-                self.body_bytes.update(|body| body + bytes);
                 return true;
             }
             tokio::task::yield_now().await;
--- a/crates/nutmegcart_http/src/client_guard.rs
+++ b/crates/nutmegcart_http/src/client_guard.rs
@@ -20,6 +20,9 @@
 use crate::client_connection::ConnectionState;
 use crate::client_connection::RESERVED_AT_ACCEPT;
 
+/// Result of registering a connection; the error is the reason for refusing it.
+pub(crate) type Result<T> = std::result::Result<T, CloseReason>;
+
 /// Above this part of a limit, in eighths, connections are closed to make room. Connections that are
 /// being closed still count, so the rest of the limit is for requests that arrive meanwhile.
 const HIGH_WATER_EIGHTHS: usize = 7;
@@ -229,9 +232,12 @@
         status
     }
 
-    /// Registers a connection, or refuses it if the connections of the listener are used up.
-    #[must_use]
-    pub fn accept(&self, kind: ListenerKind, address: IpAddr) -> Option<Rc<ClientConnection>> {
+    /// Registers a connection; the error is what is used up.
+    pub(crate) fn accept(
+        &self,
+        kind: ListenerKind,
+        address: IpAddr,
+    ) -> Result<Rc<ClientConnection>> {
         let address = client_address(address);
         let limit = self.limits().connections[kind as usize];
         let open = &self.inner.connections[kind as usize];
@@ -239,8 +245,7 @@
             self.make_room(Scarce::Connections(kind), address, 1, None);
         }
         if open.get() >= limit {
-            self.count(CloseReason::Connections);
-            return None;
+            return Err(CloseReason::Connections);
         }
         let id = self.inner.next_id.get();
         self.inner.next_id.set(id + 1);
@@ -249,11 +254,10 @@
         self.inner.open.borrow_mut().insert(id, connection.clone());
         self.change_address(address, |usage| usage.connections += 1);
         if self.reserve(&connection, RESERVED_AT_ACCEPT) {
-            return Some(connection);
+            return Ok(connection);
         }
         self.remove(&connection);
-        self.count(CloseReason::Bytes);
-        None
+        Err(CloseReason::Bytes)
     }
 
     /// Ends the account of a connection.
--- a/crates/nutmegcart_http/src/client_server.rs
+++ b/crates/nutmegcart_http/src/client_server.rs
@@ -1,6 +1,7 @@
 //! A server for clients outside our control.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,19 +12,27 @@
 use hyper::body::Body;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::client_body::ClientBody;
 use crate::client_connection::ClientConnection;
+use crate::client_connection::RESERVE_ATTEMPTS;
 use crate::client_guard::ClientGuard;
+use crate::client_guard::CloseReason;
 use crate::client_guard::ListenerKind;
 use crate::client_stream::ClientStream;
 use crate::server::HandlerError;
 
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Size of a connection's send buffer in the kernel. Without a limit it grows to megabytes for a client
+/// that reads no response.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+/// Size of a connection's receive buffer in the kernel; a quarter of the largest usual body.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
 /// Smallest limit of a request's head that the HTTP library takes, in bytes.
 const MIN_HEAD_BYTES: usize = 8 << 10;
 
@@ -53,6 +62,7 @@
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     guard.start_checks();
+    limit_socket_buffers(&listener);
     loop {
         let (stream, address) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -62,11 +72,7 @@
                 continue;
             }
         };
-        // Connections that were closed for this one end before the next one is accepted.
-        let connection = guard.accept(kind, address.ip());
-        let Some(connection) = connection else {
-            drop(stream);
-            tokio::task::yield_now().await;
+        let Some(connection) = register(&guard, kind, address.ip()).await else {
             continue;
         };
         let registration = Registration(guard.clone(), connection.clone());
@@ -90,6 +96,34 @@
     }
 }
 
+/// Registers a connection. Those that are closed for it end between the attempts.
+async fn register(
+    guard: &ClientGuard,
+    kind: ListenerKind,
+    address: IpAddr,
+) -> Option<Rc<ClientConnection>> {
+    let mut refused = CloseReason::Connections;
+    for _ in 0..RESERVE_ATTEMPTS {
+        match guard.accept(kind, address) {
+            Ok(connection) => return Some(connection),
+            Err(reason) => refused = reason,
+        }
+        tokio::task::yield_now().await;
+    }
+    guard.count(refused);
+    None
+}
+
+/// Limits what the kernel keeps for the connections of a listener, which inherit it.
+fn limit_socket_buffers(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    let set = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+    let set = set.and_then(|()| socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES));
+    if let Err(error) = set {
+        log::warn!("cannot limit the buffers of connections: {error}");
+    }
+}
+
 async fn serve_client<H, F>(
     stream: TcpStream,
     guard: ClientGuard,
@@ -110,7 +144,7 @@
         }
         _ = stop.wait_for(|stop| *stop), if !stopped_before => return,
     }
-    if !connection.reserve_buffers() {
+    if !connection.reserve_buffers().await {
         return;
     }
     let mut builder = hyper::server::conn::http1::Builder::new();
