--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -64,10 +64,49 @@
     pub passed_jobs: IntCounterVec,
     /// Messages and writes about allocations of organisations' limits, by outcome.
     pub limit_moves: IntCounterVec,
+    /// What clients hold.
+    pub clients: ClientMetrics,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
 
+/// Metrics of what clients hold.
+#[derive(Clone, Debug)]
+pub struct ClientMetrics {
+    /// Bytes held in unfinished requests and unread responses.
+    pub bytes: IntGauge,
+    /// Connections of clients, peers and probes by state.
+    pub connections: IntGaugeVec,
+    /// Connections that were refused or closed because of a limit, by reason.
+    pub closed: IntCounterVec,
+}
+
+impl ClientMetrics {
+    /// Creates and registers the metrics.
+    fn new(registry: &Registry) -> Self {
+        let help = "Bytes reserved for unfinished requests and unread responses.";
+        let bytes = IntGauge::new("nutmegcart_client_bytes", help);
+        let bytes = bytes.expect("metric name is valid");
+        register(registry, &bytes);
+        let help = "Connections of clients, peers and probes, by state.";
+        let connections = gauge(registry, "nutmegcart_client_connections", help, &["state"]);
+        let closed = IntCounterVec::new(
+            Opts::new(
+                "nutmegcart_client_connections_closed_total",
+                "Connections refused or closed because of a limit.",
+            ),
+            &["reason"],
+        );
+        let closed = closed.expect("metric name is valid");
+        register(registry, &closed);
+        Self {
+            bytes,
+            connections,
+            closed,
+        }
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -84,12 +123,6 @@
             histogram
         };
         let by_cell = |name: &str, help: &str| gauge(&registry, name, help, &["cell"]);
-        let config_version = IntGauge::new(
-            "nutmegcart_config_version",
-            "Version of the configuration in force.",
-        );
-        let config_version = config_version.expect("metric name is valid");
-        register(&registry, &config_version);
         Self {
             requests: counter(
                 "nutmegcart_job_requests_total",
@@ -167,13 +200,25 @@
             rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
             limit_moves: limit_moves(&registry),
-            config_version,
+            clients: ClientMetrics::new(&registry),
+            config_version: config_version(&registry),
             registry,
         }
     }
 }
 
-/// Creates and registers the counter of jobs that passed to another cell.
+/// Creates and registers the gauge of the configuration's version.
+fn config_version(registry: &Registry) -> IntGauge {
+    let gauge = IntGauge::new(
+        "nutmegcart_config_version",
+        "Version of the configuration in force.",
+    );
+    let gauge = gauge.expect("metric name is valid");
+    register(registry, &gauge);
+    gauge
+}
+
+/// Creates and registers the counter of what happens to allocations of limits.
 fn limit_moves(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_limit_moves_total",
@@ -184,6 +229,7 @@
     counter
 }
 
+/// Creates and registers the counter of jobs that passed to another cell.
 fn passed_jobs(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_jobs_passed_total",
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -145,6 +145,7 @@
     OrganisationInvalid = 759, Error, "organisation of the configuration is not valid; what is wrong with it has no effect";
     LimitMoved = 760, Info, "part of an organisation's limit moved to another cell";
     StoreAway = 769, Warn, "store does not answer reads; jobs are refused without a write until it does";
+    ClientsClosed = 770, Warn, "connections of clients were refused or closed because of a limit";
 }
 
 /// Logs a numbered event with key-value fields.
