--- a/crates/nutmegcart_control/tests/peer_configuration.rs
+++ b/crates/nutmegcart_control/tests/peer_configuration.rs
@@ -48,6 +48,7 @@
         organisations: None,
         pools: Vec::new(),
         limits: CallerLimits {
+            head_timeout: Duration::from_secs(3),
             head_bytes: 1 << 14,
             body_bytes: 1 << 18,
             idle_timeout: Duration::from_mins(1),
