Check keys on the own interface for jobs, and report invalid organisations

nutmegcart's own interface for jobs ran requests without a key. It now takes the keys as bearer tokens: each request is checked before its body is read, and answered by a current configuration only. Show, cancel and submit name no route before their body, so they need a key if there are organisations; counting needs none for a queue of a public route.

Faults of organisations (empty keys, keys of two, duplicate names, weights) are logged as event 759 with the organisation and without the key; the rest of the configuration is in force. Of entries with one name the first counts, so keys of the others open nothing. A missing weight is the minimum.

Event 710 has the organisation, so explain shows it.

--- a/crates/nutmegcart/src/client.rs
+++ b/crates/nutmegcart/src/client.rs
@@ -133,17 +133,27 @@
         self.read(answer).map(Some)
     }
 
-    /// Sends a request to any path, with a JSON body if one is given.
+    /// Sends a request to any path, with the key of an organisation and a JSON body if they are given.
     ///
     /// # Errors
     ///
     /// Fails if the instance does not answer or answers with an error status.
-    pub fn send(&self, method: &str, path: &str, body: Option<&Value>) -> Result<Value> {
+    pub fn send(
+        &self,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+        body: Option<&Value>,
+    ) -> Result<Value> {
         let body = body.map(Value::to_string).unwrap_or_default();
-        let request = ureq::http::Request::builder()
+        let mut request = ureq::http::Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.address))
-            .header("content-type", "application/json")
+            .header("content-type", "application/json");
+        if let Some(key) = key {
+            request = request.header("authorization", format!("Bearer {key}"));
+        }
+        let request = request
             .body(body.into_bytes())
             .map_err(|error| self.no_answer(&error.into()))?;
         let answer = self.agent.run(request);
--- a/crates/nutmegcart/src/flags.rs
+++ b/crates/nutmegcart/src/flags.rs
@@ -90,6 +90,8 @@
             required subject: String
             /// File with the job to submit.
             optional --file path: PathBuf
+            /// Key of the organisation (default NUTMEGCART_KEY, which other users of the machine do not see).
+            optional --key key: String
             /// Entry instance (default NUTMEGCART_ENTRY or 127.0.0.1:8080).
             optional --entry address: SocketAddr
             /// Print JSON.
--- a/crates/nutmegcart/src/job.rs
+++ b/crates/nutmegcart/src/job.rs
@@ -1,5 +1,6 @@
 //! The `job` command: submits, shows and cancels jobs, and counts waiting ones.
 
+use std::env;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -60,6 +61,10 @@
         Ok(call) => call,
         Err(reason) => return operator::usage_error(&reason),
     };
-    let send = |client: &Client| client.send(method, &path, body.as_ref());
+    let key = flags
+        .key
+        .clone()
+        .or_else(|| env::var("NUTMEGCART_KEY").ok());
+    let send = |client: &Client| client.send(method, &path, key.as_deref(), body.as_ref());
     operator::call_and_print(flags.entry, flags.json, send, print_answer)
 }
--- a/crates/nutmegcart/src/operator.rs
+++ b/crates/nutmegcart/src/operator.rs
@@ -166,7 +166,7 @@
         flags.json,
         |client| match client.get_if_found("status")? {
             Some(answer) => Ok(answer),
-            None => client.send("GET", "/v1/status", None),
+            None => client.send("GET", "/v1/status", None, None),
         },
         |answer| {
             if answer["cells"].is_array() {
--- a/crates/nutmegcart_control/src/api_keys.rs
+++ b/crates/nutmegcart_control/src/api_keys.rs
@@ -16,6 +16,14 @@
 #[derive(Clone, Eq, Hash, PartialEq)]
 pub struct ApiKey(Arc<str>);
 
+impl ApiKey {
+    /// Returns whether it has no characters, and so opens nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl From<&str> for ApiKey {
     fn from(text: &str) -> Self {
         Self(text.into())
@@ -42,7 +50,7 @@
         let mut holders: HashMap<ApiKey, Option<OrganisationName>> = HashMap::new();
         for config in organisations {
             let name = &config.organisation.name;
-            for key in config.keys.iter().filter(|key| !key.0.is_empty()) {
+            for key in config.keys.iter().filter(|key| !key.is_empty()) {
                 let holder = holders.entry(key.clone()).or_insert(Some(name.clone()));
                 if holder.as_ref() != Some(name) {
                     *holder = None;
--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -33,6 +33,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::access::Caller;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::CallerResponse;
 use crate::cell_status;
@@ -55,6 +56,8 @@
 pub const DEADLINE_HEADER: &str = "nutmegcart-deadline-ms";
 /// Media type of MessagePack.
 pub const MESSAGE_PACK: &str = "application/msgpack";
+/// Start of the header with the key of the caller's organisation.
+const KEY_SCHEME: &str = "Bearer ";
 /// Supported schema version of submissions.
 pub const SCHEMA_VERSION: u32 = 1;
 /// Deadline of requests without the header.
@@ -114,7 +117,7 @@
     }
     let limit = deadline(&head.headers);
     let answer = match parse_request(node, &head, body).await {
-        Ok(request) => service.handle(node, request, limit).await,
+        Ok((caller, request)) => service.handle_for(node, &caller, request, limit).await,
         Err(code @ (Code::NoConfiguration | Code::ConfigurationLate)) => {
             CallerResponse::unavailable(code)
         }
@@ -145,7 +148,7 @@
     given.map_or(DEFAULT_DEADLINE, Duration::from_millis)
 }
 
-async fn parse_request<B>(node: &Rc<Node>, head: &Parts, body: B) -> Result<CallerRequest>
+async fn parse_request<B>(node: &Rc<Node>, head: &Parts, body: B) -> Result<(Caller, CallerRequest)>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -155,13 +158,18 @@
             return Err(Code::NotFound);
         }
         let key = queue_key(head.uri.query().unwrap_or_default())?;
-        return find_queue(node, &key).map(CallerRequest::Count);
+        let (caller, queue) = find_queue(node, &head.headers, &key)?;
+        return Ok((caller, CallerRequest::Count(queue)));
     }
     let id = head.uri.path().strip_prefix(JOBS_PATH).unwrap_or_default();
     let id = JobId::parse(id).map_err(|_| Code::BadRequest)?;
+    // A submission names its queue in the body, which is read for callers with a key only.
+    node.current_configuration(now())?;
+    let routing = node.routing.borrow().clone();
+    let caller = routing.caller_without_route(api_key(&head.headers))?;
     match head.method {
-        Method::GET => Ok(CallerRequest::Show(id)),
-        Method::DELETE => Ok(CallerRequest::Cancel(id)),
+        Method::GET => Ok((caller, CallerRequest::Show(id))),
+        Method::DELETE => Ok((caller, CallerRequest::Cancel(id))),
         Method::PUT => {
             let body = Limited::new(body, MAX_BODY_BYTES).collect();
             let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
@@ -175,20 +183,27 @@
                 host: submission.queue.host.as_str().into(),
                 prefix: submission.queue.prefix.as_str().into(),
             };
-            Ok(CallerRequest::Submit(
-                find_queue(node, &key)?,
-                id,
-                Box::new(job_from(&submission)),
-            ))
+            let (caller, queue) = find_queue(node, &head.headers, &key)?;
+            let job = Box::new(job_from(&submission));
+            Ok((caller, CallerRequest::Submit(queue, id, job)))
         }
         _ => Err(Code::NotFound),
     }
 }
 
-fn find_queue(node: &Node, key: &QueueKey) -> Result<Arc<Queue>> {
+/// Returns the key of the caller's organisation, if the request has one.
+fn api_key(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix(KEY_SCHEME)
+}
+
+/// Returns a queue and the caller of a request about it.
+fn find_queue(node: &Node, headers: &HeaderMap, key: &QueueKey) -> Result<(Caller, Arc<Queue>)> {
     node.current_configuration(now())?;
-    let queue = node.routing.borrow().queue(key);
-    queue.ok_or(Code::UnknownQueue)
+    let routing = node.routing.borrow().clone();
+    let route = routing.route(key).ok_or(Code::UnknownQueue)?;
+    let caller = routing.caller(route, api_key(headers))?;
+    Ok((caller, route.queue.clone()))
 }
 
 /// Parses the queue from a query string with `host` and `prefix`.
--- a/crates/nutmegcart_control/src/job_service.rs
+++ b/crates/nutmegcart_control/src/job_service.rs
@@ -160,13 +160,7 @@
         let took = took.as_millis();
         match acceptance {
             Acceptance::Stored => {
-                log_event!(
-                    Event::JobAccepted,
-                    job = id,
-                    queue = queue.key,
-                    tasks = tasks,
-                    took_ms = took
-                );
+                log_accepted(&id, &accepted, tasks, took);
                 CallerResponse::Accepted
             }
             Acceptance::NotStored => {
@@ -286,6 +280,28 @@
     }
 }
 
+fn log_accepted(id: &JobId, accepted: &AcceptedJob, tasks: u32, took_ms: u128) {
+    let queue = &accepted.queue.key;
+    if let Some(organisation) = &accepted.organisation {
+        log_event!(
+            Event::JobAccepted,
+            job = id,
+            queue = queue,
+            organisation = organisation,
+            tasks = tasks,
+            took_ms = took_ms
+        );
+    } else {
+        log_event!(
+            Event::JobAccepted,
+            job = id,
+            queue = queue,
+            tasks = tasks,
+            took_ms = took_ms
+        );
+    }
+}
+
 async fn store_through_peer(
     node: &Rc<Node>,
     helper: SocketAddr,
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`view_age`]: until when decisions may be made from what was read;
 //! * [`peer`]: requests between instances;
 //! * [`operator_records`]: configurations and waves, from the store or from peers;
+//! * [`organisations`]: what is wrong with the organisations of a configuration;
 //! * [`api_keys`], [`access`]: keys of callers, and whose jobs they may show and cancel;
 //! * [`cell_status`]: the status of all cells for operators;
 //! * [`routing`]: mapping of requests to queues;
@@ -41,6 +42,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator_records;
+pub mod organisations;
 pub mod owner;
 pub mod owner_history;
 pub mod owner_log;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -38,6 +38,7 @@
 use crate::keys::CellKeys;
 use crate::metrics::Metrics;
 use crate::operator_records::StoredConfiguration;
+use crate::organisations;
 use crate::owner_history::OwnerHistory;
 use crate::owner_log::OwnerLog;
 use crate::port::Platform;
@@ -579,7 +580,7 @@
     }
 
     /// Puts a configuration into force, and returns true, unless the current one is as new or newer.
-    pub fn configure(&self, configuration: PlatformConfig) -> bool {
+    pub fn configure(&self, mut configuration: PlatformConfig) -> bool {
         if self.config_version() >= Some(configuration.version) {
             return false;
         }
@@ -590,6 +591,15 @@
             version = configuration.version,
             queues = configuration.queues.len()
         );
+        if let Some(organisations) = &mut configuration.organisations {
+            for (name, fault) in organisations::check(organisations) {
+                log_event!(
+                    Event::OrganisationInvalid,
+                    organisation = name,
+                    reason = fault
+                );
+            }
+        }
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
         for owned in self.owned_cells() {
--- a/crates/nutmegcart_control/src/routing.rs
+++ b/crates/nutmegcart_control/src/routing.rs
@@ -84,12 +84,27 @@
         })
     }
 
-    /// Returns the queue with exactly this host and prefix.
+    /// Returns the caller of a request that names no route.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there are organisations and `key` is not that of one.
+    pub fn caller_without_route(&self, key: Option<&str>) -> api_keys::Result<Caller> {
+        let Some(keys) = &self.keys else {
+            return Ok(Caller::default());
+        };
+        let organisation = keys.organisation(key)?;
+        Ok(Caller {
+            access: Access::Organisation(organisation.clone()),
+            organisation: Some(organisation),
+        })
+    }
+
+    /// Returns the route with exactly this host and prefix.
     #[must_use]
-    pub fn queue(&self, key: &QueueKey) -> Option<Arc<Queue>> {
+    pub fn route(&self, key: &QueueKey) -> Option<&Route> {
         let routes = self.hosts.get(&key.host)?;
-        let route = routes.iter().find(|route| route.queue.key == *key)?;
-        Some(route.queue.clone())
+        routes.iter().find(|route| route.queue.key == *key)
     }
 
     /// Returns the route with the longest matching path prefix, and the rest of the path.
