--- a/crates/nutmegcart_control/src/api_keys.rs
+++ b/crates/nutmegcart_control/src/api_keys.rs
@@ -1,5 +1,6 @@
 //! Keys with which callers prove that they belong to an organisation.
 
+use std::borrow::Borrow;
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
@@ -30,6 +31,12 @@
     }
 }
 
+impl Borrow<str> for ApiKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Debug for ApiKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ApiKey")
@@ -71,7 +78,7 @@
     ///
     /// Fails with [`Code::UnknownKey`] if there is no key, or not exactly one organisation holds it.
     pub fn organisation(&self, key: Option<&str>) -> Result<OrganisationName> {
-        let holder = key.and_then(|key| self.holders.get(&ApiKey::from(key)));
+        let holder = key.and_then(|key| self.holders.get(key));
         holder.cloned().flatten().ok_or(Code::UnknownKey)
     }
 }
--- a/crates/nutmegcart_control/src/job_api.rs
+++ b/crates/nutmegcart_control/src/job_api.rs
@@ -121,7 +121,11 @@
         Err(code @ (Code::NoConfiguration | Code::ConfigurationLate)) => {
             CallerResponse::unavailable(code)
         }
-        Err(code) => CallerResponse::refused(code),
+        Err(code) => {
+            let refusals = &node.metrics.refusals;
+            refusals.with_label_values(&[code.label()]).inc();
+            CallerResponse::refused(code)
+        }
     };
     encode_response(&head.headers, &answer)
 }
