Play organisations, a limit and revoked keys in the soak

Version 4 of the schedule gives the callers an organisation with a limit and a second one beside it. Each configuration revokes a key of the one before, and each round writes one while instances are killed one after the other. Checked: a request with an unknown key is refused and its job never runs, every instance takes the newest key and refuses the one before, and no job is shown to the other organisation. The faults of versions 1 to 3 stay as they were; the tests of that have version 4 added.

--- a/crates/nutmegcart_soak/src/callers.rs
+++ b/crates/nutmegcart_soak/src/callers.rs
@@ -31,6 +31,10 @@
 pub const HOST: &str = "counts.example";
 /// Path prefix of the queue.
 pub const PREFIX: &str = "/gates/";
+/// Key of the callers' organisation.
+pub const KEY: &str = "k-callers";
+/// A key that no configuration contains.
+const UNKNOWN_KEY: &str = "k-unknown";
 /// Time for which a caller waits for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause between the calls of one caller, in milliseconds.
@@ -72,7 +76,11 @@
 
 /// A client that keeps connections open.
 #[derive(Clone, Debug)]
-pub struct Client(Agent);
+pub struct Client {
+    agent: Agent,
+    /// Key of its organisation.
+    key: Option<Arc<str>>,
+}
 
 impl Default for Client {
     fn default() -> Self {
@@ -80,11 +88,23 @@
             .http_status_as_error(false)
             .timeout_global(Some(CALL_TIMEOUT))
             .build();
-        Self(config.into())
+        Self {
+            agent: config.into(),
+            key: None,
+        }
     }
 }
 
 impl Client {
+    /// Returns a client with the key of an organisation.
+    #[must_use]
+    pub fn with_key(key: &str) -> Self {
+        Self {
+            key: Some(key.into()),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request; returns status and body of a complete answer.
     ///
     /// ```
@@ -110,10 +130,13 @@
             .method(method)
             .uri(format!("http://{address}{path}"))
             .header("host", HOST)
-            .header("content-type", "application/json")
-            .body(body.to_owned());
-        let request = request.map_err(|_| Loss::Whole)?;
-        let mut answer = self.0.run(request).map_err(|_| Loss::Whole)?;
+            .header("content-type", "application/json");
+        let request = match &self.key {
+            Some(key) => request.header("authorization", format!("Token {key}")),
+            None => request,
+        };
+        let request = request.body(body.to_owned()).map_err(|_| Loss::Whole)?;
+        let mut answer = self.agent.run(request).map_err(|_| Loss::Whole)?;
         let text = answer.body_mut().read_to_string();
         let text = text.map_err(|error| match error {
             ureq::Error::Timeout(_) => Loss::Whole,
@@ -145,7 +168,7 @@
 }
 
 impl Callers {
-    /// Starts callers that use all of the addresses. They reset half of their connections to an
+    /// Starts callers that use all of the addresses and have the key of the client. They reset half of their connections to an
     /// address while its flag in `resets` is set.
     #[must_use]
     pub fn start(
@@ -154,6 +177,7 @@
         addresses: &[SocketAddr],
         resets: &Arc<[AtomicBool]>,
         history: &History,
+        client: &Client,
     ) -> Self {
         let mode = Arc::new(AtomicU8::new(Mode::Busy as u8));
         let mut callers = Self {
@@ -165,7 +189,7 @@
             let unfinished = Arc::new(AtomicU8::new(1));
             let mut caller = Caller {
                 rng: StdRng::seed_from_u64(seed.wrapping_mul(count).wrapping_add(number)),
-                client: Client::default(),
+                client: client.clone(),
                 addresses: addresses.to_vec(),
                 resets: resets.clone(),
                 history: history.clone(),
@@ -248,6 +272,9 @@
         if self.jobs.is_empty() {
             return;
         }
+        if self.client.key.is_some() && self.rng.random_ratio(1, 20) {
+            self.submit_with_unknown_key();
+        }
         let index = self.rng.random_range(0..self.jobs.len());
         let stage = self.jobs[index].stage;
         match self.rng.random_range(0..10) {
@@ -316,7 +343,13 @@
         if self.resets[instance].load(Ordering::SeqCst) && self.rng.random() {
             let cut = Cut::draw(&mut self.rng);
             // The request may have been carried out; the address may refuse connections.
-            let _ = reset::send(address, HOST, (method, &path, body), cut);
+            let _ = reset::send(
+                address,
+                HOST,
+                self.client.key.as_deref(),
+                (method, &path, body),
+                cut,
+            );
             return None;
         }
         let answer = self.client.send(address, method, &path, body);
@@ -347,6 +380,19 @@
         }
     }
 
+    /// Submits a job with a key that no configuration contains. The history has no such job, so a start
+    /// of it breaks the promise that only submitted jobs run.
+    fn submit_with_unknown_key(&mut self) {
+        let instance = self.rng.random_range(0..self.addresses.len());
+        let path = format!("{PREFIX}{:016x}", self.rng.random::<u64>());
+        let body = json!({"spec": LONG_RUNNING_SPEC, "steps": [{"count": 1, "cpu": 500}]});
+        let client = Client::with_key(UNKNOWN_KEY);
+        let address = self.addresses[instance];
+        if let Some((200..=299, _)) = client.call(address, "POST", &path, &body.to_string()) {
+            self.history.add(Fact::Admitted { instance });
+        }
+    }
+
     fn cancel(&mut self, index: usize) {
         let sent = self.history.now();
         let answer = self.call(index, "DELETE").map(|(status, _)| status);
--- a/crates/nutmegcart_soak/src/checker.rs
+++ b/crates/nutmegcart_soak/src/checker.rs
@@ -202,6 +202,10 @@
                 waited,
                 partial,
             } => self.dropped(at, *instance, *waited, *partial),
+            Fact::Admitted { instance } => {
+                let promise = "a request with an unknown key is refused";
+                self.report(at, promise, format!("instance {instance}"));
+            }
             Fact::Worker { worker, what } => self.occurred(at, *worker, what),
             Fact::Exited {
                 instance,
--- a/crates/nutmegcart_soak/src/history.rs
+++ b/crates/nutmegcart_soak/src/history.rs
@@ -73,6 +73,11 @@
         /// Time at which the request was sent.
         sent: Duration,
     },
+    /// A submission with an unknown key was accepted.
+    Admitted {
+        /// Number of the instance.
+        instance: usize,
+    },
     /// A connection ended without an answer.
     Dropped {
         /// Number of the instance.
--- a/crates/nutmegcart_soak/src/reset.rs
+++ b/crates/nutmegcart_soak/src/reset.rs
@@ -39,7 +39,8 @@
     }
 }
 
-/// Sends a request, given as method, path and body, on a new connection and resets it.
+/// Sends a request, given as method, path and body, with a key if one is given, on a new connection and
+/// resets it.
 ///
 /// # Errors
 ///
@@ -47,6 +48,7 @@
 pub fn send(
     address: SocketAddr,
     host: &str,
+    key: Option<&str>,
     (method, path, body): (&str, &str, &str),
     cut: Cut,
 ) -> Result<()> {
@@ -55,9 +57,10 @@
     // Closing the connection sends a reset instead of an orderly end.
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     let length = body.len();
+    let key = key.map_or_else(String::new, |key| format!("authorization: Token {key}\r\n"));
     let request = format!(
         "{method} {path} HTTP/1.1\r\nhost: {host}\r\ncontent-type: application/json\r\n\
-         content-length: {length}\r\n\r\n{body}"
+         content-length: {length}\r\n{key}\r\n{body}"
     );
     let request = request.as_bytes();
     match cut {
--- a/crates/nutmegcart_soak/src/schedule.rs
+++ b/crates/nutmegcart_soak/src/schedule.rs
@@ -21,11 +21,17 @@
 /// Number of workers.
 pub const WORKERS: usize = 3;
 /// Latest version of schedules. Version 2 adds [`Kind::Configure`] and [`Kind::Reset`], version 3
-/// [`Kind::Partition`].
-pub const VERSION: u32 = 3;
+/// [`Kind::Partition`], version 4 organisations and a configuration that revokes a key while instances
+/// are killed.
+pub const VERSION: u32 = 4;
+/// First version in which the configuration has organisations.
+const ORGANISATIONS_VERSION: u32 = 4;
 /// Combined with a seed for the faults that a later version adds, so that the earlier ones stay.
 const ADDED_STREAM: u64 = 0x9e37_79b9_7f4a_7c15;
 const PARTITION_STREAM: u64 = 0xd1b5_4a32_d192_ed03;
+const REVOCATION_STREAM: u64 = 0x8cb9_2ba7_2f3d_8dd7;
+/// Longest time from a revocation to the end of the first process, in milliseconds.
+const MAX_REVOCATION_GAP_MS: u64 = 400;
 /// Latest start of a partition, its shortest length, and that of the fault of the store in it.
 const LATEST_PARTITION_MS: u64 = 1_500;
 const MIN_PARTITION_MS: u64 = 6_000;
@@ -47,6 +53,14 @@
     pub seconds: u64,
 }
 
+impl Size {
+    /// Returns whether the configuration has organisations.
+    #[must_use]
+    pub const fn has_organisations(&self) -> bool {
+        self.version >= ORGANISATIONS_VERSION
+    }
+}
+
 impl Default for Size {
     fn default() -> Self {
         Self {
@@ -181,6 +195,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut added = StdRng::seed_from_u64(seed ^ ADDED_STREAM);
         let mut partitions = StdRng::seed_from_u64(seed ^ PARTITION_STREAM);
+        let mut revocations = StdRng::seed_from_u64(seed ^ REVOCATION_STREAM);
         let rounds = (size.seconds * 1_000).div_ceil(ROUND_MS);
         let rounds = (0..rounds).map(|_| {
             let mut faults = draw_round(&mut rng, size.instances);
@@ -190,6 +205,9 @@
             if size.version > 2 {
                 faults.extend(draw_partition(&mut partitions, size.instances));
             }
+            if size.has_organisations() {
+                faults.extend(draw_revocation(&mut revocations, size.instances));
+            }
             if size.version > 1 {
                 faults.sort_by_key(|fault| (fault.from_ms, fault.until_ms));
             }
@@ -203,6 +221,29 @@
     }
 }
 
+/// Draws the faults that version 4 adds to a round: each configuration revokes the key of the one
+/// before, and meanwhile instances are killed one after the other, the owners among them.
+fn draw_revocation(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
+    let from_ms = rng.random_range(0..LATEST_START_MS);
+    let gap = rng.random_range(0..MAX_REVOCATION_GAP_MS);
+    let first = rng.random_range(0..instances);
+    let killed = rng.random_range(1..instances.max(2));
+    let mut faults = vec![Fault {
+        from_ms,
+        until_ms: from_ms + 1,
+        kind: Kind::Configure,
+    }];
+    faults.extend((0..killed).zip(0..).map(|(number, step)| {
+        let from_ms = (from_ms + gap + step * SERIES_GAP_MS).min(LATEST_START_MS);
+        Fault {
+            from_ms,
+            until_ms: from_ms + rng.random_range(50..2_500),
+            kind: Kind::Kill((first + number) % instances),
+        }
+    }));
+    faults
+}
+
 /// Draws the faults that version 3 adds to a round: an instance loses the store, and if
 /// it owns a cell, it reaches other workers than its successor.
 fn draw_partition(rng: &mut StdRng, instances: usize) -> Vec<Fault> {
--- a/crates/nutmegcart_soak/src/soak.rs
+++ b/crates/nutmegcart_soak/src/soak.rs
@@ -19,10 +19,12 @@
 use nutmegcart_stand_in::runner::Runner;
 use rustix::process::Signal;
 use serde::Serialize;
+use serde_json::json;
 
 use crate::callers::Callers;
 use crate::callers::Client;
 use crate::callers::HOST;
+use crate::callers::KEY;
 use crate::callers::Mode;
 use crate::callers::PREFIX;
 use crate::checker::Broken;
@@ -49,6 +51,13 @@
 const UNKNOWN_JOB_STATUS: u16 = 410;
 /// Status of answers to a path without a route.
 const UNKNOWN_ROUTE_STATUS: u16 = 404;
+/// Status of answers to a call whose key no organisation holds.
+const UNKNOWN_KEY_STATUS: u16 = 401;
+/// Key of the organisation that submits no jobs.
+const OTHER_KEY: &str = "k-others";
+/// Limit of the callers' organisation. Their long-running tasks need up to 32,000 thousandths of a core,
+/// and they must all run in a settled state.
+const MAX_MILLICORES: u64 = 48_000;
 /// Interval at which facts are collected and faults begin and end.
 const TICK: Duration = Duration::from_millis(10);
 /// Time for which callers stay busy after a round of faults.
@@ -117,6 +126,8 @@
     conducts: Vec<(Conduct, u32)>,
     timed: bool,
     client: Client,
+    /// Whether the configuration has organisations.
+    organisations: bool,
     /// Whether callers reset connections to each instance.
     resets: Arc<[AtomicBool]>,
     /// Version of the newest configuration.
@@ -135,7 +146,8 @@
     let text = |error: std::io::Error| format!("{}: {error}", folder.display());
     fs::create_dir_all(&folder).map_err(text)?;
     let platform = StandIn::start();
-    configure(&platform, 1);
+    let organisations = schedule.size.has_organisations();
+    configure(&platform, 1, organisations);
     let workers = start_workers(&platform, schedule.size.cells);
     let instances = (0..schedule.size.instances)
         .map(|number| Instance::new(&platform, number, &options.binary, &folder));
@@ -152,7 +164,12 @@
         active: Vec::new(),
         timeline: Vec::new(),
         timed: options.timed,
-        client: Client::default(),
+        client: if organisations {
+            Client::with_key(KEY)
+        } else {
+            Client::default()
+        },
+        organisations,
     };
     let played = soak.run(schedule);
     let report = soak.report(schedule, &folder);
@@ -164,9 +181,25 @@
     Ok(report)
 }
 
-/// Writes a configuration with one route that all versions have and one of its own.
-fn configure(platform: &StandIn, version: u64) {
-    platform.configure_routes(version, SERVICE, HOST, &[PREFIX, &own_prefix(version)]);
+/// Writes a configuration with one route that all versions have and one of its own, and with two
+/// organisations if wanted: that of the callers has a key that all versions have and one of its own.
+fn configure(platform: &StandIn, version: u64, organisations: bool) {
+    let own_prefix = own_prefix(version);
+    if !organisations {
+        platform.configure_routes(version, SERVICE, HOST, &[PREFIX, &own_prefix]);
+        return;
+    }
+    let tenants = json!([
+        {"name": "callers", "api-keys": [KEY, own_key(version)], "weight": 2.0,
+         "max-count": {"cpu": MAX_MILLICORES, "mem-mb": 0, "gpu": 0}},
+        {"name": "others", "api-keys": [OTHER_KEY], "weight": 1.0},
+    ]);
+    let prefixes = [PREFIX, &own_prefix];
+    platform.configure_organisations(version, SERVICE, HOST, prefixes, &tenants);
+}
+
+fn own_key(version: u64) -> String {
+    format!("k-version-{version}")
 }
 
 fn own_prefix(version: u64) -> String {
@@ -205,6 +238,7 @@
             &addresses,
             &self.resets,
             &self.history,
+            &self.client,
         );
         let played = self.play_rounds(schedule, &callers);
         callers.stop();
@@ -226,6 +260,9 @@
                 self.check_configurations();
             }
             self.settle(callers, over)?;
+            if self.organisations {
+                self.check_isolation();
+            }
         }
         Ok(())
     }
@@ -269,7 +306,7 @@
             Kind::Forget => self.platform.store.forget_history(),
             Kind::Configure => {
                 self.configured += 1;
-                configure(&self.platform, self.configured);
+                configure(&self.platform, self.configured, self.organisations);
             }
             Kind::Partition(worker, side) => self.workers[worker].partition(Some(side)),
             Kind::Reset(instance) => self.resets[instance].store(true, Ordering::SeqCst),
@@ -476,10 +513,47 @@
                 let seen = format!("{newest} for version {}, {former} before", self.configured);
                 outdated.insert(format!("configuration of instance {number}"), seen);
             }
+            if !self.organisations {
+                continue;
+            }
+            let status = |version| {
+                let client = Client::with_key(&own_key(version));
+                let path = format!("{PREFIX}{UNKNOWN_JOB}");
+                let answer = client.call(instance.callers, "GET", &path, "");
+                answer.map_or(0, |(status, _)| status)
+            };
+            let newest = status(self.configured);
+            let revoked = status(self.configured - 1);
+            if (newest, revoked) != (UNKNOWN_JOB_STATUS, UNKNOWN_KEY_STATUS) {
+                let seen = format!("{newest} with the newest key, {revoked} with the one before");
+                outdated.insert(format!("keys of instance {number}"), seen);
+            }
         }
         outdated
     }
 
+    /// Checks that no instance shows a job to callers of the other organisation.
+    fn check_isolation(&mut self) {
+        let client = Client::with_key(OTHER_KEY);
+        let mut shown = Vec::new();
+        for (job, view) in &self.checker.jobs {
+            for (number, instance) in self.instances.iter().enumerate() {
+                let path = format!("{PREFIX}{job}");
+                let answer = client.call(instance.callers, "GET", &path, "");
+                if let Some((200..=299, _)) = answer
+                    && view.accepted.is_some()
+                {
+                    shown.push(format!("job {job} by instance {number}"));
+                }
+            }
+        }
+        let now = self.history.now();
+        for detail in shown {
+            let promise = "a job is shown to callers of its organisation only";
+            self.checker.report(now, promise, detail);
+        }
+    }
+
     /// Checks that each instance uses the newest configuration after a calm stretch.
     fn check_configurations(&mut self) {
         let now = self.history.now();
--- a/crates/nutmegcart_soak/tests/schedule.rs
+++ b/crates/nutmegcart_soak/tests/schedule.rs
@@ -46,7 +46,7 @@
 /// Guards against kinds of faults that no seed draws, and faults outside of their round.
 #[test]
 fn fifty_seeds_draw_every_kind() {
-    for (version, expected) in [(1, 10), (2, 12), (3, 13)] {
+    for (version, expected) in [(1, 10), (2, 12), (3, 13), (4, 13)] {
         let mut kinds = HashSet::new();
         for fault in (0..50).flat_map(|seed| faults(seed, version)) {
             assert!(fault.from_ms < fault.until_ms, "{fault}");
@@ -67,7 +67,7 @@
 /// Guards against a later version that changes the faults of an earlier one instead of adding some.
 #[test]
 fn later_version_only_adds_faults() {
-    for (seed, version) in (0..50).flat_map(|seed| [(seed, 2), (seed, 3)]) {
+    for (seed, version) in (0..50).flat_map(|seed| [(seed, 2), (seed, 3), (seed, 4)]) {
         let added = faults(seed, version);
         for fault in faults(seed, version - 1) {
             assert!(added.contains(&fault), "seed {seed}: {fault}");
--- a/crates/nutmegcart_soak/tests/soak.rs
+++ b/crates/nutmegcart_soak/tests/soak.rs
@@ -39,4 +39,7 @@
     /// Guards against promises that are broken under configurations in series and resets of
     /// connections, with three cells.
     three_cells_keep_the_promises => (4, size(2, 3, 8));
+    /// Guards against revoked keys that are accepted, and jobs that are shown to another organisation,
+    /// while owners are killed.
+    organisations_keep_the_promises => (2, size(4, 2, 8));
 }
