--- a/crates/nutmegcart_control/src/api_keys.rs
+++ b/crates/nutmegcart_control/src/api_keys.rs
@@ -1,5 +1,6 @@
 //! Keys with which callers prove that they belong to an organisation.
 
+use std::borrow::Borrow;
 use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
@@ -16,12 +17,26 @@
 #[derive(Clone, Eq, Hash, PartialEq)]
 pub struct ApiKey(Arc<str>);
 
+impl ApiKey {
+    /// Returns whether it has no characters, and so opens nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl From<&str> for ApiKey {
     fn from(text: &str) -> Self {
         Self(text.into())
     }
 }
 
+impl Borrow<str> for ApiKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Debug for ApiKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ApiKey")
@@ -42,7 +57,7 @@
         let mut holders: HashMap<ApiKey, Option<OrganisationName>> = HashMap::new();
         for config in organisations {
             let name = &config.organisation.name;
-            for key in config.keys.iter().filter(|key| !key.0.is_empty()) {
+            for key in config.keys.iter().filter(|key| !key.is_empty()) {
                 let holder = holders.entry(key.clone()).or_insert(Some(name.clone()));
                 if holder.as_ref() != Some(name) {
                     *holder = None;
@@ -63,7 +78,7 @@
     ///
     /// Fails with [`Code::UnknownKey`] if there is no key, or not exactly one organisation holds it.
     pub fn organisation(&self, key: Option<&str>) -> Result<OrganisationName> {
-        let holder = key.and_then(|key| self.holders.get(&ApiKey::from(key)));
+        let holder = key.and_then(|key| self.holders.get(key));
         holder.cloned().flatten().ok_or(Code::UnknownKey)
     }
 }
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -40,6 +40,7 @@
 use crate::limit_exchange::ExchangeState;
 use crate::metrics::Metrics;
 use crate::operator_records::StoredConfiguration;
+use crate::organisations;
 use crate::owner_history::OwnerHistory;
 use crate::owner_log::OwnerLog;
 use crate::port::Platform;
@@ -594,7 +595,7 @@
     }
 
     /// Puts a configuration into force, and returns true, unless the current one is as new or newer.
-    pub fn configure(&self, configuration: PlatformConfig) -> bool {
+    pub fn configure(&self, mut configuration: PlatformConfig) -> bool {
         if self.config_version() >= Some(configuration.version) {
             return false;
         }
@@ -607,6 +608,15 @@
         );
         self.clients
             .set_request_limits(configuration.limits.of_requests());
+        if let Some(organisations) = &mut configuration.organisations {
+            for (name, fault) in organisations::check(organisations) {
+                log_event!(
+                    Event::OrganisationInvalid,
+                    organisation = name,
+                    reason = fault
+                );
+            }
+        }
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
         for owned in self.owned_cells() {
