Count the whole of a drawn fault as one

The checker of waits took the time within a fault as calm, since the end of the fault was recorded only afterwards. The product is unchanged.

--- a/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
+++ b/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
@@ -158,6 +158,7 @@
     let cell = fleet.rng.random_range(0..fleet.cells.len());
     let owner = fleet.cells[cell].owners.len() - 1;
     let span = seconds(fleet.rng.random_range(0.3..4.0));
+    fleet.checks.fault_until = Duration::MAX.saturating_sub(seconds(60.0));
     match fleet.rng.random_range(0..7) {
         0 => {
             fleet.cells[cell].owners[owner].up = false;
