--- a/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
+++ b/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
@@ -177,6 +177,9 @@
             fleet.run(seconds(0.1));
             let index = fleet.cells[cell].take_over_partitioned(silent);
             fleet.versions.insert((cell, index), fleet.version);
+            fleet.cells[cell].after(seconds(3.0), move |cell| {
+                cell.owners[index].unreachable.clear();
+            });
         }
         2 => {
             fleet.cells[cell].owners[owner].reaches_store = false;
