--- a/crates/nutmegcart/src/cell_table.rs
+++ b/crates/nutmegcart/src/cell_table.rs
@@ -58,6 +58,13 @@
     row
 }
 
+/// Returns processor in thousandths of a core, memory in MB and accelerators; 0 is no limit.
+fn amounts(resources: &Value) -> String {
+    let amount = |name: &str| resources[name].as_u64().unwrap_or_default();
+    let (cpu, memory) = (amount("cpu"), amount("memory"));
+    format!("{cpu}/{memory}/{}", amount("accelerators"))
+}
+
 /// Prints a table of the cells, then why a cell is unknown and which jobs are stalled.
 pub fn print(answer: &Value) {
     println!("{}: ready {}", text(&answer["instance"]), answer["ready"]);
@@ -73,6 +80,21 @@
                 report["cell"]
             );
         }
+        for each in report["organisations"].as_array().into_iter().flatten() {
+            println!(
+                "{} in cell {}: {} of {} in use, allocation {} %, {} jobs wait{}",
+                text(&each["name"]),
+                report["cell"],
+                amounts(&each["used"]),
+                amounts(&each["limit"]),
+                each["allocation"].as_f64().unwrap_or_default() / 10_000.0,
+                each["waiting_jobs"],
+                match each["reason"].as_str() {
+                    None | Some("") => String::new(),
+                    Some(reason) => format!(", most for: {reason}"),
+                },
+            );
+        }
         let stalled = report["status"]["stalled_jobs"].as_array();
         for job in stalled.into_iter().flatten() {
             println!(
--- a/crates/nutmegcart_control/src/cell_status.rs
+++ b/crates/nutmegcart_control/src/cell_status.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use nutmegcart_jobs::organisation_status::OrganisationStatus;
 use nutmegcart_jobs::stalled::StalledJob;
 use nutmegcart_jobs::worker::millis;
 use serde::Deserialize;
@@ -78,6 +79,9 @@
     /// The status, if the owner has answered.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub status: Option<CellStatus>,
+    /// What organisations have running and waiting, if there are any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub organisations: Vec<OrganisationStatus>,
     /// Why the status is unknown.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub unknown: Option<String>,
@@ -132,6 +136,22 @@
     }
 }
 
+/// Asks the owner of a cell about organisations, if the configuration has any. Nothing is reported
+/// while the owner does not answer, or is of a version that does not know the request.
+async fn organisations(node: &Rc<Node>, cell: u32) -> Vec<OrganisationStatus> {
+    let configuration = node.configuration.borrow().clone();
+    if configuration.is_none_or(|each| each.organisations.is_none()) {
+        return Vec::new();
+    }
+    match peer::ask_owner(node, &PeerRequest::Organisations(cell)).await {
+        Ok(PeerResponse::Organisations(statuses)) => statuses,
+        other => {
+            log::debug!("organisations of cell {cell} unknown: {other:?}");
+            Vec::new()
+        }
+    }
+}
+
 /// Asks the owners of all cells at the same time. A cell whose owner does not answer in time is
 /// reported as unknown.
 pub(crate) async fn of_fleet(node: &Rc<Node>, cells: &Cells) -> FleetStatus {
@@ -159,6 +179,7 @@
             owner: node.owner(cell).map(|owner| owner.name),
             unknown: answer.as_ref().err().cloned(),
             status: answer.ok(),
+            organisations: organisations(node, cell).await,
         });
     }
     FleetStatus {
--- a/crates/nutmegcart_control/src/limit_exchange.rs
+++ b/crates/nutmegcart_control/src/limit_exchange.rs
@@ -5,6 +5,8 @@
 //! key, and then responds with them. Nothing is sent or read while nothing is lacking.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +46,8 @@
 const MAX_ASKED: usize = 4;
 /// Time for which a cell that gave nothing is not asked again for the same organisation.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
-/// Same for a cell whose owner did not answer.
+/// Time for which a cell whose owner did not answer is not asked for any organisation, so that one
+/// silent owner does not delay the requests for all.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the stored allocations are read while allocation is lacking.
 const READ_PERIOD: Duration = Duration::from_secs(5);
@@ -69,6 +72,8 @@
 pub struct ExchangeState {
     /// Notified when a pass lacks allocation, or allocations have to be read or compared.
     pub wanted: Notify,
+    /// Names and kinds of the gauges that are set.
+    pub(crate) reported: RefCell<BTreeSet<(String, &'static str)>>,
     /// Writes that were sent and not yet made up for, and the time of that count.
     writes: Cell<(f64, Duration)>,
 }
@@ -91,13 +96,15 @@
 struct Rounds {
     next: HashMap<OrganisationName, Duration>,
     paused: HashMap<(OrganisationName, u32), Duration>,
+    /// Until when cells whose owner did not answer are not asked.
+    silent: HashMap<u32, Duration>,
     next_read: HashMap<OrganisationName, Duration>,
     held_since: HashMap<OrganisationName, Duration>,
 }
 
 /// Reads the allocations before anything of an organisation starts, requests what is lacking, and
 /// compares uses after a limit has fallen, until the ownership ends.
-pub(crate) async fn run(node: Rc<Node>, owned: Rc<OwnedCell>) {
+pub async fn run(node: Rc<Node>, owned: Rc<OwnedCell>) {
     let mut rounds = Rounds::default();
     while !owned.has_ended() {
         // The timeout only ends the task with the ownership.
@@ -166,33 +173,33 @@
     let name = request.organisation.clone();
     let paused = |cell: &u32| {
         let until = rounds.paused.get(&(name.clone(), *cell));
-        until.is_some_and(|until| now() < *until)
+        let silent = rounds.silent.get(cell);
+        until.into_iter().chain(silent).any(|until| now() < *until)
     };
     let donors = owned.scheduler.borrow().donors(&name);
     let donors: Vec<u32> = donors.into_iter().filter(|cell| !paused(cell)).collect();
     for cell in donors.into_iter().take(MAX_ASKED) {
         let asked = PeerRequest::Limit(cell, request.clone());
         let answer = peer::ask_owner(node, &asked).await;
-        let (outcome, pause) = match answer {
-            Ok(PeerResponse::Limit(stored)) => {
-                let newer = {
-                    let mut scheduler = owned.scheduler.borrow_mut();
-                    scheduler.adopt_allocations(&name, &stored)
-                };
-                // A pass starts what the allocation now permits.
-                owned.pass_wanted.notify_one();
-                if newer {
-                    ("given", None)
-                } else {
-                    ("refused", Some(REFUSAL_PAUSE))
-                }
+        let outcome = if let Ok(PeerResponse::Limit(stored)) = answer {
+            let newer = {
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.adopt_allocations(&name, &stored)
+            };
+            // A pass starts what the allocation now permits.
+            owned.pass_wanted.notify_one();
+            if newer {
+                "given"
+            } else {
+                let until = now() + REFUSAL_PAUSE;
+                rounds.paused.insert((name.clone(), cell), until);
+                "refused"
             }
-            _ => ("unanswered", Some(SILENCE_PAUSE)),
+        } else {
+            rounds.silent.insert(cell, now() + SILENCE_PAUSE);
+            "unanswered"
         };
         node.metrics.limit_moves.with_label_values(&[outcome]).inc();
-        if let Some(pause) = pause {
-            rounds.paused.insert((name.clone(), cell), now() + pause);
-        }
         let next = owned.scheduler.borrow().limit_request(&name);
         match next {
             Some(next) if !owned.has_ended() => request = next,
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -64,6 +64,8 @@
     pub passed_jobs: IntCounterVec,
     /// Messages and writes about allocations of organisations' limits, by outcome.
     pub limit_moves: IntCounterVec,
+    /// Use of limits in a cell by organisation and resource; set by the cell's owner.
+    pub organisation_use: IntGaugeVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -160,20 +162,38 @@
             ),
             longest_wait: longest_wait(&registry),
             stalled_jobs: stalled_jobs(&registry),
-            blocking_workers: by_cell(
-                "nutmegcart_blocking_workers",
-                "Workers on which inherited jobs may still run, and which have not answered.",
-            ),
+            blocking_workers: blocking_workers(&registry),
             rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
             limit_moves: limit_moves(&registry),
+            organisation_use: organisation_use(&registry),
             config_version,
             registry,
         }
     }
 }
 
-/// Creates and registers the counter of jobs that passed to another cell.
+/// Creates and registers the gauge of workers that block inherited jobs.
+fn blocking_workers(registry: &Registry) -> IntGaugeVec {
+    gauge(
+        registry,
+        "nutmegcart_blocking_workers",
+        "Workers on which inherited jobs may still run, and which have not answered.",
+        &["cell"],
+    )
+}
+
+/// Creates and registers the gauge of the use of organisations.
+fn organisation_use(registry: &Registry) -> IntGaugeVec {
+    gauge(
+        registry,
+        "nutmegcart_organisation_use",
+        "Use of an organisation with a limit in a cell, and its allocation in millionths.",
+        &["cell", "organisation", "kind"],
+    )
+}
+
+/// Creates and registers the counter of moves of allocations.
 fn limit_moves(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_limit_moves_total",
@@ -184,6 +204,7 @@
     counter
 }
 
+/// Creates and registers the counter of jobs that passed to another cell.
 fn passed_jobs(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_jobs_passed_total",
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -434,6 +434,7 @@
         owned.write_wanted.notify_one();
     }
     status::clear(&node, owned.view.number);
+    status::clear_use(&node, &owned);
 }
 
 fn execute(node: &Rc<Node>, owned: &Rc<OwnedCell>, action: Action) {
--- a/crates/nutmegcart_control/src/peer.rs
+++ b/crates/nutmegcart_control/src/peer.rs
@@ -22,6 +22,7 @@
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::limit_moves::LimitRequest;
 use nutmegcart_jobs::limit_moves::StoredAllocations;
+use nutmegcart_jobs::organisation_status::OrganisationStatus;
 use nutmegcart_jobs::passing::PoolLoad;
 use nutmegcart_model::OrganisationName;
 use serde::Deserialize;
@@ -103,6 +104,8 @@
     Limit(u32, LimitRequest),
     /// Asks the owner of the cell for its allocations and use of the organisations' limits.
     LimitUse(u32, Vec<OrganisationName>),
+    /// Asks the owner of the cell what organisations have running and waiting there.
+    Organisations(u32),
 }
 
 /// The response to a [`PeerRequest`].
@@ -133,6 +136,8 @@
     Limit(StoredAllocations),
     /// The version of the configuration, and allocation in millionths and use by organisation.
     LimitUse(u64, Vec<(u32, Resources)>),
+    /// What each organisation has running and waiting in the cell.
+    Organisations(Vec<OrganisationStatus>),
 }
 
 /// Result of an attempt to cancel a job.
@@ -180,6 +185,9 @@
             PeerResponse::Waiting(u64::try_from(count).unwrap_or(u64::MAX))
         }
         PeerRequest::Load(_) => PeerResponse::Load(scheduler.pool_loads(now())),
+        PeerRequest::Organisations(_) => {
+            PeerResponse::Organisations(scheduler.organisation_statuses())
+        }
         PeerRequest::LimitUse(_, names) => {
             let uses = names.iter().map(|name| scheduler.limit_use(name));
             let version = node
@@ -213,6 +221,7 @@
         | PeerRequest::Status(cell)
         | PeerRequest::Limit(cell, _)
         | PeerRequest::LimitUse(cell, _)
+        | PeerRequest::Organisations(cell)
         | PeerRequest::TakeOver(cell, _)
         | PeerRequest::HasEnded(cell, ..) => cells.views.get(*cell as usize).cloned(),
         PeerRequest::Submit(..) | PeerRequest::SubmitFor(..) | PeerRequest::Cancel(..) => None,
--- a/crates/nutmegcart_control/src/status.rs
+++ b/crates/nutmegcart_control/src/status.rs
@@ -1,5 +1,6 @@
 //! Log lines and gauges about the state of a cell, and why its long-running tasks wait.
 
+use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::WaitReason;
 use nutmegcart_jobs::stalled::StalledJob;
 use nutmegcart_jobs::stalled::StalledKind;
@@ -11,6 +12,11 @@
 use crate::node::Node;
 use crate::node::OwnedCell;
 
+/// Organisations that have values of their own in the metrics.
+const MAX_ORGANISATIONS: usize = 32;
+/// Label of all others.
+const OTHER_ORGANISATIONS: &str = "other organisations";
+
 /// Logs the state of the cell, and why long-running tasks wait, and updates the gauges of waits.
 pub(crate) fn report(node: &Node, owned: &OwnedCell) {
     let scheduler = owned.scheduler.borrow();
@@ -37,9 +43,48 @@
     let gauge = &node.metrics.rejected_state;
     let rejected = i64::try_from(rejected).unwrap_or(i64::MAX);
     gauge.with_label_values(&[&label]).set(rejected);
+    report_use(node, owned, &scheduler);
     report_stalled(node, owned, &scheduler.stalled_jobs(now));
 }
 
+/// Updates the gauges of the organisations with limits: the [`MAX_ORGANISATIONS`] with the highest use
+/// of their limits, and the sum of the others.
+fn report_use(node: &Node, owned: &OwnedCell, scheduler: &Scheduler) {
+    let gauge = &node.metrics.organisation_use;
+    let cell = &*owned.view.number.to_string();
+    // Organisations that are gone, or no longer among the highest, must not keep their values.
+    clear_use(node, owned);
+    let mut uses: Vec<_> = scheduler.allowances().collect();
+    uses.sort_by(|(_, a), (_, b)| b.share().total_cmp(&a.share()));
+    for (index, (name, allowance)) in uses.into_iter().enumerate() {
+        let listed = index < MAX_ORGANISATIONS;
+        let name: &str = if listed { name } else { OTHER_ORGANISATIONS };
+        let amounts = [
+            ("cpu", allowance.used.cpu),
+            ("memory", allowance.used.memory),
+            ("accelerators", allowance.used.accelerators.into()),
+            ("allocation", allowance.allocation.into()),
+        ];
+        for (kind, amount) in amounts {
+            let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+            gauge.with_label_values(&[cell, name, kind]).add(amount);
+            let labels = (name.to_owned(), kind);
+            owned.state.limits.reported.borrow_mut().insert(labels);
+        }
+    }
+}
+
+/// Removes the values of organisations in an owned cell.
+pub(crate) fn clear_use(node: &Node, owned: &OwnedCell) {
+    let cell = owned.view.number.to_string();
+    for (name, kind) in owned.state.limits.reported.take() {
+        let gauge = &node.metrics.organisation_use;
+        if let Err(error) = gauge.remove_label_values(&[&*cell, &*name, kind]) {
+            log::debug!("gauge of {name} not removed: {error}");
+        }
+    }
+}
+
 /// Logs which jobs have stalled or resumed since the latest call, and updates their gauge.
 fn report_stalled(node: &Node, owned: &OwnedCell, stalled: &[StalledJob]) {
     let (cell, now) = (owned.view.number, now());
--- a/crates/nutmegcart_control/tests/metrics.rs
+++ b/crates/nutmegcart_control/tests/metrics.rs
@@ -42,6 +42,10 @@
     metrics.blocking_workers.with_label_values(&["0"]).set(1);
     metrics.rejected_state.with_label_values(&["0"]).set(1);
     metrics.passed_jobs.with_label_values(&["0"]).inc();
+    metrics
+        .organisation_use
+        .with_label_values(&["0", "ferries", "cpu"])
+        .set(1);
     metrics.limit_moves.with_label_values(&["given"]).inc();
     metrics.jobs.with_label_values(&["0"]).set(1);
     let text = metrics.text();
--- a/crates/nutmegcart_control/tests/peer_requests.rs
+++ b/crates/nutmegcart_control/tests/peer_requests.rs
@@ -24,6 +24,8 @@
 use nutmegcart_jobs::QueueKey;
 use nutmegcart_jobs::Scheduler;
 use nutmegcart_jobs::layout::CellLayout;
+use nutmegcart_jobs::limit_moves::LimitRequest;
+use nutmegcart_jobs::limit_moves::StoredAllocations;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
 
@@ -52,6 +54,18 @@
         PeerRequest::Load(cell),
         PeerRequest::Status(cell),
         PeerRequest::HasEnded(cell, u64::MAX, "entry-2".into(), u64::MAX),
+        PeerRequest::LimitUse(cell, vec!["ferries".into()]),
+        PeerRequest::Organisations(cell),
+        PeerRequest::Limit(
+            cell,
+            LimitRequest {
+                organisation: "ferries".into(),
+                cell: u32::MAX,
+                wanted: u32::MAX,
+                since_ms: u64::MAX,
+                known: StoredAllocations::equal(3),
+            },
+        ),
     ]
 }
 
--- a/crates/nutmegcart_jobs/src/fleet_limit.rs
+++ b/crates/nutmegcart_jobs/src/fleet_limit.rs
@@ -86,6 +86,18 @@
     }
 }
 
+impl Allowance {
+    /// Returns the part of the limit that is in use in the cell, by the resource with the highest one.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        let (limit, used) = (amounts(self.limit), amounts(self.used));
+        let limited = limit.into_iter().zip(used).filter(|(limit, _)| *limit > 0);
+        limited.fold(0.0, |most: f64, (limit, used)| {
+            most.max(used as f64 / limit as f64)
+        })
+    }
+}
+
 /// Returns the amounts in a fixed order, wide enough for products.
 pub(crate) fn amounts(resources: Resources) -> [u128; 3] {
     [
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,7 +13,7 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`organisation`], [`fleet_limit`], [`limit_moves`]: organisations that share a deployment, their
+//! * [`organisation`], [`organisation_status`], [`fleet_limit`], [`limit_moves`]: organisations that share a deployment, their
 //!   limits, and allocations that move between cells;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
@@ -44,6 +44,7 @@
 mod moved_queues;
 pub mod orders;
 pub mod organisation;
+pub mod organisation_status;
 pub mod passing;
 mod placement;
 pub mod polls;
--- a/crates/nutmegcart_jobs/tests/fleet_limits.rs
+++ b/crates/nutmegcart_jobs/tests/fleet_limits.rs
@@ -195,3 +195,21 @@
     world.run(seconds(2.0));
     assert_all_completed(&world, &[other, removed]);
 }
+
+/// Guards against an operator who does not see how much of its limit an organisation uses, how many of
+/// its jobs wait and why.
+#[test]
+fn status_tells_use_and_reason() {
+    let mut world = limited(4, 2, 8_000);
+    for number in 0..3 {
+        submit(&mut world, number, batch_step(1, 4_000, 60_000));
+    }
+    world.run(seconds(1.0));
+    let owner = world.owners.last().expect("a cell has an owner");
+    let statuses = owner.scheduler.organisation_statuses();
+    assert_eq!(statuses.len(), 1);
+    let status = &statuses[0];
+    assert_eq!((status.allocation, status.used.cpu), (500_000, 4_000));
+    assert_eq!(status.waiting_jobs, 2);
+    assert_eq!(status.reason, "organisation's limit");
+}
