--- a/crates/nutmegcart_control/src/limit_exchange.rs
+++ b/crates/nutmegcart_control/src/limit_exchange.rs
@@ -5,7 +5,10 @@
 //! key, and then responds with them. Nothing is sent or read while nothing is lacking.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,7 +47,8 @@
 const MAX_ASKED: usize = 4;
 /// Time for which a cell that gave nothing is not asked again for the same organisation.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
-/// Same for a cell whose owner did not answer.
+/// Time for which a cell whose owner did not answer is not asked for any organisation, so that one
+/// silent owner does not delay the requests for all.
 const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the stored allocations are read while allocation is lacking.
 const READ_PERIOD: Duration = Duration::from_secs(5);
@@ -69,6 +73,8 @@
 pub struct ExchangeState {
     /// Notified when a pass lacks allocation, or allocations have to be read or compared.
     pub wanted: Notify,
+    /// Names and kinds of the gauges that are set.
+    pub(crate) reported: RefCell<BTreeSet<(String, &'static str)>>,
     /// Writes that were sent and not yet made up for, and the time of that count.
     writes: Cell<(f64, Duration)>,
 }
@@ -89,16 +95,42 @@
 /// What the recipient remembers between rounds.
 #[derive(Default)]
 struct Rounds {
+    /// Organisations with a round under way.
+    active: HashSet<OrganisationName>,
     next: HashMap<OrganisationName, Duration>,
     paused: HashMap<(OrganisationName, u32), Duration>,
+    /// Until when cells whose owner did not answer are not asked.
+    silent: HashMap<u32, Duration>,
     next_read: HashMap<OrganisationName, Duration>,
     held_since: HashMap<OrganisationName, Duration>,
 }
 
+type SharedRounds = Rc<RefCell<Rounds>>;
+
+impl Rounds {
+    /// Returns whether a round for the organisation is due, and records that it begins if so.
+    fn begin(&mut self, name: &OrganisationName) -> bool {
+        let at = now();
+        let due = self.next.get(name).is_none_or(|due| at >= *due);
+        let begins = due && self.active.insert(name.clone());
+        if begins {
+            self.next.insert(name.clone(), at + ROUND_PERIOD);
+        }
+        begins
+    }
+
+    /// Returns whether a cell gave nothing, or did not answer, a short time ago.
+    fn is_paused(&self, name: &OrganisationName, cell: u32) -> bool {
+        let until = self.paused.get(&(name.clone(), cell));
+        let silent = self.silent.get(&cell);
+        until.into_iter().chain(silent).any(|until| now() < *until)
+    }
+}
+
 /// Reads the allocations before anything of an organisation starts, requests what is lacking, and
 /// compares uses after a limit has fallen, until the ownership ends.
-pub(crate) async fn run(node: Rc<Node>, owned: Rc<OwnedCell>) {
-    let mut rounds = Rounds::default();
+pub async fn run(node: Rc<Node>, owned: Rc<OwnedCell>) {
+    let rounds: SharedRounds = Rc::default();
     while !owned.has_ended() {
         // The timeout only ends the task with the ownership.
         let wanted = owned.state.limits.wanted.notified();
@@ -112,14 +144,17 @@
             load(&node, &owned).await;
             continue;
         }
-        compare_uses(&node, &owned, &mut rounds).await;
+        compare_uses(&node, &owned, &rounds).await;
         let requests = owned.scheduler.borrow().limit_requests();
         for request in requests {
-            let due = rounds.next.get(&request.organisation);
-            if due.is_none_or(|due| now() >= *due) && !owned.has_ended() {
-                let next = now() + ROUND_PERIOD;
-                rounds.next.insert(request.organisation.clone(), next);
-                round(&node, &owned, &mut rounds, request).await;
+            if rounds.borrow_mut().begin(&request.organisation) && !owned.has_ended() {
+                let (node, owned, rounds) = (node.clone(), owned.clone(), rounds.clone());
+                // Rounds of different organisations do not wait for each other.
+                tokio::task::spawn_local(async move {
+                    let name = request.organisation.clone();
+                    round(&node, &owned, &rounds, request).await;
+                    rounds.borrow_mut().active.remove(&name);
+                });
             }
         }
     }
@@ -160,39 +195,41 @@
 async fn round(
     node: &Rc<Node>,
     owned: &Rc<OwnedCell>,
-    rounds: &mut Rounds,
+    rounds: &SharedRounds,
     mut request: LimitRequest,
 ) {
     let name = request.organisation.clone();
-    let paused = |cell: &u32| {
-        let until = rounds.paused.get(&(name.clone(), *cell));
-        until.is_some_and(|until| now() < *until)
-    };
     let donors = owned.scheduler.borrow().donors(&name);
-    let donors: Vec<u32> = donors.into_iter().filter(|cell| !paused(cell)).collect();
-    for cell in donors.into_iter().take(MAX_ASKED) {
+    let mut asked_cells = 0;
+    for cell in donors {
+        // Another round may have found out meanwhile that its owner is silent.
+        if asked_cells >= MAX_ASKED || rounds.borrow().is_paused(&name, cell) {
+            continue;
+        }
+        asked_cells += 1;
         let asked = PeerRequest::Limit(cell, request.clone());
         let answer = peer::ask_owner(node, &asked).await;
-        let (outcome, pause) = match answer {
-            Ok(PeerResponse::Limit(stored)) => {
-                let newer = {
-                    let mut scheduler = owned.scheduler.borrow_mut();
-                    scheduler.adopt_allocations(&name, &stored)
-                };
-                // A pass starts what the allocation now permits.
-                owned.pass_wanted.notify_one();
-                if newer {
-                    ("given", None)
-                } else {
-                    ("refused", Some(REFUSAL_PAUSE))
-                }
+        let outcome = if let Ok(PeerResponse::Limit(stored)) = answer {
+            let newer = {
+                let mut scheduler = owned.scheduler.borrow_mut();
+                scheduler.adopt_allocations(&name, &stored)
+            };
+            // A pass starts what the allocation now permits.
+            owned.pass_wanted.notify_one();
+            if newer {
+                "given"
+            } else {
+                let until = now() + REFUSAL_PAUSE;
+                let key = (name.clone(), cell);
+                rounds.borrow_mut().paused.insert(key, until);
+                "refused"
             }
-            _ => ("unanswered", Some(SILENCE_PAUSE)),
+        } else {
+            let until = now() + SILENCE_PAUSE;
+            rounds.borrow_mut().silent.insert(cell, until);
+            "unanswered"
         };
         node.metrics.limit_moves.with_label_values(&[outcome]).inc();
-        if let Some(pause) = pause {
-            rounds.paused.insert((name.clone(), cell), now() + pause);
-        }
         let next = owned.scheduler.borrow().limit_request(&name);
         match next {
             Some(next) if !owned.has_ended() => request = next,
@@ -206,16 +243,19 @@
 async fn read_stored(
     node: &Rc<Node>,
     owned: &Rc<OwnedCell>,
-    rounds: &mut Rounds,
+    rounds: &SharedRounds,
     name: &OrganisationName,
 ) {
     let at = now();
-    let due = rounds.next_read.entry(name.clone());
-    let due = due.or_insert(at + READ_PERIOD);
-    if at < *due {
-        return;
+    {
+        let mut rounds = rounds.borrow_mut();
+        let due = rounds.next_read.entry(name.clone());
+        let due = due.or_insert(at + READ_PERIOD);
+        if at < *due {
+            return;
+        }
+        *due = at + READ_PERIOD;
     }
-    *due = at + READ_PERIOD;
     match (node.platform.store.get)(keys::limit(name)).await {
         Ok(item) => {
             if let Some((_, stored)) = item.as_ref().and_then(parse) {
@@ -340,12 +380,12 @@
 }
 
 /// Asks all other owners what they use above their allocations of limits that have fallen.
-async fn compare_uses(node: &Rc<Node>, owned: &Rc<OwnedCell>, rounds: &mut Rounds) {
+async fn compare_uses(node: &Rc<Node>, owned: &Rc<OwnedCell>, rounds: &SharedRounds) {
     let held = owned.scheduler.borrow().held_limits();
     let at = now();
-    rounds
-        .held_since
-        .retain(|name, _| held.iter().any(|(other, _)| other == name));
+    let is_held = |name: &OrganisationName| held.iter().any(|(other, _)| other == name);
+    let kept = |name: &OrganisationName, _: &mut Duration| is_held(name);
+    rounds.borrow_mut().held_since.retain(kept);
     let version = node
         .configuration
         .borrow()
@@ -383,7 +423,11 @@
         }
     }
     for ((name, timeout), sum) in held.into_iter().zip(sums) {
-        let since = *rounds.held_since.entry(name.clone()).or_insert(at);
+        let since = *rounds
+            .borrow_mut()
+            .held_since
+            .entry(name.clone())
+            .or_insert(at);
         if complete || now() >= since + timeout {
             let mut scheduler = owned.scheduler.borrow_mut();
             scheduler.set_excess_elsewhere(&name, sum);
--- a/crates/nutmegcart_control/src/metrics.rs
+++ b/crates/nutmegcart_control/src/metrics.rs
@@ -66,6 +66,8 @@
     pub limit_moves: IntCounterVec,
     /// What clients hold.
     pub clients: ClientMetrics,
+    /// Use of limits in a cell by organisation and resource; set by the cell's owner.
+    pub organisation_use: IntGaugeVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
 }
@@ -193,15 +195,13 @@
             ),
             longest_wait: longest_wait(&registry),
             stalled_jobs: stalled_jobs(&registry),
-            blocking_workers: by_cell(
-                "nutmegcart_blocking_workers",
-                "Workers on which inherited jobs may still run, and which have not answered.",
-            ),
+            blocking_workers: blocking_workers(&registry),
             rejected_state: rejected_state(&registry),
             passed_jobs: passed_jobs(&registry),
             limit_moves: limit_moves(&registry),
             clients: ClientMetrics::new(&registry),
             config_version: config_version(&registry),
+            organisation_use: organisation_use(&registry),
             registry,
         }
     }
@@ -218,7 +218,27 @@
     gauge
 }
 
-/// Creates and registers the counter of what happens to allocations of limits.
+/// Creates and registers the gauge of workers that block inherited jobs.
+fn blocking_workers(registry: &Registry) -> IntGaugeVec {
+    gauge(
+        registry,
+        "nutmegcart_blocking_workers",
+        "Workers on which inherited jobs may still run, and which have not answered.",
+        &["cell"],
+    )
+}
+
+/// Creates and registers the gauge of the use of organisations.
+fn organisation_use(registry: &Registry) -> IntGaugeVec {
+    gauge(
+        registry,
+        "nutmegcart_organisation_use",
+        "Use of an organisation with a limit in a cell, and its allocation in millionths.",
+        &["cell", "organisation", "kind"],
+    )
+}
+
+/// Creates and registers the counter of moves of allocations.
 fn limit_moves(registry: &Registry) -> IntCounterVec {
     let options = Opts::new(
         "nutmegcart_limit_moves_total",
