Order the work of organisations by fair shares

Cause: an organisation that sends 7.5 times its usual rate for 7 s has jobs as urgent as those of others, and takes most of the room from them.

Change: the placement pass keeps for each organisation its decayed use of the dominant resource, and a credit of starts that its weight covers (the weight divided by the number of cells). Jobs beyond the credit go behind the covered work of all, also once they have started in idle room; one that uses more than its fair share goes behind others of its class. The oldest waiting job goes first once it is 20 s old, one of every 16 that start. Without organisations the order is the same as before.

--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -127,6 +127,9 @@
         if let Some(configuration) = node.configuration.borrow().as_ref() {
             configure_scheduler(&mut scheduler, configuration);
         }
+        if let Some(cells) = node.cells() {
+            scheduler.set_cells(cells.layout.cells());
+        }
     }
     for each in changes {
         apply_job_change(owned, each, true);
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -34,6 +34,7 @@
 use nutmegcart_jobs::MachineOutcome;
 use nutmegcart_jobs::MachineState;
 use nutmegcart_jobs::OrderOutcome;
+use nutmegcart_jobs::Organisation;
 use nutmegcart_jobs::PollRequest;
 use nutmegcart_jobs::PollResponse;
 use nutmegcart_jobs::PoolConfig;
@@ -234,6 +235,8 @@
     pub queues: Vec<Queue>,
     /// Pools with which a new owner is configured.
     pub pools: Vec<(PoolName, PoolConfig)>,
+    /// Organisations with which a new owner is configured.
+    pub organisations: Vec<Organisation>,
     /// Workers at whose address another one has started, which rejects calls meant for them.
     pub reused_addresses: BTreeSet<WorkerId>,
     /// What the platform does with orders for machines.
@@ -287,6 +290,7 @@
             duration_spread: 1.0,
             queues: Vec::new(),
             pools: Vec::new(),
+            organisations: Vec::new(),
             reused_addresses: BTreeSet::new(),
             machine_service: MachineService::Answers,
             lists_machines: true,
@@ -478,6 +482,7 @@
         let unix = self.unix_ms().saturating_add_signed(clock_ahead);
         let mut scheduler = Scheduler::new(self.settings, fence, self.now);
         scheduler.configure(&self.queues, &self.pools);
+        scheduler.set_organisations(&self.organisations);
         for (id, (record, revision)) in &self.store.jobs {
             match record {
                 JobRecord::Accepted(accepted) => {
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,7 +13,7 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`organisation`]: organisations that share a deployment;
+//! * [`organisation`], [`fair_shares`]: organisations that share a deployment;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
@@ -26,6 +26,7 @@
 pub mod burst_forecast;
 pub mod estimate;
 pub mod failed_runs;
+pub mod fair_shares;
 mod finished_tasks;
 pub mod flush;
 mod fresh_clock;
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -187,6 +187,8 @@
     pub started: bool,
     /// Whether this owner has emitted a start order for any task, which may yet be refused.
     pub ordered: bool,
+    /// Whether it was started in excess of what the weight of its organisation covers.
+    pub excess: bool,
     /// Whether a transaction may pass it to another cell, so that nothing may be started here.
     pub passing: bool,
 }
@@ -227,6 +229,7 @@
             inherited: false,
             started: false,
             ordered: false,
+            excess: false,
             passing: false,
             accepted,
         }
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -14,11 +14,12 @@
 use crate::action::Action;
 use crate::action::StartOrder;
 use crate::assignments::is_assigned;
+use crate::fair_shares::Candidate;
 use crate::job::JobId;
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::live_job::LiveTask;
-use crate::rank::Rank;
+use crate::rank::Coverage;
 use crate::rank::rank;
 use crate::scheduler::Scheduler;
 use crate::slot::Constraints;
@@ -44,7 +45,8 @@
         self.rebalance(now);
         self.drop_obsolete_reservations();
         let means = self.mean_work();
-        let mut waiting: BTreeMap<PoolName, Vec<(Rank, JobId, u32)>> = BTreeMap::new();
+        self.update_fair_capacity(now);
+        let mut waiting: BTreeMap<PoolName, Vec<Candidate>> = BTreeMap::new();
         for job in self.jobs.values() {
             let held = job.passing || self.is_wholly_blocked(job) || self.has_unstored_move(job);
             if held || !job.has_pending() {
@@ -58,16 +60,22 @@
                 let share = self.size_shares.relative(&job.accepted.queue.key, job.work);
                 let rank = rank(job, occurrence, mean, share, now);
                 let pool = waiting.entry(job.pool.clone()).or_default();
-                pool.push((rank, job.id.clone(), *number));
+                pool.push(
+                    self.fair_shares
+                        .candidate(job, *number, rank, occurrence.due),
+                );
             }
         }
         for (pool, mut candidates) in waiting {
-            candidates.sort_by(|a, b| a.0.compare(&b.0).then_with(|| a.1.cmp(&b.1)));
+            self.fair_shares.arrange(&pool, &mut candidates, now);
             let mut slots = self.slots_of_pool(&pool, now);
             self.mark_scarce(&mut slots, &candidates);
             self.start_reserved(&mut slots, &pool, now);
-            for (_, job, occurrence) in candidates {
-                self.place_job(&mut slots, &job, occurrence, now);
+            for candidate in candidates {
+                self.place_job(&mut slots, &candidate.job, candidate.occurrence, now);
+                if candidate.rank.coverage == Coverage::Turn {
+                    self.keep_room(&mut slots, &candidate);
+                }
             }
         }
         self.send_stops();
@@ -75,6 +83,39 @@
         self.tickets.retain(|job| jobs.contains_key(job));
         let is_open = |job: &JobId| jobs.get(job).is_some_and(|job| job.ended.is_none());
         self.backoffs.retain(is_open);
+        self.fair_shares.end_turns(is_open);
+    }
+
+    /// Keeps the worker with most room free for the tasks that still wait in a job whose turn it is.
+    ///
+    /// Smaller tasks would otherwise take all room as it becomes free, before it suffices for a
+    /// large one.
+    fn keep_room(&self, slots: &mut Slots, candidate: &Candidate) {
+        let Some(job) = self.jobs.get(&candidate.job) else {
+            return;
+        };
+        let occurrence = job.occurrences.get(&candidate.occurrence);
+        let states = occurrence.iter().flat_map(|each| &each.steps);
+        let steps = job.accepted.job.steps.iter().zip(states);
+        let waiting = steps.filter(|(_, state)| state.ready && state.pending().next().is_some());
+        let Some((step, _)) = waiting.max_by_key(|(step, _)| step.need.cpu) else {
+            return;
+        };
+        let counts = HashMap::new();
+        let constraints = Constraints {
+            avoid: None,
+            preferred_rack: None,
+            runs_per_worker: &counts,
+            tickets: None,
+        };
+        let fits = |slot: &&mut Slot| {
+            slot.admits(step, &constraints) && step.allocation().fits(slot.capacity)
+        };
+        let fitting = slots.items.iter_mut().filter(fits);
+        if let Some(slot) = fitting.max_by_key(|slot| slot.free.cpu) {
+            slot.reserved = true;
+        }
+        slots.update_largest_free();
     }
 
     /// Returns the mean work of the known jobs of each queue, in core-seconds.
@@ -105,10 +146,10 @@
     }
 
     /// Marks the workers that have a label which waiting tasks require.
-    fn mark_scarce(&self, slots: &mut Slots, candidates: &[(Rank, JobId, u32)]) {
+    fn mark_scarce(&self, slots: &mut Slots, candidates: &[Candidate]) {
         let mut labels: HashSet<Arc<str>> = HashSet::new();
-        for (_, id, _) in candidates {
-            let job = self.jobs.get(id);
+        for candidate in candidates {
+            let job = self.jobs.get(&candidate.job);
             let steps = job.iter().flat_map(|job| &job.accepted.job.steps);
             labels.extend(steps.filter_map(|step| step.label.clone()));
         }
@@ -433,8 +474,12 @@
             self.start_delays.push(now.saturating_sub(job.accepted_at));
             if !job.inherited && !job.accepted.job.is_long_running() {
                 self.size_shares.record_start(job, now);
+                job.excess = self.fair_shares.record_job(job, now);
             }
         }
+        if !step.long_running {
+            self.fair_shares.record_task(job, key.step, now);
+        }
         let Some(task) = job.task(key) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/rank.rs
+++ b/crates/nutmegcart_jobs/src/rank.rs
@@ -37,6 +37,17 @@
     Overdue,
 }
 
+/// How an occurrence stands among those of other organisations.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Coverage {
+    /// It has waited for so long that it goes first.
+    Turn,
+    /// Its organisation sends no more than its weight covers, or there are no organisations.
+    Covered,
+    /// Its organisation sends more than its weight covers.
+    Excess,
+}
+
 /// Rank of an occurrence of a job among waiting work; the lowest is placed first.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rank {
@@ -46,13 +57,31 @@
     pub urgency: Urgency,
     /// Sort key within the same urgency and priority.
     pub key: f64,
+    /// Whether any task of the occurrence has been started.
+    pub started: bool,
+    /// How it stands among those of other organisations.
+    pub coverage: Coverage,
 }
 
 impl Rank {
-    /// Orders ranks by urgency, priority and key.
+    /// Returns the part of the order that fair shares of organisations determine. Excess work whose
+    /// value still depends on its end goes before overdue work, which has no value to lose.
+    const fn band(&self) -> u8 {
+        match (self.urgency, self.coverage) {
+            (Urgency::LongRunning, _) => 0,
+            (_, Coverage::Turn) => 1,
+            (Urgency::OnTime | Urgency::Late, Coverage::Covered) => 2,
+            (Urgency::OnTime | Urgency::Late, Coverage::Excess) => 3,
+            (Urgency::Overdue, Coverage::Covered) => 4,
+            (Urgency::Overdue, Coverage::Excess) => 5,
+        }
+    }
+
+    /// Orders ranks by fair share, urgency, priority and key.
     #[must_use]
     pub fn compare(&self, other: &Self) -> Ordering {
-        let class = (self.urgency, self.priority).cmp(&(other.urgency, other.priority));
+        let class = |rank: &Self| (rank.band(), rank.urgency, rank.priority);
+        let class = class(self).cmp(&class(other));
         class.then(self.key.total_cmp(&other.key))
     }
 }
@@ -71,18 +100,20 @@
 pub fn rank(job: &LiveJob, occurrence: &Occurrence, mean: f64, share: f64, now: Duration) -> Rank {
     let priority = job.accepted.queue.priority;
     let due = occurrence.due.as_secs_f64();
+    let started = occurrence
+        .steps
+        .iter()
+        .any(|step| step.done > 0 || step.tasks.iter().any(|task| task.live_runs > 0));
     let rank_as = |urgency, key| Rank {
         priority,
         urgency,
         key,
+        started,
+        coverage: Coverage::Covered,
     };
     if job.accepted.job.is_long_running() {
         return rank_as(Urgency::LongRunning, due);
     }
-    let started = occurrence
-        .steps
-        .iter()
-        .any(|step| step.done > 0 || step.tasks.iter().any(|task| task.live_runs > 0));
     let tolerance = if started {
         occurrence.remaining.mul_f64(STARTED_TOLERANCE)
     } else {
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::assignments::Assignments;
 use crate::backoff::Backoffs;
 use crate::estimate::Estimates;
+use crate::fair_shares::FairShares;
 use crate::flush::FlushQueue;
 use crate::job::JobId;
 use crate::job::Queue;
@@ -80,6 +81,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
     pub(crate) size_shares: SizeShares,
+    pub(crate) fair_shares: FairShares,
     pub(crate) machines: Machines,
     pub(crate) maintenance: Maintenance,
     pub(crate) actions: Vec<Action>,
@@ -112,6 +114,7 @@
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
             size_shares: SizeShares::default(),
+            fair_shares: FairShares::default(),
             machines: Machines::default(),
             maintenance: Maintenance::default(),
             actions: Vec::new(),
@@ -185,6 +188,12 @@
             .iter()
             .map(|each| (each.name.clone(), each.clone()));
         self.organisations = named.collect();
+        self.fair_shares.configure(self.organisations.values());
+    }
+
+    /// Sets the number of cells of the fleet, among which the weights of organisations are divided.
+    pub fn set_cells(&mut self, cells: u32) {
+        self.fair_shares.set_cells(cells);
     }
 
     /// Restores the state of the cell that an earlier owner stored.
--- a/crates/nutmegcart_jobs/tests/lasting_overload.rs
+++ b/crates/nutmegcart_jobs/tests/lasting_overload.rs
@@ -5,35 +5,28 @@
 use std::time::Duration;
 
 use nutmegcart_fakes::cell::CellSimulation;
-use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
-use nutmegcart_jobs::JobRecord;
-use nutmegcart_jobs::Step;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::support::assert_no_violations;
-use crate::support::batch_step;
+use crate::support::overload::MEAN_WORK;
+use crate::support::overload::draw_steps;
+use crate::support::overload::full_value;
+use crate::support::overload::objective;
+use crate::support::overload::value_share;
+use crate::support::overload::work;
 use crate::support::seconds;
 use crate::support::submit;
 use crate::support::worker;
 use crate::support::world;
 
-/// Part of a job's value that does not depend on its work; a job of mean size has value 1.
-const FIXED_VALUE: f64 = 0.3;
-/// Upper bound on a job's value; a job of mean size has value 1.
-const MAX_VALUE: f64 = 4.0;
-/// Part of its value that a late job keeps.
-const LATE_VALUE: f64 = 0.07;
-
 /// Share of the value that the capacity allows, which must be earned.
 const VALUE_SHARE: f64 = 0.5;
 
 /// Number of plays of each load.
 const SEEDS: u64 = 10;
-/// Mean work of a drawn job in core-seconds.
-const MEAN_WORK: f64 = 46.0;
 
 /// A submitted job.
 struct Submitted {
@@ -58,38 +51,6 @@
     bursts: usize,
 }
 
-/// Draws a number around a mean, with the relative spread of a logarithmic normal distribution.
-fn draw(rng: &mut SmallRng, mean: f64, spread: f64, max: f64) -> f64 {
-    let normal: f64 = (0..12).map(|_| rng.random_range(0.0..1.0)).sum::<f64>() - 6.0;
-    (mean * (spread * normal - spread * spread / 2.0).exp()).clamp(1.0, max)
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "small positive numbers"
-)]
-fn draw_steps(rng: &mut SmallRng) -> Vec<Step> {
-    let count = draw(rng, 1.6, 0.4, 4.0).round() as u16;
-    let cpu = draw(rng, 6_200.0, 0.45, 19_000.0) as u64;
-    let steps = (0..count).map(|number| {
-        let width = draw(rng, 8.0, 0.6, 32.0).round() as u32;
-        let estimate = draw(rng, 640.0, 0.5, 1_600.0) as u64;
-        Step {
-            after: number.checked_sub(1).into_iter().collect(),
-            ..batch_step(width, cpu, estimate)
-        }
-    });
-    steps.collect()
-}
-
-fn work(steps: &[Step]) -> f64 {
-    let tasks = steps.iter().map(|step| {
-        f64::from(step.count) * step.need.cpu as f64 / 1_000.0 * step.estimate_ms as f64 / 1_000.0
-    });
-    tasks.sum()
-}
-
 /// Shares of the jobs that ended in time or late, by size, and the share of their value.
 #[derive(Clone, Copy, Debug)]
 struct Outcome {
@@ -101,18 +62,7 @@
 }
 
 fn value_of(world: &CellSimulation, job: &Submitted) -> f64 {
-    let Some((JobRecord::Ended { how, at }, _)) = world.store.jobs.get(&job.id) else {
-        return 0.0;
-    };
-    assert_eq!(*how, FinalState::Completed);
-    let took = Duration::from_millis(at.saturating_sub(job.at));
-    if took <= job.objective {
-        1.0
-    } else if took <= job.objective * 3 {
-        LATE_VALUE
-    } else {
-        0.0
-    }
+    value_share(world, &job.id, job.at, job.objective)
 }
 
 fn outcome(world: &CellSimulation, mut jobs: Vec<Submitted>) -> Outcome {
@@ -122,8 +72,7 @@
         let served = jobs.iter().filter(|job| value_of(world, job) > 0.0);
         served.count() as f64 / jobs.len() as f64
     };
-    let worth =
-        |job: &Submitted| (FIXED_VALUE + (1.0 - FIXED_VALUE) * job.work / mean).min(MAX_VALUE);
+    let worth = |job: &Submitted| full_value(job.work, mean);
     let owed: f64 = jobs.iter().map(worth).sum();
     let earned: f64 = jobs
         .iter()
@@ -155,8 +104,7 @@
         while world.now < end {
             let steps = draw_steps(&mut rng);
             let work = work(&steps);
-            let critical_path: u64 = steps.iter().map(|step| step.estimate_ms).sum();
-            let objective = Duration::from_millis(critical_path).mul_f64(1.6) + seconds(0.6);
+            let objective = objective(&steps);
             let at = world.unix_ms();
             let id = submit(&mut world, jobs.len(), steps);
             jobs.push(Submitted {
--- a/crates/nutmegcart_jobs/tests/support/mod.rs
+++ b/crates/nutmegcart_jobs/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Simulated cells and assertions for the tests of this crate.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod overload;
+
 use std::sync::Arc;
 use std::time::Duration;
 
