--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -13,8 +13,8 @@
 //!   and the waits between their attempts;
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
-//! * [`organisation`], [`organisation_status`], [`fleet_limit`], [`limit_moves`]: organisations that share a deployment, their
-//!   limits, and allocations that move between cells;
+//! * [`organisation`], [`fair_shares`], [`organisation_status`], [`fleet_limit`], [`limit_moves`]: organisations
+//!   that share a deployment, their shares and limits, and allocations that move between cells;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`],
@@ -28,6 +28,7 @@
 pub mod burst_forecast;
 pub mod estimate;
 pub mod failed_runs;
+pub mod fair_shares;
 mod finished_tasks;
 pub mod fleet_limit;
 pub mod flush;
--- a/crates/nutmegcart_jobs/src/limit_moves.rs
+++ b/crates/nutmegcart_jobs/src/limit_moves.rs
@@ -288,9 +288,10 @@
 
 impl Scheduler {
     /// Sets the number of this cell, and of all cells that share the limits of organisations.
-    pub const fn set_cells(&mut self, cell: u32, cells: u32) {
+    pub fn set_cells(&mut self, cell: u32, cells: u32) {
         self.moves.cell = cell;
         self.moves.cells = cells;
+        self.fair_shares.set_cells(cells);
     }
 
     /// Returns whether nothing of organisations with limits starts until
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -23,6 +23,7 @@
 use crate::assignments::Assignments;
 use crate::backoff::Backoffs;
 use crate::estimate::Estimates;
+use crate::fair_shares::FairShares;
 use crate::fleet_limit::FleetLimits;
 use crate::flush::EndedJob;
 use crate::flush::FlushQueue;
@@ -90,6 +91,7 @@
     pub(crate) tickets: Tickets,
     pub(crate) rebalancer: Rebalancer,
     pub(crate) size_shares: SizeShares,
+    pub(crate) fair_shares: FairShares,
     pub(crate) machines: Machines,
     pub(crate) maintenance: Maintenance,
     pub(crate) actions: Vec<Action>,
@@ -125,6 +127,7 @@
             tickets: Tickets::default(),
             rebalancer: Rebalancer::default(),
             size_shares: SizeShares::default(),
+            fair_shares: FairShares::default(),
             machines: Machines::default(),
             maintenance: Maintenance::default(),
             actions: Vec::new(),
@@ -215,6 +218,7 @@
             let organisation = organisations.get(name);
             organisation.is_some_and(Organisation::has_limit)
         });
+        self.fair_shares.configure(self.organisations.values());
     }
 
     /// Restores the state of the cell that an earlier owner stored.
