Allocate no buffers for clients that send nothing

Change: a connection is served once a byte has arrived. A configuration whose bodies exceed the byte budget is told in the log.

--- a/crates/nutmegcart/tests/untrusted_clients.rs
+++ b/crates/nutmegcart/tests/untrusted_clients.rs
@@ -13,6 +13,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::process::Command;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -300,3 +301,18 @@
     crowd_of_heads_for_metrics: "metrics", 1, endless_head;
     crowd_of_heads_for_readiness: "ready", 1, endless_head;
 }
+
+/// Guards against limits that operators cannot see, and settings that have no effect.
+#[test]
+fn status_tells_what_clients_hold() {
+    let trial = Trial::start();
+    let entry = trial.process.entry();
+    let output = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
+        .args(["status", "--entry", &entry])
+        .output()
+        .expect("the binary runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let line = text.lines().find(|line| line.starts_with("clients: "));
+    let line = line.expect("the clients are shown");
+    assert!(line.contains("of 8000000 B"), "{line}");
+}
--- a/crates/nutmegcart_control/src/clients.rs
+++ b/crates/nutmegcart_control/src/clients.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use nutmegcart_http::BodyError;
+use nutmegcart_http::ClientGuard;
 use nutmegcart_http::CloseReason;
 use nutmegcart_http::ConnectionState;
 use nutmegcart_http::GuardStatus;
@@ -14,12 +15,17 @@
 
 use crate::metrics::Metrics;
 use crate::node::Node;
+use crate::port::CallerLimits;
 
 /// Interval at which the metrics are updated.
 const METRICS_PERIOD: Duration = Duration::from_secs(1);
 /// Number of updates between two log lines, so that an attack does not fill the log.
 const UPDATES_PER_LINE: u64 = 10;
 
+/// Bodies of the permitted size for which the byte budget must suffice: four copies of one that is
+/// handled, and what its connection holds.
+const BODIES_IN_BUDGET: usize = 5;
+
 /// What clients hold, as `nutmegcart status` shows it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct ClientsReport {
@@ -44,6 +50,19 @@
     }
 }
 
+/// Applies the limits of a configuration, and logs if the byte budget is too small for them.
+pub(crate) fn apply_limits(guard: &ClientGuard, limits: &CallerLimits) {
+    guard.set_request_limits(limits.of_requests());
+    let budget = guard.limits().bytes;
+    if limits.body_bytes > budget / BODIES_IN_BUDGET {
+        log::warn!(
+            "requests with bodies of up to {} bytes are permitted, and a byte budget of {budget} does \
+             not suffice for one of them",
+            limits.body_bytes
+        );
+    }
+}
+
 /// Returns the code of the refusal of a body.
 ///
 /// ```
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -35,6 +35,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::clients;
 use crate::clock::now;
 use crate::keys::CellKeys;
 use crate::metrics::Metrics;
@@ -584,8 +585,7 @@
             version = configuration.version,
             queues = configuration.queues.len()
         );
-        self.clients
-            .set_request_limits(configuration.limits.of_requests());
+        clients::apply_limits(&self.clients, &configuration.limits);
         *self.routing.borrow_mut() = Rc::new(Routing::new(&configuration));
         let configuration = Rc::new(configuration);
         for owned in self.owned_cells() {
--- a/crates/nutmegcart_http/src/client_server.rs
+++ b/crates/nutmegcart_http/src/client_server.rs
@@ -135,10 +135,12 @@
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let stopped_before = *stop.borrow();
-    // The buffers of a connection that sends nothing are not allocated.
+    // The buffers of a connection that sends nothing are not allocated. A new socket can be reported as
+    // readable when it is not, so this looks for a byte.
+    let mut first = [0];
     tokio::select! {
-        readable = stream.readable() => {
-            if readable.is_err() {
+        peeked = stream.peek(&mut first) => {
+            if !matches!(peeked, Ok(1)) {
                 return;
             }
         }
--- a/crates/nutmegcart_http/tests/clients.rs
+++ b/crates/nutmegcart_http/tests/clients.rs
@@ -304,6 +304,23 @@
     });
 }
 
+/// Guards against buffers for connections that have sent nothing, which would be closed for want of
+/// bytes long before there are too many of them.
+#[test]
+fn silent_connections_hold_little() {
+    run(async {
+        let server = Server::start(few_bytes(), RequestLimits::default()).await;
+        let mut silent = Vec::new();
+        for number in 1..=500 {
+            silent.push(server.connect().await);
+            server
+                .wait_for(|server| server.in_state(ConnectionState::New) == number)
+                .await;
+        }
+        assert!(server.guard.status().bytes <= 500 * (2 << 10));
+    });
+}
+
 /// Guards against a head that never ends, and a connection that is idle for ever.
 #[test]
 fn late_head_and_idle_connection_are_closed() {
