--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -35,6 +35,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use crate::clients;
 use crate::clock::now;
 use crate::keys::CellKeys;
 use crate::limit_exchange::ExchangeState;
@@ -606,8 +607,7 @@
             version = configuration.version,
             queues = configuration.queues.len()
         );
-        self.clients
-            .set_request_limits(configuration.limits.of_requests());
+        clients::apply_limits(&self.clients, &configuration.limits);
         if let Some(organisations) = &mut configuration.organisations {
             for (name, fault) in organisations::check(organisations) {
                 log_event!(
--- a/crates/nutmegcart_control/tests/limit_exchange.rs
+++ b/crates/nutmegcart_control/tests/limit_exchange.rs
@@ -201,6 +201,7 @@
             organisations,
             pools: Vec::new(),
             limits: CallerLimits {
+                head_timeout: Duration::from_secs(3),
                 head_bytes: 1,
                 body_bytes: 1,
                 idle_timeout: LIMIT,
