Test that ended jobs keep their organisation and that no calls are added

A final state that the owner stored without the organisation passed all tests. A whole process now ends a job, and a later one has to refuse it to others, from the store and from memory; the fault, put in by hand, fails it. Another test counts the calls to the store: a submission makes one transaction, a job that the owner does not know one read, others none, with organisations and without. The tests of whole processes repeat calls that are refused while a process beside load has not read the store in time.

--- a/crates/nutmegcart/tests/keys.rs
+++ b/crates/nutmegcart/tests/keys.rs
@@ -59,12 +59,18 @@
         head[9..12].parse().expect("a status")
     }
 
+    /// Makes a call, and repeats it while the process has not read the store in time, as beside load.
     fn call(&mut self, method: &str, path: &str, key: Option<&str>, body: &str) -> u16 {
         let authorization =
             key.map_or_else(String::new, |key| format!("authorization: Token {key}\r\n"));
-        self.send_head(method, path, &authorization, body.len());
-        self.0.write_all(body.as_bytes()).expect("the body is sent");
-        self.status()
+        loop {
+            self.send_head(method, path, &authorization, body.len());
+            self.0.write_all(body.as_bytes()).expect("the body is sent");
+            match self.status() {
+                503 => sleep(POLL_INTERVAL),
+                status => return status,
+            }
+        }
     }
 }
 
@@ -90,13 +96,11 @@
     }
     let mut connection = Connection::open(&process);
     let path = format!("{PREFIX}{JOB}");
-    loop {
-        match connection.call("POST", &path, Some("k-revoked"), &job().to_string()) {
-            200 => break,
-            503 => sleep(POLL_INTERVAL),
-            other => panic!("status {other}"),
-        }
-    }
+    let body = job().to_string();
+    assert_eq!(
+        connection.call("POST", &path, Some("k-revoked"), &body),
+        200
+    );
     (process, connection)
 }
 
@@ -144,9 +148,15 @@
         "authorization: k-of-locks\r\n",
     ];
     for header in headers {
-        let mut caller = Connection::open(&process);
-        caller.send_head("POST", &path, header, 60_000);
-        assert_eq!(caller.status(), 401, "{header:?}");
+        let status = loop {
+            let mut caller = Connection::open(&process);
+            caller.send_head("POST", &path, header, 60_000);
+            match caller.status() {
+                503 => sleep(POLL_INTERVAL),
+                status => break status,
+            }
+        };
+        assert_eq!(status, 401, "{header:?}");
     }
     let as_locks = Some("k-of-locks");
     assert_eq!(connection.call("GET", &path, as_locks, ""), 403);
@@ -195,3 +205,41 @@
     assert!(run(&submit, Some("k-of-locks")).contains("NC1411"));
     assert_eq!(run(&submit, Some("k-of-ferries")), "pending\n");
 }
+
+/// Guards against an ended job whose stored final state lost its organisation, so that a later owner
+/// shows it to all.
+#[test]
+fn ended_job_keeps_its_organisation_for_a_later_owner() {
+    let platform = StandIn::start();
+    let _runner = platform.add_runner("i-1", "gates");
+    let (mut process, connection) = start(&platform);
+    let path = format!("{PREFIX}{JOB}");
+    let run = |process: &Process| {
+        let output = Command::new(env!("CARGO_BIN_EXE_nutmegcart"))
+            .args(["job", "show", JOB, "--key", "k-of-ferries"])
+            .args(["--entry", &process.entry()])
+            .output()
+            .expect("the binary runs");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    while run(&process) != "completed\n" {
+        sleep(POLL_INTERVAL);
+    }
+    drop(connection);
+    process.kill();
+    let later = Process::start(&platform, "entry-2");
+    while run(&later) != "completed\n" {
+        sleep(POLL_INTERVAL);
+    }
+    // At first from the store, and then from the memory of the owner.
+    while !later.log().contains("\"event\":\"702\"") {
+        let mut caller = Connection::open(&later);
+        assert_eq!(caller.call("GET", &path, Some("k-of-locks"), ""), 403);
+        sleep(POLL_INTERVAL);
+    }
+    let mut caller = Connection::open(&later);
+    for _ in 0..REPEATS {
+        assert_eq!(caller.call("GET", &path, Some("k-of-locks"), ""), 403);
+        assert_eq!(caller.call("GET", &path, Some("k-of-ferries"), ""), 200);
+    }
+}
--- a/crates/nutmegcart_control/tests/organisations.rs
+++ b/crates/nutmegcart_control/tests/organisations.rs
@@ -70,16 +70,26 @@
 
 /// Starts an instance of a fleet with two cells, which serves peers.
 fn instance(store: &Store, away: bool) -> (Rc<Node>, JobService) {
+    let (node, service, _) = counting_instance(store, away);
+    (node, service)
+}
+
+/// Like [`instance`], with the number of its calls to the store.
+fn counting_instance(store: &Store, away: bool) -> (Rc<Node>, JobService, Rc<Cell<usize>>) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     let peer = listener.local_addr().expect("an address");
     drop(listener);
     let (for_get, for_txn) = (store.clone(), store.clone());
+    let calls = Rc::new(Cell::new(0));
+    let count = calls.clone();
     let begin = move || {
+        count.set(count.get() + 1);
         let unreachable = StoreError::Unreachable {
             reason: "scripted".into(),
         };
         if away { Err(unreachable) } else { Ok(()) }
     };
+    let begin_txn = begin.clone();
     let silent = support::silent_platform();
     let platform = Platform {
         store: KeyStore {
@@ -89,7 +99,7 @@
                 Box::pin(async move { answer })
             }),
             txn: Rc::new(move |txn: Txn| {
-                let answer = begin().and_then(|()| for_txn.txn(&txn));
+                let answer = begin_txn().and_then(|()| for_txn.txn(&txn));
                 Box::pin(async move { answer })
             }),
             ..silent.store
@@ -111,7 +121,7 @@
     node.set_layout(CellLayout::divide(machines));
     let service = JobService::default();
     tokio::task::spawn_local(peer::serve(node.clone(), service.clone(), peer));
-    (node, service)
+    (node, service, calls)
 }
 
 /// Makes an instance the owner of both cells, with their jobs in memory.
@@ -361,3 +371,31 @@
     };
     LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
 }
+
+/// Guards against calls to the store that organisations add: none for a job in the owner's memory, one
+/// read to show another, one transaction to submit.
+#[test]
+fn organisations_add_no_calls_to_the_store() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let test = async {
+        for caller in [Caller::default(), member(HOLDER), member("locks")] {
+            let store = MemoryStore::default().store();
+            let (node, service, calls) = counting_instance(&store, false);
+            let mut counts = Vec::new();
+            let mut ask = async |caller: &Caller, request| {
+                let before = calls.get();
+                service.handle_for(&node, caller, request, LIMIT).await;
+                counts.push(calls.get() - before);
+            };
+            ask(&member(HOLDER), submission()).await;
+            ask(&caller, submission()).await;
+            ask(&caller, CallerRequest::Show(id())).await;
+            own_cells(&node, &store);
+            ask(&caller, CallerRequest::Show(id())).await;
+            assert_eq!(counts, [1, 1, 1, 0], "{caller:?}");
+        }
+    };
+    LocalSet::new().block_on(&runtime.expect("the runtime starts"), test);
+}
