--- a/crates/nutmegcart_jobs/src/arrivals.rs
+++ b/crates/nutmegcart_jobs/src/arrivals.rs
@@ -65,13 +65,6 @@
         (fast + rise * ahead).min(fast * MAX_GROWTH)
     }
 
-    /// Returns whether less work arrives than before.
-    #[must_use]
-    pub fn is_falling(&self, now: Duration) -> bool {
-        let (fast, slow) = self.decayed(now);
-        fast < slow
-    }
-
     fn decayed(&self, now: Duration) -> (f64, f64) {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
         let part = |seconds: f64| (-age / seconds).exp();
--- a/crates/nutmegcart_jobs/src/rebalancing.rs
+++ b/crates/nutmegcart_jobs/src/rebalancing.rs
@@ -327,17 +327,10 @@
                 if *pool == spare {
                     continue;
                 }
-                // A machine that is idle while less work arrives is not wanted again in this burst.
-                let falling = self.rebalancer.arriving(pool).is_falling(now);
-                let rest = if falling {
-                    MIN_IDLE_MOVE
-                } else {
-                    MIN_IDLE_SPARE
-                };
                 while moves.len() < MAX_MOVES {
                     let surplus = balance.idle.iter().find(|idle| {
                         let labels = &self.machines.known[&idle.name].labels;
-                        now >= idle.since + rest && balance.can_spare(idle, labels)
+                        now >= idle.since + MIN_IDLE_SPARE && balance.can_spare(idle, labels)
                     });
                     let Some(machine) = surplus.map(|idle| idle.name.clone()) else {
                         break;
