Restart workers in drawn sessions of limits, and check each cell

Workers now crash and restart too. The cells have no spare pool now, so no machine moves, and the violations of each cell's own checker count as well.

--- a/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
+++ b/crates/nutmegcart_jobs/tests/fleet_limit_sessions.rs
@@ -159,7 +159,7 @@
     let owner = fleet.cells[cell].owners.len() - 1;
     let span = seconds(fleet.rng.random_range(0.3..4.0));
     fleet.checks.fault_until = Duration::MAX.saturating_sub(seconds(60.0));
-    match fleet.rng.random_range(0..7) {
+    match fleet.rng.random_range(0..8) {
         0 => {
             fleet.cells[cell].owners[owner].up = false;
             fleet.run(seconds(1.7));
@@ -197,6 +197,13 @@
             fleet.isolated = None;
         }
         5 => {
+            let workers: Vec<_> = fleet.cells[cell].workers.keys().cloned().collect();
+            let id = &workers[fleet.rng.random_range(0..workers.len())];
+            fleet.cells[cell].crash(id);
+            fleet.run(span);
+            fleet.cells[cell].restart(id);
+        }
+        6 => {
             fleet.cells[cell].delayed_share = 0.3;
             fleet.run(span);
             fleet.cells[cell].delayed_share = 0.0;
@@ -262,6 +269,8 @@
         );
         let found = fleet.checks.violations.iter().take(4);
         broken.extend(found.map(|each| format!("seed {seed}: {each}")));
+        let of_cells = fleet.cells.iter().flat_map(|cell| &cell.checker.violations);
+        broken.extend(of_cells.take(4).map(|each| format!("seed {seed}: {each}")));
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
--- a/crates/nutmegcart_jobs/tests/limits/mod.rs
+++ b/crates/nutmegcart_jobs/tests/limits/mod.rs
@@ -61,6 +61,8 @@
         let worlds = (0..cells).map(|number| {
             let mut world = world(seed + u64::from(number), workers);
             (world.cell, world.cells) = (number, cells);
+            // Without a spare pool no machine moves, so a crashed worker restarts as it was.
+            world.pools.truncate(1);
             world.organisations = organisations.to_vec();
             world.take_over();
             world
