Let two tests of clients detect what they guard against

Cause: with handled requests made closable, or the share of an address not compared, all tests still passed, because the connections in question held too little to be chosen.

Change: the handled request and the small holder now hold most for longest, so only the rule keeps them open.

--- a/crates/nutmegcart_http/tests/clients.rs
+++ b/crates/nutmegcart_http/tests/clients.rs
@@ -33,6 +33,9 @@
 /// Size of the response to `GET /large`, which does not fit the write buffer.
 const LARGE_RESPONSE: usize = 64 << 10;
 
+/// Body of a client that holds less than its share.
+const SMALL_BODY: usize = 100_000;
+
 /// A server under test.
 struct Server {
     guard: ClientGuard,
@@ -240,8 +243,12 @@
     run(async {
         let server = Server::start(few_bytes(), RequestLimits::default()).await;
         let mut small = server.connect_from("127.0.0.2").await;
-        let head = post("/", 10_000);
-        small.write_all(&head).await.expect("the head is sent");
+        let mut request = post("/", SMALL_BODY);
+        request.extend(vec![b'x'; SMALL_BODY - 1]);
+        let sent = small.write_all(&request).await;
+        sent.expect("the body is sent except for its end");
+        // It has now held most for longest.
+        tokio::time::sleep(Duration::from_millis(500)).await;
         let mut crowd = Vec::new();
         for _ in 0..30 {
             let mut stream = server.connect_from("127.0.0.3").await;
@@ -251,8 +258,8 @@
             crowd.push(stream);
         }
         assert!(server.closed(CloseReason::Bytes) > 0);
-        let answer = call(&mut small, &[b'x'; 10_000]).await;
-        assert!(answer.ends_with("10000"), "{answer}");
+        let answer = call(&mut small, b"x").await;
+        assert!(answer.ends_with("100000"), "{answer}");
     });
 }
 
@@ -262,12 +269,14 @@
     run(async {
         let server = Server::start(few_bytes(), RequestLimits::default()).await;
         let mut handled = server.connect().await;
-        let mut request = post("/wait", 1_000);
-        request.extend(vec![b'x'; 1_000]);
+        // It holds more than any other, for longer.
+        let mut request = post("/wait", BODY_LIMIT);
+        request.extend(vec![b'x'; BODY_LIMIT]);
         handled.write_all(&request).await.expect("it is sent");
         server
             .wait_for(|server| server.in_state(ConnectionState::Handling) == 1)
             .await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
         let mut crowd = Vec::new();
         for _ in 0..30 {
             let mut stream = server.connect().await;
@@ -276,9 +285,10 @@
             let _ = stream.write_all(&request).await;
             crowd.push(stream);
         }
+        assert!(server.closed(CloseReason::Bytes) > 0);
         server.answer.notify_one();
         let answer = call(&mut handled, b"").await;
-        assert!(answer.ends_with("1000"), "{answer}");
+        assert!(answer.ends_with("262144"), "{answer}");
     });
 }
 
