Delay work that will be late while a pool with organisations is nearly full

Cause: work left by a burst takes each bit of room as it becomes free, so the next jobs, which could be in time, wait for running tasks.

Change: `overload::decide` delays work that has not started and will miss its objective while less than a fifth of the pool's processor is free, until it is 20 s old. Only in cells with organisations: everywhere, the test machines_arrive_before_predicted_burst found 4 machines instead of 5.

--- a/crates/nutmegcart_jobs/src/fair_shares.rs
+++ b/crates/nutmegcart_jobs/src/fair_shares.rs
@@ -36,7 +36,7 @@
 /// Multiple of its fair share above which the use of an organisation makes no further difference.
 const MAX_LEVEL: f64 = 8.0;
 /// Exponent of the multiple of its fair share that an organisation uses.
-const LEVEL_EXPONENT: i32 = 2;
+const LEVEL_EXPONENT: i32 = 3;
 /// Age of a waiting job from which on it may take the turn of the oldest one.
 pub const MAX_AGE: Duration = Duration::from_secs(20);
 /// Number of jobs of a pool of which one is the oldest waiting one, if that is older than
--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`waiting`], [`stalled`]: why waiting long-running tasks are not started, and jobs that have
 //!   waited for too long;
 //! * [`organisation`], [`fair_shares`]: organisations that share a deployment;
+//! * [`overload`]: what is delayed while a pool has little room;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`]:
@@ -42,6 +43,7 @@
 mod moved_queues;
 pub mod orders;
 pub mod organisation;
+pub mod overload;
 pub mod passing;
 mod placement;
 pub mod polls;
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -113,7 +113,7 @@
 }
 
 /// Returns the processor of a worker that long-running tasks leave to others.
-fn batch_cpu(worker: &Worker) -> u64 {
+pub(crate) fn batch_cpu(worker: &Worker) -> u64 {
     let long_running = worker.runs.values().filter(|run| run.long_running);
     let used = long_running
         .map(|run| run.allocation.cpu)
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -19,6 +19,9 @@
 use crate::job::Step;
 use crate::job::TaskKey;
 use crate::live_job::LiveTask;
+use crate::overload::Decision;
+use crate::overload::Room;
+use crate::overload::decide;
 use crate::rank::Coverage;
 use crate::rank::rank;
 use crate::scheduler::Scheduler;
@@ -71,7 +74,19 @@
             let mut slots = self.slots_of_pool(&pool, now);
             self.mark_scarce(&mut slots, &candidates);
             self.start_reserved(&mut slots, &pool, now);
+            // Without organisations all work is placed, and no room is kept.
+            let delays = self.fair_shares.is_active();
+            let all = if delays {
+                self.batch_room(&pool, now)
+            } else {
+                0
+            };
             for candidate in candidates {
+                let free = if delays { slots.free_cpu() } else { 0 };
+                let age = now.saturating_sub(candidate.due);
+                if decide(&candidate.rank, age, Room { free, all }) == Decision::Delay {
+                    continue;
+                }
                 self.place_job(&mut slots, &candidate.job, candidate.occurrence, now);
                 if candidate.rank.coverage == Coverage::Turn {
                     self.keep_room(&mut slots, &candidate);
--- a/crates/nutmegcart_jobs/src/slot.rs
+++ b/crates/nutmegcart_jobs/src/slot.rs
@@ -125,6 +125,12 @@
         self.largest_free = open.fold(Resources::default(), |largest, slot| largest.max(slot.free));
     }
 
+    /// Returns the processor that no task uses, in thousandths of a core.
+    pub(crate) fn free_cpu(&self) -> u64 {
+        let free = self.items.iter().map(|slot| slot.free.cpu);
+        free.fold(0, u64::saturating_add)
+    }
+
     /// Returns whether a task may run on the worker that it avoids, because there is no other.
     pub(crate) const fn may_relax_avoid(&self) -> bool {
         self.items.len() <= 1
