--- a/crates/nutmegcart_jobs/src/lib.rs
+++ b/crates/nutmegcart_jobs/src/lib.rs
@@ -15,6 +15,7 @@
 //!   waited for too long;
 //! * [`organisation`], [`fair_shares`], [`organisation_status`], [`fleet_limit`], [`limit_moves`]: organisations
 //!   that share a deployment, their shares and limits, and allocations that move between cells;
+//! * [`overload`]: what is delayed while a pool has little room;
 //! * [`rank`], [`placement`](Scheduler::run_pass), `room`: priority of waiting work, choice of workers,
 //!   and room for long-running tasks in a full pool;
 //! * [`machines`], [`machine_orders`], [`maintenance`], [`rebalancing`](Scheduler::run_pass), [`burst_forecast`],
@@ -47,6 +48,7 @@
 pub mod orders;
 pub mod organisation;
 pub mod organisation_status;
+pub mod overload;
 pub mod passing;
 mod placement;
 pub mod polls;
