Join an open write of a job before refusing it as not stored

Found by review: a repeated submission was answered 503 (not stored) while the store was known to be away, although an earlier write of the same job was in flight and could still be carried out. A repeated request now joins the earlier one first, and a job whose write had no answer counts as unknown for eight seconds. A cancellation whose record changed meanwhile is tried again after a delay and within its deadline.

--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -30,6 +30,8 @@
 use crate::port::StoreResult;
 use crate::store_probe::SUSPICION_DELAY;
 
+/// Time for which a write without an answer may be carried out late: six seconds, and a margin.
+const MAX_WRITE_DELAY: Duration = Duration::from_secs(8);
 /// Concurrent transactions; further ones would only queue in the store.
 const MAX_IN_FLIGHT: usize = 3;
 /// Entries in one transaction. The store allows 32 and a job needs two to five; a smaller batch
@@ -153,6 +155,8 @@
     /// Waiters of repeated requests, by job that is queued or in a transaction.
     joined: RefCell<HashMap<JobId, Vec<oneshot::Sender<Stored>>>>,
     in_flight: Cell<usize>,
+    /// Jobs whose latest write has no answer, with the time until when it may be carried out.
+    unknown: RefCell<HashMap<JobId, Duration>>,
 }
 
 impl Acceptor {
@@ -167,8 +171,12 @@
         deadline: Duration,
     ) -> Acceptance {
         let remaining = deadline.saturating_sub(now());
-        if !node.store_health.may_write(remaining).await {
-            return Acceptance::NotStored;
+        // A request that joins an earlier one sends no write of its own.
+        if !self.is_joinable(&id)
+            && !node.store_health.may_write(remaining).await
+            && !self.is_joinable(&id)
+        {
+            return self.refusal(&id);
         }
         let (sender, receiver) = oneshot::channel();
         if let Some(waiters) = self.joined.borrow_mut().get_mut(&id) {
@@ -191,6 +199,28 @@
         }
     }
 
+    fn is_joinable(&self, id: &JobId) -> bool {
+        self.joined.borrow().contains_key(id)
+    }
+
+    /// Returns the result for a job of which no write is sent: an earlier one may still take effect.
+    fn refusal(&self, id: &JobId) -> Acceptance {
+        let until = self.unknown.borrow().get(id).copied();
+        if until.is_some_and(|until| now() < until) {
+            Acceptance::Unknown
+        } else {
+            Acceptance::NotStored
+        }
+    }
+
+    /// Remembers that a write of the job has no answer.
+    fn record_unknown(&self, id: &JobId) {
+        let mut unknown = self.unknown.borrow_mut();
+        let at = now();
+        unknown.retain(|_, until| at < *until);
+        unknown.insert(id.clone(), at + MAX_WRITE_DELAY);
+    }
+
     /// Removes a job that is in no transaction yet; returns false if it may be in one.
     fn withdraw(&self, id: &JobId) -> bool {
         let mut queue = self.queue.borrow_mut();
@@ -288,6 +318,7 @@
                         .with_label_values(&["store_answer_lost"])
                         .inc();
                     for pending in batch.drain(..) {
+                        self.record_unknown(&pending.id);
                         self.complete(pending, &Stored::Unknown);
                     }
                 }
--- a/crates/nutmegcart_control/src/job_lookup.rs
+++ b/crates/nutmegcart_control/src/job_lookup.rs
@@ -204,7 +204,7 @@
             helpers = node.helpers(cell).into_iter();
             match try_cancel(node, cells, &id, access).await {
                 Ok(Some(answer)) => return answer,
-                Ok(None) => continue,
+                Ok(None) => {}
                 Err(_) => through_peer = true,
             }
         }
--- a/crates/nutmegcart_control/tests/store_away.rs
+++ b/crates/nutmegcart_control/tests/store_away.rs
@@ -156,3 +156,48 @@
         );
     });
 }
+
+/// Guards against telling the caller of a repeated submission that its job is not stored while an earlier
+/// write of it may still be carried out.
+#[test]
+fn repeated_job_with_an_open_write_is_not_refused_as_not_stored() {
+    let store = Rc::new(SwitchedStore::default());
+    let node = node(&store);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.expect("runtime starts"), async {
+        let service = JobService::default();
+        process::start(&node, &service);
+        let first = {
+            let (node, service) = (node.clone(), service.clone());
+            tokio::task::spawn_local(
+                async move { service.handle(&node, submission(1), LIMIT).await },
+            )
+        };
+        while !node.store_health.is_away() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let short = Duration::from_millis(300);
+        let repeated = service.handle(&node, submission(1), short).await;
+        assert_eq!(
+            code(&repeated),
+            Some(Code::AnswerTimeout),
+            "it joins the open write"
+        );
+        let first = first.await.expect("the task ends");
+        assert_eq!(code(&first), Some(Code::AnswerTimeout));
+        let later = service.handle(&node, submission(1), short).await;
+        assert_eq!(
+            code(&later),
+            Some(Code::AnswerTimeout),
+            "its write may still be carried out"
+        );
+        let other = service.handle(&node, submission(2), short).await;
+        assert_eq!(
+            code(&other),
+            Some(Code::StoreUnavailable),
+            "it was never written"
+        );
+    });
+}
