Close idle connections first, and keep bytes for peers and probes

Found by review: to make room for bytes, an upload on a slow link could be closed before connections without a request, and requests that are being handled could hold all bytes, so that readiness probes and peers were refused. Connections without a request go first, and clients' requests hold seven eighths of the bytes at most. The tests of nutmegcart_http pass.

--- a/crates/nutmegcart_http/src/client_connection.rs
+++ b/crates/nutmegcart_http/src/client_connection.rs
@@ -145,6 +145,14 @@
         !self.closing.get() && self.state.get() != ConnectionState::Handling
     }
 
+    /// Returns whether the client has no request on the connection.
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(
+            self.state.get(),
+            ConnectionState::New | ConnectionState::Idle
+        )
+    }
+
     /// Returns the bytes held times the milliseconds in the present state, which ranks the slowest and
     /// largest first.
     pub(crate) fn held_for(&self, now: Instant, min_age_ms: u128) -> u128 {
--- a/crates/nutmegcart_http/src/client_guard.rs
+++ b/crates/nutmegcart_http/src/client_guard.rs
@@ -29,6 +29,8 @@
 /// Part of a limit, in eighths, down to which connections are closed at a time, so that the search
 /// for them is infrequent.
 const LOW_WATER_EIGHTHS: usize = 6;
+/// Part of the bytes that clients' requests may hold; the rest is for peers, operators and probes.
+const CALLER_EIGHTHS: usize = 7;
 /// Interval at which timeouts and data rates are checked.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Time added to timeouts, so that a client that uses all of a permitted time is not closed.
@@ -280,7 +282,12 @@
 
     /// Reserves bytes for a connection; closes others for it if bytes are short.
     pub(crate) fn reserve(&self, connection: &ClientConnection, bytes: usize) -> bool {
-        let limit = self.limits().bytes;
+        let limit = match connection.kind {
+            // Peers and probes find room while clients' requests that are being handled hold all
+            // of theirs.
+            ListenerKind::Callers => eighths(self.limits().bytes, CALLER_EIGHTHS),
+            ListenerKind::Peers | ListenerKind::Probes => self.limits().bytes,
+        };
         let wanted = self.inner.bytes.get() + bytes;
         if wanted > eighths(limit, HIGH_WATER_EIGHTHS) {
             let id = Some(connection.id);
@@ -353,7 +360,13 @@
             .values()
             .filter(|each| Some(each.id) != except && each.may_close() && amount(each) > 0)
             .filter(|each| over_share.contains(&each.address))
-            .map(|each| (Reverse(each.held_for(now, MIN_AGE_MS)), each))
+            // A client loses nothing with a connection on which it has no request.
+            .map(|each| {
+                (
+                    (!each.is_idle(), Reverse(each.held_for(now, MIN_AGE_MS))),
+                    each,
+                )
+            })
             .collect();
         candidates.sort_unstable_by_key(|(rank, _)| *rank);
         for (_, connection) in candidates {
