--- a/crates/nutmegcart_control/src/limit_exchange.rs
+++ b/crates/nutmegcart_control/src/limit_exchange.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use nutmegcart_fleet::Resources;
+use nutmegcart_jobs::limit_moves::FALL_TIMEOUT;
 use nutmegcart_jobs::limit_moves::Gift;
 use nutmegcart_jobs::limit_moves::LimitRequest;
 use nutmegcart_jobs::limit_moves::StoredAllocations;
@@ -103,6 +104,10 @@
     silent: HashMap<u32, Duration>,
     next_read: HashMap<OrganisationName, Duration>,
     held_since: HashMap<OrganisationName, Duration>,
+    /// What cells last told to use above their allocations of held limits, and when.
+    excesses: HashMap<(OrganisationName, u32), (Resources, Duration)>,
+    /// Held limits of which an excess elsewhere was recorded.
+    compared: HashSet<OrganisationName>,
 }
 
 type SharedRounds = Rc<RefCell<Rounds>>;
@@ -119,6 +124,50 @@
         begins
     }
 
+    /// Forgets the comparisons of limits that are no longer held, or that have fallen again since.
+    fn keep_held(
+        &mut self,
+        is_held: impl Fn(&OrganisationName) -> bool,
+        is_compared: impl Fn(&OrganisationName) -> bool,
+    ) {
+        let compared = &self.compared;
+        let keep = |name: &OrganisationName| {
+            is_held(name) && (is_compared(name) || !compared.contains(name))
+        };
+        self.held_since.retain(|name, _| keep(name));
+        self.excesses.retain(|(name, _), _| keep(name));
+        let held_since = &self.held_since;
+        self.compared.retain(|name| held_since.contains_key(name));
+    }
+
+    /// Returns what the cells together use above their allocations; none while a cell has told
+    /// nothing yet and is still waited for. A cell that falls silent counts with what it told last.
+    fn excess(
+        &mut self,
+        name: &OrganisationName,
+        cells: &[u32],
+        timeout: Duration,
+        at: Duration,
+    ) -> Option<Resources> {
+        let since = *self.held_since.entry(name.clone()).or_insert(at);
+        let mut sum = Resources::default();
+        for cell in cells {
+            match self.excesses.get(&(name.clone(), *cell)) {
+                Some((used, told_at)) if now() < *told_at + FALL_TIMEOUT => sum += *used,
+                None if now() < since + timeout => return None,
+                Some(_) | None => {}
+            }
+        }
+        Some(sum)
+    }
+
+    /// Returns the end of the latest pause of a cell; zero if it had none.
+    fn last_pause(&self, name: &OrganisationName, cell: u32) -> Duration {
+        let until = self.paused.get(&(name.clone(), cell)).copied();
+        let silent = self.silent.get(&cell).copied();
+        until.max(silent).unwrap_or_default()
+    }
+
     /// Returns whether a cell gave nothing, or did not answer, a short time ago.
     fn is_paused(&self, name: &OrganisationName, cell: u32) -> bool {
         let until = self.paused.get(&(name.clone(), cell));
@@ -199,7 +248,9 @@
     mut request: LimitRequest,
 ) {
     let name = request.organisation.clone();
-    let donors = owned.scheduler.borrow().donors(&name);
+    let mut donors = owned.scheduler.borrow().donors(&name);
+    // Cells that gave nothing or did not answer come last, so that every cell is asked in turn.
+    donors.sort_by_key(|cell| rounds.borrow().last_pause(&name, *cell));
     let mut asked_cells = 0;
     for cell in donors {
         // Another round may have found out meanwhile that its owner is silent.
@@ -384,8 +435,9 @@
     let held = owned.scheduler.borrow().held_limits();
     let at = now();
     let is_held = |name: &OrganisationName| held.iter().any(|(other, _)| other == name);
-    let kept = |name: &OrganisationName, _: &mut Duration| is_held(name);
-    rounds.borrow_mut().held_since.retain(kept);
+    rounds
+        .borrow_mut()
+        .keep_held(is_held, |name| owned.scheduler.borrow().is_compared(name));
     let version = node
         .configuration
         .borrow()
@@ -403,35 +455,37 @@
     let asked: Vec<_> = others
         .map(|cell| {
             let (node, request) = (node.clone(), PeerRequest::LimitUse(cell, names.clone()));
-            tokio::task::spawn_local(async move { peer::ask_owner(&node, &request).await })
+            let answer = async move { peer::ask_owner(&node, &request).await };
+            (cell, tokio::task::spawn_local(answer))
         })
         .collect();
-    let (mut complete, mut sums) = (true, vec![Resources::default(); names.len()]);
-    for answer in asked {
-        match answer.await {
-            Ok(Ok(PeerResponse::LimitUse(seen, uses)))
-                if seen >= version && uses.len() == names.len() =>
-            {
-                let scheduler = owned.scheduler.borrow();
-                for ((sum, name), (allocation, used)) in sums.iter_mut().zip(&names).zip(uses) {
-                    let limit = scheduler.limit(name).unwrap_or_default();
-                    *sum += excess(limit, allocation, used);
-                }
+    let mut cells = Vec::new();
+    for (cell, answer) in asked {
+        cells.push(cell);
+        // An owner with an earlier configuration may still start under a higher limit.
+        if let Ok(Ok(PeerResponse::LimitUse(seen, uses))) = answer.await
+            && seen >= version
+            && uses.len() == names.len()
+        {
+            let scheduler = owned.scheduler.borrow();
+            let mut rounds = rounds.borrow_mut();
+            for (name, (allocation, used)) in names.iter().zip(uses) {
+                let limit = scheduler.limit(name).unwrap_or_default();
+                let told = (excess(limit, allocation, used), now());
+                rounds.excesses.insert((name.clone(), cell), told);
             }
-            // An owner with an earlier configuration may still start under a higher limit.
-            _ => complete = false,
         }
     }
-    for ((name, timeout), sum) in held.into_iter().zip(sums) {
-        let since = *rounds
-            .borrow_mut()
-            .held_since
-            .entry(name.clone())
-            .or_insert(at);
-        if complete || now() >= since + timeout {
-            let mut scheduler = owned.scheduler.borrow_mut();
-            scheduler.set_excess_elsewhere(&name, sum);
-            drop(scheduler);
+    for (name, timeout) in held {
+        let sum = rounds.borrow_mut().excess(&name, &cells, timeout, at);
+        if let Some(sum) = sum {
+            if sum != Resources::default() {
+                rounds.borrow_mut().compared.insert(name.clone());
+            }
+            owned
+                .scheduler
+                .borrow_mut()
+                .set_excess_elsewhere(&name, sum);
             owned.pass_wanted.notify_one();
         }
     }
--- a/crates/nutmegcart_jobs/src/fleet_limit.rs
+++ b/crates/nutmegcart_jobs/src/fleet_limit.rs
@@ -87,6 +87,11 @@
 }
 
 impl Allowance {
+    /// Returns what other cells are known to use above their allocations.
+    pub(crate) fn excess_elsewhere(&self) -> Resources {
+        self.elsewhere.unwrap_or_default()
+    }
+
     /// Returns the part of the limit that is in use in the cell, by the resource with the highest one.
     #[must_use]
     pub fn share(&self) -> f64 {
@@ -144,10 +149,10 @@
 }
 
 impl Unreached {
-    fn add(&mut self, worker: &Worker) {
-        self.capacity += worker.listing.capacity;
-        // An inherited worker that service discovery does not list.
-        self.unbounded |= worker.listing.capacity == Resources::default();
+    /// Adds a worker with its capacity, if that is known.
+    fn add(&mut self, worker: &Worker, capacity: Option<Resources>) {
+        self.capacity += capacity.unwrap_or_default();
+        self.unbounded |= capacity.is_none();
         match (&mut self.assigned, &worker.assigned) {
             (Some(tasks), Some(more)) => tasks.extend(more.iter().cloned()),
             (assigned, _) => *assigned = None,
@@ -250,13 +255,17 @@
                     allowance.long_running += run.need;
                 }
             }
+            let mut unknown = false;
             for task in &worker.unknown_tasks {
                 if let Some(job) = self.jobs.get(&task.job) {
                     let need = job.step(task).map(|step| step.need).unwrap_or_default();
                     limits.add(job.accepted.organisation.as_ref(), need);
-                    continue;
+                } else {
+                    unknown = true;
                 }
-                // The organisation of a run whose job has ended is not known, so it counts for all.
+            }
+            if unknown {
+                // Runs whose jobs have ended may be of any organisation, and fill the worker at most.
                 for allowance in limits.allowances.values_mut() {
                     allowance.used += worker.free();
                 }
@@ -264,13 +273,30 @@
         }
     }
 
+    /// Returns the capacity of a worker or, if service discovery does not list it, of its machine; that of
+    /// the largest machine if this one is not known, and none without any machine.
+    fn capacity_of(&self, worker: &Worker) -> Option<Resources> {
+        if worker.listing.capacity != Resources::default() {
+            return Some(worker.listing.capacity);
+        }
+        let machines = &self.machines.known;
+        let machine = worker.listing.machine.as_ref();
+        if let Some(machine) = machine.and_then(|name| machines.get(name)) {
+            return Some(machine.capacity);
+        }
+        let capacities = machines.values().map(|machine| machine.capacity);
+        capacities.reduce(Resources::max)
+    }
+
     /// Adds what an earlier owner may have started on workers that this owner has not reached.
     fn add_possible_runs(&self, limits: &mut FleetLimits) {
         let mut all = Unreached::default();
         let mut pools: BTreeMap<&PoolName, Unreached> = BTreeMap::new();
         for worker in self.workers.values().filter(|worker| worker.is_unreached()) {
-            all.add(worker);
-            pools.entry(&worker.listing.pool).or_default().add(worker);
+            let capacity = self.capacity_of(worker);
+            all.add(worker, capacity);
+            let of_pool = pools.entry(&worker.listing.pool).or_default();
+            of_pool.add(worker, capacity);
         }
         if pools.is_empty() {
             return;
--- a/crates/nutmegcart_jobs/src/limit_moves.rs
+++ b/crates/nutmegcart_jobs/src/limit_moves.rs
@@ -272,13 +272,13 @@
     /// ended.
     fn minimum(&self, allowance: &Allowance) -> u32 {
         let (need, count) = (amounts(self.first.0), u128::from(self.first.1));
-        let lasting = amounts(allowance.long_running);
+        let lasting = amounts(allowance.long_running + allowance.excess_elsewhere());
         covering(allowance.limit, sum(lasting, times(need, count, 1)))
     }
 
     /// Returns the allocation with which at least the first task starts, and all if possible.
     fn target(&self, allowance: &Allowance) -> u32 {
-        let used = amounts(allowance.used);
+        let used = amounts(allowance.used + allowance.excess_elsewhere());
         let (need, count) = (amounts(self.first.0), u128::from(self.first.1));
         let first = covering(allowance.limit, sum(used, times(need, count, 1)));
         let all = times(amounts(self.all), REQUEST_PERCENT, 100);
@@ -540,6 +540,13 @@
             .collect()
     }
 
+    /// Returns whether the uses of other cells have been compared since a limit fell.
+    #[must_use]
+    pub fn is_compared(&self, organisation: &OrganisationName) -> bool {
+        let hold = self.moves.holds.get(organisation);
+        hold.is_none_or(|hold| hold.elsewhere.is_some())
+    }
+
     /// Records what other cells use above their allocations of a limit, after a fall. Nothing is held
     /// back once that is nothing.
     pub fn set_excess_elsewhere(&mut self, organisation: &OrganisationName, used: Resources) {
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -117,6 +117,10 @@
         let Some((step, _)) = waiting.max_by_key(|(step, _)| step.need.cpu) else {
             return;
         };
+        // A worker would stay empty for as long as the limit of its organisation holds the job back.
+        if !self.limit_admits(job, step, 1) {
+            return;
+        }
         let counts = HashMap::new();
         let constraints = Constraints {
             avoid: None,
