Split records of instances and the turn's room from their files

The record of an instance has a file of its own, the room that is kept for a job's turn stands with what is delayed, and the stand-in changes limits by itself, so that tests do not name its keys.

--- a/crates/nutmegcart/tests/untrusted_clients.rs
+++ b/crates/nutmegcart/tests/untrusted_clients.rs
@@ -22,7 +22,6 @@
 use std::time::Instant;
 
 use nutmegcart_stand_in::StandIn;
-use serde_json::Value;
 use serde_json::json;
 use support::Process;
 
@@ -79,12 +78,8 @@
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let platform = StandIn::start();
         platform.configure(1, "gates", HOST, PREFIX);
-        let stored = platform.store.get("op/config").expect("a configuration");
-        let mut configuration: Value = serde_json::from_slice(&stored).expect("a document");
-        configuration["limits"]["max-body-bytes"] = json!(MAX_BODY_BYTES);
-        configuration["limits"]["header-timeout-ms"] = json!(3_000);
-        configuration["version"] = json!(2);
-        platform.store.put("op/config", &configuration);
+        let limits = json!({"max-body-bytes": MAX_BODY_BYTES, "header-timeout-ms": 3_000});
+        platform.change_limits(2, &limits);
         let mut settings = platform.settings("entry-1");
         settings["limits"]["memory-mb"] = json!(MEMORY_MB);
         settings["limits"]["max-fds"] = json!(MAX_FDS);
--- a/crates/nutmegcart_control/src/lib.rs
+++ b/crates/nutmegcart_control/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod keys;
 pub mod limit_exchange;
 pub mod logger;
+pub mod member;
 pub mod metrics;
 pub mod node;
 pub mod operator_records;
--- a/crates/nutmegcart_control/src/node.rs
+++ b/crates/nutmegcart_control/src/node.rs
@@ -20,8 +20,6 @@
 use nutmegcart_jobs::WaveRequest;
 use nutmegcart_jobs::layout::CellLayout;
 use nutmegcart_jobs::record::STATE_FORMAT;
-use nutmegcart_jobs::record::decode_extended;
-use nutmegcart_jobs::record::encode;
 use nutmegcart_jobs::stalled::StallLog;
 use nutmegcart_model::Code;
 use nutmegcart_model::Event;
@@ -39,6 +37,7 @@
 use crate::clock::now;
 use crate::keys::CellKeys;
 use crate::limit_exchange::ExchangeState;
+use crate::member::MemberRecord;
 use crate::metrics::Metrics;
 use crate::operator_records::StoredConfiguration;
 use crate::organisations;
@@ -84,53 +83,6 @@
     pub grace: Duration,
 }
 
-/// Record of an instance in the store, under its name.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MemberRecord {
-    /// Address for peers.
-    pub peer: SocketAddr,
-    /// Processor time that the instance may use, in cores.
-    pub cores: f64,
-    /// Form of the cell state that it reads; 0 for versions that do not state it.
-    #[serde(skip)]
-    pub state_format: u32,
-}
-
-impl MemberRecord {
-    /// Encodes the record. The form of the cell state follows it, where versions without that do not
-    /// read.
-    ///
-    /// ```
-    /// # use nutmegcart_control::node::MemberRecord;
-    /// # use nutmegcart_jobs::record::{decode, encode};
-    /// let peer = "127.0.0.1:1".parse().unwrap();
-    /// let record = MemberRecord { peer, cores: 0.5, state_format: 1 };
-    /// assert_eq!(MemberRecord::decode(&record.encode()).unwrap(), record);
-    /// let before = MemberRecord { state_format: 0, ..record };
-    /// assert_eq!(decode::<MemberRecord>(&record.encode()).unwrap(), before);
-    /// assert_eq!(MemberRecord::decode(&encode(&before)).unwrap(), before);
-    /// ```
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = encode(self);
-        bytes.extend(encode(&self.state_format));
-        bytes
-    }
-
-    /// Decodes a record of this version or of one before.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the bytes are malformed or a newer program wrote them.
-    pub fn decode(bytes: &[u8]) -> nutmegcart_jobs::record::Result<Self> {
-        let (record, state_format) = decode_extended::<Self, u32>(bytes)?;
-        Ok(Self {
-            state_format: state_format.first().copied().unwrap_or_default(),
-            ..record
-        })
-    }
-}
-
 /// Record of a cell's owner in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct OwnerRecord {
--- a/crates/nutmegcart_control/src/shared_keys.rs
+++ b/crates/nutmegcart_control/src/shared_keys.rs
@@ -19,7 +19,7 @@
 use crate::clock::now;
 use crate::keys;
 use crate::keys::SharedKey;
-use crate::node::MemberRecord;
+use crate::member::MemberRecord;
 use crate::node::Node;
 use crate::node::OwnerRecord;
 use crate::ownership::RENEWALS_PER_LEASE;
--- a/crates/nutmegcart_control/tests/member_formats.rs
+++ b/crates/nutmegcart_control/tests/member_formats.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use nutmegcart_control::Node;
+use nutmegcart_control::member::MemberRecord;
 use nutmegcart_control::metrics::Metrics;
-use nutmegcart_control::node::MemberRecord;
 use nutmegcart_jobs::record::STATE_FORMAT;
 
 mod support;
--- a/crates/nutmegcart_jobs/src/overload.rs
+++ b/crates/nutmegcart_jobs/src/overload.rs
@@ -6,16 +6,21 @@
 //!
 //! Only cells with organisations delay work; docs/design/overload.md tells why.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use nutmegcart_model::PoolName;
 
+use crate::fair_shares::Candidate;
 use crate::fair_shares::MAX_AGE;
 use crate::passing::batch_cpu;
 use crate::rank::Coverage;
 use crate::rank::Rank;
 use crate::rank::Urgency;
 use crate::scheduler::Scheduler;
+use crate::slot::Constraints;
+use crate::slot::Slot;
+use crate::slot::Slots;
 
 /// Share of the room of a pool that is kept free for work which can be in time. 0.1 earned less on
 /// the loads with missed objectives and urgent jobs, and 0.35 no more on most.
@@ -80,4 +85,40 @@
         let workers = workers.filter(|worker| worker.listing.pool == *pool && worker.usable(now));
         workers.map(batch_cpu).fold(0, u64::saturating_add)
     }
+
+    /// Keeps the worker with most room free for the tasks that still wait in a job whose turn it is.
+    ///
+    /// Smaller tasks would otherwise take all room as it becomes free, before it suffices for a
+    /// large one.
+    pub(crate) fn keep_room(&self, slots: &mut Slots, candidate: &Candidate) {
+        let Some(job) = self.jobs.get(&candidate.job) else {
+            return;
+        };
+        let occurrence = job.occurrences.get(&candidate.occurrence);
+        let states = occurrence.iter().flat_map(|each| &each.steps);
+        let steps = job.accepted.job.steps.iter().zip(states);
+        let waiting = steps.filter(|(_, state)| state.ready && state.pending().next().is_some());
+        let Some((step, _)) = waiting.max_by_key(|(step, _)| step.need.cpu) else {
+            return;
+        };
+        // A worker would stay empty for as long as the limit of its organisation holds the job back.
+        if !self.limit_admits(job, step, 1) {
+            return;
+        }
+        let counts = HashMap::new();
+        let constraints = Constraints {
+            avoid: None,
+            preferred_rack: None,
+            runs_per_worker: &counts,
+            tickets: None,
+        };
+        let fits = |slot: &&mut Slot| {
+            slot.admits(step, &constraints) && step.allocation().fits(slot.capacity)
+        };
+        let fitting = slots.items.iter_mut().filter(fits);
+        if let Some(slot) = fitting.max_by_key(|slot| slot.free.cpu) {
+            slot.reserved = true;
+        }
+        slots.update_largest_free();
+    }
 }
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -102,42 +102,6 @@
         self.fair_shares.end_turns(is_open);
     }
 
-    /// Keeps the worker with most room free for the tasks that still wait in a job whose turn it is.
-    ///
-    /// Smaller tasks would otherwise take all room as it becomes free, before it suffices for a
-    /// large one.
-    fn keep_room(&self, slots: &mut Slots, candidate: &Candidate) {
-        let Some(job) = self.jobs.get(&candidate.job) else {
-            return;
-        };
-        let occurrence = job.occurrences.get(&candidate.occurrence);
-        let states = occurrence.iter().flat_map(|each| &each.steps);
-        let steps = job.accepted.job.steps.iter().zip(states);
-        let waiting = steps.filter(|(_, state)| state.ready && state.pending().next().is_some());
-        let Some((step, _)) = waiting.max_by_key(|(step, _)| step.need.cpu) else {
-            return;
-        };
-        // A worker would stay empty for as long as the limit of its organisation holds the job back.
-        if !self.limit_admits(job, step, 1) {
-            return;
-        }
-        let counts = HashMap::new();
-        let constraints = Constraints {
-            avoid: None,
-            preferred_rack: None,
-            runs_per_worker: &counts,
-            tickets: None,
-        };
-        let fits = |slot: &&mut Slot| {
-            slot.admits(step, &constraints) && step.allocation().fits(slot.capacity)
-        };
-        let fitting = slots.items.iter_mut().filter(fits);
-        if let Some(slot) = fitting.max_by_key(|slot| slot.free.cpu) {
-            slot.reserved = true;
-        }
-        slots.update_largest_free();
-    }
-
     /// Returns the mean work of the known jobs of each queue, in core-seconds.
     fn mean_work(&self) -> BTreeMap<crate::job::QueueKey, f64> {
         let mut sums: BTreeMap<crate::job::QueueKey, (f64, f64)> = BTreeMap::new();
