--- a/review/stand_ins_3/src/bin/start_for_former_life.rs
+++ b/review/stand_ins_3/src/bin/start_for_former_life.rs
@@ -11,7 +11,9 @@
 const JOB: &str = "5c0e7a21d94b36f8";
 const TASK: &str = "5c0e7a21d94b36f8.0.0.0";
 /// Time for which the runner is down.
-const DOWN: Duration = Duration::from_millis(1_500);
+const DOWN: Duration = Duration::from_millis(4_000);
+/// Time from its return until it carries out the start that was left unanswered.
+const LATER: Duration = Duration::from_millis(2_500);
 
 fn main() {
     let case = Case::from_args();
@@ -32,8 +34,8 @@
             }));
         }
     }
-    // One work unit of 10 s.
-    let (status, _) = deployment.submit(0, JOB, &job("run 10000", &[1]), 3.0);
+    // One work unit of 14 s.
+    let (status, _) = deployment.submit(0, JOB, &job("run 14000", &[1]), 3.0);
     if status != 200 {
         deployment.give_up(&case, &format!("the job got {status}"));
     }
@@ -65,8 +67,9 @@
     crashing.crash();
     std::thread::sleep(DOWN);
     crashing.restart();
-    crashing.carry_out_kept();
     crashing.announce_now();
+    std::thread::sleep(LATER);
+    crashing.carry_out_kept();
     if !deployment.wait_for_end(1, JOB, 25.0) {
         record.line("the job has not ended in time");
     }
