--- a/review/stand_ins_3/src/runner.rs
+++ b/review/stand_ins_3/src/runner.rs
@@ -62,6 +62,13 @@
     last_end: u64,
     refused: BTreeMap<String, u64>,
     kept: Vec<Json>,
+    /// Whether the next call to `/api/hold` with a lease is left unanswered.
+    keep_hold: bool,
+    kept_hold: Option<Json>,
+    /// Whether the runner is cut off from all machines, and runs on.
+    cut_off: bool,
+    /// When the latest call to `/api/hold` was answered.
+    hold_answered: Instant,
     hook: Option<StartHook>,
     seq: u64,
 }
@@ -118,6 +125,10 @@
             last_end: 0,
             refused: BTreeMap::new(),
             kept: Vec::new(),
+            keep_hold: false,
+            kept_hold: None,
+            cut_off: false,
+            hold_answered: Instant::now(),
             hook: None,
             seq: 0,
         };
@@ -151,7 +162,7 @@
 
     fn announce(&self) {
         let mut state = self.state.lock().unwrap();
-        if !state.up {
+        if !state.up || state.cut_off {
             return;
         }
         state.seq += 1;
@@ -198,6 +209,47 @@
         }
     }
 
+    /// Leaves the next call to `/api/hold` with a lease unanswered.
+    pub fn keep_next_hold(&self) {
+        self.state.lock().unwrap().keep_hold = true;
+    }
+
+    pub fn has_kept_hold(&self) -> bool {
+        self.state.lock().unwrap().kept_hold.is_some()
+    }
+
+    /// Carries the call to `/api/hold` out that was left unanswered, by the life that the runner has now.
+    pub fn carry_out_kept_hold(&self) {
+        let kept = self.state.lock().unwrap().kept_hold.take();
+        if let Some(Json::Object(mut fields)) = kept {
+            fields.remove("wait-ms");
+            let body = Json::Object(fields);
+            let (status, reply) = self.hold(&body);
+            self.record.line(&format!(
+                "runner {} carries out late: hold {body} -> {status} {reply}, lease until {} ms of its clock",
+                self.id,
+                self.state.lock().unwrap().lease_end
+            ));
+        }
+    }
+
+    /// Returns the time since the latest call to `/api/hold` was answered.
+    pub fn since_hold(&self) -> Duration {
+        self.state.lock().unwrap().hold_answered.elapsed()
+    }
+
+    /// Cuts the runner off from all machines and the store; it runs on.
+    pub fn cut_off(&self) {
+        self.state.lock().unwrap().cut_off = true;
+        self.record.line(&format!("runner {} is cut off and runs on", self.id));
+    }
+
+    /// Ends the cut.
+    pub fn join(&self) {
+        self.state.lock().unwrap().cut_off = false;
+        self.record.line(&format!("runner {} is reached again", self.id));
+    }
+
     /// Ends the life of the runner with all its runs.
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
@@ -291,13 +343,17 @@
     }
 
     fn handle(&self, request: &Request) -> Reply {
-        let (up, life) = {
+        let (up, life, cut_off) = {
             let state = self.state.lock().unwrap();
-            (state.up, state.life)
+            (state.up, state.life, state.cut_off)
         };
         if !up {
             return Reply::Close;
         }
+        if cut_off {
+            // A partition is silent.
+            return Reply::Silence;
+        }
         let expected = request.header("X-Expect-Instance");
         if !expected.is_empty() && expected != self.id {
             return Reply::Answer(421, Json::Null);
@@ -320,7 +376,18 @@
                 self.run_start(&body)
             }
             "/api/run-stop" => self.run_stop(&body),
-            "/api/hold" => self.hold(&body),
+            "/api/hold" => {
+                let mut state = self.state.lock().unwrap();
+                if state.keep_hold && body.get("until-ms").number() > 0 {
+                    state.keep_hold = false;
+                    state.kept_hold = Some(body.clone());
+                    drop(state);
+                    self.record.line(&format!("runner {} leaves unanswered: hold {body}", self.id));
+                    return Reply::Silence;
+                }
+                drop(state);
+                self.hold(&body)
+            }
             "/api/pace" => (200, object([("clock-ms", self.clock().into())])),
             _ => (404, Json::Null),
         };
@@ -328,6 +395,13 @@
         if !state.up || state.life != life {
             return Reply::Close;
         }
+        if state.cut_off {
+            return Reply::Silence;
+        }
+        drop(state);
+        if request.path == "/api/hold" {
+            self.state.lock().unwrap().hold_answered = Instant::now();
+        }
         Reply::Answer(status, reply)
     }
 
