--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule is broken, 0 if it holds, 2 if the case cannot run. TROUBLE=0 leaves the
+# disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+program=review/stand_ins_3/target/release/wide_jobs
+binary=target/release/nutmegcart
+if [[ ! -x $program || ! -x $binary ]]; then
+  echo "not built: $program or $binary" >&2
+  exit 2
+fi
+exec "$program" review/15 "$binary"
--- a/review/stand_ins_3/src/entry.rs
+++ b/review/stand_ins_3/src/entry.rs
@@ -266,6 +266,7 @@
                     SERVICE,
                     zones[number % 3],
                     &format!("r1-{}", number % 3 + 1),
+                    if number == 0 { "b" } else { "a" },
                     address(100 + number as u8, 9_000),
                     &store,
                     &record,
@@ -426,3 +427,15 @@
     });
     object([("spec", spec.into()), ("steps", steps.collect::<Vec<_>>().into())])
 }
+
+/// Returns a job of one work unit that requires a label.
+pub fn labelled_job(spec: &str, label: &str) -> Json {
+    let step = object([
+        ("count", 1.into()),
+        ("cpu", 1_000.into()),
+        ("mem-mb", 256.into()),
+        ("est-ms", 500.into()),
+        ("required-label", label.into()),
+    ]);
+    object([("spec", spec.into()), ("steps", vec![step].into())])
+}
--- a/review/stand_ins_3/src/runner.rs
+++ b/review/stand_ins_3/src/runner.rs
@@ -67,6 +67,8 @@
     kept_hold: Option<Json>,
     /// Whether the runner is cut off from all machines, and runs on.
     cut_off: bool,
+    /// By how much the time of day of its machine is ahead of the true time.
+    clock_ahead_ms: u64,
     /// When the latest call to `/api/hold` was answered.
     hold_answered: Instant,
     hook: Option<StartHook>,
@@ -82,6 +84,7 @@
     service: String,
     zone: String,
     rack: String,
+    kind: String,
     state: Arc<Mutex<State>>,
     changed: Arc<Condvar>,
     record: Record,
@@ -108,6 +111,7 @@
         service: &str,
         zone: &str,
         rack: &str,
+        kind: &str,
         address: SocketAddr,
         store: &Store,
         record: &Record,
@@ -128,6 +132,7 @@
             keep_hold: false,
             kept_hold: None,
             cut_off: false,
+            clock_ahead_ms: 0,
             hold_answered: Instant::now(),
             hook: None,
             seq: 0,
@@ -139,6 +144,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             rack: rack.to_owned(),
+            kind: kind.to_owned(),
             state: Arc::new(Mutex::new(state)),
             changed: Arc::default(),
             record: record.clone(),
@@ -177,7 +183,7 @@
             ("seq", state.seq.into()),
             ("born", state.born_ms.into()),
             ("machine", self.machine.as_str().into()),
-            ("labels", vec!["a".into(), self.rack.as_str().into()].into()),
+            ("labels", vec![self.kind.as_str().into(), self.rack.as_str().into()].into()),
             ("capacity", capacity()),
         ]);
         drop(state);
@@ -268,7 +274,7 @@
         let mut state = self.state.lock().unwrap();
         state.life += 1;
         state.up = true;
-        state.born_ms = unix_ms();
+        state.born_ms = unix_ms() + state.clock_ahead_ms;
         state.born = Instant::now();
         state.fence = 0;
         state.lease_end = 0;
@@ -276,8 +282,20 @@
         state.last_end = 0;
         state.refused.clear();
         state.seq = 0;
+        let born = state.born_ms;
         drop(state);
-        self.record.line(&format!("runner {} starts again under its id", self.id));
+        self.record.line(&format!("runner {} starts again under its id, born {born}", self.id));
+    }
+
+    /// Sets the time of day of the runner's machine this much ahead of the true time.
+    pub fn set_clock_ahead(&self, ms: u64) {
+        self.state.lock().unwrap().clock_ahead_ms = ms;
+        self.record.line(&format!("the time of day of {}'s machine is {ms} ms ahead", self.id));
+    }
+
+    /// Returns whether a run is live on it.
+    pub fn is_busy(&self) -> bool {
+        !self.state.lock().unwrap().runs.is_empty()
     }
 
     /// Announces the runner at once, as it does after a start.
@@ -293,7 +311,7 @@
             ("pool", self.service.as_str().into()),
             ("state", if up { "up" } else { "down" }.into()),
             ("zone", self.zone.as_str().into()),
-            ("labels", vec!["a".into(), self.rack.as_str().into()].into()),
+            ("labels", vec![self.kind.as_str().into(), self.rack.as_str().into()].into()),
             ("capacity", capacity()),
             ("id", self.id.as_str().into()),
         ])
