--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -8,4 +8,10 @@
   echo "not built: $program or $binary" >&2
   exit 2
 fi
-exec "$program" review/15 "$binary"
+"$program" review/15 "$binary"
+status=$?
+# Anything but a result means that the case could not run, as when an address is taken.
+case $status in
+0 | 1) exit "$status" ;;
+*) exit 2 ;;
+esac
