Store a tombstone for a job that is cancelled before it is stored

What callers saw: a caller handed a job in and got no answer, cancelled it at another instance, was answered 410, and the whole job ran seconds later.

Cause: try_cancel answered "no such job" for a job that the store did not hold and wrote nothing. The insert of a job requires only that its keys are absent, and the store may carry a lost write out for seconds.

Change: the cancelling stores a tombstone under the job's key, provided that the key and the note of its cell are absent, and then answers 410. Every insert requires that this key is absent, whichever cell it stores the job in, so a late one fails. A submission that meets the tombstone replaces it by the final state `cancelled`, as for a repeat of a cancelled job. Owners remove tombstones with the ended jobs.

--- a/crates/nutmegcart/src/explain.rs
+++ b/crates/nutmegcart/src/explain.rs
@@ -161,10 +161,12 @@
             "the answer to the caller; the log of the accepting instance is absent or truncated",
         );
     }
-    if has(Event::JobAcceptanceUnknown) && !has(Event::JobAccepted) && !has(Event::CallerJobEnded) {
+    let settled = has(Event::CallerJobEnded) || has(Event::TombstoneStored);
+    if has(Event::JobAcceptanceUnknown) && !has(Event::JobAccepted) && !settled {
         gaps.push("whether the store recorded the job");
     }
-    let ended = has(Event::CallerJobEnded) || has(Event::CallerJobCancelled);
+    let cancelled = has(Event::CallerJobCancelled) || has(Event::TombstoneStored);
+    let ended = has(Event::CallerJobEnded) || cancelled;
     if !ended && !has(Event::JobRefused) {
         gaps.push(
             "the end of the job; it may still run, or the log of the owner is absent or truncated",
--- a/crates/nutmegcart_control/src/acceptor.rs
+++ b/crates/nutmegcart_control/src/acceptor.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use nutmegcart_jobs::AcceptedJob;
+use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::JobId;
 use nutmegcart_jobs::JobRecord;
 use nutmegcart_jobs::record::decode_job;
@@ -16,6 +17,7 @@
 use nutmegcart_model::OrganisationName;
 use nutmegcart_model::log_event;
 use nutmegcart_platform::KeyValue;
+use nutmegcart_platform::Revision;
 use nutmegcart_platform::StoreError;
 use nutmegcart_platform::Txn;
 use nutmegcart_platform::TxnReply;
@@ -83,9 +85,7 @@
 /// Returns what the items under keys that must not exist tell about the job. The note of a job's cell
 /// names its organisation too.
 fn holder(found: &[KeyValue], insert: &JobInsert) -> Option<Stored> {
-    let items = found
-        .iter()
-        .filter(|item| insert.absent.contains(&item.key));
+    let items = found.iter().filter(|item| insert.may_conflict(&item.key));
     let stored = items.map(|item| {
         let holder = if keys::is_job_location(&item.key) {
             keys::location_holder(&item.value)
@@ -106,11 +106,39 @@
     })
 }
 
+/// Returns the tombstone among the items under keys that must not exist, if the caller of the job may
+/// have cancelled it, as an insert that replaces the tombstone with the job's final state.
+///
+/// The job is then shown as cancelled, as one that was cancelled after its acceptance.
+fn replaced_tombstone(found: &[KeyValue], insert: &JobInsert) -> Option<JobInsert> {
+    let mut items = found.iter();
+    let item = items.find(|item| insert.absent.contains(&item.key))?;
+    let Ok(JobRecord::Tombstone { at, organisation }) = decode_job(&item.value) else {
+        return None;
+    };
+    if organisation.is_some() && organisation != insert.organisation {
+        return None;
+    }
+    let ended = JobRecord::Ended {
+        how: FinalState::Cancelled,
+        at,
+        organisation: insert.organisation.clone(),
+    };
+    Some(JobInsert {
+        absent: Vec::new(),
+        replaced: Some((item.key.clone(), item.modified)),
+        puts: vec![(item.key.clone(), encode_job(&ended))],
+        organisation: insert.organisation.clone(),
+    })
+}
+
 /// Conditional writes that store a job.
 #[derive(Clone, Debug, Default)]
 pub struct JobInsert {
     /// Keys that must not exist. If one exists, the job is already stored.
     pub absent: Vec<String>,
+    /// Tombstone that it replaces, which must not have changed.
+    pub replaced: Option<(String, Revision)>,
     /// Keys and values to write.
     pub puts: Vec<(String, Vec<u8>)>,
     /// Organisation of the job, if any.
@@ -123,13 +151,20 @@
     pub fn new(key: String, record: Vec<u8>) -> Self {
         Self {
             absent: vec![key.clone()],
+            replaced: None,
             puts: vec![(key, record)],
             organisation: None,
         }
     }
 
     fn entries(&self) -> usize {
-        self.absent.len() + self.puts.len()
+        self.absent.len() + usize::from(self.replaced.is_some()) + self.puts.len()
+    }
+
+    /// Returns whether the content of the key decides whether the job is stored already.
+    fn may_conflict(&self, key: &String) -> bool {
+        let replaced = self.replaced.as_ref().map(|(key, _)| key);
+        self.absent.contains(key) || replaced == Some(key)
     }
 
     fn bytes(&self) -> usize {
@@ -289,6 +324,9 @@
                 for key in &pending.insert.absent {
                     txn = txn.absent(key.clone()).or_read(key.clone());
                 }
+                if let Some((key, revision)) = &pending.insert.replaced {
+                    txn = txn.unchanged(key.clone(), *revision).or_read(key.clone());
+                }
                 for (key, value) in &pending.insert.puts {
                     txn = txn.put(key.clone(), value.clone());
                 }
@@ -303,9 +341,18 @@
                 }
                 Ok(reply) => {
                     let mut remaining = Vec::new();
-                    for pending in batch.drain(..) {
+                    for mut pending in batch.drain(..) {
+                        if let Some(insert) = replaced_tombstone(&reply.found, &pending.insert) {
+                            pending.insert = insert;
+                            remaining.push(pending);
+                            continue;
+                        }
                         match holder(&reply.found, &pending.insert) {
                             Some(stored) => self.complete(pending, &stored),
+                            // The tombstone has expired since it was read.
+                            None if pending.insert.replaced.is_some() => {
+                                self.complete(pending, &Stored::Refused);
+                            }
                             None => remaining.push(pending),
                         }
                     }
--- a/crates/nutmegcart_control/src/access.rs
+++ b/crates/nutmegcart_control/src/access.rs
@@ -17,6 +17,15 @@
 }
 
 impl Access {
+    /// Returns the organisation whose jobs it covers, if it is limited to those of one.
+    #[must_use]
+    pub const fn organisation(&self) -> Option<&OrganisationName> {
+        match self {
+            Self::Organisation(name) => Some(name),
+            Self::All | Self::Public => None,
+        }
+    }
+
     /// Returns whether it covers a job of the organisation.
     ///
     /// ```
--- a/crates/nutmegcart_control/src/job_lookup.rs
+++ b/crates/nutmegcart_control/src/job_lookup.rs
@@ -163,6 +163,7 @@
             CallerResponse::refused(Code::OtherOrganisation)
         }
         Ok(JobRecord::Ended { how, .. }) => CallerResponse::State(JobState::Ended(how)),
+        Ok(JobRecord::Tombstone { .. }) => CallerResponse::NotFound,
         Ok(JobRecord::Accepted(_)) => CallerResponse::State(JobState::Pending),
         Err(error) => {
             log_event!(Event::JobRecordInvalid, job = id, reason = error);
@@ -267,13 +268,14 @@
         }
     }
     let Some(item) = item else {
-        return Ok(Some(CallerResponse::NotFound));
+        return store_tombstone(node, cells, id, access).await;
     };
     let organisation = match decode_job(&item.value) {
         Ok(record) if !access.permits(record.organisation()) => {
             return Ok(Some(CallerResponse::refused(Code::OtherOrganisation)));
         }
         Ok(JobRecord::Ended { .. }) => return Ok(Some(CallerResponse::Cancelled)),
+        Ok(JobRecord::Tombstone { .. }) => return Ok(Some(CallerResponse::NotFound)),
         Ok(JobRecord::Accepted(accepted)) => accepted.organisation,
         Err(error) => {
             log_event!(Event::JobRecordInvalid, job = id, reason = error);
@@ -299,3 +301,31 @@
     );
     Ok(Some(CallerResponse::Cancelled))
 }
+
+/// Stores a tombstone of a job that the store does not hold, since a write of the job may yet be carried
+/// out. Returns `None` if the job has been stored in the meantime.
+async fn store_tombstone(
+    node: &Rc<Node>,
+    cells: &Cells,
+    id: &JobId,
+    access: &Access,
+) -> Result<Option<CallerResponse>, StoreError> {
+    let tombstone = JobRecord::Tombstone {
+        at: unix_ms(),
+        organisation: access.organisation().cloned(),
+    };
+    // Every insert of the job requires that this key is absent, whichever cell it stores the job in.
+    let key = cells.of_job(id).keys.job(id);
+    let mut txn = Txn::default()
+        .absent(key.clone())
+        .put(key, encode_job(&tombstone));
+    if cells.views.len() > 1 {
+        txn = txn.absent(keys::job_location(id));
+    }
+    let reply = (node.platform.store.txn)(txn).await?;
+    if !reply.committed {
+        return Ok(None);
+    }
+    log_event!(Event::TombstoneStored, job = id, revision = reply.revision);
+    Ok(Some(CallerResponse::NotFound))
+}
--- a/crates/nutmegcart_control/src/owner.rs
+++ b/crates/nutmegcart_control/src/owner.rs
@@ -191,6 +191,9 @@
         Ok(JobRecord::Ended {
             how, organisation, ..
         }) => scheduler.record_stored_end(&id, how, organisation, now()),
+        Ok(JobRecord::Tombstone { organisation, .. }) => {
+            scheduler.record_tombstone(&id, organisation, now());
+        }
         Err(error) => log_event!(Event::JobRecordInvalid, job = id, reason = error),
     }
 }
--- a/crates/nutmegcart_control/src/writer.rs
+++ b/crates/nutmegcart_control/src/writer.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::Flush;
 use nutmegcart_jobs::FlushOutcome;
 use nutmegcart_jobs::JobId;
@@ -142,6 +143,7 @@
         found_jobs.insert(id.clone());
         let key = match decode::<JobRecord>(&item.value) {
             Ok(JobRecord::Ended { how, .. }) => JobKeyState::Ended(how),
+            Ok(JobRecord::Tombstone { .. }) => JobKeyState::Ended(FinalState::Cancelled),
             Ok(JobRecord::Accepted(_)) => JobKeyState::Accepted(item.modified),
             Err(error) => {
                 log_event!(Event::JobRecordInvalid, job = id, reason = error);
--- a/crates/nutmegcart_control/tests/organisations.rs
+++ b/crates/nutmegcart_control/tests/organisations.rs
@@ -140,6 +140,9 @@
                 JobRecord::Ended {
                     how, organisation, ..
                 } => scheduler.record_stored_end(&id, how, organisation, now()),
+                JobRecord::Tombstone { organisation, .. } => {
+                    scheduler.record_tombstone(&id, organisation, now());
+                }
             }
         }
         let owned = Rc::new(OwnedCell {
--- a/crates/nutmegcart_fakes/src/cell/mod.rs
+++ b/crates/nutmegcart_fakes/src/cell/mod.rs
@@ -465,6 +465,7 @@
         match self.store.jobs.get(id)?.0 {
             JobRecord::Accepted(_) => Some(JobState::Pending),
             JobRecord::Ended { how, .. } => Some(JobState::Ended(how)),
+            JobRecord::Tombstone { .. } => None,
         }
     }
 
@@ -500,6 +501,9 @@
                 JobRecord::Ended {
                     how, organisation, ..
                 } => scheduler.record_stored_end(id, *how, organisation.clone(), self.now),
+                JobRecord::Tombstone { organisation, .. } => {
+                    scheduler.record_tombstone(id, organisation.clone(), self.now);
+                }
             }
         }
         if let Some(state) = &self.store.state {
--- a/crates/nutmegcart_fakes/src/cell/transactions.rs
+++ b/crates/nutmegcart_fakes/src/cell/transactions.rs
@@ -1,5 +1,6 @@
 //! Transactions of the owners on the store.
 
+use nutmegcart_jobs::FinalState;
 use nutmegcart_jobs::Flush;
 use nutmegcart_jobs::FlushOutcome;
 use nutmegcart_jobs::JobKeyState;
@@ -41,6 +42,10 @@
                 Some((JobRecord::Ended { how, .. }, _)) => {
                     changed.push((write.job.clone(), JobKeyState::Ended(*how)));
                 }
+                Some((JobRecord::Tombstone { .. }, _)) => {
+                    let cancelled = JobKeyState::Ended(FinalState::Cancelled);
+                    changed.push((write.job.clone(), cancelled));
+                }
                 None => changed.push((write.job.clone(), JobKeyState::Absent)),
             }
         }
--- a/crates/nutmegcart_jobs/src/flush.rs
+++ b/crates/nutmegcart_jobs/src/flush.rs
@@ -131,10 +131,11 @@
     rejected_finals: bool,
 }
 
-/// A job whose final state is stored.
+/// A job whose final state is stored, or that was cancelled before it was stored.
 #[derive(Clone, Debug)]
 pub(crate) struct EndedJob {
-    pub(crate) how: FinalState,
+    /// Final state; none if the job was never stored.
+    pub(crate) how: Option<FinalState>,
     pub(crate) organisation: Option<OrganisationName>,
 }
 
--- a/crates/nutmegcart_jobs/src/record.rs
+++ b/crates/nutmegcart_jobs/src/record.rs
@@ -94,6 +94,15 @@
         #[serde(skip)]
         organisation: Option<OrganisationName>,
     },
+    /// A job that was cancelled while the store did not hold it. A write of the job that is carried out
+    /// later finds the key and has no effect.
+    Tombstone {
+        /// When it was cancelled, in milliseconds since 1970.
+        at: u64,
+        /// Organisation of the caller that cancelled it, if any.
+        #[serde(skip)]
+        organisation: Option<OrganisationName>,
+    },
 }
 
 impl JobRecord {
@@ -102,7 +111,9 @@
     pub const fn organisation(&self) -> Option<&OrganisationName> {
         match self {
             Self::Accepted(accepted) => accepted.organisation.as_ref(),
-            Self::Ended { organisation, .. } => organisation.as_ref(),
+            Self::Ended { organisation, .. } | Self::Tombstone { organisation, .. } => {
+                organisation.as_ref()
+            }
         }
     }
 }
@@ -317,7 +328,9 @@
     let stored = organisations.into_iter().next();
     match &mut record {
         JobRecord::Accepted(accepted) => accepted.organisation = stored,
-        JobRecord::Ended { organisation, .. } => *organisation = stored,
+        JobRecord::Ended { organisation, .. } | JobRecord::Tombstone { organisation, .. } => {
+            *organisation = stored;
+        }
     }
     Ok(record)
 }
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -373,8 +373,32 @@
         organisation: Option<OrganisationName>,
         now: Duration,
     ) {
-        let ended = EndedJob { how, organisation };
+        let ended = EndedJob {
+            how: Some(how),
+            organisation,
+        };
+        self.flush_queue.record_ended(id, ended, now);
+        self.end_job(id, how, now);
+    }
+
+    /// Records that the store holds a tombstone of a job. Like the final states of jobs, it is removed
+    /// after the retention time.
+    pub fn record_tombstone(
+        &mut self,
+        id: &JobId,
+        organisation: Option<OrganisationName>,
+        now: Duration,
+    ) {
+        let ended = EndedJob {
+            how: None,
+            organisation,
+        };
         self.flush_queue.record_ended(id, ended, now);
+        self.end_job(id, FinalState::Cancelled, now);
+    }
+
+    /// Ends a live job whose final state is stored.
+    fn end_job(&mut self, id: &JobId, how: FinalState, now: Duration) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -394,7 +418,7 @@
     #[must_use]
     pub fn job_state(&self, id: &JobId) -> Option<JobState> {
         let live = self.jobs.get(id).map(LiveJob::state);
-        live.or_else(|| Some(JobState::Ended(self.flush_queue.ended(id)?.how)))
+        live.or_else(|| Some(JobState::Ended(self.flush_queue.ended(id)?.how?)))
     }
 
     /// Returns the organisation that a known job belongs to, if any.
--- a/crates/nutmegcart_jobs/tests/expiry.rs
+++ b/crates/nutmegcart_jobs/tests/expiry.rs
@@ -5,9 +5,11 @@
 use nutmegcart_fakes::cell::CellSimulation;
 use nutmegcart_jobs::FlushOutcome;
 use nutmegcart_jobs::JobId;
+use nutmegcart_jobs::JobRecord;
 use support::assert_all_completed;
 use support::assert_no_violations;
 use support::batch_step;
+use support::job_id;
 use support::seconds;
 use support::submit;
 use support::world;
@@ -69,3 +71,26 @@
     assert_eq!(world.store.jobs.len(), 0);
     assert_eq!(known(&world), 0);
 }
+
+/// Guards against tombstones that stay in the store, and against a job that nobody submitted being shown.
+#[test]
+fn tombstone_is_removed_after_the_retention_time() {
+    let (mut world, jobs) = ended_jobs(73);
+    let cancelled: Vec<JobId> = (0..JOBS).map(|number| job_id(1_000 + number)).collect();
+    assert!(cancelled.iter().all(|id| !jobs.contains(id)));
+    for id in &cancelled {
+        let record = JobRecord::Tombstone {
+            at: 7,
+            organisation: None,
+        };
+        world.store.jobs.insert(id.clone(), (record, 1));
+    }
+    world.take_over();
+    world.run(seconds(1.0));
+    for id in &cancelled {
+        assert_eq!(world.owners[1].scheduler.job_state(id), None);
+    }
+    world.run(seconds(12.0));
+    assert_eq!(world.store.jobs.len(), 0);
+    assert_no_violations(&world);
+}
--- a/crates/nutmegcart_jobs/tests/organisation_records.rs
+++ b/crates/nutmegcart_jobs/tests/organisation_records.rs
@@ -40,6 +40,13 @@
     }
 }
 
+fn tombstone(organisation: Option<&str>) -> JobRecord {
+    JobRecord::Tombstone {
+        at: 17,
+        organisation: organisation.map(Into::into),
+    }
+}
+
 fn accepted_record(organisation: Option<&str>) -> JobRecord {
     JobRecord::Accepted(Box::new(accepted(organisation)))
 }
@@ -63,6 +70,9 @@
         (accepted_record(Some("ferries")), accepted_record(None));
     /// Guards against ended jobs that versions before or after cannot read.
     ended_job_has_its_organisation_behind_the_record => (ended(Some("ferries")), ended(None));
+    /// Guards against tombstones that lose their organisation, so that callers of others are told that
+    /// their job is stored.
+    tombstone_has_its_organisation_behind_the_record => (tombstone(Some("ferries")), tombstone(None));
 }
 
 /// Guards against a final state that loses the organisation, so that all callers see it, in the store
--- a/crates/nutmegcart_jobs/tests/outlived_incarnations.rs
+++ b/crates/nutmegcart_jobs/tests/outlived_incarnations.rs
@@ -294,7 +294,7 @@
     let job = submit(&mut world, 1, vec![batch_step(1, 1_000, 500)]);
     let accepted = match &world.store.jobs[&job].0 {
         JobRecord::Accepted(accepted) => (**accepted).clone(),
-        JobRecord::Ended { .. } => panic!("it was accepted"),
+        JobRecord::Ended { .. } | JobRecord::Tombstone { .. } => panic!("it was accepted"),
     };
     let unix = world.unix_ms();
     let scheduler = &mut world.owners[first].scheduler;
--- a/crates/nutmegcart_jobs/tests/passing.rs
+++ b/crates/nutmegcart_jobs/tests/passing.rs
@@ -293,7 +293,7 @@
     let waits: Vec<u64> = stored
         .map(|(record, _)| match record {
             JobRecord::Accepted(accepted) => accepted.waited_ms,
-            JobRecord::Ended { .. } => panic!("ended at once"),
+            JobRecord::Ended { .. } | JobRecord::Tombstone { .. } => panic!("ended at once"),
         })
         .collect();
     assert!(!waits.is_empty() && waits.iter().all(|wait| (1_900..2_100).contains(wait)));
--- a/crates/nutmegcart_model/src/event.rs
+++ b/crates/nutmegcart_model/src/event.rs
@@ -107,6 +107,7 @@
     JobRecordLost = 716, Error, "the store no longer holds an accepted job";
     JobRecordInvalid = 717, Error, "a record of the cell in the store cannot be read";
     JobPassed = 718, Info, "waiting job passed to a cell that can start it sooner";
+    TombstoneStored = 719, Info, "job cancelled before the store held it; a late write of it has no effect";
     RunAdopted = 720, Info, "run of an earlier owner adopted";
     RunFailed = 721, Info, "run failed";
     RunEnded = 722, Info, "run ended without finishing; its task starts again";
