Keep states of the tasks of a job only near those under way

What callers saw: six bodies of 4.2 KB, each of 64 steps of 10,000 tasks, ended every owner of their cell by memory, one after the other, and no job that was accepted meanwhile started.

Cause: the owner allocated a state of about 90 bytes for every task when it read a job, 58 MB for the widest job, and every successor did the same. Placement passes, waiting lists and stored ranges also went through all tasks of a job.

Change: the states of a step are a table that gives tasks a state of their own in chunks of 64 when one of them first changes, and takes it back once all have finished. Decisions that looked at every task go through chunks, or look at 256 waiting tasks of a step at a time; gangs above that size are skipped while the pool cannot hold them. A job of more than 10,000 tasks does not pass to another cell, since its record would list them.

--- a/crates/nutmegcart_fleet/src/index_ranges.rs
+++ b/crates/nutmegcart_fleet/src/index_ranges.rs
@@ -1,5 +1,7 @@
 //! Sets of task indexes stored as ranges.
 
+use std::ops::Range;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -36,6 +38,25 @@
         Self(ranges)
     }
 
+    /// Creates a set from ranges of indexes in ascending order, each with its end excluded.
+    ///
+    /// ```
+    /// # use nutmegcart_fleet::IndexRanges;
+    /// let ranges = IndexRanges::from_ranges([0..2, 2..5, 7..7, 9..10]);
+    /// assert_eq!(ranges, IndexRanges::from_indexes(vec![0, 1, 2, 3, 4, 9]));
+    /// ```
+    #[must_use]
+    pub fn from_ranges(ranges: impl IntoIterator<Item = Range<u32>>) -> Self {
+        let mut merged: Vec<(u32, u32)> = Vec::new();
+        for range in ranges.into_iter().filter(|range| !range.is_empty()) {
+            match merged.last_mut() {
+                Some(last) if range.start <= last.1 => last.1 = last.1.max(range.end),
+                _ => merged.push((range.start, range.end)),
+            }
+        }
+        Self(merged)
+    }
+
     /// Returns whether the index is in the set.
     #[must_use]
     pub fn contains(&self, index: u32) -> bool {
--- a/crates/nutmegcart_jobs/src/assignments.rs
+++ b/crates/nutmegcart_jobs/src/assignments.rs
@@ -369,7 +369,7 @@
 }
 
 /// Returns how many tasks of a step fit on an empty machine.
-fn count_fitting(step: &Step, size: Resources) -> u32 {
+pub(crate) fn count_fitting(step: &Step, size: Resources) -> u32 {
     let need = step.allocation();
     let each = [
         size.cpu.checked_div(need.cpu),
--- a/crates/nutmegcart_jobs/src/finished_tasks.rs
+++ b/crates/nutmegcart_jobs/src/finished_tasks.rs
@@ -11,12 +11,10 @@
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::live_job::LiveStep;
-use crate::live_job::LiveTask;
+use crate::live_task::LiveTask;
 use crate::record::CellRecord;
 use crate::record::FinishedTasks;
-use crate::record::TaskProgress;
 use crate::record::encode_cell;
-use crate::scheduler::INHERITED_RUN_GAP;
 use crate::scheduler::Scheduler;
 
 /// Maximum number of tasks of finished occurrences that the cell state lists one by one, for programs
@@ -134,35 +132,20 @@
 
     /// Marks tasks as finished that another owner has recorded as such.
     pub(crate) fn restore_finished(&mut self, finished: &FinishedTasks, now: Duration) {
-        let key = |index: u32| TaskKey {
+        let key = TaskKey {
             job: self.id.clone(),
             occurrence: finished.occurrence,
             step: finished.step,
-            index,
+            index: 0,
         };
-        let count = self.step(&key(0)).map_or(0, |step| step.count);
-        let indexes = (0..count).filter(|index| finished.indexes.contains(*index));
-        let keys: Vec<TaskKey> = indexes.map(key).collect();
-        for key in keys {
-            self.started_task(&key, now);
-            self.restore(&finished_task(key), INHERITED_RUN_GAP);
+        if finished.indexes.is_empty() || self.started_task(&key, now).is_none() {
+            return;
         }
-    }
-}
-
-/// Returns the progress of a finished task. Its runs, failures and checkpoint no longer matter.
-pub(crate) const fn finished_task(task: TaskKey) -> TaskProgress {
-    TaskProgress {
-        task,
-        done: true,
-        failed: Vec::new(),
-        run: 0,
-        checkpoint: None,
+        self.started = true;
+        self.finish_all(&key, &finished.indexes);
     }
 }
 
 fn finished_indexes(step: &LiveStep) -> IndexRanges {
-    let tasks = (0_u32..).zip(&step.tasks);
-    let finished = tasks.filter(|(_, task)| task.done);
-    IndexRanges::from_indexes(finished.map(|(index, _)| index).collect())
+    IndexRanges::from_ranges(step.tasks.matching_ranges(|task| task.done))
 }
--- a/crates/nutmegcart_jobs/src/fleet_limit.rs
+++ b/crates/nutmegcart_jobs/src/fleet_limit.rs
@@ -167,15 +167,13 @@
             let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
             for (index, (step, state)) in (0_u16..).zip(steps) {
                 let known = self.assigned.as_ref().filter(|_| is_assigned(step));
-                let may_run = |task: &u32| {
-                    let key = TaskKey {
-                        job: job.id.clone(),
-                        occurrence: *number,
-                        step: index,
-                        index: *task,
-                    };
-                    known.is_none_or(|tasks| tasks.contains(&key))
+                let key = |task: u32| TaskKey {
+                    job: job.id.clone(),
+                    occurrence: *number,
+                    step: index,
+                    index: task,
                 };
+                let may_run = |task: &u32| known.is_none_or(|tasks| tasks.contains(&key(*task)));
                 for _ in state.pending().filter(may_run) {
                     bounded += step.allocation();
                     unbounded += step.need.saturating_sub(step.allocation());
--- a/crates/nutmegcart_jobs/src/gang.rs
+++ b/crates/nutmegcart_jobs/src/gang.rs
@@ -93,9 +93,9 @@
             return;
         }
         state.checkpoint_origin = Some(origin);
-        for task in &mut state.tasks {
-            task.checkpoint = Some(checkpoint.clone());
-        }
+        state
+            .tasks
+            .update_all(|task| task.checkpoint = Some(checkpoint.clone()));
     }
 
     /// Records the checkpoint of a live run for its gang, if its task belongs to one.
@@ -122,9 +122,11 @@
     /// Returns the number of attempts that a task has used up; those of a gang count for each of its
     /// tasks.
     pub(crate) fn failed_attempts(&self, key: &TaskKey) -> usize {
-        let tasks = self.tasks_of_step(key);
+        let Some(tasks) = self.tasks_of_step(key) else {
+            return 0;
+        };
         if self.is_gang(key) {
-            return FailedRuns::count_of_gang(tasks.iter().map(|task| &task.failed_runs));
+            return FailedRuns::count_of_gang(tasks.states().map(|task| &task.failed_runs));
         }
         let index = usize::try_from(key.index).ok();
         let task = index.and_then(|index| tasks.get(index));
@@ -142,10 +144,10 @@
         let Some(state) = self.step_state(key) else {
             return;
         };
-        for task in &mut state.tasks {
+        state.tasks.update_all(|task| {
             task.stalls += u32::from(!blamed);
             task.avoid = avoid.cloned();
-        }
+        });
     }
 
     /// Records the checkpoint of a task that another owner has stored.
@@ -163,7 +165,7 @@
         let Some(state) = job.and_then(|job| job.step_state(key)) else {
             return;
         };
-        let checkpoints = state.tasks.iter().map(|task| task.checkpoint.as_deref());
+        let checkpoints = state.tasks.states().map(|task| task.checkpoint.as_deref());
         let checkpoint = checkpoints.flatten().next().unwrap_or_default();
         let origin = state.checkpoint_origin.unwrap_or_default();
         log_event!(
--- a/crates/nutmegcart_jobs/src/incarnations.rs
+++ b/crates/nutmegcart_jobs/src/incarnations.rs
@@ -231,6 +231,7 @@
             let origin = Origin::live(run.number, run.progress, now);
             job.record_checkpoint(key, run.checkpoint.as_ref(), origin);
         }
+        job.compact(key);
         self.forget_if_ended(&key.job);
     }
 
--- a/crates/nutmegcart_jobs/src/live_job.rs
+++ b/crates/nutmegcart_jobs/src/live_job.rs
@@ -7,7 +7,6 @@
 
 use nutmegcart_fleet::IndexRanges;
 use nutmegcart_model::PoolName;
-use nutmegcart_model::WorkerId;
 use nutmegcart_platform::Revision;
 
 use crate::estimate::Estimates;
@@ -17,11 +16,13 @@
 use crate::job::JobId;
 use crate::job::Step;
 use crate::job::TaskKey;
+use crate::live_task::LiveTask;
 use crate::record::AcceptedJob;
 use crate::record::FinalState;
 use crate::record::JobState;
 use crate::record::TaskProgress;
 use crate::scheduler::INHERITED_RUN_GAP;
+use crate::task_table::TaskTable;
 
 /// Occurrences that may be due by the clock of another owner and not by that of this one.
 const MAX_EARLY_OCCURRENCES: u32 = 10_000;
@@ -30,46 +31,15 @@
 /// Tasks of the open occurrences of a schedule from which on no further occurrence is added.
 pub const MAX_OPEN_TASKS: u64 = 10_000;
 
-/// State of one task.
-#[derive(Clone, Debug, Default)]
-pub struct LiveTask {
-    /// Whether a run of the task has finished.
-    pub done: bool,
-    /// Failed runs.
-    pub failed_runs: FailedRuns,
-    /// Highest run number used.
-    pub last_run: u32,
-    /// Number of runs that may be live.
-    pub live_runs: u32,
-    /// Whether any run was ever started, also by an earlier owner.
-    pub started: bool,
-    /// Latest checkpoint.
-    pub checkpoint: Option<Arc<str>>,
-    /// Worker on which the latest run failed or stalled.
-    pub avoid: Option<WorkerId>,
-    /// Runs that stalled on workers without other failures, under this owner.
-    pub stalls: u32,
-    /// When its latest run ended, or when its occurrence became due.
-    pub waiting_since: Duration,
-}
-
-impl LiveTask {
-    /// Returns whether the task may be started; `exclusive` tells whether this owner is certainly
-    /// the only one.
-    ///
-    /// Once another owner may exist, it may have processed the end of a task that was started
-    /// before.
-    #[must_use]
-    pub const fn may_start(&self, exclusive: bool) -> bool {
-        exclusive || !self.started
-    }
-}
+/// Maximum number of waiting tasks of one step that a decision considers. The others follow as these are
+/// started.
+pub(crate) const MAX_CONSIDERED: usize = 256;
 
 /// State of one step.
 #[derive(Clone, Debug, Default)]
 pub struct LiveStep {
     /// Tasks by index.
-    pub tasks: Vec<LiveTask>,
+    pub tasks: TaskTable,
     /// Whether all steps that it depends on have finished.
     pub ready: bool,
     /// Number of finished tasks.
@@ -81,17 +51,41 @@
 impl LiveStep {
     /// Returns the tasks that wait for a run.
     pub fn pending(&self) -> impl Iterator<Item = u32> + '_ {
-        let waits = |task: &LiveTask| !task.done && task.live_runs == 0;
-        let numbered = (0_u32..).zip(&self.tasks);
-        numbered
-            .filter(move |(_, task)| waits(task))
-            .map(|(index, _)| index)
+        self.tasks.matching(Self::waits)
+    }
+
+    /// Returns the number of tasks that wait for a run.
+    #[must_use]
+    pub fn pending_count(&self) -> usize {
+        self.tasks.count(Self::waits)
+    }
+
+    /// Returns whether a task waits for a run.
+    #[must_use]
+    pub fn has_pending(&self) -> bool {
+        self.tasks.states().any(Self::waits)
+    }
+
+    const fn waits(task: &LiveTask) -> bool {
+        !task.done && task.live_runs == 0
+    }
+
+    /// Returns whether all tasks have finished.
+    #[must_use]
+    pub const fn finished(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Returns whether a run of any of its tasks may be live.
+    #[must_use]
+    pub fn has_live_runs(&self) -> bool {
+        self.tasks.states().any(|task| task.live_runs > 0)
     }
 
     /// Returns when the latest run of its tasks ended under this owner, or when it became due.
     #[must_use]
     pub fn latest_end(&self) -> Option<Duration> {
-        self.tasks.iter().map(|task| task.waiting_since).max()
+        self.tasks.states().map(|task| task.waiting_since).max()
     }
 }
 
@@ -114,7 +108,7 @@
                 ..LiveTask::default()
             };
             LiveStep {
-                tasks: vec![waiting; step.count as usize],
+                tasks: TaskTable::new(step.count as usize, waiting),
                 ready: step.after.is_empty(),
                 ..LiveStep::default()
             }
@@ -126,19 +120,24 @@
         }
     }
 
+    /// Numbers the next runs of all tasks above `gap`.
+    pub(crate) fn skip_runs(&mut self, gap: u32) {
+        for step in &mut self.steps {
+            step.tasks.update_all(|task| task.last_run = gap);
+        }
+    }
+
     /// Returns whether every task has finished.
     #[must_use]
     pub fn finished(&self) -> bool {
-        let complete = |step: &LiveStep| step.done as usize == step.tasks.len();
-        self.steps.iter().all(complete)
+        self.steps.iter().all(LiveStep::finished)
     }
 
     /// Returns the steps whose tasks have all finished.
     #[must_use]
     pub fn done_steps(&self) -> BTreeSet<u16> {
         let numbered = (0_u16..).zip(&self.steps);
-        let complete = |step: &LiveStep| step.done as usize == step.tasks.len();
-        let done = numbered.filter(|(_, step)| complete(step));
+        let done = numbered.filter(|(_, step)| step.finished());
         done.map(|(number, _)| number).collect()
     }
 }
@@ -265,7 +264,7 @@
     }
 
     /// Returns the number of tasks of one occurrence.
-    fn width(&self) -> u64 {
+    pub(crate) fn width(&self) -> u64 {
         let steps = self.accepted.job.steps.iter();
         steps.map(|step| u64::from(step.count)).sum()
     }
@@ -309,10 +308,7 @@
         if !self.past.contains(self.spawned) {
             let mut occurrence = Occurrence::new(&self.accepted.job, due, self.critical_path);
             if self.inherited {
-                let steps = &mut occurrence.steps;
-                for task in steps.iter_mut().flat_map(|step| &mut step.tasks) {
-                    task.last_run = INHERITED_RUN_GAP;
-                }
+                occurrence.skip_runs(INHERITED_RUN_GAP);
             }
             self.occurrences.insert(self.spawned, occurrence);
         }
@@ -370,8 +366,8 @@
         let mut progress = Vec::new();
         for (number, occurrence) in &self.occurrences {
             for (step, state) in (0_u16..).zip(&occurrence.steps) {
-                let tasks = (0_u32..).zip(&state.tasks);
-                for (index, task) in tasks.filter(|(_, task)| keep(task)) {
+                for index in state.tasks.matching(&keep) {
+                    let task = &state.tasks[index as usize];
                     progress.push(TaskProgress {
                         task: TaskKey {
                             job: self.id.clone(),
@@ -437,10 +433,17 @@
 
     /// Returns the states of the tasks of a task's step, none if its occurrence is not open.
     #[must_use]
-    pub fn tasks_of_step(&self, key: &TaskKey) -> &[LiveTask] {
-        let occurrence = self.occurrences.get(&key.occurrence);
-        let step = occurrence.and_then(|each| each.steps.get(usize::from(key.step)));
-        step.map_or(&[], |step| &step.tasks)
+    pub fn tasks_of_step(&self, key: &TaskKey) -> Option<&TaskTable> {
+        let occurrence = self.occurrences.get(&key.occurrence)?;
+        let step = occurrence.steps.get(usize::from(key.step))?;
+        Some(&step.tasks)
+    }
+
+    /// Drops the states of finished tasks around a task.
+    pub(crate) fn compact(&mut self, key: &TaskKey) {
+        if let Some(step) = self.step_state(key) {
+            step.tasks.compact(key.index as usize);
+        }
     }
 
     /// Returns the state of a task's step.
@@ -467,12 +470,23 @@
         task.done = true;
         if let Some(step) = self.step_state(key) {
             step.done += 1;
+            step.tasks.compact(key.index as usize);
         }
         self.update_ready(key.occurrence);
         self.drop_finished(key.occurrence);
         true
     }
 
+    /// Marks several tasks of the step of `key` as finished.
+    pub(crate) fn finish_all(&mut self, key: &TaskKey, indexes: &IndexRanges) {
+        let Some(step) = self.step_state(key) else {
+            return;
+        };
+        step.done += step.tasks.finish(indexes);
+        self.update_ready(key.occurrence);
+        self.drop_finished(key.occurrence);
+    }
+
     fn update_ready(&mut self, number: u32) {
         let Some(occurrence) = self.occurrences.get_mut(&number) else {
             return;
@@ -503,7 +517,7 @@
     pub fn has_pending(&self) -> bool {
         let steps = self.occurrences.values().flat_map(|each| &each.steps);
         let mut open = steps.filter(|step| step.ready);
-        self.ended.is_none() && open.any(|step| step.pending().next().is_some())
+        self.ended.is_none() && open.any(LiveStep::has_pending)
     }
 
     /// Returns the largest number of workers that a waiting gang without a limit for each worker
@@ -513,7 +527,7 @@
         let all = occurrences.flat_map(|each| self.accepted.job.steps.iter().zip(&each.steps));
         let waiting = all.filter(|(step, state)| {
             let shared = step.gang && step.per_worker == 0 && !step.long_running;
-            shared && state.ready && state.pending().count() == state.tasks.len()
+            shared && state.ready && state.pending_count() == state.tasks.len()
         });
         let workers = waiting.map(|(step, _)| step.count.div_ceil(fitting(step).max(1)) as usize);
         workers.max().unwrap_or_default()
@@ -544,7 +558,8 @@
                             index: *task,
                         })
                     };
-                    let waiting = state.pending().filter(lacks_worker).count();
+                    let waiting = state.pending().filter(lacks_worker);
+                    let waiting = waiting.take(MAX_CONSIDERED).count();
                     let needed = waiting.div_ceil(step.per_worker.max(1) as usize);
                     let most = workers.entry(step.label.clone()).or_default();
                     *most = needed.max(*most);
--- a/crates/nutmegcart_jobs/src/overload.rs
+++ b/crates/nutmegcart_jobs/src/overload.rs
@@ -97,7 +97,7 @@
         let occurrence = job.occurrences.get(&candidate.occurrence);
         let states = occurrence.iter().flat_map(|each| &each.steps);
         let steps = job.accepted.job.steps.iter().zip(states);
-        let waiting = steps.filter(|(_, state)| state.ready && state.pending().next().is_some());
+        let waiting = steps.filter(|(_, state)| state.ready && state.has_pending());
         let Some((step, _)) = waiting.max_by_key(|(step, _)| step.need.cpu) else {
             return;
         };
--- a/crates/nutmegcart_jobs/src/passing.rs
+++ b/crates/nutmegcart_jobs/src/passing.rs
@@ -16,6 +16,7 @@
 
 use crate::job::JobId;
 use crate::live_job::LiveJob;
+use crate::live_job::LiveStep;
 use crate::rank::Rank;
 use crate::rank::rank;
 use crate::record::AcceptedJob;
@@ -30,6 +31,8 @@
 /// Wait of a cell above which it gets no jobs. Beyond it, late jobs of one cell would only delay
 /// those of another that can still be on time.
 const MAX_TARGET_WAIT: Duration = Duration::from_secs(1);
+/// Maximum number of tasks of a job that passes, since its record lists those that may have been started.
+const MAX_WIDTH: u64 = 10_000;
 /// Jobs that pass in one round, each with a transaction of its own.
 pub const MAX_PASSED: usize = 16;
 
@@ -163,18 +166,16 @@
 
     /// Returns whether the job waits, and nothing of it can be running under any owner.
     fn may_pass(&self, job: &LiveJob, now: Duration) -> bool {
-        let mut tasks = job
-            .occurrences
-            .values()
-            .flat_map(|occurrence| &occurrence.steps)
-            .flat_map(|step| &step.tasks);
+        let occurrences = job.occurrences.values();
+        let mut steps = occurrences.flat_map(|occurrence| &occurrence.steps);
         is_batch(job)
             && !job.passing
             && job.accepted.job.schedule.is_none()
             && job.accepted.waited_ms == 0
+            && job.width() <= MAX_WIDTH
             && now >= job.accepted_at + MIN_WAIT
             && job.has_pending()
-            && tasks.all(|task| task.live_runs == 0)
+            && !steps.any(LiveStep::has_live_runs)
             && !self.is_blocked(job)
     }
 
@@ -258,7 +259,7 @@
                 accepted: AcceptedJob {
                     waited_ms: u64::try_from(waited).unwrap_or(u64::MAX),
                     // All tasks that may have been started.
-                    progress: job.progress(|task| task.last_run > 0),
+                    progress: job.progress(|task| task.done || task.last_run > 0),
                     ..job.accepted.clone()
                 },
             });
--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -13,12 +13,14 @@
 
 use crate::action::Action;
 use crate::action::StartOrder;
+use crate::assignments::count_fitting;
 use crate::assignments::is_assigned;
 use crate::fair_shares::Candidate;
 use crate::job::JobId;
 use crate::job::Step;
 use crate::job::TaskKey;
-use crate::live_job::LiveTask;
+use crate::live_job::MAX_CONSIDERED;
+use crate::live_task::LiveTask;
 use crate::overload::Decision;
 use crate::overload::Room;
 use crate::overload::decide;
@@ -40,6 +42,24 @@
 /// Same for other tasks, whose attempts are limited. Bursts that fill a pool are shorter.
 const BATCH_AVOID_TIME: Duration = Duration::from_secs(10);
 
+/// Returns whether a step is a gang of more than [`MAX_CONSIDERED`] tasks that the workers of its pool
+/// cannot run at the same time, so that its tasks need not be looked at.
+fn is_hopeless_gang(step: &Step, slots: &Slots) -> bool {
+    if !step.gang || step.count as usize <= MAX_CONSIDERED {
+        return false;
+    }
+    let room = slots.items.iter().map(|slot| {
+        // Shorter tasks are stopped for a long-running gang.
+        let size = if step.long_running {
+            slot.capacity
+        } else {
+            slot.free
+        };
+        slot.startable.min(count_fitting(step, size) as usize)
+    });
+    room.sum::<usize>() < step.count as usize
+}
+
 impl Scheduler {
     /// Places waiting tasks, and emits all orders that are due.
     pub fn run_pass(&mut self, now: Duration) {
@@ -158,12 +178,22 @@
         let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
         for (step, (definition, state)) in (0_u16..).zip(steps) {
             let assigned = is_assigned(definition);
-            if state.ready && (assigned || !blocked) {
+            let startable_now = definition.gang
+                || definition.long_running
+                || definition.allocation().fits(slots.largest_free);
+            let hopeless = !startable_now || is_hopeless_gang(definition, slots);
+            if state.ready && (assigned || !blocked) && !hopeless {
                 let startable = |index: &u32| {
                     state.tasks[*index as usize].may_start(exclusive)
                         && (!assigned || self.may_assign(job, number, step, *index, now))
                 };
-                let pending: Vec<u32> = state.pending().filter(startable).collect();
+                let most = if definition.gang {
+                    usize::MAX
+                } else {
+                    MAX_CONSIDERED
+                };
+                let pending = state.pending().filter(startable).take(most);
+                let pending: Vec<u32> = pending.collect();
                 if !pending.is_empty() {
                     ready.push((step, pending));
                 }
@@ -230,7 +260,11 @@
                 Some(slot) => {
                     self.start_or_reserve(slots, slot, &task, &step, &mut counts, now);
                 }
-                None if step.long_running => self.make_room(slots, &task, &step, &counts, now),
+                // If no worker can make room for this task, none can for the later ones.
+                None if step.long_running && !self.make_room(slots, &task, &step, &counts, now) => {
+                    break;
+                }
+                None if step.long_running => {}
                 // Later tasks find no worker either, unless this one avoids one.
                 None if step.per_worker == 0
                     && self.avoided_worker(&task, &step, now).0.is_none() =>
@@ -430,7 +464,7 @@
             .jobs
             .get_mut(&key.job)
             .and_then(|job| job.step_state(key));
-        let highest = state.and_then(|state| state.tasks.iter().map(|task| task.last_run).max());
+        let highest = state.and_then(|state| state.tasks.states().map(|task| task.last_run).max());
         highest.unwrap_or_default().saturating_add(1)
     }
 
--- a/crates/nutmegcart_jobs/src/progress.rs
+++ b/crates/nutmegcart_jobs/src/progress.rs
@@ -11,7 +11,7 @@
 use nutmegcart_model::WorkerId;
 
 use crate::job::TaskKey;
-use crate::live_job::LiveTask;
+use crate::live_task::LiveTask;
 use crate::scheduler::Scheduler;
 use crate::worker::Run;
 use crate::worker::RunState;
@@ -118,7 +118,7 @@
         let declared = job.step(key).map(crate::job::Step::declared);
         let predicted = learnt.max(declared).unwrap_or_default();
         let index = usize::try_from(key.index).ok();
-        let task = index.and_then(|index| job.tasks_of_step(key).get(index));
+        let task = index.and_then(|index| job.tasks_of_step(key)?.get(index));
         let stalls = task.map_or(0, |task| task.stalls);
         stall_time(predicted, run.percent_time, stalls)
     }
--- a/crates/nutmegcart_jobs/src/rank.rs
+++ b/crates/nutmegcart_jobs/src/rank.rs
@@ -103,7 +103,7 @@
     let started = occurrence
         .steps
         .iter()
-        .any(|step| step.done > 0 || step.tasks.iter().any(|task| task.live_runs > 0));
+        .any(|step| step.done > 0 || step.has_live_runs());
     let rank_as = |urgency, key| Rank {
         priority,
         urgency,
--- a/crates/nutmegcart_jobs/src/room.rs
+++ b/crates/nutmegcart_jobs/src/room.rs
@@ -24,7 +24,7 @@
 
 impl Scheduler {
     /// Reserves a worker for a long-running task, and after a delay stops shorter ones to make
-    /// room.
+    /// room. Returns false if there is no such worker.
     ///
     /// A long-running task that fails during a burst has to start again within seconds, although
     /// the pool is full.
@@ -35,11 +35,13 @@
         step: &Step,
         counts: &HashMap<WorkerId, u32>,
         now: Duration,
-    ) {
+    ) -> bool {
         let nothing = Resources::default();
-        if let Some(slot) = self.find_room(slots, task, step, counts, &|_| nothing, now) {
-            self.claim_room(slots, slot, task, step.allocation(), now);
-        }
+        let Some(slot) = self.find_room(slots, task, step, counts, &|_| nothing, now) else {
+            return false;
+        };
+        self.claim_room(slots, slot, task, step.allocation(), now);
+        true
     }
 
     /// Makes room for all tasks of a long-running gang, which starts as a whole or not at all.
--- a/crates/nutmegcart_jobs/src/scheduler.rs
+++ b/crates/nutmegcart_jobs/src/scheduler.rs
@@ -336,12 +336,8 @@
         job.moved |= inherited && self.stored_moves.contains(&job.accepted.queue.key);
         job.spawn(unix, now);
         if inherited {
-            let steps = job
-                .occurrences
-                .values_mut()
-                .flat_map(|each| &mut each.steps);
-            for task in steps.flat_map(|step| &mut step.tasks) {
-                task.last_run = INHERITED_RUN_GAP;
+            for occurrence in job.occurrences.values_mut() {
+                occurrence.skip_runs(INHERITED_RUN_GAP);
             }
         }
         // What the job had done in another cell before it passed to this one.
--- a/crates/nutmegcart_jobs/src/stalled.rs
+++ b/crates/nutmegcart_jobs/src/stalled.rs
@@ -98,8 +98,7 @@
             return Some((StalledKind::Batch, due.min()?));
         }
         let steps = job.occurrences.values().flat_map(|each| &each.steps);
-        let mut tasks = steps.clone().flat_map(|step| &step.tasks);
-        if !job.has_pending() || tasks.any(|task| task.live_runs > 0) {
+        if !job.has_pending() || steps.clone().any(LiveStep::has_live_runs) {
             return None;
         }
         let since = steps.filter_map(LiveStep::latest_end).max()?;
--- a/crates/nutmegcart_jobs/src/waiting.rs
+++ b/crates/nutmegcart_jobs/src/waiting.rs
@@ -19,7 +19,8 @@
 use crate::job::TaskKey;
 use crate::live_job::LiveJob;
 use crate::live_job::LiveStep;
-use crate::live_job::LiveTask;
+use crate::live_job::MAX_CONSIDERED;
+use crate::live_task::LiveTask;
 use crate::placement::waited_to_return;
 use crate::scheduler::Scheduler;
 use crate::slot::Constraints;
@@ -186,20 +187,21 @@
     /// Returns the waiting long-running tasks by pool, with the reasons why they wait.
     #[must_use]
     pub fn waiting_long_running(&self, now: Duration) -> Vec<WaitingPool> {
-        let mut pools: BTreeMap<PoolName, Vec<(Duration, TaskKey)>> = BTreeMap::new();
+        let mut pools: BTreeMap<PoolName, (usize, Vec<(Duration, TaskKey)>)> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| job.ended.is_none()) {
-            for (since, task) in self.waiting_tasks(job) {
-                let tasks = pools.entry(job.pool.clone()).or_default();
-                tasks.push((since, task));
+            let count = Self::waiting_count(job);
+            if count > 0 {
+                let (total, tasks) = pools.entry(job.pool.clone()).or_default();
+                *total += count;
+                tasks.extend(self.waiting_tasks(job));
+                tasks.sort();
+                tasks.truncate(MAX_REASONS);
             }
         }
-        let pools = pools.into_iter().map(|(pool, mut tasks)| {
-            tasks.sort();
+        let pools = pools.into_iter().map(|(pool, (total, tasks))| {
             let mut slots = self.slots_of_pool(&pool, now);
             self.set_reservations_aside(&mut slots);
-            let total = tasks.len();
-            let tasks = tasks.into_iter().take(MAX_REASONS);
-            let explained = tasks.filter_map(|(since, task)| {
+            let explained = tasks.into_iter().filter_map(|(since, task)| {
                 let reason = self.reason(&pool, &slots, &task, now)?;
                 Some(WaitingTask {
                     task,
@@ -216,7 +218,16 @@
         pools.collect()
     }
 
-    /// Returns the waiting long-running tasks of a job, with the times since when they wait.
+    /// Returns the number of waiting long-running tasks of a job.
+    fn waiting_count(job: &LiveJob) -> usize {
+        let occurrences = job.occurrences.values();
+        let steps = occurrences.flat_map(|each| job.accepted.job.steps.iter().zip(&each.steps));
+        let waiting = steps.filter(|(step, state)| step.long_running && state.ready);
+        waiting.map(|(_, state)| state.pending_count()).sum()
+    }
+
+    /// Returns waiting long-running tasks of a job, with the times since when they wait. Of each step
+    /// they are at most [`MAX_CONSIDERED`].
     pub(crate) fn waiting_tasks(&self, job: &LiveJob) -> Vec<(Duration, TaskKey)> {
         let mut waiting = Vec::new();
         for (number, occurrence) in &job.occurrences {
@@ -228,7 +239,8 @@
                 let before = step.after.iter();
                 let before = before.filter_map(|on| occurrence.steps.get(usize::from(*on)));
                 let ready_since = before.filter_map(LiveStep::latest_end).max();
-                waiting.extend(state.pending().map(|task| {
+                let considered = state.pending().take(MAX_CONSIDERED);
+                waiting.extend(considered.map(|task| {
                     let since = state.tasks[task as usize].waiting_since;
                     let since = ready_since.map_or(since, |ready| since.max(ready));
                     let key = TaskKey {
@@ -288,7 +300,7 @@
             let causes = of_pool.filter_map(|worker| worker.unusable(now));
             return Some(WaitReason::NoneUsable(count(causes)));
         }
-        if step.gang && state.pending().count() != step.count as usize {
+        if step.gang && state.pending_count() != step.count as usize {
             return Some(WaitReason::Gang);
         }
         Some(self.rejections(slots, key, step, task, now))
