--- a/crates/nutmegcart_jobs/src/placement.rs
+++ b/crates/nutmegcart_jobs/src/placement.rs
@@ -44,7 +44,7 @@
 
 /// Returns whether a step is a gang of more than [`MAX_CONSIDERED`] tasks that the workers of its pool
 /// cannot run at the same time, so that its tasks need not be looked at.
-fn is_hopeless_gang(step: &Step, slots: &Slots) -> bool {
+fn exceeds_room(step: &Step, slots: &Slots) -> bool {
     if !step.gang || step.count as usize <= MAX_CONSIDERED {
         return false;
     }
@@ -178,11 +178,10 @@
         let steps = job.accepted.job.steps.iter().zip(&occurrence.steps);
         for (step, (definition, state)) in (0_u16..).zip(steps) {
             let assigned = is_assigned(definition);
-            let startable_now = definition.gang
-                || definition.long_running
-                || definition.allocation().fits(slots.largest_free);
-            let hopeless = !startable_now || is_hopeless_gang(definition, slots);
-            if state.ready && (assigned || !blocked) && !hopeless {
+            let fits = definition.allocation().fits(slots.largest_free);
+            let considered = (fits || definition.gang || definition.long_running)
+                && !exceeds_room(definition, slots);
+            if state.ready && (assigned || !blocked) && considered {
                 let startable = |index: &u32| {
                     state.tasks[*index as usize].may_start(exclusive)
                         && (!assigned || self.may_assign(job, number, step, *index, now))
--- a/crates/nutmegcart_jobs/src/task_table.rs
+++ b/crates/nutmegcart_jobs/src/task_table.rs
@@ -44,7 +44,7 @@
     /// let mut tasks = TaskTable::new(100, LiveTask { last_run: 16, ..LiveTask::default() });
     /// tasks.get_mut(7).unwrap().last_run = 17;
     /// assert_eq!((tasks[7].last_run, tasks[8].last_run, tasks[99].last_run), (17, 16, 16));
-    /// assert_eq!(tasks.iter().count(), 100);
+    /// assert_eq!(tasks.matching(|task| task.last_run == 16).count(), 99);
     /// assert!(tasks.get(100).is_none());
     /// ```
     #[must_use]
@@ -74,16 +74,6 @@
         self.len == 0
     }
 
-    /// Returns the number of tasks that have a state of their own.
-    #[must_use]
-    pub fn own_states(&self) -> usize {
-        let own = self.chunks.iter().map(|(_, chunk)| match chunk {
-            Chunk::Finished => 0,
-            Chunk::Own(tasks) => tasks.len(),
-        });
-        own.sum()
-    }
-
     /// Returns the state of a task.
     #[must_use]
     pub fn get(&self, index: usize) -> Option<&LiveTask> {
@@ -122,19 +112,6 @@
         }
     }
 
-    /// Returns the states of all tasks in order.
-    pub fn iter(&self) -> impl Iterator<Item = &LiveTask> + Clone {
-        (0..self.chunk_count()).flat_map(|number| {
-            let size = self.chunk_len(number);
-            let (own, shared, count): (&[LiveTask], _, _) = match self.chunk(number) {
-                None => (&[], &self.initial, size),
-                Some(Chunk::Finished) => (&[], &self.finished, size),
-                Some(Chunk::Own(tasks)) => (tasks, &self.initial, 0),
-            };
-            own.iter().chain(std::iter::repeat_n(shared, count))
-        })
-    }
-
     /// Returns every state that some task is in, at least once.
     pub fn states(&self) -> impl Iterator<Item = &LiveTask> + Clone {
         let own = self.chunks.iter().flat_map(|(_, chunk)| match chunk {
@@ -150,7 +127,8 @@
         self.matching_ranges(test).flatten()
     }
 
-    /// Returns the indexes of the tasks for which `test` is true, as ranges in ascending order.
+    /// Returns the indexes of the tasks for which `test` is true, as ranges in ascending order, which may
+    /// adjoin.
     pub fn matching_ranges(
         &self,
         test: impl Fn(&LiveTask) -> bool + Clone,
@@ -193,7 +171,17 @@
     }
 
     /// Marks tasks as finished, and returns how many of them had not been.
-    pub(crate) fn finish(&mut self, indexes: &IndexRanges) -> u32 {
+    ///
+    /// ```
+    /// # use nutmegcart_fleet::IndexRanges;
+    /// # use nutmegcart_jobs::live_task::LiveTask;
+    /// # use nutmegcart_jobs::task_table::TaskTable;
+    /// let mut tasks = TaskTable::new(100, LiveTask::default());
+    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges([0..70])), 70);
+    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges([60..80])), 10);
+    /// assert_eq!(tasks.count(|task| task.done), 80);
+    /// ```
+    pub fn finish(&mut self, indexes: &IndexRanges) -> u32 {
         let mut finished = 0;
         for number in 0..self.chunk_count() {
             let start = number * CHUNK;
@@ -216,8 +204,9 @@
         finished
     }
 
-    /// Drops the states of the tasks around a task if all of them have finished.
-    pub(crate) fn compact(&mut self, index: usize) {
+    /// Drops the states of the tasks of one chunk, that of `index`, if all of them have finished and no
+    /// run of them is live.
+    pub fn compact(&mut self, index: usize) {
         let Ok(position) = self.position(index / CHUNK) else {
             return;
         };
