--- a/crates/nutmegcart_jobs/src/task_table.rs
+++ b/crates/nutmegcart_jobs/src/task_table.rs
@@ -177,8 +177,8 @@
     /// # use nutmegcart_jobs::live_task::LiveTask;
     /// # use nutmegcart_jobs::task_table::TaskTable;
     /// let mut tasks = TaskTable::new(100, LiveTask::default());
-    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges([0..70])), 70);
-    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges([60..80])), 10);
+    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges(std::iter::once(0..70))), 70);
+    /// assert_eq!(tasks.finish(&IndexRanges::from_ranges(std::iter::once(60..80))), 10);
     /// assert_eq!(tasks.count(|task| task.done), 80);
     /// ```
     pub fn finish(&mut self, indexes: &IndexRanges) -> u32 {
--- a/crates/nutmegcart_jobs/tests/task_table.rs
+++ b/crates/nutmegcart_jobs/tests/task_table.rs
@@ -49,7 +49,7 @@
             let end = (index + random.random_range(0..100_usize)).min(len);
             let bounds = [index, end].map(|bound| u32::try_from(bound).expect("small"));
             let open = list[index..end].iter().filter(|task| !task.done).count();
-            let indexes = IndexRanges::from_ranges([bounds[0]..bounds[1]]);
+            let indexes = IndexRanges::from_ranges(std::iter::once(bounds[0]..bounds[1]));
             assert_eq!(table.finish(&indexes) as usize, open);
             list[index..end].iter_mut().for_each(|task| change(task, 2));
         }
